--- /dev/null
+++ b/include/zinniarack/entry.h
@@ -0,0 +1,43 @@
+#ifndef ZINNIARACK_ENTRY_H
+#define ZINNIARACK_ENTRY_H
+
+#include <stdbool.h>
+#include <uv.h>
+
+#include "zinniarack/clock.h"
+#include "zinniarack/settings.h"
+
+/**
+ * DOC: Entry daemon
+ *
+ * Serves callers and operators over HTTP. All are alike: any of them takes any
+ * request.
+ */
+
+struct zr_entry;
+
+/**
+ * zr_entry_new() - start an entry daemon
+ * @out: to be freed with zr_entry_free()
+ * @loop: the loop it runs on
+ * @clock: the clock
+ * @settings: the host's settings, kept by reference
+ *
+ * Return: 0 or a negative error number; zr_error_last() holds the details.
+ */
+int zr_entry_new(struct zr_entry **out, uv_loop_t *loop,
+		 const struct zr_clock *clock,
+		 const struct zr_settings *settings);
+
+/**
+ * zr_entry_stop() - graceful shutdown: accept no more, finish what is open
+ * @entry: the daemon
+ */
+void zr_entry_stop(struct zr_entry *entry);
+
+/** zr_entry_busy() - whether requests in progress remain */
+bool zr_entry_busy(const struct zr_entry *entry);
+
+void zr_entry_free(struct zr_entry *entry);
+
+#endif
--- /dev/null
+++ b/src/cli/main.c
@@ -0,0 +1,115 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli.h"
+
+#define HELP_MAX 4096
+#define DEFAULT_ENTRY "127.0.0.1:8080"
+
+const char *argp_program_version = "zinniarack 0.1";
+
+static const struct cli_command *const commands[] = {
+	&cli_config, &cli_key, &cli_status, &cli_submit, &cli_job,
+};
+
+#define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
+
+struct command_line {
+	struct cli_options options;
+	int argc;
+	char **argv;
+};
+
+static const struct argp_option options[] = {
+	{"entry", 'e', "ADDRESS", 0,
+	 "Entry daemon to call (default: $ZINNIARACK_ENTRY or " DEFAULT_ENTRY
+	 ")",
+	 0},
+	{"key", 'k', "KEY", 0, "Key to present (default: $ZINNIARACK_KEY)", 0},
+	{"json", 'j', NULL, 0, "Print JSON", 0},
+	{0},
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct command_line *line = state->input;
+
+	switch (key) {
+	case 'e':
+		line->options.entry = arg;
+		return 0;
+	case 'k':
+		line->options.key = arg;
+		return 0;
+	case 'j':
+		line->options.json = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		/* The rest belongs to the subcommand. */
+		line->argv = &state->argv[state->next - 1];
+		line->argc = state->argc - state->next + 1;
+		state->next = state->argc;
+		return 0;
+	case ARGP_KEY_END:
+		if (!line->argc)
+			argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void describe_commands(char *out, size_t size)
+{
+	size_t used;
+	size_t i;
+
+	used = (size_t)snprintf(out, size,
+				"Operates zinniarack.\vSubcommands:\n");
+	for (i = 0; i < COMMAND_COUNT; i++)
+		used += (size_t)snprintf(out + used, size - used,
+					 "  %s %s\n      %s\n",
+					 commands[i]->name, commands[i]->args,
+					 commands[i]->help);
+	snprintf(out + used, size - used,
+		 "\nExit codes: 0 done, 1 refused, 2 wrong command line, "
+		 "3 invalid file,\n4 no entry daemon answered, 5 another "
+		 "change was first.\n");
+}
+
+static int run_command(const struct command_line *line)
+{
+	size_t i;
+
+	for (i = 0; i < COMMAND_COUNT; i++) {
+		if (!strcmp(line->argv[0], commands[i]->name))
+			return commands[i]->run(&line->options, line->argc - 1,
+						line->argv + 1);
+	}
+	fprintf(stderr, "zinniarack: no subcommand '%s'; see --help\n",
+		line->argv[0]);
+	return CLI_EXIT_USAGE;
+}
+
+int main(int argc, char **argv)
+{
+	static char doc[HELP_MAX];
+	const struct argp argp = {
+		.options = options,
+		.parser = parse_option,
+		.args_doc = "SUBCOMMAND [ARGUMENTS]",
+		.doc = doc,
+	};
+	struct command_line line = {0};
+
+	line.options.entry = getenv("ZINNIARACK_ENTRY");
+	line.options.key = getenv("ZINNIARACK_KEY");
+	if (!line.options.entry)
+		line.options.entry = DEFAULT_ENTRY;
+	describe_commands(doc, sizeof(doc));
+	argp_err_exit_status = CLI_EXIT_USAGE;
+	argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &line);
+	return run_command(&line);
+}
--- /dev/null
+++ b/src/daemons/daemon.c
@@ -0,0 +1,100 @@
+#include "daemon.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+const char *argp_program_version = "zinniarack 0.1";
+
+static const struct daemon_info *running;
+static bool stopping;
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	const char **path = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		if (*path)
+			argp_usage(state);
+		*path = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (!*path)
+			argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void on_signal(uv_signal_t *handle, int signum)
+{
+	(void)signum;
+	if (stopping)
+		return;
+	stopping = true;
+	running->stop(handle->loop);
+}
+
+static void catch_signals(uv_loop_t *loop)
+{
+	static uv_signal_t handles[2];
+
+	signal(SIGPIPE, SIG_IGN);
+	uv_signal_init(loop, &handles[0]);
+	uv_signal_start(&handles[0], on_signal, SIGTERM);
+	uv_signal_init(loop, &handles[1]);
+	uv_signal_start(&handles[1], on_signal, SIGINT);
+}
+
+static int run(const struct zr_settings *settings)
+{
+	uv_loop_t *loop = uv_default_loop();
+	int error;
+
+	if (zr_log_init(settings->name, settings->log.level,
+			settings->log.format) < 0)
+		return DAEMON_EXIT_FAILED;
+	catch_signals(loop);
+	error = running->start(loop, settings);
+	if (error < 0) {
+		fprintf(stderr, "%s: %s: %s\n", running->name,
+			zr_error_name(error), zr_error_last());
+		return DAEMON_EXIT_FAILED;
+	}
+	zr_log(ZR_LOG_INFO, "daemon.started daemon=%s domain=%s", running->name,
+	       settings->failure_domain);
+	uv_run(loop, UV_RUN_DEFAULT);
+	zr_log_close();
+	return DAEMON_EXIT_OK;
+}
+
+int daemon_main(const struct daemon_info *info, int argc, char **argv)
+{
+	const struct argp argp = {
+		.parser = parse_option,
+		.args_doc = "SETTINGS.yaml",
+		.doc = info->doc,
+	};
+	struct zr_settings *settings;
+	const char *path = NULL;
+	int error;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &path);
+	running = info;
+	error = zr_settings_load(&settings, path);
+	if (error < 0) {
+		fprintf(stderr, "%s: %s: %s\n", info->name,
+			zr_error_name(error), zr_error_last());
+		return DAEMON_EXIT_SETTINGS;
+	}
+	error = run(settings);
+	zr_settings_free(settings);
+	return error;
+}
--- /dev/null
+++ b/src/libzinniarack/config/yaml.c
@@ -0,0 +1,112 @@
+#include "config/yaml.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "zinniarack/errors.h"
+
+struct problem {
+	char text[ZR_ERROR_TEXT_MAX / 2];
+	size_t used;
+};
+
+/* Turns libcyaml's lines into one, "…; in mapping field: x (line: 3, …". */
+static void note_problem(cyaml_log_t level, void *ctx, const char *fmt,
+			 va_list args)
+{
+	struct problem *problem = ctx;
+	size_t room = sizeof(problem->text) - problem->used;
+	char line[ZR_ERROR_TEXT_MAX / 2];
+	const char *text = line;
+	int got;
+
+	(void)level;
+	vsnprintf(line, sizeof(line), fmt, args);
+	line[strcspn(line, "\n")] = '\0';
+	if (!strncmp(text, "Load: ", 6))
+		text += 6;
+	text += strspn(text, " ");
+	if (!*text || !strcmp(text, "Backtrace:"))
+		return;
+	got = snprintf(problem->text + problem->used, room, "%s%s",
+		       problem->used ? "; " : "", text);
+	if (got > 0)
+		problem->used += (size_t)got < room ? (size_t)got : room - 1;
+}
+
+static cyaml_config_t make_config(struct problem *problem)
+{
+	cyaml_config_t config = {
+		.log_fn = note_problem,
+		.log_ctx = problem,
+		.mem_fn = cyaml_mem,
+		.log_level = CYAML_LOG_ERROR,
+		.flags = CYAML_CFG_STYLE_BLOCK | CYAML_CFG_NO_ALIAS,
+	};
+
+	problem->text[0] = '\0';
+	problem->used = 0;
+	return config;
+}
+
+static int report(const char *source, cyaml_err_t error,
+		  const struct problem *problem)
+{
+	if (error == CYAML_OK)
+		return 0;
+	if (error == CYAML_ERR_FILE_OPEN)
+		return zr_error_set(ZR_E_NOT_FOUND, "%s: cannot be opened",
+				    source);
+	return zr_error_set(ZR_E_INVALID, "%s: %s: %s", source,
+			    cyaml_strerror(error), problem->text);
+}
+
+int zr_yaml_load_file(void **out, const char *path,
+		      const cyaml_schema_value_t *schema)
+{
+	struct problem problem;
+	cyaml_config_t config = make_config(&problem);
+	cyaml_err_t error;
+
+	*out = NULL;
+	error = cyaml_load_file(path, &config, schema, out, NULL);
+	if (error == CYAML_OK && !*out)
+		return zr_error_set(ZR_E_INVALID, "%s: is empty", path);
+	return report(path, error, &problem);
+}
+
+int zr_yaml_load_text(void **out, const char *source, const void *text,
+		      size_t length, const cyaml_schema_value_t *schema)
+{
+	struct problem problem;
+	cyaml_config_t config = make_config(&problem);
+	cyaml_err_t error;
+
+	*out = NULL;
+	error = cyaml_load_data(text, length, &config, schema, out, NULL);
+	if (error == CYAML_OK && !*out)
+		return zr_error_set(ZR_E_INVALID, "%s: is empty", source);
+	return report(source, error, &problem);
+}
+
+int zr_yaml_save_text(char **out, size_t *out_length,
+		      const cyaml_schema_value_t *schema, const void *data)
+{
+	struct problem problem;
+	cyaml_config_t config = make_config(&problem);
+
+	return report(
+		"output",
+		cyaml_save_data(out, out_length, &config, schema, data, 0),
+		&problem);
+}
+
+void zr_yaml_free(const cyaml_schema_value_t *schema, void *data)
+{
+	struct problem problem;
+	cyaml_config_t config = make_config(&problem);
+
+	if (data)
+		cyaml_free(&config, schema, data, 0);
+}
--- /dev/null
+++ b/src/libzinniarack/domain/convert.h
@@ -0,0 +1,30 @@
+#ifndef ZR_DOMAIN_CONVERT_H
+#define ZR_DOMAIN_CONVERT_H
+
+#include "jobs.h"
+#include "zinniarack/job.h"
+
+/**
+ * DOC: Conversion between XDR messages and the structs of the library
+ */
+
+/**
+ * zr_convert_from_spec() - a job as an XDR message
+ * @out: borrows the strings of @spec
+ * @spec: the job
+ */
+void zr_convert_from_spec(zx_job_spec *out, const struct zr_job_spec *spec);
+
+/**
+ * zr_convert_to_spec() - a job from an XDR message
+ * @out: borrows the command of @message; do not clear it
+ * @message: the message
+ *
+ * Return: 0, or ZR_E_PROTOCOL for values out of range.
+ */
+int zr_convert_to_spec(struct zr_job_spec *out, const zx_job_spec *message);
+
+void zr_convert_from_resources(zx_resources *out,
+			       const struct zr_resources *resources);
+
+#endif
--- /dev/null
+++ b/src/libzinniarack/domain/fleet.h
@@ -0,0 +1,125 @@
+#ifndef ZR_DOMAIN_FLEET_H
+#define ZR_DOMAIN_FLEET_H
+
+#include <stdbool.h>
+#include <uv.h>
+
+#include "zinniarack/clock.h"
+#include "zinniarack/host_list.h"
+#include "zinniarack/sched.h"
+#include "zinniarack/worker.h"
+
+/**
+ * DOC: Workers of a failure domain
+ *
+ * Keeps a running sync with each worker that the host list shows in the
+ * domain: renews leases, takes inventories and ends of tasks, and tells when a
+ * worker is heard, unheard, leaving, or lost for good. A worker counts as lost
+ * only when the last lease that it can have been given has lapsed.
+ */
+
+struct zr_fleet;
+
+/**
+ * struct zr_fleet_events - what the fleet tells
+ * @up: a worker answered for the first time under this epoch; returns its
+ *	handle in the core
+ * @report: a worker answered a sync; called after @up. Ends come again until
+ *	they are acknowledged
+ * @state: a worker is heard again, unheard, or leaving
+ * @lost: a worker's last lease has lapsed; its tasks run no more
+ * @fenced: a worker has seen a higher epoch than ours
+ */
+struct zr_fleet_events {
+	zr_handle (*up)(void *ctx, const struct zr_host *host);
+	void (*report)(void *ctx, zr_handle worker,
+		       const struct zr_worker_report *report);
+	void (*state)(void *ctx, zr_handle worker,
+		      enum zr_sched_worker_state state);
+	void (*lost)(void *ctx, zr_handle worker);
+	void (*fenced)(void *ctx);
+};
+
+/** Makes the adapter of a worker; &zr_http_worker_new is one. */
+typedef int (*zr_worker_new_fn)(struct zr_worker *out, uv_loop_t *loop,
+				const char *address);
+
+/**
+ * struct zr_fleet_options - how to make a fleet
+ * @version: ZR_FLEET_OPTIONS_VERSION
+ * @loop: the loop it runs on
+ * @clock: the clock
+ * @domain: the failure domain
+ * @worker_new: makes the adapter of a worker
+ * @events: what the fleet tells
+ * @ctx: passed to @events
+ */
+struct zr_fleet_options {
+	unsigned int version;
+	uv_loop_t *loop;
+	const struct zr_clock *clock;
+	const char *domain;
+	zr_worker_new_fn worker_new;
+	struct zr_fleet_events events;
+	void *ctx;
+};
+
+#define ZR_FLEET_OPTIONS_VERSION 1
+
+/** Lease that each sync gives to a worker's tasks. */
+#define ZR_FLEET_LEASE_MS 10000
+
+int zr_fleet_new(struct zr_fleet **out, const struct zr_fleet_options *options);
+
+/** zr_fleet_begin() - begin to sync under an epoch just gained */
+void zr_fleet_begin(struct zr_fleet *fleet, uint64_t epoch);
+
+/** zr_fleet_end() - stop: the domain is owned no more */
+void zr_fleet_end(struct zr_fleet *fleet);
+
+/** zr_fleet_hosts() - take a new reading of the host list */
+void zr_fleet_hosts(struct zr_fleet *fleet, const struct zr_host *hosts,
+		    size_t count);
+
+/** zr_fleet_complete() - whether each worker of the domain has answered */
+bool zr_fleet_complete(const struct zr_fleet *fleet);
+
+/**
+ * zr_fleet_start() - send a start decision
+ * @fleet: the fleet
+ * @worker: where
+ * @start: what; the epoch and lease are filled in
+ * @done: called once
+ * @ctx: passed to @done
+ */
+void zr_fleet_start(struct zr_fleet *fleet, zr_handle worker,
+		    const struct zr_worker_start *start, zr_worker_done_fn done,
+		    void *ctx);
+
+/**
+ * zr_fleet_acknowledge() - ends up to a sequence are kept in the journal
+ * @fleet: the fleet
+ * @worker: the worker that told them
+ * @sequence: it need not tell these again
+ */
+void zr_fleet_acknowledge(struct zr_fleet *fleet, zr_handle worker,
+			  uint64_t sequence);
+
+/** zr_fleet_stop() - send a stop decision */
+void zr_fleet_stop(struct zr_fleet *fleet, zr_handle worker, const char *id,
+		   enum zr_worker_stop_mode mode);
+
+/**
+ * zr_fleet_host() - the host behind a worker's handle
+ * @fleet: the fleet
+ * @worker: the handle
+ *
+ * Return: the host, or NULL.
+ */
+const struct zr_host *zr_fleet_host(const struct zr_fleet *fleet,
+				    zr_handle worker);
+
+/** zr_fleet_free() - stop and free */
+void zr_fleet_free(struct zr_fleet *fleet);
+
+#endif
--- /dev/null
+++ b/src/libzinniarack/domain/owner.h
@@ -0,0 +1,71 @@
+#ifndef ZR_DOMAIN_OWNER_H
+#define ZR_DOMAIN_OWNER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "zinniarack/clock.h"
+#include "zinniarack/store.h"
+
+/**
+ * DOC: Ownership of a failure domain
+ *
+ * The schedulers of a failure domain compete for one key in the store that
+ * hangs on a lease. Each change of owner raises the domain's epoch in the same
+ * transaction, so no two owners ever have one epoch.
+ */
+
+struct zr_owner;
+
+/**
+ * struct zr_owner_events - what the owner's module tells
+ * @gained: this process owns the domain under @epoch; @guard is the revision
+ *	that journal commits compare with the owner key
+ * @lost: it does so no more
+ */
+struct zr_owner_events {
+	void (*gained)(void *ctx, uint64_t epoch, int64_t guard);
+	void (*lost)(void *ctx);
+};
+
+/**
+ * zr_owner_new() - compete for a failure domain
+ * @out: to be freed with zr_owner_free()
+ * @loop: the loop it runs on
+ * @clock: the clock
+ * @store: the store, kept by reference
+ * @domain: the failure domain
+ * @name: this host's name
+ * @events: called with @ctx
+ * @ctx: passed to @events
+ *
+ * Return: 0 or ZR_E_NOMEM.
+ */
+int zr_owner_new(struct zr_owner **out, uv_loop_t *loop,
+		 const struct zr_clock *clock, const struct zr_store *store,
+		 const char *domain, const char *name,
+		 const struct zr_owner_events *events, void *ctx);
+
+/** zr_owner_epoch() - the epoch while this process owns it, else 0 */
+uint64_t zr_owner_epoch(const struct zr_owner *owner);
+
+/** zr_owner_key() - the key that journal commits compare */
+const char *zr_owner_key(const struct zr_owner *owner);
+
+/** zr_owner_give_up() - step down after proof of another owner */
+void zr_owner_give_up(struct zr_owner *owner);
+
+/**
+ * zr_owner_release() - end the ownership so that another host takes over now
+ * @owner: the owner
+ * @done: called once the store has answered or the call has failed
+ * @ctx: passed to @done
+ */
+void zr_owner_release(struct zr_owner *owner, void (*done)(void *ctx),
+		      void *ctx);
+
+/** zr_owner_free() - stop and free; the store must answer no more calls */
+void zr_owner_free(struct zr_owner *owner);
+
+#endif
--- /dev/null
+++ b/src/libzinniarack/entry/api.c
@@ -0,0 +1,163 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "entry/private.h"
+#include "net/metrics_page.h"
+#include "zinniarack/errors.h"
+
+#define BEARER "Bearer "
+#define RETRY_AFTER_S "1"
+
+static int status_of(int error)
+{
+	switch (error) {
+	case ZR_E_INVALID:
+		return 400;
+	case ZR_E_UNAUTHORIZED:
+		return 401;
+	case ZR_E_FORBIDDEN:
+		return 403;
+	case ZR_E_NOT_FOUND:
+		return 404;
+	case ZR_E_CONFLICT:
+	case ZR_E_EXISTS:
+	case ZR_E_STATE:
+		return 409;
+	case ZR_E_TOO_LARGE:
+		return 413;
+	case ZR_E_NEVER_FITS:
+	case ZR_E_LIMIT:
+		return 422;
+	case ZR_E_OUTCOME_UNKNOWN:
+	case ZR_E_PROTOCOL:
+		return 502;
+	default:
+		return 503;
+	}
+}
+
+/* Whether the request surely had no effect. */
+static bool not_run(int error)
+{
+	return error != ZR_E_OUTCOME_UNKNOWN && error != ZR_E_PROTOCOL;
+}
+
+void entry_reply_json(struct zr_http_exchange *exchange, int status, void *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	if (!text)
+		abort();
+	zr_http_reply(exchange, status, "application/json", text, strlen(text));
+	free(text);
+	json_decref(json);
+}
+
+void entry_reply_error(struct zr_http_exchange *exchange, int error,
+		       const char *detail)
+{
+	int status = status_of(error);
+
+	if (status == 503)
+		zr_http_reply_header(exchange, "retry-after", RETRY_AFTER_S);
+	entry_reply_json(exchange, status,
+			 json_pack("{s:s, s:s, s:b}", "error",
+				   zr_error_name(error), "detail", detail,
+				   "not_run", (int)not_run(error)));
+}
+
+/* Calls that wait */
+
+static void on_gone(void *ctx)
+{
+	struct entry_call *call = ctx;
+
+	call->exchange = NULL;
+}
+
+struct entry_call *entry_call_new(struct zr_entry *entry,
+				  struct zr_http_exchange *exchange)
+{
+	struct entry_call *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		abort();
+	call->entry = entry;
+	call->exchange = exchange;
+	zr_http_on_gone(exchange, on_gone, call);
+	return call;
+}
+
+void entry_call_end_error(struct entry_call *call, int error,
+			  const char *detail)
+{
+	if (call->exchange)
+		entry_reply_error(call->exchange, error, detail);
+	free(call);
+}
+
+void entry_call_end_json(struct entry_call *call, int status, void *json)
+{
+	if (call->exchange)
+		entry_reply_json(call->exchange, status, json);
+	else
+		json_decref(json);
+	free(call);
+}
+
+/* Keys */
+
+int entry_authenticate(const char **out, struct zr_entry *entry,
+		       struct zr_http_exchange *exchange)
+{
+	const struct zr_config *config = zr_config_watch_current(entry->config);
+	const char *header = zr_http_header(exchange, "authorization");
+	const struct zr_config_key *key;
+	int error;
+
+	if (!config)
+		return zr_error_set(ZR_E_STALE_CONFIG, "no configuration yet");
+	if (!header || strncasecmp(header, BEARER, strlen(BEARER)))
+		return zr_error_set(ZR_E_UNAUTHORIZED, "no key was presented");
+	error = zr_config_authenticate(&key, config, header + strlen(BEARER));
+	if (error < 0)
+		return error;
+	*out = key->team;
+	return 0;
+}
+
+/* Dispatch */
+
+static const char *after(const char *path, const char *prefix)
+{
+	size_t length = strlen(prefix);
+
+	if (strncmp(path, prefix, length) ||
+	    (path[length] && path[length] != '/'))
+		return NULL;
+	return path + length;
+}
+
+void entry_handle(void *ctx, struct zr_http_exchange *exchange)
+{
+	const char *path = zr_http_path(exchange);
+	struct zr_entry *entry = ctx;
+	const char *rest;
+
+	if ((rest = after(path, "/v1/jobs")))
+		entry_jobs(entry, exchange, rest);
+	else if ((rest = after(path, "/v1/services")))
+		entry_requests(entry, exchange, rest);
+	else if (!strcmp(path, "/v1/config"))
+		entry_config(entry, exchange);
+	else if (!strcmp(path, "/v1/status"))
+		entry_status(entry, exchange);
+	else if (!strcmp(path, "/v1/workers"))
+		entry_workers(entry, exchange);
+	else if (!strcmp(path, "/metrics"))
+		zr_metrics_page(entry->metrics, exchange);
+	else
+		entry_reply_error(exchange, ZR_E_NOT_FOUND, "no such path");
+}
--- /dev/null
+++ b/src/libzinniarack/entry/api_operators.c
@@ -0,0 +1,171 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/private.h"
+#include "rpc/procedures.h"
+#include "zinniarack/errors.h"
+
+#define READ_TIMEOUT_MS 2000
+
+/* Configuration */
+
+static void on_proposed(void *ctx, int error, uint64_t version)
+{
+	struct entry_call *call = ctx;
+
+	if (error < 0)
+		entry_call_end_json(
+			call, error == ZR_E_CONFLICT ? 409 : 503,
+			json_pack("{s:s, s:s, s:I}", "error",
+				  zr_error_name(error), "detail",
+				  "the configuration was not changed by this "
+				  "request",
+				  "version", (json_int_t)version));
+	else
+		entry_call_end_json(
+			call, 200,
+			json_pack("{s:I}", "version", (json_int_t)version));
+}
+
+static void put_config(struct zr_entry *entry,
+		       struct zr_http_exchange *exchange)
+{
+	const char *expected = zr_http_query(exchange, "expected");
+	struct zr_config *config;
+	size_t length;
+	const void *body = zr_http_body(exchange, &length);
+	int error;
+
+	if (!expected) {
+		entry_reply_error(exchange, ZR_E_INVALID,
+				  "parameter 'expected': the version that the "
+				  "change was made from");
+		return;
+	}
+	error = zr_config_parse(&config, "body", body, length);
+	if (error < 0) {
+		entry_reply_error(exchange, error, zr_error_last());
+		return;
+	}
+	zr_config_watch_propose(entry->config, config,
+				strtoull(expected, NULL, 10), on_proposed,
+				entry_call_new(entry, exchange));
+	zr_config_free(config);
+}
+
+static void get_config(struct zr_entry *entry,
+		       struct zr_http_exchange *exchange)
+{
+	const struct zr_config *config = zr_config_watch_current(entry->config);
+	size_t length;
+	char *text;
+
+	if (!config) {
+		entry_reply_error(exchange, ZR_E_NOT_FOUND,
+				  "no configuration is in force");
+		return;
+	}
+	if (zr_config_print(&text, &length, config) < 0)
+		abort();
+	zr_http_reply(exchange, 200, "application/yaml", text, length);
+	free(text);
+}
+
+void entry_config(struct zr_entry *entry, struct zr_http_exchange *exchange)
+{
+	const char *method = zr_http_method(exchange);
+
+	if (!strcmp(method, "PUT"))
+		put_config(entry, exchange);
+	else if (!strcmp(method, "GET"))
+		get_config(entry, exchange);
+	else
+		entry_reply_error(exchange, ZR_E_INVALID, "GET or PUT");
+}
+
+/* Status */
+
+static void add_row(void *ctx, const struct zr_directory_row *row)
+{
+	json_array_append_new(
+		ctx,
+		json_pack("{s:s, s:s, s:s, s:b, s:b, s:I, s:I}", "name",
+			  row->name, "domain", row->domain, "address",
+			  row->address, "heard", (int)row->heard, "active",
+			  (int)row->active, "epoch", (json_int_t)row->epoch,
+			  "config_version", (json_int_t)row->config_version));
+}
+
+void entry_status(struct zr_entry *entry, struct zr_http_exchange *exchange)
+{
+	const struct zr_config *config = zr_config_watch_current(entry->config);
+	json_t *schedulers = json_array();
+
+	zr_directory_each(entry->directory, add_row, schedulers);
+	entry_reply_json(exchange, 200,
+			 json_pack("{s:s, s:s, s:I, s:o}", "name",
+				   entry->settings->name, "domain",
+				   entry->settings->failure_domain,
+				   "config_version",
+				   (json_int_t)(config ? config->version : 0),
+				   "schedulers", schedulers));
+}
+
+/* Workers of one failure domain */
+
+static json_t *resources_json(const zx_resources *resources)
+{
+	return json_pack("{s:I, s:I, s:I}", "millicpus",
+			 (json_int_t)resources->millicpus, "memory_mb",
+			 (json_int_t)resources->memory_mb, "accelerators",
+			 (json_int_t)resources->accelerators);
+}
+
+static void on_workers(void *ctx, int error, void *data)
+{
+	static const char *const states[] = {"up", "leaving", "unheard"};
+	const zx_workers_result *result = data;
+	struct entry_call *call = ctx;
+	json_t *workers;
+	u_int i;
+
+	if (error < 0 || result->error < 0) {
+		entry_call_end_error(call, error < 0 ? error : result->error,
+				     "scheduler did not answer");
+		return;
+	}
+	workers = json_array();
+	for (i = 0; i < result->workers.workers_len; i++) {
+		const zx_worker *worker = &result->workers.workers_val[i];
+
+		json_array_append_new(
+			workers,
+			json_pack("{s:s, s:s, s:s, s:o, s:o, s:i}", "name",
+				  worker->name, "rack", worker->rack, "state",
+				  worker->state < 3 ? states[worker->state]
+						    : "unknown",
+				  "capacity", resources_json(&worker->capacity),
+				  "reserved", resources_json(&worker->reserved),
+				  "tasks", (int)worker->tasks));
+	}
+	entry_call_end_json(call, 200, json_pack("{s:o}", "workers", workers));
+}
+
+void entry_workers(struct zr_entry *entry, struct zr_http_exchange *exchange)
+{
+	const char *domain = zr_http_query(exchange, "domain");
+	zx_list_args args = {.team = ""};
+	struct zr_rpc_client *client;
+
+	if (!domain)
+		domain = entry->settings->failure_domain;
+	client = zr_directory_active(entry->directory, domain);
+	if (!client) {
+		entry_reply_error(exchange, ZR_E_UNREACHABLE,
+				  "the domain has no active scheduler");
+		return;
+	}
+	zr_rpc_client_call(client, &zr_proc_workers, &args, READ_TIMEOUT_MS,
+			   on_workers, entry_call_new(entry, exchange));
+}
--- /dev/null
+++ b/src/libzinniarack/entry/entry.c
@@ -0,0 +1,154 @@
+#include "zinniarack/entry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/private.h"
+#include "rpc/procedures.h"
+#include "store/etcd.h"
+#include "worker/http_host_list.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+#define TICK_MS 500
+#define GRANTS_TIMEOUT_MS 1000
+
+struct grant_call {
+	struct zr_entry *entry;
+	char domain[ZR_NAME_MAX];
+	struct timespec asked;
+};
+
+static void on_grants(void *ctx, int error, void *data)
+{
+	struct grant_call *call = ctx;
+	const zx_grant_result *result = data;
+
+	if (!error && !result->error)
+		zr_router_grants(call->entry->router, call->domain, result,
+				 call->asked);
+	free(call);
+}
+
+static void ask_grants(struct zr_entry *entry, const char *domain)
+{
+	struct zr_rpc_client *client =
+		zr_directory_active(entry->directory, domain);
+	zx_grant_args args = {.entry = entry->settings->name};
+	struct grant_call *call;
+
+	if (!client)
+		return;
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		abort();
+	call->entry = entry;
+	call->asked = zr_clock_now(entry->clock);
+	snprintf(call->domain, sizeof(call->domain), "%s", domain);
+	zr_rpc_client_call(client, &zr_proc_grants, &args, GRANTS_TIMEOUT_MS,
+			   on_grants, call);
+}
+
+static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
+		     size_t count)
+{
+	struct zr_entry *entry = ctx;
+
+	entry->host_list_open = false;
+	if (!error)
+		zr_directory_hosts(entry->directory, hosts, count);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct zr_entry *entry = timer->data;
+	const char *domain;
+	size_t i;
+
+	if (!entry->host_list_open) {
+		entry->host_list_open = true;
+		entry->host_list.ops->read(entry->host_list.impl, on_hosts,
+					   entry);
+	}
+	for (i = 0; (domain = zr_directory_domain(entry->directory, i)); i++)
+		ask_grants(entry, domain);
+}
+
+static void on_config(void *ctx, const struct zr_config *config)
+{
+	/* Requests read the configuration in force when they come. */
+	(void)ctx;
+	(void)config;
+}
+
+static int serve_http(struct zr_entry *entry)
+{
+	const struct zr_settings *settings = entry->settings;
+	struct zr_http_server_options options = ZR_HTTP_SERVER_OPTIONS_INIT;
+
+	options.max_body_bytes = settings->limits.body_bytes;
+	options.request_timeout_ms = settings->limits.request_timeout_ms;
+	options.max_connections = settings->limits.connections;
+	return zr_http_server_new(&entry->http, entry->loop,
+				  settings->entry.http, &options, entry_handle,
+				  entry);
+}
+
+int zr_entry_new(struct zr_entry **out, uv_loop_t *loop,
+		 const struct zr_clock *clock,
+		 const struct zr_settings *settings)
+{
+	struct zr_entry *entry = calloc(1, sizeof(*entry));
+	int error;
+
+	if (!entry)
+		return ZR_E_NOMEM;
+	entry->loop = loop;
+	entry->clock = clock;
+	entry->settings = settings;
+	if ((error = zr_metrics_new(&entry->metrics)) < 0 ||
+	    (error = zr_etcd_new(&entry->store, loop, settings->store,
+				 entry->metrics)) < 0 ||
+	    (error = zr_http_host_list_new(&entry->host_list, loop,
+					   settings->host_list)) < 0 ||
+	    (error = zr_directory_new(&entry->directory, loop, clock)) < 0 ||
+	    (error = zr_router_new(&entry->router, loop, clock,
+				   entry->metrics)) < 0 ||
+	    (error = zr_config_watch_new(&entry->config, loop, &entry->store,
+					 on_config, entry)) < 0 ||
+	    (error = serve_http(entry)) < 0)
+		return error;
+	uv_timer_init(loop, &entry->timer);
+	entry->timer.data = entry;
+	uv_timer_start(&entry->timer, on_tick, 0, TICK_MS);
+	*out = entry;
+	return 0;
+}
+
+void zr_entry_stop(struct zr_entry *entry)
+{
+	zr_http_server_stop(entry->http);
+}
+
+bool zr_entry_busy(const struct zr_entry *entry)
+{
+	return zr_http_server_open(entry->http) > 0;
+}
+
+void zr_entry_free(struct zr_entry *entry)
+{
+	if (!entry)
+		return;
+	uv_close((uv_handle_t *)&entry->timer, NULL);
+	zr_directory_free(entry->directory);
+	zr_router_free(entry->router);
+	zr_config_watch_free(entry->config);
+	entry->host_list.ops->free(entry->host_list.impl);
+	zr_store_free(&entry->store);
+	/* Closing handles still refer to the modules: run the loop dry. */
+	uv_run(entry->loop, UV_RUN_DEFAULT);
+	zr_http_server_free(entry->http);
+	zr_metrics_free(entry->metrics);
+	free(entry);
+}
--- /dev/null
+++ b/src/libzinniarack/net/http_client.c
@@ -0,0 +1,615 @@
+#include "net/http_client.h"
+
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <utlist.h>
+#include <utstring.h>
+
+#include "net/address.h"
+#include "zinniarack/errors.h"
+
+#define REQUEST_ID_FIELD "x-request-id"
+#define FIELD_NAME_MAX 32
+#define REQUEST_ID_MAX 64
+#define READ_CHUNK_BYTES 65536
+
+enum connection_state {
+	CONNECTION_OPENING,
+	CONNECTION_IDLE,
+	CONNECTION_BUSY,
+	CONNECTION_CLOSING,
+};
+
+struct connection {
+	struct connection *prev;
+	struct connection *next;
+	struct zr_http_client *client;
+	struct zr_http_request *request;
+	enum connection_state state;
+	bool reused;
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_timer_t timer;
+	int open_handles;
+	http_parser parser;
+};
+
+struct zr_http_request {
+	struct zr_http_request *prev;
+	struct zr_http_request *next;
+	struct zr_http_client *client;
+	struct connection *connection;
+	zr_http_done_fn done;
+	void *ctx;
+	uv_timer_t timer;
+	UT_string bytes;
+	bool idempotent;
+	bool sent;
+	bool retried;
+	int early_error;
+	bool complete;
+	bool answer_begun;
+	bool too_large;
+	UT_string body;
+	char field[FIELD_NAME_MAX];
+	size_t field_length;
+	char request_id[REQUEST_ID_MAX];
+	size_t request_id_length;
+	bool reading_value;
+};
+
+struct zr_http_client {
+	uv_loop_t *loop;
+	struct sockaddr_storage address;
+	char host[ZR_ADDRESS_MAX];
+	struct zr_http_client_options options;
+	struct connection *connections;
+	unsigned int connection_count;
+	struct zr_http_request *waiting;
+	unsigned int waiting_count;
+	bool freeing;
+	uv_timer_t guard;
+	bool guard_closed;
+};
+
+struct write_job {
+	uv_write_t write;
+	UT_string bytes;
+};
+
+static void serve_waiting(struct zr_http_client *client);
+
+/* Connections */
+
+static void maybe_free_client(struct zr_http_client *client)
+{
+	if (client->guard_closed && !client->connections)
+		free(client);
+}
+
+/* The guard keeps the client until the loop has left the current callback. */
+static void on_guard_closed(uv_handle_t *handle)
+{
+	struct zr_http_client *client = handle->data;
+
+	client->guard_closed = true;
+	maybe_free_client(client);
+}
+
+static void on_connection_handle_closed(uv_handle_t *handle)
+{
+	struct connection *connection = handle->data;
+	struct zr_http_client *client = connection->client;
+
+	if (--connection->open_handles)
+		return;
+	DL_DELETE(client->connections, connection);
+	free(connection);
+	maybe_free_client(client);
+}
+
+static void close_connection(struct connection *connection)
+{
+	if (connection->state == CONNECTION_CLOSING)
+		return;
+	connection->state = CONNECTION_CLOSING;
+	connection->client->connection_count--;
+	uv_close((uv_handle_t *)&connection->tcp, on_connection_handle_closed);
+	uv_close((uv_handle_t *)&connection->timer,
+		 on_connection_handle_closed);
+}
+
+static void on_request_timer_closed(uv_handle_t *handle)
+{
+	struct zr_http_request *request = handle->data;
+
+	utstring_done(&request->bytes);
+	utstring_done(&request->body);
+	free(request);
+}
+
+static void detach(struct zr_http_request *request)
+{
+	struct zr_http_client *client = request->client;
+
+	if (request->connection) {
+		request->connection->request = NULL;
+		request->connection = NULL;
+		return;
+	}
+	if (request->prev) {
+		DL_DELETE(client->waiting, request);
+		request->prev = NULL;
+		client->waiting_count--;
+	}
+}
+
+static void release(struct zr_http_request *request)
+{
+	uv_close((uv_handle_t *)&request->timer, on_request_timer_closed);
+}
+
+static void finish(struct zr_http_request *request, int error)
+{
+	struct zr_http_answer answer = {
+		.status = 0,
+		.body = utstring_body(&request->body),
+		.body_length = utstring_len(&request->body),
+		.request_id = request->request_id,
+	};
+	struct connection *connection = request->connection;
+
+	if (connection)
+		answer.status = (int)connection->parser.status_code;
+	detach(request);
+	request->done(request->ctx, error, error < 0 ? NULL : &answer);
+	release(request);
+}
+
+/* A request whose bytes may have left has an unknown outcome. */
+static int failure_of(const struct zr_http_request *request, int error)
+{
+	if (request->sent && error == ZR_E_UNREACHABLE)
+		return ZR_E_OUTCOME_UNKNOWN;
+	return error;
+}
+
+static bool may_retry(const struct connection *connection)
+{
+	const struct zr_http_request *request = connection->request;
+
+	return connection->reused && request->idempotent && !request->retried &&
+	       !request->answer_begun;
+}
+
+static void wait_again(struct zr_http_request *request)
+{
+	detach(request);
+	request->retried = true;
+	request->sent = false;
+	DL_PREPEND(request->client->waiting, request);
+	request->client->waiting_count++;
+}
+
+static void fail_connection(struct connection *connection, int error)
+{
+	struct zr_http_client *client = connection->client;
+	struct zr_http_request *request = connection->request;
+
+	if (request && error == ZR_E_UNREACHABLE && may_retry(connection))
+		wait_again(request);
+	else if (request)
+		finish(request, failure_of(request, error));
+	close_connection(connection);
+	serve_waiting(client);
+}
+
+static void on_connection_timer(uv_timer_t *timer)
+{
+	fail_connection(timer->data, ZR_E_UNREACHABLE);
+}
+
+/* Parsing of answers */
+
+static int on_header_field(http_parser *parser, const char *at, size_t length)
+{
+	struct connection *connection = parser->data;
+	struct zr_http_request *request = connection->request;
+
+	if (request->reading_value)
+		request->field_length = 0;
+	request->reading_value = false;
+	if (request->field_length + length >= sizeof(request->field))
+		length = sizeof(request->field) - 1 - request->field_length;
+	memcpy(request->field + request->field_length, at, length);
+	request->field_length += length;
+	request->field[request->field_length] = '\0';
+	return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *at, size_t length)
+{
+	struct connection *connection = parser->data;
+	struct zr_http_request *request = connection->request;
+
+	request->reading_value = true;
+	if (strcasecmp(request->field, REQUEST_ID_FIELD))
+		return 0;
+	if (request->request_id_length + length >= sizeof(request->request_id))
+		return 1;
+	memcpy(request->request_id + request->request_id_length, at, length);
+	request->request_id_length += length;
+	request->request_id[request->request_id_length] = '\0';
+	return 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t length)
+{
+	struct connection *connection = parser->data;
+	struct zr_http_request *request = connection->request;
+	size_t limit = connection->client->options.max_answer_bytes;
+
+	if (utstring_len(&request->body) + length > limit) {
+		request->too_large = true;
+		return 1;
+	}
+	utstring_bincpy(&request->body, at, length);
+	return 0;
+}
+
+static int on_message_complete(http_parser *parser)
+{
+	struct connection *connection = parser->data;
+
+	connection->request->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+static void become_idle(struct connection *connection)
+{
+	connection->state = CONNECTION_IDLE;
+	connection->reused = true;
+	uv_timer_start(&connection->timer, on_connection_timer,
+		       connection->client->options.idle_timeout_ms, 0);
+}
+
+static void complete_answer(struct connection *connection, bool surplus)
+{
+	struct zr_http_client *client = connection->client;
+	bool keep = http_should_keep_alive(&connection->parser) && !surplus;
+	struct zr_http_request *request = connection->request;
+
+	if (keep)
+		become_idle(connection);
+	finish(request, 0);
+	if (!keep)
+		close_connection(connection);
+	serve_waiting(client);
+}
+
+static void parse(struct connection *connection, const char *bytes,
+		  size_t length)
+{
+	struct zr_http_request *request = connection->request;
+	size_t used;
+
+	request->answer_begun = true;
+	used = http_parser_execute(&connection->parser, &parser_settings, bytes,
+				   length);
+	if (request->complete)
+		complete_answer(connection, used < length);
+	else if (request->too_large)
+		fail_connection(connection, ZR_E_TOO_LARGE);
+	else if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK)
+		fail_connection(connection, ZR_E_PROTOCOL);
+}
+
+static void on_end_of_stream(struct connection *connection)
+{
+	struct zr_http_request *request = connection->request;
+
+	if (connection->state == CONNECTION_BUSY && request) {
+		http_parser_execute(&connection->parser, &parser_settings, NULL,
+				    0);
+		if (request->complete) {
+			complete_answer(connection, true);
+			return;
+		}
+	}
+	fail_connection(connection, ZR_E_UNREACHABLE);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	/* One loop, one thread: reads never overlap. */
+	static char chunk[READ_CHUNK_BYTES];
+
+	(void)handle;
+	(void)suggested;
+	*buf = uv_buf_init(chunk, sizeof(chunk));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+{
+	struct connection *connection = stream->data;
+
+	if (connection->state == CONNECTION_CLOSING || !got)
+		return;
+	if (got < 0)
+		on_end_of_stream(connection);
+	else if (connection->state == CONNECTION_BUSY && connection->request)
+		parse(connection, buf->base, (size_t)got);
+	else
+		/* Bytes that answer no request: this peer is out of step. */
+		fail_connection(connection, ZR_E_PROTOCOL);
+}
+
+/* Sending */
+
+static void on_written(uv_write_t *write, int status)
+{
+	struct write_job *job = (struct write_job *)write;
+
+	/* A failed write shows up as a read error on the same stream. */
+	(void)status;
+	utstring_done(&job->bytes);
+	free(job);
+}
+
+static void send_request(struct connection *connection,
+			 struct zr_http_request *request)
+{
+	struct write_job *job = calloc(1, sizeof(*job));
+	uv_buf_t buf;
+
+	if (!job)
+		abort();
+	connection->state = CONNECTION_BUSY;
+	connection->request = request;
+	request->connection = connection;
+	request->sent = true;
+	uv_timer_stop(&connection->timer);
+	http_parser_init(&connection->parser, HTTP_RESPONSE);
+	connection->parser.data = connection;
+	utstring_init(&job->bytes);
+	utstring_concat(&job->bytes, &request->bytes);
+	buf = uv_buf_init(utstring_body(&job->bytes),
+			  (unsigned int)utstring_len(&job->bytes));
+	if (uv_write(&job->write, (uv_stream_t *)&connection->tcp, &buf, 1,
+		     on_written)) {
+		on_written(&job->write, 0);
+		request->sent = false;
+		fail_connection(connection, ZR_E_UNREACHABLE);
+	}
+}
+
+static struct zr_http_request *pop_waiting(struct zr_http_client *client)
+{
+	struct zr_http_request *request = client->waiting;
+
+	DL_DELETE(client->waiting, request);
+	request->prev = NULL;
+	client->waiting_count--;
+	return request;
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+	struct connection *connection = connect->data;
+
+	if (connection->state == CONNECTION_CLOSING)
+		return;
+	if (status < 0) {
+		fail_connection(connection, ZR_E_UNREACHABLE);
+		return;
+	}
+	uv_read_start((uv_stream_t *)&connection->tcp, on_alloc, on_read);
+	become_idle(connection);
+	connection->reused = false;
+	if (connection->request) {
+		send_request(connection, connection->request);
+		return;
+	}
+	serve_waiting(connection->client);
+}
+
+static void open_connection(struct zr_http_client *client,
+			    struct zr_http_request *request)
+{
+	struct connection *connection = calloc(1, sizeof(*connection));
+
+	if (!connection)
+		abort();
+	connection->client = client;
+	connection->state = CONNECTION_OPENING;
+	connection->request = request;
+	request->connection = connection;
+	connection->open_handles = 2;
+	uv_tcp_init(client->loop, &connection->tcp);
+	uv_timer_init(client->loop, &connection->timer);
+	connection->tcp.data = connection;
+	connection->timer.data = connection;
+	connection->connect.data = connection;
+	uv_tcp_nodelay(&connection->tcp, 1);
+	DL_APPEND(client->connections, connection);
+	client->connection_count++;
+	uv_timer_start(&connection->timer, on_connection_timer,
+		       client->options.connect_timeout_ms, 0);
+	if (uv_tcp_connect(&connection->connect, &connection->tcp,
+			   (struct sockaddr *)&client->address, on_connected))
+		uv_timer_start(&connection->timer, on_connection_timer, 0, 0);
+}
+
+static struct connection *find_idle(struct zr_http_client *client)
+{
+	struct connection *connection;
+
+	DL_FOREACH(client->connections, connection)
+	{
+		if (connection->state == CONNECTION_IDLE &&
+		    !connection->request)
+			return connection;
+	}
+	return NULL;
+}
+
+static void serve_waiting(struct zr_http_client *client)
+{
+	struct connection *connection;
+
+	while (client->waiting && !client->freeing) {
+		connection = find_idle(client);
+		if (connection)
+			send_request(connection, pop_waiting(client));
+		else if (client->connection_count <
+			 client->options.max_connections)
+			open_connection(client, pop_waiting(client));
+		else
+			return;
+	}
+}
+
+/* Requests */
+
+static void on_deadline(uv_timer_t *timer)
+{
+	struct zr_http_request *request = timer->data;
+	struct connection *connection = request->connection;
+	struct zr_http_client *client = request->client;
+
+	if (request->early_error) {
+		finish(request, request->early_error);
+		return;
+	}
+	finish(request, failure_of(request, ZR_E_UNREACHABLE));
+	if (connection)
+		close_connection(connection);
+	serve_waiting(client);
+}
+
+static void format_request(UT_string *bytes, const char *host,
+			   const struct zr_http_call *call)
+{
+	size_t i;
+
+	utstring_printf(bytes, "%s %s HTTP/1.1\r\nHost: %s\r\n", call->method,
+			call->path, host);
+	for (i = 0; i < call->header_count; i++)
+		utstring_printf(bytes, "%s: %s\r\n", call->headers[i].name,
+				call->headers[i].value);
+	if (call->content_type)
+		utstring_printf(bytes, "Content-Type: %s\r\n",
+				call->content_type);
+	utstring_printf(bytes, "Content-Length: %zu\r\n\r\n",
+			call->body_length);
+	if (call->body_length)
+		utstring_bincpy(bytes, call->body, call->body_length);
+}
+
+static struct zr_http_request *new_request(struct zr_http_client *client,
+					   const struct zr_http_call *call)
+{
+	struct zr_http_request *request = calloc(1, sizeof(*request));
+
+	if (!request)
+		abort();
+	request->client = client;
+	request->idempotent = call->idempotent;
+	utstring_init(&request->bytes);
+	utstring_init(&request->body);
+	format_request(&request->bytes, client->host, call);
+	uv_timer_init(client->loop, &request->timer);
+	request->timer.data = request;
+	return request;
+}
+
+struct zr_http_request *zr_http_client_call(struct zr_http_client *client,
+					    const struct zr_http_call *call,
+					    zr_http_done_fn done, void *ctx)
+{
+	struct zr_http_request *request = new_request(client, call);
+
+	request->done = done;
+	request->ctx = ctx;
+	if (client->freeing)
+		request->early_error = ZR_E_CANCELLED;
+	else if (client->waiting_count >= client->options.max_waiting)
+		request->early_error = ZR_E_FULL;
+	if (request->early_error) {
+		uv_timer_start(&request->timer, on_deadline, 0, 0);
+		return request;
+	}
+	uv_timer_start(&request->timer, on_deadline, call->timeout_ms, 0);
+	DL_APPEND(client->waiting, request);
+	client->waiting_count++;
+	serve_waiting(client);
+	return request;
+}
+
+void zr_http_request_cancel(struct zr_http_request *request)
+{
+	struct connection *connection = request->connection;
+	struct zr_http_client *client = request->client;
+
+	detach(request);
+	release(request);
+	if (connection)
+		close_connection(connection);
+	serve_waiting(client);
+}
+
+int zr_http_client_new(struct zr_http_client **out, uv_loop_t *loop,
+		       const char *address,
+		       const struct zr_http_client_options *options)
+{
+	static const struct zr_http_client_options defaults =
+		ZR_HTTP_CLIENT_OPTIONS_INIT;
+	struct zr_http_client *client = calloc(1, sizeof(*client));
+	int error;
+
+	if (!client)
+		return ZR_E_NOMEM;
+	client->loop = loop;
+	client->options = options ? *options : defaults;
+	error = zr_address_parse(&client->address, address);
+	if (error < 0) {
+		free(client);
+		return error;
+	}
+	strncpy(client->host, address, sizeof(client->host) - 1);
+	uv_timer_init(loop, &client->guard);
+	client->guard.data = client;
+	*out = client;
+	return 0;
+}
+
+void zr_http_client_free(struct zr_http_client *client)
+{
+	struct connection *connection;
+	struct connection *next;
+
+	if (!client)
+		return;
+	client->freeing = true;
+	while (client->waiting)
+		finish(client->waiting, ZR_E_CANCELLED);
+	DL_FOREACH_SAFE(client->connections, connection, next)
+	{
+		if (connection->request)
+			finish(connection->request,
+			       connection->request->sent ? ZR_E_OUTCOME_UNKNOWN
+							 : ZR_E_CANCELLED);
+		close_connection(connection);
+	}
+	uv_close((uv_handle_t *)&client->guard, on_guard_closed);
+}
--- /dev/null
+++ b/src/libzinniarack/net/http_server.c
@@ -0,0 +1,320 @@
+#include "net/http_server.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <h2o.h>
+#include <h2o/http1.h>
+
+#include "net/address.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+#define HOST_PORT_ANY 65535
+
+struct zr_http_server {
+	uv_loop_t *loop;
+	struct zr_http_server_options options;
+	zr_http_handler_fn handler;
+	void *ctx;
+	uv_tcp_t listener;
+	bool listening;
+	unsigned int open_exchanges;
+	unsigned int open_connections;
+	h2o_globalconf_t config;
+	h2o_context_t context;
+	h2o_accept_ctx_t accept;
+};
+
+struct zr_http_exchange {
+	struct zr_http_server *server;
+	h2o_req_t *req;
+	char *method;
+	char *path;
+	char *query;
+	zr_http_gone_fn gone;
+	void *gone_ctx;
+	bool replied;
+};
+
+struct handler {
+	h2o_handler_t super;
+	struct zr_http_server *server;
+};
+
+struct connection {
+	uv_tcp_t tcp;
+	struct zr_http_server *server;
+};
+
+static const char *reason_of(int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 201:
+		return "Created";
+	case 202:
+		return "Accepted";
+	case 400:
+		return "Bad Request";
+	case 401:
+		return "Unauthorized";
+	case 403:
+		return "Forbidden";
+	case 404:
+		return "Not Found";
+	case 405:
+		return "Method Not Allowed";
+	case 409:
+		return "Conflict";
+	case 413:
+		return "Payload Too Large";
+	case 422:
+		return "Unprocessable Entity";
+	case 429:
+		return "Too Many Requests";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Status";
+	}
+}
+
+static void dispose_exchange(void *data)
+{
+	struct zr_http_exchange *exchange = data;
+
+	exchange->server->open_exchanges--;
+	if (!exchange->replied && exchange->gone)
+		exchange->gone(exchange->gone_ctx);
+}
+
+static char *copy_text(h2o_mem_pool_t *pool, const char *base, size_t length)
+{
+	return h2o_strdup(pool, base, length).base;
+}
+
+static int on_request(h2o_handler_t *self, h2o_req_t *req)
+{
+	struct zr_http_server *server = ((struct handler *)self)->server;
+	struct zr_http_exchange *exchange;
+	size_t path_end = req->path.len;
+
+	exchange = h2o_mem_alloc_shared(&req->pool, sizeof(*exchange),
+					dispose_exchange);
+	memset(exchange, 0, sizeof(*exchange));
+	exchange->server = server;
+	exchange->req = req;
+	server->open_exchanges++;
+	if (req->query_at != SIZE_MAX) {
+		path_end = req->query_at;
+		exchange->query =
+			copy_text(&req->pool, req->path.base + path_end + 1,
+				  req->path.len - path_end - 1);
+	}
+	exchange->method =
+		copy_text(&req->pool, req->method.base, req->method.len);
+	exchange->path = copy_text(&req->pool, req->path.base, path_end);
+	server->handler(server->ctx, exchange);
+	return 0;
+}
+
+static void on_connection_closed(uv_handle_t *handle)
+{
+	struct connection *connection = (struct connection *)handle;
+
+	connection->server->open_connections--;
+	free(connection);
+}
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct zr_http_server *server = listener->data;
+	struct connection *connection;
+	h2o_socket_t *sock;
+
+	if (status)
+		return;
+	connection = h2o_mem_alloc(sizeof(*connection));
+	connection->server = server;
+	uv_tcp_init(server->loop, &connection->tcp);
+	server->open_connections++;
+	if (uv_accept(listener, (uv_stream_t *)&connection->tcp) ||
+	    server->open_connections > server->options.max_connections) {
+		uv_close((uv_handle_t *)&connection->tcp, on_connection_closed);
+		return;
+	}
+	uv_tcp_nodelay(&connection->tcp, 1);
+	sock = h2o_uv_socket_create((uv_stream_t *)&connection->tcp,
+				    on_connection_closed);
+	h2o_accept(&server->accept, sock);
+}
+
+static int start_listening(struct zr_http_server *server, const char *address)
+{
+	uv_tcp_init(server->loop, &server->listener);
+	server->listener.data = server;
+	server->listening = true;
+	return zr_address_listen(&server->listener, address, on_accept);
+}
+
+static void configure_h2o(struct zr_http_server *server)
+{
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	struct handler *handler;
+
+	h2o_config_init(&server->config);
+	server->config.max_request_entity_size = server->options.max_body_bytes;
+	server->config.http1.req_timeout = server->options.request_timeout_ms;
+	server->config.http1.upgrade_to_http2 = 0;
+	server->config.server_name = h2o_iovec_init(H2O_STRLIT("zinniarack"));
+	host = h2o_config_register_host(&server->config,
+					h2o_iovec_init(H2O_STRLIT("default")),
+					HOST_PORT_ANY);
+	path = h2o_config_register_path(host, "/", 0);
+	handler = (struct handler *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = on_request;
+	handler->server = server;
+	h2o_context_init(&server->context, server->loop, &server->config);
+	server->accept.ctx = &server->context;
+	server->accept.hosts = server->config.hosts;
+}
+
+int zr_http_server_new(struct zr_http_server **out, uv_loop_t *loop,
+		       const char *address,
+		       const struct zr_http_server_options *options,
+		       zr_http_handler_fn handler, void *ctx)
+{
+	static const struct zr_http_server_options defaults =
+		ZR_HTTP_SERVER_OPTIONS_INIT;
+	struct zr_http_server *server = calloc(1, sizeof(*server));
+	int error;
+
+	if (!server)
+		return ZR_E_NOMEM;
+	server->loop = loop;
+	server->options = options ? *options : defaults;
+	server->handler = handler;
+	server->ctx = ctx;
+	configure_h2o(server);
+	error = start_listening(server, address);
+	if (error < 0) {
+		zr_http_server_stop(server);
+		return error;
+	}
+	*out = server;
+	return 0;
+}
+
+void zr_http_server_stop(struct zr_http_server *server)
+{
+	if (!server->listening)
+		return;
+	server->listening = false;
+	uv_close((uv_handle_t *)&server->listener, NULL);
+	h2o_context_request_shutdown(&server->context);
+}
+
+unsigned int zr_http_server_open(const struct zr_http_server *server)
+{
+	return server->open_exchanges;
+}
+
+void zr_http_server_free(struct zr_http_server *server)
+{
+	if (!server)
+		return;
+	h2o_context_dispose(&server->context);
+	h2o_config_dispose(&server->config);
+	free(server);
+}
+
+const char *zr_http_method(const struct zr_http_exchange *exchange)
+{
+	return exchange->method;
+}
+
+const char *zr_http_path(const struct zr_http_exchange *exchange)
+{
+	return exchange->path;
+}
+
+const char *zr_http_query(struct zr_http_exchange *exchange, const char *name)
+{
+	size_t name_length = strlen(name);
+	const char *at = exchange->query;
+	size_t length;
+
+	while (at && *at) {
+		length = strcspn(at, "&");
+		if (!strncmp(at, name, name_length) && at[name_length] == '=')
+			return copy_text(&exchange->req->pool,
+					 at + name_length + 1,
+					 length - name_length - 1);
+		at += length;
+		if (*at == '&')
+			at++;
+	}
+	return NULL;
+}
+
+const char *zr_http_header(struct zr_http_exchange *exchange, const char *name)
+{
+	const h2o_headers_t *headers = &exchange->req->headers;
+	size_t length = strlen(name);
+	size_t i;
+
+	for (i = 0; i < headers->size; i++) {
+		const h2o_header_t *header = &headers->entries[i];
+
+		if (header->name->len == length &&
+		    !strncasecmp(header->name->base, name, length))
+			return copy_text(&exchange->req->pool,
+					 header->value.base, header->value.len);
+	}
+	return NULL;
+}
+
+const void *zr_http_body(const struct zr_http_exchange *exchange,
+			 size_t *out_length)
+{
+	*out_length = exchange->req->entity.len;
+	return exchange->req->entity.base;
+}
+
+void zr_http_on_gone(struct zr_http_exchange *exchange, zr_http_gone_fn gone,
+		     void *ctx)
+{
+	exchange->gone = gone;
+	exchange->gone_ctx = ctx;
+}
+
+void zr_http_reply_header(struct zr_http_exchange *exchange, const char *name,
+			  const char *value)
+{
+	h2o_req_t *req = exchange->req;
+	h2o_iovec_t name_copy = h2o_strdup(&req->pool, name, SIZE_MAX);
+	h2o_iovec_t value_copy = h2o_strdup(&req->pool, value, SIZE_MAX);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name_copy.base,
+			      name_copy.len, 1, NULL, value_copy.base,
+			      value_copy.len);
+}
+
+void zr_http_reply(struct zr_http_exchange *exchange, int status,
+		   const char *content_type, const void *body, size_t length)
+{
+	h2o_req_t *req = exchange->req;
+
+	exchange->replied = true;
+	req->res.status = status;
+	req->res.reason = reason_of(status);
+	zr_http_reply_header(exchange, "content-type", content_type);
+	h2o_send_inline(req, length ? body : "", length);
+}
--- /dev/null
+++ b/src/libzinniarack/net/metrics_page.h
@@ -0,0 +1,13 @@
+#ifndef ZR_NET_METRICS_PAGE_H
+#define ZR_NET_METRICS_PAGE_H
+
+#include "net/http_server.h"
+
+/**
+ * zr_metrics_page() - HTTP handler that serves a process's counters
+ * @ctx: a &struct zr_metrics
+ * @exchange: the exchange; any path but /metrics is answered 404
+ */
+void zr_metrics_page(void *ctx, struct zr_http_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/src/libzinniarack/rpc/procedures.h
@@ -0,0 +1,20 @@
+#ifndef ZR_RPC_PROCEDURES_H
+#define ZR_RPC_PROCEDURES_H
+
+#include "jobs.h"
+#include "net/rpc_client.h"
+
+/**
+ * DOC: Procedures of the scheduler's RPC program
+ */
+
+extern const struct zr_rpc_procedure zr_proc_submit;
+extern const struct zr_rpc_procedure zr_proc_job;
+extern const struct zr_rpc_procedure zr_proc_cancel;
+extern const struct zr_rpc_procedure zr_proc_list;
+extern const struct zr_rpc_procedure zr_proc_explain;
+extern const struct zr_rpc_procedure zr_proc_status;
+extern const struct zr_rpc_procedure zr_proc_grants;
+extern const struct zr_rpc_procedure zr_proc_workers;
+
+#endif
--- /dev/null
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -0,0 +1,159 @@
+#include "zinniarack/scheduler.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/watch.h"
+#include "domain/domain.h"
+#include "net/http_server.h"
+#include "net/metrics_page.h"
+#include "net/rpc_server.h"
+#include "scheduler/grants.h"
+#include "scheduler/service.h"
+#include "store/etcd.h"
+#include "worker/http_host_list.h"
+#include "worker/http_worker.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+#define HOST_LIST_POLL_MS 1000
+
+struct zr_scheduler {
+	uv_loop_t *loop;
+	const struct zr_settings *settings;
+	struct zr_metrics *metrics;
+	struct zr_store store;
+	struct zr_host_list host_list;
+	bool host_list_open;
+	uv_timer_t timer;
+	struct zr_config_watch *config;
+	struct zr_domain *domain;
+	struct zr_scheduler_service service;
+	struct zr_rpc_server *rpc;
+	struct zr_http_server *http;
+};
+
+static void on_config(void *ctx, const struct zr_config *config)
+{
+	struct zr_scheduler *scheduler = ctx;
+
+	scheduler->service.config_version = config->version;
+	zr_domain_configure(scheduler->domain, config);
+}
+
+static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
+		     size_t count)
+{
+	struct zr_scheduler *scheduler = ctx;
+
+	scheduler->host_list_open = false;
+	if (error < 0)
+		return;
+	zr_domain_hosts(scheduler->domain, hosts, count);
+	zr_grants_hosts(scheduler->service.grants, hosts, count);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct zr_scheduler *scheduler = timer->data;
+
+	if (scheduler->host_list_open)
+		return;
+	scheduler->host_list_open = true;
+	scheduler->host_list.ops->read(scheduler->host_list.impl, on_hosts,
+				       scheduler);
+}
+
+static int make_domain(struct zr_scheduler *scheduler,
+		       const struct zr_clock *clock)
+{
+	const struct zr_settings *settings = scheduler->settings;
+	const struct zr_domain_options options = {
+		.version = ZR_DOMAIN_OPTIONS_VERSION,
+		.loop = scheduler->loop,
+		.clock = clock,
+		.store = &scheduler->store,
+		.domain = settings->failure_domain,
+		.name = settings->name,
+		.worker_new = zr_http_worker_new,
+		.metrics = scheduler->metrics,
+	};
+
+	return zr_domain_new(&scheduler->domain, &options);
+}
+
+static int make_service(struct zr_scheduler *scheduler)
+{
+	const struct zr_settings *settings = scheduler->settings;
+	struct zr_scheduler_service *service = &scheduler->service;
+	int error;
+
+	service->domain = scheduler->domain;
+	service->name = settings->name;
+	service->domain_name = settings->failure_domain;
+	error = zr_grants_new(&service->grants, scheduler->domain);
+	if (error < 0)
+		return error;
+	error = zr_rpc_server_new(
+		&scheduler->rpc, scheduler->loop, settings->scheduler.rpc,
+		ZX_SCHEDULER, ZX_SCHEDULER_V1, zr_scheduler_services, service);
+	if (error < 0)
+		return error;
+	return zr_http_server_new(&scheduler->http, scheduler->loop,
+				  settings->scheduler.http, NULL,
+				  zr_metrics_page, scheduler->metrics);
+}
+
+int zr_scheduler_new(struct zr_scheduler **out, uv_loop_t *loop,
+		     const struct zr_clock *clock,
+		     const struct zr_settings *settings)
+{
+	struct zr_scheduler *scheduler = calloc(1, sizeof(*scheduler));
+	int error;
+
+	if (!scheduler)
+		return ZR_E_NOMEM;
+	scheduler->loop = loop;
+	scheduler->settings = settings;
+	if ((error = zr_metrics_new(&scheduler->metrics)) < 0 ||
+	    (error = zr_etcd_new(&scheduler->store, loop, settings->store,
+				 scheduler->metrics)) < 0 ||
+	    (error = zr_http_host_list_new(&scheduler->host_list, loop,
+					   settings->host_list)) < 0 ||
+	    (error = make_domain(scheduler, clock)) < 0 ||
+	    (error = make_service(scheduler)) < 0 ||
+	    (error = zr_config_watch_new(&scheduler->config, loop,
+					 &scheduler->store, on_config,
+					 scheduler)) < 0)
+		return error;
+	uv_timer_init(loop, &scheduler->timer);
+	scheduler->timer.data = scheduler;
+	uv_timer_start(&scheduler->timer, on_tick, 0, HOST_LIST_POLL_MS);
+	*out = scheduler;
+	return 0;
+}
+
+void zr_scheduler_stop(struct zr_scheduler *scheduler, void (*done)(void *ctx),
+		       void *ctx)
+{
+	zr_domain_stop(scheduler->domain, done, ctx);
+}
+
+void zr_scheduler_free(struct zr_scheduler *scheduler)
+{
+	if (!scheduler)
+		return;
+	uv_close((uv_handle_t *)&scheduler->timer, NULL);
+	zr_rpc_server_free(scheduler->rpc);
+	zr_http_server_stop(scheduler->http);
+	zr_config_watch_free(scheduler->config);
+	zr_domain_free(scheduler->domain);
+	zr_grants_free(scheduler->service.grants);
+	scheduler->host_list.ops->free(scheduler->host_list.impl);
+	zr_store_free(&scheduler->store);
+	/* Closing handles still refer to the modules: run the loop dry. */
+	uv_run(scheduler->loop, UV_RUN_DEFAULT);
+	zr_http_server_free(scheduler->http);
+	zr_metrics_free(scheduler->metrics);
+	free(scheduler);
+}
--- /dev/null
+++ b/src/libzinniarack/store/etcd.c
@@ -0,0 +1,425 @@
+#include "store/etcd.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base64.h"
+#include "net/http_client.h"
+#include "zinniarack/errors.h"
+
+#define CALL_TIMEOUT_MS 1000
+#define MS_PER_S 1000
+#define INT64_TEXT_MAX 24
+
+struct etcd {
+	struct zr_http_client *client;
+	struct zr_metric *calls[ZR_STORE_PURPOSES];
+	struct zr_metric *failures;
+};
+
+/* An open call, and what its reply means. */
+struct pending {
+	struct etcd *etcd;
+	void (*read)(struct zr_store_reply *reply, json_t *body);
+	bool writes;
+	zr_store_done_fn done;
+	void *ctx;
+	struct zr_store_value *values;
+	size_t value_count;
+};
+
+static json_t *base64_json(const void *data, size_t length)
+{
+	char *text = zr_base64_encode(data, length);
+	json_t *value;
+
+	if (!text)
+		abort();
+	value = json_string(text);
+	free(text);
+	return value;
+}
+
+static json_t *int64_json(int64_t number)
+{
+	char text[INT64_TEXT_MAX];
+
+	/* The gateway writes 64-bit integers as strings. */
+	snprintf(text, sizeof(text), "%" PRId64, number);
+	return json_string(text);
+}
+
+static int64_t read_int64(json_t *object, const char *field)
+{
+	json_t *value = json_object_get(object, field);
+
+	if (json_is_integer(value))
+		return json_integer_value(value);
+	if (json_is_string(value))
+		return strtoll(json_string_value(value), NULL, 10);
+	return 0;
+}
+
+/* Reading replies */
+
+static void free_values(struct pending *pending)
+{
+	size_t i;
+
+	for (i = 0; i < pending->value_count; i++) {
+		free(pending->values[i].key);
+		free(pending->values[i].data);
+	}
+	free(pending->values);
+}
+
+static int read_value(struct zr_store_value *out, json_t *kv)
+{
+	const char *key = json_string_value(json_object_get(kv, "key"));
+	const char *data = json_string_value(json_object_get(kv, "value"));
+	void *key_bytes = NULL;
+	size_t key_length;
+	int error;
+
+	if (!key)
+		return ZR_E_PROTOCOL;
+	error = zr_base64_decode(&key_bytes, &key_length, key);
+	if (error < 0)
+		return error;
+	error = zr_base64_decode(&out->data, &out->length, data ? data : "");
+	if (error < 0) {
+		free(key_bytes);
+		return error;
+	}
+	out->key = key_bytes;
+	out->mod_revision = read_int64(kv, "mod_revision");
+	return 0;
+}
+
+static int read_kvs(struct pending *pending, json_t *kvs)
+{
+	size_t count = json_array_size(kvs);
+	struct zr_store_value *grown;
+	size_t index;
+	json_t *kv;
+
+	if (!count)
+		return 0;
+	grown = realloc(pending->values,
+			(pending->value_count + count) * sizeof(*grown));
+	if (!grown)
+		return ZR_E_NOMEM;
+	pending->values = grown;
+	json_array_foreach (kvs, index, kv) {
+		int error = read_value(&grown[pending->value_count], kv);
+
+		if (error < 0)
+			return error;
+		pending->value_count++;
+	}
+	return 0;
+}
+
+static int read_all_kvs(struct pending *pending, json_t *body)
+{
+	json_t *responses = json_object_get(body, "responses");
+	int error = read_kvs(pending, json_object_get(body, "kvs"));
+	json_t *response;
+	size_t index;
+
+	json_array_foreach (responses, index, response) {
+		json_t *range = json_object_get(response, "response_range");
+
+		if (!error)
+			error = read_kvs(pending,
+					 json_object_get(range, "kvs"));
+	}
+	return error;
+}
+
+static void read_kv(struct zr_store_reply *reply, json_t *body)
+{
+	json_t *header = json_object_get(body, "header");
+
+	reply->revision = read_int64(header, "revision");
+	reply->succeeded = json_is_true(json_object_get(body, "succeeded"));
+}
+
+static void read_lease(struct zr_store_reply *reply, json_t *body)
+{
+	json_t *result = json_object_get(body, "result");
+
+	/* The keepalive stream wraps its answers in "result". */
+	if (!result)
+		result = body;
+	reply->lease = read_int64(result, "ID");
+	reply->ttl_ms = read_int64(result, "TTL") * MS_PER_S;
+}
+
+static int reply_error(const struct pending *pending, int error,
+		       const struct zr_http_answer *answer)
+{
+	if (error == ZR_E_UNREACHABLE || error == ZR_E_FULL)
+		return ZR_E_STORE_DOWN;
+	if (error == ZR_E_CANCELLED)
+		return error;
+	if (error < 0)
+		return pending->writes ? ZR_E_OUTCOME_UNKNOWN : ZR_E_STORE_DOWN;
+	if (answer->status == 404)
+		return ZR_E_NOT_FOUND;
+	if (answer->status != 200)
+		return pending->writes ? ZR_E_OUTCOME_UNKNOWN : ZR_E_STORE_DOWN;
+	return 0;
+}
+
+static int read_reply(struct pending *pending, struct zr_store_reply *reply,
+		      const struct zr_http_answer *answer)
+{
+	json_t *body = json_loadb(answer->body, answer->body_length,
+				  JSON_DISABLE_EOF_CHECK, NULL);
+	int error;
+
+	if (!body)
+		return pending->writes ? ZR_E_OUTCOME_UNKNOWN : ZR_E_PROTOCOL;
+	pending->read(reply, body);
+	error = read_all_kvs(pending, body);
+	json_decref(body);
+	reply->values = pending->values;
+	reply->count = pending->value_count;
+	return error;
+}
+
+static void on_answer(void *ctx, int error, const struct zr_http_answer *answer)
+{
+	struct pending *pending = ctx;
+	struct zr_store_reply reply;
+
+	memset(&reply, 0, sizeof(reply));
+	error = reply_error(pending, error, answer);
+	if (!error)
+		error = read_reply(pending, &reply, answer);
+	if (error < 0 && error != ZR_E_NOT_FOUND && error != ZR_E_CANCELLED &&
+	    pending->etcd->failures)
+		pending->etcd->failures->value++;
+	pending->done(pending->ctx, error, error < 0 ? NULL : &reply);
+	free_values(pending);
+	free(pending);
+}
+
+static void call_etcd(struct etcd *etcd, enum zr_store_purpose purpose,
+		      const char *path, json_t *request,
+		      const struct pending *template)
+{
+	struct pending *pending = malloc(sizeof(*pending));
+	char *body = json_dumps(request, JSON_COMPACT);
+	struct zr_http_call call = {
+		.method = "POST",
+		.path = path,
+		.content_type = "application/json",
+		.body = body,
+		.timeout_ms = CALL_TIMEOUT_MS,
+		.idempotent = !template->writes,
+	};
+
+	if (!pending || !body)
+		abort();
+	*pending = *template;
+	pending->etcd = etcd;
+	call.body_length = strlen(body);
+	if (etcd->calls[purpose])
+		etcd->calls[purpose]->value++;
+	zr_http_client_call(etcd->client, &call, on_answer, pending);
+	free(body);
+	json_decref(request);
+}
+
+/* Operations */
+
+/* The end of a prefix range: the prefix with its last byte raised by one. */
+static json_t *prefix_end(const char *prefix)
+{
+	size_t length = strlen(prefix);
+	char *end = strdup(prefix);
+	json_t *value;
+
+	if (!end)
+		abort();
+	if (length)
+		end[length - 1]++;
+	value = base64_json(end, length);
+	free(end);
+	return value;
+}
+
+static void etcd_range(void *impl, enum zr_store_purpose purpose,
+		       const char *key, bool prefix, zr_store_done_fn done,
+		       void *ctx)
+{
+	const struct pending template = {
+		.read = read_kv,
+		.done = done,
+		.ctx = ctx,
+	};
+	json_t *request = json_object();
+
+	json_object_set_new(request, "key", base64_json(key, strlen(key)));
+	if (prefix)
+		json_object_set_new(request, "range_end", prefix_end(key));
+	call_etcd(impl, purpose, "/v3/kv/range", request, &template);
+}
+
+static json_t *compare_json(const struct zr_store_compare *compare)
+{
+	json_t *object = json_object();
+
+	json_object_set_new(object, "key",
+			    base64_json(compare->key, strlen(compare->key)));
+	json_object_set_new(object, "target", json_string("MOD"));
+	json_object_set_new(object, "result", json_string("EQUAL"));
+	json_object_set_new(object, "mod_revision",
+			    int64_json(compare->mod_revision));
+	return object;
+}
+
+static json_t *put_json(const struct zr_store_put *put)
+{
+	json_t *key = base64_json(put->key, strlen(put->key));
+	json_t *object = json_object();
+
+	json_object_set_new(object, "key", key);
+	if (!put->data)
+		return json_pack("{s:o}", "request_delete_range", object);
+	json_object_set_new(object, "value",
+			    base64_json(put->data, put->length));
+	if (put->lease)
+		json_object_set_new(object, "lease", int64_json(put->lease));
+	return json_pack("{s:o}", "request_put", object);
+}
+
+static json_t *read_back_json(const struct zr_store_compare *compare)
+{
+	return json_pack("{s:{s:o}}", "request_range", "key",
+			 base64_json(compare->key, strlen(compare->key)));
+}
+
+static void etcd_commit(void *impl, enum zr_store_purpose purpose,
+			const struct zr_store_txn *txn, zr_store_done_fn done,
+			void *ctx)
+{
+	const struct pending template = {
+		.read = read_kv,
+		.writes = true,
+		.done = done,
+		.ctx = ctx,
+	};
+	json_t *compares = json_array();
+	json_t *success = json_array();
+	json_t *failure = json_array();
+	size_t i;
+
+	for (i = 0; i < txn->compare_count; i++) {
+		json_array_append_new(compares,
+				      compare_json(&txn->compares[i]));
+		json_array_append_new(failure,
+				      read_back_json(&txn->compares[i]));
+	}
+	for (i = 0; i < txn->put_count; i++)
+		json_array_append_new(success, put_json(&txn->puts[i]));
+	call_etcd(impl, purpose, "/v3/kv/txn",
+		  json_pack("{s:o, s:o, s:o}", "compare", compares, "success",
+			    success, "failure", failure),
+		  &template);
+}
+
+static void send_lease(struct etcd *etcd, const char *path, json_t *request,
+		       zr_store_done_fn done, void *ctx)
+{
+	const struct pending template = {
+		.read = read_lease,
+		.writes = true,
+		.done = done,
+		.ctx = ctx,
+	};
+
+	call_etcd(etcd, ZR_STORE_LEASE, path, request, &template);
+}
+
+static void etcd_lease_grant(void *impl, int64_t ttl_ms, zr_store_done_fn done,
+			     void *ctx)
+{
+	int64_t ttl_s = (ttl_ms + MS_PER_S - 1) / MS_PER_S;
+
+	send_lease(impl, "/v3/lease/grant",
+		   json_pack("{s:o}", "TTL", int64_json(ttl_s)), done, ctx);
+}
+
+static void etcd_lease_keep(void *impl, int64_t lease, zr_store_done_fn done,
+			    void *ctx)
+{
+	send_lease(impl, "/v3/lease/keepalive",
+		   json_pack("{s:o}", "ID", int64_json(lease)), done, ctx);
+}
+
+static void etcd_lease_revoke(void *impl, int64_t lease, zr_store_done_fn done,
+			      void *ctx)
+{
+	send_lease(impl, "/v3/lease/revoke",
+		   json_pack("{s:o}", "ID", int64_json(lease)), done, ctx);
+}
+
+static void etcd_free(void *impl)
+{
+	struct etcd *etcd = impl;
+
+	zr_http_client_free(etcd->client);
+	free(etcd);
+}
+
+static const struct zr_store_ops etcd_ops = {
+	.range = etcd_range,
+	.commit = etcd_commit,
+	.lease_grant = etcd_lease_grant,
+	.lease_keep = etcd_lease_keep,
+	.lease_revoke = etcd_lease_revoke,
+	.free = etcd_free,
+};
+
+static void register_metrics(struct etcd *etcd, struct zr_metrics *metrics)
+{
+	char labels[64];
+	int i;
+
+	for (i = 0; i < ZR_STORE_PURPOSES; i++) {
+		snprintf(labels, sizeof(labels), "purpose=\"%s\"",
+			 zr_store_purpose_name(i));
+		etcd->calls[i] = zr_metrics_counter(
+			metrics, "zinniarack_store_calls_total", labels,
+			"Calls to the key-value store.");
+	}
+	etcd->failures =
+		zr_metrics_counter(metrics, "zinniarack_store_failures_total",
+				   NULL, "Store calls that failed.");
+}
+
+int zr_etcd_new(struct zr_store *out, uv_loop_t *loop, const char *address,
+		struct zr_metrics *metrics)
+{
+	struct etcd *etcd = calloc(1, sizeof(*etcd));
+	int error;
+
+	if (!etcd)
+		return ZR_E_NOMEM;
+	error = zr_http_client_new(&etcd->client, loop, address, NULL);
+	if (error < 0) {
+		free(etcd);
+		return error;
+	}
+	if (metrics)
+		register_metrics(etcd, metrics);
+	out->ops = &etcd_ops;
+	out->impl = etcd;
+	return 0;
+}
--- /dev/null
+++ b/src/libzinniarack/worker/http_worker.c
@@ -0,0 +1,252 @@
+#include "worker/http_worker.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/http_client.h"
+#include "zinniarack/errors.h"
+
+#define CALL_TIMEOUT_MS 2000
+#define CONNECTIONS 3 /* a waiting sync must not hold up starts and stops */
+#define STATUS_FENCED 409
+#define STATUS_NO_ROOM 507
+
+struct http_worker {
+	struct zr_http_client *client;
+};
+
+struct pending {
+	zr_worker_report_fn report;
+	zr_worker_done_fn done;
+	void *ctx;
+};
+
+static int status_error(int error, const struct zr_http_answer *answer)
+{
+	if (error < 0)
+		return error;
+	if (answer->status == STATUS_FENCED)
+		return ZR_E_FENCED;
+	if (answer->status == STATUS_NO_ROOM)
+		return ZR_E_FULL;
+	if (answer->status == 404)
+		return ZR_E_NOT_FOUND;
+	if (answer->status < 200 || answer->status > 299)
+		return ZR_E_PROTOCOL;
+	return 0;
+}
+
+static void on_done(void *ctx, int error, const struct zr_http_answer *answer)
+{
+	struct pending *pending = ctx;
+
+	pending->done(pending->ctx, status_error(error, answer));
+	free(pending);
+}
+
+static uint32_t read_uint32(json_t *object, const char *field)
+{
+	json_int_t value = json_integer_value(json_object_get(object, field));
+
+	return value > 0 && value <= UINT32_MAX ? (uint32_t)value : 0;
+}
+
+static bool read_id(char out[ZR_TASK_ID_MAX], json_t *object)
+{
+	const char *id = json_string_value(json_object_get(object, "id"));
+
+	if (!id || strlen(id) >= ZR_TASK_ID_MAX)
+		return false;
+	snprintf(out, ZR_TASK_ID_MAX, "%s", id);
+	return true;
+}
+
+static size_t read_tasks(struct zr_worker_task *tasks, json_t *list)
+{
+	size_t count = 0;
+	json_t *object;
+	size_t index;
+
+	json_array_foreach (list, index, object) {
+		struct zr_worker_task *task = &tasks[count];
+
+		if (!read_id(task->id, object))
+			continue;
+		task->used.millicpus = read_uint32(object, "millicpus");
+		task->used.memory_mb = read_uint32(object, "memory_mb");
+		task->used.accelerators = read_uint32(object, "accelerators");
+		count++;
+	}
+	return count;
+}
+
+static size_t read_ends(struct zr_worker_end *ends, json_t *list)
+{
+	size_t count = 0;
+	json_t *object;
+	size_t index;
+
+	json_array_foreach (list, index, object) {
+		json_t *result = json_object_get(object, "result");
+		struct zr_worker_end *end = &ends[count];
+
+		if (!read_id(end->id, object))
+			continue;
+		end->sequence = (uint64_t)json_integer_value(
+			json_object_get(object, "sequence"));
+		end->succeeded =
+			json_is_true(json_object_get(object, "succeeded"));
+		end->stopped = json_is_true(json_object_get(object, "stopped"));
+		/* Borrowed: the JSON body lives until the report is done. */
+		end->result = (char *)json_string_value(result);
+		count++;
+	}
+	return count;
+}
+
+static int read_report(struct pending *pending, json_t *body)
+{
+	json_t *task_list = json_object_get(body, "tasks");
+	json_t *end_list = json_object_get(body, "ends");
+	struct zr_worker_report report = {0};
+	struct zr_worker_task *tasks;
+	struct zr_worker_end *ends;
+
+	if (!json_is_array(task_list) || !json_is_array(end_list))
+		return ZR_E_PROTOCOL;
+	tasks = calloc(json_array_size(task_list) + 1, sizeof(*tasks));
+	ends = calloc(json_array_size(end_list) + 1, sizeof(*ends));
+	if (!tasks || !ends)
+		abort();
+	report.epoch =
+		(uint64_t)json_integer_value(json_object_get(body, "epoch"));
+	report.tasks = tasks;
+	report.task_count = read_tasks(tasks, task_list);
+	report.ends = ends;
+	report.end_count = read_ends(ends, end_list);
+	pending->report(pending->ctx, 0, &report);
+	free(tasks);
+	free(ends);
+	return 0;
+}
+
+static void on_report(void *ctx, int error, const struct zr_http_answer *answer)
+{
+	struct pending *pending = ctx;
+	json_t *body = NULL;
+
+	error = status_error(error, answer);
+	if (!error) {
+		body = json_loadb(answer->body, answer->body_length, 0, NULL);
+		error = read_report(pending, body);
+	}
+	if (error < 0)
+		pending->report(pending->ctx, error, NULL);
+	json_decref(body);
+	free(pending);
+}
+
+static void post(struct http_worker *worker, const char *path, json_t *request,
+		 unsigned int timeout_ms, zr_http_done_fn on_answer,
+		 const struct pending *template)
+{
+	struct pending *pending = malloc(sizeof(*pending));
+	char *body = json_dumps(request, JSON_COMPACT);
+	/* Workers know task ids and sequences: all three calls may repeat. */
+	struct zr_http_call call = {
+		.method = "POST",
+		.path = path,
+		.content_type = "application/json",
+		.body = body,
+		.timeout_ms = timeout_ms,
+		.idempotent = true,
+	};
+
+	if (!pending || !body)
+		abort();
+	*pending = *template;
+	call.body_length = strlen(body);
+	zr_http_client_call(worker->client, &call, on_answer, pending);
+	free(body);
+	json_decref(request);
+}
+
+static void http_sync(void *impl, const struct zr_worker_sync *sync,
+		      zr_worker_report_fn done, void *ctx)
+{
+	const struct pending template = {.report = done, .ctx = ctx};
+	json_t *request = json_pack("{s:I, s:I, s:I, s:I}", "epoch",
+				    (json_int_t)sync->epoch, "lease_ms",
+				    (json_int_t)sync->lease_ms, "acknowledged",
+				    (json_int_t)sync->acknowledged, "wait_ms",
+				    (json_int_t)sync->wait_ms);
+
+	post(impl, "/v1/sync", request, CALL_TIMEOUT_MS + sync->wait_ms,
+	     on_report, &template);
+}
+
+static void http_start(void *impl, const struct zr_worker_start *start,
+		       zr_worker_done_fn done, void *ctx)
+{
+	const struct pending template = {.done = done, .ctx = ctx};
+	json_t *request =
+		json_pack("{s:I, s:s, s:I, s:I, s:I, s:I, s:s, s:s}", "epoch",
+			  (json_int_t)start->epoch, "id", start->id,
+			  "millicpus", (json_int_t)start->size.millicpus,
+			  "memory_mb", (json_int_t)start->size.memory_mb,
+			  "accelerators", (json_int_t)start->size.accelerators,
+			  "lease_ms", (json_int_t)start->lease_ms, "service",
+			  start->service, "command", start->command);
+
+	post(impl, "/v1/start", request, CALL_TIMEOUT_MS, on_done, &template);
+}
+
+static void http_stop(void *impl, uint64_t epoch, const char *id,
+		      enum zr_worker_stop_mode mode, zr_worker_done_fn done,
+		      void *ctx)
+{
+	static const char *const modes[] = {"stop", "checkpoint", "throttle"};
+	const struct pending template = {.done = done, .ctx = ctx};
+	json_t *request =
+		json_pack("{s:I, s:s, s:s}", "epoch", (json_int_t)epoch, "id",
+			  id, "mode", modes[mode]);
+
+	post(impl, "/v1/stop", request, CALL_TIMEOUT_MS, on_done, &template);
+}
+
+static void http_free(void *impl)
+{
+	struct http_worker *worker = impl;
+
+	zr_http_client_free(worker->client);
+	free(worker);
+}
+
+static const struct zr_worker_ops http_ops = {
+	.sync = http_sync,
+	.start = http_start,
+	.stop = http_stop,
+	.free = http_free,
+};
+
+int zr_http_worker_new(struct zr_worker *out, uv_loop_t *loop,
+		       const char *address)
+{
+	struct zr_http_client_options options = ZR_HTTP_CLIENT_OPTIONS_INIT;
+	struct http_worker *worker = calloc(1, sizeof(*worker));
+	int error;
+
+	if (!worker)
+		return ZR_E_NOMEM;
+	options.max_connections = CONNECTIONS;
+	error = zr_http_client_new(&worker->client, loop, address, &options);
+	if (error < 0) {
+		free(worker);
+		return error;
+	}
+	out->ops = &http_ops;
+	out->impl = worker;
+	return 0;
+}
--- /dev/null
+++ b/src/util/log.c
@@ -0,0 +1,155 @@
+#include "zinniarack/log.h"
+
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <time.h>
+
+#include "zinniarack/errors.h"
+
+#define LINE_MAX_BYTES 2048
+
+static log4c_category_t *events;
+static log4c_category_t *decisions;
+static const char *process_name = "zinniarack";
+static enum zr_log_format line_format = ZR_LOG_TEXT;
+
+static const char *json_escape(char *out, size_t size, const char *text)
+{
+	size_t used = 0;
+
+	for (; *text && used + 7 < size; text++) {
+		unsigned char c = (unsigned char)*text;
+
+		if (c == '"' || c == '\\') {
+			out[used++] = '\\';
+			out[used++] = (char)c;
+		} else if (c < 0x20) {
+			used += (size_t)snprintf(out + used, size - used,
+						 "\\u%04x", c);
+		} else {
+			out[used++] = (char)c;
+		}
+	}
+	out[used] = '\0';
+	return out;
+}
+
+static const char *format_line(const log4c_layout_t *layout,
+			       const log4c_logging_event_t *event)
+{
+	static char line[2 * LINE_MAX_BYTES];
+	static char escaped[LINE_MAX_BYTES + LINE_MAX_BYTES / 2];
+	const char *level = log4c_priority_to_string(event->evt_priority);
+	struct timespec now;
+	struct tm tm;
+	char when[32];
+
+	(void)layout;
+	clock_gettime(CLOCK_REALTIME, &now);
+	gmtime_r(&now.tv_sec, &tm);
+	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
+	if (line_format == ZR_LOG_JSON)
+		snprintf(line, sizeof(line),
+			 "{\"time\":\"%s.%03ldZ\",\"level\":\"%s\","
+			 "\"process\":\"%s\",\"category\":\"%s\","
+			 "\"message\":\"%s\"}\n",
+			 when, now.tv_nsec / 1000000, level, process_name,
+			 event->evt_category,
+			 json_escape(escaped, sizeof(escaped), event->evt_msg));
+	else
+		snprintf(line, sizeof(line), "%s.%03ldZ %-5s %s %s %s\n", when,
+			 now.tv_nsec / 1000000, level, process_name,
+			 event->evt_category, event->evt_msg);
+	return line;
+}
+
+static const log4c_layout_type_t layout_type = {
+	.name = "zinniarack",
+	.format = format_line,
+};
+
+static int priority_of(enum zr_log_level level)
+{
+	switch (level) {
+	case ZR_LOG_ERROR:
+		return LOG4C_PRIORITY_ERROR;
+	case ZR_LOG_WARN:
+		return LOG4C_PRIORITY_WARN;
+	case ZR_LOG_INFO:
+		return LOG4C_PRIORITY_INFO;
+	default:
+		return LOG4C_PRIORITY_DEBUG;
+	}
+}
+
+static log4c_category_t *open_category(const char *name, int priority,
+				       log4c_appender_t *appender)
+{
+	log4c_category_t *category = log4c_category_get(name);
+
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_priority(category, priority);
+	log4c_category_set_appender(category, appender);
+	return category;
+}
+
+int zr_log_init(const char *process, enum zr_log_level level,
+		enum zr_log_format format)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+
+	process_name = process;
+	line_format = format;
+	if (log4c_init())
+		return zr_error_set(ZR_E_IO, "log4c did not start");
+	log4c_layout_type_set(&layout_type);
+	layout = log4c_layout_get("zinniarack");
+	log4c_layout_set_type(layout, &layout_type);
+	appender = log4c_appender_get("stderr");
+	log4c_appender_set_layout(appender, layout);
+	events = open_category("event", priority_of(level), appender);
+	decisions = open_category("decision",
+				  level == ZR_LOG_ERROR ? LOG4C_PRIORITY_ERROR
+							: LOG4C_PRIORITY_INFO,
+				  appender);
+	return 0;
+}
+
+void zr_log_close(void)
+{
+	events = NULL;
+	decisions = NULL;
+	log4c_fini();
+}
+
+static void write_line(log4c_category_t *category, int priority,
+		       const char *fmt, va_list args)
+{
+	char text[LINE_MAX_BYTES];
+
+	if (!category ||
+	    !log4c_category_is_priority_enabled(category, priority))
+		return;
+	vsnprintf(text, sizeof(text), fmt, args);
+	log4c_category_log(category, priority, "%s", text);
+}
+
+void zr_log(enum zr_log_level level, const char *fmt, ...)
+{
+	va_list args;
+
+	va_start(args, fmt);
+	write_line(events, priority_of(level), fmt, args);
+	va_end(args);
+}
+
+void zr_log_decision(const char *fmt, ...)
+{
+	va_list args;
+
+	va_start(args, fmt);
+	write_line(decisions, LOG4C_PRIORITY_INFO, fmt, args);
+	va_end(args);
+}
--- /dev/null
+++ b/tests/cell.sh
@@ -0,0 +1,139 @@
+# Starts a cell of real processes on loopback for tests and the demo; sourced.
+#
+# cell_init DIR BUILD BASE_PORT   choose a work folder, build folder and ports
+# cell_hosts_add ...              see below; then cell_start_platform
+# cell_stop                       end every process that was started, by id
+#
+# Ports: BASE+1 store, BASE+2 host list, BASE+100+10*i entry host i,
+# BASE+400+j worker j.
+
+cell_init () {
+	cell_dir=$1
+	cell_build=$2
+	cell_base=$3
+	cell_entry_count=0
+	cell_worker_count=0
+	cell_pids=
+	mkdir -p "$cell_dir"
+	: >"$cell_dir/hosts.rows"
+	: >"$cell_dir/ledger"
+}
+
+cell_port () {
+	echo "127.0.0.1:$(($cell_base + $1))"
+}
+
+# Writes the host list in one step, so that no reader sees half of it.
+cell_write_hosts () {
+	{
+		printf '{"hosts":['
+		paste -sd, "$cell_dir/hosts.rows"
+		printf ']}'
+	} >"$cell_dir/hosts.tmp"
+	mv "$cell_dir/hosts.tmp" "$cell_dir/hosts.json"
+}
+
+# cell_add_entry DOMAIN: an entry host; its settings are in NAME.yaml.
+cell_add_entry () {
+	cell_entry_count=$(($cell_entry_count + 1))
+	offset=$((100 + 10 * $cell_entry_count))
+	name=$1-$cell_entry_count
+	cat >"$cell_dir/$name.yaml" <<-EOF
+	name: $name
+	failure_domain: $1
+	store: $(cell_port 1)
+	host_list: $(cell_port 2)
+	charts: $cell_source/charts
+	entry:
+	  http: $(cell_port $offset)
+	  rpc: $(cell_port $(($offset + 1)))
+	scheduler:
+	  http: $(cell_port $(($offset + 2)))
+	  rpc: $(cell_port $(($offset + 3)))
+	log:
+	  level: info
+	EOF
+	printf '{"kind":"entry","name":"%s","domain":"%s","address":"%s","scheduler":"%s"}\n' \
+		"$name" "$1" "$(cell_port $(($offset + 1)))" \
+		"$(cell_port $(($offset + 3)))" >>"$cell_dir/hosts.rows"
+}
+
+# cell_add_worker DOMAIN RACK MILLICPUS MEMORY_MB ACCELERATORS
+cell_add_worker () {
+	port=$(($cell_base + 400 + $cell_worker_count))
+	cell_worker_count=$(($cell_worker_count + 1))
+	printf '{"kind":"worker","name":"w%d","domain":"%s","rack":"%s","address":"127.0.0.1:%d","millicpus":%d,"memory_mb":%d,"accelerators":%d,"slots":8}\n' \
+		"$cell_worker_count" "$1" "$2" "$port" "$3" "$4" "$5" \
+		>>"$cell_dir/hosts.rows"
+}
+
+# cell_spawn NAME COMMAND...: start a process; its id is kept in NAME.pid.
+cell_spawn () {
+	spawn_name=$1
+	shift
+	"$@" >"$cell_dir/$spawn_name.out" 2>"$cell_dir/$spawn_name.log" &
+	echo $! >"$cell_dir/$spawn_name.pid"
+	cell_pids="$cell_pids $!"
+}
+
+cell_start_platform () {
+	cell_write_hosts
+	cell_spawn platform "$cell_build/standin-platform" \
+		--store "$(cell_port 1)" --hosts "$(cell_port 2)" \
+		--hosts-file "$cell_dir/hosts.json"
+	cell_spawn workers "$cell_build/standin-worker" \
+		--base-port $(($cell_base + 400)) \
+		--count "$cell_worker_count" --ledger "$cell_dir/ledger"
+}
+
+# cell_start_host NAME: both daemons of an entry host.
+cell_start_host () {
+	cell_spawn "$1.scheduler" "$cell_build/zinniarack-schedulerd" \
+		"$cell_dir/$1.yaml"
+	cell_spawn "$1.entry" "$cell_build/zinniarack-entryd" \
+		"$cell_dir/$1.yaml"
+}
+
+cell_start_hosts () {
+	for settings in "$cell_dir"/*-[0-9]*.yaml
+	do
+		cell_start_host "$(basename "$settings" .yaml)"
+	done
+}
+
+cell_pid () {
+	cat "$cell_dir/$1.pid"
+}
+
+# cell_until SECONDS COMMAND...: repeat a command until it succeeds.
+cell_until () {
+	tries=$(($1 * 20))
+	shift
+	while test $tries -gt 0
+	do
+		"$@" >/dev/null 2>&1 && return 0
+		tries=$(($tries - 1))
+		sleep 0.05
+	done
+	echo "gave up waiting for: $*" >&2
+	return 1
+}
+
+# cell_active_domains N: whether N schedulers are active, as one entry sees it.
+cell_active_domains () {
+	test "$("$cell_build/zinniarack" -e "$cell_entry" status |
+		grep -o '"active":true' | wc -l)" -eq "$1"
+}
+
+cell_config_version () {
+	"$cell_build/zinniarack" -e "$1" status |
+		grep -q "\"config_version\":$2"
+}
+
+cell_stop () {
+	for pid in $cell_pids
+	do
+		kill -KILL "$pid" 2>/dev/null || :
+	done
+	wait 2>/dev/null || :
+}
