Timers as an interface, RPC messages by subject, runners for scripts and benches

Change: zr_timers beside zr_clock, a fake of both, conventions for scripted tests and benches, one .x file and one handler file a subject.

--- a/src/libzinniarack/config/watch.c
+++ b/src/libzinniarack/config/watch.c
@@ -13,7 +13,7 @@
 	const struct zr_store *store;
 	zr_config_changed_fn changed;
 	void *ctx;
-	uv_timer_t timer;
+	struct zr_timer *timer;
 	bool call_open;
 	struct zr_config *current;
 	int64_t mod_revision;
@@ -65,9 +65,9 @@
 		take(watch, &reply->values[0]);
 }
 
-static void on_tick(uv_timer_t *timer)
+static void on_tick(void *ctx)
 {
-	struct zr_config_watch *watch = timer->data;
+	struct zr_config_watch *watch = ctx;
 
 	if (watch->call_open)
 		return;
@@ -76,7 +76,8 @@
 		       on_read, watch);
 }
 
-int zr_config_watch_new(struct zr_config_watch **out, uv_loop_t *loop,
+int zr_config_watch_new(struct zr_config_watch **out,
+			const struct zr_timers *timers,
 			const struct zr_store *store,
 			zr_config_changed_fn changed, void *ctx)
 {
@@ -87,9 +88,8 @@
 	watch->store = store;
 	watch->changed = changed;
 	watch->ctx = ctx;
-	uv_timer_init(loop, &watch->timer);
-	watch->timer.data = watch;
-	uv_timer_start(&watch->timer, on_tick, 0, POLL_MS);
+	watch->timer = zr_timer_new(timers, on_tick, watch);
+	zr_timer_start(watch->timer, 0, POLL_MS);
 	*out = watch;
 	return 0;
 }
@@ -114,7 +114,7 @@
 		version = current_version(watch);
 	}
 	if (!error)
-		on_tick(&watch->timer);
+		on_tick(watch);
 	proposal->done(proposal->ctx, error, version);
 	free(proposal);
 }
@@ -161,16 +161,11 @@
 	free(text);
 }
 
-static void on_timer_closed(uv_handle_t *handle)
+void zr_config_watch_free(struct zr_config_watch *watch)
 {
-	struct zr_config_watch *watch = handle->data;
-
+	if (!watch)
+		return;
+	zr_timer_free(watch->timer);
 	zr_config_free(watch->current);
 	free(watch);
 }
-
-void zr_config_watch_free(struct zr_config_watch *watch)
-{
-	if (watch)
-		uv_close((uv_handle_t *)&watch->timer, on_timer_closed);
-}
--- a/src/libzinniarack/config/watch.h
+++ b/src/libzinniarack/config/watch.h
@@ -1,11 +1,10 @@
 #ifndef ZR_CONFIG_WATCH_H
 #define ZR_CONFIG_WATCH_H
 
-#include <uv.h>
-
 #include "zinniarack/clock.h"
 #include "zinniarack/config.h"
 #include "zinniarack/store.h"
+#include "zinniarack/timer.h"
 
 /**
  * DOC: Configuration in force
@@ -25,14 +24,15 @@
 /**
  * zr_config_watch_new() - follow the configuration
  * @out: to be freed with zr_config_watch_free()
- * @loop: the loop it runs on
+ * @timers: where timers come from
  * @store: the store, kept by reference
  * @changed: called with @ctx
  * @ctx: passed to @changed
  *
  * Return: 0 or ZR_E_NOMEM.
  */
-int zr_config_watch_new(struct zr_config_watch **out, uv_loop_t *loop,
+int zr_config_watch_new(struct zr_config_watch **out,
+			const struct zr_timers *timers,
 			const struct zr_store *store,
 			zr_config_changed_fn changed, void *ctx);
 
--- a/src/libzinniarack/domain/convert.h
+++ b/src/libzinniarack/domain/convert.h
@@ -1,7 +1,7 @@
 #ifndef ZR_DOMAIN_CONVERT_H
 #define ZR_DOMAIN_CONVERT_H
 
-#include "jobs.h"
+#include "msg_jobs.h"
 #include "zinniarack/job.h"
 
 /**
--- a/src/libzinniarack/domain/domain.c
+++ b/src/libzinniarack/domain/domain.c
@@ -147,9 +147,9 @@
 	}
 }
 
-static void on_tick(uv_timer_t *timer)
+static void on_tick(void *ctx)
 {
-	struct zr_domain *domain = timer->data;
+	struct zr_domain *domain = ctx;
 
 	if (!domain->epoch)
 		return;
@@ -173,7 +173,7 @@
 	options.clock = domain->options.clock;
 	options.sink = zr_domain_sink(domain);
 	if (zr_sched_new(&domain->sched, &options) < 0 ||
-	    zr_journal_new(&domain->journal, domain->options.loop,
+	    zr_journal_new(&domain->journal, domain->options.timers,
 			   domain->options.store, domain->name,
 			   zr_owner_key(domain->owner), epoch, guard) < 0)
 		abort();
@@ -252,10 +252,11 @@
 {
 	const struct zr_fleet_options options = {
 		.version = ZR_FLEET_OPTIONS_VERSION,
-		.loop = domain->options.loop,
+		.timers = domain->options.timers,
 		.clock = domain->options.clock,
 		.domain = domain->name,
 		.worker_new = domain->options.worker_new,
+		.worker_ctx = domain->options.worker_ctx,
 		.events =
 			{
 				.up = on_worker_up,
@@ -300,11 +301,10 @@
 	domain->options = *options;
 	snprintf(domain->name, sizeof(domain->name), "%s", options->domain);
 	register_metrics(domain);
-	uv_timer_init(options->loop, &domain->timer);
-	domain->timer.data = domain;
+	domain->timer = zr_timer_new(options->timers, on_tick, domain);
 	error = make_fleet(domain);
 	if (!error)
-		error = zr_owner_new(&domain->owner, options->loop,
+		error = zr_owner_new(&domain->owner, options->timers,
 				     options->clock, options->store,
 				     domain->name, options->name, &owner_events,
 				     domain);
@@ -312,7 +312,7 @@
 		zr_domain_free(domain);
 		return error;
 	}
-	uv_timer_start(&domain->timer, on_tick, TICK_MS, TICK_MS);
+	zr_timer_start(domain->timer, TICK_MS, TICK_MS);
 	*out = domain;
 	return 0;
 }
@@ -347,11 +347,6 @@
 	zr_owner_release(domain->owner, done, ctx);
 }
 
-static void on_timer_closed(uv_handle_t *handle)
-{
-	free(handle->data);
-}
-
 void zr_domain_free(struct zr_domain *domain)
 {
 	if (!domain)
@@ -360,5 +355,6 @@
 		on_lost(domain);
 	zr_owner_free(domain->owner);
 	zr_fleet_free(domain->fleet);
-	uv_close((uv_handle_t *)&domain->timer, on_timer_closed);
+	zr_timer_free(domain->timer);
+	free(domain);
 }
--- a/src/libzinniarack/domain/domain.h
+++ b/src/libzinniarack/domain/domain.h
@@ -1,14 +1,13 @@
 #ifndef ZR_DOMAIN_DOMAIN_H
 #define ZR_DOMAIN_DOMAIN_H
 
-#include <uv.h>
-
 #include "domain/fleet.h"
 #include "zinniarack/clock.h"
 #include "zinniarack/config.h"
 #include "zinniarack/metrics.h"
 #include "zinniarack/sched.h"
 #include "zinniarack/store.h"
+#include "zinniarack/timer.h"
 
 /**
  * DOC: Failure domain
@@ -22,22 +21,24 @@
 /**
  * struct zr_domain_options - how to make a domain
  * @version: ZR_DOMAIN_OPTIONS_VERSION
- * @loop: the loop it runs on
+ * @timers: where timers come from
  * @clock: the clock
  * @store: the store, kept by reference
  * @domain: the failure domain's name
  * @name: this host's name
  * @worker_new: makes the adapter of a worker
+ * @worker_ctx: passed to @worker_new
  * @metrics: where it counts
  */
 struct zr_domain_options {
 	unsigned int version;
-	uv_loop_t *loop;
+	const struct zr_timers *timers;
 	const struct zr_clock *clock;
 	const struct zr_store *store;
 	const char *domain;
 	const char *name;
 	zr_worker_new_fn worker_new;
+	void *worker_ctx;
 	struct zr_metrics *metrics;
 };
 
--- a/src/libzinniarack/domain/fleet.c
+++ b/src/libzinniarack/domain/fleet.c
@@ -32,7 +32,7 @@
 struct zr_fleet {
 	struct zr_fleet_options options;
 	char domain[ZR_NAME_MAX];
-	uv_timer_t timer;
+	struct zr_timer *timer;
 	uint64_t epoch;
 	struct worker *workers;
 };
@@ -169,9 +169,9 @@
 		send_sync(worker);
 }
 
-static void on_tick(uv_timer_t *timer)
+static void on_tick(void *ctx)
 {
-	struct zr_fleet *fleet = timer->data;
+	struct zr_fleet *fleet = ctx;
 	struct worker *worker;
 	struct worker *next;
 
@@ -198,8 +198,8 @@
 		abort();
 	worker->fleet = fleet;
 	worker->host = *host;
-	error = fleet->options.worker_new(&worker->adapter, fleet->options.loop,
-					  host->address);
+	error = fleet->options.worker_new(
+		&worker->adapter, fleet->options.worker_ctx, host->address);
 	if (error < 0) {
 		zr_log(ZR_LOG_ERROR, "worker.refused worker=%s error=%s",
 		       host->name, zr_error_name(error));
@@ -351,18 +351,12 @@
 		return ZR_E_NOMEM;
 	fleet->options = *options;
 	snprintf(fleet->domain, sizeof(fleet->domain), "%s", options->domain);
-	uv_timer_init(options->loop, &fleet->timer);
-	fleet->timer.data = fleet;
-	uv_timer_start(&fleet->timer, on_tick, TICK_MS, TICK_MS);
+	fleet->timer = zr_timer_new(options->timers, on_tick, fleet);
+	zr_timer_start(fleet->timer, TICK_MS, TICK_MS);
 	*out = fleet;
 	return 0;
 }
 
-static void on_timer_closed(uv_handle_t *handle)
-{
-	free(handle->data);
-}
-
 void zr_fleet_free(struct zr_fleet *fleet)
 {
 	struct worker *worker;
@@ -373,5 +367,6 @@
 	fleet->epoch = 0;
 	HASH_ITER (hh, fleet->workers, worker, next)
 		forget(worker);
-	uv_close((uv_handle_t *)&fleet->timer, on_timer_closed);
+	zr_timer_free(fleet->timer);
+	free(fleet);
 }
--- a/src/libzinniarack/domain/fleet.h
+++ b/src/libzinniarack/domain/fleet.h
@@ -2,12 +2,12 @@
 #define ZR_DOMAIN_FLEET_H
 
 #include <stdbool.h>
-#include <uv.h>
 
 #include "zinniarack/clock.h"
 #include "zinniarack/host_list.h"
 #include "zinniarack/sched.h"
 #include "zinniarack/worker.h"
+#include "zinniarack/timer.h"
 
 /**
  * DOC: Workers of a failure domain
@@ -41,25 +41,27 @@
 };
 
 /** Makes the adapter of a worker; &zr_http_worker_new is one. */
-typedef int (*zr_worker_new_fn)(struct zr_worker *out, uv_loop_t *loop,
+typedef int (*zr_worker_new_fn)(struct zr_worker *out, void *ctx,
 				const char *address);
 
 /**
  * struct zr_fleet_options - how to make a fleet
  * @version: ZR_FLEET_OPTIONS_VERSION
- * @loop: the loop it runs on
+ * @timers: where timers come from
  * @clock: the clock
  * @domain: the failure domain
  * @worker_new: makes the adapter of a worker
+ * @worker_ctx: passed to @worker_new
  * @events: what the fleet tells
  * @ctx: passed to @events
  */
 struct zr_fleet_options {
 	unsigned int version;
-	uv_loop_t *loop;
+	const struct zr_timers *timers;
 	const struct zr_clock *clock;
 	const char *domain;
 	zr_worker_new_fn worker_new;
+	void *worker_ctx;
 	struct zr_fleet_events events;
 	void *ctx;
 };
--- a/src/libzinniarack/domain/jobs.c
+++ b/src/libzinniarack/domain/jobs.c
@@ -100,11 +100,6 @@
 	done(ctx, 0, &view);
 }
 
-static void on_waiter_closed(uv_handle_t *handle)
-{
-	free(handle->data);
-}
-
 static void answer_waiter(struct domain_waiter *waiter, int error)
 {
 	DL_DELETE(waiter->job->waiters, waiter);
@@ -112,12 +107,24 @@
 		waiter->done(waiter->ctx, error, NULL);
 	else
 		show(waiter->job, waiter->done, waiter->ctx);
-	uv_close((uv_handle_t *)&waiter->timer, on_waiter_closed);
+	zr_timer_free(waiter->timer);
+	free(waiter);
 }
 
-static void on_wait_over(uv_timer_t *timer)
+static void answer_waiters(struct domain_job *job, int error)
 {
-	answer_waiter(timer->data, 0);
+	struct domain_waiter *waiter;
+	struct domain_waiter *next;
+
+	DL_FOREACH_SAFE(job->waiters, waiter, next)
+	{
+		answer_waiter(waiter, error);
+	}
+}
+
+static void on_wait_over(void *ctx)
+{
+	answer_waiter(ctx, 0);
 }
 
 static void wait_for_end(struct domain_job *job, unsigned int wait_ms,
@@ -130,9 +137,9 @@
 	waiter->job = job;
 	waiter->done = done;
 	waiter->ctx = ctx;
-	uv_timer_init(job->domain->options.loop, &waiter->timer);
-	waiter->timer.data = waiter;
-	uv_timer_start(&waiter->timer, on_wait_over, wait_ms, 0);
+	waiter->timer =
+		zr_timer_new(job->domain->options.timers, on_wait_over, waiter);
+	zr_timer_start(waiter->timer, wait_ms, 0);
 	DL_APPEND(job->waiters, waiter);
 }
 
@@ -210,8 +217,7 @@
 {
 	struct zr_domain *domain = job->domain;
 
-	while (job->waiters)
-		answer_waiter(job->waiters, ZR_E_NOT_OWNER);
+	answer_waiters(job, ZR_E_NOT_OWNER);
 	HASH_DELETE(hh, domain->jobs, job);
 	if (*job->spec.idempotency_key)
 		HASH_DELETE(hh_key, domain->jobs_by_key, job);
@@ -238,22 +244,21 @@
 	zx_record record;
 	zr_journal_done_fn done;
 	void *ctx;
-	uv_timer_t timer;
+	struct zr_timer *timer;
 };
 
 static void append(struct kept *kept);
 
-static void on_kept_closed(uv_handle_t *handle)
+static void free_kept(struct kept *kept)
 {
-	struct kept *kept = handle->data;
-
-	xdr_free((xdrproc_t)xdr_zx_record, &kept->record);
+	xdr_free((xdrproc_t)xdr_zx_record, (void *)&kept->record);
+	zr_timer_free(kept->timer);
 	free(kept);
 }
 
-static void on_retry(uv_timer_t *timer)
+static void on_retry(void *ctx)
 {
-	append(timer->data);
+	append(ctx);
 }
 
 static void on_kept(void *ctx, int error)
@@ -261,11 +266,11 @@
 	struct kept *kept = ctx;
 
 	if (error == ZR_E_STORE_DOWN) {
-		uv_timer_start(&kept->timer, on_retry, KEEP_RETRY_MS, 0);
+		zr_timer_start(kept->timer, KEEP_RETRY_MS, 0);
 		return;
 	}
 	kept->done(kept->ctx, error);
-	uv_close((uv_handle_t *)&kept->timer, on_kept_closed);
+	free_kept(kept);
 }
 
 static void append(struct kept *kept)
@@ -277,7 +282,7 @@
 		return;
 	}
 	if (zr_journal_append(domain->journal, &kept->record, on_kept, kept))
-		uv_timer_start(&kept->timer, on_retry, KEEP_RETRY_MS, 0);
+		zr_timer_start(kept->timer, KEEP_RETRY_MS, 0);
 }
 
 static int copy_record(zx_record *out, const zx_record *record)
@@ -310,8 +315,7 @@
 	kept->epoch = domain->epoch;
 	kept->done = done;
 	kept->ctx = ctx;
-	uv_timer_init(domain->options.loop, &kept->timer);
-	kept->timer.data = kept;
+	kept->timer = zr_timer_new(domain->options.timers, on_retry, kept);
 	append(kept);
 }
 
@@ -320,8 +324,7 @@
 void zr_domain_job_finished(struct domain_job *job)
 {
 	job->final_kept = true;
-	while (job->waiters)
-		answer_waiter(job->waiters, 0);
+	answer_waiters(job, 0);
 	zr_sched_job_forget(job->domain->sched, job->handle);
 	job->handle = ZR_HANDLE_NONE;
 }
--- a/src/libzinniarack/domain/journal.c
+++ b/src/libzinniarack/domain/journal.c
@@ -32,7 +32,7 @@
 	uint64_t epoch;
 	int64_t guard;
 	uint64_t sequence;
-	uv_timer_t timer;
+	struct zr_timer *timer;
 	struct entry *waiting;
 	struct entry *in_flight;
 	size_t pending_bytes;
@@ -216,9 +216,9 @@
 			journal);
 }
 
-static void on_tick(uv_timer_t *timer)
+static void on_tick(void *ctx)
 {
-	struct zr_journal *journal = timer->data;
+	struct zr_journal *journal = ctx;
 
 	if (journal->call_open)
 		return;
@@ -270,7 +270,7 @@
 	return 0;
 }
 
-int zr_journal_new(struct zr_journal **out, uv_loop_t *loop,
+int zr_journal_new(struct zr_journal **out, const struct zr_timers *timers,
 		   const struct zr_store *store, const char *domain,
 		   const char *owner_key, uint64_t epoch, int64_t guard)
 {
@@ -283,23 +283,18 @@
 	journal->guard = guard;
 	snprintf(journal->prefix, PREFIX_MAX, "zr/domain/%s/log/", domain);
 	snprintf(journal->owner_key, KEY_MAX, "%s", owner_key);
-	uv_timer_init(loop, &journal->timer);
-	journal->timer.data = journal;
-	uv_timer_start(&journal->timer, on_tick, COMMIT_INTERVAL_MS,
-		       COMMIT_INTERVAL_MS);
+	journal->timer = zr_timer_new(timers, on_tick, journal);
+	zr_timer_start(journal->timer, COMMIT_INTERVAL_MS, COMMIT_INTERVAL_MS);
 	*out = journal;
 	return 0;
 }
 
-static void on_timer_closed(uv_handle_t *handle)
-{
-	free(handle->data);
-}
-
 static void maybe_free(struct zr_journal *journal)
 {
-	if (!journal->call_open)
-		uv_close((uv_handle_t *)&journal->timer, on_timer_closed);
+	if (journal->call_open)
+		return;
+	zr_timer_free(journal->timer);
+	free(journal);
 }
 
 void zr_journal_free(struct zr_journal *journal)
@@ -307,7 +302,7 @@
 	if (!journal)
 		return;
 	journal->freeing = true;
-	uv_timer_stop(&journal->timer);
+	zr_timer_stop(journal->timer);
 	end_chunk(journal, ZR_E_OUTCOME_UNKNOWN);
 	finish_entries(journal, &journal->waiting, ZR_E_NOT_OWNER);
 	maybe_free(journal);
--- a/src/libzinniarack/domain/journal.h
+++ b/src/libzinniarack/domain/journal.h
@@ -2,10 +2,10 @@
 #define ZR_DOMAIN_JOURNAL_H
 
 #include <stdint.h>
-#include <uv.h>
 
-#include "jobs.h"
+#include "msg_journal.h"
 #include "zinniarack/store.h"
+#include "zinniarack/timer.h"
 
 /**
  * DOC: Journal of a failure domain
@@ -31,7 +31,7 @@
 /**
  * zr_journal_new() - the journal of a domain that this process has gained
  * @out: to be freed with zr_journal_free()
- * @loop: the loop it runs on
+ * @timers: where timers come from
  * @store: the store, kept by reference
  * @domain: the failure domain
  * @owner_key: key that shows the owner
@@ -40,7 +40,7 @@
  *
  * Return: 0 or ZR_E_NOMEM.
  */
-int zr_journal_new(struct zr_journal **out, uv_loop_t *loop,
+int zr_journal_new(struct zr_journal **out, const struct zr_timers *timers,
 		   const struct zr_store *store, const char *domain,
 		   const char *owner_key, uint64_t epoch, int64_t guard);
 
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -31,7 +31,7 @@
 	char epoch_key[KEY_MAX];
 	struct zr_owner_events events;
 	void *ctx;
-	uv_timer_t timer;
+	struct zr_timer *timer;
 	enum owner_state state;
 	bool call_open;
 	int64_t lease;
@@ -154,9 +154,9 @@
 	/* Other errors: the workers' fencing keeps a later owner apart. */
 }
 
-static void on_tick(uv_timer_t *timer)
+static void on_tick(void *ctx)
 {
-	struct zr_owner *owner = timer->data;
+	struct zr_owner *owner = ctx;
 
 	if (owner->call_open)
 		return;
@@ -170,7 +170,7 @@
 	}
 }
 
-int zr_owner_new(struct zr_owner **out, uv_loop_t *loop,
+int zr_owner_new(struct zr_owner **out, const struct zr_timers *timers,
 		 const struct zr_clock *clock, const struct zr_store *store,
 		 const char *domain, const char *name,
 		 const struct zr_owner_events *events, void *ctx)
@@ -188,9 +188,8 @@
 	snprintf(owner->prefix, KEY_MAX, "zr/domain/%s/lead/", domain);
 	snprintf(owner->owner_key, KEY_MAX, "zr/domain/%s/lead/owner", domain);
 	snprintf(owner->epoch_key, KEY_MAX, "zr/domain/%s/lead/epoch", domain);
-	uv_timer_init(loop, &owner->timer);
-	owner->timer.data = owner;
-	uv_timer_start(&owner->timer, on_tick, 0, TICK_MS);
+	owner->timer = zr_timer_new(timers, on_tick, owner);
+	zr_timer_start(owner->timer, 0, TICK_MS);
 	*out = owner;
 	return 0;
 }
@@ -226,7 +225,7 @@
 
 	step_down(owner, "released");
 	owner->state = OWNER_RELEASED;
-	uv_timer_stop(&owner->timer);
+	zr_timer_stop(owner->timer);
 	if (!lease) {
 		done(ctx);
 		return;
@@ -236,13 +235,10 @@
 	zr_store_lease_revoke(owner->store, lease, on_revoked, owner);
 }
 
-static void on_timer_closed(uv_handle_t *handle)
-{
-	free(handle->data);
-}
-
 void zr_owner_free(struct zr_owner *owner)
 {
-	if (owner)
-		uv_close((uv_handle_t *)&owner->timer, on_timer_closed);
+	if (!owner)
+		return;
+	zr_timer_free(owner->timer);
+	free(owner);
 }
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -3,10 +3,10 @@
 
 #include <stdbool.h>
 #include <stdint.h>
-#include <uv.h>
 
 #include "zinniarack/clock.h"
 #include "zinniarack/store.h"
+#include "zinniarack/timer.h"
 
 /**
  * DOC: Ownership of a failure domain
@@ -32,7 +32,7 @@
 /**
  * zr_owner_new() - compete for a failure domain
  * @out: to be freed with zr_owner_free()
- * @loop: the loop it runs on
+ * @timers: where timers come from
  * @clock: the clock
  * @store: the store, kept by reference
  * @domain: the failure domain
@@ -42,7 +42,7 @@
  *
  * Return: 0 or ZR_E_NOMEM.
  */
-int zr_owner_new(struct zr_owner **out, uv_loop_t *loop,
+int zr_owner_new(struct zr_owner **out, const struct zr_timers *timers,
 		 const struct zr_clock *clock, const struct zr_store *store,
 		 const char *domain, const char *name,
 		 const struct zr_owner_events *events, void *ctx);
--- a/src/libzinniarack/domain/private.h
+++ b/src/libzinniarack/domain/private.h
@@ -7,6 +7,7 @@
 #include "domain/domain.h"
 #include "domain/journal.h"
 #include "domain/owner.h"
+#include "zinniarack/timer.h"
 
 /**
  * DOC: What the files of the domain module share
@@ -31,7 +32,7 @@
 	struct domain_waiter *prev;
 	struct domain_waiter *next;
 	struct domain_job *job;
-	uv_timer_t timer;
+	struct zr_timer *timer;
 	zr_domain_job_fn done;
 	void *ctx;
 };
@@ -81,7 +82,7 @@
 	uint32_t next_sequence;
 	bool recovering;
 	struct timespec recovery_deadline;
-	uv_timer_t timer;
+	struct zr_timer *timer;
 	struct domain_decision *decisions;
 	struct zr_metric *accepted;
 	struct zr_metric *refused;
--- a/src/libzinniarack/domain/tasks.c
+++ b/src/libzinniarack/domain/tasks.c
@@ -111,7 +111,7 @@
 	uint32_t index;
 	uint32_t attempt;
 	zr_handle worker;
-	uv_timer_t timer;
+	struct zr_timer *timer;
 };
 
 static void send_start(struct start *start);
@@ -123,19 +123,15 @@
 		 attempt);
 }
 
-static void on_start_closed(uv_handle_t *handle)
-{
-	free(handle->data);
-}
-
 static void end_start(struct start *start)
 {
-	uv_close((uv_handle_t *)&start->timer, on_start_closed);
+	zr_timer_free(start->timer);
+	free(start);
 }
 
-static void on_start_retry(uv_timer_t *timer)
+static void on_start_retry(void *ctx)
 {
-	send_start(timer->data);
+	send_start(ctx);
 }
 
 static void end_task(struct domain_job *job, uint32_t index, uint32_t attempt,
@@ -169,8 +165,7 @@
 	}
 	if (error == ZR_E_OUTCOME_UNKNOWN) {
 		/* The task's id lets the worker see a repeated start. */
-		uv_timer_start(&start->timer, on_start_retry, START_RETRY_MS,
-			       0);
+		zr_timer_start(start->timer, START_RETRY_MS, 0);
 		return;
 	}
 	zr_log_decision("start.refused task=%s/%u/%u error=%s", job->id,
@@ -244,8 +239,8 @@
 	start->index = decision->index;
 	start->attempt = decision->attempt;
 	start->worker = decision->worker;
-	uv_timer_init(domain->options.loop, &start->timer);
-	start->timer.data = start;
+	start->timer =
+		zr_timer_new(domain->options.timers, on_start_retry, start);
 	if (job->spec.at_most_once)
 		keep_intent(start);
 	else
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "entry/private.h"
+#include "net/uv_timers.h"
 #include "rpc/procedures.h"
 #include "store/etcd.h"
 #include "worker/http_host_list.h"
@@ -105,6 +106,7 @@
 	if (!entry)
 		return ZR_E_NOMEM;
 	entry->loop = loop;
+	entry->timers = zr_uv_timers(loop);
 	entry->clock = clock;
 	entry->settings = settings;
 	if ((error = zr_metrics_new(&entry->metrics)) < 0 ||
@@ -115,8 +117,9 @@
 	    (error = zr_directory_new(&entry->directory, loop, clock)) < 0 ||
 	    (error = zr_router_new(&entry->router, loop, clock,
 				   entry->metrics)) < 0 ||
-	    (error = zr_config_watch_new(&entry->config, loop, &entry->store,
-					 on_config, entry)) < 0 ||
+	    (error = zr_config_watch_new(&entry->config, &entry->timers,
+					 &entry->store, on_config, entry)) <
+		    0 ||
 	    (error = serve_http(entry)) < 0)
 		return error;
 	uv_timer_init(loop, &entry->timer);
--- a/src/libzinniarack/entry/private.h
+++ b/src/libzinniarack/entry/private.h
@@ -9,6 +9,7 @@
 #include "route/router.h"
 #include "zinniarack/entry.h"
 #include "zinniarack/metrics.h"
+#include "zinniarack/timer.h"
 
 /**
  * DOC: What the files of the entry module share
@@ -19,6 +20,7 @@
 
 struct zr_entry {
 	uv_loop_t *loop;
+	struct zr_timers timers;
 	const struct zr_clock *clock;
 	const struct zr_settings *settings;
 	struct zr_metrics *metrics;
--- /dev/null
+++ b/src/libzinniarack/net/uv_timers.c
@@ -0,0 +1,68 @@
+#include "net/uv_timers.h"
+
+#include <stdlib.h>
+
+struct timer {
+	struct zr_timer base;
+	uv_timer_t handle;
+	zr_timer_fn fire;
+	void *ctx;
+};
+
+static void on_fire(uv_timer_t *handle)
+{
+	struct timer *timer = handle->data;
+
+	timer->fire(timer->ctx);
+}
+
+static struct zr_timer *uv_create(void *impl, zr_timer_fn fire, void *ctx)
+{
+	struct timer *timer = calloc(1, sizeof(*timer));
+
+	if (!timer)
+		abort();
+	timer->fire = fire;
+	timer->ctx = ctx;
+	uv_timer_init(impl, &timer->handle);
+	timer->handle.data = timer;
+	return &timer->base;
+}
+
+static void uv_start(struct zr_timer *base, unsigned int after_ms,
+		     unsigned int repeat_ms)
+{
+	struct timer *timer = (struct timer *)base;
+
+	/* The loop's time may lag behind by the length of this callback. */
+	uv_update_time(timer->handle.loop);
+	uv_timer_start(&timer->handle, on_fire, after_ms, repeat_ms);
+}
+
+static void uv_stop_timer(struct zr_timer *base)
+{
+	uv_timer_stop(&((struct timer *)base)->handle);
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+static void uv_destroy(struct zr_timer *base)
+{
+	uv_close((uv_handle_t *)&((struct timer *)base)->handle, on_closed);
+}
+
+struct zr_timers zr_uv_timers(uv_loop_t *loop)
+{
+	static const struct zr_timers_ops ops = {
+		.create = uv_create,
+		.start = uv_start,
+		.stop = uv_stop_timer,
+		.destroy = uv_destroy,
+	};
+	const struct zr_timers timers = {&ops, loop};
+
+	return timers;
+}
--- /dev/null
+++ b/src/libzinniarack/net/uv_timers.h
@@ -0,0 +1,14 @@
+#ifndef ZR_NET_UV_TIMERS_H
+#define ZR_NET_UV_TIMERS_H
+
+#include <uv.h>
+
+#include "zinniarack/timer.h"
+
+/**
+ * zr_uv_timers() - timers of a libuv loop
+ * @loop: the loop
+ */
+struct zr_timers zr_uv_timers(uv_loop_t *loop);
+
+#endif
--- a/src/libzinniarack/route/router.h
+++ b/src/libzinniarack/route/router.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 #include <uv.h>
 
-#include "jobs.h"
+#include "msg_grants.h"
 #include "zinniarack/clock.h"
 #include "zinniarack/metrics.h"
 
--- a/src/libzinniarack/rpc/procedures.h
+++ b/src/libzinniarack/rpc/procedures.h
@@ -1,8 +1,10 @@
 #ifndef ZR_RPC_PROCEDURES_H
 #define ZR_RPC_PROCEDURES_H
 
-#include "jobs.h"
+#include "msg_grants.h"
+#include "msg_jobs.h"
 #include "net/rpc_client.h"
+#include "msg_scheduler.h"
 
 /**
  * DOC: Procedures of the scheduler's RPC program
--- a/src/libzinniarack/scheduler/grants.h
+++ b/src/libzinniarack/scheduler/grants.h
@@ -2,7 +2,7 @@
 #define ZR_SCHEDULER_GRANTS_H
 
 #include "domain/domain.h"
-#include "jobs.h"
+#include "msg_grants.h"
 
 /**
  * DOC: Slots granted to entry daemons
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -8,6 +8,8 @@
 #include "net/http_server.h"
 #include "net/metrics_page.h"
 #include "net/rpc_server.h"
+#include "net/uv_timers.h"
+#include "rpc/procedures.h"
 #include "scheduler/grants.h"
 #include "scheduler/service.h"
 #include "store/etcd.h"
@@ -20,6 +22,7 @@
 
 struct zr_scheduler {
 	uv_loop_t *loop;
+	struct zr_timers timers;
 	const struct zr_settings *settings;
 	struct zr_metrics *metrics;
 	struct zr_store store;
@@ -70,12 +73,13 @@
 	const struct zr_settings *settings = scheduler->settings;
 	const struct zr_domain_options options = {
 		.version = ZR_DOMAIN_OPTIONS_VERSION,
-		.loop = scheduler->loop,
+		.timers = &scheduler->timers,
 		.clock = clock,
 		.store = &scheduler->store,
 		.domain = settings->failure_domain,
 		.name = settings->name,
 		.worker_new = zr_http_worker_new,
+		.worker_ctx = scheduler->loop,
 		.metrics = scheduler->metrics,
 	};
 
@@ -114,6 +118,7 @@
 	if (!scheduler)
 		return ZR_E_NOMEM;
 	scheduler->loop = loop;
+	scheduler->timers = zr_uv_timers(loop);
 	scheduler->settings = settings;
 	if ((error = zr_metrics_new(&scheduler->metrics)) < 0 ||
 	    (error = zr_etcd_new(&scheduler->store, loop, settings->store,
@@ -122,7 +127,7 @@
 					   settings->host_list)) < 0 ||
 	    (error = make_domain(scheduler, clock)) < 0 ||
 	    (error = make_service(scheduler)) < 0 ||
-	    (error = zr_config_watch_new(&scheduler->config, loop,
+	    (error = zr_config_watch_new(&scheduler->config, &scheduler->timers,
 					 &scheduler->store, on_config,
 					 scheduler)) < 0)
 		return error;
--- a/src/libzinniarack/scheduler/service.c
+++ b/src/libzinniarack/scheduler/service.c
@@ -1,150 +1,9 @@
 #include "scheduler/service.h"
 
-#include <stdlib.h>
-#include <string.h>
-
-#include "domain/convert.h"
 #include "rpc/procedures.h"
-#include "zinniarack/errors.h"
-
-static char *empty_text = "";
-
-static char *detail_of(int error)
-{
-	return error < 0 ? (char *)zr_error_last() : empty_text;
-}
-
-/* Submit */
-
-static void on_submitted(void *ctx, int error, const char *id)
-{
-	zx_submit_result result = {
-		.error = error,
-		.detail = detail_of(error),
-		.id = id ? (char *)id : empty_text,
-	};
-
-	zr_rpc_reply(ctx, &result);
-}
-
-static void serve_submit(void *ctx, struct zr_rpc_call *call, void *data)
-{
-	struct zr_scheduler_service *service = ctx;
-	zx_submit_args *args = data;
-	struct zr_job_spec spec;
-	int error = zr_convert_to_spec(&spec, &args->spec);
-
-	if (error < 0)
-		on_submitted(call, error, NULL);
-	else
-		zr_domain_submit(service->domain, &spec, on_submitted, call);
-}
-
-/* Jobs */
-
-static void fill_job(zx_job *out, const struct zr_domain_job *job)
-{
-	out->id = (char *)job->id;
-	out->name = (char *)job->spec->name;
-	out->team = (char *)job->spec->team;
-	out->queue = (char *)job->spec->queue;
-	out->kind = job->spec->kind;
-	out->state = job->state;
-	out->tasks = job->spec->tasks;
-	out->running = job->running;
-	out->ended = job->ended;
-	out->reason = (char *)job->reason;
-	out->result = (char *)job->result;
-}
-
-static const zx_job no_job = {.id = "",
-			      .name = "",
-			      .team = "",
-			      .queue = "",
-			      .reason = "",
-			      .result = ""};
-
-static void on_job(void *ctx, int error, const struct zr_domain_job *job)
-{
-	zx_job_result result = {
-		.error = error,
-		.detail = detail_of(error),
-		.job = no_job,
-	};
-
-	if (job)
-		fill_job(&result.job, job);
-	zr_rpc_reply(ctx, &result);
-}
-
-static void serve_job(void *ctx, struct zr_rpc_call *call, void *data)
-{
-	struct zr_scheduler_service *service = ctx;
-	zx_job_args *args = data;
+#include "scheduler/handlers.h"
 
-	zr_domain_read(service->domain, args->id, args->team, args->wait_ms,
-		       on_job, call);
-}
-
-static void serve_cancel(void *ctx, struct zr_rpc_call *call, void *data)
-{
-	struct zr_scheduler_service *service = ctx;
-	zx_job_args *args = data;
-
-	zr_domain_cancel(service->domain, args->id, args->team, on_job, call);
-}
-
-static void add_job(void *ctx, int error, const struct zr_domain_job *job)
-{
-	zx_list_result *result = ctx;
-
-	if (error < 0 || result->jobs.jobs_len == ZX_LIST_MAX)
-		return;
-	fill_job(&result->jobs.jobs_val[result->jobs.jobs_len++], job);
-}
-
-static void serve_list(void *ctx, struct zr_rpc_call *call, void *data)
-{
-	struct zr_scheduler_service *service = ctx;
-	zx_list_args *args = data;
-	zx_list_result result = {0};
-
-	if (!zr_domain_epoch(service->domain))
-		result.error = ZR_E_NOT_OWNER;
-	result.jobs.jobs_val = calloc(ZX_LIST_MAX, sizeof(zx_job));
-	if (!result.jobs.jobs_val)
-		abort();
-	zr_domain_each(service->domain, args->team, add_job, &result);
-	zr_rpc_reply(call, &result);
-	free(result.jobs.jobs_val);
-}
-
-static void serve_explain(void *ctx, struct zr_rpc_call *call, void *data)
-{
-	struct zr_scheduler_service *service = ctx;
-	const struct zr_sched *sched = zr_domain_sched(service->domain);
-	struct zr_sched_explanation explanation = {0};
-	zx_job_args *args = data;
-	zx_explain_result result = {0};
-
-	if (!sched)
-		result.error = zr_error_set(ZR_E_NOT_OWNER, "not active");
-	else
-		result.error = zr_sched_explain(
-			&explanation, sched,
-			zr_domain_handle(service->domain, args->id));
-	result.detail = detail_of(result.error);
-	result.fitting = explanation.fitting;
-	result.jobs_before = explanation.jobs_before;
-	result.by_reason.by_reason_len = ZR_SCHED_REFUSALS;
-	result.by_reason.by_reason_val = explanation.by_reason;
-	result.hint = explanation.hint;
-	zr_rpc_reply(call, &result);
-}
-
-/* Status, grants, workers */
-
-static void serve_status(void *ctx, struct zr_rpc_call *call, void *data)
+void zr_serve_status(void *ctx, struct zr_rpc_call *call, void *data)
 {
 	struct zr_scheduler_service *service = ctx;
 	zx_status_result result = {
@@ -159,63 +18,14 @@
 	zr_rpc_reply(call, &result);
 }
 
-static void serve_grants(void *ctx, struct zr_rpc_call *call, void *data)
-{
-	struct zr_scheduler_service *service = ctx;
-	zx_grant_args *args = data;
-	zx_grant_result result;
-
-	zr_grants_answer(&result, service->grants, args->entry);
-	zr_rpc_reply(call, &result);
-	free(result.grants.grants_val);
-}
-
-static void add_workers(zx_workers_result *result, const struct zr_sched *sched)
-{
-	struct zr_sched_worker_info info;
-	zr_handle handle = ZR_HANDLE_NONE;
-
-	while ((handle = zr_sched_worker_next(&info, sched, handle)) &&
-	       result->workers.workers_len < ZX_LIST_MAX) {
-		zx_worker *worker =
-			&result->workers
-				 .workers_val[result->workers.workers_len++];
-
-		worker->name = (char *)info.name;
-		worker->rack = (char *)info.rack;
-		worker->state = info.state;
-		worker->tasks = info.tasks;
-		zr_convert_from_resources(&worker->capacity, &info.capacity);
-		zr_convert_from_resources(&worker->reserved, &info.reserved);
-	}
-}
-
-static void serve_workers(void *ctx, struct zr_rpc_call *call, void *data)
-{
-	struct zr_scheduler_service *service = ctx;
-	const struct zr_sched *sched = zr_domain_sched(service->domain);
-	zx_workers_result result = {0};
-
-	(void)data;
-	result.workers.workers_val = calloc(ZX_LIST_MAX, sizeof(zx_worker));
-	if (!result.workers.workers_val)
-		abort();
-	if (sched)
-		add_workers(&result, sched);
-	else
-		result.error = ZR_E_NOT_OWNER;
-	zr_rpc_reply(call, &result);
-	free(result.workers.workers_val);
-}
-
 const struct zr_rpc_service zr_scheduler_services[] = {
-	{&zr_proc_submit, serve_submit},
-	{&zr_proc_job, serve_job},
-	{&zr_proc_cancel, serve_cancel},
-	{&zr_proc_list, serve_list},
-	{&zr_proc_explain, serve_explain},
-	{&zr_proc_status, serve_status},
-	{&zr_proc_grants, serve_grants},
-	{&zr_proc_workers, serve_workers},
+	{&zr_proc_submit, zr_serve_submit},
+	{&zr_proc_job, zr_serve_job},
+	{&zr_proc_cancel, zr_serve_cancel},
+	{&zr_proc_list, zr_serve_list},
+	{&zr_proc_explain, zr_serve_explain},
+	{&zr_proc_status, zr_serve_status},
+	{&zr_proc_grants, zr_serve_grants},
+	{&zr_proc_workers, zr_serve_workers},
 	{NULL, NULL},
 };
--- a/src/libzinniarack/worker/http_worker.c
+++ b/src/libzinniarack/worker/http_worker.c
@@ -231,8 +231,7 @@
 	.free = http_free,
 };
 
-int zr_http_worker_new(struct zr_worker *out, uv_loop_t *loop,
-		       const char *address)
+int zr_http_worker_new(struct zr_worker *out, void *loop, const char *address)
 {
 	struct zr_http_client_options options = ZR_HTTP_CLIENT_OPTIONS_INIT;
 	struct http_worker *worker = calloc(1, sizeof(*worker));
--- a/src/libzinniarack/worker/http_worker.h
+++ b/src/libzinniarack/worker/http_worker.h
@@ -16,12 +16,11 @@
 /**
  * zr_http_worker_new() - call a worker over HTTP
  * @out: the worker; free it with its operation
- * @loop: the loop it runs on
+ * @loop: the &uv_loop_t it runs on
  * @address: IP number and port
  *
  * Return: 0, ZR_E_INVALID or ZR_E_NOMEM.
  */
-int zr_http_worker_new(struct zr_worker *out, uv_loop_t *loop,
-		       const char *address);
+int zr_http_worker_new(struct zr_worker *out, void *loop, const char *address);
 
 #endif
--- a/tests/e2e/test_path.sh
+++ b/tests/e2e/test_path.sh
@@ -4,7 +4,7 @@
 cell_source=$(cd "$(dirname "$0")/../.." && pwd)
 . "$cell_source/tests/cell.sh"
 work=${ZR_WORK:-$(mktemp -d)}
-cell_init "$work" "${ZR_BUILD:-$cell_source/build}" 21000
+cell_init "$work" "${ZR_BUILD:-$cell_source/build}" "${ZR_PORT:-21000}"
 trap 'cell_stop; rm -rf "$work"' EXIT
 cell_add_entry sapporo
 cell_add_entry sapporo
--- /dev/null
+++ b/tests/fakes/fake_time.c
@@ -0,0 +1,152 @@
+#include "fakes/fake_time.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <utlist.h>
+
+struct fake_timer {
+	struct zr_timer base;
+	struct fake_timer *prev;
+	struct fake_timer *next;
+	struct fake_time *fake;
+	zr_timer_fn fire;
+	void *ctx;
+	bool running;
+	int64_t due_ms;
+	unsigned int repeat_ms;
+	unsigned long started;
+};
+
+struct fake_time {
+	struct zr_clock clock;
+	struct zr_timers timers;
+	int64_t now_ms;
+	unsigned long starts;
+	struct fake_timer *list;
+};
+
+static struct timespec read_clock(void *ctx)
+{
+	const struct fake_time *fake = ctx;
+
+	return zr_time_from_ms(fake->now_ms);
+}
+
+static struct zr_timer *create(void *impl, zr_timer_fn fire, void *ctx)
+{
+	struct fake_timer *timer = calloc(1, sizeof(*timer));
+
+	if (!timer)
+		abort();
+	timer->fake = impl;
+	timer->fire = fire;
+	timer->ctx = ctx;
+	DL_APPEND(timer->fake->list, timer);
+	return &timer->base;
+}
+
+static void start(struct zr_timer *base, unsigned int after_ms,
+		  unsigned int repeat_ms)
+{
+	struct fake_timer *timer = (struct fake_timer *)base;
+
+	timer->running = true;
+	timer->due_ms = timer->fake->now_ms + after_ms;
+	timer->repeat_ms = repeat_ms;
+	timer->started = ++timer->fake->starts;
+}
+
+static void stop(struct zr_timer *base)
+{
+	((struct fake_timer *)base)->running = false;
+}
+
+static void destroy(struct zr_timer *base)
+{
+	struct fake_timer *timer = (struct fake_timer *)base;
+
+	DL_DELETE(timer->fake->list, timer);
+	free(timer);
+}
+
+static const struct zr_timers_ops ops = {
+	.create = create,
+	.start = start,
+	.stop = stop,
+	.destroy = destroy,
+};
+
+struct fake_time *fake_time_new(void)
+{
+	struct fake_time *fake = calloc(1, sizeof(*fake));
+
+	if (!fake)
+		abort();
+	fake->now_ms = FAKE_TIME_START_MS;
+	fake->clock.monotonic = read_clock;
+	fake->clock.realtime = read_clock;
+	fake->clock.ctx = fake;
+	fake->timers.ops = &ops;
+	fake->timers.impl = fake;
+	return fake;
+}
+
+void fake_time_free(struct fake_time *fake)
+{
+	struct fake_timer *timer;
+	struct fake_timer *next;
+
+	DL_FOREACH_SAFE(fake->list, timer, next)
+	{
+		destroy(&timer->base);
+	}
+	free(fake);
+}
+
+const struct zr_clock *fake_time_clock(struct fake_time *fake)
+{
+	return &fake->clock;
+}
+
+const struct zr_timers *fake_time_timers(struct fake_time *fake)
+{
+	return &fake->timers;
+}
+
+int64_t fake_time_now_ms(const struct fake_time *fake)
+{
+	return fake->now_ms - FAKE_TIME_START_MS;
+}
+
+static struct fake_timer *next_due(const struct fake_time *fake, int64_t until)
+{
+	struct fake_timer *best = NULL;
+	struct fake_timer *timer;
+
+	DL_FOREACH(fake->list, timer)
+	{
+		if (!timer->running || timer->due_ms > until)
+			continue;
+		if (!best || timer->due_ms < best->due_ms ||
+		    (timer->due_ms == best->due_ms &&
+		     timer->started < best->started))
+			best = timer;
+	}
+	return best;
+}
+
+void fake_time_advance(struct fake_time *fake, unsigned int ms)
+{
+	int64_t until = fake->now_ms + ms;
+	struct fake_timer *timer;
+
+	while ((timer = next_due(fake, until))) {
+		if (fake->now_ms < timer->due_ms)
+			fake->now_ms = timer->due_ms;
+		timer->running = timer->repeat_ms > 0;
+		timer->due_ms += timer->repeat_ms;
+		timer->started = ++fake->starts;
+		timer->fire(timer->ctx);
+	}
+	fake->now_ms = until;
+}
