--- a/include/zinniarack/worker.h
+++ b/include/zinniarack/worker.h
@@ -14,9 +14,16 @@
  * under a lease, reports what runs, what ended and what is used, and stops,
  * checkpoints or throttles a task. Adapters fill &struct zr_worker_ops.
  *
+ * A worker counts a lease from when it issued the token that the call echoes,
+ * never from the call's arrival, and ends tasks whose lease is over before it
+ * reads a call. So a call that was delayed gives no lease that its sender has
+ * not counted.
+ *
  * Each call carries the epoch of the domain's owner. A worker that has seen a
- * higher epoch refuses with ZR_E_FENCED. ZR_E_UNREACHABLE: the call did not
- * reach the worker; ZR_E_OUTCOME_UNKNOWN: it may have.
+ * higher epoch refuses with ZR_E_FENCED, if it offers fencing.
+ * ZR_E_UNREACHABLE: the call did not reach the worker; ZR_E_OUTCOME_UNKNOWN: it
+ * may have; ZR_E_TIMEOUT: the lease of the token of a start was over, nothing
+ * was started.
  */
 
 /**
@@ -49,13 +56,19 @@
 /**
  * struct zr_worker_report - a worker's answer to a sync
  * @epoch: the highest epoch it has seen
+ * @boot: differs after each restart; tasks of earlier boots run no more
+ * @token: to be echoed in calls, not 0; a lease counts from its issue
+ * @fences: whether it refuses epochs lower than @epoch
  * @tasks: all tasks it holds
  * @task_count: how many
- * @ends: tasks that ended after the acknowledged sequence
+ * @ends: tasks that ended after the acknowledged sequence, in its order
  * @end_count: how many
  */
 struct zr_worker_report {
 	uint64_t epoch;
+	uint64_t boot;
+	uint64_t token;
+	bool fences;
 	const struct zr_worker_task *tasks;
 	size_t task_count;
 	const struct zr_worker_end *ends;
@@ -65,21 +78,31 @@
 /**
  * struct zr_worker_sync - renew leases and ask for news
  * @epoch: epoch of the owner
- * @lease_ms: from its arrival, all tasks may run on for this long
+ * @boot: the boot that issued @token
+ * @token: the latest token seen; 0: renews no lease
+ * @lease_ms: from the issue of @token, all tasks may run on for this long
  * @acknowledged: ends up to this sequence need not be told again
- * @wait_ms: the worker may hold its answer this long until a task ends
+ * @seen: ends up to this sequence have been told, but may not be kept yet
+ * @wait_ms: the worker may hold its answer this long until a task ends that
+ *	has not been seen
  */
 struct zr_worker_sync {
 	uint64_t epoch;
+	uint64_t boot;
+	uint64_t token;
 	uint32_t lease_ms;
 	uint64_t acknowledged;
+	uint64_t seen;
 	uint32_t wait_ms;
 };
 
 /**
  * struct zr_worker_start - start a task
  * @epoch: epoch of the owner
- * @id: the task; a worker that holds or held it does not start it again
+ * @boot: the boot that issued @token
+ * @token: the latest token seen
+ * @id: the task; a worker that holds it, or held it while a lease from @token
+ *	lasts, does not start it again
  * @size: what it may use
  * @lease_ms: as in &struct zr_worker_sync
  * @service: name under which short requests reach it, or empty
@@ -87,6 +110,8 @@
  */
 struct zr_worker_start {
 	uint64_t epoch;
+	uint64_t boot;
+	uint64_t token;
 	const char *id;
 	struct zr_resources size;
 	uint32_t lease_ms;
--- a/rpc/msg_journal.h
+++ b/rpc/msg_journal.h
@@ -20,16 +20,35 @@
 	ZX_RECORD_INTENT = 2,
 	ZX_RECORD_TASK_ENDED = 3,
 	ZX_RECORD_JOB_ENDED = 4,
+	ZX_RECORD_BEGUN = 5,
+	ZX_RECORD_WORKER = 6,
 };
 typedef enum zx_record_kind zx_record_kind;
+#define ZX_RESULT_MAX 1024
 
 struct zx_accepted {
 	u_quad_t number;
 	quad_t accepted_ms;
+	bool_t begun;
 	zx_job_spec spec;
 };
 typedef struct zx_accepted zx_accepted;
 
+struct zx_begun {
+	u_quad_t number;
+};
+typedef struct zx_begun zx_begun;
+
+struct zx_worker_record {
+	char *name;
+	char *rack;
+	char *address;
+	zx_resources capacity;
+	u_int slots;
+	bool_t gone;
+};
+typedef struct zx_worker_record zx_worker_record;
+
 struct zx_intent {
 	u_quad_t number;
 	u_int index;
@@ -49,6 +68,7 @@
 struct zx_job_ended {
 	u_quad_t number;
 	u_int state;
+	quad_t ended_ms;
 	char *reason;
 };
 typedef struct zx_job_ended zx_job_ended;
@@ -60,6 +80,8 @@
 		zx_intent intent;
 		zx_task_ended task_ended;
 		zx_job_ended job_ended;
+		zx_begun begun;
+		zx_worker_record worker;
 	} zx_record_u;
 };
 typedef struct zx_record zx_record;
@@ -74,25 +96,43 @@
 };
 typedef struct zx_chunk zx_chunk;
 
+struct zx_snapshot {
+	u_quad_t epoch;
+	u_quad_t sequence;
+	u_int parts;
+	u_int slot;
+	struct {
+		u_int records_len;
+		zx_record *records_val;
+	} records;
+};
+typedef struct zx_snapshot zx_snapshot;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_zx_record_kind (XDR *, zx_record_kind*);
 extern  bool_t xdr_zx_accepted (XDR *, zx_accepted*);
+extern  bool_t xdr_zx_begun (XDR *, zx_begun*);
+extern  bool_t xdr_zx_worker_record (XDR *, zx_worker_record*);
 extern  bool_t xdr_zx_intent (XDR *, zx_intent*);
 extern  bool_t xdr_zx_task_ended (XDR *, zx_task_ended*);
 extern  bool_t xdr_zx_job_ended (XDR *, zx_job_ended*);
 extern  bool_t xdr_zx_record (XDR *, zx_record*);
 extern  bool_t xdr_zx_chunk (XDR *, zx_chunk*);
+extern  bool_t xdr_zx_snapshot (XDR *, zx_snapshot*);
 
 #else /* K&R C */
 extern bool_t xdr_zx_record_kind ();
 extern bool_t xdr_zx_accepted ();
+extern bool_t xdr_zx_begun ();
+extern bool_t xdr_zx_worker_record ();
 extern bool_t xdr_zx_intent ();
 extern bool_t xdr_zx_task_ended ();
 extern bool_t xdr_zx_job_ended ();
 extern bool_t xdr_zx_record ();
 extern bool_t xdr_zx_chunk ();
+extern bool_t xdr_zx_snapshot ();
 
 #endif /* K&R C */
 
--- a/rpc/msg_journal_xdr.c
+++ b/rpc/msg_journal_xdr.c
@@ -24,11 +24,43 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->accepted_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
 	 if (!xdr_zx_job_spec (xdrs, &objp->spec))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_zx_begun (XDR *xdrs, zx_begun *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_worker_record (XDR *xdrs, zx_worker_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, ZX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->rack, ZX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, ZX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_zx_resources (xdrs, &objp->capacity))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_intent (XDR *xdrs, zx_intent *objp)
 {
@@ -66,7 +98,7 @@
 		IXDR_PUT_U_LONG(buf, objp->attempt);
 		IXDR_PUT_U_LONG(buf, objp->outcome);
 		}
-		 if (!xdr_string (xdrs, &objp->result, ZX_TEXT_MAX))
+		 if (!xdr_string (xdrs, &objp->result, ZX_RESULT_MAX))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -86,7 +118,7 @@
 		objp->attempt = IXDR_GET_U_LONG(buf);
 		objp->outcome = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->result, ZX_TEXT_MAX))
+		 if (!xdr_string (xdrs, &objp->result, ZX_RESULT_MAX))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -99,7 +131,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->outcome))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->result, ZX_TEXT_MAX))
+	 if (!xdr_string (xdrs, &objp->result, ZX_RESULT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -113,6 +145,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->ended_ms))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->reason, ZX_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
@@ -142,6 +176,14 @@
 		 if (!xdr_zx_job_ended (xdrs, &objp->zx_record_u.job_ended))
 			 return FALSE;
 		break;
+	case ZX_RECORD_BEGUN:
+		 if (!xdr_zx_begun (xdrs, &objp->zx_record_u.begun))
+			 return FALSE;
+		break;
+	case ZX_RECORD_WORKER:
+		 if (!xdr_zx_worker_record (xdrs, &objp->zx_record_u.worker))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -162,3 +204,22 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_zx_snapshot (XDR *xdrs, zx_snapshot *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->parts))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slot))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, ZX_LIST_MAX,
+		sizeof (zx_record), (xdrproc_t) xdr_zx_record))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/libzinniarack/domain/domain.c
+++ b/src/libzinniarack/domain/domain.c
@@ -1,185 +1,104 @@
 #include "domain/domain.h"
 
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "domain/convert.h"
 #include "domain/private.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
 #define TICK_MS 200
-#define CLOCK_RATE_MARGIN_MS 500
+#define EXPIRE_EVERY_MS 10000
+/* How long a planned stop waits until all records are kept. */
+#define STOP_FLUSH_MS 2000
 
 static struct timespec now(const struct zr_domain *domain)
 {
 	return zr_clock_now(domain->options.clock);
 }
 
-/* Recovery */
+/* Planned stop */
 
-static void replay_accepted(struct zr_domain *domain,
-			    const zx_accepted *accepted)
+static void maybe_release(struct zr_domain *domain)
 {
-	struct zr_job_spec spec;
-	struct domain_job *job;
-
-	if (zr_convert_to_spec(&spec, &accepted->spec) < 0)
-		return;
-	job = zr_domain_job_new(domain, accepted->number, &spec);
-	if (zr_domain_job_admit(job) == 0)
-		zr_sched_job_hold(domain->sched, job->handle, true);
-}
+	void (*stopped)(void *ctx) = domain->stopped;
 
-static void replay_intent(struct zr_domain *domain, const zx_intent *intent)
-{
-	struct domain_job *job = zr_domain_job_find(domain, intent->number);
-
-	if (!job || intent->index >= job->spec.tasks)
+	if (!zr_journal_idle(domain->journal) &&
+	    zr_time_cmp(now(domain), domain->stop_deadline) < 0)
 		return;
-	job->placements[intent->index].attempt = intent->attempt;
-	job->placements[intent->index].intent = true;
+	domain->stopped = NULL;
+	zr_owner_release(domain->owner, stopped, domain->stopped_ctx);
 }
 
-static void replay_task_ended(struct zr_domain *domain,
-			      const zx_task_ended *ended)
+void zr_domain_stop(struct zr_domain *domain, void (*done)(void *ctx),
+		    void *ctx)
 {
-	struct domain_job *job = zr_domain_job_find(domain, ended->number);
-	struct domain_placement *placement;
-
-	if (!job || !job->handle || ended->index >= job->spec.tasks)
+	if (!domain->epoch) {
+		zr_owner_release(domain->owner, done, ctx);
 		return;
-	placement = &job->placements[ended->index];
-	placement->attempt = ended->attempt;
-	placement->intent = false;
-	if (*ended->result) {
-		free(job->result);
-		job->result = strdup(ended->result);
 	}
-	zr_sched_task_replay(domain->sched, job->handle, ended->index,
-			     ended->attempt,
-			     (enum zr_sched_outcome)ended->outcome);
-}
-
-static void replay_job_ended(struct zr_domain *domain,
-			     const zx_job_ended *ended)
-{
-	struct domain_job *job = zr_domain_job_find(domain, ended->number);
-
-	if (!job)
-		return;
-	job->final = (enum zr_job_state)ended->state;
-	job->reason = "ended under an earlier owner";
-	zr_domain_job_finished(job);
+	domain->stopped = done;
+	domain->stopped_ctx = ctx;
+	domain->stop_deadline = zr_time_add_ms(now(domain), STOP_FLUSH_MS);
 }
 
-static void on_record(void *ctx, const zx_record *record)
+static void on_tick(void *ctx)
 {
 	struct zr_domain *domain = ctx;
 
-	switch (record->kind) {
-	case ZX_RECORD_ACCEPTED:
-		replay_accepted(domain, &record->zx_record_u.accepted);
-		break;
-	case ZX_RECORD_INTENT:
-		replay_intent(domain, &record->zx_record_u.intent);
-		break;
-	case ZX_RECORD_TASK_ENDED:
-		replay_task_ended(domain, &record->zx_record_u.task_ended);
-		break;
-	case ZX_RECORD_JOB_ENDED:
-		replay_job_ended(domain, &record->zx_record_u.job_ended);
-		break;
+	if (domain->epoch && domain->stopped) {
+		maybe_release(domain);
+		return;
 	}
-}
-
-static void on_loaded(void *ctx, int error)
-{
-	struct zr_domain *domain = ctx;
-
-	if (error < 0) {
-		zr_log(ZR_LOG_ERROR, "journal.load_failed domain=%s error=%s",
-		       domain->name, zr_error_name(error));
-		zr_owner_give_up(domain->owner);
+	if (!domain->epoch || !domain->loaded)
 		return;
+	if (domain->recovering)
+		zr_domain_check_recovery(domain);
+	if (zr_time_cmp(now(domain), domain->expire_at) >= 0) {
+		domain->expire_at =
+			zr_time_add_ms(now(domain), EXPIRE_EVERY_MS);
+		zr_domain_jobs_expire(domain);
 	}
-	zr_log(ZR_LOG_INFO, "journal.loaded domain=%s jobs=%u", domain->name,
-	       HASH_COUNT(domain->jobs));
-	/* Ends that completed a job whose own end was not kept. */
+	zr_sched_decide(domain->sched, UINT32_MAX);
 	zr_domain_drain(domain);
-	domain->recovering = true;
-	domain->recovery_deadline = zr_time_add_ms(
-		now(domain), ZR_FLEET_LEASE_MS + CLOCK_RATE_MARGIN_MS);
-	zr_fleet_begin(domain->fleet, domain->epoch);
-}
-
-/* A task that may have begun and is nowhere to be found is taken for lost. */
-static void settle_intents(struct domain_job *job)
-{
-	uint32_t i;
-
-	for (i = 0; i < job->spec.tasks; i++) {
-		struct domain_placement *placement = &job->placements[i];
-
-		if (!placement->intent)
-			continue;
-		placement->intent = false;
-		zr_sched_task_replay(job->domain->sched, job->handle, i,
-				     placement->attempt, ZR_SCHED_LOST);
-	}
 }
 
-static void end_recovery(struct zr_domain *domain)
-{
-	struct domain_job *job;
-	struct domain_job *next;
-
-	domain->recovering = false;
-	zr_log(ZR_LOG_INFO, "domain.recovered domain=%s epoch=%" PRIu64,
-	       domain->name, domain->epoch);
-	HASH_ITER (hh, domain->jobs, job, next) {
-		if (!job->handle)
-			continue;
-		settle_intents(job);
-		zr_sched_job_hold(domain->sched, job->handle, false);
-	}
-}
+/* Ownership */
 
-static void on_tick(void *ctx)
+static int make_core(struct zr_domain *domain, const struct zr_owner_gain *gain)
 {
-	struct zr_domain *domain = ctx;
+	struct zr_sched_options options = ZR_SCHED_OPTIONS_INIT;
+	const struct zr_journal_options journal = {
+		.version = ZR_JOURNAL_OPTIONS_VERSION,
+		.timers = domain->options.timers,
+		.clock = domain->options.clock,
+		.store = domain->options.store,
+		.domain = domain->name,
+		.owner_key = zr_owner_key(domain->owner),
+		.epoch = gain->epoch,
+		.guard = gain->guard,
+		.groups = domain->options.journal_groups,
+	};
+	int error;
 
-	if (!domain->epoch)
-		return;
-	if (domain->recovering &&
-	    (zr_fleet_complete(domain->fleet) ||
-	     zr_time_cmp(now(domain), domain->recovery_deadline) > 0))
-		end_recovery(domain);
-	zr_sched_decide(domain->sched, UINT32_MAX);
-	zr_domain_drain(domain);
+	options.clock = domain->options.clock;
+	options.sink = zr_domain_sink(domain);
+	error = zr_sched_new(&domain->sched, &options);
+	return error ? error : zr_journal_new(&domain->journal, &journal);
 }
 
-/* Ownership */
-
-static void on_gained(void *ctx, uint64_t epoch, int64_t guard)
+static void on_gained(void *ctx, const struct zr_owner_gain *gain)
 {
-	struct zr_sched_options options = ZR_SCHED_OPTIONS_INIT;
 	struct zr_domain *domain = ctx;
 
-	domain->epoch = epoch;
+	domain->epoch = gain->epoch;
+	domain->handed_over = gain->handed_over;
 	domain->next_sequence = 0;
-	options.clock = domain->options.clock;
-	options.sink = zr_domain_sink(domain);
-	if (zr_sched_new(&domain->sched, &options) < 0 ||
-	    zr_journal_new(&domain->journal, domain->options.timers,
-			   domain->options.store, domain->name,
-			   zr_owner_key(domain->owner), epoch, guard) < 0)
+	if (make_core(domain, gain) < 0)
 		abort();
 	if (domain->config)
 		zr_sched_configure(domain->sched, domain->config);
-	zr_journal_load(domain->journal, on_record, on_loaded, domain);
+	zr_domain_recover(domain);
 }
 
 static void on_lost(void *ctx)
@@ -187,32 +106,26 @@
 	struct zr_domain *domain = ctx;
 
 	domain->epoch = 0;
+	domain->loaded = false;
 	domain->recovering = false;
 	zr_fleet_end(domain->fleet);
 	zr_journal_free(domain->journal);
 	domain->journal = NULL;
+	zr_domain_starts_clear(domain);
 	zr_domain_decisions_clear(domain);
 	zr_domain_jobs_clear(domain);
+	zr_domain_workers_clear(domain);
 	zr_sched_free(domain->sched);
 	domain->sched = NULL;
 }
 
 /* Workers */
 
-static zr_handle on_worker_up(void *ctx, const struct zr_host *host)
+static enum zr_owner_standing on_standing(void *ctx)
 {
-	const struct zr_sched_worker worker = {
-		.name = host->name,
-		.rack = host->rack,
-		.capacity = host->capacity,
-	};
-	struct zr_domain *domain = ctx;
-	zr_handle handle;
+	const struct zr_domain *domain = ctx;
 
-	if (zr_sched_worker_add(&handle, domain->sched, &worker) < 0)
-		return ZR_HANDLE_NONE;
-	zr_log(ZR_LOG_INFO, "worker.up worker=%s", host->name);
-	return handle;
+	return zr_owner_standing(domain->owner);
 }
 
 static void on_worker_state(void *ctx, zr_handle worker,
@@ -259,10 +172,12 @@
 		.worker_ctx = domain->options.worker_ctx,
 		.events =
 			{
-				.up = on_worker_up,
+				.standing = on_standing,
+				.up = zr_domain_worker_up,
 				.report = zr_domain_report,
 				.state = on_worker_state,
 				.lost = on_worker_lost,
+				.gone = zr_domain_worker_gone,
 				.fenced = on_fenced,
 			},
 		.ctx = domain,
@@ -281,7 +196,7 @@
 	domain->refused = zr_metrics_counter(
 		metrics, "zinniarack_domain_jobs_refused_total", NULL,
 		"Submissions refused.");
-	domain->starts = zr_metrics_counter(
+	domain->starts_sent = zr_metrics_counter(
 		metrics, "zinniarack_domain_task_starts_total", NULL,
 		"Start decisions carried out.");
 }
@@ -341,12 +256,6 @@
 	zr_fleet_hosts(domain->fleet, hosts, count);
 }
 
-void zr_domain_stop(struct zr_domain *domain, void (*done)(void *ctx),
-		    void *ctx)
-{
-	zr_owner_release(domain->owner, done, ctx);
-}
-
 void zr_domain_free(struct zr_domain *domain)
 {
 	if (!domain)
--- a/src/libzinniarack/domain/domain.h
+++ b/src/libzinniarack/domain/domain.h
@@ -29,6 +29,7 @@
  * @worker_new: makes the adapter of a worker
  * @worker_ctx: passed to @worker_new
  * @metrics: where it counts
+ * @journal_groups: groups of jobs in the journal; 0 for the usual number
  */
 struct zr_domain_options {
 	unsigned int version;
@@ -40,10 +41,23 @@
 	zr_worker_new_fn worker_new;
 	void *worker_ctx;
 	struct zr_metrics *metrics;
+	unsigned int journal_groups;
 };
 
 #define ZR_DOMAIN_OPTIONS_VERSION 1
 
+/**
+ * struct zr_domain_result - what a task gave
+ * @index: which task of the job
+ * @succeeded: whether its command ended well
+ * @result: what it gave, at most ZX_RESULT_MAX bytes
+ */
+struct zr_domain_result {
+	uint32_t index;
+	bool succeeded;
+	const char *result;
+};
+
 /**
  * struct zr_domain_job - a job as callers see it
  * @id: its id
@@ -53,6 +67,8 @@
  * @result: what its last task gave, or empty
  * @running: tasks that run
  * @ended: tasks that have ended well
+ * @results: what each task gave that has ended, by index; NULL in lists
+ * @result_count: how many
  */
 struct zr_domain_job {
 	const char *id;
@@ -62,6 +78,8 @@
 	const char *result;
 	uint32_t running;
 	uint32_t ended;
+	const struct zr_domain_result *results;
+	uint32_t result_count;
 };
 
 /**
--- a/src/libzinniarack/domain/fleet.c
+++ b/src/libzinniarack/domain/fleet.c
@@ -4,16 +4,36 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include <utlist.h>
 
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
 #define TICK_MS 250
 #define SYNC_WAIT_MS 500
+#define ASK_AGAIN_MS 50
 #define RETRY_MS 500
 #define UNHEARD_AFTER_MS 3000
-#define CLOCK_RATE_MARGIN_MS 500
 
+/* An end that was told and is not acknowledged yet. */
+struct open_end {
+	struct open_end *next;
+	uint64_t sequence;
+};
+
+/**
+ * struct worker - a worker of the domain
+ * @heard: it has answered under this epoch
+ * @owed: earlier owners have used it, and it has not answered since
+ * @fences: it refuses lower epochs
+ * @boot: boot of its last answer
+ * @token: token of its last answer
+ * @token_at: when that answer came
+ * @sync_epoch: epoch under which the open sync was sent
+ * @told: the last end told under this handle
+ * @open_ends: ends told and not acknowledged, oldest first
+ * @last_lease: end of the last lease that it can have been given
+ */
 struct worker {
 	UT_hash_handle hh;
 	struct zr_fleet *fleet;
@@ -23,7 +43,15 @@
 	enum zr_sched_worker_state state;
 	bool listed;
 	bool sync_open;
-	uint64_t acknowledged;
+	bool heard;
+	bool owed;
+	bool fences;
+	uint64_t boot;
+	uint64_t token;
+	uint64_t sync_epoch;
+	uint64_t told;
+	struct open_end *open_ends;
+	struct timespec token_at;
 	struct timespec last_sent;
 	struct timespec last_heard;
 	struct timespec last_lease;
@@ -34,6 +62,8 @@
 	char domain[ZR_NAME_MAX];
 	struct zr_timer *timer;
 	uint64_t epoch;
+	struct timespec rival_end;
+	struct timespec unfenced_from;
 	struct worker *workers;
 };
 
@@ -57,17 +87,60 @@
 	fleet->options.events.state(fleet->options.ctx, worker->handle, state);
 }
 
+/* A worker that doesn't fence may still get tasks from the owner before. */
+static bool rival_may_start(const struct worker *worker)
+{
+	const struct zr_fleet *fleet = worker->fleet;
+
+	return !worker->fences &&
+	       zr_time_cmp(now(fleet), fleet->unfenced_from) < 0;
+}
+
 static enum zr_sched_worker_state heard_state(const struct worker *worker)
 {
-	return worker->host.leaving || !worker->listed ? ZR_SCHED_WORKER_LEAVING
-						       : ZR_SCHED_WORKER_UP;
+	if (worker->host.leaving || !worker->listed || rival_may_start(worker))
+		return ZR_SCHED_WORKER_LEAVING;
+	return ZR_SCHED_WORKER_UP;
+}
+
+static bool may_send(const struct worker *worker)
+{
+	const struct zr_fleet *fleet = worker->fleet;
+	enum zr_owner_standing standing =
+		fleet->options.events.standing(fleet->options.ctx);
+
+	return standing == ZR_OWNER_HELD ||
+	       (standing == ZR_OWNER_UNRENEWED && worker->fences);
+}
+
+static void clear_ends(struct worker *worker)
+{
+	struct open_end *end;
+	struct open_end *next;
+
+	LL_FOREACH_SAFE(worker->open_ends, end, next)
+	{
+		free(end);
+	}
+	worker->open_ends = NULL;
+	worker->told = 0;
+}
+
+static uint64_t acknowledged(const struct worker *worker)
+{
+	return worker->open_ends ? worker->open_ends->sequence - 1
+				 : worker->told;
 }
 
 static void forget(struct worker *worker)
 {
 	struct zr_fleet *fleet = worker->fleet;
 
+	if (fleet->epoch)
+		fleet->options.events.gone(fleet->options.ctx,
+					   worker->host.name);
 	HASH_DEL(fleet->workers, worker);
+	clear_ends(worker);
 	worker->adapter.ops->free(worker->adapter.impl);
 	free(worker);
 }
@@ -76,12 +149,62 @@
 
 static void send_sync(struct worker *worker);
 
+static void lose(struct worker *worker, const char *reason)
+{
+	struct zr_fleet *fleet = worker->fleet;
+	zr_handle handle = worker->handle;
+
+	zr_log(ZR_LOG_WARN, "worker.lost worker=%s reason=%s",
+	       worker->host.name, reason);
+	worker->handle = ZR_HANDLE_NONE;
+	clear_ends(worker);
+	if (handle)
+		fleet->options.events.lost(fleet->options.ctx, handle);
+}
+
+static void note_report(struct worker *worker,
+			const struct zr_worker_report *report)
+{
+	worker->last_heard = now(worker->fleet);
+	if (worker->heard && worker->boot != report->boot)
+		lose(worker, "restarted");
+	worker->boot = report->boot;
+	worker->token = report->token;
+	worker->token_at = worker->last_heard;
+	worker->fences = report->fences;
+	worker->heard = true;
+}
+
+/* Passes on only those ends that were not told before. */
+static void tell_report(struct worker *worker,
+			const struct zr_worker_report *report)
+{
+	const struct zr_fleet_events *events = &worker->fleet->options.events;
+	struct zr_worker_report news = *report;
+	struct open_end *end;
+	size_t i;
+
+	while (news.end_count && news.ends->sequence <= worker->told) {
+		news.ends++;
+		news.end_count--;
+	}
+	for (i = 0; i < news.end_count; i++) {
+		end = calloc(1, sizeof(*end));
+		if (!end)
+			abort();
+		end->sequence = news.ends[i].sequence;
+		worker->told = end->sequence;
+		LL_APPEND(worker->open_ends, end);
+	}
+	events->report(worker->fleet->options.ctx, worker->handle, &news);
+}
+
 static void take_report(struct worker *worker,
 			const struct zr_worker_report *report)
 {
 	struct zr_fleet *fleet = worker->fleet;
 
-	worker->last_heard = now(fleet);
+	note_report(worker, report);
 	if (!worker->handle) {
 		worker->handle = fleet->options.events.up(fleet->options.ctx,
 							  &worker->host);
@@ -90,8 +213,8 @@
 			return;
 	}
 	set_state(worker, heard_state(worker));
-	fleet->options.events.report(fleet->options.ctx, worker->handle,
-				     report);
+	worker->owed = false;
+	tell_report(worker, report);
 }
 
 static void on_report(void *ctx, int error,
@@ -103,6 +226,11 @@
 	worker->sync_open = false;
 	if (error == ZR_E_CANCELLED || !fleet->epoch)
 		return;
+	if (worker->sync_epoch != fleet->epoch) {
+		/* Another owner may have been here since. */
+		send_sync(worker);
+		return;
+	}
 	if (error == ZR_E_FENCED) {
 		fleet->options.events.fenced(fleet->options.ctx);
 		return;
@@ -110,53 +238,69 @@
 	if (error < 0)
 		return;
 	take_report(worker, report);
-	if (fleet->epoch)
+	if (fleet->epoch && !worker->sync_open)
 		send_sync(worker);
 }
 
+/* Whatever arrives late counts its lease from the token that it echoes. */
 static void extend_lease(struct worker *worker)
 {
-	worker->last_lease = zr_time_add_ms(
-		now(worker->fleet), ZR_FLEET_LEASE_MS + CLOCK_RATE_MARGIN_MS);
+	if (worker->token)
+		worker->last_lease =
+			zr_time_add_ms(worker->token_at,
+				       ZR_FLEET_LEASE_MS + ZR_FLEET_MARGIN_MS);
+}
+
+static unsigned int wait_ms(const struct worker *worker)
+{
+	if (worker->handle)
+		return SYNC_WAIT_MS;
+	return worker->heard ? ASK_AGAIN_MS : 0;
 }
 
 static void send_sync(struct worker *worker)
 {
 	struct zr_fleet *fleet = worker->fleet;
+	bool renews = may_send(worker);
 	const struct zr_worker_sync sync = {
 		.epoch = fleet->epoch,
+		.boot = worker->boot,
+		.token = renews ? worker->token : 0,
 		.lease_ms = ZR_FLEET_LEASE_MS,
-		.acknowledged = worker->acknowledged,
-		.wait_ms = worker->handle ? SYNC_WAIT_MS : 0,
+		.acknowledged = acknowledged(worker),
+		.seen = worker->told,
+		.wait_ms = wait_ms(worker),
 	};
 
 	worker->sync_open = true;
+	worker->sync_epoch = fleet->epoch;
 	worker->last_sent = now(fleet);
+	if (renews)
+		extend_lease(worker);
 	worker->adapter.ops->sync(worker->adapter.impl, &sync, on_report,
 				  worker);
-	extend_lease(worker);
 }
 
 static bool lease_lapsed(const struct worker *worker)
 {
-	return zr_time_cmp(now(worker->fleet), worker->last_lease) > 0;
+	const struct zr_fleet *fleet = worker->fleet;
+
+	return zr_time_cmp(now(fleet), worker->last_lease) > 0 &&
+	       (worker->heard || zr_time_cmp(now(fleet), fleet->rival_end) > 0);
 }
 
-/* Without answers there are no further leases: syncs that fail give none. */
+/* Without answers there are no further tokens, and so no further leases. */
 static void check_silence(struct worker *worker)
 {
-	struct zr_fleet *fleet = worker->fleet;
-	int64_t silent = zr_time_diff_ms(now(fleet), worker->last_heard);
+	int64_t silent =
+		zr_time_diff_ms(now(worker->fleet), worker->last_heard);
 
 	if (silent < UNHEARD_AFTER_MS)
 		return;
 	set_state(worker, ZR_SCHED_WORKER_UNHEARD);
-	if (worker->handle && lease_lapsed(worker)) {
-		zr_log(ZR_LOG_WARN, "worker.lost worker=%s silent_ms=%lld",
-		       worker->host.name, (long long)silent);
-		fleet->options.events.lost(fleet->options.ctx, worker->handle);
-		worker->handle = ZR_HANDLE_NONE;
-		worker->acknowledged = 0;
+	if ((worker->handle || worker->owed) && lease_lapsed(worker)) {
+		worker->owed = false;
+		lose(worker, "lease_lapsed");
 	}
 }
 
@@ -169,6 +313,12 @@
 		send_sync(worker);
 }
 
+static bool may_forget(const struct worker *worker)
+{
+	return !worker->listed && !worker->handle && !worker->owed &&
+	       !worker->sync_open;
+}
+
 static void on_tick(void *ctx)
 {
 	struct zr_fleet *fleet = ctx;
@@ -176,12 +326,13 @@
 	struct worker *next;
 
 	HASH_ITER (hh, fleet->workers, worker, next) {
-		if (!fleet->epoch)
-			return;
-		check_silence(worker);
-		if (!worker->listed && !worker->handle && !worker->sync_open)
+		if (fleet->epoch)
+			check_silence(worker);
+		if (fleet->epoch && worker->state == ZR_SCHED_WORKER_LEAVING)
+			set_state(worker, heard_state(worker));
+		if (may_forget(worker))
 			forget(worker);
-		else
+		else if (fleet->epoch)
 			maybe_sync(worker);
 	}
 }
@@ -245,19 +396,29 @@
 
 /* Ownership */
 
-void zr_fleet_begin(struct zr_fleet *fleet, uint64_t epoch)
+static void begin_worker(struct worker *worker)
 {
+	worker->handle = ZR_HANDLE_NONE;
+	clear_ends(worker);
+	worker->heard = false;
+	worker->token = 0;
+	worker->last_heard = now(worker->fleet);
+	worker->last_lease = worker->last_heard;
+	if (!worker->sync_open)
+		send_sync(worker);
+}
+
+void zr_fleet_begin(struct zr_fleet *fleet, uint64_t epoch, int64_t rival_ms)
+{
+	const int64_t lease_ms = ZR_FLEET_LEASE_MS + ZR_FLEET_MARGIN_MS;
 	struct worker *worker;
 	struct worker *next;
 
 	fleet->epoch = epoch;
-	HASH_ITER (hh, fleet->workers, worker, next) {
-		worker->handle = ZR_HANDLE_NONE;
-		worker->acknowledged = 0;
-		worker->last_heard = now(fleet);
-		if (!worker->sync_open)
-			send_sync(worker);
-	}
+	fleet->unfenced_from = zr_time_add_ms(now(fleet), lease_ms);
+	fleet->rival_end = zr_time_add_ms(now(fleet), rival_ms + lease_ms);
+	HASH_ITER (hh, fleet->workers, worker, next)
+		begin_worker(worker);
 }
 
 void zr_fleet_end(struct zr_fleet *fleet)
@@ -266,8 +427,22 @@
 	struct worker *next;
 
 	fleet->epoch = 0;
-	HASH_ITER (hh, fleet->workers, worker, next)
+	HASH_ITER (hh, fleet->workers, worker, next) {
 		worker->handle = ZR_HANDLE_NONE;
+		worker->owed = false;
+		clear_ends(worker);
+	}
+}
+
+void zr_fleet_owe(struct zr_fleet *fleet, const struct zr_host *host)
+{
+	struct worker *worker;
+
+	HASH_FIND_STR(fleet->workers, host->name, worker);
+	if (!worker)
+		worker = add_worker(fleet, host);
+	if (worker)
+		worker->owed = true;
 }
 
 bool zr_fleet_complete(const struct zr_fleet *fleet)
@@ -275,21 +450,19 @@
 	const struct worker *worker;
 
 	for (worker = fleet->workers; worker; worker = worker->hh.next) {
-		if (worker->listed && !worker->handle)
+		if (worker->owed)
 			return false;
 	}
-	return fleet->workers != NULL;
+	return true;
 }
 
 static struct worker *find(const struct zr_fleet *fleet, zr_handle handle)
 {
-	struct worker *worker;
+	struct worker *worker = handle ? fleet->workers : NULL;
 
-	for (worker = fleet->workers; worker; worker = worker->hh.next) {
-		if (worker->handle == handle)
-			return worker;
-	}
-	return NULL;
+	while (worker && worker->handle != handle)
+		worker = worker->hh.next;
+	return worker;
 }
 
 const struct zr_host *zr_fleet_host(const struct zr_fleet *fleet,
@@ -311,7 +484,13 @@
 		done(ctx, ZR_E_NOT_FOUND);
 		return;
 	}
+	if (!may_send(worker)) {
+		done(ctx, ZR_E_NOT_OWNER);
+		return;
+	}
 	sent.epoch = fleet->epoch;
+	sent.boot = worker->boot;
+	sent.token = worker->token;
 	sent.lease_ms = ZR_FLEET_LEASE_MS;
 	extend_lease(worker);
 	worker->adapter.ops->start(worker->adapter.impl, &sent, done, ctx);
@@ -321,9 +500,18 @@
 			  uint64_t sequence)
 {
 	struct worker *worker = find(fleet, handle);
+	struct open_end *end;
+	struct open_end *next;
 
-	if (worker && worker->acknowledged < sequence)
-		worker->acknowledged = sequence;
+	if (!worker)
+		return;
+	LL_FOREACH_SAFE(worker->open_ends, end, next)
+	{
+		if (end->sequence != sequence)
+			continue;
+		LL_DELETE(worker->open_ends, end);
+		free(end);
+	}
 }
 
 static void on_stop_sent(void *ctx, int error)
@@ -338,7 +526,7 @@
 {
 	struct worker *worker = find(fleet, handle);
 
-	if (worker)
+	if (worker && may_send(worker))
 		worker->adapter.ops->stop(worker->adapter.impl, fleet->epoch,
 					  id, mode, on_stop_sent, NULL);
 }
--- a/src/libzinniarack/domain/fleet.h
+++ b/src/libzinniarack/domain/fleet.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 
+#include "domain/owner.h"
 #include "zinniarack/clock.h"
 #include "zinniarack/host_list.h"
 #include "zinniarack/sched.h"
@@ -13,30 +14,36 @@
  * DOC: Workers of a failure domain
  *
  * Keeps a running sync with each worker that the host list shows in the
- * domain: renews leases, takes inventories and ends of tasks, and tells when a
- * worker is heard, unheard, leaving, or lost for good. A worker counts as lost
- * only when the last lease that it can have been given has lapsed.
+ * domain, and with each that earlier owners have used: renews leases, takes
+ * inventories and ends of tasks, and tells when a worker is heard, unheard,
+ * leaving, or lost for good. A worker counts as lost only when the last lease
+ * that it can have been given, by this owner or the one before, has lapsed.
  */
 
 struct zr_fleet;
 
 /**
  * struct zr_fleet_events - what the fleet tells
- * @up: a worker answered for the first time under this epoch; returns its
- *	handle in the core
- * @report: a worker answered a sync; called after @up. Ends come again until
- *	they are acknowledged
+ * @standing: what this process may send now; asked before each send
+ * @up: a worker answers; returns its handle in the core, or ZR_HANDLE_NONE to
+ *	be asked again at its next answer
+ * @report: a worker answered a sync; called after @up. Each end comes once
+ *	for a handle and must be acknowledged once
  * @state: a worker is heard again, unheard, or leaving
- * @lost: a worker's last lease has lapsed; its tasks run no more
+ * @lost: a worker's last lease has lapsed, or it has restarted; its tasks run
+ *	no more
+ * @gone: no worker of that name is known any more
  * @fenced: a worker has seen a higher epoch than ours
  */
 struct zr_fleet_events {
+	enum zr_owner_standing (*standing)(void *ctx);
 	zr_handle (*up)(void *ctx, const struct zr_host *host);
 	void (*report)(void *ctx, zr_handle worker,
 		       const struct zr_worker_report *report);
 	void (*state)(void *ctx, zr_handle worker,
 		      enum zr_sched_worker_state state);
 	void (*lost)(void *ctx, zr_handle worker);
+	void (*gone)(void *ctx, const char *name);
 	void (*fenced)(void *ctx);
 };
 
@@ -70,11 +77,25 @@
 
 /** Lease that each sync gives to a worker's tasks. */
 #define ZR_FLEET_LEASE_MS 10000
+/** By how much clocks may drift apart during a lease. */
+#define ZR_FLEET_MARGIN_MS 500
 
 int zr_fleet_new(struct zr_fleet **out, const struct zr_fleet_options *options);
 
-/** zr_fleet_begin() - begin to sync under an epoch just gained */
-void zr_fleet_begin(struct zr_fleet *fleet, uint64_t epoch);
+/**
+ * zr_fleet_owe() - a worker that earlier owners have used
+ * @fleet: the fleet
+ * @host: the worker; may be missing from the host list
+ */
+void zr_fleet_owe(struct zr_fleet *fleet, const struct zr_host *host);
+
+/**
+ * zr_fleet_begin() - begin to sync under an epoch just gained
+ * @fleet: the fleet
+ * @epoch: the epoch
+ * @rival_ms: how long the owner before may go on granting leases
+ */
+void zr_fleet_begin(struct zr_fleet *fleet, uint64_t epoch, int64_t rival_ms);
 
 /** zr_fleet_end() - stop: the domain is owned no more */
 void zr_fleet_end(struct zr_fleet *fleet);
@@ -83,7 +104,13 @@
 void zr_fleet_hosts(struct zr_fleet *fleet, const struct zr_host *hosts,
 		    size_t count);
 
-/** zr_fleet_complete() - whether each worker of the domain has answered */
+/**
+ * zr_fleet_complete() - whether all that earlier owners started is known
+ * @fleet: the fleet
+ *
+ * Return: whether each worker that they have used has answered under this
+ * epoch or cannot run anything of theirs any more.
+ */
 bool zr_fleet_complete(const struct zr_fleet *fleet);
 
 /**
@@ -99,10 +126,10 @@
 		    void *ctx);
 
 /**
- * zr_fleet_acknowledge() - ends up to a sequence are kept in the journal
+ * zr_fleet_acknowledge() - an end is kept in the journal, or needs not be
  * @fleet: the fleet
- * @worker: the worker that told them
- * @sequence: it need not tell these again
+ * @worker: the worker that told it
+ * @sequence: its sequence
  */
 void zr_fleet_acknowledge(struct zr_fleet *fleet, zr_handle worker,
 			  uint64_t sequence);
--- a/src/libzinniarack/domain/jobs.c
+++ b/src/libzinniarack/domain/jobs.c
@@ -9,7 +9,8 @@
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
-#define KEEP_RETRY_MS 500
+/* Ended jobs with an idempotency key that are kept; more are refused. */
+#define RETAIN_KEYED_JOBS 50000
 #define SEQUENCE_BITS 32
 
 /* Records */
@@ -25,11 +26,13 @@
 	job->number = number;
 	job->spec = *spec;
 	job->spec.command = strdup(spec->command);
-	job->reason = "accepted";
-	job->result = strdup("");
+	job->reason = strdup("accepted");
+	job->result = "";
 	job->placements = calloc(spec->tasks, sizeof(*job->placements));
-	if (!job->spec.command || !job->result || !job->placements)
+	if (!job->spec.command || !job->reason || !job->placements)
 		abort();
+	job->unsent = true;
+	domain->unsent_count++;
 	snprintf(job->id, sizeof(job->id), "%s-%" PRIu64 "-%" PRIu64,
 		 domain->name, number >> SEQUENCE_BITS, number & UINT32_MAX);
 	HASH_ADD(hh, domain->jobs, number, sizeof(job->number), job);
@@ -49,8 +52,8 @@
 	return job;
 }
 
-static struct domain_job *find_id(const struct zr_domain *domain,
-				  const char *id)
+struct domain_job *zr_domain_job_by_id(const struct zr_domain *domain,
+				       const char *id)
 {
 	size_t length = strlen(domain->name);
 	struct domain_job *job;
@@ -70,34 +73,106 @@
 
 zr_handle zr_domain_handle(const struct zr_domain *domain, const char *id)
 {
-	const struct domain_job *job = find_id(domain, id);
+	const struct domain_job *job = zr_domain_job_by_id(domain, id);
 
 	return job ? job->handle : ZR_HANDLE_NONE;
 }
 
+void zr_domain_job_sent(struct domain_job *job)
+{
+	if (!job->unsent)
+		return;
+	job->unsent = false;
+	job->domain->unsent_count--;
+}
+
+void zr_domain_job_set_result(struct domain_job *job, uint32_t index,
+			      const char *result)
+{
+	struct domain_placement *placement = &job->placements[index];
+
+	if (!*result)
+		return;
+	if (job->result == placement->result)
+		job->result = "";
+	free(placement->result);
+	placement->result = strndup(result, ZX_RESULT_MAX);
+	if (!placement->result)
+		abort();
+	job->result = placement->result;
+}
+
+int64_t zr_domain_realtime_ms(const struct zr_domain *domain)
+{
+	const struct zr_clock *clock = domain->options.clock;
+
+	return zr_time_to_ms(clock->realtime(clock->ctx));
+}
+
 /* Reading and waiting */
 
-static void show(const struct domain_job *job, zr_domain_job_fn done, void *ctx)
+static struct zr_domain_result *results_of(uint32_t *count,
+					   const struct domain_job *job)
+{
+	struct zr_domain_result *results =
+		calloc(job->spec.tasks, sizeof(*results));
+	uint32_t i;
+
+	if (!results)
+		abort();
+	for (i = 0; i < job->spec.tasks; i++) {
+		const struct domain_placement *placement = &job->placements[i];
+
+		if (!placement->ended)
+			continue;
+		results[*count].index = i;
+		results[*count].succeeded = placement->succeeded;
+		results[*count].result =
+			placement->result ? placement->result : "";
+		(*count)++;
+	}
+	return results;
+}
+
+static uint32_t succeeded_tasks(const struct domain_job *job)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->spec.tasks; i++)
+		count += job->placements[i].succeeded;
+	return count;
+}
+
+static void fill_view(struct zr_domain_job *view, const struct domain_job *job)
 {
 	struct zr_sched_job_info info = {0};
-	struct zr_domain_job view = {
-		.id = job->id,
-		.spec = &job->spec,
-		.state = job->final,
-		.reason = job->reason,
-		.result = job->result,
-	};
 
+	view->id = job->id;
+	view->spec = &job->spec;
+	view->state = job->final;
+	view->reason = job->reason;
+	view->result = job->result;
 	if (job->handle)
 		zr_sched_job_info(&info, job->domain->sched, job->handle);
-	view.running = info.running;
-	view.ended = info.ended;
-	if (!job->final_kept && info.id) {
-		view.reason = info.reason;
-		view.state = zr_job_state_final(info.state) ? ZR_JOB_RUNNING
-							    : info.state;
-	}
+	view->running = info.running;
+	view->ended = job->final_kept ? succeeded_tasks(job) : info.ended;
+	if (job->final_kept || !info.id)
+		return;
+	view->reason = info.reason;
+	view->state =
+		zr_job_state_final(info.state) ? ZR_JOB_RUNNING : info.state;
+}
+
+static void show(const struct domain_job *job, zr_domain_job_fn done, void *ctx)
+{
+	struct zr_domain_job view = {0};
+	struct zr_domain_result *results = results_of(&view.result_count, job);
+
+	fill_view(&view, job);
+	view.results = results;
 	done(ctx, 0, &view);
+	free(results);
 }
 
 static void answer_waiter(struct domain_waiter *waiter, int error)
@@ -149,11 +224,11 @@
 {
 	struct domain_job *found;
 
-	if (!domain->epoch) {
+	if (!domain->epoch || !domain->loaded) {
 		zr_error_set(ZR_E_NOT_OWNER, "not active");
 		return ZR_E_NOT_OWNER;
 	}
-	found = find_id(domain, id);
+	found = zr_domain_job_by_id(domain, id);
 	if (!found || (*team && strcmp(found->spec.team, team))) {
 		zr_error_set(ZR_E_NOT_FOUND, "no job '%s'", id);
 		return ZR_E_NOT_FOUND;
@@ -183,8 +258,12 @@
 	struct domain_job *next;
 
 	HASH_ITER (hh, domain->jobs, job, next) {
-		if (!*team || !strcmp(job->spec.team, team))
-			show(job, each, ctx);
+		struct zr_domain_job view = {0};
+
+		if (*team && strcmp(job->spec.team, team))
+			continue;
+		fill_view(&view, job);
+		each(ctx, 0, &view);
 	}
 }
 
@@ -216,13 +295,22 @@
 void zr_domain_job_remove(struct domain_job *job)
 {
 	struct zr_domain *domain = job->domain;
+	uint32_t i;
 
 	answer_waiters(job, ZR_E_NOT_OWNER);
 	HASH_DELETE(hh, domain->jobs, job);
 	if (*job->spec.idempotency_key)
 		HASH_DELETE(hh_key, domain->jobs_by_key, job);
+	zr_domain_job_sent(job);
+	if (job->final_kept) {
+		DL_DELETE2(domain->ended, job, ended_prev, ended_next);
+		domain->ended_count--;
+		domain->ended_keyed -= *job->spec.idempotency_key != 0;
+	}
+	for (i = 0; i < job->spec.tasks; i++)
+		free(job->placements[i].result);
 	zr_job_spec_clear(&job->spec);
-	free(job->result);
+	free(job->reason);
 	free(job->placements);
 	free(job);
 }
@@ -236,104 +324,57 @@
 		zr_domain_job_remove(job);
 }
 
-/* Keeping records */
-
-struct kept {
-	struct zr_domain *domain;
-	uint64_t epoch;
-	zx_record record;
-	zr_journal_done_fn done;
-	void *ctx;
-	struct zr_timer *timer;
-};
-
-static void append(struct kept *kept);
+/* The end of a job */
 
-static void free_kept(struct kept *kept)
+static bool expired(const struct domain_job *job, int64_t at_ms)
 {
-	xdr_free((xdrproc_t)xdr_zx_record, (void *)&kept->record);
-	zr_timer_free(kept->timer);
-	free(kept);
-}
+	int64_t retain_ms = *job->spec.idempotency_key ? DOMAIN_RETAIN_KEYED_MS
+						       : DOMAIN_RETAIN_MS;
 
-static void on_retry(void *ctx)
-{
-	append(ctx);
+	if (job->ended_ms + retain_ms < at_ms)
+		return true;
+	return !*job->spec.idempotency_key &&
+	       job->domain->ended_count - job->domain->ended_keyed >
+		       DOMAIN_RETAIN_JOBS;
 }
 
-static void on_kept(void *ctx, int error)
+void zr_domain_jobs_expire(struct zr_domain *domain)
 {
-	struct kept *kept = ctx;
-
-	if (error == ZR_E_STORE_DOWN) {
-		zr_timer_start(kept->timer, KEEP_RETRY_MS, 0);
-		return;
-	}
-	kept->done(kept->ctx, error);
-	free_kept(kept);
-}
-
-static void append(struct kept *kept)
-{
-	struct zr_domain *domain = kept->domain;
+	int64_t at_ms = zr_domain_realtime_ms(domain);
+	struct domain_job *job;
+	struct domain_job *next;
 
-	if (domain->epoch != kept->epoch) {
-		on_kept(kept, ZR_E_NOT_OWNER);
-		return;
+	DL_FOREACH_SAFE2(domain->ended, job, next, ended_next)
+	{
+		if (!expired(job, at_ms))
+			continue;
+		zr_journal_forget(domain->journal, job->number);
+		zr_domain_job_remove(job);
 	}
-	if (zr_journal_append(domain->journal, &kept->record, on_kept, kept))
-		zr_timer_start(kept->timer, KEEP_RETRY_MS, 0);
-}
-
-static int copy_record(zx_record *out, const zx_record *record)
-{
-	u_int size =
-		(u_int)xdr_sizeof((xdrproc_t)xdr_zx_record, (void *)record);
-	char *bytes = malloc(size);
-	bool ok;
-	XDR xdrs;
-
-	if (!bytes)
-		return ZR_E_NOMEM;
-	xdrmem_create(&xdrs, bytes, size, XDR_ENCODE);
-	ok = xdr_zx_record(&xdrs, (zx_record *)record);
-	memset(out, 0, sizeof(*out));
-	xdrmem_create(&xdrs, bytes, size, XDR_DECODE);
-	ok = ok && xdr_zx_record(&xdrs, out);
-	free(bytes);
-	return ok ? 0 : ZR_E_PROTOCOL;
 }
 
-void zr_domain_keep(struct zr_domain *domain, const zx_record *record,
-		    zr_journal_done_fn done, void *ctx)
+void zr_domain_job_finished(struct domain_job *job, int64_t ended_ms)
 {
-	struct kept *kept = calloc(1, sizeof(*kept));
-
-	if (!kept || copy_record(&kept->record, record) < 0)
-		abort();
-	kept->domain = domain;
-	kept->epoch = domain->epoch;
-	kept->done = done;
-	kept->ctx = ctx;
-	kept->timer = zr_timer_new(domain->options.timers, on_retry, kept);
-	append(kept);
-}
-
-/* The end of a job */
+	struct zr_domain *domain = job->domain;
 
-void zr_domain_job_finished(struct domain_job *job)
-{
 	job->final_kept = true;
+	job->ended_ms = ended_ms;
+	zr_domain_job_sent(job);
+	DL_APPEND2(domain->ended, job, ended_prev, ended_next);
+	domain->ended_count++;
+	domain->ended_keyed += *job->spec.idempotency_key != 0;
 	answer_waiters(job, 0);
-	zr_sched_job_forget(job->domain->sched, job->handle);
+	zr_sched_job_forget(domain->sched, job->handle);
 	job->handle = ZR_HANDLE_NONE;
 }
 
 static void on_end_kept(void *ctx, int error)
 {
+	struct domain_job *job = ctx;
+
 	/* Without ownership the record of the job is gone. */
 	if (!error)
-		zr_domain_job_finished(ctx);
+		zr_domain_job_finished(job, job->ended_ms);
 }
 
 void zr_domain_job_final(struct domain_job *job, enum zr_job_state state,
@@ -343,13 +384,24 @@
 	zx_job_ended *ended = &record.zx_record_u.job_ended;
 
 	job->final = state;
-	job->reason = reason;
+	free(job->reason);
+	job->reason = strdup(reason);
+	job->ended_ms = zr_domain_realtime_ms(job->domain);
 	ended->number = job->number;
 	ended->state = state;
-	ended->reason = (char *)reason;
+	ended->ended_ms = job->ended_ms;
+	ended->reason = job->reason;
 	zr_domain_keep(job->domain, &record, on_end_kept, job);
 }
 
+void zr_domain_keep(struct zr_domain *domain, const zx_record *record,
+		    zr_journal_done_fn done, void *ctx)
+{
+	if (zr_journal_append(domain->journal, ZR_JOURNAL_UNTIL_KEPT, record,
+			      done, ctx) < 0)
+		abort(); /* our own record, out of the bounds of its fields */
+}
+
 /* Acceptance */
 
 struct submission {
@@ -397,11 +449,21 @@
 static int check_submission(struct zr_domain *domain,
 			    const struct zr_job_spec *spec)
 {
-	if (!domain->epoch)
+	int error;
+
+	if (!domain->epoch || !domain->loaded)
 		return zr_error_set(ZR_E_NOT_OWNER, "not active");
+	if (domain->stopped)
+		return zr_error_set(ZR_E_SHUTTING_DOWN, "handing over");
+	if (*spec->idempotency_key && domain->ended_keyed > RETAIN_KEYED_JOBS)
+		return zr_error_set(ZR_E_FULL, "too many idempotency keys");
 	if (!domain->config)
 		return zr_error_set(ZR_E_STALE_CONFIG, "no configuration yet");
-	return zr_sched_job_check(domain->sched, spec);
+	error = zr_sched_job_check(domain->sched, spec);
+	/* The worker that could hold it may not have answered yet. */
+	if (error == ZR_E_NEVER_FITS && domain->recovering)
+		return zr_error_set(ZR_E_OVERLOADED, "workers not known yet");
+	return error;
 }
 
 static struct domain_job *find_key(const struct zr_domain *domain,
@@ -420,17 +482,19 @@
 {
 	zx_record record = {.kind = ZX_RECORD_ACCEPTED};
 	zx_accepted *accepted = &record.zx_record_u.accepted;
-	const struct zr_clock *clock = domain->options.clock;
+	struct domain_job *job;
 	int error;
 
 	submission->number =
 		domain->epoch << SEQUENCE_BITS | ++domain->next_sequence;
 	accepted->number = submission->number;
-	accepted->accepted_ms = zr_time_to_ms(clock->realtime(clock->ctx));
+	accepted->accepted_ms = zr_domain_realtime_ms(domain);
+	accepted->begun = domain->unsent_count < DOMAIN_BEGIN_AHEAD;
 	zr_convert_from_spec(&accepted->spec, spec);
-	zr_domain_job_new(domain, submission->number, spec);
-	error = zr_journal_append(domain->journal, &record, on_accepted,
-				  submission);
+	job = zr_domain_job_new(domain, submission->number, spec);
+	job->begun = accepted->begun;
+	error = zr_journal_append(domain->journal, ZR_JOURNAL_ONCE, &record,
+				  on_accepted, submission);
 	if (error < 0)
 		on_accepted(submission, error);
 }
--- a/src/libzinniarack/domain/journal.c
+++ b/src/libzinniarack/domain/journal.c
@@ -1,145 +1,215 @@
 #include "domain/journal.h"
 
 #include <inttypes.h>
-#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include <xxhash.h>
 
+#include "domain/journal_private.h"
 #include "zinniarack/errors.h"
-#include "zinniarack/job.h"
 #include "zinniarack/log.h"
 
-#define COMMIT_INTERVAL_MS 20
-#define CHUNK_BYTES_MAX (512u << 10)
-#define PENDING_BYTES_MAX (16u << 20)
-#define PREFIX_MAX (ZR_NAME_MAX + 32)
-#define KEY_MAX (PREFIX_MAX + 40)
-
-struct entry {
-	struct entry *next;
-	char *bytes;
-	u_int length;
-	zr_journal_done_fn done;
-	void *ctx;
-};
-
-struct zr_journal {
-	const struct zr_store *store;
-	char prefix[PREFIX_MAX];
-	char owner_key[KEY_MAX];
-	uint64_t epoch;
-	int64_t guard;
-	uint64_t sequence;
-	struct zr_timer *timer;
-	struct entry *waiting;
-	struct entry *in_flight;
-	size_t pending_bytes;
-	char chunk_key[KEY_MAX];
-	char *chunk;
-	size_t chunk_length;
-	bool chunk_may_be_kept;
-	bool call_open;
-	bool freeing;
-	zr_journal_record_fn load_record;
-	zr_journal_done_fn load_done;
-	void *load_ctx;
-};
-
-static void send_chunk(struct zr_journal *journal);
-
-/* Loading */
-
-static int load_chunk(struct zr_journal *journal,
-		      const struct zr_store_value *value)
+#define TICK_MS 5
+#define CHUNK_BYTES_MAX (256u << 10)
+#define PENDING_BYTES_MAX (8u << 20)
+/* Writes that a domain may make: a burst at once, then at an even rate. */
+#define WRITES_PER_S 18
+#define WRITES_BURST 10
+#define MS_PER_S 1000
+#define TOKEN MS_PER_S
+#define BACK_OFF_MS 250
+#define BACK_OFF_MAX_MS 4000
+
+int zr_journal_position_cmp(const struct journal_position *a,
+			    const struct journal_position *b)
 {
-	zx_chunk chunk;
+	if (a->epoch != b->epoch)
+		return a->epoch < b->epoch ? -1 : 1;
+	if (a->sequence != b->sequence)
+		return a->sequence < b->sequence ? -1 : 1;
+	return 0;
+}
+
+bool zr_journal_answered(struct zr_journal *journal)
+{
+	journal->open_calls--;
+	if (!journal->freeing)
+		return true;
+	if (!journal->open_calls) {
+		zr_journal_load_free(journal);
+		free(journal);
+	}
+	return false;
+}
+
+void zr_journal_note_chunk(struct zr_journal *journal,
+			   const struct journal_position *position,
+			   size_t bytes)
+{
+	struct journal_chunk *chunk = calloc(1, sizeof(*chunk));
+
+	if (!chunk)
+		abort();
+	chunk->position = *position;
+	chunk->bytes = bytes;
+	LL_PREPEND(journal->log, chunk);
+	journal->log_chunks++;
+	journal->log_bytes += bytes;
+	journal->last = *position;
+}
+
+void zr_journal_apply(struct zr_journal *journal, const char *bytes,
+		      u_int length, const struct journal_position *position)
+{
+	zx_record record;
+	unsigned int group;
 	XDR xdrs;
-	u_int i;
-
-	memset(&chunk, 0, sizeof(chunk));
-	xdrmem_create(&xdrs, value->data, (u_int)value->length, XDR_DECODE);
-	if (!xdr_zx_chunk(&xdrs, &chunk)) {
-		xdr_free((xdrproc_t)xdr_zx_chunk, &chunk);
-		return zr_error_set(ZR_E_PROTOCOL, "%s: not a journal chunk",
-				    value->key);
+
+	memset(&record, 0, sizeof(record));
+	xdrmem_create(&xdrs, (char *)bytes, length, XDR_DECODE);
+	if (xdr_zx_record(&xdrs, &record)) {
+		group = zr_image_group_of(journal->image, &record);
+		if (!position ||
+		    zr_journal_position_cmp(&journal->group[group].covered,
+					    position) < 0)
+			zr_image_apply(journal->image, &record, bytes, length);
 	}
-	for (i = 0; i < chunk.records.records_len; i++)
-		journal->load_record(journal->load_ctx,
-				     &chunk.records.records_val[i]);
-	xdr_free((xdrproc_t)xdr_zx_chunk, &chunk);
-	return 0;
+	xdr_free((xdrproc_t)xdr_zx_record, (void *)&record);
 }
 
-static void maybe_free(struct zr_journal *journal);
+/* Rate of writes */
 
-static void on_loaded(void *ctx, int error, const struct zr_store_reply *reply)
+static struct timespec now(const struct zr_journal *journal)
 {
-	struct zr_journal *journal = ctx;
-	size_t i;
+	return zr_clock_now(journal->options.clock);
+}
+
+static void refill(struct zr_journal *journal)
+{
+	struct timespec at = now(journal);
+	int64_t ms = zr_time_diff_ms(at, journal->refilled);
 
-	journal->call_open = false;
-	if (journal->freeing) {
-		maybe_free(journal);
+	if (ms <= 0)
 		return;
-	}
-	for (i = 0; !error && i < reply->count; i++)
-		error = load_chunk(journal, &reply->values[i]);
-	journal->load_done(journal->load_ctx, error);
+	journal->refilled = at;
+	journal->tokens += ms * WRITES_PER_S * TOKEN / MS_PER_S;
+	if (journal->tokens > (int64_t)WRITES_BURST * TOKEN)
+		journal->tokens = (int64_t)WRITES_BURST * TOKEN;
 }
 
-void zr_journal_load(struct zr_journal *journal, zr_journal_record_fn record,
-		     zr_journal_done_fn done, void *ctx)
+static bool may_write(struct zr_journal *journal)
 {
-	journal->load_record = record;
-	journal->load_done = done;
-	journal->load_ctx = ctx;
-	journal->call_open = true;
-	zr_store_range(journal->store, ZR_STORE_RECOVERY, journal->prefix, true,
-		       on_loaded, journal);
+	refill(journal);
+	return journal->tokens >= TOKEN &&
+	       zr_time_cmp(now(journal), journal->retry_at) >= 0;
 }
 
-/* Committing */
+/* Hosts whose store comes back must not all write at the same moment. */
+void zr_journal_back_off(struct zr_journal *journal)
+{
+	uint64_t seed = journal->epoch_seed ^ journal->failures;
+	unsigned int limit = BACK_OFF_MS << journal->failures;
+	uint64_t jitter;
 
-static void finish_entries(struct zr_journal *journal, struct entry **list,
-			   int error)
+	if (limit > BACK_OFF_MAX_MS)
+		limit = BACK_OFF_MAX_MS;
+	else
+		journal->failures++;
+	jitter = XXH64(journal->prefix, strlen(journal->prefix), seed) % limit;
+	journal->retry_at =
+		zr_time_add_ms(now(journal), limit / 2 + (int64_t)jitter / 2);
+}
+
+/* Ends of records */
+
+static void finish_entry(struct zr_journal *journal,
+			 struct journal_entry *entry, int error)
 {
-	struct entry *entry = *list;
-	struct entry *next;
-
-	*list = NULL;
-	for (; entry; entry = next) {
-		next = entry->next;
-		journal->pending_bytes -= entry->length;
-		entry->done(entry->ctx, error);
-		free(entry->bytes);
-		free(entry);
+	journal->pending_bytes -= entry->length;
+	entry->done(entry->ctx, error);
+	free(entry->bytes);
+	free(entry);
+}
+
+static void finish_entries(struct zr_journal *journal,
+			   struct journal_entry *list, int error)
+{
+	struct journal_entry *entry;
+	struct journal_entry *next;
+
+	DL_FOREACH_SAFE(list, entry, next)
+	{
+		finish_entry(journal, entry, error);
 	}
 }
 
-static void end_chunk(struct zr_journal *journal, int error)
+static struct journal_entry *take_chunk(struct zr_journal *journal)
 {
+	struct journal_entry *list = journal->in_flight;
+
 	free(journal->chunk);
 	journal->chunk = NULL;
-	finish_entries(journal, &journal->in_flight, error);
+	journal->in_flight = NULL;
+	return list;
+}
+
+static void chunk_kept(struct zr_journal *journal)
+{
+	const struct journal_position position = {journal->options.epoch,
+						  journal->sequence};
+	struct journal_entry *entry;
+	struct journal_entry *list;
+
+	DL_FOREACH(journal->in_flight, entry)
+	{
+		zr_journal_apply(journal, entry->bytes, entry->length,
+				 &position);
+	}
+	zr_journal_note_chunk(journal, &position, journal->chunk_length);
+	journal->snapshot_turn = true;
+	list = take_chunk(journal);
+	finish_entries(journal, list, 0);
+}
+
+/* Nothing of the chunk is kept: some of its records wait for another. */
+static void chunk_refused(struct zr_journal *journal)
+{
+	struct journal_entry *list = take_chunk(journal);
+	struct journal_entry *once = NULL;
+	struct journal_entry *entry;
+	struct journal_entry *next;
+
+	DL_FOREACH_SAFE(list, entry, next)
+	{
+		if (entry->mode != ZR_JOURNAL_ONCE)
+			continue;
+		DL_DELETE(list, entry);
+		DL_APPEND(once, entry);
+	}
+	DL_CONCAT(list, journal->waiting);
+	journal->waiting = list;
+	finish_entries(journal, once, ZR_E_STORE_DOWN);
 }
 
+/* Committing */
+
 /* Encodes as xdr_zx_chunk() does: epoch, sequence, count, records. */
 static void build_chunk(struct zr_journal *journal)
 {
-	u_quad_t epoch = journal->epoch;
+	u_quad_t epoch = journal->options.epoch;
 	u_quad_t sequence = ++journal->sequence;
 	size_t size = 2 * sizeof(uint64_t) + sizeof(uint32_t);
-	struct entry *entry;
+	struct journal_entry *entry;
 	u_int count = 0;
 	XDR xdrs;
 
 	while (journal->waiting && size < CHUNK_BYTES_MAX &&
 	       count < ZX_LIST_MAX) {
 		entry = journal->waiting;
-		LL_DELETE(journal->waiting, entry);
-		LL_APPEND(journal->in_flight, entry);
+		DL_DELETE(journal->waiting, entry);
+		DL_APPEND(journal->in_flight, entry);
 		size += entry->length;
 		count++;
 	}
@@ -150,12 +220,15 @@
 	xdr_u_quad_t(&xdrs, &epoch);
 	xdr_u_quad_t(&xdrs, &sequence);
 	xdr_u_int(&xdrs, &count);
-	LL_FOREACH(journal->in_flight, entry)
-	xdr_opaque(&xdrs, entry->bytes, entry->length);
+	DL_FOREACH(journal->in_flight, entry)
+	{
+		xdr_opaque(&xdrs, entry->bytes, entry->length);
+	}
 	journal->chunk_length = size;
 	journal->chunk_may_be_kept = false;
-	snprintf(journal->chunk_key, KEY_MAX, "%s%016" PRIx64 "-%016" PRIx64,
-		 journal->prefix, journal->epoch, journal->sequence);
+	snprintf(journal->chunk_key, JOURNAL_KEY_MAX,
+		 "%slog/%016" PRIx64 "-%016" PRIx64, journal->prefix,
+		 journal->options.epoch, journal->sequence);
 }
 
 static bool holds_chunk(const struct zr_journal *journal,
@@ -175,12 +248,13 @@
 {
 	struct zr_journal *journal = ctx;
 
-	journal->call_open = false;
-	if (journal->freeing) {
-		maybe_free(journal);
+	if (!zr_journal_answered(journal))
 		return;
-	}
-	if (error == ZR_E_OUTCOME_UNKNOWN) {
+	if (error < 0)
+		zr_journal_back_off(journal);
+	else
+		journal->failures = 0;
+	if (error < 0 && error != ZR_E_STORE_DOWN) {
 		/* The transaction is safe to repeat: its key names it. */
 		zr_log(ZR_LOG_WARN, "journal.answer_lost key=%s",
 		       journal->chunk_key);
@@ -190,17 +264,17 @@
 	if (error < 0 && journal->chunk_may_be_kept)
 		return;
 	if (error < 0)
-		end_chunk(journal, ZR_E_STORE_DOWN);
+		chunk_refused(journal);
 	else if (reply->succeeded || holds_chunk(journal, reply))
-		end_chunk(journal, 0);
+		chunk_kept(journal);
 	else
-		end_chunk(journal, ZR_E_NOT_OWNER);
+		finish_entries(journal, take_chunk(journal), ZR_E_NOT_OWNER);
 }
 
 static void send_chunk(struct zr_journal *journal)
 {
 	const struct zr_store_compare compares[] = {
-		{journal->owner_key, journal->guard},
+		{journal->owner_key, journal->options.guard},
 		{journal->chunk_key, 0},
 	};
 	const struct zr_store_put put = {
@@ -211,25 +285,33 @@
 	};
 	const struct zr_store_txn txn = {compares, 2, &put, 1};
 
-	journal->call_open = true;
-	zr_store_commit(journal->store, ZR_STORE_ACCEPT, &txn, on_committed,
-			journal);
+	journal->open_calls++;
+	zr_store_commit(journal->options.store, ZR_STORE_ACCEPT, &txn,
+			on_committed, journal);
 }
 
 static void on_tick(void *ctx)
 {
 	struct zr_journal *journal = ctx;
+	bool chunk = journal->chunk || journal->waiting;
+	bool snapshot = zr_journal_snapshot_due(journal);
 
-	if (journal->call_open)
+	if (!journal->loaded || journal->open_calls || (!chunk && !snapshot) ||
+	    !may_write(journal))
 		return;
-	if (!journal->chunk && !journal->waiting)
+	journal->tokens -= TOKEN;
+	/* A chunk that may be kept already must be settled before all else. */
+	if (snapshot && !journal->chunk && (journal->snapshot_turn || !chunk)) {
+		journal->snapshot_turn = false;
+		zr_journal_snapshot_write(journal);
 		return;
+	}
 	if (!journal->chunk)
 		build_chunk(journal);
 	send_chunk(journal);
 }
 
-static int encode(struct entry *entry, const zx_record *record)
+static int encode(struct journal_entry *entry, const zx_record *record)
 {
 	u_int size =
 		(u_int)xdr_sizeof((xdrproc_t)xdr_zx_record, (void *)record);
@@ -247,13 +329,15 @@
 	return 0;
 }
 
-int zr_journal_append(struct zr_journal *journal, const zx_record *record,
-		      zr_journal_done_fn done, void *ctx)
+int zr_journal_append(struct zr_journal *journal, enum zr_journal_mode mode,
+		      const zx_record *record, zr_journal_done_fn done,
+		      void *ctx)
 {
-	struct entry *entry;
+	struct journal_entry *entry;
 	int error;
 
-	if (journal->pending_bytes > PENDING_BYTES_MAX)
+	if (mode == ZR_JOURNAL_ONCE &&
+	    journal->pending_bytes > PENDING_BYTES_MAX)
 		return zr_error_set(ZR_E_FULL, "too much waits for the store");
 	entry = calloc(1, sizeof(*entry));
 	if (!entry)
@@ -263,47 +347,77 @@
 		free(entry);
 		return error;
 	}
+	entry->mode = mode;
 	entry->done = done;
 	entry->ctx = ctx;
 	journal->pending_bytes += entry->length;
-	LL_APPEND(journal->waiting, entry);
+	DL_APPEND(journal->waiting, entry);
 	return 0;
 }
 
-int zr_journal_new(struct zr_journal **out, const struct zr_timers *timers,
-		   const struct zr_store *store, const char *domain,
-		   const char *owner_key, uint64_t epoch, int64_t guard)
+void zr_journal_forget(struct zr_journal *journal, uint64_t number)
+{
+	zr_image_forget(journal->image, number);
+}
+
+bool zr_journal_idle(const struct zr_journal *journal)
+{
+	return !journal->waiting && !journal->in_flight;
+}
+
+int zr_journal_new(struct zr_journal **out,
+		   const struct zr_journal_options *options)
 {
 	struct zr_journal *journal = calloc(1, sizeof(*journal));
 
 	if (!journal)
 		return ZR_E_NOMEM;
-	journal->store = store;
-	journal->epoch = epoch;
-	journal->guard = guard;
-	snprintf(journal->prefix, PREFIX_MAX, "zr/domain/%s/log/", domain);
-	snprintf(journal->owner_key, KEY_MAX, "%s", owner_key);
-	journal->timer = zr_timer_new(timers, on_tick, journal);
-	zr_timer_start(journal->timer, COMMIT_INTERVAL_MS, COMMIT_INTERVAL_MS);
+	journal->options = *options;
+	journal->groups = options->groups ? options->groups : ZR_JOURNAL_GROUPS;
+	if (zr_image_new(&journal->image, journal->groups) < 0) {
+		free(journal);
+		return ZR_E_NOMEM;
+	}
+	snprintf(journal->prefix, JOURNAL_PREFIX_MAX, "zr/domain/%s/",
+		 options->domain);
+	snprintf(journal->owner_key, JOURNAL_KEY_MAX, "%s", options->owner_key);
+	journal->epoch_seed = options->epoch << 8;
+	journal->refilled = now(journal);
+	journal->tokens = (int64_t)WRITES_BURST * TOKEN;
+	journal->timer = zr_timer_new(options->timers, on_tick, journal);
+	zr_timer_start(journal->timer, TICK_MS, TICK_MS);
 	*out = journal;
 	return 0;
 }
 
-static void maybe_free(struct zr_journal *journal)
+static void clear_log(struct zr_journal *journal)
 {
-	if (journal->call_open)
-		return;
-	zr_timer_free(journal->timer);
-	free(journal);
+	struct journal_chunk *chunk;
+	struct journal_chunk *next;
+
+	LL_FOREACH_SAFE(journal->log, chunk, next)
+	{
+		free(chunk);
+	}
+	journal->log = NULL;
 }
 
 void zr_journal_free(struct zr_journal *journal)
 {
+	struct journal_entry *waiting;
+
 	if (!journal)
 		return;
 	journal->freeing = true;
-	zr_timer_stop(journal->timer);
-	end_chunk(journal, ZR_E_OUTCOME_UNKNOWN);
-	finish_entries(journal, &journal->waiting, ZR_E_NOT_OWNER);
-	maybe_free(journal);
+	zr_timer_free(journal->timer);
+	waiting = journal->waiting;
+	journal->waiting = NULL;
+	finish_entries(journal, take_chunk(journal), ZR_E_OUTCOME_UNKNOWN);
+	finish_entries(journal, waiting, ZR_E_NOT_OWNER);
+	zr_journal_snapshot_clear(journal);
+	zr_image_free(journal->image);
+	clear_log(journal);
+	/* Counts as an answer, so that the last one frees the journal. */
+	journal->open_calls++;
+	zr_journal_answered(journal);
 }
--- /dev/null
+++ b/src/libzinniarack/domain/journal_load.c
@@ -0,0 +1,318 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "domain/journal_private.h"
+#include "zinniarack/errors.h"
+
+/* A value that was read: a part of a group's snapshot, or a chunk. */
+struct loaded {
+	unsigned int group;
+	u_int part;
+	char *bytes;
+	size_t length;
+};
+
+/* One value that is being read. */
+struct part_read {
+	struct zr_journal *journal;
+	unsigned int group;
+	u_int part;
+};
+
+/* Values wait until all are in: a part can't be applied before those before. */
+struct journal_load {
+	zr_journal_record_fn record;
+	zr_journal_done_fn done;
+	void *ctx;
+	unsigned int open_reads;
+	int error;
+	struct loaded *chunks;
+	size_t chunk_count;
+	struct loaded *parts;
+	size_t part_count;
+};
+
+void zr_journal_load_free(struct zr_journal *journal)
+{
+	struct journal_load *load = journal->load;
+	size_t i;
+
+	if (!load)
+		return;
+	for (i = 0; i < load->chunk_count; i++)
+		free(load->chunks[i].bytes);
+	for (i = 0; i < load->part_count; i++)
+		free(load->parts[i].bytes);
+	free(load->chunks);
+	free(load->parts);
+	free(load);
+	journal->load = NULL;
+}
+
+/* Records */
+
+static void apply_record(struct zr_journal *journal, zx_record *record,
+			 const struct journal_position *position)
+{
+	u_int size = (u_int)xdr_sizeof((xdrproc_t)xdr_zx_record, record);
+	char *bytes = malloc(size);
+	XDR xdrs;
+
+	if (!bytes)
+		abort();
+	xdrmem_create(&xdrs, bytes, size, XDR_ENCODE);
+	if (xdr_zx_record(&xdrs, record))
+		zr_journal_apply(journal, bytes, size, position);
+	free(bytes);
+}
+
+static int apply_chunk(struct zr_journal *journal, const struct loaded *loaded)
+{
+	struct journal_position position;
+	zx_chunk chunk;
+	XDR xdrs;
+	u_int i;
+	bool ok;
+
+	memset(&chunk, 0, sizeof(chunk));
+	xdrmem_create(&xdrs, loaded->bytes, (u_int)loaded->length, XDR_DECODE);
+	ok = xdr_zx_chunk(&xdrs, &chunk);
+	position.epoch = chunk.epoch;
+	position.sequence = chunk.sequence;
+	for (i = 0; ok && i < chunk.records.records_len; i++)
+		apply_record(journal, &chunk.records.records_val[i], &position);
+	if (ok)
+		zr_journal_note_chunk(journal, &position, loaded->length);
+	xdr_free((xdrproc_t)xdr_zx_chunk, (void *)&chunk);
+	return ok ? 0 : zr_error_set(ZR_E_PROTOCOL, "not a journal chunk");
+}
+
+static void tell_record(void *ctx, const char *bytes, u_int length)
+{
+	struct zr_journal *journal = ctx;
+	zx_record record;
+	XDR xdrs;
+
+	memset(&record, 0, sizeof(record));
+	xdrmem_create(&xdrs, (char *)bytes, length, XDR_DECODE);
+	if (xdr_zx_record(&xdrs, &record))
+		journal->load->record(journal->load->ctx, &record);
+	xdr_free((xdrproc_t)xdr_zx_record, (void *)&record);
+}
+
+static struct journal_position most_covered(const struct zr_journal *journal)
+{
+	struct journal_position most = journal->group[0].covered;
+	unsigned int i;
+
+	for (i = 1; i < journal->groups; i++) {
+		if (zr_journal_position_cmp(&journal->group[i].covered, &most) >
+		    0)
+			most = journal->group[i].covered;
+	}
+	return most;
+}
+
+static int apply_part(struct zr_journal *journal, const struct loaded *loaded)
+{
+	zx_snapshot snapshot;
+	XDR xdrs;
+	u_int i;
+	bool ok;
+
+	memset(&snapshot, 0, sizeof(snapshot));
+	xdrmem_create(&xdrs, loaded->bytes, (u_int)loaded->length, XDR_DECODE);
+	ok = xdr_zx_snapshot(&xdrs, &snapshot);
+	for (i = 0; ok && i < snapshot.records.records_len; i++)
+		apply_record(journal, &snapshot.records.records_val[i], NULL);
+	xdr_free((xdrproc_t)xdr_zx_snapshot, (void *)&snapshot);
+	return ok ? 0 : zr_error_set(ZR_E_PROTOCOL, "not a snapshot");
+}
+
+static int by_part(const void *a, const void *b)
+{
+	const struct loaded *first = a;
+	const struct loaded *second = b;
+
+	if (first->group != second->group)
+		return first->group < second->group ? -1 : 1;
+	return (first->part > second->part) - (first->part < second->part);
+}
+
+static void finish(struct zr_journal *journal)
+{
+	struct journal_load *load = journal->load;
+	zr_journal_done_fn done = load->done;
+	void *ctx = load->ctx;
+	int error = load->error;
+	size_t i;
+
+	journal->last = most_covered(journal);
+	if (load->part_count)
+		qsort(load->parts, load->part_count, sizeof(*load->parts),
+		      by_part);
+	for (i = 0; !error && i < load->part_count; i++)
+		error = apply_part(journal, &load->parts[i]);
+	for (i = 0; !error && i < load->chunk_count; i++)
+		error = apply_chunk(journal, &load->chunks[i]);
+	if (!error)
+		zr_image_all(journal->image, tell_record, journal);
+	zr_journal_load_free(journal);
+	journal->loaded = !error;
+	done(ctx, error);
+}
+
+static bool read_ended(struct zr_journal *journal, int error)
+{
+	if (!zr_journal_answered(journal))
+		return false;
+	if (error < 0)
+		journal->load->error = error;
+	return true;
+}
+
+static void read_taken(struct zr_journal *journal)
+{
+	if (!--journal->load->open_reads)
+		finish(journal);
+}
+
+/* Reads */
+
+static void read_part(struct zr_journal *journal, unsigned int group,
+		      u_int part);
+
+static void copy_value(struct loaded *out, const struct zr_store_value *value)
+{
+	out->length = value->length;
+	out->bytes = malloc(value->length + 1);
+	if (!out->bytes)
+		abort();
+	memcpy(out->bytes, value->data, value->length);
+}
+
+static void add_part(const struct part_read *read,
+		     const struct zr_store_value *value)
+{
+	struct journal_load *load = read->journal->load;
+	size_t count = load->part_count + 1;
+	struct loaded *loaded;
+
+	load->parts = realloc(load->parts, count * sizeof(*load->parts));
+	if (!load->parts)
+		abort();
+	loaded = &load->parts[load->part_count++];
+	loaded->group = read->group;
+	loaded->part = read->part;
+	copy_value(loaded, value);
+}
+
+/* Reads the fields of &zx_snapshot that come before its records. */
+static int take_head(const struct part_read *read,
+		     const struct zr_store_value *value)
+{
+	struct journal_group *group = &read->journal->group[read->group];
+	u_quad_t epoch = 0;
+	u_quad_t sequence = 0;
+	u_int parts = 0;
+	XDR xdrs;
+	u_int i;
+
+	xdrmem_create(&xdrs, value->data, (u_int)value->length, XDR_DECODE);
+	if (!xdr_u_quad_t(&xdrs, &epoch) || !xdr_u_quad_t(&xdrs, &sequence) ||
+	    !xdr_u_int(&xdrs, &parts) || !xdr_u_int(&xdrs, &group->slot))
+		return zr_error_set(ZR_E_PROTOCOL, "%s: not a snapshot",
+				    value->key);
+	group->covered.epoch = epoch;
+	group->covered.sequence = sequence;
+	for (i = 1; i < parts; i++)
+		read_part(read->journal, read->group, i);
+	return 0;
+}
+
+static int take_part(const struct part_read *read,
+		     const struct zr_store_reply *reply)
+{
+	if (!reply->count)
+		return read->part ? ZR_E_PROTOCOL : 0;
+	add_part(read, &reply->values[0]);
+	return read->part ? 0 : take_head(read, &reply->values[0]);
+}
+
+static void on_part(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	struct part_read *read = ctx;
+	struct zr_journal *journal = read->journal;
+
+	if (read_ended(journal, error)) {
+		if (!error)
+			error = take_part(read, reply);
+		if (error < 0)
+			journal->load->error = error;
+		read_taken(journal);
+	}
+	free(read);
+}
+
+static void read_part(struct zr_journal *journal, unsigned int group,
+		      u_int part)
+{
+	struct part_read *read = calloc(1, sizeof(*read));
+	char key[JOURNAL_KEY_MAX];
+
+	if (!read)
+		abort();
+	read->journal = journal;
+	read->group = group;
+	read->part = part;
+	if (part)
+		zr_journal_part_key(key, journal, group,
+				    journal->group[group].slot, part);
+	else
+		zr_journal_snapshot_key(key, journal, group);
+	journal->open_calls++;
+	journal->load->open_reads++;
+	zr_store_range(journal->options.store, ZR_STORE_RECOVERY, key, false,
+		       on_part, read);
+}
+
+static void on_log(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	struct zr_journal *journal = ctx;
+	struct journal_load *load;
+	size_t i;
+
+	if (!read_ended(journal, error))
+		return;
+	load = journal->load;
+	if (!error)
+		load->chunks = calloc(reply->count + 1, sizeof(*load->chunks));
+	for (i = 0; !error && load->chunks && i < reply->count; i++)
+		copy_value(&load->chunks[load->chunk_count++],
+			   &reply->values[i]);
+	read_taken(journal);
+}
+
+void zr_journal_load(struct zr_journal *journal, zr_journal_record_fn record,
+		     zr_journal_done_fn done, void *ctx)
+{
+	struct journal_load *load = calloc(1, sizeof(*load));
+	char prefix[JOURNAL_KEY_MAX];
+	unsigned int i;
+
+	if (!load)
+		abort();
+	load->record = record;
+	load->done = done;
+	load->ctx = ctx;
+	journal->load = load;
+	snprintf(prefix, sizeof(prefix), "%slog/", journal->prefix);
+	journal->open_calls++;
+	load->open_reads++;
+	zr_store_range(journal->options.store, ZR_STORE_RECOVERY, prefix, true,
+		       on_log, journal);
+	for (i = 0; i < journal->groups; i++)
+		read_part(journal, i, 0);
+}
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -10,7 +10,9 @@
 #include "zinniarack/log.h"
 
 #define LEASE_MS 2000
-#define TICK_MS 500
+#define RENEW_MS 500
+#define STANDBY_POLL_MS 250
+#define CLOCK_RATE_MARGIN_MS 100
 #define KEY_MAX (ZR_NAME_MAX + 32)
 #define EPOCH_TEXT_MAX 24
 
@@ -29,24 +31,62 @@
 	char prefix[KEY_MAX];
 	char owner_key[KEY_MAX];
 	char epoch_key[KEY_MAX];
+	char released_key[KEY_MAX];
 	struct zr_owner_events events;
 	void *ctx;
 	struct zr_timer *timer;
 	enum owner_state state;
-	bool call_open;
+	unsigned int open_calls;
+	bool freeing;
 	int64_t lease;
+	struct timespec call_sent;
+	struct timespec lease_until;
 	uint64_t epoch;
 	int64_t epoch_revision;
+	uint64_t released_epoch;
+	int64_t guard;
 	void (*released)(void *ctx);
 	void *released_ctx;
 };
 
+/* Whether the owner is still there to take the answer of its open call. */
+static bool take_answer(struct zr_owner *owner)
+{
+	owner->open_calls--;
+	if (!owner->freeing)
+		return true;
+	if (!owner->open_calls)
+		free(owner);
+	return false;
+}
+
+static void open_call(struct zr_owner *owner)
+{
+	owner->open_calls++;
+	owner->call_sent = zr_clock_now(owner->clock);
+}
+
+/* The store counts from a later moment than the call's sending. */
+static void extend_lease(struct zr_owner *owner)
+{
+	owner->lease_until = zr_time_add_ms(owner->call_sent,
+					    LEASE_MS - CLOCK_RATE_MARGIN_MS);
+}
+
+static void set_tick(struct zr_owner *owner, unsigned int after_ms)
+{
+	zr_timer_start(owner->timer, after_ms,
+		       owner->state == OWNER_OWNING ? RENEW_MS
+						    : STANDBY_POLL_MS);
+}
+
 static void step_down(struct zr_owner *owner, const char *reason)
 {
 	bool owned = owner->state == OWNER_OWNING;
 
 	owner->state = OWNER_STANDBY;
 	owner->lease = 0;
+	set_tick(owner, STANDBY_POLL_MS);
 	if (!owned)
 		return;
 	zr_log(ZR_LOG_WARN, "domain.lost domain=%s epoch=%" PRIu64 " reason=%s",
@@ -60,20 +100,25 @@
 			const struct zr_store_reply *reply)
 {
 	struct zr_owner *owner = ctx;
+	struct zr_owner_gain gain = {0};
 
-	owner->call_open = false;
-	if (owner->state != OWNER_CAMPAIGNING)
+	if (!take_answer(owner) || owner->state != OWNER_CAMPAIGNING)
 		return;
 	if (error < 0 || !reply->succeeded) {
 		/* An unknown outcome shows at the next read of the keys. */
 		owner->state = OWNER_STANDBY;
 		return;
 	}
+	gain.handed_over = owner->released_epoch == owner->epoch;
+	gain.epoch = ++owner->epoch;
+	gain.guard = reply->revision;
 	owner->state = OWNER_OWNING;
-	owner->epoch++;
-	zr_log(ZR_LOG_INFO, "domain.gained domain=%s epoch=%" PRIu64,
-	       owner->domain, owner->epoch);
-	owner->events.gained(owner->ctx, owner->epoch, reply->revision);
+	owner->guard = gain.guard;
+	set_tick(owner, RENEW_MS);
+	zr_log(ZR_LOG_INFO,
+	       "domain.gained domain=%s epoch=%" PRIu64 " handed_over=%d",
+	       owner->domain, owner->epoch, gain.handed_over);
+	owner->events.gained(owner->ctx, &gain);
 }
 
 static void campaign(struct zr_owner *owner)
@@ -93,7 +138,8 @@
 	};
 	const struct zr_store_txn txn = {compares, 2, puts, 2};
 
-	owner->call_open = true;
+	/* The lease runs since its grant was sent. */
+	owner->open_calls++;
 	zr_store_commit(owner->store, ZR_STORE_LEASE, &txn, on_campaign, owner);
 }
 
@@ -101,14 +147,14 @@
 {
 	struct zr_owner *owner = ctx;
 
-	owner->call_open = false;
-	if (owner->state != OWNER_CAMPAIGNING)
+	if (!take_answer(owner) || owner->state != OWNER_CAMPAIGNING)
 		return;
 	if (error < 0) {
 		owner->state = OWNER_STANDBY;
 		return;
 	}
 	owner->lease = reply->lease;
+	extend_lease(owner);
 	campaign(owner);
 }
 
@@ -118,11 +164,11 @@
 	bool owned = false;
 	size_t i;
 
-	owner->call_open = false;
-	if (owner->state != OWNER_STANDBY || error < 0)
+	if (!take_answer(owner) || owner->state != OWNER_STANDBY || error < 0)
 		return;
 	owner->epoch = 0;
 	owner->epoch_revision = 0;
+	owner->released_epoch = 0;
 	for (i = 0; i < reply->count; i++) {
 		const struct zr_store_value *value = &reply->values[i];
 
@@ -131,12 +177,14 @@
 		} else if (!strcmp(value->key, owner->epoch_key)) {
 			owner->epoch = strtoull(value->data, NULL, 10);
 			owner->epoch_revision = value->mod_revision;
+		} else if (!strcmp(value->key, owner->released_key)) {
+			owner->released_epoch = strtoull(value->data, NULL, 10);
 		}
 	}
 	if (owned)
 		return;
 	owner->state = OWNER_CAMPAIGNING;
-	owner->call_open = true;
+	open_call(owner);
 	zr_store_lease_grant(owner->store, LEASE_MS, on_granted, owner);
 }
 
@@ -146,26 +194,42 @@
 {
 	struct zr_owner *owner = ctx;
 
-	owner->call_open = false;
-	if (owner->state != OWNER_OWNING)
+	if (!take_answer(owner) || owner->state != OWNER_OWNING)
 		return;
 	if (error == ZR_E_NOT_FOUND || (!error && reply->ttl_ms <= 0))
 		step_down(owner, "lease_ended");
-	/* Other errors: the workers' fencing keeps a later owner apart. */
+	else if (!error)
+		extend_lease(owner);
+}
+
+enum zr_owner_standing zr_owner_standing(const struct zr_owner *owner)
+{
+	int64_t past;
+
+	if (owner->state != OWNER_OWNING)
+		return ZR_OWNER_NONE;
+	past = zr_time_diff_ms(zr_clock_now(owner->clock), owner->lease_until);
+	if (past < 0)
+		return ZR_OWNER_HELD;
+	return past < ZR_OWNER_UNRENEWED_MS ? ZR_OWNER_UNRENEWED
+					    : ZR_OWNER_NONE;
 }
 
 static void on_tick(void *ctx)
 {
 	struct zr_owner *owner = ctx;
 
-	if (owner->call_open)
+	if (owner->state == OWNER_OWNING &&
+	    zr_owner_standing(owner) == ZR_OWNER_NONE)
+		step_down(owner, "unrenewed");
+	if (owner->open_calls)
 		return;
 	if (owner->state == OWNER_STANDBY) {
-		owner->call_open = true;
+		open_call(owner);
 		zr_store_range(owner->store, ZR_STORE_LEASE, owner->prefix,
 			       true, on_keys, owner);
 	} else if (owner->state == OWNER_OWNING) {
-		owner->call_open = true;
+		open_call(owner);
 		zr_store_lease_keep(owner->store, owner->lease, on_kept, owner);
 	}
 }
@@ -188,8 +252,10 @@
 	snprintf(owner->prefix, KEY_MAX, "zr/domain/%s/lead/", domain);
 	snprintf(owner->owner_key, KEY_MAX, "zr/domain/%s/lead/owner", domain);
 	snprintf(owner->epoch_key, KEY_MAX, "zr/domain/%s/lead/epoch", domain);
+	snprintf(owner->released_key, KEY_MAX, "zr/domain/%s/lead/released",
+		 domain);
 	owner->timer = zr_timer_new(timers, on_tick, owner);
-	zr_timer_start(owner->timer, 0, TICK_MS);
+	set_tick(owner, 0);
 	*out = owner;
 	return 0;
 }
@@ -209,30 +275,68 @@
 	step_down(owner, "another_owner");
 }
 
+/* Release */
+
 static void on_revoked(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct zr_owner *owner = ctx;
+	void (*released)(void *ctx) = owner->released;
+	void *released_ctx = owner->released_ctx;
 
 	(void)error;
 	(void)reply;
-	owner->released(owner->released_ctx);
+	if (take_answer(owner))
+		released(released_ctx);
+}
+
+static void on_released(void *ctx, int error,
+			const struct zr_store_reply *reply)
+{
+	struct zr_owner *owner = ctx;
+
+	(void)reply;
+	if (error == ZR_E_CANCELLED) {
+		on_revoked(owner, error, NULL);
+		return;
+	}
+	/* Without the mark, the next owner waits longer, and is as safe. */
+	zr_store_lease_revoke(owner->store, owner->lease, on_revoked, owner);
+}
+
+/* Gives up the key and says so in one transaction. */
+static void send_release(struct zr_owner *owner)
+{
+	char epoch[EPOCH_TEXT_MAX];
+	int length = snprintf(epoch, sizeof(epoch), "%" PRIu64, owner->epoch);
+	const struct zr_store_compare compare = {owner->owner_key,
+						 owner->guard};
+	const struct zr_store_put puts[] = {
+		{owner->owner_key, NULL, 0, 0},
+		{owner->released_key, epoch, (size_t)length, 0},
+	};
+	const struct zr_store_txn txn = {&compare, 1, puts, 2};
+
+	owner->open_calls++;
+	zr_store_commit(owner->store, ZR_STORE_LEASE, &txn, on_released, owner);
 }
 
 void zr_owner_release(struct zr_owner *owner, void (*done)(void *ctx),
 		      void *ctx)
 {
+	bool owned = owner->state == OWNER_OWNING;
 	int64_t lease = owner->lease;
 
 	step_down(owner, "released");
 	owner->state = OWNER_RELEASED;
 	zr_timer_stop(owner->timer);
-	if (!lease) {
+	if (!owned) {
 		done(ctx);
 		return;
 	}
+	owner->lease = lease;
 	owner->released = done;
 	owner->released_ctx = ctx;
-	zr_store_lease_revoke(owner->store, lease, on_revoked, owner);
+	send_release(owner);
 }
 
 void zr_owner_free(struct zr_owner *owner)
@@ -240,5 +344,8 @@
 	if (!owner)
 		return;
 	zr_timer_free(owner->timer);
-	free(owner);
+	owner->timer = NULL;
+	owner->freeing = true;
+	if (!owner->open_calls)
+		free(owner);
 }
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -18,14 +18,41 @@
 
 struct zr_owner;
 
+/** How long an owner goes on under its epoch when its store lease has ended. */
+#define ZR_OWNER_UNRENEWED_MS (15 * 60 * 1000)
+
+/**
+ * enum zr_owner_standing - what an owner may do now, by its own clock
+ * @ZR_OWNER_NONE: nothing
+ * @ZR_OWNER_UNRENEWED: its store lease may have ended: it may send only to
+ *	workers that fence
+ * @ZR_OWNER_HELD: its store lease holds
+ */
+enum zr_owner_standing {
+	ZR_OWNER_NONE,
+	ZR_OWNER_UNRENEWED,
+	ZR_OWNER_HELD,
+};
+
+/**
+ * struct zr_owner_gain - an ownership just gained
+ * @epoch: its epoch
+ * @guard: the revision that journal commits compare with the owner key
+ * @handed_over: the owner before has released it and sends no more
+ */
+struct zr_owner_gain {
+	uint64_t epoch;
+	int64_t guard;
+	bool handed_over;
+};
+
 /**
  * struct zr_owner_events - what the owner's module tells
- * @gained: this process owns the domain under @epoch; @guard is the revision
- *	that journal commits compare with the owner key
+ * @gained: this process owns the domain
  * @lost: it does so no more
  */
 struct zr_owner_events {
-	void (*gained)(void *ctx, uint64_t epoch, int64_t guard);
+	void (*gained)(void *ctx, const struct zr_owner_gain *gain);
 	void (*lost)(void *ctx);
 };
 
@@ -50,6 +77,9 @@
 /** zr_owner_epoch() - the epoch while this process owns it, else 0 */
 uint64_t zr_owner_epoch(const struct zr_owner *owner);
 
+/** zr_owner_standing() - what it may do at this moment; ask before each send */
+enum zr_owner_standing zr_owner_standing(const struct zr_owner *owner);
+
 /** zr_owner_key() - the key that journal commits compare */
 const char *zr_owner_key(const struct zr_owner *owner);
 
@@ -65,7 +95,7 @@
 void zr_owner_release(struct zr_owner *owner, void (*done)(void *ctx),
 		      void *ctx);
 
-/** zr_owner_free() - stop and free; the store must answer no more calls */
+/** zr_owner_free() - stop; memory is freed once the open call has ended */
 void zr_owner_free(struct zr_owner *owner);
 
 #endif
--- a/src/libzinniarack/domain/tasks.c
+++ b/src/libzinniarack/domain/tasks.c
@@ -9,6 +9,8 @@
 #include "zinniarack/log.h"
 
 #define START_RETRY_MS 500
+/* Sends that may fail to reach a worker before another one is chosen. */
+#define UNREACHABLE_MAX 3
 
 enum decision_kind {
 	DECISION_START,
@@ -104,17 +106,28 @@
 
 /* Starting tasks */
 
-struct start {
+/**
+ * struct domain_start - a start on its way to its worker
+ * @unsure_until: an earlier send of it may still arrive and have effect
+ * @may_have_begun: it was sent, and no answer came
+ * @unreachable: sends in a row that did not reach the worker
+ */
+struct domain_start {
+	struct domain_start *prev;
+	struct domain_start *next;
 	struct zr_domain *domain;
-	uint64_t epoch;
 	uint64_t number;
 	uint32_t index;
 	uint32_t attempt;
 	zr_handle worker;
+	bool open;
+	bool may_have_begun;
+	unsigned int unreachable;
+	struct timespec unsure_until;
 	struct zr_timer *timer;
 };
 
-static void send_start(struct start *start);
+static void send_start(struct domain_start *start);
 
 static void format_task_id(char out[ZR_TASK_ID_MAX], const char *job_id,
 			   uint32_t index, uint32_t attempt)
@@ -123,19 +136,41 @@
 		 attempt);
 }
 
-static void end_start(struct start *start)
+static void end_start(struct domain_start *start)
 {
+	if (start->domain)
+		DL_DELETE(start->domain->starts, start);
 	zr_timer_free(start->timer);
 	free(start);
 }
 
+/* Those that wait for an answer end with it. */
+void zr_domain_starts_clear(struct zr_domain *domain)
+{
+	struct domain_start *start;
+	struct domain_start *next;
+
+	DL_FOREACH_SAFE(domain->starts, start, next)
+	{
+		DL_DELETE(domain->starts, start);
+		start->domain = NULL;
+		if (!start->open)
+			end_start(start);
+	}
+}
+
 static void on_start_retry(void *ctx)
 {
 	send_start(ctx);
 }
 
-static void end_task(struct domain_job *job, uint32_t index, uint32_t attempt,
-		     enum zr_sched_outcome outcome)
+static void retry_start(struct domain_start *start)
+{
+	zr_timer_start(start->timer, START_RETRY_MS, 0);
+}
+
+void zr_domain_task_end(struct domain_job *job, uint32_t index,
+			uint32_t attempt, enum zr_sched_outcome outcome)
 {
 	struct zr_domain *domain = job->domain;
 
@@ -147,66 +182,153 @@
 	zr_domain_drain(domain);
 }
 
-static struct domain_job *job_of(const struct start *start)
+static void ignore_kept(void *ctx, int error)
+{
+	(void)ctx;
+	(void)error;
+}
+
+/* The worker surely doesn't run it, nor will it. */
+static void start_refused(struct domain_start *start, struct domain_job *job)
+{
+	zx_task_ended ended = {
+		.number = start->number,
+		.index = start->index,
+		.attempt = start->attempt,
+		.outcome = ZR_SCHED_NOT_STARTED,
+		.result = "",
+	};
+	uint32_t index = start->index;
+	uint32_t attempt = start->attempt;
+
+	if (job->spec.at_most_once && start->may_have_begun)
+		ended.outcome = ZR_SCHED_LOST;
+	if (job->spec.at_most_once)
+		zr_domain_keep_end(job, &ended, ignore_kept, NULL);
+	end_start(start);
+	zr_domain_task_end(job, index, attempt,
+			   (enum zr_sched_outcome)ended.outcome);
+}
+
+static struct domain_job *job_of(const struct domain_start *start)
 {
-	if (start->domain->epoch != start->epoch)
+	struct domain_job *job;
+
+	if (!start->domain)
+		return NULL;
+	job = zr_domain_job_find(start->domain, start->number);
+	if (!job || !job->handle ||
+	    job->placements[start->index].attempt != start->attempt ||
+	    job->placements[start->index].worker != start->worker)
 		return NULL;
-	return zr_domain_job_find(start->domain, start->number);
+	return job;
+}
+
+static void stop_task(struct zr_domain *domain, const struct domain_job *job,
+		      uint32_t index)
+{
+	const struct domain_placement *placement = &job->placements[index];
+	char id[ZR_TASK_ID_MAX];
+
+	format_task_id(id, job->id, index, placement->attempt);
+	zr_fleet_stop(domain->fleet, placement->worker, id, ZR_WORKER_STOP);
+}
+
+static void note_unsure(struct domain_start *start)
+{
+	const struct zr_clock *clock = start->domain->options.clock;
+
+	start->may_have_begun = true;
+	start->unsure_until = zr_time_add_ms(
+		zr_clock_now(clock), ZR_FLEET_LEASE_MS + ZR_FLEET_MARGIN_MS);
+}
+
+/* A refusal proves nothing while an earlier send may still arrive. */
+static bool must_retry(struct domain_start *start, int error)
+{
+	const struct zr_clock *clock = start->domain->options.clock;
+
+	if (error == ZR_E_OUTCOME_UNKNOWN) {
+		note_unsure(start);
+		return true;
+	}
+	if (error == ZR_E_NOT_OWNER)
+		return true;
+	if (error == ZR_E_UNREACHABLE && ++start->unreachable < UNREACHABLE_MAX)
+		return true;
+	return start->may_have_begun &&
+	       zr_time_cmp(zr_clock_now(clock), start->unsure_until) < 0;
 }
 
 static void on_started(void *ctx, int error)
 {
-	struct start *start = ctx;
+	struct domain_start *start = ctx;
 	struct domain_job *job = job_of(start);
 
-	if (!job || !error) {
+	start->open = false;
+	if (!job || error == ZR_E_CANCELLED) {
 		end_start(start);
 		return;
 	}
-	if (error == ZR_E_OUTCOME_UNKNOWN) {
-		/* The task's id lets the worker see a repeated start. */
-		zr_timer_start(start->timer, START_RETRY_MS, 0);
+	if (!error) {
+		if (job->placements[start->index].stopping)
+			stop_task(start->domain, job, start->index);
+		end_start(start);
+		return;
+	}
+	if (error == ZR_E_FENCED) {
+		zr_owner_give_up(start->domain->owner);
+		end_start(start);
 		return;
 	}
 	zr_log_decision("start.refused task=%s/%u/%u error=%s", job->id,
 			start->index, start->attempt, zr_error_name(error));
-	if (error == ZR_E_FENCED)
-		zr_owner_give_up(start->domain->owner);
+	if (must_retry(start, error))
+		retry_start(start);
 	else
-		end_task(job, start->index, start->attempt,
-			 ZR_SCHED_NOT_STARTED);
-	end_start(start);
+		start_refused(start, job);
 }
 
-static void send_start(struct start *start)
+static void send_start(struct domain_start *start)
 {
 	struct domain_job *job = job_of(start);
 	char id[ZR_TASK_ID_MAX];
 	struct zr_worker_start message = {0};
 
-	if (!job || job->placements[start->index].worker != start->worker) {
+	if (!job) {
 		end_start(start);
 		return;
 	}
+	if (job->placements[start->index].stopping && !start->may_have_begun) {
+		start_refused(start, job);
+		return;
+	}
 	format_task_id(id, job->id, start->index, start->attempt);
 	message.id = id;
 	message.size = job->spec.size;
 	message.service =
 		job->spec.kind == ZR_JOB_SERVICE ? job->spec.name : "";
 	message.command = job->spec.command;
+	start->open = true;
 	zr_fleet_start(start->domain->fleet, start->worker, &message,
 		       on_started, start);
 }
 
-static void on_intent_kept(void *ctx, int error)
+static void on_start_kept(void *ctx, int error)
 {
-	if (error < 0)
-		end_start(ctx);
-	else
-		send_start(ctx);
+	struct domain_start *start = ctx;
+	struct domain_job *job = job_of(start);
+
+	start->open = false;
+	if (error < 0 || !job) {
+		end_start(start);
+		return;
+	}
+	job->begun = true;
+	send_start(start);
 }
 
-static void keep_intent(struct start *start)
+static void keep_intent(struct domain_start *start)
 {
 	zx_record record = {.kind = ZX_RECORD_INTENT};
 	zx_intent *intent = &record.zx_record_u.intent;
@@ -214,35 +336,67 @@
 	intent->number = start->number;
 	intent->index = start->index;
 	intent->attempt = start->attempt;
-	zr_domain_keep(start->domain, &record, on_intent_kept, start);
+	start->open = true;
+	zr_domain_keep(start->domain, &record, on_start_kept, start);
 }
 
-static void carry_out_start(struct zr_domain *domain, struct domain_job *job,
-			    const struct domain_decision *decision)
+static void keep_begun(struct domain_start *start)
 {
-	const struct zr_host *host =
-		zr_fleet_host(domain->fleet, decision->worker);
-	struct domain_placement *placement = &job->placements[decision->index];
-	struct start *start = calloc(1, sizeof(*start));
+	zx_record record = {.kind = ZX_RECORD_BEGUN};
+
+	record.zx_record_u.begun.number = start->number;
+	start->open = true;
+	zr_domain_keep(start->domain, &record, on_start_kept, start);
+}
+
+static struct domain_start *new_start(struct zr_domain *domain,
+				      const struct domain_job *job,
+				      const struct domain_decision *decision)
+{
+	struct domain_start *start = calloc(1, sizeof(*start));
 
 	if (!start)
 		abort();
-	zr_log_decision("place task=%s/%u/%u worker=%s reason=\"%s\"", job->id,
-			decision->index, decision->attempt,
-			host ? host->name : "gone", decision->reason);
-	domain->starts->value++;
-	placement->attempt = decision->attempt;
-	placement->worker = decision->worker;
 	start->domain = domain;
-	start->epoch = domain->epoch;
 	start->number = job->number;
 	start->index = decision->index;
 	start->attempt = decision->attempt;
 	start->worker = decision->worker;
 	start->timer =
 		zr_timer_new(domain->options.timers, on_start_retry, start);
+	DL_APPEND(domain->starts, start);
+	return start;
+}
+
+static void place(struct domain_job *job,
+		  const struct domain_decision *decision)
+{
+	struct domain_placement *placement = &job->placements[decision->index];
+
+	placement->attempt = decision->attempt;
+	placement->worker = decision->worker;
+	placement->ended = false;
+	placement->succeeded = false;
+	placement->stopping = false;
+}
+
+static void carry_out_start(struct zr_domain *domain, struct domain_job *job,
+			    const struct domain_decision *decision)
+{
+	const struct zr_host *host =
+		zr_fleet_host(domain->fleet, decision->worker);
+	struct domain_start *start = new_start(domain, job, decision);
+
+	zr_log_decision("place task=%s/%u/%u worker=%s reason=\"%s\"", job->id,
+			decision->index, decision->attempt,
+			host ? host->name : "gone", decision->reason);
+	domain->starts_sent->value++;
+	place(job, decision);
+	zr_domain_job_sent(job);
 	if (job->spec.at_most_once)
 		keep_intent(start);
+	else if (!job->begun)
+		keep_begun(start);
 	else
 		send_start(start);
 }
@@ -263,16 +417,20 @@
 	}
 }
 
-static void carry_out_stop(struct zr_domain *domain,
+static void carry_out_stop(struct zr_domain *domain, struct domain_job *job,
 			   const struct domain_decision *decision)
 {
 	static const char *const reasons[] = {
 		"cancelled", "preempted", "relief", "drained", "throttle",
 	};
+	struct domain_placement *placement = &job->placements[decision->index];
 	char id[ZR_TASK_ID_MAX];
 
 	format_task_id(id, decision->job_id, decision->index,
 		       decision->attempt);
+	if (placement->attempt == decision->attempt &&
+	    decision->why != ZR_SCHED_STOP_THROTTLE)
+		placement->stopping = true;
 	zr_log_decision("stop task=%s reason=%s", id, reasons[decision->why]);
 	zr_fleet_stop(domain->fleet, decision->worker, id,
 		      mode_of(decision->why));
@@ -280,21 +438,10 @@
 
 /* Carrying out */
 
-static struct domain_job *find_by_id(const struct zr_domain *domain,
-				     const char *id)
-{
-	const char *numbers = id + strlen(domain->name) + 1;
-	char *end;
-	uint64_t epoch = strtoull(numbers, &end, 10);
-
-	return zr_domain_job_find(domain,
-				  epoch << 32 | strtoull(end + 1, NULL, 10));
-}
-
 static void carry_out(struct zr_domain *domain,
 		      const struct domain_decision *decision)
 {
-	struct domain_job *job = find_by_id(domain, decision->job_id);
+	struct domain_job *job = zr_domain_job_by_id(domain, decision->job_id);
 
 	if (!job)
 		return;
@@ -303,7 +450,7 @@
 		carry_out_start(domain, job, decision);
 		break;
 	case DECISION_STOP:
-		carry_out_stop(domain, decision);
+		carry_out_stop(domain, job, decision);
 		break;
 	case DECISION_FINAL:
 		zr_domain_job_final(job, decision->state, decision->reason);
@@ -333,140 +480,3 @@
 		free(decision);
 	}
 }
-
-/* Reports of workers */
-
-struct task_ref {
-	struct domain_job *job;
-	uint32_t index;
-	uint32_t attempt;
-};
-
-static bool parse_task_id(struct task_ref *out, const struct zr_domain *domain,
-			  const char *id)
-{
-	const char *slash = strchr(id, '/');
-	size_t length = strlen(domain->name);
-	char *end;
-
-	if (!slash || strncmp(id, domain->name, length) || id[length] != '-')
-		return false;
-	out->job = find_by_id(domain, id);
-	out->index = (uint32_t)strtoul(slash + 1, &end, 10);
-	if (*end != '/')
-		return false;
-	out->attempt = (uint32_t)strtoul(end + 1, NULL, 10);
-	return out->job && out->index < out->job->spec.tasks;
-}
-
-static void take_running(struct zr_domain *domain, zr_handle worker,
-			 const struct zr_worker_task *task)
-{
-	struct domain_placement *placement;
-	struct task_ref ref;
-
-	if (!parse_task_id(&ref, domain, task->id) || !ref.job->handle) {
-		zr_fleet_stop(domain->fleet, worker, task->id, ZR_WORKER_STOP);
-		return;
-	}
-	placement = &ref.job->placements[ref.index];
-	if (placement->worker == worker && placement->attempt == ref.attempt) {
-		zr_sched_task_usage(domain->sched, ref.job->handle, ref.index,
-				    ref.attempt, &task->used);
-		return;
-	}
-	if (zr_sched_task_adopt(domain->sched, ref.job->handle, ref.index,
-				ref.attempt, worker) < 0) {
-		zr_fleet_stop(domain->fleet, worker, task->id, ZR_WORKER_STOP);
-		return;
-	}
-	placement->worker = worker;
-	placement->attempt = ref.attempt;
-	placement->intent = false;
-}
-
-struct end_kept {
-	struct zr_domain *domain;
-	zr_handle worker;
-	uint64_t sequence;
-};
-
-static void on_end_kept(void *ctx, int error)
-{
-	struct end_kept *kept = ctx;
-
-	if (!error)
-		zr_fleet_acknowledge(kept->domain->fleet, kept->worker,
-				     kept->sequence);
-	free(kept);
-}
-
-static void keep_end(struct zr_domain *domain, zr_handle worker,
-		     const struct zr_worker_end *end,
-		     const struct task_ref *ref, enum zr_sched_outcome outcome)
-{
-	zx_record record = {.kind = ZX_RECORD_TASK_ENDED};
-	zx_task_ended *ended = &record.zx_record_u.task_ended;
-	struct end_kept *kept = calloc(1, sizeof(*kept));
-
-	if (!kept)
-		abort();
-	kept->domain = domain;
-	kept->worker = worker;
-	kept->sequence = end->sequence;
-	ended->number = ref->job->number;
-	ended->index = ref->index;
-	ended->attempt = ref->attempt;
-	ended->outcome = outcome;
-	ended->result = end->result ? end->result : "";
-	zr_domain_keep(domain, &record, on_end_kept, kept);
-}
-
-static enum zr_sched_outcome outcome_of(const struct zr_worker_end *end)
-{
-	if (end->succeeded)
-		return ZR_SCHED_SUCCEEDED;
-	return end->stopped ? ZR_SCHED_STOPPED : ZR_SCHED_FAILED;
-}
-
-static void take_end(struct zr_domain *domain, zr_handle worker,
-		     const struct zr_worker_end *end)
-{
-	enum zr_sched_outcome outcome = outcome_of(end);
-	struct domain_placement *placement;
-	struct task_ref ref;
-
-	if (!parse_task_id(&ref, domain, end->id) || !ref.job->handle) {
-		zr_fleet_acknowledge(domain->fleet, worker, end->sequence);
-		return;
-	}
-	placement = &ref.job->placements[ref.index];
-	if (placement->attempt > ref.attempt ||
-	    (placement->attempt == ref.attempt && !placement->worker &&
-	     !placement->intent))
-		return; /* told before, and not yet kept */
-	if (placement->worker == ZR_HANDLE_NONE)
-		zr_sched_task_adopt(domain->sched, ref.job->handle, ref.index,
-				    ref.attempt, worker);
-	placement->attempt = ref.attempt;
-	placement->intent = false;
-	if (end->result && *end->result) {
-		free(ref.job->result);
-		ref.job->result = strdup(end->result);
-	}
-	keep_end(domain, worker, end, &ref, outcome);
-	end_task(ref.job, ref.index, ref.attempt, outcome);
-}
-
-void zr_domain_report(void *ctx, zr_handle worker,
-		      const struct zr_worker_report *report)
-{
-	struct zr_domain *domain = ctx;
-	size_t i;
-
-	for (i = 0; i < report->task_count; i++)
-		take_running(domain, worker, &report->tasks[i]);
-	for (i = 0; i < report->end_count; i++)
-		take_end(domain, worker, &report->ends[i]);
-	zr_domain_drain(domain);
-}
--- a/src/libzinniarack/worker/http_worker.c
+++ b/src/libzinniarack/worker/http_worker.c
@@ -11,6 +11,7 @@
 #define CALL_TIMEOUT_MS 2000
 #define CONNECTIONS 3 /* a waiting sync must not hold up starts and stops */
 #define STATUS_FENCED 409
+#define STATUS_LEASE_OVER 412
 #define STATUS_NO_ROOM 507
 
 struct http_worker {
@@ -29,6 +30,8 @@
 		return error;
 	if (answer->status == STATUS_FENCED)
 		return ZR_E_FENCED;
+	if (answer->status == STATUS_LEASE_OVER)
+		return ZR_E_TIMEOUT;
 	if (answer->status == STATUS_NO_ROOM)
 		return ZR_E_FULL;
 	if (answer->status == 404)
@@ -53,6 +56,11 @@
 	return value > 0 && value <= UINT32_MAX ? (uint32_t)value : 0;
 }
 
+static uint64_t read_uint64(json_t *object, const char *field)
+{
+	return (uint64_t)json_integer_value(json_object_get(object, field));
+}
+
 static bool read_id(char out[ZR_TASK_ID_MAX], json_t *object)
 {
 	const char *id = json_string_value(json_object_get(object, "id"));
@@ -94,8 +102,7 @@
 
 		if (!read_id(end->id, object))
 			continue;
-		end->sequence = (uint64_t)json_integer_value(
-			json_object_get(object, "sequence"));
+		end->sequence = read_uint64(object, "sequence");
 		end->succeeded =
 			json_is_true(json_object_get(object, "succeeded"));
 		end->stopped = json_is_true(json_object_get(object, "stopped"));
@@ -106,6 +113,15 @@
 	return count;
 }
 
+static int by_sequence(const void *a, const void *b)
+{
+	const struct zr_worker_end *first = a;
+	const struct zr_worker_end *second = b;
+
+	return (first->sequence > second->sequence) -
+	       (first->sequence < second->sequence);
+}
+
 static int read_report(struct pending *pending, json_t *body)
 {
 	json_t *task_list = json_object_get(body, "tasks");
@@ -120,12 +136,15 @@
 	ends = calloc(json_array_size(end_list) + 1, sizeof(*ends));
 	if (!tasks || !ends)
 		abort();
-	report.epoch =
-		(uint64_t)json_integer_value(json_object_get(body, "epoch"));
+	report.epoch = read_uint64(body, "epoch");
+	report.boot = read_uint64(body, "boot");
+	report.token = read_uint64(body, "token");
+	report.fences = json_is_true(json_object_get(body, "fences"));
 	report.tasks = tasks;
 	report.task_count = read_tasks(tasks, task_list);
 	report.ends = ends;
 	report.end_count = read_ends(ends, end_list);
+	qsort(ends, report.end_count, sizeof(*ends), by_sequence);
 	pending->report(pending->ctx, 0, &report);
 	free(tasks);
 	free(ends);
@@ -177,11 +196,13 @@
 		      zr_worker_report_fn done, void *ctx)
 {
 	const struct pending template = {.report = done, .ctx = ctx};
-	json_t *request = json_pack("{s:I, s:I, s:I, s:I}", "epoch",
-				    (json_int_t)sync->epoch, "lease_ms",
-				    (json_int_t)sync->lease_ms, "acknowledged",
-				    (json_int_t)sync->acknowledged, "wait_ms",
-				    (json_int_t)sync->wait_ms);
+	json_t *request = json_pack(
+		"{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "epoch",
+		(json_int_t)sync->epoch, "boot", (json_int_t)sync->boot,
+		"token", (json_int_t)sync->token, "lease_ms",
+		(json_int_t)sync->lease_ms, "acknowledged",
+		(json_int_t)sync->acknowledged, "seen", (json_int_t)sync->seen,
+		"wait_ms", (json_int_t)sync->wait_ms);
 
 	post(impl, "/v1/sync", request, CALL_TIMEOUT_MS + sync->wait_ms,
 	     on_report, &template);
@@ -191,14 +212,15 @@
 		       zr_worker_done_fn done, void *ctx)
 {
 	const struct pending template = {.done = done, .ctx = ctx};
-	json_t *request =
-		json_pack("{s:I, s:s, s:I, s:I, s:I, s:I, s:s, s:s}", "epoch",
-			  (json_int_t)start->epoch, "id", start->id,
-			  "millicpus", (json_int_t)start->size.millicpus,
-			  "memory_mb", (json_int_t)start->size.memory_mb,
-			  "accelerators", (json_int_t)start->size.accelerators,
-			  "lease_ms", (json_int_t)start->lease_ms, "service",
-			  start->service, "command", start->command);
+	json_t *request = json_pack(
+		"{s:I, s:I, s:I, s:s, s:I, s:I, s:I, s:I, s:s, s:s}", "epoch",
+		(json_int_t)start->epoch, "boot", (json_int_t)start->boot,
+		"token", (json_int_t)start->token, "id", start->id, "millicpus",
+		(json_int_t)start->size.millicpus, "memory_mb",
+		(json_int_t)start->size.memory_mb, "accelerators",
+		(json_int_t)start->size.accelerators, "lease_ms",
+		(json_int_t)start->lease_ms, "service", start->service,
+		"command", start->command);
 
 	post(impl, "/v1/start", request, CALL_TIMEOUT_MS, on_done, &template);
 }
--- /dev/null
+++ b/tests/fakes/fake_cell.c
@@ -0,0 +1,617 @@
+#include "fakes/fake_cell.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "zinniarack/errors.h"
+#include "zinniarack/metrics.h"
+
+#define DOMAIN_NAME "sapporo"
+#define HOSTS_MAX 512
+#define TEXT_MAX 512
+#define HOST_LIST_EVERY_MS 1000
+#define MEMORY_MB 1000000
+
+static const char config_text[] = "teams:\n"
+				  "- name: photos\n"
+				  "  share: 1\n"
+				  "queues:\n"
+				  "- name: prints\n";
+
+struct host {
+	struct host *next;
+	struct fake_cell *cell;
+	struct fake_node *node;
+	struct zr_store store;
+	struct zr_domain *domain;
+	struct zr_metrics *metrics;
+	uint64_t epoch;
+	bool dead;
+};
+
+struct worker {
+	struct worker *next;
+	struct fake_worker *fake;
+	struct zr_host row;
+	bool listed;
+	uint64_t epoch;
+};
+
+/* A submission and its fate. */
+struct submission {
+	UT_hash_handle hh;
+	struct fake_cell *cell;
+	char name[ZR_NAME_MAX];
+	char id[ZR_JOB_ID_MAX];
+	bool at_most_once;
+	bool answered;
+	int error;
+	bool begun;
+};
+
+/* A task of a job, over all its attempts. */
+struct ledger_task {
+	UT_hash_handle hh;
+	char id[ZR_TASK_ID_MAX];
+	unsigned int begun;
+	unsigned int running;
+};
+
+struct fake_cell {
+	fake_cell_event_fn event;
+	void *ctx;
+	struct fake_net *net;
+	struct fake_store *store;
+	struct zr_config *config;
+	struct host *hosts;
+	struct worker *workers;
+	struct submission *submissions;
+	struct ledger_task *ledger;
+	struct fake_cell_counts counts;
+	unsigned int violations;
+	unsigned int groups;
+};
+
+static void *allocate(size_t size)
+{
+	void *memory = calloc(1, size);
+
+	if (!memory)
+		abort();
+	return memory;
+}
+
+__attribute__((format(printf, 2, 3))) static void tell(struct fake_cell *cell,
+						       const char *fmt, ...)
+{
+	char text[TEXT_MAX];
+	va_list args;
+
+	if (!cell->event)
+		return;
+	va_start(args, fmt);
+	vsnprintf(text, sizeof(text), fmt, args);
+	va_end(args);
+	cell->event(cell->ctx, text);
+}
+
+static void violation(struct fake_cell *cell, const char *what, const char *id)
+{
+	cell->violations++;
+	tell(cell, "VIOLATION %s: %s", what, id);
+}
+
+/* The ledger */
+
+/* The id without its attempt names the task. */
+static struct ledger_task *ledger_task(struct fake_cell *cell, const char *id)
+{
+	const char *last = strrchr(id, '/');
+	char name[ZR_TASK_ID_MAX] = "";
+	struct ledger_task *task;
+
+	memcpy(name, id, last ? (size_t)(last - id) : 0);
+	HASH_FIND_STR(cell->ledger, name, task);
+	if (task)
+		return task;
+	task = allocate(sizeof(*task));
+	snprintf(task->id, sizeof(task->id), "%s", name);
+	HASH_ADD_STR(cell->ledger, id, task);
+	return task;
+}
+
+static struct worker *find_worker(struct fake_cell *cell, const char *name)
+{
+	struct worker *worker;
+
+	LL_FOREACH(cell->workers, worker)
+	{
+		if (!strcmp(worker->row.name, name))
+			return worker;
+	}
+	abort();
+}
+
+static void check_begin(struct fake_cell *cell, const char *worker_name,
+			const struct ledger_task *task, uint64_t epoch,
+			const char *job)
+{
+	struct worker *worker = find_worker(cell, worker_name);
+	struct submission *submission;
+
+	HASH_FIND_STR(cell->submissions, job, submission);
+	if (epoch < worker->epoch)
+		violation(cell, "two owners start work on a worker",
+			  worker_name);
+	worker->epoch = epoch;
+	if (!submission)
+		return;
+	submission->begun = true;
+	if (submission->at_most_once && task->begun > 1)
+		violation(cell, "at most once, begun again", task->id);
+	if (submission->answered && submission->error < 0 &&
+	    submission->error != ZR_E_OUTCOME_UNKNOWN)
+		violation(cell, "refused as not run, and runs", job);
+}
+
+static void on_task(void *ctx, const char *worker, enum fake_worker_event event,
+		    const char *id, uint64_t epoch, const char *result)
+{
+	static const char *const names[] = {"begun", "ended", "stopped",
+					    "killed"};
+	struct fake_cell *cell = ctx;
+	struct ledger_task *task = ledger_task(cell, id);
+
+	tell(cell, "%s task %s %s", worker, id, names[event]);
+	if (event != FAKE_TASK_BEGUN) {
+		task->running--;
+		return;
+	}
+	cell->counts.begun++;
+	cell->counts.reruns += task->begun > 0;
+	task->begun++;
+	task->running++;
+	check_begin(cell, worker, task, epoch, result);
+}
+
+/* A task that a stopped worker holds does not run until it goes on. */
+static void count_running(void *ctx, const char *worker, const char *id)
+{
+	struct fake_cell *cell = ctx;
+
+	(void)worker;
+	ledger_task(cell, id)->running++;
+}
+
+static void check_running(struct fake_cell *cell)
+{
+	struct ledger_task *task;
+	struct worker *worker;
+
+	for (task = cell->ledger; task; task = task->hh.next)
+		task->running = 0;
+	LL_FOREACH(cell->workers, worker)
+	{
+		fake_worker_each(worker->fake, count_running, cell);
+	}
+	for (task = cell->ledger; task; task = task->hh.next) {
+		if (task->running > 1)
+			violation(cell, "runs in two places", task->id);
+	}
+}
+
+unsigned int fake_cell_running(const struct fake_cell *cell)
+{
+	const struct worker *worker;
+	unsigned int count = 0;
+
+	LL_FOREACH(cell->workers, worker)
+	{
+		count += fake_worker_count(worker->fake);
+	}
+	return count;
+}
+
+/* Hosts */
+
+static struct host *find_host(struct fake_cell *cell, const char *name)
+{
+	struct host *host;
+
+	LL_FOREACH(cell->hosts, host)
+	{
+		if (!host->dead && !strcmp(fake_node_name(host->node), name))
+			return host;
+	}
+	abort();
+}
+
+static int make_worker(struct zr_worker *out, void *ctx, const char *address)
+{
+	struct host *host = ctx;
+
+	fake_worker_client(out, find_worker(host->cell, address)->fake,
+			   host->node);
+	return 0;
+}
+
+static void send_host_list(struct fake_cell *cell, struct host *host)
+{
+	struct zr_host rows[HOSTS_MAX];
+	struct worker *worker;
+	size_t count = 0;
+
+	LL_FOREACH(cell->workers, worker)
+	{
+		if (worker->listed && count < HOSTS_MAX)
+			rows[count++] = worker->row;
+	}
+	zr_domain_hosts(host->domain, rows, count);
+}
+
+void fake_cell_add_host(struct fake_cell *cell, const char *name)
+{
+	struct host *host = allocate(sizeof(*host));
+	struct zr_domain_options options = {
+		.version = ZR_DOMAIN_OPTIONS_VERSION,
+		.domain = DOMAIN_NAME,
+		.name = name,
+		.worker_new = make_worker,
+		.worker_ctx = host,
+		.journal_groups = cell->groups,
+	};
+
+	host->cell = cell;
+	host->node = fake_node_new(cell->net, name);
+	fake_store_client(&host->store, cell->store, host->node);
+	zr_metrics_new(&host->metrics);
+	options.timers = fake_time_timers(fake_node_time(host->node));
+	options.clock = fake_time_clock(fake_node_time(host->node));
+	options.store = &host->store;
+	options.metrics = host->metrics;
+	if (zr_domain_new(&host->domain, &options) < 0)
+		abort();
+	zr_domain_configure(host->domain, cell->config);
+	send_host_list(cell, host);
+	LL_APPEND(cell->hosts, host);
+}
+
+static void end_host(struct host *host)
+{
+	if (host->dead)
+		return;
+	host->dead = true;
+	zr_domain_free(host->domain);
+	zr_store_free(&host->store);
+	fake_node_kill(host->node);
+	zr_metrics_free(host->metrics);
+}
+
+void fake_cell_kill(struct fake_cell *cell, const char *name)
+{
+	tell(cell, "%s killed", name);
+	end_host(find_host(cell, name));
+}
+
+static void on_stopped(void *ctx)
+{
+	struct host *host = ctx;
+
+	tell(host->cell, "%s has handed over", fake_node_name(host->node));
+}
+
+void fake_cell_stop(struct fake_cell *cell, const char *name)
+{
+	struct host *host = find_host(cell, name);
+
+	zr_domain_stop(host->domain, on_stopped, host);
+}
+
+struct zr_domain *fake_cell_active(struct fake_cell *cell)
+{
+	struct host *best = NULL;
+	struct host *host;
+
+	LL_FOREACH(cell->hosts, host)
+	{
+		if (host->dead || !zr_domain_epoch(host->domain))
+			continue;
+		if (!best || zr_domain_epoch(best->domain) <
+				     zr_domain_epoch(host->domain))
+			best = host;
+	}
+	return best ? best->domain : NULL;
+}
+
+/* Workers */
+
+void fake_cell_add_worker(struct fake_cell *cell, const char *name,
+			  unsigned int millicpus, bool fences)
+{
+	const struct fake_worker_observer observer = {on_task, cell};
+	struct worker *worker = allocate(sizeof(*worker));
+
+	worker->fake = fake_worker_new(cell->net, name, fences, &observer);
+	worker->row.kind = ZR_HOST_WORKER;
+	snprintf(worker->row.name, ZR_NAME_MAX, "%s", name);
+	snprintf(worker->row.address, ZR_NAME_MAX, "%s", name);
+	snprintf(worker->row.domain, ZR_NAME_MAX, "%s", DOMAIN_NAME);
+	worker->row.capacity.millicpus = millicpus;
+	worker->row.capacity.memory_mb = MEMORY_MB;
+	worker->listed = true;
+	LL_APPEND(cell->workers, worker);
+}
+
+void fake_cell_list(struct fake_cell *cell, const char *name, bool listed)
+{
+	find_worker(cell, name)->listed = listed;
+}
+
+void fake_cell_restart_worker(struct fake_cell *cell, const char *name)
+{
+	struct worker *worker = find_worker(cell, name);
+
+	tell(cell, "%s restarts", name);
+	fake_worker_restart(worker->fake);
+	worker->epoch = 0;
+}
+
+/* Callers */
+
+static void on_submitted(void *ctx, int error, const char *id)
+{
+	struct submission *submission = ctx;
+	struct fake_cell *cell = submission->cell;
+
+	submission->answered = true;
+	submission->error = error;
+	snprintf(submission->id, sizeof(submission->id), "%s", id ? id : "");
+	tell(cell, "submit %s: %s", submission->name,
+	     error < 0 ? zr_error_name(error) : id);
+	if (!error)
+		cell->counts.accepted++;
+	else if (error == ZR_E_OUTCOME_UNKNOWN)
+		cell->counts.unknown++;
+	else
+		cell->counts.refused++;
+	if (submission->begun && error < 0 && error != ZR_E_OUTCOME_UNKNOWN)
+		violation(cell, "runs, and refused as not run",
+			  submission->name);
+}
+
+static struct submission *find_submission(struct fake_cell *cell,
+					  const char *name)
+{
+	struct submission *submission;
+
+	HASH_FIND_STR(cell->submissions, name, submission);
+	if (!submission)
+		abort();
+	return submission;
+}
+
+static struct submission *add_submission(struct fake_cell *cell,
+					 const struct fake_cell_job *job)
+{
+	struct submission *submission = allocate(sizeof(*submission));
+
+	submission->cell = cell;
+	snprintf(submission->name, ZR_NAME_MAX, "%s", job->name);
+	submission->at_most_once = job->at_most_once;
+	HASH_ADD_STR(cell->submissions, name, submission);
+	return submission;
+}
+
+void fake_cell_submit(struct fake_cell *cell, const char *host,
+		      const struct fake_cell_job *job)
+{
+	struct zr_job_spec spec = {
+		.team = "photos",
+		.queue = "prints",
+		.kind = job->service ? ZR_JOB_SERVICE : ZR_JOB_BATCH,
+		.tasks = job->tasks,
+		.size = {1000, 1, 0},
+		.at_most_once = job->at_most_once,
+	};
+	char command[TEXT_MAX];
+
+	snprintf(spec.name, ZR_NAME_MAX, "%s", job->name);
+	snprintf(spec.idempotency_key, ZR_IDEMPOTENCY_KEY_MAX, "%s", job->key);
+	snprintf(command, sizeof(command), "%s %u %s",
+		 job->fails ? "fail" : "run", job->run_ms, job->name);
+	spec.command = command;
+	zr_domain_submit(find_host(cell, host)->domain, &spec, on_submitted,
+			 add_submission(cell, job));
+}
+
+static void on_read(void *ctx, int error, const struct zr_domain_job *job)
+{
+	struct submission *submission = ctx;
+	uint32_t results = 0;
+	uint32_t i;
+
+	if (error < 0) {
+		tell(submission->cell, "read %s: %s", submission->name,
+		     zr_error_name(error));
+		return;
+	}
+	for (i = 0; i < job->result_count; i++)
+		results += *job->results[i].result != '\0';
+	tell(submission->cell, "read %s: %s, %u running, %u ended, %u results",
+	     submission->name, zr_job_state_name(job->state), job->running,
+	     job->ended, results);
+}
+
+void fake_cell_read(struct fake_cell *cell, const char *host, const char *name)
+{
+	struct submission *submission = find_submission(cell, name);
+
+	zr_domain_read(find_host(cell, host)->domain, submission->id, "", 0,
+		       on_read, submission);
+}
+
+void fake_cell_cancel(struct fake_cell *cell, const char *host,
+		      const char *name)
+{
+	struct submission *submission = find_submission(cell, name);
+
+	zr_domain_cancel(find_host(cell, host)->domain, submission->id, "",
+			 on_read, submission);
+}
+
+static void check_found(void *ctx, int error, const struct zr_domain_job *job)
+{
+	struct submission *submission = ctx;
+
+	(void)job;
+	if (error < 0)
+		violation(submission->cell, "accepted job lost",
+			  submission->name);
+}
+
+void fake_cell_check_accepted(struct fake_cell *cell)
+{
+	struct zr_domain *domain = fake_cell_active(cell);
+	struct submission *submission;
+
+	if (!domain)
+		return;
+	for (submission = cell->submissions; submission;
+	     submission = submission->hh.next) {
+		if (submission->answered && !submission->error)
+			zr_domain_read(domain, submission->id, "", 0,
+				       check_found, submission);
+	}
+}
+
+/* Time */
+
+static void check_epochs(struct fake_cell *cell)
+{
+	struct host *host;
+
+	LL_FOREACH(cell->hosts, host)
+	{
+		uint64_t epoch = host->dead ? 0 : zr_domain_epoch(host->domain);
+
+		if (epoch == host->epoch)
+			continue;
+		host->epoch = epoch;
+		if (epoch)
+			tell(cell, "%s owns the domain, epoch %lu",
+			     fake_node_name(host->node), epoch);
+		else
+			tell(cell, "%s owns it no more",
+			     fake_node_name(host->node));
+	}
+}
+
+void fake_cell_run(struct fake_cell *cell, unsigned int ms)
+{
+	struct host *host;
+
+	for (; ms; ms--) {
+		fake_net_advance(cell->net, 1);
+		check_epochs(cell);
+		check_running(cell);
+		if (fake_cell_now_ms(cell) % HOST_LIST_EVERY_MS)
+			continue;
+		LL_FOREACH(cell->hosts, host)
+		{
+			if (!host->dead && !fake_node_paused(host->node))
+				send_host_list(cell, host);
+		}
+	}
+}
+
+long fake_cell_now_ms(const struct fake_cell *cell)
+{
+	return fake_net_now_ms(cell->net);
+}
+
+struct fake_net *fake_cell_net(struct fake_cell *cell)
+{
+	return cell->net;
+}
+
+struct fake_store *fake_cell_store(struct fake_cell *cell)
+{
+	return cell->store;
+}
+
+void fake_cell_groups(struct fake_cell *cell, unsigned int groups)
+{
+	cell->groups = groups;
+}
+
+unsigned int fake_cell_violations(const struct fake_cell *cell)
+{
+	return cell->violations;
+}
+
+const struct fake_cell_counts *fake_cell_counts(const struct fake_cell *cell)
+{
+	return &cell->counts;
+}
+
+struct fake_cell *fake_cell_new(fake_cell_event_fn event, void *ctx)
+{
+	struct fake_cell *cell = allocate(sizeof(*cell));
+
+	cell->event = event;
+	cell->ctx = ctx;
+	cell->net = fake_net_new();
+	cell->store = fake_store_new(cell->net, "store");
+	if (zr_config_parse(&cell->config, "test", config_text,
+			    strlen(config_text)) < 0) {
+		fprintf(stderr, "%s\n", zr_error_last());
+		abort();
+	}
+	return cell;
+}
+
+static void free_ledger(struct fake_cell *cell)
+{
+	struct submission *submission;
+	struct submission *next_submission;
+	struct ledger_task *task;
+	struct ledger_task *next_task;
+
+	HASH_ITER (hh, cell->submissions, submission, next_submission) {
+		HASH_DEL(cell->submissions, submission);
+		free(submission);
+	}
+	HASH_ITER (hh, cell->ledger, task, next_task) {
+		HASH_DEL(cell->ledger, task);
+		free(task);
+	}
+}
+
+void fake_cell_free(struct fake_cell *cell)
+{
+	struct host *host;
+	struct host *next_host;
+	struct worker *worker;
+	struct worker *next_worker;
+
+	cell->event = NULL;
+	LL_FOREACH_SAFE(cell->hosts, host, next_host)
+	{
+		end_host(host);
+		free(host);
+	}
+	LL_FOREACH_SAFE(cell->workers, worker, next_worker)
+	{
+		fake_worker_free(worker->fake);
+		free(worker);
+	}
+	fake_store_free(cell->store);
+	fake_net_free(cell->net);
+	free_ledger(cell);
+	zr_config_free(cell->config);
+	free(cell);
+}
--- /dev/null
+++ b/tests/fakes/fake_net.c
@@ -0,0 +1,427 @@
+#include "fakes/fake_net.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define NAME_MAX_BYTES 64
+#define LATENCY_MS 1
+#define RATE_UNIT 1000000
+
+struct fake_node {
+	struct fake_node *next;
+	struct fake_net *net;
+	char name[NAME_MAX_BYTES];
+	struct fake_time *time;
+	bool paused;
+	bool dead;
+	unsigned int missed_ms;
+	long rate;
+	long part;
+};
+
+struct link_rule {
+	struct link_rule *next;
+	char from[NAME_MAX_BYTES];
+	char to[NAME_MAX_BYTES];
+	enum fake_link mode;
+};
+
+struct fake_call {
+	struct fake_call *prev;
+	struct fake_call *next;
+	struct fake_node *client;
+	struct fake_node *server;
+	const struct fake_call_ops *ops;
+	void *ctx;
+	struct zr_timer *timeout;
+	bool finished;
+	unsigned int refs;
+};
+
+struct message {
+	struct message *prev;
+	struct message *next;
+	struct fake_call *call;
+	bool reply;
+	bool refused;
+	bool held;
+	long due_ms;
+};
+
+struct fake_net {
+	long now_ms;
+	struct fake_node *nodes;
+	struct link_rule *rules;
+	struct message *messages;
+	struct fake_call *calls;
+};
+
+static void *allocate(size_t size)
+{
+	void *memory = calloc(1, size);
+
+	if (!memory)
+		abort();
+	return memory;
+}
+
+/* Links */
+
+static bool matches(const char *rule, const char *name)
+{
+	return !*rule || !strcmp(rule, name);
+}
+
+static enum fake_link mode_of(const struct fake_net *net, const char *from,
+			      const char *to)
+{
+	const struct link_rule *rule;
+
+	LL_FOREACH(net->rules, rule)
+	{
+		if (matches(rule->from, from) && matches(rule->to, to))
+			return rule->mode;
+	}
+	return FAKE_LINK_PASS;
+}
+
+void fake_net_link(struct fake_net *net, const char *from, const char *to,
+		   enum fake_link mode)
+{
+	struct link_rule *rule = allocate(sizeof(*rule));
+
+	snprintf(rule->from, sizeof(rule->from), "%s", from ? from : "");
+	snprintf(rule->to, sizeof(rule->to), "%s", to ? to : "");
+	rule->mode = mode;
+	/* The latest rule that matches holds. */
+	LL_PREPEND(net->rules, rule);
+}
+
+static const struct fake_node *sender(const struct message *message)
+{
+	return message->reply ? message->call->server : message->call->client;
+}
+
+static struct fake_node *receiver(const struct message *message)
+{
+	return message->reply ? message->call->client : message->call->server;
+}
+
+static bool on_link(const struct message *message, const char *from,
+		    const char *to)
+{
+	return (!from || !strcmp(sender(message)->name, from)) &&
+	       (!to || !strcmp(receiver(message)->name, to));
+}
+
+void fake_net_release(struct fake_net *net, const char *from, const char *to,
+		      bool reverse)
+{
+	struct message *message;
+	struct message *next;
+
+	DL_FOREACH_SAFE(net->messages, message, next)
+	{
+		if (!message->held || !on_link(message, from, to))
+			continue;
+		message->held = false;
+		message->due_ms = net->now_ms + LATENCY_MS;
+		if (!reverse)
+			continue;
+		DL_DELETE(net->messages, message);
+		DL_PREPEND(net->messages, message);
+	}
+}
+
+/* Calls */
+
+static void unref(struct fake_call *call)
+{
+	if (--call->refs)
+		return;
+	DL_DELETE(call->client->net->calls, call);
+	zr_timer_free(call->timeout);
+	call->ops->free(call->ctx);
+	free(call);
+}
+
+static void finish(struct fake_call *call, enum fake_result result)
+{
+	if (call->finished)
+		return;
+	call->finished = true;
+	zr_timer_stop(call->timeout);
+	call->ops->finish(call->ctx, result);
+	unref(call);
+}
+
+static void on_timeout(void *ctx)
+{
+	finish(ctx, FAKE_TIMED_OUT);
+}
+
+static void add_message(struct fake_call *call, bool reply, bool refused,
+			bool held)
+{
+	struct message *message = allocate(sizeof(*message));
+	struct fake_net *net = call->client->net;
+
+	message->call = call;
+	message->reply = reply;
+	message->refused = refused;
+	message->held = held;
+	message->due_ms = net->now_ms + LATENCY_MS;
+	call->refs++;
+	DL_APPEND(net->messages, message);
+}
+
+static void send_message(struct fake_call *call, bool reply)
+{
+	const struct fake_node *from = reply ? call->server : call->client;
+	const struct fake_node *to = reply ? call->client : call->server;
+
+	if (from->dead)
+		return;
+	switch (mode_of(from->net, from->name, to->name)) {
+	case FAKE_LINK_PASS:
+		add_message(call, reply, false, false);
+		break;
+	case FAKE_LINK_HOLD:
+		add_message(call, reply, false, true);
+		break;
+	case FAKE_LINK_DROP:
+		break;
+	case FAKE_LINK_DOUBLE:
+		add_message(call, reply, false, false);
+		add_message(call, reply, false, false);
+		break;
+	case FAKE_LINK_REFUSE:
+		if (!reply)
+			add_message(call, true, true, false);
+		break;
+	}
+}
+
+void fake_call_send(struct fake_node *client, struct fake_node *server,
+		    const struct fake_call_ops *ops, void *ctx,
+		    unsigned int timeout_ms)
+{
+	struct fake_call *call = allocate(sizeof(*call));
+
+	call->client = client;
+	call->server = server;
+	call->ops = ops;
+	call->ctx = ctx;
+	call->refs = 1;
+	call->timeout =
+		zr_timer_new(fake_time_timers(client->time), on_timeout, call);
+	zr_timer_start(call->timeout, timeout_ms, 0);
+	DL_APPEND(client->net->calls, call);
+	send_message(call, false);
+}
+
+void fake_call_reply(struct fake_call *call)
+{
+	send_message(call, true);
+}
+
+void fake_call_ref(struct fake_call *call)
+{
+	call->refs++;
+}
+
+void fake_call_unref(struct fake_call *call)
+{
+	unref(call);
+}
+
+void fake_calls_cancel(struct fake_node *client, struct fake_node *server)
+{
+	struct fake_call *call;
+	struct fake_call *next;
+
+	DL_FOREACH_SAFE(client->net->calls, call, next)
+	{
+		if (call->client == client &&
+		    (!server || call->server == server))
+			finish(call, FAKE_CANCELLED);
+	}
+}
+
+static void deliver(struct message *message)
+{
+	struct fake_call *call = message->call;
+
+	if (message->refused)
+		finish(call, FAKE_REFUSED);
+	else if (message->reply)
+		finish(call, FAKE_ANSWERED);
+	else
+		call->ops->serve(call, call->ctx);
+}
+
+static void drop_message(struct fake_net *net, struct message *message)
+{
+	DL_DELETE(net->messages, message);
+	unref(message->call);
+	free(message);
+}
+
+static struct message *next_due(const struct fake_net *net)
+{
+	struct message *message;
+
+	DL_FOREACH(net->messages, message)
+	{
+		if (!message->held && !receiver(message)->paused &&
+		    message->due_ms <= net->now_ms)
+			return message;
+	}
+	return NULL;
+}
+
+static void deliver_due(struct fake_net *net)
+{
+	struct message *message;
+
+	while ((message = next_due(net))) {
+		struct fake_call *call = message->call;
+
+		DL_DELETE(net->messages, message);
+		if (!receiver(message)->dead)
+			deliver(message);
+		unref(call);
+		free(message);
+	}
+}
+
+/* Nodes */
+
+struct fake_node *fake_node_new(struct fake_net *net, const char *name)
+{
+	struct fake_node *node = allocate(sizeof(*node));
+
+	node->net = net;
+	node->time = fake_time_new();
+	node->rate = RATE_UNIT;
+	snprintf(node->name, sizeof(node->name), "%s", name);
+	LL_APPEND(net->nodes, node);
+	return node;
+}
+
+struct fake_node *fake_node_find(const struct fake_net *net, const char *name)
+{
+	struct fake_node *found = NULL;
+	struct fake_node *node;
+
+	LL_FOREACH(net->nodes, node)
+	{
+		if (!node->dead && !strcmp(node->name, name))
+			found = node;
+	}
+	return found;
+}
+
+const char *fake_node_name(const struct fake_node *node)
+{
+	return node->name;
+}
+
+struct fake_time *fake_node_time(struct fake_node *node)
+{
+	return node->time;
+}
+
+struct fake_net *fake_node_net(struct fake_node *node)
+{
+	return node->net;
+}
+
+bool fake_node_paused(const struct fake_node *node)
+{
+	return node->paused;
+}
+
+void fake_node_pause(struct fake_node *node, bool paused)
+{
+	node->paused = paused;
+	if (paused)
+		return;
+	fake_time_jump(node->time, node->missed_ms);
+	node->missed_ms = 0;
+}
+
+void fake_node_rate(struct fake_node *node, int ppm)
+{
+	node->rate = RATE_UNIT + ppm;
+}
+
+void fake_node_kill(struct fake_node *node)
+{
+	fake_calls_cancel(node, NULL);
+	node->dead = true;
+}
+
+static void advance_node(struct fake_node *node)
+{
+	unsigned int ms;
+
+	if (node->dead)
+		return;
+	node->part += node->rate;
+	ms = (unsigned int)(node->part / RATE_UNIT);
+	node->part %= RATE_UNIT;
+	if (node->paused)
+		node->missed_ms += ms;
+	else
+		fake_time_advance(node->time, ms);
+}
+
+void fake_net_advance(struct fake_net *net, unsigned int ms)
+{
+	struct fake_node *node;
+
+	for (; ms; ms--) {
+		net->now_ms++;
+		deliver_due(net);
+		LL_FOREACH(net->nodes, node)
+		{
+			advance_node(node);
+		}
+	}
+}
+
+long fake_net_now_ms(const struct fake_net *net)
+{
+	return net->now_ms;
+}
+
+struct fake_net *fake_net_new(void)
+{
+	return allocate(sizeof(struct fake_net));
+}
+
+void fake_net_free(struct fake_net *net)
+{
+	struct link_rule *rule;
+	struct link_rule *next_rule;
+	struct fake_node *node;
+	struct fake_node *next_node;
+
+	while (net->messages)
+		drop_message(net, net->messages);
+	while (net->calls)
+		unref(net->calls);
+	LL_FOREACH_SAFE(net->rules, rule, next_rule)
+	{
+		free(rule);
+	}
+	LL_FOREACH_SAFE(net->nodes, node, next_node)
+	{
+		fake_time_free(node->time);
+		free(node);
+	}
+	free(net);
+}
--- a/tests/fakes/fake_time.c
+++ b/tests/fakes/fake_time.c
@@ -150,3 +150,15 @@
 	}
 	fake->now_ms = until;
 }
+
+void fake_time_jump(struct fake_time *fake, unsigned int ms)
+{
+	struct fake_timer *timer;
+
+	fake->now_ms += ms;
+	DL_FOREACH(fake->list, timer)
+	{
+		if (timer->due_ms < fake->now_ms)
+			timer->due_ms = fake->now_ms;
+	}
+}
--- a/tests/fakes/fake_time.h
+++ b/tests/fakes/fake_time.h
@@ -24,6 +24,9 @@
 /** fake_time_advance() - move the clock and fire what falls due on the way */
 void fake_time_advance(struct fake_time *fake, unsigned int ms);
 
+/** fake_time_jump() - move the clock as a paused process finds it on waking */
+void fake_time_jump(struct fake_time *fake, unsigned int ms);
+
 /** fake_time_now_ms() - milliseconds since the test began */
 int64_t fake_time_now_ms(const struct fake_time *fake);
 
--- /dev/null
+++ b/tests/fakes/fake_worker.c
@@ -0,0 +1,510 @@
+#include "fakes/fake_worker.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "zinniarack/errors.h"
+
+#define TIMEOUT_MS 2000
+#define TICK_MS 10
+#define RESULT_MAX 64
+
+struct task {
+	UT_hash_handle hh;
+	char id[ZR_TASK_ID_MAX];
+	char result[RESULT_MAX];
+	int64_t ends_ms;
+	bool fails;
+	bool ended;
+	bool succeeded;
+	bool stopped;
+	uint64_t sequence;
+};
+
+struct fake_worker {
+	struct fake_node *node;
+	struct zr_timer *timer;
+	struct fake_worker_observer observer;
+	bool fences;
+	uint64_t boot;
+	uint64_t epoch;
+	uint64_t sequence;
+	int64_t lease_ms;
+	struct task *tasks;
+	struct call *waiting;
+};
+
+struct client {
+	struct fake_worker *worker;
+	struct fake_node *node;
+};
+
+enum call_kind {
+	CALL_SYNC,
+	CALL_START,
+	CALL_STOP,
+};
+
+struct call {
+	struct call *prev;
+	struct call *next;
+	struct fake_call *net_call;
+	struct fake_worker *worker;
+	enum call_kind kind;
+	struct zr_worker_sync sync;
+	struct zr_worker_start start;
+	char id[ZR_TASK_ID_MAX];
+	char *command;
+	enum zr_worker_stop_mode mode;
+	int64_t until_ms;
+	zr_worker_report_fn report_done;
+	zr_worker_done_fn done;
+	void *ctx;
+	int error;
+	struct zr_worker_report report;
+	struct zr_worker_task *tasks;
+	struct zr_worker_end *ends;
+};
+
+static int64_t now_ms(const struct fake_worker *worker)
+{
+	return fake_time_now_ms(fake_node_time(worker->node));
+}
+
+static void observe(struct fake_worker *worker, enum fake_worker_event event,
+		    const struct task *task)
+{
+	if (worker->observer.event)
+		worker->observer.event(worker->observer.ctx,
+				       fake_node_name(worker->node), event,
+				       task->id, worker->epoch, task->result);
+}
+
+/* Tasks */
+
+static void end_task(struct fake_worker *worker, struct task *task,
+		     bool succeeded, bool stopped)
+{
+	if (task->ended)
+		return;
+	task->ended = true;
+	task->succeeded = succeeded;
+	task->stopped = stopped;
+	task->sequence = ++worker->sequence;
+	observe(worker, stopped ? FAKE_TASK_STOPPED : FAKE_TASK_ENDED, task);
+}
+
+static void end_tasks(struct fake_worker *worker)
+{
+	bool lapsed = now_ms(worker) >= worker->lease_ms;
+	struct task *task;
+
+	for (task = worker->tasks; task; task = task->hh.next) {
+		if (!task->ended && lapsed)
+			end_task(worker, task, false, true);
+		else if (!task->ended && now_ms(worker) >= task->ends_ms)
+			end_task(worker, task, !task->fails, false);
+	}
+}
+
+/* A token is the time of its issue, so that it needs no record. */
+static int64_t lease_end(const struct fake_worker *worker, uint64_t boot,
+			 uint64_t token, uint32_t lease_ms)
+{
+	if (boot != worker->boot || !token)
+		return 0;
+	return (int64_t)token + lease_ms;
+}
+
+static void renew(struct fake_worker *worker, int64_t until_ms)
+{
+	if (worker->lease_ms < until_ms)
+		worker->lease_ms = until_ms;
+}
+
+static bool fenced(struct fake_worker *worker, uint64_t epoch)
+{
+	if (worker->fences && epoch < worker->epoch)
+		return true;
+	if (worker->epoch < epoch || !worker->fences)
+		worker->epoch = epoch;
+	return false;
+}
+
+static int start_task(struct fake_worker *worker, const struct call *call)
+{
+	const struct zr_worker_start *start = &call->start;
+	int64_t until_ms =
+		lease_end(worker, start->boot, start->token, start->lease_ms);
+	struct task *task;
+	char verb[RESULT_MAX] = "";
+	long ms = 0;
+
+	HASH_FIND_STR(worker->tasks, call->id, task);
+	if (task)
+		return 0;
+	if (until_ms <= now_ms(worker))
+		return ZR_E_TIMEOUT;
+	task = calloc(1, sizeof(*task));
+	if (!task)
+		abort();
+	snprintf(task->id, sizeof(task->id), "%s", call->id);
+	sscanf(call->command, "%63s %ld %63s", verb, &ms, task->result);
+	task->fails = !strcmp(verb, "fail");
+	task->ends_ms = now_ms(worker) + ms;
+	HASH_ADD_STR(worker->tasks, id, task);
+	renew(worker, until_ms);
+	observe(worker, FAKE_TASK_BEGUN, task);
+	return 0;
+}
+
+static int stop_task(struct fake_worker *worker, const struct call *call)
+{
+	struct task *task;
+
+	HASH_FIND_STR(worker->tasks, call->id, task);
+	if (!task)
+		return ZR_E_NOT_FOUND;
+	if (call->mode != ZR_WORKER_THROTTLE)
+		end_task(worker, task, false, true);
+	return 0;
+}
+
+/* Reports */
+
+static void clear_report(struct call *call)
+{
+	free(call->tasks);
+	free(call->ends);
+	call->tasks = NULL;
+	call->ends = NULL;
+	memset(&call->report, 0, sizeof(call->report));
+}
+
+static void add_end(struct call *call, struct task *task)
+{
+	struct zr_worker_end *end = &call->ends[call->report.end_count++];
+
+	end->sequence = task->sequence;
+	snprintf(end->id, sizeof(end->id), "%s", task->id);
+	end->succeeded = task->succeeded;
+	end->stopped = task->stopped;
+	end->result = task->result;
+}
+
+static int by_sequence(const void *a, const void *b)
+{
+	const struct zr_worker_end *first = a;
+	const struct zr_worker_end *second = b;
+
+	return (first->sequence > second->sequence) -
+	       (first->sequence < second->sequence);
+}
+
+static void fill_report(struct call *call)
+{
+	struct fake_worker *worker = call->worker;
+	size_t count = HASH_COUNT(worker->tasks) + 1;
+	struct task *task;
+
+	clear_report(call);
+	call->tasks = calloc(count, sizeof(*call->tasks));
+	call->ends = calloc(count, sizeof(*call->ends));
+	if (!call->tasks || !call->ends)
+		abort();
+	for (task = worker->tasks; task; task = task->hh.next) {
+		if (!task->ended)
+			snprintf(call->tasks[call->report.task_count++].id,
+				 ZR_TASK_ID_MAX, "%s", task->id);
+		else if (task->sequence > call->sync.acknowledged)
+			add_end(call, task);
+	}
+	qsort(call->ends, call->report.end_count, sizeof(*call->ends),
+	      by_sequence);
+	call->report.epoch = worker->epoch;
+	call->report.boot = worker->boot;
+	call->report.token = (uint64_t)now_ms(worker);
+	call->report.fences = worker->fences;
+	call->report.tasks = call->tasks;
+	call->report.ends = call->ends;
+}
+
+static void answer_sync(struct call *call)
+{
+	fill_report(call);
+	fake_call_reply(call->net_call);
+}
+
+static void serve_sync(struct fake_worker *worker, struct call *call)
+{
+	renew(worker, lease_end(worker, call->sync.boot, call->sync.token,
+				call->sync.lease_ms));
+	if (!call->sync.wait_ms || worker->sequence > call->sync.seen ||
+	    call->until_ms) {
+		answer_sync(call);
+		return;
+	}
+	call->until_ms = now_ms(worker) + call->sync.wait_ms;
+	fake_call_ref(call->net_call);
+	DL_APPEND(worker->waiting, call);
+}
+
+static void answer_waiting(struct fake_worker *worker)
+{
+	struct call *call;
+	struct call *next;
+
+	DL_FOREACH_SAFE(worker->waiting, call, next)
+	{
+		if (worker->sequence <= call->sync.seen &&
+		    now_ms(worker) < call->until_ms)
+			continue;
+		DL_DELETE(worker->waiting, call);
+		answer_sync(call);
+		fake_call_unref(call->net_call);
+	}
+}
+
+static uint64_t epoch_of(const struct call *call)
+{
+	return call->kind == CALL_SYNC ? call->sync.epoch : call->start.epoch;
+}
+
+static void serve(struct fake_call *net_call, void *ctx)
+{
+	struct call *call = ctx;
+	struct fake_worker *worker = call->worker;
+
+	call->net_call = net_call;
+	/* Leases that ended while this worker was stopped have ended. */
+	end_tasks(worker);
+	call->error = fenced(worker, epoch_of(call)) ? ZR_E_FENCED : 0;
+	if (!call->error && call->kind == CALL_SYNC) {
+		serve_sync(worker, call);
+		return;
+	}
+	if (!call->error && call->kind == CALL_START)
+		call->error = start_task(worker, call);
+	else if (!call->error)
+		call->error = stop_task(worker, call);
+	fake_call_reply(net_call);
+}
+
+static void finish(void *ctx, enum fake_result result)
+{
+	struct call *call = ctx;
+	int error = call->error;
+
+	if (result == FAKE_CANCELLED)
+		error = ZR_E_CANCELLED;
+	else if (result == FAKE_REFUSED)
+		error = ZR_E_UNREACHABLE;
+	else if (result == FAKE_TIMED_OUT)
+		error = ZR_E_OUTCOME_UNKNOWN;
+	if (call->kind == CALL_SYNC)
+		call->report_done(call->ctx, error,
+				  error < 0 ? NULL : &call->report);
+	else
+		call->done(call->ctx, error);
+}
+
+static void free_call(void *ctx)
+{
+	struct call *call = ctx;
+
+	clear_report(call);
+	free(call->command);
+	free(call);
+}
+
+static const struct fake_call_ops call_ops = {serve, finish, free_call};
+
+/* The adapter */
+
+static struct call *new_call(struct client *client, enum call_kind kind,
+			     void *ctx)
+{
+	struct call *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		abort();
+	call->worker = client->worker;
+	call->kind = kind;
+	call->ctx = ctx;
+	return call;
+}
+
+static void send_call(struct client *client, struct call *call,
+		      unsigned int timeout_ms)
+{
+	fake_call_send(client->node, client->worker->node, &call_ops, call,
+		       timeout_ms);
+}
+
+static void worker_sync(void *impl, const struct zr_worker_sync *sync,
+			zr_worker_report_fn done, void *ctx)
+{
+	struct call *call = new_call(impl, CALL_SYNC, ctx);
+
+	call->sync = *sync;
+	call->report_done = done;
+	send_call(impl, call, TIMEOUT_MS + sync->wait_ms);
+}
+
+static void worker_start(void *impl, const struct zr_worker_start *start,
+			 zr_worker_done_fn done, void *ctx)
+{
+	struct call *call = new_call(impl, CALL_START, ctx);
+
+	call->start = *start;
+	snprintf(call->id, sizeof(call->id), "%s", start->id);
+	call->command = strdup(start->command);
+	call->done = done;
+	send_call(impl, call, TIMEOUT_MS);
+}
+
+static void worker_stop(void *impl, uint64_t epoch, const char *id,
+			enum zr_worker_stop_mode mode, zr_worker_done_fn done,
+			void *ctx)
+{
+	struct call *call = new_call(impl, CALL_STOP, ctx);
+
+	call->start.epoch = epoch;
+	snprintf(call->id, sizeof(call->id), "%s", id);
+	call->mode = mode;
+	call->done = done;
+	send_call(impl, call, TIMEOUT_MS);
+}
+
+static void worker_client_free(void *impl)
+{
+	struct client *client = impl;
+
+	fake_calls_cancel(client->node, client->worker->node);
+	free(client);
+}
+
+static const struct zr_worker_ops worker_ops = {
+	.sync = worker_sync,
+	.start = worker_start,
+	.stop = worker_stop,
+	.free = worker_client_free,
+};
+
+void fake_worker_client(struct zr_worker *out, struct fake_worker *worker,
+			struct fake_node *node)
+{
+	struct client *client = calloc(1, sizeof(*client));
+
+	if (!client)
+		abort();
+	client->worker = worker;
+	client->node = node;
+	out->ops = &worker_ops;
+	out->impl = client;
+}
+
+/* The worker */
+
+static void on_tick(void *ctx)
+{
+	struct fake_worker *worker = ctx;
+
+	end_tasks(worker);
+	answer_waiting(worker);
+}
+
+struct fake_worker *fake_worker_new(struct fake_net *net, const char *name,
+				    bool fences,
+				    const struct fake_worker_observer *observer)
+{
+	struct fake_worker *worker = calloc(1, sizeof(*worker));
+
+	if (!worker)
+		abort();
+	worker->node = fake_node_new(net, name);
+	worker->fences = fences;
+	worker->boot = 1;
+	worker->observer = *observer;
+	worker->timer =
+		zr_timer_new(fake_time_timers(fake_node_time(worker->node)),
+			     on_tick, worker);
+	zr_timer_start(worker->timer, TICK_MS, TICK_MS);
+	return worker;
+}
+
+static void clear_tasks(struct fake_worker *worker)
+{
+	struct task *task;
+	struct task *next;
+
+	HASH_ITER (hh, worker->tasks, task, next) {
+		HASH_DEL(worker->tasks, task);
+		if (!task->ended)
+			observe(worker, FAKE_TASK_KILLED, task);
+		free(task);
+	}
+}
+
+void fake_worker_restart(struct fake_worker *worker)
+{
+	struct call *call;
+	struct call *next;
+
+	clear_tasks(worker);
+	worker->boot++;
+	worker->epoch = 0;
+	worker->sequence = 0;
+	worker->lease_ms = 0;
+	DL_FOREACH_SAFE(worker->waiting, call, next)
+	{
+		DL_DELETE(worker->waiting, call);
+		fake_call_unref(call->net_call);
+	}
+}
+
+void fake_worker_each(const struct fake_worker *worker,
+		      void (*each)(void *ctx, const char *worker,
+				   const char *task),
+		      void *ctx)
+{
+	const struct task *task;
+
+	if (fake_node_paused(worker->node))
+		return;
+	for (task = worker->tasks; task; task = task->hh.next) {
+		if (!task->ended)
+			each(ctx, fake_node_name(worker->node), task->id);
+	}
+}
+
+static void count_task(void *ctx, const char *worker, const char *task)
+{
+	(void)worker;
+	(void)task;
+	(*(unsigned int *)ctx)++;
+}
+
+unsigned int fake_worker_count(const struct fake_worker *worker)
+{
+	unsigned int count = 0;
+
+	fake_worker_each(worker, count_task, &count);
+	return count;
+}
+
+const char *fake_worker_name(const struct fake_worker *worker)
+{
+	return fake_node_name(worker->node);
+}
+
+void fake_worker_free(struct fake_worker *worker)
+{
+	worker->observer.event = NULL;
+	clear_tasks(worker);
+	zr_timer_free(worker->timer);
+	free(worker);
+}
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -46,6 +46,7 @@
 	struct zr_http_exchange *exchange;
 	struct timespec until;
 	uint64_t acknowledged;
+	uint64_t seen;
 };
 
 struct served {
@@ -60,6 +61,7 @@
 	struct task *tasks;
 	struct held_sync *syncs;
 	uint64_t epoch;
+	uint64_t boot;
 	uint64_t sequence;
 	struct timespec lease;
 	unsigned int serving;
@@ -140,15 +142,34 @@
 	return text ? text : "";
 }
 
+/* A token is the time of its issue, so that it needs no record. */
+static struct timespec lease_end(const struct worker *worker, json_t *request)
+{
+	int64_t boot = json_integer_value(json_object_get(request, "boot"));
+	int64_t token = json_integer_value(json_object_get(request, "token"));
+
+	if ((uint64_t)boot != worker->boot)
+		token = 0;
+	return zr_time_from_ms(token ? token + read_number(request, "lease_ms")
+				     : 0);
+}
+
+static void renew(struct worker *worker, struct timespec until)
+{
+	if (zr_time_cmp(worker->lease, until) < 0)
+		worker->lease = until;
+}
+
 static void serve_start(struct worker *worker,
 			struct zr_http_exchange *exchange, json_t *request)
 {
+	struct timespec until = lease_end(worker, request);
 	const char *id = read_string(request, "id");
 	struct task *task;
 
 	HASH_FIND_STR(worker->tasks, id, task);
-	if (task) {
-		reply_status(exchange, 200);
+	if (task || zr_time_cmp(until, now()) <= 0) {
+		reply_status(exchange, task ? 200 : 412);
 		return;
 	}
 	task = calloc(1, sizeof(*task));
@@ -160,7 +181,7 @@
 	task->size.accelerators = read_number(request, "accelerators");
 	read_command(task, read_string(request, "command"));
 	HASH_ADD_STR(worker->tasks, id, task);
-	worker->lease = zr_time_add_ms(now(), read_number(request, "lease_ms"));
+	renew(worker, until);
 	note(worker, "start", task->id);
 	reply_status(exchange, 201);
 }
@@ -205,8 +226,11 @@
 					  "stopped", (int)task->stopped,
 					  "result", task->result));
 	}
-	return json_pack("{s:I, s:o, s:o}", "epoch", (json_int_t)worker->epoch,
-			 "tasks", tasks, "ends", ends);
+	return json_pack("{s:I, s:I, s:I, s:b, s:o, s:o}", "epoch",
+			 (json_int_t)worker->epoch, "boot",
+			 (json_int_t)worker->boot, "token",
+			 (json_int_t)zr_time_to_ms(now()), "fences", 1, "tasks",
+			 tasks, "ends", ends);
 }
 
 static void on_sync_gone(void *ctx)
@@ -222,10 +246,11 @@
 {
 	struct held_sync *sync = calloc(1, sizeof(*sync));
 
-	worker->lease = zr_time_add_ms(now(), read_number(request, "lease_ms"));
+	renew(worker, lease_end(worker, request));
 	sync->worker = worker;
 	sync->exchange = exchange;
 	sync->acknowledged = read_number(request, "acknowledged");
+	sync->seen = read_number(request, "seen");
 	sync->until = zr_time_add_ms(now(), read_number(request, "wait_ms"));
 	DL_APPEND(worker->syncs, sync);
 	zr_http_on_gone(exchange, on_sync_gone, sync);
@@ -238,7 +263,7 @@
 
 	DL_FOREACH_SAFE(worker->syncs, sync, next)
 	{
-		if (worker->sequence <= sync->acknowledged &&
+		if (worker->sequence <= sync->seen &&
 		    zr_time_cmp(now(), sync->until) < 0)
 			continue;
 		DL_DELETE(worker->syncs, sync);
@@ -328,11 +353,15 @@
 	return false;
 }
 
+static void end_tasks(struct worker *worker);
+
 static void dispatch(struct worker *worker, struct zr_http_exchange *exchange,
 		     json_t *request)
 {
 	const char *path = zr_http_path(exchange);
 
+	/* Leases that ended while this process was stopped have ended. */
+	end_tasks(worker);
 	if (fenced(worker, request))
 		reply_status(exchange, 409);
 	else if (!strcmp(path, "/v1/sync"))
@@ -367,7 +396,7 @@
 	json_decref(request);
 }
 
-static void tick_worker(struct worker *worker)
+static void end_tasks(struct worker *worker)
 {
 	bool lapsed = zr_time_cmp(now(), worker->lease) > 0;
 	struct task *task;
@@ -380,6 +409,11 @@
 		else if (!task->serves && zr_time_cmp(now(), task->ends) >= 0)
 			end_task(worker, task, !task->fails, false);
 	}
+}
+
+static void tick_worker(struct worker *worker)
+{
+	end_tasks(worker);
 	answer_syncs(worker);
 }
 
@@ -419,6 +453,7 @@
 	snprintf(address, sizeof(address), "127.0.0.1:%u",
 		 state.base_port + index);
 	snprintf(worker->name, sizeof(worker->name), "%s", address);
+	worker->boot = (uint64_t)zr_time_to_ms(now());
 	return zr_http_server_new(&worker->server, uv_default_loop(), address,
 				  NULL, on_request, worker);
 }
