--- a/src/libzinniarack/domain/fleet.c
+++ b/src/libzinniarack/domain/fleet.c
@@ -415,7 +415,9 @@
 	struct worker *next;
 
 	fleet->epoch = epoch;
-	fleet->unfenced_from = zr_time_add_ms(now(fleet), lease_ms);
+	/* Under the first epoch there was nobody before. */
+	fleet->unfenced_from =
+		zr_time_add_ms(now(fleet), epoch > 1 ? lease_ms : 0);
 	fleet->rival_end = zr_time_add_ms(now(fleet), rival_ms + lease_ms);
 	HASH_ITER (hh, fleet->workers, worker, next)
 		begin_worker(worker);
--- a/src/libzinniarack/domain/image.c
+++ b/src/libzinniarack/domain/image.c
@@ -234,6 +234,7 @@
 {
 	uint64_t number = number_of(record);
 	struct image_job *job = find_job(image, number);
+	struct entry *entry;
 
 	if (record->kind == ZX_RECORD_WORKER) {
 		apply_worker(image, record, bytes, length);
@@ -241,18 +242,15 @@
 	}
 	if ((record->kind == ZX_RECORD_ACCEPTED) == (job != NULL))
 		return; /* known already, or of a job that is forgotten */
+	entry = new_entry(image, record, bytes, length);
 	if (record->kind == ZX_RECORD_ACCEPTED)
-		apply_accepted(image, number,
-			       new_entry(image, record, bytes, length));
+		apply_accepted(image, number, entry);
 	else if (record->kind == ZX_RECORD_JOB_ENDED)
-		apply_job_ended(image, job,
-				new_entry(image, record, bytes, length));
+		apply_job_ended(image, job, entry);
 	else if (record->kind == ZX_RECORD_BEGUN)
-		DL_APPEND(job->entries,
-			  new_entry(image, record, bytes, length));
+		DL_APPEND(job->entries, entry);
 	else
-		apply_task(image, job, new_entry(image, record, bytes, length),
-			   record);
+		apply_task(image, job, entry, record);
 }
 
 static void remove_job(struct zr_image *image, struct image_job *job)
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -63,6 +63,7 @@
 	size_t put_count;
 	zr_store_done_fn done;
 	void *ctx;
+	bool served;
 	int error;
 	struct zr_store_reply reply;
 	struct zr_store_value *values;
@@ -265,11 +266,8 @@
 		end_lease(store, lease);
 }
 
-static void serve(struct fake_call *net_call, void *ctx)
+static void serve_once(struct call *call)
 {
-	struct call *call = ctx;
-
-	clear_reply(call);
 	call->error = 0;
 	if (call->kind == CALL_RANGE)
 		serve_range(call->store, call);
@@ -278,6 +276,23 @@
 	else
 		serve_lease(call->store, call);
 	call->reply.revision = call->store->revision;
+}
+
+/* A doubled request has its effect twice; the first answer arrives first. */
+static void serve(struct fake_call *net_call, void *ctx)
+{
+	struct call *call = ctx;
+	struct call again = *call;
+
+	if (call->served) {
+		memset(&again.reply, 0, sizeof(again.reply));
+		again.values = NULL;
+		serve_once(&again);
+		clear_reply(&again);
+	} else {
+		call->served = true;
+		serve_once(call);
+	}
 	fake_call_reply(net_call);
 }
 
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -21,6 +21,7 @@
 	bool ended;
 	bool succeeded;
 	bool stopped;
+	bool acknowledged;
 	uint64_t sequence;
 };
 
@@ -63,6 +64,7 @@
 	zr_worker_report_fn report_done;
 	zr_worker_done_fn done;
 	void *ctx;
+	bool served;
 	int error;
 	struct zr_worker_report report;
 	struct zr_worker_task *tasks;
@@ -216,10 +218,12 @@
 	if (!call->tasks || !call->ends)
 		abort();
 	for (task = worker->tasks; task; task = task->hh.next) {
+		if (task->ended && task->sequence <= call->sync.acknowledged)
+			task->acknowledged = true;
 		if (!task->ended)
 			snprintf(call->tasks[call->report.task_count++].id,
 				 ZR_TASK_ID_MAX, "%s", task->id);
-		else if (task->sequence > call->sync.acknowledged)
+		else if (!task->acknowledged)
 			add_end(call, task);
 	}
 	qsort(call->ends, call->report.end_count, sizeof(*call->ends),
@@ -277,19 +281,24 @@
 {
 	struct call *call = ctx;
 	struct fake_worker *worker = call->worker;
+	int error;
 
 	call->net_call = net_call;
 	/* Leases that ended while this worker was stopped have ended. */
 	end_tasks(worker);
-	call->error = fenced(worker, epoch_of(call)) ? ZR_E_FENCED : 0;
-	if (!call->error && call->kind == CALL_SYNC) {
+	error = fenced(worker, epoch_of(call)) ? ZR_E_FENCED : 0;
+	if (!error && call->kind == CALL_SYNC) {
 		serve_sync(worker, call);
 		return;
 	}
-	if (!call->error && call->kind == CALL_START)
-		call->error = start_task(worker, call);
-	else if (!call->error)
-		call->error = stop_task(worker, call);
+	if (!error && call->kind == CALL_START)
+		error = start_task(worker, call);
+	else if (!error && call->kind == CALL_STOP)
+		error = stop_task(worker, call);
+	/* A doubled request has its effect twice; the first answer counts. */
+	if (!call->served)
+		call->error = error;
+	call->served = true;
 	fake_call_reply(net_call);
 }
 
--- a/tests/runners/run_domain.c
+++ b/tests/runners/run_domain.c
@@ -6,7 +6,7 @@
  *   worker NAME MILLICPUS [nofence]
  *   list NAME yes|no          whether the host list shows a worker
  *   run MS                    let time pass
- *   submit HOST NAME MS [tasks=N] [once] [key=K] [fail] [service]
+ *   submit HOST NAME MS [tasks=N] [once] [key=K] [fail] [service] [times=N]
  *   read HOST NAME            read the job that was submitted as NAME
  *   cancel HOST NAME
  *   link FROM TO pass|hold|drop|double|refuse   `*` stands for any
@@ -102,8 +102,11 @@
 static void do_submit(struct script *script)
 {
 	const char *tasks = value_of(script, "tasks");
+	const char *times = value_of(script, "times");
 	const char *key = value_of(script, "key");
-	const struct fake_cell_job job = {
+	char name[LINE_MAX_BYTES];
+	int i;
+	struct fake_cell_job job = {
 		.name = word(script, 2),
 		.run_ms = (unsigned int)atoi(word(script, 3)),
 		.tasks = tasks ? (unsigned int)atoi(tasks) : 1,
@@ -113,7 +116,13 @@
 		.service = has(script, "service"),
 	};
 
-	fake_cell_submit(script->cell, word(script, 1), &job);
+	if (!times)
+		fake_cell_submit(script->cell, word(script, 1), &job);
+	for (i = 1; times && i <= atoi(times); i++) {
+		snprintf(name, sizeof(name), "%s-%d", word(script, 2), i);
+		job.name = name;
+		fake_cell_submit(script->cell, word(script, 1), &job);
+	}
 }
 
 static void do_read(struct script *script)
