--- /dev/null
+++ b/src/libzinniarack/chart/charts.c
@@ -0,0 +1,87 @@
+#include "zinniarack/charts.h"
+
+#include <string.h>
+
+static const char *const ownership_states[] = {
+	"standby", "campaigning", "owning", "released", NULL,
+};
+
+static const char *const ownership_events[] = {
+	"vacant", "won", "not_won", "lost", "release", NULL,
+};
+
+static const char *const worker_states[] = {
+	"unknown", "up", "leaving", "unheard", NULL,
+};
+
+static const char *const worker_events[] = {
+	"heard", "heard_leaving", "silent", "lease_lapsed", NULL,
+};
+
+static const char *const connection_states[] = {
+	"opening", "idle", "busy", "closing", NULL,
+};
+
+static const char *const connection_events[] = {
+	"connected", "sent", "answered", "failed", NULL,
+};
+
+static const char *const job_states[] = {
+	"waiting", "running",	"parked", "succeeded",
+	"failed",  "cancelled", NULL,
+};
+
+static const char *const job_events[] = {
+	"placed",    "displaced", "parked",    "unparked",
+	"succeeded", "failed",	  "cancelled", NULL,
+};
+
+static const struct zr_chart_names ownership_names = {
+	"ownership",
+	ownership_states,
+	ownership_events,
+};
+
+static const struct zr_chart_names worker_names = {
+	"worker",
+	worker_states,
+	worker_events,
+};
+
+static const struct zr_chart_names connection_names = {
+	"connection",
+	connection_states,
+	connection_events,
+};
+
+static const struct zr_chart_names job_names = {
+	"job",
+	job_states,
+	job_events,
+};
+
+int zr_charts_load(struct zr_charts *out, const char *folder)
+{
+	int error;
+
+	memset(out, 0, sizeof(*out));
+	if ((error = zr_chart_load(&out->ownership, folder, &ownership_names)) <
+		    0 ||
+	    (error = zr_chart_load(&out->worker, folder, &worker_names)) < 0 ||
+	    (error = zr_chart_load(&out->connection, folder,
+				   &connection_names)) < 0 ||
+	    (error = zr_chart_load(&out->job, folder, &job_names)) < 0) {
+		zr_charts_clear(out);
+		return error;
+	}
+	return 0;
+}
+
+void zr_charts_clear(struct zr_charts *charts)
+{
+	zr_chart_free(charts->ownership);
+	zr_chart_free(charts->worker);
+	zr_chart_free(charts->connection);
+	zr_chart_free(charts->job);
+	memset(charts, 0, sizeof(*charts));
+}
--- /dev/null
+++ b/tests/caller/main.c
@@ -0,0 +1,124 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "caller.h"
+#include "zinniarack/clock.h"
+
+#define CONNECTIONS_PER_ENTRY 64
+#define DEFAULT_LIMIT_S 50
+#define MS_PER_S 1000
+
+struct arguments {
+	struct caller caller;
+	const char *plan;
+	const char *ledger;
+	unsigned int limit_s;
+};
+
+int64_t caller_now_ms(void)
+{
+	return zr_time_to_ms(zr_clock_now(zr_clock_system()));
+}
+
+static void add_entry(struct caller *caller, const char *address)
+{
+	struct zr_http_client_options options = ZR_HTTP_CLIENT_OPTIONS_INIT;
+
+	options.max_connections = CONNECTIONS_PER_ENTRY;
+	options.max_waiting = 1 << 16;
+	if (caller->entry_count == CALLER_ENTRIES_MAX ||
+	    zr_http_client_new(&caller->entries[caller->entry_count++],
+			       caller->loop, address, &options) < 0) {
+		fprintf(stderr, "entry '%s' cannot be used\n", address);
+		exit(2);
+	}
+}
+
+static void add_team(struct caller *caller, const char *text)
+{
+	struct caller_team *team = &caller->teams[caller->team_count++];
+
+	if (caller->team_count > CALLER_TEAMS_MAX ||
+	    sscanf(text, "%63[^:]:%u:%255s", team->name, &team->share,
+		   team->key) != 3) {
+		fprintf(stderr, "not TEAM:SHARE:KEY: %s\n", text);
+		exit(2);
+	}
+}
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *arguments = state->input;
+
+	switch (key) {
+	case 'e':
+		add_entry(&arguments->caller, arg);
+		return 0;
+	case 't':
+		add_team(&arguments->caller, arg);
+		return 0;
+	case 'p':
+		arguments->plan = arg;
+		return 0;
+	case 'l':
+		arguments->ledger = arg;
+		return 0;
+	case 's':
+		arguments->limit_s = (unsigned int)atoi(arg);
+		return 0;
+	case ARGP_KEY_END:
+		if (!arguments->plan || !arguments->ledger)
+			argp_error(state, "--plan and --ledger are needed");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void on_limit(uv_timer_t *timer)
+{
+	struct caller *caller = timer->data;
+
+	caller->timed_out = true;
+	uv_stop(caller->loop);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{"entry", 'e', "ADDRESS", 0, "An entry daemon; repeat", 0},
+		{"team", 't', "TEAM:SHARE:KEY", 0, "A team; repeat", 0},
+		{"plan", 'p', "FILE", 0, "The work", 0},
+		{"ledger", 'l', "FILE", 0, "The workers' ledger", 0},
+		{"limit", 's', "SECONDS", 0, "Give up after so long", 0},
+		{0},
+	};
+	static const struct argp argp = {
+		options, parse_option, NULL, "Calls entry daemons.",
+		NULL,	 NULL,	       NULL};
+	struct arguments arguments = {.limit_s = DEFAULT_LIMIT_S};
+	struct caller *caller = &arguments.caller;
+	int overlaps;
+	int status;
+
+	signal(SIGPIPE, SIG_IGN);
+	caller->loop = uv_default_loop();
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	if (caller_read_plan(caller, arguments.plan))
+		return 2;
+	uv_timer_init(caller->loop, &caller->limit);
+	caller->limit.data = caller;
+	uv_timer_start(&caller->limit, on_limit,
+		       (uint64_t)arguments.limit_s * MS_PER_S, 0);
+	caller_begin(caller);
+	uv_run(caller->loop, UV_RUN_DEFAULT);
+	overlaps = caller_read_ledger(caller, arguments.ledger);
+	status = caller_report(caller, arguments.ledger);
+	printf("tasks in two places at once: %d\n", overlaps);
+	if (caller->timed_out)
+		printf("gave up after %u s\n", arguments.limit_s);
+	return status || overlaps || caller->timed_out;
+}
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -1,7 +1,8 @@
 /*
  * Stands in for workers in tests: one process serves several, one a port. A
  * command is `run MS [RESULT]`, `fail MS` or `serve MS`. Each task that begins
- * or ends adds a line to the ledger, which tests read to count runs.
+ * or ends adds a line to the ledger, which tests read to count runs: what, the
+ * task, the worker, and the monotonic time in milliseconds.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -83,7 +84,8 @@
 {
 	if (!state.ledger)
 		return;
-	fprintf(state.ledger, "%s %s %s\n", what, id, worker->name);
+	fprintf(state.ledger, "%s %s %s %" PRId64 "\n", what, id, worker->name,
+		zr_time_to_ms(now()));
 	fflush(state.ledger);
 }
 
--- /dev/null
+++ b/tests/unit/test_chart.c
@@ -0,0 +1,129 @@
+#include <check.h>
+#include <limits.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "zinniarack/charts.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/job.h"
+
+static const char *const states[] = {"red", "green", "off", NULL};
+static const char *const events[] = {"go", "halt", "fail", NULL};
+static const struct zr_chart_names names = {"lamp", states, events};
+
+#define GOOD                                   \
+	"chart: lamp\ninitial: red\nstates:\n" \
+	"  - {name: red, on: [{event: go, to: green}]}\n"
+
+static char folder[] = "/tmp/zr_chart_XXXXXX";
+static char path[PATH_MAX];
+
+static void write_chart(const char *text)
+{
+	FILE *file = fopen(path, "w");
+
+	ck_assert_ptr_nonnull(file);
+	fputs(text, file);
+	fclose(file);
+}
+
+static void refuses(const char *text, const char *fault)
+{
+	struct zr_chart *chart;
+
+	write_chart(text);
+	ck_assert_int_eq(zr_chart_load(&chart, folder, &names), ZR_E_INVALID);
+	ck_assert_msg(strstr(zr_error_last(), fault) != NULL, "%s: not in: %s",
+		      fault, zr_error_last());
+}
+
+START_TEST(test_interprets_a_chart)
+{
+	struct zr_chart *chart;
+	int state;
+
+	write_chart(GOOD "  - {name: green, on: [{event: halt, to: red}, "
+			 "{event: fail, to: off}]}\n"
+			 "  - {name: off, final: true}\n");
+	ck_assert_int_eq(zr_chart_load(&chart, folder, &names), 0);
+	state = zr_chart_initial(chart);
+	ck_assert_int_eq(state, 0);
+	ck_assert_int_eq(zr_chart_next(&state, chart, state, 0), 0);
+	ck_assert_int_eq(state, 1);
+	ck_assert_int_eq(zr_chart_next(&state, chart, state, 0), ZR_E_STATE);
+	ck_assert_str_eq(zr_error_last(),
+			 "chart 'lamp': event 'go' in state 'green'");
+	ck_assert_int_eq(state, 1);
+	ck_assert_int_eq(zr_chart_next(&state, chart, state, 2), 0);
+	ck_assert(zr_chart_final(chart, state));
+	zr_chart_free(chart);
+}
+END_TEST
+
+START_TEST(test_refuses_faulty_charts)
+{
+	refuses(GOOD "  - {name: green, on: [{event: halt, to: blue}]}\n",
+		"missing target 'blue'");
+	refuses(GOOD "  - {name: green, on: [{event: hop, to: red}]}\n",
+		"unknown event 'hop'");
+	refuses(GOOD "  - {name: blue, final: true}\n", "unknown state 'blue'");
+	refuses(GOOD "  - {name: green, on: [{event: halt, to: red}, "
+		     "{event: halt, to: off}]}\n",
+		"two ways for event 'halt'");
+	refuses(GOOD "  - {name: green, on: [{event: halt, to: red}, "
+		     "{event: fail, to: green}]}\n"
+		     "  - {name: off, final: true}\n",
+		"unreachable state 'off'");
+	refuses(GOOD "  - {name: green, on: [{event: halt, to: red}]}\n",
+		"no description of state 'off'");
+	refuses(GOOD "  - {name: green}\n", "no way out of state 'green'");
+	refuses(GOOD "  - {name: green, final: true, "
+		     "on: [{event: halt, to: red}]}\n",
+		"a way out of final state 'green'");
+	refuses(GOOD "  - {name: green, on: [{event: halt, to: off}]}\n"
+		     "  - {name: off, final: true}\n",
+		"no state knows event 'fail'");
+	refuses("chart: lamp\ninitial: red\n", "states");
+	refuses("chart: door\ninitial: red\nstates:\n  - {name: red}\n",
+		"the file holds chart 'door'");
+}
+END_TEST
+
+START_TEST(test_shipped_charts_load)
+{
+	struct zr_charts charts;
+	int state;
+
+	ck_assert_msg(zr_charts_load(&charts, ZR_SOURCE "/charts") == 0, "%s",
+		      zr_error_last());
+	ck_assert(zr_chart_final(charts.job, ZR_JOB_SUCCEEDED));
+	ck_assert_int_eq(zr_chart_next(&state, charts.job, ZR_JOB_SUCCEEDED,
+				       ZR_JOB_EVENT_PLACED),
+			 ZR_E_STATE);
+	zr_charts_clear(&charts);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("chart");
+	TCase *tcase = tcase_create("chart");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	if (!mkdtemp(folder))
+		return 1;
+	snprintf(path, sizeof(path), "%s/lamp.yaml", folder);
+	tcase_add_test(tcase, test_interprets_a_chart);
+	tcase_add_test(tcase, test_refuses_faulty_charts);
+	tcase_add_test(tcase, test_shipped_charts_load);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	unlink(path);
+	rmdir(folder);
+	return failed != 0;
+}
