A relay that loses connections, and the platform gone silent in a test

Cause: connections that go silent for good, and a domain cut off from the platform, could not be brought about with real processes.

A submission during the cut is answered outcome_unknown, not yet a true 'not run'.

--- a/tests/cell.sh
+++ b/tests/cell.sh
@@ -13,6 +13,7 @@
 	cell_base=$3
 	cell_entry_count=0
 	cell_worker_count=0
+	cell_relay_count=0
 	cell_pids=
 	mkdir -p "$cell_dir"
 	: >"$cell_dir/hosts.rows"
@@ -38,11 +39,12 @@
 	cell_entry_count=$(($cell_entry_count + 1))
 	offset=$((100 + 10 * $cell_entry_count))
 	name=$1-$cell_entry_count
+	eval "platform=\${cell_platform_$1:-1}"
 	cat >"$cell_dir/$name.yaml" <<-EOF
 	name: $name
 	failure_domain: $1
-	store: $(cell_port 1)
-	host_list: $(cell_port 2)
+	store: $(cell_port $platform)
+	host_list: $(cell_port $(($platform + 1)))
 	charts: $cell_source/charts
 	entry:
 	  http: $(cell_port $offset)
@@ -58,6 +60,18 @@
 		"$(cell_port $(($offset + 3)))" >>"$cell_dir/hosts.rows"
 }
 
+# cell_add_relay DOMAIN: entry hosts of DOMAIN that are added from here on reach
+# the platform over a relay of their own, NAME relay.DOMAIN; signals to it cut
+# the domain off (see tests/standins/relay.c).
+cell_add_relay () {
+	cell_relay_count=$(($cell_relay_count + 1))
+	offset=$((10 + 2 * $cell_relay_count))
+	eval "cell_platform_$1=$offset"
+	cell_spawn "relay.$1" "$cell_build/standin-relay" \
+		"$(cell_port $offset)=$(cell_port 1)" \
+		"$(cell_port $(($offset + 1)))=$(cell_port 2)"
+}
+
 # cell_add_worker DOMAIN RACK MILLICPUS MEMORY_MB ACCELERATORS
 cell_add_worker () {
 	port=$(($cell_base + 400 + $cell_worker_count))
