Configuration folder: stated override and removal, every field checked

Cause: files could only add items; libcyaml alone reports no ranges, names no file for references, and reads 010 as eight.

Files are merged as YAML documents in the byte order of their names. An item declared twice is a conflict that names both places; 'replace: true' overrides and 'remove: true' takes away one of an earlier file. Each field is held against the libcyaml schema and a table of rules (range, unit, characters) before it is loaded; an error names file, line, field and what is allowed. The settings go through the same checks.

--- a/include/zinniarack/config.h
+++ b/include/zinniarack/config.h
@@ -10,9 +10,10 @@
 /**
  * DOC: Configuration
  *
- * What operators declare: teams, queues, keys and the policy. They keep it as
- * a folder of YAML files, which are merged in the order of their names into
- * one document with one version. A document is never changed in place.
+ * What operators declare: failure domains, teams, queues, keys, jobs that must
+ * keep running, drained workers and the policy. They keep it as a folder of
+ * YAML files, which are merged in the order of their names into one document
+ * with one version. A document is never changed in place.
  */
 
 /**
@@ -50,37 +51,123 @@
 	uint32_t worth;
 };
 
+/**
+ * enum zr_key_role - what the holder of a key may do
+ * @ZR_KEY_TEAM: submit, read and cancel the work of its team
+ * @ZR_KEY_OPERATOR: change the configuration, read and cancel any work
+ */
+enum zr_key_role {
+	ZR_KEY_TEAM,
+	ZR_KEY_OPERATOR,
+};
+
 /**
  * struct zr_config_key - a granted key, kept as a salted hash
  * @id: the public part of the key
- * @team: whose key it is
+ * @role: what its holder may do
+ * @team: whose key it is; NULL for an operator's
  * @salt: hexadecimal salt
  * @sha256: hexadecimal SHA-256 of salt and secret
  */
 struct zr_config_key {
 	char *id;
+	enum zr_key_role role;
 	char *team;
 	char *salt;
 	char *sha256;
 };
 
+/**
+ * struct zr_config_job - a job that is kept in being while it is declared
+ * @name: its name
+ * @team: whose job it is
+ * @queue: the queue it is in
+ * @kind: how its tasks are placed
+ * @tasks: how many tasks; for a service, replicas; in each failure domain
+ * @cpus: processors of each task
+ * @memory_mb: memory of each task, in MiB
+ * @accelerators: accelerators of each task
+ * @worth: higher is placed first
+ * @urgent: may preempt work of less worth
+ * @run_ms: declared run time of a task, 0 when unknown
+ * @command: what the worker runs
+ * @failure_domains: where it exists, once in each
+ */
+struct zr_config_job {
+	char *name;
+	char *team;
+	char *queue;
+	enum zr_job_kind kind;
+	uint32_t tasks;
+	double cpus;
+	uint32_t memory_mb;
+	uint32_t accelerators;
+	uint32_t worth;
+	bool urgent;
+	uint64_t run_ms;
+	char *command;
+	char **failure_domains;
+	uint32_t failure_domains_count;
+};
+
+/** struct zr_config_name - an item that is a name alone */
+struct zr_config_name {
+	char *name;
+};
+
+/**
+ * enum zr_unconfirmed - what to do with keys that may have been withdrawn
+ * @ZR_UNCONFIRMED_REFUSE: refuse new keyed work as not run
+ * @ZR_UNCONFIRMED_ACCEPT: take it by the last configuration known
+ */
+enum zr_unconfirmed {
+	ZR_UNCONFIRMED_REFUSE,
+	ZR_UNCONFIRMED_ACCEPT,
+};
+
+/**
+ * Most bytes of a declared job's name and a failure domain's name together, so
+ * that the idempotency key made from them is whole.
+ */
+#define ZR_DECLARED_NAMES_MAX 106
+
+/** Default of &struct zr_config.key_check.confirm_within_ms. */
+#define ZR_CONFIRM_WITHIN_MS 5000
+
 /**
  * struct zr_config - one version of the configuration
  * @version: raised by one with each accepted change
+ * @author: id of the key under which this version was accepted
  * @policy: the order of worth
+ * @key_check: keys while nobody can confirm that they are in force
+ * @failure_domains: the failure domains; each idempotency key has its home in
+ *	one of them
  * @teams: teams
  * @queues: queues
  * @keys: keys in force
+ * @jobs: jobs that must keep running
+ * @drained: workers that get no new work
  */
 struct zr_config {
 	uint64_t version;
+	char *author;
 	enum zr_policy policy;
+	struct {
+		enum zr_unconfirmed when_unconfirmed;
+		uint32_t confirm_within_ms;
+	} key_check;
+	struct zr_config_name *failure_domains;
+	uint32_t failure_domains_count;
 	struct zr_config_team *teams;
 	uint32_t teams_count;
 	struct zr_config_queue *queues;
 	uint32_t queues_count;
 	struct zr_config_key *keys;
 	uint32_t keys_count;
+	struct zr_config_job *jobs;
+	uint32_t jobs_count;
+	struct zr_config_name *drained;
+	uint32_t drained_count;
 };
 
 /**
@@ -88,7 +175,13 @@
  * @out: the merged document with version 0
  * @path: the folder; its files named *.yaml are read in the order of names
  *
- * Return: 0, ZR_E_NOT_FOUND, ZR_E_INVALID or ZR_E_CONFLICT.
+ * An item declared in two files is a conflict, unless the later one says
+ * `replace: true`. An item that says only its name and `remove: true` takes
+ * away the one declared before. The field `replace`, a list of names, does the
+ * same for the fields of the document itself, such as `policy`.
+ *
+ * Return: 0, ZR_E_NOT_FOUND, ZR_E_INVALID or ZR_E_CONFLICT; zr_error_last()
+ * names file, line, field and what is allowed.
  */
 int zr_config_load_folder(struct zr_config **out, const char *path);
 
@@ -123,13 +216,32 @@
 const struct zr_config_queue *zr_config_queue(const struct zr_config *config,
 					      const char *name);
 
+/** zr_config_drained() - whether a worker is to get no new work */
+bool zr_config_drained(const struct zr_config *config, const char *worker);
+
+/**
+ * zr_config_job_spec() - the job that a declaration asks for in a domain
+ * @out: the job; free @out->command with zr_job_spec_clear()
+ * @job: the declaration
+ * @domain: the failure domain
+ * @instance: raised by one when a changed declaration replaces a job
+ *
+ * Its idempotency key is `declared/<name>/<domain>/<instance>`, so that
+ * submitting it again finds the job that is there.
+ *
+ * Return: 0 or ZR_E_NOMEM.
+ */
+int zr_config_job_spec(struct zr_job_spec *out, const struct zr_config_job *job,
+		       const char *domain, uint32_t instance);
+
 /**
  * zr_config_authenticate() - find the key that a caller presented
  * @out: the key's entry, valid as long as @config
  * @config: the configuration in force
  * @credential: `<id>.<secret>`
  *
- * The secret is compared in constant time.
+ * The work is the same for an unknown id as for a wrong secret, and secrets
+ * are compared in constant time.
  *
  * Return: 0 or ZR_E_UNAUTHORIZED.
  */
--- a/include/zinniarack/settings.h
+++ b/include/zinniarack/settings.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "zinniarack/config.h"
 #include "zinniarack/log.h"
 
 /**
@@ -23,6 +24,8 @@
  * @scheduler: addresses of the scheduler daemon
  * @log: level and format of the log
  * @limits: limits on callers
+ * @operators: keys of operators that hold whatever the configuration says, to
+ *	load the first one and to mend one that locks its operators out
  */
 struct zr_settings {
 	char *name;
@@ -47,6 +50,8 @@
 		uint32_t request_timeout_ms; /* to send a whole request */
 		uint32_t connections;	     /* open at once from callers */
 	} limits;
+	struct zr_config_key *operators;
+	uint32_t operators_count;
 };
 
 /**
--- a/src/cli/config.c
+++ b/src/cli/config.c
@@ -16,8 +16,9 @@
 
 	if (error < 0)
 		return cli_fail(error);
-	printf("%s: valid: %u teams, %u queues, %u keys\n", folder,
-	       config->teams_count, config->queues_count, config->keys_count);
+	printf("%s: valid: %u teams, %u queues, %u keys, %u jobs\n", folder,
+	       config->teams_count, config->queues_count, config->keys_count,
+	       config->jobs_count);
 	zr_config_free(config);
 	return CLI_EXIT_OK;
 }
--- a/src/libzinniarack/config/folder.c
+++ b/src/libzinniarack/config/folder.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/merge.h"
 #include "config/schema.h"
 #include "config/yaml.h"
 #include "zinniarack/errors.h"
@@ -21,123 +22,103 @@
 	       !strcmp(entry->d_name + length - suffix, SUFFIX);
 }
 
-/* Moves the rows of one list behind those of another. */
-static int append_rows(void **rows, uint32_t *count, void **more,
-		       uint32_t *more_count, size_t row_size)
+/* By bytes, so that the order is the same whatever the locale. */
+static int by_name(const struct dirent **a, const struct dirent **b)
 {
-	char *grown;
-
-	if (!*more_count)
-		return 0;
-	grown = realloc(*rows, (size_t)(*count + *more_count) * row_size);
-	if (!grown)
-		return ZR_E_NOMEM;
-	memcpy(grown + *count * row_size, *more, *more_count * row_size);
-	*rows = grown;
-	*count += *more_count;
-	*more_count = 0;
-	return 0;
-}
-
-static int refuse_twice(const char *path, const char *kind, const char *name)
-{
-	return zr_error_set(ZR_E_CONFLICT,
-			    "%s: %s '%s' is declared in an earlier file too",
-			    path, kind, name);
-}
-
-static int find_conflict(const struct zr_config *merged,
-			 const struct zr_config *added, const char *path)
-{
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < added->teams_count; i++) {
-		if (zr_config_team(merged, added->teams[i].name))
-			return refuse_twice(path, "team", added->teams[i].name);
-	}
-	for (i = 0; i < added->queues_count; i++) {
-		if (zr_config_queue(merged, added->queues[i].name))
-			return refuse_twice(path, "queue",
-					    added->queues[i].name);
-	}
-	for (i = 0; i < added->keys_count; i++) {
-		for (j = 0; j < merged->keys_count; j++) {
-			if (!strcmp(added->keys[i].id, merged->keys[j].id))
-				return refuse_twice(path, "key",
-						    added->keys[i].id);
-		}
-	}
-	return 0;
+	return strcmp((*a)->d_name, (*b)->d_name);
 }
 
-static int merge(struct zr_config *merged, struct zr_config *added,
-		 const char *path)
-{
-	int error = find_conflict(merged, added, path);
-
-	if (error < 0)
-		return error;
-	if (added->policy)
-		merged->policy = added->policy;
-	if ((error = append_rows((void **)&merged->teams, &merged->teams_count,
-				 (void **)&added->teams, &added->teams_count,
-				 sizeof(*merged->teams))) < 0 ||
-	    (error = append_rows((void **)&merged->queues,
-				 &merged->queues_count, (void **)&added->queues,
-				 &added->queues_count,
-				 sizeof(*merged->queues))) < 0 ||
-	    (error = append_rows((void **)&merged->keys, &merged->keys_count,
-				 (void **)&added->keys, &added->keys_count,
-				 sizeof(*merged->keys))) < 0)
-		return error;
-	return 0;
-}
-
-static int merge_file(struct zr_config *merged, const char *folder,
+static int merge_file(struct zr_merge *merge, const char *folder,
 		      const char *name)
 {
 	char path[PATH_MAX];
-	void *added;
+	size_t length;
+	char *text;
 	int error;
 
 	snprintf(path, sizeof(path), "%s/%s", folder, name);
-	error = zr_yaml_load_file(&added, path, &zr_config_schema);
+	error = zr_yaml_read_file(&text, &length, path);
 	if (error < 0)
 		return error;
-	error = merge(merged, added, path);
-	zr_config_free(added);
+	error = zr_merge_file(merge, path, text, length);
+	free(text);
 	return error;
 }
 
-int zr_config_load_folder(struct zr_config **out, const char *path)
+static int merge_files(struct zr_merge *merge, const char *folder)
 {
-	struct zr_config *merged = calloc(1, sizeof(*merged));
 	struct dirent **entries;
+	int count = scandir(folder, &entries, is_yaml, by_name);
 	int error = 0;
-	int count;
 	int i;
 
-	if (!merged)
-		return ZR_E_NOMEM;
-	count = scandir(path, &entries, is_yaml, alphasort);
-	if (count < 0) {
-		free(merged);
+	if (count < 0)
 		return zr_error_set(ZR_E_NOT_FOUND,
-				    "%s: cannot be read as a folder", path);
-	}
+				    "%s: cannot be read as a folder", folder);
+	if (!count)
+		error = zr_error_set(ZR_E_NOT_FOUND,
+				     "%s: holds no file named *%s", folder,
+				     SUFFIX);
 	for (i = 0; i < count; i++) {
 		if (!error)
-			error = merge_file(merged, path, entries[i]->d_name);
+			error = merge_file(merge, folder, entries[i]->d_name);
 		free(entries[i]);
 	}
 	free(entries);
+	return error;
+}
+
+static int check_merged(const struct zr_merge *merge,
+			const struct zr_config *config)
+{
+	struct zr_config_fault fault;
+	int error = zr_config_check(&fault, config);
+	const char *path;
+	size_t line;
+
 	if (!error)
-		error = zr_config_check(merged, path);
-	if (error < 0) {
-		zr_config_free(merged);
+		return 0;
+	zr_merge_locate(&path, &line, merge, &fault);
+	return zr_error_set(error, "%s:%zu: field '%s[].%s': %s", path, line,
+			    fault.section, fault.field, fault.detail);
+}
+
+static int load_merged(struct zr_config **out, struct zr_merge *merge,
+		       const char *folder)
+{
+	struct zr_config *config = NULL;
+	void *loaded = NULL;
+	size_t length = 0;
+	char *text = NULL;
+	int error = zr_merge_text(&text, &length, merge);
+
+	if (!error)
+		error = zr_yaml_load_checked(&loaded, folder, text, length,
+					     &zr_config_file_schema,
+					     zr_config_rules);
+	free(text);
+	if (error < 0)
 		return error;
-	}
-	*out = merged;
-	return 0;
+	config = loaded;
+	zr_config_fill_defaults(config);
+	error = check_merged(merge, config);
+	if (error < 0)
+		zr_config_free(config);
+	else
+		*out = config;
+	return error;
+}
+
+int zr_config_load_folder(struct zr_config **out, const char *path)
+{
+	struct zr_merge *merge;
+	int error = zr_merge_new(&merge);
+
+	if (error < 0)
+		return error;
+	error = merge_files(merge, path);
+	if (!error)
+		error = load_merged(out, merge, path);
+	zr_merge_free(merge);
+	return error;
 }
--- /dev/null
+++ b/src/libzinniarack/config/merge.c
@@ -0,0 +1,548 @@
+#include "config/merge.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "config/check.h"
+#include "zinniarack/errors.h"
+
+/* A file and its parsed document, which the declarations point into. */
+struct source {
+	struct source *prev;
+	struct source *next;
+	char *path;
+	yaml_document_t document;
+};
+
+/* An item of a list, or a field of the document when it has no name. */
+struct declaration {
+	struct declaration *prev;
+	struct declaration *next;
+	struct source *source;
+	const char *section;
+	const char *name;
+	yaml_node_t *node;
+};
+
+struct zr_merge {
+	struct source *sources;
+	struct declaration *declarations;
+};
+
+enum mode {
+	DECLARE,
+	REPLACE,
+	REMOVE,
+};
+
+int zr_merge_new(struct zr_merge **out)
+{
+	*out = calloc(1, sizeof(**out));
+	return *out ? 0 : ZR_E_NOMEM;
+}
+
+static struct declaration *find(const struct zr_merge *merge,
+				const char *section, const char *name)
+{
+	struct declaration *at;
+
+	DL_FOREACH(merge->declarations, at)
+	{
+		if (!strcmp(at->section, section) && !at->name == !name &&
+		    (!name || !strcmp(at->name, name)))
+			return at;
+	}
+	return NULL;
+}
+
+/* Conflicts */
+
+static int refuse_again(const struct declaration *former,
+			const struct declaration *added)
+{
+	return zr_error_set(
+		ZR_E_CONFLICT,
+		"%s:%zu: %s%s%s%s is declared in %s:%zu too; "
+		"expected once, or 'replace: %s' here",
+		added->source->path, zr_check_line(added->node), added->section,
+		added->name ? " '" : "", added->name ? added->name : "",
+		added->name ? "'" : "", former->source->path,
+		zr_check_line(former->node), added->name ? "true" : "[FIELD]");
+}
+
+static int refuse_absent(const struct declaration *added, const char *action)
+{
+	return zr_error_set(ZR_E_INVALID,
+			    "%s:%zu: %s '%s': nothing to %s; expected an item "
+			    "declared in an earlier file",
+			    added->source->path, zr_check_line(added->node),
+			    added->section, added->name ? added->name : "",
+			    action);
+}
+
+static int keep(struct zr_merge *merge, const struct declaration *added)
+{
+	struct declaration *kept = malloc(sizeof(*kept));
+
+	if (!kept)
+		return ZR_E_NOMEM;
+	*kept = *added;
+	DL_APPEND(merge->declarations, kept);
+	return 0;
+}
+
+static int take(struct zr_merge *merge, const struct declaration *added,
+		enum mode mode)
+{
+	struct declaration *former = find(merge, added->section, added->name);
+
+	if (mode == DECLARE)
+		return former ? refuse_again(former, added)
+			      : keep(merge, added);
+	if (!former || former->source == added->source)
+		return refuse_absent(added,
+				     mode == REMOVE ? "remove" : "replace");
+	if (mode == REMOVE) {
+		DL_DELETE(merge->declarations, former);
+		free(former);
+		return 0;
+	}
+	former->source = added->source;
+	former->name = added->name;
+	former->node = added->node;
+	return 0;
+}
+
+/* Marks: `replace: true` and `remove: true` of an item */
+
+static void drop_pair(yaml_node_t *node, yaml_node_pair_t *pair)
+{
+	yaml_node_pair_t *top = --node->data.mapping.pairs.top;
+
+	memmove(pair, pair + 1, (size_t)(top - pair) * sizeof(*pair));
+}
+
+/* Takes a field out of a mapping; NULL when it is absent. */
+static yaml_node_t *take_child(yaml_document_t *document, yaml_node_t *node,
+			       const char *key)
+{
+	yaml_node_t *value = zr_check_child(document, node, key);
+	yaml_node_pair_t *pair;
+
+	if (!value)
+		return NULL;
+	pair = node->data.mapping.pairs.start;
+	while (yaml_document_get_node(document, pair->value) != value)
+		pair++;
+	drop_pair(node, pair);
+	return value;
+}
+
+static int take_mark(bool *out, struct source *source, yaml_node_t *item,
+		     const char *section, const char *mark)
+{
+	yaml_node_t *value = take_child(&source->document, item, mark);
+	const char *text = zr_check_scalar(value);
+
+	*out = value != NULL;
+	if (!value || (text && !strcmp(text, "true")))
+		return 0;
+	return zr_error_set(ZR_E_INVALID,
+			    "%s:%zu: field '%s[].%s': expected true, or no "
+			    "such field",
+			    source->path, zr_check_line(value), section, mark);
+}
+
+static int take_mode(enum mode *out, struct source *source, yaml_node_t *item,
+		     const char *section)
+{
+	bool replace;
+	bool remove;
+	int error;
+
+	*out = DECLARE;
+	if (item->type != YAML_MAPPING_NODE)
+		return 0;
+	if ((error = take_mark(&replace, source, item, section, "replace")) <
+		    0 ||
+	    (error = take_mark(&remove, source, item, section, "remove")) < 0)
+		return error;
+	if (replace && remove)
+		return zr_error_set(ZR_E_INVALID,
+				    "%s:%zu: field '%s[].remove': not allowed "
+				    "beside 'replace'; expected one of them",
+				    source->path, zr_check_line(item), section);
+	*out = replace ? REPLACE : remove ? REMOVE : DECLARE;
+	return 0;
+}
+
+/* Items */
+
+static int check_removal(const struct source *source, const yaml_node_t *item,
+			 const char *section, const char *id)
+{
+	const yaml_node_pair_t *pairs = item->data.mapping.pairs.start;
+
+	if (item->data.mapping.pairs.top - pairs == 1)
+		return 0;
+	return zr_error_set(ZR_E_INVALID,
+			    "%s:%zu: field '%s[].remove': the item has other "
+			    "fields; expected '%s' and 'remove' alone",
+			    source->path, zr_check_line(item), section, id);
+}
+
+static int merge_item(struct zr_merge *merge, struct source *source,
+		      yaml_node_t *item, const cyaml_schema_field_t *field)
+{
+	const cyaml_schema_value_t *schema = field->value.sequence.entry;
+	const char *id = schema->mapping.fields[0].key;
+	struct declaration added = {
+		.source = source, .section = field->key, .node = item};
+	char path[ZR_FIELD_PATH_MAX];
+	enum mode mode;
+	int error = take_mode(&mode, source, item, field->key);
+
+	if (error < 0)
+		return error;
+	added.name =
+		zr_check_scalar(zr_check_child(&source->document, item, id));
+	snprintf(path, sizeof(path), "%s[]", field->key);
+	if (mode == REMOVE && added.name)
+		error = check_removal(source, item, field->key, id);
+	else
+		error = zr_check_node(source->path, &source->document, item,
+				      path, schema, zr_config_rules);
+	return error < 0 ? error : take(merge, &added, mode);
+}
+
+static int merge_items(struct zr_merge *merge, struct source *source,
+		       yaml_node_t *list, const cyaml_schema_field_t *field)
+{
+	yaml_node_item_t *item;
+	int error = 0;
+
+	if (list->type != YAML_SEQUENCE_NODE)
+		return zr_error_set(
+			ZR_E_INVALID, "%s:%zu: field '%s': expected a list",
+			source->path, zr_check_line(list), field->key);
+	for (item = list->data.sequence.items.start;
+	     !error && item < list->data.sequence.items.top; item++)
+		error = merge_item(
+			merge, source,
+			yaml_document_get_node(&source->document, *item),
+			field);
+	return error;
+}
+
+/* Fields of the document */
+
+static bool is_named(yaml_document_t *document, const yaml_node_t *list,
+		     const char *name)
+{
+	yaml_node_item_t *item;
+
+	for (item = list->data.sequence.items.start;
+	     item < list->data.sequence.items.top; item++) {
+		const char *text = zr_check_scalar(
+			yaml_document_get_node(document, *item));
+
+		if (text && !strcmp(text, name))
+			return true;
+	}
+	return false;
+}
+
+static const cyaml_schema_field_t *file_field(const char *name)
+{
+	const cyaml_schema_field_t *field;
+
+	for (field = zr_config_file_schema.mapping.fields; field->key;
+	     field++) {
+		if (!strcmp(field->key, name))
+			return field;
+	}
+	return NULL;
+}
+
+static int refuse_replace(const struct source *source, const yaml_node_t *node)
+{
+	return zr_error_set(ZR_E_INVALID,
+			    "%s:%zu: field 'replace': expected a list of "
+			    "fields that this file sets, such as [policy]; an "
+			    "item of a list takes 'replace: true'",
+			    source->path, zr_check_line(node));
+}
+
+/* Each name in `replace` must be a field of this file that is no list. */
+static int check_replace(struct source *source, const yaml_node_t *root,
+			 const yaml_node_t *replace)
+{
+	yaml_node_item_t *item;
+
+	if (replace->type != YAML_SEQUENCE_NODE)
+		return refuse_replace(source, replace);
+	for (item = replace->data.sequence.items.start;
+	     item < replace->data.sequence.items.top; item++) {
+		const yaml_node_t *node =
+			yaml_document_get_node(&source->document, *item);
+		const char *name = zr_check_scalar(node);
+		const cyaml_schema_field_t *field =
+			name ? file_field(name) : NULL;
+
+		if (!field || field->value.type == CYAML_SEQUENCE ||
+		    !zr_check_child(&source->document, root, name))
+			return refuse_replace(source, node);
+	}
+	return 0;
+}
+
+static int merge_field(struct zr_merge *merge, struct source *source,
+		       yaml_node_t *node, const cyaml_schema_field_t *field,
+		       const yaml_node_t *replace)
+{
+	const struct declaration added = {
+		.source = source, .section = field->key, .node = node};
+	bool again =
+		replace && is_named(&source->document, replace, field->key);
+
+	if (field->value.type == CYAML_SEQUENCE)
+		return merge_items(merge, source, node, field);
+	return take(merge, &added, again ? REPLACE : DECLARE);
+}
+
+/* Holds the file against the schema, but for the lists: see merge_item(). */
+static int check_fields(struct source *source, yaml_node_t *root)
+{
+	cyaml_schema_field_t fields[16] = {0};
+	cyaml_schema_value_t schema = zr_config_file_schema;
+	size_t i;
+
+	for (i = 0; zr_config_file_schema.mapping.fields[i].key; i++) {
+		fields[i] = zr_config_file_schema.mapping.fields[i];
+		if (fields[i].value.type == CYAML_SEQUENCE)
+			fields[i].value.type = CYAML_IGNORE;
+	}
+	schema.mapping.fields = fields;
+	return zr_check_node(source->path, &source->document, root, "", &schema,
+			     zr_config_rules);
+}
+
+static int merge_source(struct zr_merge *merge, struct source *source)
+{
+	yaml_node_t *root = yaml_document_get_root_node(&source->document);
+	const cyaml_schema_field_t *field;
+	yaml_node_t *replace;
+	yaml_node_t *node;
+	int error = 0;
+
+	replace = take_child(&source->document, root, "replace");
+	if (replace)
+		error = check_replace(source, root, replace);
+	if (!error)
+		error = check_fields(source, root);
+	for (field = zr_config_file_schema.mapping.fields; !error && field->key;
+	     field++) {
+		node = zr_check_child(&source->document, root, field->key);
+		if (node)
+			error = merge_field(merge, source, node, field,
+					    replace);
+	}
+	return error;
+}
+
+int zr_merge_file(struct zr_merge *merge, const char *path, const void *text,
+		  size_t length)
+{
+	struct source *source = calloc(1, sizeof(*source));
+	int error;
+
+	if (!source)
+		return ZR_E_NOMEM;
+	error = zr_check_read(&source->document, path, text, length);
+	if (error < 0) {
+		free(source);
+		return error;
+	}
+	source->path = strdup(path);
+	DL_APPEND(merge->sources, source);
+	return source->path ? merge_source(merge, source) : ZR_E_NOMEM;
+}
+
+void zr_merge_locate(const char **path, size_t *line,
+		     const struct zr_merge *merge,
+		     const struct zr_config_fault *fault)
+{
+	const struct declaration *at = find(merge, fault->section, fault->name);
+	const yaml_node_t *field;
+
+	*path = at ? at->source->path : "";
+	*line = at ? zr_check_line(at->node) : 0;
+	if (!at)
+		return;
+	field = zr_check_child(&at->source->document, at->node, fault->field);
+	if (field)
+		*line = zr_check_line(field);
+}
+
+/* Output */
+
+struct output {
+	yaml_document_t document;
+	char *text;
+	size_t length;
+};
+
+static int copy_node(struct output *output, struct source *source,
+		     const yaml_node_t *node)
+{
+	yaml_document_t *to = &output->document;
+	yaml_node_item_t *item;
+	yaml_node_pair_t *pair;
+	int id;
+
+	if (node->type == YAML_SCALAR_NODE)
+		return yaml_document_add_scalar(
+			to, NULL, node->data.scalar.value,
+			(int)node->data.scalar.length, node->data.scalar.style);
+	if (node->type == YAML_SEQUENCE_NODE) {
+		id = yaml_document_add_sequence(to, NULL,
+						YAML_BLOCK_SEQUENCE_STYLE);
+		for (item = node->data.sequence.items.start;
+		     item < node->data.sequence.items.top; item++)
+			yaml_document_append_sequence_item(
+				to, id,
+				copy_node(output, source,
+					  yaml_document_get_node(
+						  &source->document, *item)));
+		return id;
+	}
+	id = yaml_document_add_mapping(to, NULL, YAML_BLOCK_MAPPING_STYLE);
+	for (pair = node->data.mapping.pairs.start;
+	     pair < node->data.mapping.pairs.top; pair++) {
+		const yaml_node_t *key =
+			yaml_document_get_node(&source->document, pair->key);
+		const yaml_node_t *value =
+			yaml_document_get_node(&source->document, pair->value);
+
+		yaml_document_append_mapping_pair(
+			to, id, copy_node(output, source, key),
+			copy_node(output, source, value));
+	}
+	return id;
+}
+
+static int add_key(struct output *output, const char *key)
+{
+	return yaml_document_add_scalar(
+		&output->document, NULL, (const yaml_char_t *)key,
+		(int)strlen(key), YAML_PLAIN_SCALAR_STYLE);
+}
+
+static void copy_section(struct output *output, int root,
+			 const struct zr_merge *merge,
+			 const cyaml_schema_field_t *field)
+{
+	const struct declaration *at;
+	int list = 0;
+
+	DL_FOREACH(merge->declarations, at)
+	{
+		if (strcmp(at->section, field->key))
+			continue;
+		if (!at->name) {
+			yaml_document_append_mapping_pair(
+				&output->document, root,
+				add_key(output, field->key),
+				copy_node(output, at->source, at->node));
+			return;
+		}
+		if (!list) {
+			list = yaml_document_add_sequence(
+				&output->document, NULL,
+				YAML_BLOCK_SEQUENCE_STYLE);
+			yaml_document_append_mapping_pair(
+				&output->document, root,
+				add_key(output, field->key), list);
+		}
+		yaml_document_append_sequence_item(
+			&output->document, list,
+			copy_node(output, at->source, at->node));
+	}
+}
+
+static int append_text(void *ctx, unsigned char *buffer, size_t size)
+{
+	struct output *output = ctx;
+	char *grown = realloc(output->text, output->length + size);
+
+	if (!grown)
+		return 0;
+	memcpy(grown + output->length, buffer, size);
+	output->text = grown;
+	output->length += size;
+	return 1;
+}
+
+/* Writes the document out, which also frees it. */
+static int emit(struct output *output)
+{
+	yaml_emitter_t emitter;
+	int done;
+
+	if (!yaml_emitter_initialize(&emitter)) {
+		yaml_document_delete(&output->document);
+		return ZR_E_NOMEM;
+	}
+	yaml_emitter_set_output(&emitter, append_text, output);
+	yaml_emitter_set_unicode(&emitter, 1);
+	done = yaml_emitter_open(&emitter) &&
+	       yaml_emitter_dump(&emitter, &output->document) &&
+	       yaml_emitter_close(&emitter);
+	yaml_emitter_delete(&emitter);
+	return done ? 0 : ZR_E_NOMEM;
+}
+
+int zr_merge_text(char **out, size_t *out_length, struct zr_merge *merge)
+{
+	const cyaml_schema_field_t *field;
+	struct output output = {.text = NULL};
+	int root;
+	int error;
+
+	if (!yaml_document_initialize(&output.document, NULL, NULL, NULL, 1, 1))
+		return ZR_E_NOMEM;
+	root = yaml_document_add_mapping(&output.document, NULL,
+					 YAML_BLOCK_MAPPING_STYLE);
+	for (field = zr_config_file_schema.mapping.fields; field->key; field++)
+		copy_section(&output, root, merge, field);
+	error = emit(&output);
+	if (error < 0) {
+		free(output.text);
+		return error;
+	}
+	*out = output.text;
+	*out_length = output.length;
+	return 0;
+}
+
+void zr_merge_free(struct zr_merge *merge)
+{
+	struct declaration *declaration;
+	struct declaration *next_declaration;
+	struct source *source;
+	struct source *next_source;
+
+	if (!merge)
+		return;
+	DL_FOREACH_SAFE(merge->declarations, declaration, next_declaration)
+	free(declaration);
+	DL_FOREACH_SAFE(merge->sources, source, next_source)
+	{
+		yaml_document_delete(&source->document);
+		free(source->path);
+		free(source);
+	}
+	free(merge);
+}
--- a/src/libzinniarack/config/schema.h
+++ b/src/libzinniarack/config/schema.h
@@ -3,18 +3,47 @@
 
 #include <cyaml/cyaml.h>
 
+#include "config/rules.h"
 #include "zinniarack/config.h"
 
-/** The libcyaml schema of a configuration document and of each file of it. */
+/**
+ * DOC: Schema of the configuration
+ */
+
+/** The libcyaml schema of a document in force. */
 extern const cyaml_schema_value_t zr_config_schema;
 
+/** The same without the fields that only the system sets. */
+extern const cyaml_schema_value_t zr_config_file_schema;
+
+/** The libcyaml schema of a settings file. */
+extern const cyaml_schema_value_t zr_settings_schema;
+
+/**
+ * struct zr_config_fault - what zr_config_check() found wrong
+ * @section: the list, such as "queues"
+ * @name: name or id of the item in it
+ * @field: the field at fault
+ * @detail: what is wrong and what is allowed
+ */
+struct zr_config_fault {
+	const char *section;
+	const char *name;
+	const char *field;
+	char detail[160];
+};
+
 /**
  * zr_config_check() - check what the schema cannot: references between items
+ * @out: what is wrong
  * @config: the document
- * @source: what error texts call it
  *
- * Return: 0 or ZR_E_INVALID.
+ * Return: 0, ZR_E_INVALID, or ZR_E_CONFLICT for a name declared twice.
  */
-int zr_config_check(const struct zr_config *config, const char *source);
+int zr_config_check(struct zr_config_fault *out,
+		    const struct zr_config *config);
+
+/** zr_config_fill_defaults() - set what absent fields stand for */
+void zr_config_fill_defaults(struct zr_config *config);
 
 #endif
--- a/src/libzinniarack/config/settings.c
+++ b/src/libzinniarack/config/settings.c
@@ -1,5 +1,8 @@
 #include "zinniarack/settings.h"
 
+#include <stdlib.h>
+
+#include "config/schema.h"
 #include "config/yaml.h"
 #include "net/address.h"
 #include "zinniarack/errors.h"
@@ -68,6 +71,18 @@
 			 connections),
 	CYAML_FIELD_END};
 
+static const cyaml_schema_field_t operator_fields[] = {
+	CYAML_FIELD_STRING_PTR("id", CYAML_FLAG_POINTER, struct zr_config_key,
+			       id, 1, NAME_MAX_BYTES),
+	CYAML_FIELD_STRING_PTR("salt", CYAML_FLAG_POINTER, struct zr_config_key,
+			       salt, 32, 32),
+	CYAML_FIELD_STRING_PTR("sha256", CYAML_FLAG_POINTER,
+			       struct zr_config_key, sha256, 64, 64),
+	CYAML_FIELD_END};
+
+static const cyaml_schema_value_t operator_schema = {CYAML_VALUE_MAPPING(
+	CYAML_FLAG_DEFAULT, struct zr_config_key, operator_fields)};
+
 static const cyaml_schema_field_t settings_fields[] = {
 	NAME_FIELD("name", name),
 	NAME_FIELD("failure_domain", failure_domain),
@@ -83,33 +98,58 @@
 			    log_fields),
 	CYAML_FIELD_MAPPING("limits", CYAML_FLAG_OPTIONAL, struct zr_settings,
 			    limits, limits_fields),
+	CYAML_FIELD_SEQUENCE("operators",
+			     CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+			     struct zr_settings, operators, &operator_schema, 0,
+			     CYAML_UNLIMITED),
 	CYAML_FIELD_END};
 
-static const cyaml_schema_value_t settings_schema = {
+const cyaml_schema_value_t zr_settings_schema = {
 	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct zr_settings,
 			    settings_fields),
 };
 
-static int check_addresses(const char *path, const struct zr_settings *settings)
-{
-	const char *const addresses[] = {
-		settings->store,	  settings->host_list,
-		settings->entry.http,	  settings->entry.rpc,
-		settings->scheduler.http, settings->scheduler.rpc,
-	};
-	struct sockaddr_storage parsed;
-	size_t i;
-
-	for (i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
-		if (zr_address_parse(&parsed, addresses[i]) < 0)
-			return zr_error_set(
-				ZR_E_INVALID,
-				"%s: '%s' is not an address such as "
-				"192.0.2.1:80",
-				path, addresses[i]);
+#define RANGE(path, min, max, unit, absent)                 \
+	{                                                   \
+		path, ZR_RULE_RANGE, min, max, unit, absent \
+	}
+#define ADDRESS(path)                                   \
+	{                                               \
+		path, ZR_RULE_ADDRESS, 0, 0, NULL, NULL \
+	}
+#define NAME(path)                                   \
+	{                                            \
+		path, ZR_RULE_NAME, 0, 0, NULL, NULL \
+	}
+#define HEX(path)                                   \
+	{                                           \
+		path, ZR_RULE_HEX, 0, 0, NULL, NULL \
+	}
+#define ANY(path, absent)                             \
+	{                                             \
+		path, ZR_RULE_ANY, 0, 0, NULL, absent \
 	}
-	return 0;
-}
+
+const struct zr_field_rule zr_settings_rules[] = {
+	NAME("name"),
+	NAME("failure_domain"),
+	ADDRESS("store"),
+	ADDRESS("host_list"),
+	ANY("charts", NULL),
+	ADDRESS("entry.http"),
+	ADDRESS("entry.rpc"),
+	ADDRESS("scheduler.http"),
+	ADDRESS("scheduler.rpc"),
+	ANY("log.level", "error"),
+	ANY("log.format", "text"),
+	RANGE("limits.body_bytes", 1024, 16777216, "bytes", "1048576"),
+	RANGE("limits.request_timeout_ms", 100, 600000, "ms", "10000"),
+	RANGE("limits.connections", 1, 65536, "connections", "1024"),
+	NAME("operators[].id"),
+	HEX("operators[].salt"),
+	HEX("operators[].sha256"),
+	{NULL, ZR_RULE_ANY, 0, 0, NULL, NULL},
+};
 
 static void fill_defaults(struct zr_settings *settings)
 {
@@ -124,24 +164,24 @@
 
 int zr_settings_load(struct zr_settings **out, const char *path)
 {
-	struct zr_settings *settings;
-	void *loaded;
-	int error = zr_yaml_load_file(&loaded, path, &settings_schema);
+	void *loaded = NULL;
+	size_t length;
+	char *text;
+	int error = zr_yaml_read_file(&text, &length, path);
 
 	if (error < 0)
 		return error;
-	settings = loaded;
-	error = check_addresses(path, settings);
-	if (error < 0) {
-		zr_settings_free(settings);
+	error = zr_yaml_load_checked(&loaded, path, text, length,
+				     &zr_settings_schema, zr_settings_rules);
+	free(text);
+	if (error < 0)
 		return error;
-	}
-	fill_defaults(settings);
-	*out = settings;
+	*out = loaded;
+	fill_defaults(*out);
 	return 0;
 }
 
 void zr_settings_free(struct zr_settings *settings)
 {
-	zr_yaml_free(&settings_schema, settings);
+	zr_yaml_free(&zr_settings_schema, settings);
 }
--- a/src/libzinniarack/config/yaml.c
+++ b/src/libzinniarack/config/yaml.c
@@ -4,8 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/check.h"
 #include "zinniarack/errors.h"
 
+#define FILE_BYTES_MAX (1u << 20) /* a value of the store holds no more */
+
 struct problem {
 	char text[ZR_ERROR_TEXT_MAX / 2];
 	size_t used;
@@ -90,6 +93,47 @@
 	return report(source, error, &problem);
 }
 
+int zr_yaml_load_checked(void **out, const char *source, const void *text,
+			 size_t length, const cyaml_schema_value_t *schema,
+			 const struct zr_field_rule *rules)
+{
+	yaml_document_t document;
+	int error = zr_check_read(&document, source, text, length);
+
+	*out = NULL;
+	if (error < 0)
+		return error;
+	error = zr_check_node(source, &document,
+			      yaml_document_get_root_node(&document), "",
+			      schema, rules);
+	yaml_document_delete(&document);
+	if (error < 0)
+		return error;
+	return zr_yaml_load_text(out, source, text, length, schema);
+}
+
+int zr_yaml_read_file(char **out, size_t *out_length, const char *path)
+{
+	FILE *file = fopen(path, "r");
+	char *text;
+
+	if (!file)
+		return zr_error_set(ZR_E_NOT_FOUND, "%s: cannot be opened",
+				    path);
+	text = malloc(FILE_BYTES_MAX + 1);
+	*out_length = text ? fread(text, 1, FILE_BYTES_MAX + 1, file) : 0;
+	fclose(file);
+	if (!text)
+		return ZR_E_NOMEM;
+	if (*out_length > FILE_BYTES_MAX) {
+		free(text);
+		return zr_error_set(ZR_E_TOO_LARGE, "%s: over %u bytes", path,
+				    FILE_BYTES_MAX);
+	}
+	*out = text;
+	return 0;
+}
+
 int zr_yaml_save_text(char **out, size_t *out_length,
 		      const cyaml_schema_value_t *schema, const void *data)
 {
