Invariant checker of the scheduler core

Cause: the core's promises (capacity, allotments, one place, whole gangs, at most once, nothing lost) had no check that does not read the core's own state.

Change: tests/fakes/sched_model.* shadows the core from its events and decisions only and checks each as it comes. Charges of a task: declared size until its name is reported, then at least the smallest report of the name, always at least the largest of its own attempt.

--- /dev/null
+++ b/tests/fakes/sched_model_check.c
@@ -0,0 +1,266 @@
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "fakes/sched_model_private.h"
+
+/* The rules. */
+
+static const char *const rule_names[SCHED_MODEL_RULES] = {
+	[SCHED_MODEL_CAPACITY] = "capacity",
+	[SCHED_MODEL_LIMIT] = "limit",
+	[SCHED_MODEL_ONE_PLACE] = "one_place",
+	[SCHED_MODEL_GANG] = "gang",
+	[SCHED_MODEL_AT_MOST_ONCE] = "at_most_once",
+	[SCHED_MODEL_LOST] = "lost",
+	[SCHED_MODEL_WORKER] = "worker",
+	[SCHED_MODEL_ENDED] = "ended",
+	[SCHED_MODEL_REASON] = "reason",
+};
+
+const char *sched_model_rule_name(enum sched_model_rule rule)
+{
+	return rule_names[rule];
+}
+
+void sched_model_break(struct sched_model *model, enum sched_model_rule rule,
+		       const char *fmt, ...)
+{
+	char text[384];
+	va_list args;
+
+	if (model->breaks[rule]++ || *model->first)
+		return;
+	va_start(args, fmt);
+	vsnprintf(text, sizeof(text), fmt, args);
+	va_end(args);
+	snprintf(model->first, sizeof(model->first), "%s: %s (clock %lld ms)",
+		 rule_names[rule], text,
+		 (long long)zr_time_to_ms(zr_clock_now(model->clock)));
+}
+
+unsigned int sched_model_breaks(const struct sched_model *model,
+				enum sched_model_rule rule)
+{
+	return model->breaks[rule];
+}
+
+unsigned int sched_model_total(const struct sched_model *model)
+{
+	unsigned int total = 0;
+	int rule;
+
+	for (rule = 0; rule < SCHED_MODEL_RULES; rule++)
+		total += model->breaks[rule];
+	return total;
+}
+
+const char *sched_model_first(const struct sched_model *model)
+{
+	return model->first;
+}
+
+static uint32_t tighter(uint32_t a, uint32_t b)
+{
+	if (!a || !b)
+		return a + b;
+	return a < b ? a : b;
+}
+
+static struct zr_resources team_limit(const struct model_team *team)
+{
+	struct zr_resources limit = team->limit;
+
+	if (!team->has_allotment)
+		return limit;
+	limit.millicpus = tighter(limit.millicpus, team->allotment.millicpus);
+	limit.memory_mb = tighter(limit.memory_mb, team->allotment.memory_mb);
+	limit.accelerators =
+		tighter(limit.accelerators, team->allotment.accelerators);
+	return limit;
+}
+
+static bool over(uint32_t used, uint32_t limit)
+{
+	return limit && used > limit;
+}
+
+static bool over_limit(const struct zr_resources *used,
+		       const struct zr_resources *limit)
+{
+	return over(used->millicpus, limit->millicpus) ||
+	       over(used->memory_mb, limit->memory_mb) ||
+	       over(used->accelerators, limit->accelerators);
+}
+
+static void check_limit(struct sched_model *model, const struct model_job *job,
+			const struct zr_resources *more)
+{
+	struct zr_resources limit = team_limit(job->team);
+	struct zr_resources used = job->team->used;
+
+	zr_resources_add(&used, more);
+	if (over_limit(&used, &limit))
+		sched_model_break(model, SCHED_MODEL_LIMIT,
+				  "team %s has %u/%u/%u of %u/%u/%u with %s",
+				  job->team->name, used.millicpus,
+				  used.memory_mb, used.accelerators,
+				  limit.millicpus, limit.memory_mb,
+				  limit.accelerators, job->id);
+}
+
+static void check_room(struct sched_model *model, const struct model_job *job,
+		       const struct model_worker *worker,
+		       const struct zr_resources *more)
+{
+	struct zr_resources used = worker->used;
+
+	zr_resources_add(&used, more);
+	if (!zr_resources_fit(&used, &worker->capacity))
+		sched_model_break(
+			model, SCHED_MODEL_CAPACITY,
+			"worker %s is given %u/%u/%u of %u/%u/%u with %s",
+			worker->name, used.millicpus, used.memory_mb,
+			used.accelerators, worker->capacity.millicpus,
+			worker->capacity.memory_mb,
+			worker->capacity.accelerators, job->id);
+}
+
+static void check_job(struct sched_model *model, const struct model_job *job)
+{
+	if (zr_job_state_final(job->state) || job->cancelled || job->held)
+		sched_model_break(model, SCHED_MODEL_ENDED,
+				  "start of %s, which is %s", job->id,
+				  job->held	   ? "held"
+				  : job->cancelled ? "cancelled"
+						   : "ended");
+	if (job->kind == ZR_JOB_GANG && job->stopping)
+		sched_model_break(model, SCHED_MODEL_GANG,
+				  "start of %s while its members stop",
+				  job->id);
+}
+
+static bool check_task(struct sched_model *model, const struct model_job *job,
+		       const struct zr_sched_task *named)
+{
+	const struct model_task *task = &job->tasks[named->index];
+
+	if (task->spent)
+		sched_model_break(model, SCHED_MODEL_AT_MOST_ONCE,
+				  "start of %s/%u, which may have begun",
+				  job->id, named->index);
+	if (task->state != MODEL_WAITING) {
+		sched_model_break(model, SCHED_MODEL_ONE_PLACE,
+				  "start of %s/%u, which runs or has ended",
+				  job->id, named->index);
+		return false;
+	}
+	if (named->attempt <= task->last_attempt)
+		sched_model_break(model, SCHED_MODEL_ONE_PLACE,
+				  "attempt %u of %s/%u after attempt %u",
+				  named->attempt, job->id, named->index,
+				  task->last_attempt);
+	return true;
+}
+
+bool sched_model_start_check(struct sched_model *model, struct model_job *job,
+			     const struct zr_sched_task *named)
+{
+	struct zr_resources more = sched_model_floor(job);
+	struct model_worker *worker;
+
+	check_job(model, job);
+	if (!check_task(model, job, named))
+		return false;
+	worker = sched_model_worker(model, named->worker);
+	if (!worker || worker->state != ZR_SCHED_WORKER_UP)
+		sched_model_break(model, SCHED_MODEL_WORKER,
+				  "start of %s/%u on %s, which is not up",
+				  job->id, named->index,
+				  worker ? worker->name : "no worker");
+	if (!worker)
+		return false;
+	check_room(model, job, worker, &more);
+	check_limit(model, job, &more);
+	return true;
+}
+
+static void check_gang(struct sched_model *model, const struct model_job *job)
+{
+	uint32_t waiting = job->count - job->ended - job->running;
+
+	if (job->kind != ZR_JOB_GANG || job->cancelled)
+		return;
+	if (waiting && job->running > job->stopping)
+		sched_model_break(model, SCHED_MODEL_GANG,
+				  "%s runs %u members while %u wait", job->id,
+				  job->running - job->stopping, waiting);
+}
+
+static void check_owed(struct sched_model *model, const struct model_job *job)
+{
+	bool done = job->ended == job->count;
+
+	if (zr_job_state_final(job->state))
+		return;
+	if (done || (job->cancelled && !job->running))
+		sched_model_break(model, SCHED_MODEL_LOST,
+				  "%s has no task left and has not ended",
+				  job->id);
+}
+
+static void check_lowered(struct sched_model *model, struct model_team *team)
+{
+	int64_t now = zr_time_to_ms(zr_clock_now(model->clock));
+	struct zr_resources limit = team_limit(team);
+	struct zr_resources used = team->used;
+
+	zr_resources_sub(&used, &team->stopping);
+	if (!over_limit(&used, &limit)) {
+		team->over_since_ms = 0;
+		return;
+	}
+	if (now - team->over_since_ms <= SCHED_MODEL_LOWERED_MS)
+		return;
+	team->over_since_ms = now;
+	sched_model_break(model, SCHED_MODEL_LIMIT,
+			  "team %s stays over its lowered allotment",
+			  team->name);
+}
+
+void sched_model_decided(struct sched_model *model)
+{
+	struct model_job *job;
+	struct model_job *next;
+	struct model_team *team;
+	struct model_team *next_team;
+
+	DL_FOREACH_SAFE2(model->touched, job, next, touched_next)
+	{
+		check_gang(model, job);
+		check_owed(model, job);
+		job->touched = false;
+		DL_DELETE2(model->touched, job, touched_prev, touched_next);
+	}
+	HASH_ITER (hh, model->teams, team, next_team) {
+		if (team->over_since_ms)
+			check_lowered(model, team);
+	}
+}
+
+void sched_model_drained(struct sched_model *model)
+{
+	struct model_job *job;
+	struct model_job *next;
+
+	HASH_ITER (hh, model->jobs, job, next) {
+		if (job->kind == ZR_JOB_SERVICE ||
+		    job->state == ZR_JOB_PARKED ||
+		    zr_job_state_final(job->state))
+			continue;
+		sched_model_break(model, SCHED_MODEL_LOST,
+				  "%s has not ended and is not parked: %u of "
+				  "%u tasks run, %u ended",
+				  job->id, job->running, job->count,
+				  job->ended);
+	}
+}
--- /dev/null
+++ b/tests/unit/test_sched_model.c
@@ -0,0 +1,503 @@
+#include <check.h>
+#include <string.h>
+
+#include "fakes/fake_time.h"
+#include "fakes/sched_model.h"
+
+/*
+ * Feeds the checker broken decisions, one rule at a time: a checker that cannot
+ * fail proves nothing.
+ */
+
+static struct fake_time *fake;
+static struct sched_model *model;
+static struct zr_sched_sink sink;
+
+/* Handles as a core might give them. */
+#define WORKER_A 1
+#define WORKER_B 2
+#define JOB 7
+
+static void setup(void)
+{
+	static const struct zr_sched_sink none;
+	const struct zr_sched_worker a = {"a", "r1", {4000, 4096, 1}};
+	const struct zr_sched_worker b = {"b", "r2", {4000, 4096, 1}};
+
+	fake = fake_time_new();
+	model = sched_model_new(fake_time_clock(fake), &none);
+	sink = sched_model_sink(model);
+	sched_model_worker_add(model, WORKER_A, &a);
+	sched_model_worker_add(model, WORKER_B, &b);
+}
+
+static void teardown(void)
+{
+	sched_model_free(model);
+	fake_time_free(fake);
+}
+
+static struct zr_job_spec spec_of(enum zr_job_kind kind, uint32_t tasks,
+				  uint32_t millicpus)
+{
+	struct zr_job_spec spec = {
+		.name = "print",
+		.team = "kitakaze",
+		.queue = "booths",
+		.kind = kind,
+		.tasks = tasks,
+		.size = {millicpus, 100, 0},
+	};
+
+	return spec;
+}
+
+static void add(const char *id, enum zr_job_kind kind, uint32_t tasks,
+		uint32_t millicpus)
+{
+	const struct zr_job_spec spec = spec_of(kind, tasks, millicpus);
+
+	sched_model_job_add(model, id, &spec);
+}
+
+static void start(const char *id, uint32_t index, uint32_t attempt,
+		  zr_handle worker)
+{
+	const struct zr_job_spec spec = spec_of(ZR_JOB_BATCH, 1, 1000);
+	const struct zr_sched_task task = {JOB, id, index, attempt, worker};
+
+	sink.start(sink.ctx, &task, &spec, "test");
+}
+
+static void stop(const char *id, uint32_t index, uint32_t attempt,
+		 zr_handle worker)
+{
+	const struct zr_sched_task task = {JOB, id, index, attempt, worker};
+
+	sink.stop(sink.ctx, &task, ZR_SCHED_STOP_PREEMPTED);
+}
+
+static void change(const char *id, enum zr_job_state state)
+{
+	sink.job_changed(sink.ctx, JOB, id, state, "test");
+}
+
+/* Exactly one break, of this rule. */
+static void expect(enum sched_model_rule rule)
+{
+	ck_assert_msg(sched_model_breaks(model, rule) == 1,
+		      "rule %s was not broken once; first: %s",
+		      sched_model_rule_name(rule), sched_model_first(model));
+	ck_assert_msg(sched_model_total(model) == 1, "more broken: %s",
+		      sched_model_first(model));
+}
+
+static void expect_none(void)
+{
+	ck_assert_msg(!sched_model_total(model), "broken: %s",
+		      sched_model_first(model));
+}
+
+START_TEST(test_sound_decisions_pass)
+{
+	add("j", ZR_JOB_BATCH, 2, 1000);
+	start("j", 0, 1, WORKER_A);
+	start("j", 1, 1, WORKER_B);
+	change("j", ZR_JOB_RUNNING);
+	sched_model_decided(model);
+	sched_model_task_ended(model, "j", 0, 1, ZR_SCHED_FAILED);
+	start("j", 0, 2, WORKER_A);
+	stop("j", 0, 2, WORKER_A);
+	sched_model_task_ended(model, "j", 0, 2, ZR_SCHED_STOPPED);
+	start("j", 0, 3, WORKER_B);
+	sched_model_task_ended(model, "j", 0, 3, ZR_SCHED_SUCCEEDED);
+	sched_model_task_ended(model, "j", 1, 1, ZR_SCHED_SUCCEEDED);
+	change("j", ZR_JOB_SUCCEEDED);
+	sched_model_decided(model);
+	sched_model_drained(model);
+	sched_model_job_forget(model, "j");
+	expect_none();
+}
+END_TEST
+
+START_TEST(test_declared_sizes_overfill_a_worker)
+{
+	add("j", ZR_JOB_BATCH, 2, 2500);
+	start("j", 0, 1, WORKER_A);
+	expect_none();
+	start("j", 1, 1, WORKER_A);
+	expect(SCHED_MODEL_CAPACITY);
+}
+END_TEST
+
+START_TEST(test_reported_sizes_overfill_a_worker)
+{
+	const struct zr_resources used = {3500, 100, 0};
+
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	add("k", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	sched_model_task_usage(model, "j", 0, 1, &used);
+	start("k", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_CAPACITY);
+}
+END_TEST
+
+START_TEST(test_a_later_smaller_report_gives_no_room)
+{
+	const struct zr_resources high = {3500, 100, 0};
+	const struct zr_resources low = {100, 100, 0};
+
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	add("k", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	sched_model_task_usage(model, "j", 0, 1, &high);
+	sched_model_task_usage(model, "j", 0, 1, &low);
+	ck_assert_int_eq(sched_model_total(model), 0);
+	start("k", 0, 1, WORKER_A);
+	/* The name has been seen at 100, so k itself counts no more. */
+	expect_none();
+	add("l", ZR_JOB_BATCH, 5, 1000);
+	start("l", 0, 1, WORKER_A);
+	start("l", 1, 1, WORKER_A);
+	start("l", 2, 1, WORKER_A);
+	start("l", 3, 1, WORKER_A);
+	expect_none();
+	start("l", 4, 1, WORKER_A);
+	expect(SCHED_MODEL_CAPACITY);
+}
+END_TEST
+
+START_TEST(test_learned_sizes_overfill_a_worker)
+{
+	const struct zr_resources used = {3000, 100, 0};
+	uint32_t i;
+
+	add("j", ZR_JOB_BATCH, SCHED_MODEL_KNOWN_TASKS + 2, 1000);
+	for (i = 0; i < SCHED_MODEL_KNOWN_TASKS; i++) {
+		start("j", i, 1, WORKER_A);
+		sched_model_task_usage(model, "j", i, 1, &used);
+		sched_model_task_ended(model, "j", i, 1, ZR_SCHED_SUCCEEDED);
+	}
+	start("j", i, 1, WORKER_A);
+	expect_none();
+	start("j", i + 1, 1, WORKER_A);
+	expect(SCHED_MODEL_CAPACITY);
+}
+END_TEST
+
+START_TEST(test_a_stopping_task_keeps_its_room)
+{
+	add("j", ZR_JOB_BATCH, 2, 2500);
+	start("j", 0, 1, WORKER_A);
+	stop("j", 0, 1, WORKER_A);
+	start("j", 1, 1, WORKER_A);
+	expect(SCHED_MODEL_CAPACITY);
+}
+END_TEST
+
+START_TEST(test_a_team_goes_over_its_allotment)
+{
+	const struct zr_resources allotment = {2500, 0, 0};
+
+	sched_model_allotment(model, "kitakaze", &allotment);
+	add("j", ZR_JOB_BATCH, 3, 1000);
+	start("j", 0, 1, WORKER_A);
+	start("j", 1, 1, WORKER_B);
+	expect_none();
+	start("j", 2, 1, WORKER_B);
+	expect(SCHED_MODEL_LIMIT);
+}
+END_TEST
+
+START_TEST(test_a_team_stays_over_a_lowered_allotment)
+{
+	const struct zr_resources allotment = {1500, 0, 0};
+
+	add("j", ZR_JOB_BATCH, 2, 1000);
+	start("j", 0, 1, WORKER_A);
+	start("j", 1, 1, WORKER_B);
+	sched_model_allotment(model, "kitakaze", &allotment);
+	sched_model_decided(model);
+	fake_time_advance(fake, SCHED_MODEL_LOWERED_MS);
+	sched_model_decided(model);
+	expect_none();
+	fake_time_advance(fake, 1);
+	sched_model_decided(model);
+	expect(SCHED_MODEL_LIMIT);
+}
+END_TEST
+
+START_TEST(test_a_task_runs_in_two_places)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	start("j", 0, 2, WORKER_B);
+	expect(SCHED_MODEL_ONE_PLACE);
+}
+END_TEST
+
+START_TEST(test_a_stopping_task_is_started_elsewhere)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	stop("j", 0, 1, WORKER_A);
+	start("j", 0, 2, WORKER_B);
+	expect(SCHED_MODEL_ONE_PLACE);
+}
+END_TEST
+
+START_TEST(test_an_ended_task_is_started_again)
+{
+	add("j", ZR_JOB_BATCH, 2, 1000);
+	start("j", 0, 1, WORKER_A);
+	sched_model_task_ended(model, "j", 0, 1, ZR_SCHED_SUCCEEDED);
+	start("j", 0, 2, WORKER_A);
+	expect(SCHED_MODEL_ONE_PLACE);
+}
+END_TEST
+
+START_TEST(test_an_attempt_number_comes_twice)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	sched_model_task_ended(model, "j", 0, 1, ZR_SCHED_FAILED);
+	start("j", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_ONE_PLACE);
+}
+END_TEST
+
+START_TEST(test_half_a_gang_starts)
+{
+	add("g", ZR_JOB_GANG, 2, 1000);
+	start("g", 0, 1, WORKER_A);
+	sched_model_decided(model);
+	expect(SCHED_MODEL_GANG);
+}
+END_TEST
+
+START_TEST(test_a_gang_goes_on_without_a_lost_member)
+{
+	add("g", ZR_JOB_GANG, 2, 1000);
+	start("g", 0, 1, WORKER_A);
+	start("g", 1, 1, WORKER_B);
+	sched_model_decided(model);
+	expect_none();
+	sched_model_worker_remove(model, WORKER_B);
+	sched_model_decided(model);
+	expect(SCHED_MODEL_GANG);
+}
+END_TEST
+
+START_TEST(test_a_gang_starts_while_members_stop)
+{
+	add("g", ZR_JOB_GANG, 2, 1000);
+	start("g", 0, 1, WORKER_A);
+	start("g", 1, 1, WORKER_B);
+	sched_model_task_ended(model, "g", 1, 1, ZR_SCHED_FAILED);
+	stop("g", 0, 1, WORKER_A);
+	sched_model_decided(model);
+	expect_none();
+	start("g", 1, 2, WORKER_B);
+	expect(SCHED_MODEL_GANG);
+}
+END_TEST
+
+START_TEST(test_an_at_most_once_task_starts_again)
+{
+	struct zr_job_spec spec = spec_of(ZR_JOB_BATCH, 2, 1000);
+
+	spec.at_most_once = true;
+	sched_model_job_add(model, "j", &spec);
+	start("j", 0, 1, WORKER_A);
+	start("j", 1, 1, WORKER_A);
+	sched_model_task_ended(model, "j", 0, 1, ZR_SCHED_NOT_STARTED);
+	start("j", 0, 2, WORKER_B);
+	expect_none();
+	sched_model_task_ended(model, "j", 1, 1, ZR_SCHED_LOST);
+	start("j", 1, 2, WORKER_B);
+	expect(SCHED_MODEL_AT_MOST_ONCE);
+}
+END_TEST
+
+START_TEST(test_a_replayed_at_most_once_task_starts_again)
+{
+	struct zr_job_spec spec = spec_of(ZR_JOB_BATCH, 1, 1000);
+
+	spec.at_most_once = true;
+	sched_model_job_add(model, "j", &spec);
+	sched_model_task_replay(model, "j", 0, 1, ZR_SCHED_LOST);
+	start("j", 0, 2, WORKER_B);
+	expect(SCHED_MODEL_AT_MOST_ONCE);
+}
+END_TEST
+
+START_TEST(test_a_job_succeeds_too_early)
+{
+	add("j", ZR_JOB_BATCH, 2, 1000);
+	start("j", 0, 1, WORKER_A);
+	sched_model_task_ended(model, "j", 0, 1, ZR_SCHED_SUCCEEDED);
+	change("j", ZR_JOB_SUCCEEDED);
+	expect(SCHED_MODEL_LOST);
+}
+END_TEST
+
+START_TEST(test_a_job_fails_without_a_failure)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	change("j", ZR_JOB_FAILED);
+	expect(SCHED_MODEL_LOST);
+}
+END_TEST
+
+START_TEST(test_a_job_is_cancelled_while_it_runs)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	sched_model_job_cancel(model, "j");
+	change("j", ZR_JOB_CANCELLED);
+	expect(SCHED_MODEL_LOST);
+}
+END_TEST
+
+START_TEST(test_a_finished_job_never_ends)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	sched_model_task_ended(model, "j", 0, 1, ZR_SCHED_SUCCEEDED);
+	sched_model_decided(model);
+	expect(SCHED_MODEL_LOST);
+}
+END_TEST
+
+START_TEST(test_a_job_is_left_waiting)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	sched_model_drained(model);
+	expect(SCHED_MODEL_LOST);
+}
+END_TEST
+
+START_TEST(test_a_job_ends_twice)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	sched_model_job_cancel(model, "j");
+	change("j", ZR_JOB_CANCELLED);
+	expect_none();
+	change("j", ZR_JOB_CANCELLED);
+	expect(SCHED_MODEL_ENDED);
+}
+END_TEST
+
+START_TEST(test_a_start_on_a_worker_that_is_not_up)
+{
+	const enum zr_sched_worker_state states[] = {ZR_SCHED_WORKER_LEAVING,
+						     ZR_SCHED_WORKER_UNHEARD};
+
+	sched_model_worker_set(model, WORKER_A, states[_i]);
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_WORKER);
+}
+END_TEST
+
+START_TEST(test_a_start_on_a_worker_that_is_gone)
+{
+	sched_model_worker_remove(model, WORKER_A);
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	start("j", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_WORKER);
+}
+END_TEST
+
+START_TEST(test_a_start_of_a_cancelled_job)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	sched_model_job_cancel(model, "j");
+	start("j", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_ENDED);
+}
+END_TEST
+
+START_TEST(test_a_start_of_a_held_job)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	sched_model_job_hold(model, "j", true);
+	start("j", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_ENDED);
+}
+END_TEST
+
+START_TEST(test_a_start_of_an_unknown_job)
+{
+	start("nobody", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_ENDED);
+}
+END_TEST
+
+START_TEST(test_a_stop_of_a_task_that_does_not_run)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	stop("j", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_ENDED);
+}
+END_TEST
+
+START_TEST(test_a_decision_without_a_reason)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	sink.job_changed(sink.ctx, JOB, "j", ZR_JOB_PARKED, "");
+	expect(SCHED_MODEL_REASON);
+}
+END_TEST
+
+static void add_tests(TCase *tcase)
+{
+	tcase_add_test(tcase, test_sound_decisions_pass);
+	tcase_add_test(tcase, test_declared_sizes_overfill_a_worker);
+	tcase_add_test(tcase, test_reported_sizes_overfill_a_worker);
+	tcase_add_test(tcase, test_a_later_smaller_report_gives_no_room);
+	tcase_add_test(tcase, test_learned_sizes_overfill_a_worker);
+	tcase_add_test(tcase, test_a_stopping_task_keeps_its_room);
+	tcase_add_test(tcase, test_a_team_goes_over_its_allotment);
+	tcase_add_test(tcase, test_a_team_stays_over_a_lowered_allotment);
+	tcase_add_test(tcase, test_a_task_runs_in_two_places);
+	tcase_add_test(tcase, test_a_stopping_task_is_started_elsewhere);
+	tcase_add_test(tcase, test_an_ended_task_is_started_again);
+	tcase_add_test(tcase, test_an_attempt_number_comes_twice);
+	tcase_add_test(tcase, test_half_a_gang_starts);
+	tcase_add_test(tcase, test_a_gang_goes_on_without_a_lost_member);
+	tcase_add_test(tcase, test_a_gang_starts_while_members_stop);
+	tcase_add_test(tcase, test_an_at_most_once_task_starts_again);
+	tcase_add_test(tcase, test_a_replayed_at_most_once_task_starts_again);
+	tcase_add_test(tcase, test_a_job_succeeds_too_early);
+	tcase_add_test(tcase, test_a_job_fails_without_a_failure);
+	tcase_add_test(tcase, test_a_job_is_cancelled_while_it_runs);
+	tcase_add_test(tcase, test_a_finished_job_never_ends);
+	tcase_add_test(tcase, test_a_job_is_left_waiting);
+	tcase_add_test(tcase, test_a_job_ends_twice);
+	tcase_add_loop_test(tcase, test_a_start_on_a_worker_that_is_not_up, 0,
+			    2);
+	tcase_add_test(tcase, test_a_start_on_a_worker_that_is_gone);
+	tcase_add_test(tcase, test_a_start_of_a_cancelled_job);
+	tcase_add_test(tcase, test_a_start_of_a_held_job);
+	tcase_add_test(tcase, test_a_start_of_an_unknown_job);
+	tcase_add_test(tcase, test_a_stop_of_a_task_that_does_not_run);
+	tcase_add_test(tcase, test_a_decision_without_a_reason);
+}
+
+int main(void)
+{
+	Suite *suite = suite_create("sched_model");
+	TCase *tcase = tcase_create("sched_model");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	add_tests(tcase);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
