Scheduler core: header for counted work, tasks, typed waits and report times

Change: zr_sched_task_info(), zr_sched_stats(), zr_sched_more(), enum zr_sched_wait; usage reports carry their time; a start carries the room reserved for it. domain/tasks.c hands both on. The core behind it is still the first-fit one, so stats count nothing yet.

--- a/include/zinniarack/sched.h
+++ b/include/zinniarack/sched.h
@@ -28,6 +28,7 @@
  * @index: which of the job's tasks, from 0
  * @attempt: how often it has been started, from 1
  * @worker: the worker's handle
+ * @reserved: the room kept for it now; what a start may use
  */
 struct zr_sched_task {
 	zr_handle job;
@@ -35,6 +36,7 @@
 	uint32_t index;
 	uint32_t attempt;
 	zr_handle worker;
+	struct zr_resources reserved;
 };
 
 /**
@@ -46,8 +48,12 @@
 	ZR_SCHED_STOP_RELIEF,	 /* its worker nears its limit */
 	ZR_SCHED_STOP_DRAINED,	 /* its worker leaves */
 	ZR_SCHED_STOP_THROTTLE,	 /* go on with less processor time */
+	ZR_SCHED_STOP_OVERDUE,	 /* its checkpoint took too long: stop it */
 };
 
+/** zr_sched_stop_name() - such as "preempted" */
+const char *zr_sched_stop_name(enum zr_sched_stop why);
+
 /**
  * struct zr_sched_sink - where decisions go
  * @start: start a task; its room is already reserved
@@ -56,7 +62,9 @@
  * @job_changed: a job has another state, with the reason
  * @ctx: passed to each
  *
- * A sink must not call back into the core.
+ * A sink must not call back into the core. The specification that @start gets
+ * is valid during the call; its command and idempotency key are empty, as the
+ * core does not keep them.
  */
 struct zr_sched_sink {
 	void (*start)(void *ctx, const struct zr_sched_task *task,
@@ -198,7 +206,7 @@
  * @out: its handle
  * @sched: the core
  * @id: its id; copied
- * @spec: what it asks for; copied
+ * @spec: what it asks for; copied, but for its command and idempotency key
  *
  * Return: 0, ZR_E_NOMEM or ZR_E_FULL.
  */
@@ -272,25 +280,59 @@
  * @index: which task
  * @attempt: its attempt
  * @used: what it was seen to use
+ * @at: when it was seen, on the core's monotonic clock; a report that is older
+ *	than one taken before can only raise what is reserved
+ *
+ * The room reserved for the task is never under what was reported. It may grow
+ * past the worker's capacity; the worker is then relieved by stop decisions.
  */
 void zr_sched_task_usage(struct zr_sched *sched, zr_handle job, uint32_t index,
-			 uint32_t attempt, const struct zr_resources *used);
+			 uint32_t attempt, const struct zr_resources *used,
+			 struct timespec at);
 
 /**
  * zr_sched_decide() - decide now
  * @sched: the core
  * @most_starts: end after so many start decisions
  *
+ * Does bounded work; zr_sched_more() tells whether work is left. It also does
+ * what falls due with time, so call it about each 200 ms.
+ *
  * Return: the number of start decisions given to the sink.
  */
 unsigned int zr_sched_decide(struct zr_sched *sched, unsigned int most_starts);
 
+/** zr_sched_more() - whether the last decide ended on a bound, work being left
+ */
+bool zr_sched_more(const struct zr_sched *sched);
+
+/**
+ * enum zr_sched_wait - why a job has tasks that are not running
+ */
+enum zr_sched_wait {
+	ZR_SCHED_WAIT_NONE,    /* none waits */
+	ZR_SCHED_WAIT_QUEUED,  /* not tried since it came or room was freed */
+	ZR_SCHED_WAIT_NO_ROOM, /* no worker has room now */
+	ZR_SCHED_WAIT_LIMIT,   /* the team is at its upper limit */
+	ZR_SCHED_WAIT_HELD,    /* held after a take-over */
+	ZR_SCHED_WAIT_RETRY,   /* failed; tried again after a delay */
+	ZR_SCHED_WAIT_GANG,    /* room for its members is being reserved */
+	ZR_SCHED_WAIT_VICTIMS, /* tasks are being stopped for it */
+	ZR_SCHED_WAIT_NEVER_FITS, /* parked: larger than any worker */
+	ZR_SCHED_WAIT_OVER_LIMIT, /* parked: larger than its team's limit */
+	ZR_SCHED_WAITS,
+};
+
+/** zr_sched_wait_name() - such as "no_room" */
+const char *zr_sched_wait_name(enum zr_sched_wait wait);
+
 /**
  * struct zr_sched_job_info - a job as it stands
  * @id: its id
  * @spec: what it asked for
  * @state: its state
  * @reason: why it is in that state
+ * @wait: why tasks of it wait
  * @running: tasks that run
  * @ended: tasks that have ended well
  */
@@ -299,13 +341,14 @@
 	const struct zr_job_spec *spec;
 	enum zr_job_state state;
 	const char *reason;
+	enum zr_sched_wait wait;
 	uint32_t running;
 	uint32_t ended;
 };
 
 /**
  * zr_sched_job_info() - read a job
- * @out: the job, valid until the next event
+ * @out: the job; what it points to is valid until the next call
  * @sched: the core
  * @job: its handle
  *
@@ -314,14 +357,54 @@
 int zr_sched_job_info(struct zr_sched_job_info *out,
 		      const struct zr_sched *sched, zr_handle job);
 
+/**
+ * enum zr_sched_task_state - where a task stands
+ */
+enum zr_sched_task_state {
+	ZR_SCHED_TASK_WAITING,
+	ZR_SCHED_TASK_RUNNING,
+	ZR_SCHED_TASK_STOPPING, /* told to stop; its room is still reserved */
+	ZR_SCHED_TASK_ENDED,	/* ended well */
+	ZR_SCHED_TASK_GIVEN_UP, /* may have begun and must not begin again */
+};
+
+/**
+ * struct zr_sched_task_info - a task as it stands
+ * @state: its state
+ * @attempt: its last attempt, 0 before the first
+ * @worker: where it runs, or ZR_HANDLE_NONE
+ * @reserved: the room kept for it there: the larger of what is declared, or
+ *	learned of its job's name, and what was reported of it
+ */
+struct zr_sched_task_info {
+	enum zr_sched_task_state state;
+	uint32_t attempt;
+	zr_handle worker;
+	struct zr_resources reserved;
+};
+
+/**
+ * zr_sched_task_info() - read a task
+ * @out: the task
+ * @sched: the core
+ * @job: the job's handle
+ * @index: which task
+ *
+ * Return: 0 or ZR_E_NOT_FOUND.
+ */
+int zr_sched_task_info(struct zr_sched_task_info *out,
+		       const struct zr_sched *sched, zr_handle job,
+		       uint32_t index);
+
 /**
  * struct zr_sched_worker_info - a worker as it stands
  * @name: its name
  * @rack: its rack
  * @state: its state
  * @capacity: what it holds
- * @reserved: what its tasks may use
+ * @reserved: what its tasks may use: the sum of what each has reserved
  * @tasks: tasks on it
+ * @suspect: whether it is tried by one task at a time, as all failed on it
  */
 struct zr_sched_worker_info {
 	const char *name;
@@ -330,6 +413,7 @@
 	struct zr_resources capacity;
 	struct zr_resources reserved;
 	uint32_t tasks;
+	bool suspect;
 };
 
 /**
@@ -401,4 +485,37 @@
 int zr_sched_team_usage(struct zr_resources *out, const struct zr_sched *sched,
 			const char *team);
 
+/**
+ * struct zr_sched_stats - counted work and memory since the core was made
+ * @decisions: start decisions
+ * @tries: times that a task was matched against workers
+ * @workers_examined: workers looked at in all tries
+ * @jobs_examined: jobs looked at in all tries
+ * @preemptions: tasks stopped for urgent work or for a gang
+ * @reliefs: tasks stopped or throttled as their worker neared its limit
+ * @backfills: tasks started on room that is reserved for a gang
+ * @waiting: jobs in queues now
+ * @parked: jobs parked now
+ * @running: tasks running now
+ * @job_bytes: memory kept for jobs and queues
+ * @task_bytes: memory kept for running tasks
+ */
+struct zr_sched_stats {
+	uint64_t decisions;
+	uint64_t tries;
+	uint64_t workers_examined;
+	uint64_t jobs_examined;
+	uint64_t preemptions;
+	uint64_t reliefs;
+	uint64_t backfills;
+	uint32_t waiting;
+	uint32_t parked;
+	uint32_t running;
+	uint64_t job_bytes;
+	uint64_t task_bytes;
+};
+
+/** zr_sched_stats() - read what has been counted */
+void zr_sched_stats(struct zr_sched_stats *out, const struct zr_sched *sched);
+
 #endif
--- a/src/libzinniarack/domain/tasks.c
+++ b/src/libzinniarack/domain/tasks.c
@@ -25,6 +25,7 @@
 	uint32_t index;
 	uint32_t attempt;
 	zr_handle worker;
+	struct zr_resources size;
 	enum zr_sched_stop why;
 	enum zr_job_state state;
 	const char *reason;
@@ -53,6 +54,7 @@
 	decision->index = task->index;
 	decision->attempt = task->attempt;
 	decision->worker = task->worker;
+	decision->size = task->reserved;
 }
 
 static void on_start(void *ctx, const struct zr_sched_task *task,
@@ -111,6 +113,7 @@
 	uint32_t index;
 	uint32_t attempt;
 	zr_handle worker;
+	struct zr_resources size;
 	struct zr_timer *timer;
 };
 
@@ -190,7 +193,7 @@
 	}
 	format_task_id(id, job->id, start->index, start->attempt);
 	message.id = id;
-	message.size = job->spec.size;
+	message.size = start->size;
 	message.service =
 		job->spec.kind == ZR_JOB_SERVICE ? job->spec.name : "";
 	message.command = job->spec.command;
@@ -239,6 +242,7 @@
 	start->index = decision->index;
 	start->attempt = decision->attempt;
 	start->worker = decision->worker;
+	start->size = decision->size;
 	start->timer =
 		zr_timer_new(domain->options.timers, on_start_retry, start);
 	if (job->spec.at_most_once)
@@ -266,14 +270,12 @@
 static void carry_out_stop(struct zr_domain *domain,
 			   const struct domain_decision *decision)
 {
-	static const char *const reasons[] = {
-		"cancelled", "preempted", "relief", "drained", "throttle",
-	};
 	char id[ZR_TASK_ID_MAX];
 
 	format_task_id(id, decision->job_id, decision->index,
 		       decision->attempt);
-	zr_log_decision("stop task=%s reason=%s", id, reasons[decision->why]);
+	zr_log_decision("stop task=%s reason=%s", id,
+			zr_sched_stop_name(decision->why));
 	zr_fleet_stop(domain->fleet, decision->worker, id,
 		      mode_of(decision->why));
 }
@@ -372,7 +374,8 @@
 	placement = &ref.job->placements[ref.index];
 	if (placement->worker == worker && placement->attempt == ref.attempt) {
 		zr_sched_task_usage(domain->sched, ref.job->handle, ref.index,
-				    ref.attempt, &task->used);
+				    ref.attempt, &task->used,
+				    zr_clock_now(domain->options.clock));
 		return;
 	}
 	if (zr_sched_task_adopt(domain->sched, ref.job->handle, ref.index,
--- a/src/libzinniarack/sched/sched.c
+++ b/src/libzinniarack/sched/sched.c
@@ -339,6 +339,7 @@
 		.index = index,
 		.attempt = job->tasks[index].attempt,
 		.worker = job->tasks[index].worker,
+		.reserved = job->spec.size,
 	};
 
 	return task;
@@ -505,8 +506,10 @@
 }
 
 void zr_sched_task_usage(struct zr_sched *sched, zr_handle job, uint32_t index,
-			 uint32_t attempt, const struct zr_resources *used)
+			 uint32_t attempt, const struct zr_resources *used,
+			 struct timespec at)
 {
+	(void)at;
 	(void)sched;
 	(void)job;
 	(void)index;
@@ -614,6 +617,7 @@
 	out->spec = &job->spec;
 	out->state = job->state;
 	out->reason = job->reason;
+	out->wait = ZR_SCHED_WAIT_NONE;
 	out->running = job->running;
 	out->ended = job->ended;
 	return 0;
@@ -643,6 +647,7 @@
 	out->capacity = worker->capacity;
 	out->reserved = worker->reserved;
 	out->tasks = worker->tasks;
+	out->suspect = false;
 	return handle;
 }
 
@@ -696,3 +701,58 @@
 	snprintf(out->hint, sizeof(out->hint), "%s", job->reason);
 	return 0;
 }
+
+const char *zr_sched_stop_name(enum zr_sched_stop why)
+{
+	static const char *const names[] = {
+		"cancelled", "preempted", "relief",
+		"drained",   "throttle",  "overdue",
+	};
+
+	return names[why];
+}
+
+const char *zr_sched_wait_name(enum zr_sched_wait wait)
+{
+	static const char *const names[] = {
+		"none",	 "queued", "no_room", "limit",	    "held",
+		"retry", "gang",   "victims", "never_fits", "over_limit",
+	};
+
+	return names[wait];
+}
+
+int zr_sched_task_info(struct zr_sched_task_info *out,
+		       const struct zr_sched *sched, zr_handle handle,
+		       uint32_t index)
+{
+	static const enum zr_sched_task_state states[] = {
+		ZR_SCHED_TASK_WAITING,
+		ZR_SCHED_TASK_RUNNING,
+		ZR_SCHED_TASK_STOPPING,
+		ZR_SCHED_TASK_ENDED,
+	};
+	const struct job *job = zr_table_get(sched->jobs, handle);
+
+	if (!job || index >= job->spec.tasks)
+		return zr_error_set(ZR_E_NOT_FOUND, "no such task");
+	out->state = states[job->tasks[index].state];
+	out->attempt = job->tasks[index].attempt;
+	out->worker = job->tasks[index].worker;
+	memset(&out->reserved, 0, sizeof(out->reserved));
+	if (out->worker)
+		out->reserved = job->spec.size;
+	return 0;
+}
+
+void zr_sched_stats(struct zr_sched_stats *out, const struct zr_sched *sched)
+{
+	memset(out, 0, sizeof(*out));
+	out->waiting = (uint32_t)zr_table_count(sched->jobs);
+}
+
+bool zr_sched_more(const struct zr_sched *sched)
+{
+	(void)sched;
+	return false;
+}
