--- a/tests/fakes/sched_model_check.c
+++ b/tests/fakes/sched_model_check.c
@@ -179,6 +179,10 @@
 				  worker ? worker->name : "no worker");
 	if (!worker)
 		return false;
+	if (!zr_resources_fit(&more, &named->reserved))
+		sched_model_break(model, SCHED_MODEL_CAPACITY,
+				  "%s/%u is given less than it needs", job->id,
+				  named->index);
 	check_room(model, job, worker, &more);
 	check_limit(model, job, &more);
 	return true;
--- a/tests/unit/test_sched_model.c
+++ b/tests/unit/test_sched_model.c
@@ -13,6 +13,9 @@
 static struct sched_model *model;
 static struct zr_sched_sink sink;
 
+/* What a start decision gives a task; more than any of them needs. */
+static struct zr_resources reserved;
+
 /* Handles as a core might give them. */
 #define WORKER_A 1
 #define WORKER_B 2
@@ -24,6 +27,7 @@
 	const struct zr_sched_worker a = {"a", "r1", {4000, 4096, 1}};
 	const struct zr_sched_worker b = {"b", "r2", {4000, 4096, 1}};
 
+	reserved = (struct zr_resources){4000, 4096, 1};
 	fake = fake_time_new();
 	model = sched_model_new(fake_time_clock(fake), &none);
 	sink = sched_model_sink(model);
@@ -64,7 +68,8 @@
 		  zr_handle worker)
 {
 	const struct zr_job_spec spec = spec_of(ZR_JOB_BATCH, 1, 1000);
-	const struct zr_sched_task task = {JOB, id, index, attempt, worker};
+	const struct zr_sched_task task = {JOB,	    id,	    index,
+					   attempt, worker, reserved};
 
 	sink.start(sink.ctx, &task, &spec, "test");
 }
@@ -72,7 +77,8 @@
 static void stop(const char *id, uint32_t index, uint32_t attempt,
 		 zr_handle worker)
 {
-	const struct zr_sched_task task = {JOB, id, index, attempt, worker};
+	const struct zr_sched_task task = {JOB,	    id,	    index,
+					   attempt, worker, reserved};
 
 	sink.stop(sink.ctx, &task, ZR_SCHED_STOP_PREEMPTED);
 }
@@ -186,6 +192,15 @@
 }
 END_TEST
 
+START_TEST(test_a_start_is_given_too_little_room)
+{
+	add("j", ZR_JOB_BATCH, 1, 1000);
+	reserved.millicpus = 999;
+	start("j", 0, 1, WORKER_A);
+	expect(SCHED_MODEL_CAPACITY);
+}
+END_TEST
+
 START_TEST(test_a_stopping_task_keeps_its_room)
 {
 	add("j", ZR_JOB_BATCH, 2, 2500);
@@ -458,6 +473,7 @@
 	tcase_add_test(tcase, test_reported_sizes_overfill_a_worker);
 	tcase_add_test(tcase, test_a_later_smaller_report_gives_no_room);
 	tcase_add_test(tcase, test_learned_sizes_overfill_a_worker);
+	tcase_add_test(tcase, test_a_start_is_given_too_little_room);
 	tcase_add_test(tcase, test_a_stopping_task_keeps_its_room);
 	tcase_add_test(tcase, test_a_team_goes_over_its_allotment);
 	tcase_add_test(tcase, test_a_team_stays_over_a_lowered_allotment);
