--- a/src/libzinniarack/domain/domain.c
+++ b/src/libzinniarack/domain/domain.c
@@ -42,6 +42,14 @@
 	domain->stop_deadline = zr_time_add_ms(now(domain), STOP_FLUSH_MS);
 }
 
+static void on_decide_again(void *ctx)
+{
+	struct zr_domain *domain = ctx;
+
+	if (domain->epoch && domain->loaded && !domain->stopped)
+		zr_domain_decide(domain);
+}
+
 static void on_tick(void *ctx)
 {
 	struct zr_domain *domain = ctx;
@@ -59,8 +67,7 @@
 			zr_time_add_ms(now(domain), EXPIRE_EVERY_MS);
 		zr_domain_jobs_expire(domain);
 	}
-	zr_sched_decide(domain->sched, UINT32_MAX);
-	zr_domain_drain(domain);
+	zr_domain_decide(domain);
 }
 
 /* Ownership */
@@ -217,6 +224,8 @@
 	snprintf(domain->name, sizeof(domain->name), "%s", options->domain);
 	register_metrics(domain);
 	domain->timer = zr_timer_new(options->timers, on_tick, domain);
+	domain->decide_timer =
+		zr_timer_new(options->timers, on_decide_again, domain);
 	error = make_fleet(domain);
 	if (!error)
 		error = zr_owner_new(&domain->owner, options->timers,
@@ -265,5 +274,6 @@
 	zr_owner_free(domain->owner);
 	zr_fleet_free(domain->fleet);
 	zr_timer_free(domain->timer);
+	zr_timer_free(domain->decide_timer);
 	free(domain);
 }
--- a/src/libzinniarack/domain/jobs.c
+++ b/src/libzinniarack/domain/jobs.c
@@ -442,8 +442,7 @@
 	free(submission);
 	if (zr_domain_job_admit(job) < 0)
 		zr_log(ZR_LOG_ERROR, "job.not_admitted job=%s", job->id);
-	zr_sched_decide(domain->sched, UINT32_MAX);
-	zr_domain_drain(domain);
+	zr_domain_decide(domain);
 }
 
 static int check_submission(struct zr_domain *domain,
--- a/src/libzinniarack/domain/private.h
+++ b/src/libzinniarack/domain/private.h
@@ -34,6 +34,7 @@
  * @ended: whether the end of @attempt has been taken
  * @succeeded: whether that end was a success
  * @stopping: the core wants it stopped
+ * @stop_mode: how
  * @result: what it gave, or NULL
  */
 struct domain_placement {
@@ -43,6 +44,7 @@
 	bool ended;
 	bool succeeded;
 	bool stopping;
+	enum zr_worker_stop_mode stop_mode;
 	char *result;
 };
 
@@ -128,6 +130,7 @@
 	bool recovering;
 	struct timespec expire_at;
 	struct zr_timer *timer;
+	struct zr_timer *decide_timer;
 	struct domain_decision *decisions;
 	struct domain_start *starts;
 	void (*stopped)(void *ctx);
@@ -180,6 +183,8 @@
 /* tasks.c */
 struct zr_sched_sink zr_domain_sink(struct zr_domain *domain);
 void zr_domain_drain(struct zr_domain *domain);
+/** zr_domain_decide() - let the core decide, and again soon if work is left */
+void zr_domain_decide(struct zr_domain *domain);
 void zr_domain_decisions_clear(struct zr_domain *domain);
 void zr_domain_starts_clear(struct zr_domain *domain);
 void zr_domain_task_end(struct domain_job *job, uint32_t index,
--- a/src/libzinniarack/domain/reports.c
+++ b/src/libzinniarack/domain/reports.c
@@ -44,11 +44,12 @@
 	placement = &ref.job->placements[ref.index];
 	if (placement->worker == worker && placement->attempt == ref.attempt) {
 		zr_sched_task_usage(domain->sched, ref.job->handle, ref.index,
-				    ref.attempt, &task->used);
+				    ref.attempt, &task->used,
+				    zr_clock_now(domain->options.clock));
 		/* A stop may have been lost, or have come before its start. */
 		if (placement->stopping)
 			zr_fleet_stop(domain->fleet, worker, task->id,
-				      ZR_WORKER_STOP);
+				      placement->stop_mode);
 		return;
 	}
 	if (zr_sched_task_adopt(domain->sched, ref.job->handle, ref.index,
@@ -163,6 +164,5 @@
 		take_end(domain, worker, &report->ends[i]);
 	if (domain->recovering && zr_fleet_complete(domain->fleet))
 		zr_domain_check_recovery(domain);
-	zr_sched_decide(domain->sched, UINT32_MAX);
-	zr_domain_drain(domain);
+	zr_domain_decide(domain);
 }
--- a/src/libzinniarack/domain/tasks.c
+++ b/src/libzinniarack/domain/tasks.c
@@ -9,6 +9,8 @@
 #include "zinniarack/log.h"
 
 #define START_RETRY_MS 500
+#define REASON_MAX 160
+#define DECIDE_AGAIN_MS 1
 /* Sends that may fail to reach a worker before another one is chosen. */
 #define UNREACHABLE_MAX 3
 
@@ -27,9 +29,10 @@
 	uint32_t index;
 	uint32_t attempt;
 	zr_handle worker;
+	struct zr_resources size;
 	enum zr_sched_stop why;
 	enum zr_job_state state;
-	const char *reason;
+	char reason[REASON_MAX];
 };
 
 /* The sink */
@@ -55,6 +58,7 @@
 	decision->index = task->index;
 	decision->attempt = task->attempt;
 	decision->worker = task->worker;
+	decision->size = task->reserved;
 }
 
 static void on_start(void *ctx, const struct zr_sched_task *task,
@@ -64,7 +68,7 @@
 
 	(void)spec;
 	copy_task(decision, task);
-	decision->reason = reason;
+	snprintf(decision->reason, REASON_MAX, "%s", reason);
 }
 
 static void on_stop(void *ctx, const struct zr_sched_task *task,
@@ -89,7 +93,7 @@
 	decision->job = job;
 	snprintf(decision->job_id, sizeof(decision->job_id), "%s", job_id);
 	decision->state = state;
-	decision->reason = reason;
+	snprintf(decision->reason, REASON_MAX, "%s", reason);
 }
 
 struct zr_sched_sink zr_domain_sink(struct zr_domain *domain)
@@ -120,6 +124,7 @@
 	uint32_t index;
 	uint32_t attempt;
 	zr_handle worker;
+	struct zr_resources size;
 	bool open;
 	bool may_have_begun;
 	unsigned int unreachable;
@@ -178,8 +183,7 @@
 		job->placements[index].worker = ZR_HANDLE_NONE;
 	zr_sched_task_ended(domain->sched, job->handle, index, attempt,
 			    outcome);
-	zr_sched_decide(domain->sched, UINT32_MAX);
-	zr_domain_drain(domain);
+	zr_domain_decide(domain);
 }
 
 static void ignore_kept(void *ctx, int error)
@@ -231,7 +235,8 @@
 	char id[ZR_TASK_ID_MAX];
 
 	format_task_id(id, job->id, index, placement->attempt);
-	zr_fleet_stop(domain->fleet, placement->worker, id, ZR_WORKER_STOP);
+	zr_fleet_stop(domain->fleet, placement->worker, id,
+		      placement->stop_mode);
 }
 
 static void note_unsure(struct domain_start *start)
@@ -305,7 +310,7 @@
 	}
 	format_task_id(id, job->id, start->index, start->attempt);
 	message.id = id;
-	message.size = job->spec.size;
+	message.size = start->size;
 	message.service =
 		job->spec.kind == ZR_JOB_SERVICE ? job->spec.name : "";
 	message.command = job->spec.command;
@@ -362,6 +367,7 @@
 	start->index = decision->index;
 	start->attempt = decision->attempt;
 	start->worker = decision->worker;
+	start->size = decision->size;
 	start->timer =
 		zr_timer_new(domain->options.timers, on_start_retry, start);
 	DL_APPEND(domain->starts, start);
@@ -420,18 +426,18 @@
 static void carry_out_stop(struct zr_domain *domain, struct domain_job *job,
 			   const struct domain_decision *decision)
 {
-	static const char *const reasons[] = {
-		"cancelled", "preempted", "relief", "drained", "throttle",
-	};
 	struct domain_placement *placement = &job->placements[decision->index];
 	char id[ZR_TASK_ID_MAX];
 
 	format_task_id(id, decision->job_id, decision->index,
 		       decision->attempt);
 	if (placement->attempt == decision->attempt &&
-	    decision->why != ZR_SCHED_STOP_THROTTLE)
+	    decision->why != ZR_SCHED_STOP_THROTTLE) {
 		placement->stopping = true;
-	zr_log_decision("stop task=%s reason=%s", id, reasons[decision->why]);
+		placement->stop_mode = mode_of(decision->why);
+	}
+	zr_log_decision("stop task=%s reason=%s", id,
+			zr_sched_stop_name(decision->why));
 	zr_fleet_stop(domain->fleet, decision->worker, id,
 		      mode_of(decision->why));
 }
@@ -470,6 +476,14 @@
 	}
 }
 
+void zr_domain_decide(struct zr_domain *domain)
+{
+	zr_sched_decide(domain->sched, UINT32_MAX);
+	zr_domain_drain(domain);
+	if (domain->sched && zr_sched_more(domain->sched))
+		zr_timer_start(domain->decide_timer, DECIDE_AGAIN_MS, 0);
+}
+
 void zr_domain_decisions_clear(struct zr_domain *domain)
 {
 	struct domain_decision *decision;
