Slots of workers in escrow, and a router that retries, queues and ejects

The router took the least used granted slot, slots were split evenly by the host list, and a new owner of a domain granted them again at once while those of the old owner were still in use.

- Entry daemons report with each ask what they hold and could use; slots not given back are granted to nobody else.
After a take-over only slots that are reported as held are granted until all earlier grants must have lapsed.
- Slots belong to a worker and are shared by its services.
A slot stays in use after a failed try until the deadline that the worker was told.
- Router: two choices by load and latency, own domain first; retries by budget with full jitter, none once a byte of non-idempotent work may have left; admission by deadline, fair between teams, most worth first; ejection by outcome with trials.
It reaches workers through a table of callbacks.
- HTTP: the client checks the id of an answer and takes no answer that only the end of its connection delimits; the server now states each length, which it did not: its 404 was such an answer.

--- a/rpc/msg_grants.h
+++ b/rpc/msg_grants.h
@@ -15,21 +15,50 @@
 
 #include "msg_jobs.h"
 
+typedef char *zx_name;
+
+struct zx_demand {
+	char *service;
+	u_int slots;
+};
+typedef struct zx_demand zx_demand;
+
+struct zx_held {
+	char *worker;
+	u_int slots;
+};
+typedef struct zx_held zx_held;
+
 struct zx_grant_args {
 	char *entry;
+	char *domain;
+	u_quad_t incarnation;
+	u_quad_t sequence;
+	struct {
+		u_int demand_len;
+		zx_demand *demand_val;
+	} demand;
+	struct {
+		u_int held_len;
+		zx_held *held_val;
+	} held;
 };
 typedef struct zx_grant_args zx_grant_args;
 
 struct zx_grant {
-	char *service;
 	char *worker;
 	char *address;
 	u_int slots;
+	struct {
+		u_int services_len;
+		zx_name *services_val;
+	} services;
 };
 typedef struct zx_grant zx_grant;
 
 struct zx_grant_result {
 	int error;
+	bool_t partial;
 	u_quad_t epoch;
 	u_int lease_ms;
 	struct {
@@ -42,11 +71,17 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
+extern  bool_t xdr_zx_name (XDR *, zx_name*);
+extern  bool_t xdr_zx_demand (XDR *, zx_demand*);
+extern  bool_t xdr_zx_held (XDR *, zx_held*);
 extern  bool_t xdr_zx_grant_args (XDR *, zx_grant_args*);
 extern  bool_t xdr_zx_grant (XDR *, zx_grant*);
 extern  bool_t xdr_zx_grant_result (XDR *, zx_grant_result*);
 
 #else /* K&R C */
+extern bool_t xdr_zx_name ();
+extern bool_t xdr_zx_demand ();
+extern bool_t xdr_zx_held ();
 extern bool_t xdr_zx_grant_args ();
 extern bool_t xdr_zx_grant ();
 extern bool_t xdr_zx_grant_result ();
--- a/rpc/msg_grants.x
+++ b/rpc/msg_grants.x
@@ -7,22 +7,46 @@
 %#include "msg_jobs.h"
 #endif
 
+typedef string zx_name<ZX_NAME_MAX>;
+
+/* Slots that an entry daemon could use for a service at its peak. */
+struct zx_demand {
+	string service<ZX_NAME_MAX>;
+	unsigned int slots;
+};
+
+/* Slots that an entry daemon may still use, or uses, on a worker. */
+struct zx_held {
+	string worker<ZX_NAME_MAX>;
+	unsigned int slots;
+};
+
+/*
+ * Each ask lists all that is held; what it leaves out has been given back.
+ * The sequence rises with each ask of one incarnation of the daemon.
+ */
 struct zx_grant_args {
 	string entry<ZX_NAME_MAX>;
+	string domain<ZX_NAME_MAX>;
+	unsigned hyper incarnation;
+	unsigned hyper sequence;
+	zx_demand demand<ZX_LIST_MAX>;
+	zx_held held<ZX_LIST_MAX>;
 };
 
 /* Slots that an entry daemon may use on a worker until the grant lapses. */
 struct zx_grant {
-	string service<ZX_NAME_MAX>;
 	string worker<ZX_NAME_MAX>;
 	string address<ZX_NAME_MAX>;
 	unsigned int slots;
+	zx_name services<ZX_LIST_MAX>;
 };
 
 struct zx_grant_result {
 	int error;
+	/* Not all replicas are known yet: workers not named keep their slots. */
+	bool partial;
 	unsigned hyper epoch;
 	unsigned int lease_ms;
 	zx_grant grants<ZX_LIST_MAX>;
 };
-
--- a/rpc/msg_grants_xdr.c
+++ b/rpc/msg_grants_xdr.c
@@ -5,6 +5,40 @@
 
 #include "msg_grants.h"
 
+bool_t
+xdr_zx_name (XDR *xdrs, zx_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, ZX_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_demand (XDR *xdrs, zx_demand *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, ZX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_held (XDR *xdrs, zx_held *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->worker, ZX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_grant_args (XDR *xdrs, zx_grant_args *objp)
 {
@@ -12,6 +46,18 @@
 
 	 if (!xdr_string (xdrs, &objp->entry, ZX_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->domain, ZX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, ZX_LIST_MAX,
+		sizeof (zx_demand), (xdrproc_t) xdr_zx_demand))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, ZX_LIST_MAX,
+		sizeof (zx_held), (xdrproc_t) xdr_zx_held))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -20,14 +66,15 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->service, ZX_NAME_MAX))
-		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->worker, ZX_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->address, ZX_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slots))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, ZX_LIST_MAX,
+		sizeof (zx_name), (xdrproc_t) xdr_zx_name))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -38,6 +85,8 @@
 
 	 if (!xdr_int (xdrs, &objp->error))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->partial))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->lease_ms))
--- a/src/libzinniarack/entry/api_requests.c
+++ b/src/libzinniarack/entry/api_requests.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,37 +8,88 @@
 #include "zinniarack/errors.h"
 
 #define DEFAULT_TIMEOUT_MS 2000
-#define TIMEOUT_MS_MAX 30000
-#define REQUEST_ID_MAX 64
+#define TIMEOUT_MS_MAX 10000
+#define MS_PER_S 1000
+#define NUMBER_MAX 16
 #define SUFFIX "/requests"
 
-static void on_answer(void *ctx, int error, int status, const void *body,
-		      size_t length)
+/* A request on its way, until it is answered or its caller is gone. */
+struct request {
+	struct zr_entry *entry;
+	struct zr_http_exchange *exchange;
+	zr_handle handle;
+	bool done;
+};
+
+/* Replies */
+
+static const char *detail_of(int error)
 {
-	struct entry_call *call = ctx;
-
-	if (error < 0) {
-		entry_call_end_error(call, error,
-				     error == ZR_E_OUTCOME_UNKNOWN
-					     ? "sent, and no whole answer came"
-					     : "not sent to any worker");
-		return;
+	switch (error) {
+	case ZR_E_OUTCOME_UNKNOWN:
+		return "sent, and no whole answer came";
+	case ZR_E_OVERLOADED:
+		return "cannot be answered in time";
+	case ZR_E_NOT_FOUND:
+		return "no such service";
+	default:
+		return "not sent to any worker";
 	}
-	if (call->exchange)
-		zr_http_reply(call->exchange, status,
-			      "application/octet-stream", body, length);
-	free(call);
 }
 
-static unsigned int timeout_of(struct zr_http_exchange *exchange)
+static void reply_overloaded(struct zr_http_exchange *exchange,
+			     unsigned int retry_after_ms)
+{
+	char seconds[NUMBER_MAX];
+
+	snprintf(seconds, sizeof(seconds), "%u",
+		 (retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+	zr_http_reply_header(exchange, "retry-after", seconds);
+	entry_reply_json(exchange, 503,
+			 json_pack("{s:s, s:s, s:b, s:i}", "error",
+				   zr_error_name(ZR_E_OVERLOADED), "detail",
+				   detail_of(ZR_E_OVERLOADED), "not_run", 1,
+				   "retry_after_ms", (int)retry_after_ms));
+}
+
+static void on_answer(void *ctx, const struct zr_route_answer *answer)
+{
+	struct request *request = ctx;
+
+	request->done = true;
+	if (answer->error == ZR_E_OVERLOADED)
+		reply_overloaded(request->exchange, answer->retry_after_ms);
+	else if (answer->error < 0)
+		entry_reply_error(request->exchange, answer->error,
+				  detail_of(answer->error));
+	else
+		zr_http_reply(request->exchange, answer->status,
+			      "application/octet-stream", answer->body,
+			      answer->length);
+	if (request->handle)
+		free(request);
+}
+
+static void on_gone(void *ctx)
+{
+	struct request *request = ctx;
+
+	zr_router_cancel(request->entry->router, request->handle);
+	free(request);
+}
+
+/* Reading */
+
+static unsigned int read_number(struct zr_http_exchange *exchange,
+				const char *name, unsigned int most,
+				unsigned int otherwise)
 {
-	const char *text = zr_http_query(exchange, "timeout_ms");
-	unsigned long timeout = text ? strtoul(text, NULL, 10) : 0;
+	const char *text = zr_http_query(exchange, name);
+	unsigned long number = text ? strtoul(text, NULL, 10) : 0;
 
-	if (!timeout)
-		return DEFAULT_TIMEOUT_MS;
-	return timeout > TIMEOUT_MS_MAX ? TIMEOUT_MS_MAX
-					: (unsigned int)timeout;
+	if (!number)
+		return otherwise;
+	return number > most ? most : (unsigned int)number;
 }
 
 static bool read_service(char out[ZR_NAME_MAX], const char *rest)
@@ -55,33 +107,80 @@
 	return !strpbrk(out, "/ \r\n");
 }
 
-void entry_requests(struct zr_entry *entry, struct zr_http_exchange *exchange,
-		    const char *rest)
+static uint32_t share_of(const struct zr_entry *entry, const char *team)
 {
-	char service[ZR_NAME_MAX];
-	char id[REQUEST_ID_MAX];
-	struct zr_route_request request = {
+	const struct zr_config_team *row =
+		zr_config_team(zr_config_watch_current(entry->config), team);
+
+	return row && row->share ? row->share : 1;
+}
+
+static bool once(struct zr_http_exchange *exchange)
+{
+	const char *value = zr_http_query(exchange, "once");
+
+	return value && !strcmp(value, "true");
+}
+
+/* Routing */
+
+static void send_request(struct zr_entry *entry,
+			 struct zr_http_exchange *exchange,
+			 const struct zr_route_request *route)
+{
+	struct request *request = calloc(1, sizeof(*request));
+
+	if (!request)
+		abort();
+	request->entry = entry;
+	request->exchange = exchange;
+	request->handle =
+		zr_router_send(entry->router, route, on_answer, request);
+	if (request->done)
+		free(request);
+	else
+		zr_http_on_gone(exchange, on_gone, request);
+}
+
+static void route_request(struct zr_entry *entry,
+			  struct zr_http_exchange *exchange,
+			  const char *service, const char *team)
+{
+	char id[ZR_ROUTE_ID_MAX];
+	struct zr_route_request route = {
 		.service = service,
 		.id = id,
-		.idempotent = true,
+		.team = team,
+		.share = share_of(entry, team),
+		.worth = read_number(exchange, "worth", ZR_WORTH_MAX, 0),
+		.timeout_ms = read_number(exchange, "timeout_ms",
+					  TIMEOUT_MS_MAX, DEFAULT_TIMEOUT_MS),
+		.idempotent = !once(exchange),
 	};
+
+	snprintf(id, sizeof(id), "%.40s-%" PRIu64, entry->settings->name,
+		 ++entry->request_sequence);
+	route.body = zr_http_body(exchange, &route.length);
+	send_request(entry, exchange, &route);
+}
+
+void entry_requests(struct zr_entry *entry, struct zr_http_exchange *exchange,
+		    const char *rest)
+{
+	char service[ZR_NAME_MAX];
 	const char *team;
 	int error = entry_authenticate(&team, entry, exchange);
 
-	if (error < 0) {
+	if (error < 0)
 		entry_reply_error(exchange, error, zr_error_last());
-		return;
-	}
-	if (strcmp(zr_http_method(exchange), "POST") ||
-	    !read_service(service, rest)) {
+	else if (strcmp(zr_http_method(exchange), "POST") ||
+		 !read_service(service, rest))
 		entry_reply_error(exchange, ZR_E_NOT_FOUND,
 				  "POST /v1/services/NAME/requests");
-		return;
-	}
-	snprintf(id, sizeof(id), "%.40s-%" PRIu64, entry->settings->name,
-		 ++entry->request_sequence);
-	request.body = zr_http_body(exchange, &request.length);
-	request.timeout_ms = timeout_of(exchange);
-	zr_router_send(entry->router, &request, on_answer,
-		       entry_call_new(entry, exchange));
+	else if (zr_http_header(exchange, "idempotency-key"))
+		/* Without a durable record a repeat could run twice. */
+		entry_reply_error(exchange, ZR_E_STORE_DOWN,
+				  "no record of keys can be kept");
+	else
+		route_request(entry, exchange, service, team);
 }
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -24,11 +24,9 @@
 static void on_grants(void *ctx, int error, void *data)
 {
 	struct grant_call *call = ctx;
-	const zx_grant_result *result = data;
 
-	if (!error && !result->error)
-		zr_router_grants(call->entry->router, call->domain, result,
-				 call->asked);
+	zr_router_grants(call->entry->router, call->domain,
+			 error < 0 ? NULL : data, call->asked);
 	free(call);
 }
 
@@ -36,10 +34,10 @@
 {
 	struct zr_rpc_client *client =
 		zr_directory_active(entry->directory, domain);
-	zx_grant_args args = {.entry = entry->settings->name};
 	struct grant_call *call;
+	zx_grant_args args;
 
-	if (!client)
+	if (!client || zr_router_ask(&args, entry->router, domain) < 0)
 		return;
 	call = calloc(1, sizeof(*call));
 	if (!call)
@@ -49,6 +47,7 @@
 	snprintf(call->domain, sizeof(call->domain), "%s", domain);
 	zr_rpc_client_call(client, &zr_proc_grants, &args, GRANTS_TIMEOUT_MS,
 			   on_grants, call);
+	zr_router_ask_free(&args);
 }
 
 static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
@@ -57,8 +56,10 @@
 	struct zr_entry *entry = ctx;
 
 	entry->host_list_open = false;
-	if (!error)
-		zr_directory_hosts(entry->directory, hosts, count);
+	if (error < 0)
+		return;
+	zr_directory_hosts(entry->directory, hosts, count);
+	zr_router_hosts(entry->router, hosts, count);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -96,6 +97,22 @@
 				  entry);
 }
 
+static int make_router(struct zr_entry *entry)
+{
+	struct zr_router_options options = ZR_ROUTER_OPTIONS_INIT;
+	struct timespec started = entry->clock->realtime(entry->clock->ctx);
+
+	options.clock = entry->clock;
+	options.timers = &entry->timers;
+	options.metrics = entry->metrics;
+	options.entry = entry->settings->name;
+	options.domain = entry->settings->failure_domain;
+	options.incarnation = (uint64_t)started.tv_sec * 1000000000u +
+			      (uint64_t)started.tv_nsec;
+	options.peer_ctx = entry->loop;
+	return zr_router_new(&entry->router, &options);
+}
+
 int zr_entry_new(struct zr_entry **out, uv_loop_t *loop,
 		 const struct zr_clock *clock,
 		 const struct zr_settings *settings)
@@ -115,8 +132,7 @@
 	    (error = zr_http_host_list_new(&entry->host_list, loop,
 					   settings->host_list)) < 0 ||
 	    (error = zr_directory_new(&entry->directory, loop, clock)) < 0 ||
-	    (error = zr_router_new(&entry->router, loop, clock,
-				   entry->metrics)) < 0 ||
+	    (error = make_router(entry)) < 0 ||
 	    (error = zr_config_watch_new(&entry->config, &entry->timers,
 					 &entry->store, on_config, entry)) <
 		    0 ||
--- a/src/libzinniarack/net/http_client.c
+++ b/src/libzinniarack/net/http_client.c
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include <http_parser.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -12,7 +13,7 @@
 
 #define REQUEST_ID_FIELD "x-request-id"
 #define FIELD_NAME_MAX 32
-#define REQUEST_ID_MAX 64
+#define REQUEST_ID_MAX 96
 #define READ_CHUNK_BYTES 65536
 
 enum connection_state {
@@ -56,6 +57,7 @@
 	char field[FIELD_NAME_MAX];
 	size_t field_length;
 	char request_id[REQUEST_ID_MAX];
+	char expected_id[REQUEST_ID_MAX];
 	size_t request_id_length;
 	bool reading_value;
 };
@@ -286,9 +288,15 @@
 static void complete_answer(struct connection *connection, bool surplus)
 {
 	struct zr_http_client *client = connection->client;
-	bool keep = http_should_keep_alive(&connection->parser) && !surplus;
+	bool keep = http_should_keep_alive(&connection->parser) && !surplus &&
+		    client->connection_count <= client->options.max_connections;
 	struct zr_http_request *request = connection->request;
 
+	if (request->expected_id[0] &&
+	    strcmp(request->expected_id, request->request_id)) {
+		fail_connection(connection, ZR_E_PROTOCOL);
+		return;
+	}
 	if (keep)
 		become_idle(connection);
 	finish(request, 0);
@@ -316,16 +324,6 @@
 
 static void on_end_of_stream(struct connection *connection)
 {
-	struct zr_http_request *request = connection->request;
-
-	if (connection->state == CONNECTION_BUSY && request) {
-		http_parser_execute(&connection->parser, &parser_settings, NULL,
-				    0);
-		if (request->complete) {
-			complete_answer(connection, true);
-			return;
-		}
-	}
 	fail_connection(connection, ZR_E_UNREACHABLE);
 }
 
@@ -479,6 +477,28 @@
 	}
 }
 
+/* Close idle connections until no more than @most are open. */
+static void close_idle(struct zr_http_client *client, unsigned int most)
+{
+	struct connection *connection;
+
+	DL_FOREACH(client->connections, connection)
+	{
+		if (client->connection_count <= most)
+			return;
+		if (connection->state == CONNECTION_IDLE &&
+		    !connection->request)
+			close_connection(connection);
+	}
+}
+
+void zr_http_client_limit(struct zr_http_client *client,
+			  unsigned int connections)
+{
+	client->options.max_connections = connections;
+	close_idle(client, connections);
+}
+
 /* Requests */
 
 static void on_deadline(uv_timer_t *timer)
@@ -486,14 +506,18 @@
 	struct zr_http_request *request = timer->data;
 	struct connection *connection = request->connection;
 	struct zr_http_client *client = request->client;
+	bool silent;
 
 	if (request->early_error) {
 		finish(request, request->early_error);
 		return;
 	}
+	silent = connection && request->sent && !request->answer_begun;
 	finish(request, failure_of(request, ZR_E_UNREACHABLE));
 	if (connection)
 		close_connection(connection);
+	if (silent)
+		close_idle(client, 0);
 	serve_waiting(client);
 }
 
@@ -525,6 +549,9 @@
 		abort();
 	request->client = client;
 	request->idempotent = call->idempotent;
+	if (call->request_id)
+		snprintf(request->expected_id, sizeof(request->expected_id),
+			 "%s", call->request_id);
 	utstring_init(&request->bytes);
 	utstring_init(&request->body);
 	format_request(&request->bytes, client->host, call);
--- a/src/libzinniarack/net/http_client.h
+++ b/src/libzinniarack/net/http_client.h
@@ -19,7 +19,9 @@
  * - ZR_E_PROTOCOL, ZR_E_TOO_LARGE: an answer came that cannot be used.
  *
  * A connection whose call missed its deadline is closed, never reused: it may
- * be one that has gone silent for good.
+ * be one that has gone silent for good. The idle ones to the same server are
+ * closed with it. An answer that only the end of its connection delimits is
+ * refused: it could not be told from a truncated one.
  */
 
 struct zr_http_client;
@@ -42,6 +44,8 @@
  * @content_type: media type of @body, or NULL without a body
  * @headers: further fields
  * @header_count: how many
+ * @request_id: value that the answer's X-Request-Id field must have, or NULL;
+ *	another answer is a ZR_E_PROTOCOL error and ends the connection
  * @body: the body, copied
  * @body_length: its length in bytes
  * @timeout_ms: from now until the call is given up
@@ -54,6 +58,7 @@
 	const char *content_type;
 	const struct zr_http_header_field *headers;
 	size_t header_count;
+	const char *request_id;
 	const void *body;
 	size_t body_length;
 	unsigned int timeout_ms;
@@ -136,6 +141,10 @@
 					    const struct zr_http_call *call,
 					    zr_http_done_fn done, void *ctx);
 
+/** zr_http_client_limit() - keep at most so many connections from now on */
+void zr_http_client_limit(struct zr_http_client *client,
+			  unsigned int connections);
+
 /** zr_http_request_cancel() - forget a request; its done is not called */
 void zr_http_request_cancel(struct zr_http_request *request);
 
--- a/src/libzinniarack/net/http_server.c
+++ b/src/libzinniarack/net/http_server.c
@@ -315,6 +315,8 @@
 	exchange->replied = true;
 	req->res.status = status;
 	req->res.reason = reason_of(status);
+	/* Without a length a truncated answer would look whole. */
+	req->res.content_length = length;
 	zr_http_reply_header(exchange, "content-type", content_type);
 	h2o_send_inline(req, length ? body : "", length);
 }
--- /dev/null
+++ b/src/libzinniarack/route/health.c
@@ -0,0 +1,94 @@
+#include "route/private.h"
+#include "zinniarack/log.h"
+
+/* Failures in a row, and part of recent tries failed, that eject a worker. */
+#define EJECT_FAILURES 5
+#define EJECT_FAILURE_RATE 0.5
+#define FAILURE_RATE_WEIGHT 0.1
+/* At most so many of the workers of a domain are ejected, rounded up. */
+#define EJECTED_PERCENT_MAX 30
+#define EJECT_MS 1000
+#define EJECT_MS_MAX 30000
+/* Tries in a row that must succeed before a worker is trusted again. */
+#define TRIAL_SUCCESSES 3
+
+bool route_healthy(const struct route_worker *worker, bool idempotent,
+		   struct timespec now)
+{
+	if (worker->health == ROUTE_HEALTHY)
+		return true;
+	/* A trial is made with what may be sent again elsewhere. */
+	return idempotent && !worker->in_use &&
+	       zr_time_cmp(now, worker->ejected_until) >= 0;
+}
+
+static bool may_eject(const struct zr_router *router,
+		      const struct route_domain *domain)
+{
+	const struct route_worker *worker;
+	unsigned int ejected = 0;
+	unsigned int total = 0;
+	unsigned int most;
+
+	for (worker = router->workers; worker; worker = worker->hh.next) {
+		if (worker->domain != domain || !worker->named)
+			continue;
+		total++;
+		if (worker->health != ROUTE_HEALTHY)
+			ejected++;
+	}
+	most = (total * EJECTED_PERCENT_MAX + 99) / 100;
+	return total > 1 && ejected < most;
+}
+
+static void eject(struct zr_router *router, struct route_worker *worker,
+		  const char *reason)
+{
+	unsigned int ms = EJECT_MS;
+	unsigned int i;
+
+	for (i = 0; i < worker->ejections && ms < EJECT_MS_MAX; i++)
+		ms *= 2;
+	worker->ejections++;
+	worker->health = ROUTE_EJECTED;
+	worker->trial_successes = 0;
+	worker->ejected_until = zr_time_add_ms(
+		route_now(router), ms < EJECT_MS_MAX ? ms : EJECT_MS_MAX);
+	router->ejected->value++;
+	route_decided(router, "eject", "", NULL, worker, reason);
+}
+
+void route_failed(struct zr_router *router, struct route_worker *worker)
+{
+	worker->failures++;
+	worker->failure_rate +=
+		FAILURE_RATE_WEIGHT * (1 - worker->failure_rate);
+	if (!router->options.protection || router->freeing)
+		return;
+	if (worker->health != ROUTE_HEALTHY) {
+		eject(router, worker, "trial_failed");
+		return;
+	}
+	if (worker->failures < EJECT_FAILURES &&
+	    worker->failure_rate < EJECT_FAILURE_RATE)
+		return;
+	if (may_eject(router, worker->domain))
+		eject(router, worker,
+		      worker->failures < EJECT_FAILURES ? "failure_rate"
+							: "failures_in_a_row");
+}
+
+void route_succeeded(struct zr_router *router, struct route_worker *worker)
+{
+	worker->failures = 0;
+	worker->failure_rate -= FAILURE_RATE_WEIGHT * worker->failure_rate;
+	if (worker->health == ROUTE_HEALTHY)
+		return;
+	worker->health = ROUTE_ON_TRIAL;
+	if (++worker->trial_successes < TRIAL_SUCCESSES)
+		return;
+	worker->health = ROUTE_HEALTHY;
+	worker->ejections = 0;
+	worker->failure_rate = 0;
+	route_decided(router, "reinstate", "", NULL, worker, "trials_passed");
+}
--- a/src/libzinniarack/scheduler/grants.c
+++ b/src/libzinniarack/scheduler/grants.c
@@ -3,121 +3,162 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "route/grant_message.h"
 #include "zinniarack/errors.h"
 
+#define SERVICES_GROW 4
+/* The first epoch of a domain has no owner before it. */
+#define FIRST_EPOCH 1
+/* A new owner takes so long at most to hear which replicas run. */
+#define INVENTORY_MS 5000
+
 struct zr_grants {
 	struct zr_domain *domain;
-	char (*entries)[ZR_NAME_MAX];
-	size_t entry_count;
+	const char *domain_name;
+	struct zr_slot_escrow *escrow;
+	const struct zr_clock *clock;
+	uint64_t epoch;
+	struct timespec began;
 };
 
 struct builder {
 	struct zr_grants *grants;
-	size_t position;
 	zx_grant_result *result;
 };
 
-int zr_grants_new(struct zr_grants **out, struct zr_domain *domain)
+int zr_grants_new(struct zr_grants **out, struct zr_domain *domain,
+		  const struct zr_clock *clock, const char *domain_name)
 {
 	struct zr_grants *grants = calloc(1, sizeof(*grants));
+	int error;
 
 	if (!grants)
 		return ZR_E_NOMEM;
 	grants->domain = domain;
+	grants->domain_name = domain_name;
+	grants->clock = clock;
+	error = zr_slot_escrow_new(&grants->escrow, clock);
+	if (error < 0) {
+		free(grants);
+		return error;
+	}
 	*out = grants;
 	return 0;
 }
 
-static int compare_names(const void *a, const void *b)
-{
-	return strcmp(a, b);
-}
+/* Workers with replicas */
 
-void zr_grants_hosts(struct zr_grants *grants, const struct zr_host *hosts,
-		     size_t count)
+static zx_grant *get_grant(zx_grant_result *result, const struct zr_host *host)
 {
-	char(*entries)[ZR_NAME_MAX] = calloc(count + 1, sizeof(*entries));
-	size_t entry_count = 0;
-	size_t i;
+	zx_grant *grants = result->grants.grants_val;
+	u_int i;
 
-	if (!entries)
-		return;
-	for (i = 0; i < count; i++) {
-		if (hosts[i].kind == ZR_HOST_ENTRY)
-			memcpy(entries[entry_count++], hosts[i].name,
-			       ZR_NAME_MAX);
+	for (i = 0; i < result->grants.grants_len; i++) {
+		if (!strcmp(grants[i].worker, host->name))
+			return &grants[i];
 	}
-	qsort(entries, entry_count, sizeof(*entries), compare_names);
-	free(grants->entries);
-	grants->entries = entries;
-	grants->entry_count = entry_count;
+	if (i == ZX_LIST_MAX)
+		return NULL;
+	result->grants.grants_len++;
+	grants[i].worker = (char *)host->name;
+	grants[i].address = (char *)host->address;
+	return &grants[i];
 }
 
-static uint32_t share_of(const struct builder *builder, uint32_t slots)
+static void add_service(zx_grant *grant, const char *service)
 {
-	uint32_t hosts = (uint32_t)builder->grants->entry_count;
+	u_int count = grant->services.services_len;
+	zx_name *names = grant->services.services_val;
+	u_int i;
 
-	return slots / hosts + (builder->position < slots % hosts ? 1 : 0);
+	for (i = 0; i < count; i++) {
+		if (!strcmp(names[i], service))
+			return;
+	}
+	if (count % SERVICES_GROW == 0) {
+		names = reallocarray(names, count + SERVICES_GROW,
+				     sizeof(*names));
+		if (!names)
+			abort();
+		grant->services.services_val = names;
+	}
+	names[count] = (char *)service;
+	grant->services.services_len++;
 }
 
 static void add_replica(void *ctx, const struct zr_domain_replica *replica)
 {
 	struct builder *builder = ctx;
-	zx_grant_result *result = builder->result;
-	uint32_t slots = share_of(builder, replica->host->slots);
-	zx_grant *grant;
+	const struct zr_host *host = replica->host;
+	zx_grant *grant = get_grant(builder->result, host);
+
+	if (!grant)
+		return;
+	add_service(grant, replica->service);
+	zr_slot_escrow_worker(builder->grants->escrow, host->name,
+			      host->leaving ? 0 : host->slots);
+}
+
+/* Answers */
 
-	if (!slots || replica->host->leaving ||
-	    result->grants.grants_len == ZX_LIST_MAX)
+static void follow_epoch(struct zr_grants *grants, uint64_t epoch)
+{
+	if (epoch == grants->epoch)
 		return;
-	grant = &result->grants.grants_val[result->grants.grants_len++];
-	grant->service = (char *)replica->service;
-	grant->worker = (char *)replica->host->name;
-	grant->address = (char *)replica->host->address;
-	grant->slots = slots;
+	grants->epoch = epoch;
+	grants->began = zr_clock_now(grants->clock);
+	zr_slot_escrow_begin(grants->escrow, epoch > FIRST_EPOCH);
 }
 
-static size_t position_of(const struct zr_grants *grants, const char *entry)
+static bool inventory_open(const struct zr_grants *grants)
 {
-	size_t i;
+	struct timespec now = zr_clock_now(grants->clock);
 
-	for (i = 0; i < grants->entry_count; i++) {
-		if (!strcmp(grants->entries[i], entry))
-			break;
-	}
-	return i;
+	return grants->epoch > FIRST_EPOCH &&
+	       zr_time_diff_ms(now, grants->began) < INVENTORY_MS;
 }
 
 void zr_grants_answer(zx_grant_result *out, struct zr_grants *grants,
-		      const char *entry)
+		      const zx_grant_args *ask)
 {
-	struct builder builder = {
-		.grants = grants,
-		.position = position_of(grants, entry),
-		.result = out,
-	};
+	struct builder builder = {.grants = grants, .result = out};
+	uint64_t epoch = zr_domain_epoch(grants->domain);
+	uint32_t holder;
 
 	memset(out, 0, sizeof(*out));
-	out->epoch = zr_domain_epoch(grants->domain);
+	out->epoch = epoch;
 	out->lease_ms = ZR_GRANT_LEASE_MS;
-	if (!out->epoch) {
+	if (!epoch) {
 		out->error = ZR_E_NOT_OWNER;
 		return;
 	}
-	if (builder.position == grants->entry_count) {
-		out->error = ZR_E_NOT_FOUND;
+	follow_epoch(grants, epoch);
+	out->partial = inventory_open(grants);
+	out->error = zr_grant_message_ask(&holder, grants->escrow, ask,
+					  grants->domain_name);
+	if (out->error < 0)
 		return;
-	}
 	out->grants.grants_val = calloc(ZX_LIST_MAX, sizeof(zx_grant));
 	if (!out->grants.grants_val)
 		abort();
+	zr_slot_escrow_unlist(grants->escrow);
 	zr_domain_replicas(grants->domain, add_replica, &builder);
+	zr_grant_message_fill(out, grants->escrow, holder);
+}
+
+void zr_grants_answer_free(zx_grant_result *result)
+{
+	u_int i;
+
+	for (i = 0; i < result->grants.grants_len; i++)
+		free(result->grants.grants_val[i].services.services_val);
+	free(result->grants.grants_val);
 }
 
 void zr_grants_free(struct zr_grants *grants)
 {
 	if (!grants)
 		return;
-	free(grants->entries);
+	zr_slot_escrow_free(grants->escrow);
 	free(grants);
 }
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -53,7 +53,6 @@
 	if (error < 0)
 		return;
 	zr_domain_hosts(scheduler->domain, hosts, count);
-	zr_grants_hosts(scheduler->service.grants, hosts, count);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -86,7 +85,8 @@
 	return zr_domain_new(&scheduler->domain, &options);
 }
 
-static int make_service(struct zr_scheduler *scheduler)
+static int make_service(struct zr_scheduler *scheduler,
+			const struct zr_clock *clock)
 {
 	const struct zr_settings *settings = scheduler->settings;
 	struct zr_scheduler_service *service = &scheduler->service;
@@ -95,7 +95,8 @@
 	service->domain = scheduler->domain;
 	service->name = settings->name;
 	service->domain_name = settings->failure_domain;
-	error = zr_grants_new(&service->grants, scheduler->domain);
+	error = zr_grants_new(&service->grants, scheduler->domain, clock,
+			      settings->failure_domain);
 	if (error < 0)
 		return error;
 	error = zr_rpc_server_new(
@@ -126,7 +127,7 @@
 	    (error = zr_http_host_list_new(&scheduler->host_list, loop,
 					   settings->host_list)) < 0 ||
 	    (error = make_domain(scheduler, clock)) < 0 ||
-	    (error = make_service(scheduler)) < 0 ||
+	    (error = make_service(scheduler, clock)) < 0 ||
 	    (error = zr_config_watch_new(&scheduler->config, &scheduler->timers,
 					 &scheduler->store, on_config,
 					 scheduler)) < 0)
