--- a/src/libzinniarack/route/calls.c
+++ b/src/libzinniarack/route/calls.c
@@ -276,6 +276,9 @@
 		timeout = TRY_TIMEOUT_MS_MIN;
 	if (!call->service->latency_ms || timeout > (double)left / 2)
 		timeout = (double)left / 2;
+	/* Too little is left for two tries. */
+	if (timeout < 2 * route_expected_ms(call->service))
+		return (unsigned int)left;
 	return (unsigned int)(timeout < 1 ? 1 : timeout);
 }
 
--- a/src/libzinniarack/route/health.c
+++ b/src/libzinniarack/route/health.c
@@ -63,9 +63,11 @@
 	worker->failures++;
 	worker->failure_rate +=
 		FAILURE_RATE_WEIGHT * (1 - worker->failure_rate);
-	if (!router->options.protection || router->freeing)
+	/* Tries sent before an ejection say nothing new. */
+	if (!router->options.protection || router->freeing ||
+	    worker->health == ROUTE_EJECTED)
 		return;
-	if (worker->health != ROUTE_HEALTHY) {
+	if (worker->health == ROUTE_ON_TRIAL) {
 		eject(router, worker, "trial_failed");
 		return;
 	}
@@ -82,9 +84,8 @@
 {
 	worker->failures = 0;
 	worker->failure_rate -= FAILURE_RATE_WEIGHT * worker->failure_rate;
-	if (worker->health == ROUTE_HEALTHY)
+	if (worker->health != ROUTE_ON_TRIAL)
 		return;
-	worker->health = ROUTE_ON_TRIAL;
 	if (++worker->trial_successes < TRIAL_SUCCESSES)
 		return;
 	worker->health = ROUTE_HEALTHY;
--- a/src/libzinniarack/route/private.h
+++ b/src/libzinniarack/route/private.h
@@ -153,6 +153,9 @@
 					 const char *name);
 uint32_t route_service_slots(const struct route_service *service,
 			     struct timespec now);
+/** Whether any grant for the service is in force, be it of no slots. */
+bool route_service_granted(const struct route_service *service,
+			   struct timespec now);
 struct route_use *route_use_of(struct route_service *service,
 			       struct route_domain *domain);
 void route_unmet(struct route_service *service);
--- a/src/libzinniarack/route/queue.c
+++ b/src/libzinniarack/route/queue.c
@@ -7,6 +7,8 @@
 #include "zinniarack/errors.h"
 
 #define WAITING_MAX 1024
+/* Without a slot: until others have given some back and an ask has got them. */
+#define GRANT_WAIT_MS 1000
 #define RETRY_AFTER_MS_MIN 50
 #define RETRY_AFTER_MS_MAX 10000
 /* How far above its mean a latency is to be expected. */
@@ -99,7 +101,9 @@
 {
 	uint32_t slots = route_service_slots(service, route_now(router));
 
-	return service->latency_ms / (slots ? slots : 1);
+	if (!slots)
+		return GRANT_WAIT_MS + service->latency_ms;
+	return service->latency_ms / slots;
 }
 
 /* Requests served before one at this place of its team's queue. */
@@ -121,12 +125,12 @@
 
 static bool in_time(const struct route_call *call,
 		    const struct route_team *team, unsigned int place,
-		    double wait_ms)
+		    unsigned int slack, double wait_ms)
 {
 	const struct route_service *service = call->service;
-	double wait = (calls_before(service, team, place) + 1) * wait_ms;
+	double wait = (calls_before(service, team, place) + slack) * wait_ms;
 
-	return wait + route_expected_ms(service) <= remaining_ms(call);
+	return wait + route_expected_ms(service) < remaining_ms(call);
 }
 
 unsigned int route_queue_retry_after(struct zr_router *router,
@@ -143,9 +147,13 @@
 	return (unsigned int)(ms * (1 + route_random(router)));
 }
 
+/*
+ * Refuses what cannot be answered in time. A newcomer (@slack 1) must allow for
+ * one that has just begun; what waits has seen it go on.
+ */
 static void refuse_late(const struct zr_router *router,
 			const struct route_service *service,
-			struct route_team *team)
+			struct route_team *team, unsigned int slack)
 {
 	double wait_ms = wait_per_call(router, service);
 	struct route_call *call;
@@ -154,7 +162,7 @@
 
 	DL_FOREACH_SAFE(team->calls, call, next)
 	{
-		if (in_time(call, team, place, wait_ms))
+		if (in_time(call, team, place, slack, wait_ms))
 			place++;
 		else
 			route_call_refuse(call, ZR_E_OVERLOADED, "not_in_time");
@@ -183,13 +191,17 @@
 	struct route_team *team = get_team(service, call);
 
 	route_unmet(service);
+	if (!route_service_granted(service, route_now(router))) {
+		route_call_refuse(call, ZR_E_OVERLOADED, "grants_lapsed");
+		return;
+	}
 	insert(team, call);
 	route_decided(router, "wait", call->id, service, NULL, "no_free_slot");
 	if (service->waiting > WAITING_MAX)
 		route_call_refuse(longest(service)->calls->prev,
 				  ZR_E_OVERLOADED, "queue_full");
 	if (router->options.admission)
-		refuse_late(router, service, team);
+		refuse_late(router, service, team, 1);
 }
 
 /* Service */
@@ -265,7 +277,7 @@
 		DL_FOREACH(service->teams, team)
 		{
 			if (router->options.admission)
-				refuse_late(router, service, team);
+				refuse_late(router, service, team, 0);
 			else
 				expire_all(team);
 		}
--- a/src/libzinniarack/route/slot_escrow.c
+++ b/src/libzinniarack/route/slot_escrow.c
@@ -337,6 +337,15 @@
 
 /* Division */
 
+/* Slots that may be granted at all. */
+static uint32_t slots_of(const struct zr_slot_escrow *escrow,
+			 const struct worker *worker)
+{
+	if (escrow->recovering && worker->known < worker->slots)
+		return worker->known;
+	return worker->slots;
+}
+
 static double weight_of(const struct zr_slot_escrow *escrow,
 			const struct holder *holder,
 			const char *const *services, size_t service_count)
@@ -376,7 +385,7 @@
 	{
 		before = after;
 		after += weight_of(escrow, holder, services, service_count) *
-			 worker->slots / total;
+			 slots_of(escrow, worker) / total;
 		if (holder->id == wanted)
 			break;
 	}
@@ -386,11 +395,9 @@
 static uint32_t free_slots(const struct zr_slot_escrow *escrow,
 			   const struct worker *worker)
 {
-	uint32_t limit = worker->slots;
+	uint32_t limit = slots_of(escrow, worker);
 	uint32_t used = counted(worker);
 
-	if (escrow->recovering && worker->known < limit)
-		limit = worker->known;
 	return used < limit ? limit - used : 0;
 }
 
--- a/src/libzinniarack/route/targets.c
+++ b/src/libzinniarack/route/targets.c
@@ -88,6 +88,18 @@
 	return sum;
 }
 
+bool route_service_granted(const struct route_service *service,
+			   struct timespec now)
+{
+	size_t i;
+
+	for (i = 0; i < service->worker_count; i++) {
+		if (zr_time_cmp(now, service->workers[i]->expires) < 0)
+			return true;
+	}
+	return false;
+}
+
 struct route_use *route_use_of(struct route_service *service,
 			       struct route_domain *domain)
 {
--- a/tests/runners/run_route.c
+++ b/tests/runners/run_route.c
@@ -80,6 +80,7 @@
 	uint64_t starts;
 	bool quiet;
 	unsigned int counts[KINDS];
+	unsigned int ejected;
 } run;
 
 static void stop_with(const char *what, const char *word)
@@ -120,6 +121,8 @@
 {
 	const struct entry *entry = ctx;
 
+	if (!strcmp(decision->action, "eject"))
+		run.ejected++;
 	if (run.quiet)
 		return;
 	print_time();
@@ -428,6 +431,9 @@
 			printf("%s: %u\n", i ? zr_error_name(-i) : "answered",
 			       run.counts[i]);
 	}
+	if (run.ejected)
+		printf("ejected: %u\n", run.ejected);
+	run.ejected = 0;
 	memset(run.counts, 0, sizeof(run.counts));
 }
 
