Requests that run at most once for an idempotency key

The flow against a table of callbacks that the home of a key offers: intent kept before the send, a found intent without an answer is never run, a kept answer is given again, withdrawn only by the run that made it and only when no byte left.

--- a/tests/runners/run_route.c
+++ b/tests/runners/run_route.c
@@ -9,6 +9,8 @@
  *   kill ENTRY                               it dies; its workers go on
  *   ask ENTRY DOMAIN [lost]                  one ask and its answer
  *   send ENTRY ID SERVICE MS [once] [team=T] [share=N] [worth=N]
+ *   home up|down|lossy                       the homes of idempotency keys
+ *   send-key ENTRY ID SERVICE MS KEY         must run once for this key
  *   cancel ENTRY ID                          the caller goes away
  *   answer TRY [STATUS]                      a worker's whole answer
  *   crossed TRY OTHER                        an answer that bears another id
@@ -26,6 +28,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "fakes/fake_once.h"
 #include "fakes/fake_peer.h"
 #include "fakes/fake_time.h"
 #include "route/grant_message.h"
@@ -72,6 +75,8 @@
 static struct {
 	struct fake_time *time;
 	struct fake_peers *peers;
+	struct fake_once *homes;
+	struct zr_once once;
 	struct zr_metrics *metrics;
 	struct worker *workers;
 	struct scheduler *schedulers;
@@ -335,6 +340,34 @@
 					 on_done, request);
 }
 
+static void run_home(char **words, int count)
+{
+	(void)count;
+	fake_once_set(run.homes, !strcmp(words[1], "down"),
+		      !strcmp(words[1], "lossy"));
+}
+
+static void run_send_key(char **words, int count)
+{
+	struct request *request = calloc(1, sizeof(*request));
+	struct zr_route_request route = {
+		.service = words[3],
+		.id = words[2],
+		.team = "t",
+		.body = words[3],
+		.length = strlen(words[3]),
+		.timeout_ms = (unsigned int)atoi(words[4]),
+	};
+
+	(void)count;
+	FIND(run.entries, name, words[1], request->entry);
+	snprintf(request->id, sizeof(request->id), "%s", words[2]);
+	LL_PREPEND(run.requests, request);
+	zr_once_send(request->entry->router, &run.once,
+		     fake_time_clock(run.time), &route, words[5], on_done,
+		     request);
+}
+
 static void run_cancel(char **words, int count)
 {
 	struct request *request;
@@ -445,7 +478,8 @@
 	{"scheduler", 3, run_scheduler}, {"worker", 5, run_worker},
 	{"leaving", 2, run_leaving},	 {"entry", 3, run_entry},
 	{"kill", 2, run_kill},		 {"ask", 3, run_ask},
-	{"send", 5, run_send},		 {"cancel", 3, run_cancel},
+	{"send", 5, run_send},		 {"home", 2, run_home},
+	{"send-key", 6, run_send_key},	 {"cancel", 3, run_cancel},
 	{"answer", 2, run_answer},	 {"crossed", 3, run_crossed},
 	{"fail", 3, run_fail},		 {"finish", 3, run_finish},
 	{"advance", 2, run_advance},	 {"held", 2, run_held},
@@ -489,6 +523,7 @@
 		zr_slot_escrow_free(scheduler->escrow);
 		free(scheduler);
 	}
+	fake_once_free(run.homes);
 	fake_peers_free(run.peers);
 	fake_time_free(run.time);
 	zr_metrics_free(run.metrics);
@@ -503,6 +538,7 @@
 		stop_with("usage", "run_route SCRIPT");
 	run.time = fake_time_new();
 	run.peers = fake_peers_new(run.time);
+	run.homes = fake_once_new(&run.once);
 	fake_peers_on_sent(run.peers, on_sent, NULL);
 	zr_metrics_new(&run.metrics);
 	while (fgets(line, sizeof(line), script))
