--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -1,7 +1,10 @@
 /*
  * Stands in for workers in tests: one process serves several, one a port. A
- * command is `run MS [RESULT]`, `fail MS` or `serve MS`. Each task that begins
- * or ends adds a line to the ledger, which tests read to count runs.
+ * command is `run MS [RESULT]`, `fail MS` or `serve MS [silent]`. Each task
+ * that begins or ends adds a line to the ledger, which tests read to count
+ * runs. A short request adds none; GET /v1/serving gives how many are and were
+ * open. It is given up when the deadline that came with it has passed. A silent
+ * service takes requests and never answers.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -50,6 +53,7 @@
 
 struct served {
 	uv_timer_t timer;
+	bool abandoned;
 	struct worker *worker;
 	struct zr_http_exchange *exchange;
 };
@@ -263,7 +267,9 @@
 	const char *id;
 
 	served->worker->serving--;
-	if (served->exchange) {
+	if (served->exchange && served->abandoned)
+		zr_http_on_gone(served->exchange, NULL, NULL);
+	else if (served->exchange) {
 		body = zr_http_body(served->exchange, &length);
 		id = zr_http_header(served->exchange, "x-request-id");
 		zr_http_reply_header(served->exchange, "x-request-id",
@@ -299,6 +305,8 @@
 {
 	const struct task *task = find_service(worker, service);
 	struct served *served;
+	const char *deadline;
+	unsigned int ms;
 
 	if (!task) {
 		reply_status(exchange, 404);
@@ -306,13 +314,21 @@
 	}
 	served = calloc(1, sizeof(*served));
 	served->worker = worker;
+	deadline = zr_http_header(exchange, "x-deadline-ms");
+	ms = task->serve_ms;
+	served->abandoned = !strcmp(task->result, "silent");
+	if (deadline &&
+	    (served->abandoned || strtoul(deadline, NULL, 10) < ms)) {
+		served->abandoned = true;
+		ms = (unsigned int)strtoul(deadline, NULL, 10);
+	}
 	served->exchange = exchange;
 	if (++worker->serving > worker->most_serving)
 		worker->most_serving = worker->serving;
 	zr_http_on_gone(exchange, on_served_gone, served);
 	uv_timer_init(uv_default_loop(), &served->timer);
 	served->timer.data = served;
-	uv_timer_start(&served->timer, on_served, task->serve_ms, 0);
+	uv_timer_start(&served->timer, on_served, ms, 0);
 }
 
 /* Dispatch */
@@ -354,6 +370,12 @@
 	const void *body;
 	size_t length;
 
+	if (!strcmp(path, "/v1/serving")) {
+		reply_json(exchange, 200,
+			   json_pack("{s:i, s:i}", "now", (int)worker->serving,
+				     "most", (int)worker->most_serving));
+		return;
+	}
 	if (!strncmp(path, serve, sizeof(serve) - 1)) {
 		serve_request(worker, exchange, path + sizeof(serve) - 1);
 		return;
