--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -2,8 +2,10 @@
  * Stands in for workers in tests: one process serves several, one a port. A
  * command is `run MS [RESULT]`, `fail MS` or `serve MS [silent]`. Each task
  * that begins or ends adds a line to the ledger, which tests read to count
- * runs. A short request adds none; GET /v1/serving gives how many are and were
- * open. It is given up when the deadline that came with it has passed. A silent
+ * runs: what, the task, the worker, and the monotonic time in milliseconds.
+ *
+ * A short request adds none; GET /v1/serving gives how many are and were open.
+ * It is given up when the deadline that came with it has passed. A silent
  * service takes requests and never answers.
  */
 #include <argp.h>
@@ -87,7 +89,8 @@
 {
 	if (!state.ledger)
 		return;
-	fprintf(state.ledger, "%s %s %s\n", what, id, worker->name);
+	fprintf(state.ledger, "%s %s %s %" PRId64 "\n", what, id, worker->name,
+		zr_time_to_ms(now()));
 	fflush(state.ledger);
 }
 
