Graceful stop: refuse as not run, finish what is open, give slots back

SIGTERM closed the listener at once, so connections not yet accepted were reset, and left the slots counted until they lapsed.

Outside route: entry.c, api.c (refusal), scheduler.c (calls open).

--- a/include/zinniarack/scheduler.h
+++ b/include/zinniarack/scheduler.h
@@ -37,6 +37,9 @@
 void zr_scheduler_stop(struct zr_scheduler *scheduler, void (*done)(void *ctx),
 		       void *ctx);
 
+/** zr_scheduler_busy() - calls of entry daemons in progress */
+unsigned int zr_scheduler_busy(const struct zr_scheduler *scheduler);
+
 void zr_scheduler_free(struct zr_scheduler *scheduler);
 
 #endif
--- a/rpc/msg_grants.h
+++ b/rpc/msg_grants.h
@@ -34,6 +34,7 @@
 	char *domain;
 	u_quad_t incarnation;
 	u_quad_t sequence;
+	bool_t leaving;
 	struct {
 		u_int demand_len;
 		zx_demand *demand_val;
--- a/rpc/msg_grants.x
+++ b/rpc/msg_grants.x
@@ -30,6 +30,8 @@
 	string domain<ZX_NAME_MAX>;
 	unsigned hyper incarnation;
 	unsigned hyper sequence;
+	/* The daemon stops: it gets nothing more. */
+	bool leaving;
 	zx_demand demand<ZX_LIST_MAX>;
 	zx_held held<ZX_LIST_MAX>;
 };
--- a/rpc/msg_grants_xdr.c
+++ b/rpc/msg_grants_xdr.c
@@ -52,6 +52,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, ZX_LIST_MAX,
 		sizeof (zx_demand), (xdrproc_t) xdr_zx_demand))
 		 return FALSE;
--- a/src/libzinniarack/entry/api.c
+++ b/src/libzinniarack/entry/api.c
@@ -146,7 +146,10 @@
 	struct zr_entry *entry = ctx;
 	const char *rest;
 
-	if ((rest = after(path, "/v1/jobs")))
+	if (zr_http_server_draining(entry->http))
+		entry_reply_error(exchange, ZR_E_SHUTTING_DOWN,
+				  "this host is stopping");
+	else if ((rest = after(path, "/v1/jobs")))
 		entry_jobs(entry, exchange, rest);
 	else if ((rest = after(path, "/v1/services")))
 		entry_requests(entry, exchange, rest);
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -50,6 +50,15 @@
 	zr_router_ask_free(&args);
 }
 
+static void ask_all(struct zr_entry *entry)
+{
+	const char *domain;
+	size_t i;
+
+	for (i = 0; (domain = zr_directory_domain(entry->directory, i)); i++)
+		ask_grants(entry, domain);
+}
+
 static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
 		     size_t count)
 {
@@ -65,16 +74,13 @@
 static void on_tick(uv_timer_t *timer)
 {
 	struct zr_entry *entry = timer->data;
-	const char *domain;
-	size_t i;
 
 	if (!entry->host_list_open) {
 		entry->host_list_open = true;
 		entry->host_list.ops->read(entry->host_list.impl, on_hosts,
 					   entry);
 	}
-	for (i = 0; (domain = zr_directory_domain(entry->directory, i)); i++)
-		ask_grants(entry, domain);
+	ask_all(entry);
 }
 
 static void on_config(void *ctx, const struct zr_config *config)
@@ -147,12 +153,19 @@
 
 void zr_entry_stop(struct zr_entry *entry)
 {
+	zr_http_server_drain(entry->http);
+}
+
+void zr_entry_leave(struct zr_entry *entry)
+{
+	zr_router_leave(entry->router);
+	ask_all(entry);
 	zr_http_server_stop(entry->http);
 }
 
-bool zr_entry_busy(const struct zr_entry *entry)
+unsigned int zr_entry_busy(const struct zr_entry *entry)
 {
-	return zr_http_server_open(entry->http) > 0;
+	return zr_http_server_open(entry->http);
 }
 
 void zr_entry_free(struct zr_entry *entry)
--- a/src/libzinniarack/net/http_server.c
+++ b/src/libzinniarack/net/http_server.c
@@ -19,6 +19,8 @@
 	void *ctx;
 	uv_tcp_t listener;
 	bool listening;
+	bool draining;
+	uv_check_t check;
 	unsigned int open_exchanges;
 	unsigned int open_connections;
 	h2o_globalconf_t config;
@@ -212,13 +214,40 @@
 	return 0;
 }
 
+void zr_http_server_drain(struct zr_http_server *server)
+{
+	if (server->draining)
+		return;
+	server->draining = true;
+	h2o_context_request_shutdown(&server->context);
+}
+
+bool zr_http_server_draining(const struct zr_http_server *server)
+{
+	return server->draining;
+}
+
+/*
+ * The kernel resets connections that were not accepted when their listener is
+ * closed. After polling all that had come have been accepted.
+ */
+static void on_polled(uv_check_t *check)
+{
+	struct zr_http_server *server = check->data;
+
+	uv_close((uv_handle_t *)check, NULL);
+	uv_close((uv_handle_t *)&server->listener, NULL);
+}
+
 void zr_http_server_stop(struct zr_http_server *server)
 {
 	if (!server->listening)
 		return;
 	server->listening = false;
-	uv_close((uv_handle_t *)&server->listener, NULL);
-	h2o_context_request_shutdown(&server->context);
+	zr_http_server_drain(server);
+	uv_check_init(server->loop, &server->check);
+	server->check.data = server;
+	uv_check_start(&server->check, on_polled);
 }
 
 unsigned int zr_http_server_open(const struct zr_http_server *server)
--- a/src/libzinniarack/net/http_server.h
+++ b/src/libzinniarack/net/http_server.h
@@ -59,6 +59,17 @@
 		       const struct zr_http_server_options *options,
 		       zr_http_handler_fn handler, void *ctx);
 
+/**
+ * zr_http_server_drain() - begin to stop: connections end with their reply
+ * @server: the server
+ *
+ * Connections are still accepted, so that a caller is told to go elsewhere.
+ */
+void zr_http_server_drain(struct zr_http_server *server);
+
+/** zr_http_server_draining() - whether new requests are to be refused */
+bool zr_http_server_draining(const struct zr_http_server *server);
+
 /** zr_http_server_stop() - accept no more; open exchanges go on */
 void zr_http_server_stop(struct zr_http_server *server);
 
--- a/src/libzinniarack/net/rpc_server.c
+++ b/src/libzinniarack/net/rpc_server.c
@@ -34,6 +34,8 @@
 	const struct zr_rpc_service *services;
 	void *ctx;
 	struct connection *connections;
+	unsigned int connection_count;
+	unsigned int open_calls;
 };
 
 static void maybe_free_server(struct zr_rpc_server *server)
@@ -106,6 +108,7 @@
 	send_reply(connection, call->xid, SUCCESS,
 		   call->procedure->decode_result, result);
 	connection->open_calls--;
+	connection->server->open_calls--;
 	free(call);
 	maybe_free_connection(connection);
 }
@@ -128,6 +131,7 @@
 		call->procedure = procedure;
 		call->xid = xid;
 		connection->open_calls++;
+		connection->server->open_calls++;
 		service->handler(connection->server->ctx, call, args);
 	}
 	xdr_free(procedure->encode_args, args);
@@ -196,6 +200,11 @@
 	maybe_free_server(server);
 }
 
+unsigned int zr_rpc_server_open(const struct zr_rpc_server *server)
+{
+	return server->open_calls;
+}
+
 void zr_rpc_server_stop(struct zr_rpc_server *server)
 {
 	if (!server->listening)
--- a/src/libzinniarack/route/private.h
+++ b/src/libzinniarack/route/private.h
@@ -124,6 +124,7 @@
 	uint64_t random;
 	uint32_t last_serial;
 	bool freeing;
+	bool leaving;
 	struct route_domain *domains;
 	struct route_worker *workers;
 	struct route_service *services;
--- a/src/libzinniarack/route/router.h
+++ b/src/libzinniarack/route/router.h
@@ -199,6 +199,9 @@
  */
 void zr_router_cancel(struct zr_router *router, zr_handle request);
 
+/** zr_router_leave() - give all slots back with the next asks; send no more */
+void zr_router_leave(struct zr_router *router);
+
 /** zr_router_busy() - tries whose worker may still be at work */
 unsigned int zr_router_busy(const struct zr_router *router);
 
--- a/src/libzinniarack/route/slot_escrow.c
+++ b/src/libzinniarack/route/slot_escrow.c
@@ -31,6 +31,7 @@
 	uint32_t id;
 	char entry[ZR_NAME_MAX];
 	bool local;
+	bool leaving;
 	uint64_t incarnation;
 	uint64_t sequence;
 	struct timespec asked;
@@ -327,6 +328,7 @@
 		return ZR_E_CONFLICT;
 	holder->sequence = ask->sequence;
 	holder->local = ask->local;
+	holder->leaving = ask->leaving;
 	holder->asked = now(escrow);
 	holder->expires = zr_time_add_ms(now(escrow), ZR_GRANT_HOLD_MS);
 	take_held(escrow, holder, first, ask);
@@ -354,7 +356,8 @@
 	struct demand *demand;
 	size_t i;
 
-	if (zr_time_diff_ms(now(escrow), holder->asked) > ASKS_WITHIN_MS)
+	if (holder->leaving ||
+	    zr_time_diff_ms(now(escrow), holder->asked) > ASKS_WITHIN_MS)
 		return 0;
 	for (i = 0; i < service_count; i++) {
 		HASH_FIND_STR(holder->demand, services[i], demand);
@@ -381,6 +384,8 @@
 
 	DL_FOREACH(escrow->holders, holder)
 	total += weight_of(escrow, holder, services, service_count);
+	if (total <= 0)
+		return 0;
 	DL_FOREACH(escrow->holders, holder)
 	{
 		before = after;
--- a/src/libzinniarack/route/slot_escrow.h
+++ b/src/libzinniarack/route/slot_escrow.h
@@ -57,6 +57,7 @@
  * @local: whether it stands in the scheduler's failure domain
  * @incarnation: which run of the daemon; a new run holds nothing of the old
  * @sequence: rises with each ask of an incarnation
+ * @leaving: it is to get nothing more
  * @demand: per service
  * @demand_count: how many
  * @held: all that it holds
@@ -67,6 +68,7 @@
 	bool local;
 	uint64_t incarnation;
 	uint64_t sequence;
+	bool leaving;
 	const struct zr_slot_demand *demand;
 	size_t demand_count;
 	const struct zr_slot_held *held;
--- a/src/libzinniarack/route/targets.c
+++ b/src/libzinniarack/route/targets.c
@@ -180,6 +180,7 @@
 	out->domain = (char *)router->options.domain;
 	out->incarnation = router->options.incarnation;
 	out->sequence = ++domain->sequence;
+	out->leaving = router->leaving;
 	out->held.held_val =
 		calloc(HASH_COUNT(router->workers) + 1, sizeof(zx_held));
 	out->demand.demand_val =
@@ -339,7 +340,8 @@
 	u_int i;
 
 	domain->ask_open = false;
-	if (!result || result->error || result->epoch < domain->epoch ||
+	if (!result || result->error || router->leaving ||
+	    result->epoch < domain->epoch ||
 	    zr_time_diff_ms(route_now(router), asked) > ANSWER_WITHIN_MS)
 		return;
 	domain->epoch = result->epoch;
@@ -357,6 +359,15 @@
 		route_queue_pump(router, service);
 }
 
+void zr_router_leave(struct zr_router *router)
+{
+	struct route_worker *worker;
+
+	router->leaving = true;
+	for (worker = router->workers; worker; worker = worker->hh.next)
+		worker->slots = 0;
+}
+
 /* Host list */
 
 void zr_router_hosts(struct zr_router *router, const struct zr_host *hosts,
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -145,6 +145,11 @@
 	zr_domain_stop(scheduler->domain, done, ctx);
 }
 
+unsigned int zr_scheduler_busy(const struct zr_scheduler *scheduler)
+{
+	return zr_rpc_server_open(scheduler->rpc);
+}
+
 void zr_scheduler_free(struct zr_scheduler *scheduler)
 {
 	if (!scheduler)
