Declared jobs: kept in being by the active scheduler of each domain

Cause: services and batches that must keep running lived only in the hands of the caller that submitted them.

The domain's jobs are its only record, so a new owner goes on from there. The idempotency key is declared/<name>/<domain>/<instance>; the instance rises when a changed declaration replaces a job, else going back to a former declaration would find its cancelled job. Callers may not use that prefix.

Outside: zr_domain_loaded() says that all kept jobs are known; before that a submission is refused as not run, since a job of the same idempotency key may not have been read yet.

--- a/src/libzinniarack/domain/domain.c
+++ b/src/libzinniarack/domain/domain.c
@@ -109,6 +109,7 @@
 	       HASH_COUNT(domain->jobs));
 	/* Ends that completed a job whose own end was not kept. */
 	zr_domain_drain(domain);
+	domain->loaded = true;
 	domain->recovering = true;
 	domain->recovery_deadline = zr_time_add_ms(
 		now(domain), ZR_FLEET_LEASE_MS + CLOCK_RATE_MARGIN_MS);
@@ -187,6 +188,7 @@
 	struct zr_domain *domain = ctx;
 
 	domain->epoch = 0;
+	domain->loaded = false;
 	domain->recovering = false;
 	zr_fleet_end(domain->fleet);
 	zr_journal_free(domain->journal);
@@ -322,6 +324,11 @@
 	return domain->epoch;
 }
 
+bool zr_domain_loaded(const struct zr_domain *domain)
+{
+	return domain->loaded;
+}
+
 const struct zr_sched *zr_domain_sched(const struct zr_domain *domain)
 {
 	return domain->sched;
--- a/src/libzinniarack/domain/domain.h
+++ b/src/libzinniarack/domain/domain.h
@@ -83,6 +83,9 @@
 /** zr_domain_epoch() - the epoch while this process is active, else 0 */
 uint64_t zr_domain_epoch(const struct zr_domain *domain);
 
+/** zr_domain_loaded() - whether every job that is kept is known here */
+bool zr_domain_loaded(const struct zr_domain *domain);
+
 /** zr_domain_configure() - take a configuration into force; kept by reference
  */
 void zr_domain_configure(struct zr_domain *domain,
--- a/src/libzinniarack/domain/jobs.c
+++ b/src/libzinniarack/domain/jobs.c
@@ -399,6 +399,9 @@
 {
 	if (!domain->epoch)
 		return zr_error_set(ZR_E_NOT_OWNER, "not active");
+	/* Before that, a job of the same idempotency key may be unknown. */
+	if (!domain->loaded)
+		return zr_error_set(ZR_E_NOT_OWNER, "still taking over");
 	if (!domain->config)
 		return zr_error_set(ZR_E_STALE_CONFIG, "no configuration yet");
 	return zr_sched_job_check(domain->sched, spec);
--- a/src/libzinniarack/domain/private.h
+++ b/src/libzinniarack/domain/private.h
@@ -80,6 +80,7 @@
 	struct domain_job *jobs_by_key;
 	uint64_t epoch;
 	uint32_t next_sequence;
+	bool loaded;
 	bool recovering;
 	struct timespec recovery_deadline;
 	struct zr_timer *timer;
--- a/src/libzinniarack/job/spec.c
+++ b/src/libzinniarack/job/spec.c
@@ -6,7 +6,8 @@
 
 #include "zinniarack/errors.h"
 
-#define RUN_MS_MAX 31622400000 /* 366 days */
+#define RESERVED_KEYS "declared/" /* of jobs in the configuration */
+#define RUN_MS_MAX 31622400000	  /* 366 days */
 
 static const char *const known_fields[] = {
 	"name",	   "queue",	      "kind",	      "tasks",
@@ -157,6 +158,16 @@
 	return *out ? 0 : ZR_E_NOMEM;
 }
 
+static int check_key(const struct zr_job_spec *spec)
+{
+	if (!strncmp(spec->idempotency_key, RESERVED_KEYS,
+		     strlen(RESERVED_KEYS)))
+		return zr_error_set(ZR_E_INVALID,
+				    "field 'idempotency_key': keys that begin "
+				    "with '" RESERVED_KEYS "' are reserved");
+	return 0;
+}
+
 static int read_spec(struct zr_job_spec *out, json_t *object)
 {
 	int error;
@@ -171,6 +182,7 @@
 	    (error = read_text(out->idempotency_key,
 			       sizeof(out->idempotency_key), object,
 			       "idempotency_key", false)) < 0 ||
+	    (error = check_key(out)) < 0 ||
 	    (error = read_kind(&out->kind, object)) < 0 ||
 	    (error = read_cpus(&out->size.millicpus, object)) < 0 ||
 	    (error = read_numbers(out, object)) < 0 ||
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -10,6 +10,7 @@
 #include "net/rpc_server.h"
 #include "net/uv_timers.h"
 #include "rpc/procedures.h"
+#include "scheduler/declared.h"
 #include "scheduler/grants.h"
 #include "scheduler/service.h"
 #include "store/etcd.h"
@@ -31,6 +32,7 @@
 	uv_timer_t timer;
 	struct zr_config_watch *config;
 	struct zr_domain *domain;
+	struct zr_declared *declared;
 	struct zr_scheduler_service service;
 	struct zr_rpc_server *rpc;
 	struct zr_http_server *http;
@@ -42,6 +44,7 @@
 
 	scheduler->service.config_version = config->version;
 	zr_domain_configure(scheduler->domain, config);
+	zr_declared_configure(scheduler->declared, config);
 }
 
 static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
@@ -126,6 +129,9 @@
 	    (error = zr_http_host_list_new(&scheduler->host_list, loop,
 					   settings->host_list)) < 0 ||
 	    (error = make_domain(scheduler, clock)) < 0 ||
+	    (error = zr_declared_new_for(
+		     &scheduler->declared, &scheduler->timers, clock,
+		     scheduler->domain, settings->failure_domain)) < 0 ||
 	    (error = make_service(scheduler)) < 0 ||
 	    (error = zr_config_watch_new(&scheduler->config, &scheduler->timers,
 					 &scheduler->store, on_config,
@@ -153,6 +159,7 @@
 	zr_http_server_stop(scheduler->http);
 	zr_config_watch_free(scheduler->config);
 	zr_domain_free(scheduler->domain);
+	zr_declared_free(scheduler->declared);
 	zr_grants_free(scheduler->service.grants);
 	scheduler->host_list.ops->free(scheduler->host_list.impl);
 	zr_store_free(&scheduler->store);
