Declared jobs: the test of an open submission hides the job until it is kept

With the job hidden until the answer, the run 'once' submits again and again without that wait; seen to fail so.

--- a/src/libzinniarack/scheduler/declared.c
+++ b/src/libzinniarack/scheduler/declared.c
@@ -229,6 +229,12 @@
 	submit(row, job);
 }
 
+static void drop_row(struct row *row)
+{
+	DL_DELETE(row->declared->rows, row);
+	free(row);
+}
+
 static void forget_gone(struct zr_declared *declared)
 {
 	struct row *row;
@@ -236,11 +242,9 @@
 
 	DL_FOREACH_SAFE(declared->rows, row, next)
 	{
-		if (row->open || row->instance ||
-		    find_declaration(declared, row->name))
-			continue;
-		DL_DELETE(declared->rows, row);
-		free(row);
+		if (!row->open && !row->instance &&
+		    !find_declaration(declared, row->name))
+			drop_row(row);
 	}
 }
 
--- a/tests/runners/run_declared.c
+++ b/tests/runners/run_declared.c
@@ -43,7 +43,7 @@
 	bool hold;
 	zr_domain_submit_fn held;
 	void *held_ctx;
-	char held_id[ZR_JOB_ID_MAX];
+	struct zr_job_spec held_spec;
 };
 
 static bool ready(void *impl)
@@ -91,12 +91,15 @@
 		done(ctx, ZR_E_STORE_DOWN, NULL);
 		return;
 	}
-	job = add_job(run, spec);
 	if (run->hold) {
 		run->held = done;
 		run->held_ctx = ctx;
-		snprintf(run->held_id, sizeof(run->held_id), "%s", job->id);
-	} else if (run->lose) {
+		run->held_spec = *spec;
+		run->held_spec.command = strdup(spec->command);
+		return;
+	}
+	job = add_job(run, spec);
+	if (run->lose) {
 		run->lose = false;
 		done(ctx, ZR_E_OUTCOME_UNKNOWN, NULL);
 	} else {
@@ -185,6 +188,16 @@
 		       zr_job_state_name(run->jobs[i].state));
 }
 
+/* The job is seen in the domain only from here on. */
+static void answer(struct run *run)
+{
+	const struct job *job = add_job(run, &run->held_spec);
+
+	zr_job_spec_clear(&run->held_spec);
+	run->hold = false;
+	run->held(run->held_ctx, 0, job->id);
+}
+
 static void step(struct run *run, const char *line, FILE *script)
 {
 	char verb[LINE_MAX_BYTES] = "";
@@ -206,10 +219,9 @@
 		run->refuse = true;
 	else if (!strcmp(verb, "hold"))
 		run->hold = true;
-	else if (!strcmp(verb, "answer")) {
-		run->hold = false;
-		run->held(run->held_ctx, 0, run->held_id);
-	} else if (!strcmp(verb, "end"))
+	else if (!strcmp(verb, "answer"))
+		answer(run);
+	else if (!strcmp(verb, "end"))
 		end_job(run, a, b);
 	else if (!strcmp(verb, "restart"))
 		start(run);
