--- /dev/null
+++ b/src/libzinniarack/sched/profile.c
@@ -0,0 +1,193 @@
+#include "sched/core.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/**
+ * DOC: Learned sizes and run times
+ *
+ * Declared sizes and run times are far off. What runs of one team and job name
+ * used is kept in logarithmic buckets; an upper quantile, with a margin, takes
+ * the place of what was declared. Memory is never lent below the most that was
+ * seen, since a task that needs more than it has cannot be slowed down.
+ */
+
+/* Runs that must have succeeded before what was learned is used. */
+#define RUNS_MIN 5
+/* The quantile that is used, in per cent. */
+#define QUANTILE_PERCENT 95
+/* Added to what was learned, in per cent. */
+#define MARGIN_PERCENT 10
+/* Counts are halved beyond this many runs, so that old runs fade. */
+#define RUNS_MAX 1024
+/* Profiles that are kept; beyond, the oldest one without a job goes. */
+#define PROFILES_MAX 8192
+/* Steps of a bucket within an octave. */
+#define STEPS 4
+/* Longest key: team and job name, with separators. */
+#define KEY_MAX (2 * ZR_NAME_MAX)
+
+static unsigned int bucket_of(uint64_t value)
+{
+	unsigned int octave;
+	unsigned int bucket;
+
+	if (value < STEPS)
+		return (unsigned int)value;
+	octave = 63 - (unsigned int)__builtin_clzll(value);
+	bucket = (octave - 1) * STEPS +
+		 (unsigned int)(value >> (octave - 2) & (STEPS - 1));
+	return bucket < ZR_SCHED_QUANTILE_BUCKETS
+		       ? bucket
+		       : ZR_SCHED_QUANTILE_BUCKETS - 1;
+}
+
+/* The highest value of a bucket. */
+static uint64_t bucket_top(unsigned int bucket)
+{
+	unsigned int octave = bucket / STEPS + 1;
+
+	if (bucket < STEPS)
+		return bucket;
+	return ((uint64_t)(STEPS + bucket % STEPS + 1) << (octave - 2)) - 1;
+}
+
+static void count_value(struct zr_sched_quantile *quantile, uint64_t value)
+{
+	unsigned int i;
+
+	if (quantile->total >= RUNS_MAX) {
+		quantile->total = 0;
+		for (i = 0; i < ZR_SCHED_QUANTILE_BUCKETS; i++) {
+			quantile->counts[i] /= 2;
+			quantile->total += quantile->counts[i];
+		}
+	}
+	quantile->counts[bucket_of(value)]++;
+	quantile->total++;
+}
+
+static uint64_t read_quantile(const struct zr_sched_quantile *quantile)
+{
+	uint64_t below = 0;
+	unsigned int i;
+
+	for (i = 0; i < ZR_SCHED_QUANTILE_BUCKETS; i++) {
+		below += quantile->counts[i];
+		if (below * 100 >= (uint64_t)quantile->total * QUANTILE_PERCENT)
+			break;
+	}
+	return bucket_top(i);
+}
+
+/* Profiles */
+
+static void evict_oldest(struct zr_sched *sched)
+{
+	struct zr_sched_profile *profile;
+	struct zr_sched_profile *next;
+
+	HASH_ITER (hh, sched->profiles, profile, next) {
+		if (profile->refs)
+			continue;
+		HASH_DELETE(hh, sched->profiles, profile);
+		free(profile);
+		return;
+	}
+}
+
+static struct zr_sched_profile *add_profile(struct zr_sched *sched,
+					    zr_handle team, const char *key,
+					    size_t length, size_t name_at)
+{
+	struct zr_sched_profile *profile;
+
+	if (HASH_COUNT(sched->profiles) >= PROFILES_MAX)
+		evict_oldest(sched);
+	profile = calloc(1, sizeof(*profile) + length + 1);
+	if (!profile)
+		return NULL;
+	memcpy(profile->key, key, length + 1);
+	profile->name = profile->key + name_at;
+	profile->team = team;
+	HASH_ADD_KEYPTR(hh, sched->profiles, profile->key, length, profile);
+	return profile;
+}
+
+struct zr_sched_profile *zr_sched_profile_take(struct zr_sched *sched,
+					       zr_handle team,
+					       const char *team_name,
+					       const char *name)
+{
+	struct zr_sched_profile *profile;
+	char key[KEY_MAX];
+	size_t length =
+		(size_t)snprintf(key, sizeof(key), "%s\n%s", team_name, name);
+
+	HASH_FIND(hh, sched->profiles, key, length, profile);
+	if (!profile)
+		profile = add_profile(sched, team, key, length,
+				      strlen(team_name) + 1);
+	if (profile)
+		profile->refs++;
+	return profile;
+}
+
+void zr_sched_profile_drop(struct zr_sched *sched,
+			   struct zr_sched_profile *profile)
+{
+	(void)sched;
+	/* It stays, for the next run of that name. */
+	if (profile)
+		profile->refs--;
+}
+
+void zr_sched_profile_saw(struct zr_sched_profile *profile,
+			  const struct zr_resources *used)
+{
+	if (used->memory_mb > profile->memory_mb)
+		profile->memory_mb = used->memory_mb;
+}
+
+void zr_sched_profile_learn(struct zr_sched_profile *profile,
+			    const struct zr_resources *peak, int64_t run_ms)
+{
+	count_value(&profile->run_ms, run_ms > 0 ? (uint64_t)run_ms : 0);
+	if (peak->millicpus && peak->memory_mb)
+		count_value(&profile->millicpus, peak->millicpus);
+}
+
+/* Estimates */
+
+static uint32_t with_margin(uint64_t value)
+{
+	value += value * MARGIN_PERCENT / 100;
+	return value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
+}
+
+struct zr_resources zr_sched_job_need(const struct zr_sched_job *job)
+{
+	const struct zr_sched_profile *profile = job->profile;
+	struct zr_resources need = job->size;
+
+	if (profile->millicpus.total >= RUNS_MIN) {
+		need.millicpus =
+			with_margin(read_quantile(&profile->millicpus));
+		need.memory_mb = with_margin(profile->memory_mb);
+	} else if (profile->memory_mb > need.memory_mb) {
+		need.memory_mb = profile->memory_mb;
+	}
+	return need;
+}
+
+int64_t zr_sched_job_run_ms(const struct zr_sched_job *job)
+{
+	const struct zr_sched_profile *profile = job->profile;
+
+	if (job->kind == ZR_JOB_SERVICE)
+		return INT64_MAX;
+	if (profile->run_ms.total >= RUNS_MIN)
+		return (int64_t)read_quantile(&profile->run_ms);
+	return job->run_ms ? (int64_t)job->run_ms : INT64_MAX;
+}
--- /dev/null
+++ b/src/libzinniarack/sched/queue.c
@@ -0,0 +1,426 @@
+#include "sched/core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/**
+ * DOC: Queues
+ *
+ * Waiting jobs of one team, queue, worth, kind and rough size form a class; a
+ * class has one lane for each latest time to start. Only the head of a class
+ * is tried. A class that was refused is left alone until a worker has room for
+ * the least that was refused, so that a long backlog is never scanned.
+ */
+
+/* Width of a lane, in milliseconds. */
+#define LANE_MS 60000
+/* Longest time for which the order of classes holds, in milliseconds. */
+#define ORDER_MS 250
+
+/* Lanes: lists of jobs linked by handles */
+
+void zr_sched_lane_append(struct zr_sched *sched, struct zr_sched_lane *lane,
+			  zr_handle handle, bool first)
+{
+	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+
+	job->previous = first ? ZR_HANDLE_NONE : lane->tail;
+	job->next = first ? lane->head : ZR_HANDLE_NONE;
+	if (job->previous)
+		zr_sched_job_row(sched, job->previous)->next = handle;
+	else
+		lane->head = handle;
+	if (job->next)
+		zr_sched_job_row(sched, job->next)->previous = handle;
+	else
+		lane->tail = handle;
+}
+
+void zr_sched_lane_remove(struct zr_sched *sched, struct zr_sched_lane *lane,
+			  zr_handle handle)
+{
+	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+
+	if (job->previous)
+		zr_sched_job_row(sched, job->previous)->next = job->next;
+	else
+		lane->head = job->next;
+	if (job->next)
+		zr_sched_job_row(sched, job->next)->previous = job->previous;
+	else
+		lane->tail = job->previous;
+}
+
+static uint32_t find_lane(const struct zr_sched_class *class, int64_t start_by)
+{
+	uint32_t low = 0;
+	uint32_t high = class->lane_count;
+
+	while (low < high) {
+		uint32_t middle = (low + high) / 2;
+
+		if (class->lanes[middle].start_by < start_by)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static int obtain_lane(uint32_t *out, struct zr_sched_class *class,
+		       int64_t start_by)
+{
+	uint32_t at = find_lane(class, start_by);
+	struct zr_sched_lane *lanes = class->lanes;
+
+	*out = at;
+	if (at < class->lane_count && lanes[at].start_by == start_by)
+		return 0;
+	if (class->lane_count == class->lane_room) {
+		uint32_t room = class->lane_room ? class->lane_room * 2 : 1;
+
+		lanes = realloc(lanes, room * sizeof(*lanes));
+		if (!lanes)
+			return ZR_E_NOMEM;
+		class->lanes = lanes;
+		class->lane_room = room;
+	}
+	memmove(&lanes[at + 1], &lanes[at],
+		(class->lane_count - at) * sizeof(*lanes));
+	memset(&lanes[at], 0, sizeof(lanes[at]));
+	lanes[at].start_by = start_by;
+	class->lane_count++;
+	return 0;
+}
+
+static void drop_lane(struct zr_sched_class *class, uint32_t at)
+{
+	class->lane_count--;
+	memmove(&class->lanes[at], &class->lanes[at + 1],
+		(class->lane_count - at) * sizeof(*class->lanes));
+}
+
+/* Classes */
+
+static uint8_t octave_of(uint32_t amount)
+{
+	return (uint8_t)(amount ? 32 - __builtin_clz(amount) : 0);
+}
+
+static void make_key(struct zr_sched_class_key *key,
+		     const struct zr_sched_job *job)
+{
+	struct zr_resources need = zr_sched_job_need(job);
+
+	/* Padding is hashed too. */
+	memset(key, 0, sizeof(*key));
+	key->team = job->profile->team;
+	key->queue = job->queue;
+	key->accelerators = need.accelerators;
+	key->worth = job->worth;
+	key->urgent = job->urgent;
+	key->kind = job->kind;
+	key->cpu_octave = octave_of(need.millicpus);
+	key->memory_octave = octave_of(need.memory_mb);
+}
+
+bool zr_sched_class_matches(const struct zr_sched_job *job)
+{
+	struct zr_sched_class_key key;
+
+	make_key(&key, job);
+	return !memcmp(&key, &job->class->key, sizeof(key));
+}
+
+static uint32_t rank_of(const struct zr_sched *sched,
+			const struct zr_sched_name *queue, uint32_t worth)
+{
+	const struct zr_config_queue *config = NULL;
+
+	if (sched->config)
+		config = zr_config_queue(sched->config, queue->text);
+	return worth + (config ? config->worth : 0);
+}
+
+uint32_t zr_sched_job_rank(const struct zr_sched *sched,
+			   const struct zr_sched_job *job)
+{
+	return rank_of(sched, job->queue, job->worth);
+}
+
+static int list_class(struct zr_sched_team *team, struct zr_sched_class *class)
+{
+	if (team->class_count == team->class_room) {
+		uint32_t room = team->class_room ? team->class_room * 2 : 4;
+		struct zr_sched_class **classes = realloc(
+			team->classes, room * sizeof(struct zr_sched_class *));
+
+		if (!classes)
+			return ZR_E_NOMEM;
+		team->classes = classes;
+		team->class_room = room;
+	}
+	class->position = team->class_count;
+	team->classes[team->class_count++] = class;
+	return 0;
+}
+
+static int obtain_class(struct zr_sched_class **out, struct zr_sched *sched,
+			const struct zr_sched_class_key *key)
+{
+	struct zr_sched_team *team = zr_sched_team_row(sched, key->team);
+	struct zr_sched_class *class;
+
+	HASH_FIND(hh, sched->classes, key, sizeof(*key), class);
+	*out = class;
+	if (class)
+		return 0;
+	class = calloc(1, sizeof(*class));
+	if (!class || list_class(team, class) < 0) {
+		free(class);
+		return ZR_E_NOMEM;
+	}
+	class->key = *key;
+	class->rank = rank_of(sched, key->queue, key->worth);
+	HASH_ADD(hh, sched->classes, key, sizeof(class->key), class);
+	sched->stats.job_bytes += sizeof(*class);
+	*out = class;
+	return 0;
+}
+
+static void drop_class(struct zr_sched *sched, struct zr_sched_class *class)
+{
+	struct zr_sched_team *team = zr_sched_team_row(sched, class->key.team);
+	struct zr_sched_class *last = team->classes[--team->class_count];
+
+	team->classes[class->position] = last;
+	last->position = class->position;
+	team->stale = true;
+	HASH_DELETE(hh, sched->classes, class);
+	free(class->lanes);
+	free(class);
+	sched->stats.job_bytes -= sizeof(*class);
+}
+
+/* Jobs */
+
+/* The latest start that meets the deadline, on the monotonic clock. */
+static int64_t latest_start(const struct zr_sched *sched,
+			    const struct zr_sched_job *job)
+{
+	const struct zr_clock *clock = sched->clock;
+	int64_t run = zr_sched_job_run_ms(job);
+	int64_t left;
+
+	if (!job->deadline_ms)
+		return INT64_MAX;
+	left = job->deadline_ms - zr_time_to_ms(clock->realtime(clock->ctx));
+	if (run != INT64_MAX)
+		left -= run;
+	return (sched->now + left) / LANE_MS * LANE_MS;
+}
+
+int zr_sched_queue_push(struct zr_sched *sched, zr_handle handle, bool first)
+{
+	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+	struct zr_resources need = zr_sched_job_need(job);
+	struct zr_sched_class_key key;
+	struct zr_sched_class *class;
+	uint32_t lane = 0;
+	int error;
+
+	make_key(&key, job);
+	error = obtain_class(&class, sched, &key);
+	if (error < 0)
+		return error;
+	job->start_by = latest_start(sched, job);
+	error = obtain_lane(&lane, class, job->start_by);
+	if (error < 0)
+		return error;
+	zr_sched_lane_append(sched, &class->lanes[lane], handle, first);
+	job->class = class;
+	job->place = ZR_SCHED_PLACE_QUEUE;
+	if (job->wait == ZR_SCHED_WAIT_NONE)
+		job->wait = ZR_SCHED_WAIT_QUEUED;
+	class->jobs++;
+	sched->stats.waiting++;
+	/* A smaller or more pressing job than the refused ones may fit. */
+	if (class->blocked && (first || class->jobs == 1 ||
+			       !zr_resources_fit(&class->refused, &need)))
+		class->blocked = ZR_SCHED_WAIT_NONE;
+	zr_sched_team_row(sched, key.team)->stale = true;
+	return 0;
+}
+
+void zr_sched_queue_remove(struct zr_sched *sched, zr_handle handle)
+{
+	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+	struct zr_sched_class *class = job->class;
+	uint32_t lane = find_lane(class, job->start_by);
+
+	zr_sched_lane_remove(sched, &class->lanes[lane], handle);
+	job->class = NULL;
+	job->place = ZR_SCHED_PLACE_NONE;
+	sched->stats.waiting--;
+	zr_sched_team_row(sched, class->key.team)->stale = true;
+	if (!class->lanes[lane].head)
+		drop_lane(class, lane);
+	if (!--class->jobs)
+		drop_class(sched, class);
+}
+
+/* Blocking */
+
+void zr_sched_queue_block(struct zr_sched *sched, struct zr_sched_class *class,
+			  enum zr_sched_wait wait,
+			  const struct zr_resources *refused)
+{
+	class->blocked = wait;
+	class->refused = *refused;
+	class->blocked_at = sched->now;
+	zr_sched_team_row(sched, class->key.team)->stale = true;
+}
+
+void zr_sched_queue_freed(struct zr_sched *sched, zr_handle worker)
+{
+	const struct zr_sched_host *host = zr_sched_host_row(sched, worker);
+	struct zr_resources room = zr_sched_host_free(host);
+	struct zr_sched_class *class;
+	struct zr_sched_class *next;
+
+	sched->freed++;
+	if (host->state != ZR_SCHED_WORKER_UP || host->suspect)
+		return;
+	HASH_ITER (hh, sched->classes, class, next) {
+		if (class->blocked != ZR_SCHED_WAIT_NO_ROOM ||
+		    !zr_resources_fit(&class->refused, &room))
+			continue;
+		class->blocked = ZR_SCHED_WAIT_NONE;
+		zr_sched_team_row(sched, class->key.team)->stale = true;
+	}
+}
+
+void zr_sched_queue_unblock(struct zr_sched *sched, zr_handle team,
+			    enum zr_sched_wait wait)
+{
+	struct zr_sched_class *class;
+	struct zr_sched_class *next;
+
+	HASH_ITER (hh, sched->classes, class, next) {
+		if (class->blocked != wait || (team && class->key.team != team))
+			continue;
+		class->blocked = ZR_SCHED_WAIT_NONE;
+		zr_sched_team_row(sched, class->key.team)->stale = true;
+	}
+}
+
+void zr_sched_queue_unblock_urgent(struct zr_sched *sched)
+{
+	struct zr_sched_class *class;
+	struct zr_sched_class *next;
+
+	HASH_ITER (hh, sched->classes, class, next) {
+		if (!class->key.urgent ||
+		    class->blocked != ZR_SCHED_WAIT_NO_ROOM)
+			continue;
+		class->blocked = ZR_SCHED_WAIT_NONE;
+		zr_sched_team_row(sched, class->key.team)->stale = true;
+	}
+}
+
+/* Order */
+
+static struct zr_sched_candidate make_candidate(const struct zr_sched *sched,
+						struct zr_sched_class *class)
+{
+	const struct zr_sched_team *team =
+		zr_sched_team_row(sched, class->key.team);
+	const struct zr_sched_lane *lane = &class->lanes[0];
+	const struct zr_sched_job *job = zr_sched_job_row(sched, lane->head);
+	struct zr_sched_candidate candidate = {
+		.class = class,
+		.urgent = class->key.urgent,
+		.rank = class->rank,
+		.start_by = lane->start_by,
+		.slack_ms = INT64_MAX,
+		.weighted = team->dominant / team->share,
+		.arrived_ms = job->arrived_ms,
+	};
+
+	if (lane->start_by != INT64_MAX)
+		candidate.slack_ms = lane->start_by - sched->now;
+	candidate.under_share = team->dominant * sched->total_share <
+				(uint64_t)team->share * 1000000000u;
+	return candidate;
+}
+
+static bool goes_first(const struct zr_sched *sched,
+		       struct zr_sched_class *class,
+		       const struct zr_sched_candidate *best,
+		       struct zr_sched_candidate *candidate)
+{
+	const struct zr_sched_policy *policy = &sched->policy;
+
+	*candidate = make_candidate(sched, class);
+	return !best->class ||
+	       policy->compare(policy->ctx, candidate, best) < 0;
+}
+
+static void order_team(const struct zr_sched *sched, struct zr_sched_team *team)
+{
+	struct zr_sched_candidate best = {0};
+	struct zr_sched_candidate candidate;
+	uint32_t i;
+
+	for (i = 0; i < team->class_count; i++) {
+		struct zr_sched_class *class = team->classes[i];
+
+		if (!class->blocked &&
+		    goes_first(sched, class, &best, &candidate))
+			best = candidate;
+	}
+	team->best = best.class;
+	team->stale = false;
+}
+
+static void order_all_again(struct zr_sched *sched)
+{
+	zr_handle team = ZR_HANDLE_NONE;
+
+	sched->ordered_at = sched->now;
+	while ((team = zr_table_next(sched->teams, team)))
+		zr_sched_team_row(sched, team)->stale = true;
+}
+
+struct zr_sched_class *zr_sched_queue_best(struct zr_sched *sched)
+{
+	struct zr_sched_candidate best = {0};
+	struct zr_sched_candidate candidate;
+	zr_handle handle = ZR_HANDLE_NONE;
+
+	if (sched->now - sched->ordered_at >= ORDER_MS)
+		order_all_again(sched);
+	while ((handle = zr_table_next(sched->teams, handle))) {
+		struct zr_sched_team *team = zr_sched_team_row(sched, handle);
+
+		if (team->stale)
+			order_team(sched, team);
+		if (team->best &&
+		    goes_first(sched, team->best, &best, &candidate))
+			best = candidate;
+	}
+	return best.class;
+}
+
+void zr_sched_queues_configure(struct zr_sched *sched)
+{
+	struct zr_sched_class *class;
+	struct zr_sched_class *next;
+
+	HASH_ITER (hh, sched->classes, class, next) {
+		class->rank =
+			rank_of(sched, class->key.queue, class->key.worth);
+		class->blocked = ZR_SCHED_WAIT_NONE;
+	}
+	order_all_again(sched);
+}
--- /dev/null
+++ b/src/libzinniarack/sched/team.c
@@ -0,0 +1,187 @@
+#include "sched/core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/**
+ * DOC: Teams
+ *
+ * What each team has running, its upper limit here and its dominant share: the
+ * largest part that it has of any resource of the cell.
+ */
+
+#define PARTS_PER_BILLION 1000000000u
+
+struct zr_sched_team *zr_sched_team_row(const struct zr_sched *sched,
+					zr_handle team)
+{
+	return zr_table_get(sched->teams, team);
+}
+
+zr_handle zr_sched_team_find(const struct zr_sched *sched, const char *name)
+{
+	zr_handle team = ZR_HANDLE_NONE;
+
+	while ((team = zr_table_next(sched->teams, team))) {
+		if (!strcmp(zr_sched_team_row(sched, team)->name->text, name))
+			break;
+	}
+	return team;
+}
+
+int zr_sched_team_obtain(zr_handle *out, struct zr_sched *sched,
+			 const char *name)
+{
+	struct zr_sched_team *team;
+	int error;
+
+	*out = zr_sched_team_find(sched, name);
+	if (*out)
+		return 0;
+	error = zr_table_add(out, sched->teams);
+	if (error < 0)
+		return error;
+	team = zr_sched_team_row(sched, *out);
+	team->share = 1;
+	team->name = zr_sched_name_take(sched, name);
+	if (team->name)
+		return 0;
+	zr_table_remove(sched->teams, *out);
+	return ZR_E_NOMEM;
+}
+
+/* Limits */
+
+static bool within(uint64_t used, uint64_t more, uint64_t limit)
+{
+	return !limit || !more || used + more <= limit;
+}
+
+static bool allows(const struct zr_resources *limit,
+		   const struct zr_resources *used,
+		   const struct zr_resources *size, uint64_t count)
+{
+	return within(used->millicpus, size->millicpus * count,
+		      limit->millicpus) &&
+	       within(used->memory_mb, size->memory_mb * count,
+		      limit->memory_mb) &&
+	       within(used->accelerators, size->accelerators * count,
+		      limit->accelerators);
+}
+
+bool zr_sched_team_allows(const struct zr_sched_team *team,
+			  const struct zr_resources *size, uint32_t count)
+{
+	return allows(&team->allotment, &team->used, size, count);
+}
+
+bool zr_sched_team_could(const struct zr_sched_team *team,
+			 const struct zr_resources *size, uint32_t count)
+{
+	static const struct zr_resources none = {0};
+
+	return allows(&team->allotment, &none, size, count);
+}
+
+/* Shares */
+
+static uint64_t part_of(uint32_t used, uint32_t total)
+{
+	return total ? (uint64_t)used * PARTS_PER_BILLION / total : 0;
+}
+
+static uint64_t most(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+static void weigh(const struct zr_sched *sched, struct zr_sched_team *team)
+{
+	const struct zr_resources *total = &sched->total;
+
+	team->dominant = most(
+		part_of(team->used.millicpus, total->millicpus),
+		most(part_of(team->used.memory_mb, total->memory_mb),
+		     part_of(team->used.accelerators, total->accelerators)));
+}
+
+void zr_sched_teams_weigh(struct zr_sched *sched)
+{
+	zr_handle handle = ZR_HANDLE_NONE;
+
+	sched->total_share = 0;
+	while ((handle = zr_table_next(sched->teams, handle))) {
+		struct zr_sched_team *team = zr_sched_team_row(sched, handle);
+
+		weigh(sched, team);
+		sched->total_share += team->share;
+	}
+}
+
+void zr_sched_team_use(struct zr_sched *sched, struct zr_sched_team *team,
+		       const struct zr_resources *before,
+		       const struct zr_resources *after)
+{
+	zr_resources_sub(&team->used, before);
+	zr_resources_add(&team->used, after);
+	weigh(sched, team);
+}
+
+/* Configuration */
+
+static int configure_team(struct zr_sched *sched,
+			  const struct zr_config_team *config)
+{
+	struct zr_sched_team *team;
+	zr_handle handle;
+	int error = zr_sched_team_obtain(&handle, sched, config->name);
+
+	if (error < 0)
+		return error;
+	team = zr_sched_team_row(sched, handle);
+	team->allotment = config->limit;
+	team->share = config->share ? config->share : 1;
+	return 0;
+}
+
+int zr_sched_configure(struct zr_sched *sched, const struct zr_config *config)
+{
+	uint32_t i;
+	int error;
+
+	sched->config = config;
+	sched->policy = zr_sched_policy_of(config->policy);
+	for (i = 0; i < config->teams_count; i++) {
+		error = configure_team(sched, &config->teams[i]);
+		if (error < 0)
+			return error;
+	}
+	zr_sched_teams_weigh(sched);
+	zr_sched_queues_configure(sched);
+	zr_sched_parked_reconsider(sched);
+	return 0;
+}
+
+int zr_sched_set_allotment(struct zr_sched *sched, const char *name,
+			   const struct zr_resources *allotment)
+{
+	zr_handle team = zr_sched_team_find(sched, name);
+
+	if (!team)
+		return zr_error_set(ZR_E_NOT_FOUND, "no team '%s'", name);
+	zr_sched_team_row(sched, team)->allotment = *allotment;
+	zr_sched_queue_unblock(sched, team, ZR_SCHED_WAIT_LIMIT);
+	zr_sched_parked_reconsider(sched);
+	return 0;
+}
+
+int zr_sched_team_usage(struct zr_resources *out, const struct zr_sched *sched,
+			const char *name)
+{
+	zr_handle team = zr_sched_team_find(sched, name);
+
+	if (!team)
+		return zr_error_set(ZR_E_NOT_FOUND, "no team '%s'", name);
+	*out = zr_sched_team_row(sched, team)->used;
+	return 0;
+}
