--- a/include/zinniarack/sched.h
+++ b/include/zinniarack/sched.h
@@ -295,8 +295,10 @@
  * @sched: the core
  * @most_starts: end after so many start decisions
  *
- * Does bounded work; zr_sched_more() tells whether work is left. It also does
- * what falls due with time, so call it about each 200 ms.
+ * A gang is started whole or not at all: one of more tasks than @most_starts
+ * waits for a call that may start it. Does bounded work; zr_sched_more() tells
+ * whether work is left. It also does what falls due with time, so call it about
+ * each 200 ms.
  *
  * Return: the number of start decisions given to the sink.
  */
--- a/src/libzinniarack/sched/core.h
+++ b/src/libzinniarack/sched/core.h
@@ -64,12 +64,14 @@
  * @millicpus: peaks of processor use of runs that succeeded
  * @run_ms: run times of runs that succeeded
  * @memory_mb: the highest memory use of any run
+ * @millicpus_least: the lowest processor use of any report, 0 before the first
  */
 struct zr_sched_profile {
 	UT_hash_handle hh;
 	zr_handle team;
 	uint32_t refs;
 	uint32_t memory_mb;
+	uint32_t millicpus_least;
 	struct zr_sched_quantile millicpus;
 	struct zr_sched_quantile run_ms;
 	const char *name;
@@ -105,6 +107,8 @@
  * @claims: claims made for its tasks
  * @failed_on: workers on which its tasks failed
  * @rack_tasks: for a service, its tasks by rack index
+ * @delay: how often its next try was delayed in a row
+ * @delay_list: the list it is on when delayed
  * @place: which list @next and @previous link
  * @start_by: latest time to start, rounded down, for the queue
  */
@@ -135,6 +139,7 @@
 	uint8_t failed_on_count;
 	uint8_t failures;
 	uint8_t delay;
+	uint8_t delay_list;
 	uint8_t worth;
 	uint8_t kind;
 	uint8_t state;
@@ -153,6 +158,7 @@
  * @base: reserved at its start
  * @reserved: reserved now
  * @peak: the most that was reported
+ * @millicpus: processor use in the latest report
  * @next_stop: next on the list of stops, see stop.c
  * @stop_at: when its stop falls due again
  */
@@ -171,6 +177,7 @@
 	int64_t seen_ms;
 	int64_t stop_at;
 	int64_t throttled_ms;
+	uint32_t millicpus;
 	bool stop_waits:1;
 	bool told_to_stop:1;
 	bool backfill:1;
@@ -207,6 +214,7 @@
 	uint8_t failed_count;
 	bool suspect;
 	bool probing;
+	bool gone;
 	int64_t probe_at;
 	int64_t probe_delay;
 };
@@ -221,7 +229,8 @@
 
 /**
  * struct zr_sched_team - a team
- * @allotment: its upper limit here
+ * @limit: its upper limit across the fleet
+ * @allotment: how much of that holds here
  * @share: weight of its share
  * @dominant: its dominant share of the cell, in parts per billion
  * @classes: its waiting work
@@ -230,6 +239,7 @@
  */
 struct zr_sched_team {
 	struct zr_sched_name *name;
+	struct zr_resources limit;
 	struct zr_resources allotment;
 	struct zr_resources used;
 	uint32_t running;
@@ -407,6 +417,7 @@
 	int64_t urgent_at; /* when urgent work is tried again */
 	int64_t probe_at;  /* when suspect workers are looked at again */
 	bool more;
+	bool gang_waits;	 /* for a decide that may start all of it */
 	struct zr_job_spec spec; /* rebuilt for the sink and for readers */
 	struct zr_sched_stats stats;
 };
@@ -456,6 +467,9 @@
 /** zr_sched_team_could() - whether it would if nothing else were running */
 bool zr_sched_team_could(const struct zr_sched_team *team,
 			 const struct zr_resources *size, uint32_t count);
+/** zr_sched_team_over() - whether it has more than its limit */
+bool zr_sched_team_over(const struct zr_sched_team *team);
+struct zr_resources zr_sched_team_limit(const struct zr_sched_team *team);
 void zr_sched_team_use(struct zr_sched *sched, struct zr_sched_team *team,
 		       const struct zr_resources *before,
 		       const struct zr_resources *after);
@@ -578,7 +592,7 @@
 /** zr_sched_gang_try() - start all tasks of a gang, or reserve for them */
 unsigned int zr_sched_gang_try(struct zr_sched *sched, zr_handle job,
 			       const struct zr_resources *need);
-unsigned int zr_sched_gang_due(struct zr_sched *sched);
+unsigned int zr_sched_gang_due(struct zr_sched *sched, unsigned int most);
 void zr_sched_gang_drop(struct zr_sched *sched, zr_handle job,
 			zr_handle worker);
 /** zr_sched_gang_check() - stop a gang that misses a member */
@@ -591,6 +605,9 @@
 /* relief.c */
 void zr_sched_relieve(struct zr_sched *sched, zr_handle worker);
 
+/** zr_sched_team_relieve() - stop tasks of a team that is over its limit */
+void zr_sched_team_relieve(struct zr_sched *sched, zr_handle team);
+
 /* blame.c */
 void zr_sched_blame_succeeded(struct zr_sched *sched, zr_handle job,
 			      zr_handle worker, bool probe);
--- a/src/libzinniarack/sched/decide.c
+++ b/src/libzinniarack/sched/decide.c
@@ -19,6 +19,7 @@
 	TRY_MOVED,  /* the job has left its place in the queue */
 	TRY_NO_ROOM,
 	TRY_LIMIT,
+	TRY_LATER, /* more tasks than this decide may start */
 };
 
 uint64_t zr_sched_work(const struct zr_sched *sched)
@@ -119,8 +120,10 @@
 
 static enum try_outcome try_gang(struct zr_sched *sched, zr_handle handle,
 				 const struct zr_resources *need,
-				 unsigned int *starts)
+				 unsigned int *starts, unsigned int most)
 {
+	if (zr_sched_job_waiting(zr_sched_job_row(sched, handle)) > most)
+		return TRY_LATER;
 	*starts = zr_sched_gang_try(sched, handle, need);
 	if (*starts)
 		return TRY_PLACED;
@@ -129,7 +132,7 @@
 }
 
 static enum try_outcome try_job(struct zr_sched *sched, zr_handle handle,
-				unsigned int *starts)
+				unsigned int *starts, unsigned int most)
 {
 	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
 	const struct zr_sched_team *team =
@@ -144,7 +147,7 @@
 				  gang ? zr_sched_job_waiting(job) : 1))
 		return TRY_LIMIT;
 	if (gang)
-		return try_gang(sched, handle, &need, starts);
+		return try_gang(sched, handle, &need, starts, most);
 	if (start_task(sched, handle, &need)) {
 		*starts = 1;
 		zr_sched_job_route(sched, handle, true);
@@ -181,7 +184,7 @@
 }
 
 static unsigned int try_class(struct zr_sched *sched,
-			      struct zr_sched_class *class)
+			      struct zr_sched_class *class, unsigned int most)
 {
 	struct zr_resources least = {UINT32_MAX, UINT32_MAX, UINT32_MAX};
 	enum zr_sched_wait wait = ZR_SCHED_WAIT_LIMIT;
@@ -193,13 +196,19 @@
 	for (i = 0; i < LOOK_AHEAD && handle; i++) {
 		struct zr_resources need =
 			zr_sched_job_need(zr_sched_job_row(sched, handle));
-		enum try_outcome outcome = try_job(sched, handle, &starts);
+		enum try_outcome outcome =
+			try_job(sched, handle, &starts, most);
 
 		/* The class may be gone with its last job. */
 		if (outcome == TRY_PLACED || outcome == TRY_MOVED)
 			return starts;
 		if (outcome == TRY_NO_ROOM)
 			wait = ZR_SCHED_WAIT_NO_ROOM;
+		if (outcome == TRY_LATER) {
+			wait = ZR_SCHED_WAIT_GANG;
+			sched->gang_waits = true;
+			break;
+		}
 		keep_least(&least, &need);
 		handle = next_in_class(sched, class, &lane, handle);
 	}
@@ -217,6 +226,14 @@
 	zr_sched_queue_unblock_urgent(sched);
 }
 
+static void retry_gangs(struct zr_sched *sched)
+{
+	if (!sched->gang_waits)
+		return;
+	sched->gang_waits = false;
+	zr_sched_queue_unblock(sched, ZR_HANDLE_NONE, ZR_SCHED_WAIT_GANG);
+}
+
 static unsigned int try_classes(struct zr_sched *sched, unsigned int most)
 {
 	uint64_t limit = zr_sched_work(sched) + ZR_SCHED_WORK_MAX;
@@ -228,7 +245,7 @@
 			sched->more = true;
 			break;
 		}
-		starts += try_class(sched, class);
+		starts += try_class(sched, class, most - starts);
 	}
 	return starts;
 }
@@ -243,13 +260,15 @@
 	zr_sched_jobs_due(sched);
 	zr_sched_parked_review(sched);
 	retry_urgent(sched);
+	retry_gangs(sched);
 	starts = zr_sched_claims_due(sched, most_starts);
 	if (starts < most_starts)
-		starts += zr_sched_gang_due(sched);
+		starts += zr_sched_gang_due(sched, most_starts - starts);
 	if (starts < most_starts)
 		starts += try_classes(sched, most_starts - starts);
 	else
 		sched->more = true;
+	sched->more |= sched->gang_waits;
 	return starts;
 }
 
--- a/src/libzinniarack/sched/gang.c
+++ b/src/libzinniarack/sched/gang.c
@@ -309,7 +309,7 @@
 		       sched->gang.count);
 }
 
-unsigned int zr_sched_gang_due(struct zr_sched *sched)
+unsigned int zr_sched_gang_due(struct zr_sched *sched, unsigned int most)
 {
 	struct zr_sched_reservation *gang = &sched->gang;
 	zr_handle handle = gang->job;
@@ -330,6 +330,10 @@
 	}
 	if (gang->got < gang->count || !all_clear(sched))
 		return 0;
+	if (gang->count > most) {
+		sched->more = true;
+		return 0;
+	}
 	return start_reserved(sched);
 }
 
--- a/src/libzinniarack/sched/jobs.c
+++ b/src/libzinniarack/sched/jobs.c
@@ -203,7 +203,7 @@
 		sched->stats.parked--;
 		break;
 	case ZR_SCHED_PLACE_DELAYED:
-		zr_sched_lane_remove(sched, &sched->delayed[job->delay - 1],
+		zr_sched_lane_remove(sched, &sched->delayed[job->delay_list],
 				     handle);
 		break;
 	default:
@@ -218,7 +218,8 @@
 
 	job->place = ZR_SCHED_PLACE_DELAYED;
 	job->wait = ZR_SCHED_WAIT_RETRY;
-	zr_sched_lane_append(sched, &sched->delayed[job->delay - 1], handle,
+	job->delay_list = job->delay ? job->delay - 1 : 0;
+	zr_sched_lane_append(sched, &sched->delayed[job->delay_list], handle,
 			     false);
 }
 
@@ -247,6 +248,9 @@
 
 void zr_sched_job_delay(const struct zr_sched *sched, struct zr_sched_job *job)
 {
+	/* On a list of delayed jobs it stays where it is. */
+	if (job->place == ZR_SCHED_PLACE_DELAYED)
+		return;
 	if (job->delay < ZR_SCHED_DELAYS)
 		job->delay++;
 	job->not_before =
--- a/src/libzinniarack/sched/profile.c
+++ b/src/libzinniarack/sched/profile.c
@@ -148,6 +148,9 @@
 {
 	if (used->memory_mb > profile->memory_mb)
 		profile->memory_mb = used->memory_mb;
+	if (!profile->millicpus_least ||
+	    used->millicpus < profile->millicpus_least)
+		profile->millicpus_least = used->millicpus;
 }
 
 void zr_sched_profile_learn(struct zr_sched_profile *profile,
@@ -178,6 +181,8 @@
 	} else if (profile->memory_mb > need.memory_mb) {
 		need.memory_mb = profile->memory_mb;
 	}
+	if (profile->millicpus_least > need.millicpus)
+		need.millicpus = profile->millicpus_least;
 	return need;
 }
 
--- a/src/libzinniarack/sched/relief.c
+++ b/src/libzinniarack/sched/relief.c
@@ -1,5 +1,7 @@
 #include "sched/core.h"
 
+#include <stdlib.h>
+
 /**
  * DOC: Relief
  *
@@ -26,8 +28,9 @@
 static bool throttle_counts(const struct zr_sched_placement *placement)
 {
 	return placement->throttled_ms &&
-	       placement->seen_ms <=
-		       placement->throttled_ms + ZR_SCHED_STOP_GRACE_MS;
+	       (placement->millicpus <= placement->base.millicpus ||
+		placement->seen_ms <=
+			placement->throttled_ms + ZR_SCHED_STOP_GRACE_MS);
 }
 
 /* What a task will have once what was decided of it has taken effect. */
@@ -138,3 +141,87 @@
 	} while (over(&sum, &host->capacity) &&
 		 relieve_once(sched, host, &sum));
 }
+
+/* Teams over their limit */
+
+struct victim {
+	zr_handle placement;
+	uint32_t rank;
+	int64_t started_ms;
+};
+
+/* Least worth first, then the youngest. */
+static int by_worth(const void *a, const void *b)
+{
+	const struct victim *first = a;
+	const struct victim *second = b;
+
+	if (first->rank != second->rank)
+		return first->rank < second->rank ? -1 : 1;
+	return (first->started_ms < second->started_ms) -
+	       (first->started_ms > second->started_ms);
+}
+
+/* Adds up what is stopping already, and lists what still runs. */
+static uint32_t list_victims(const struct zr_sched *sched, zr_handle team,
+			     struct victim *victims,
+			     struct zr_resources *stopping)
+{
+	zr_handle handle = ZR_HANDLE_NONE;
+	uint32_t count = 0;
+
+	while ((handle = zr_table_next(sched->placements, handle))) {
+		const struct zr_sched_placement *placement =
+			zr_sched_placement_row(sched, handle);
+		const struct zr_sched_job *job =
+			zr_sched_job_row(sched, placement->job);
+
+		if (job->profile->team != team)
+			continue;
+		if (!is_running(sched, placement)) {
+			zr_resources_add(stopping, &placement->reserved);
+			continue;
+		}
+		victims[count].placement = handle;
+		victims[count].rank = rank_of(sched, placement);
+		victims[count++].started_ms = placement->started_ms;
+	}
+	qsort(victims, count, sizeof(*victims), by_worth);
+	return count;
+}
+
+static bool stays_over(const struct zr_sched_team *team,
+		       const struct zr_resources *stopping)
+{
+	struct zr_sched_team left = *team;
+
+	zr_resources_sub(&left.used, stopping);
+	return zr_sched_team_over(&left);
+}
+
+/* Once for each lowered limit, so a walk over all running tasks is cheap. */
+void zr_sched_team_relieve(struct zr_sched *sched, zr_handle handle)
+{
+	const struct zr_sched_team *team = zr_sched_team_row(sched, handle);
+	struct zr_resources stopping = {0};
+	struct victim *victims;
+	uint32_t count;
+	uint32_t i;
+
+	if (!zr_sched_team_over(team))
+		return;
+	victims = calloc(zr_table_count(sched->placements), sizeof(*victims));
+	if (!victims)
+		return;
+	count = list_victims(sched, handle, victims, &stopping);
+	for (i = 0; i < count && stays_over(team, &stopping); i++) {
+		const struct zr_sched_placement *placement =
+			zr_sched_placement_row(sched, victims[i].placement);
+
+		zr_resources_add(&stopping, &placement->reserved);
+		sched->stats.reliefs++;
+		zr_sched_stop(sched, victims[i].placement,
+			      ZR_SCHED_STOP_RELIEF);
+	}
+	free(victims);
+}
--- a/src/libzinniarack/sched/stop.c
+++ b/src/libzinniarack/sched/stop.c
@@ -83,6 +83,8 @@
 {
 	struct zr_sched_task task = zr_sched_task_name(sched, handle);
 
+	if (zr_sched_host_row(sched, task.worker)->gone)
+		return;
 	sched->sink.stop(sched->sink.ctx, &task, why);
 }
 
--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -342,19 +342,15 @@
 	return a > b ? a : b;
 }
 
-/* Processor time that is no longer used may be given back; memory may not. */
-static struct zr_resources room_for(const struct zr_sched_placement *placement,
-				    const struct zr_resources *used, bool late)
+/* What was used once may be used again: room is never taken back. */
+static struct zr_resources room_for(const struct zr_sched_placement *placement)
 {
+	const struct zr_resources *peak = &placement->peak;
 	struct zr_resources room = placement->base;
-	uint32_t millicpus = used->millicpus;
-
-	if (late)
-		millicpus = larger(millicpus, placement->reserved.millicpus);
-	room.millicpus = larger(room.millicpus, millicpus);
-	room.memory_mb = larger(room.memory_mb, placement->peak.memory_mb);
-	room.accelerators =
-		larger(room.accelerators, placement->peak.accelerators);
+
+	room.millicpus = larger(room.millicpus, peak->millicpus);
+	room.memory_mb = larger(room.memory_mb, peak->memory_mb);
+	room.accelerators = larger(room.accelerators, peak->accelerators);
 	return room;
 }
 
@@ -373,24 +369,22 @@
 		zr_sched_placement_row(sched, handle);
 	const struct zr_sched_job *job =
 		zr_sched_job_row(sched, placement->job);
-	const struct zr_sched_team *team =
-		zr_sched_team_row(sched, job->profile->team);
-	bool late = at < placement->seen_ms;
 	zr_handle worker = placement->worker;
 	struct zr_resources room;
 
 	take_peak(&placement->peak, used);
 	zr_sched_profile_saw(job->profile, used);
-	room = room_for(placement, used, late);
-	if (!late)
+	if (at >= placement->seen_ms) {
 		placement->seen_ms = at;
+		placement->millicpus = used->millicpus;
+	}
+	room = room_for(placement);
 	zr_sched_placement_resize(sched, handle, &room);
 	/* A task that grows past its team's limit makes way. */
-	if (!zr_sched_team_allows(team, &nothing, 0) &&
+	if (zr_sched_team_over(zr_sched_team_row(sched, job->profile->team)) &&
 	    job->slots[placement->index].state == ZR_SCHED_TASK_RUNNING)
 		zr_sched_stop(sched, handle, ZR_SCHED_STOP_RELIEF);
 	zr_sched_relieve(sched, worker);
-	zr_sched_queue_freed(sched, worker);
 }
 
 void zr_sched_task_usage(struct zr_sched *sched, zr_handle handle,
--- a/src/libzinniarack/sched/team.c
+++ b/src/libzinniarack/sched/team.c
@@ -69,10 +69,43 @@
 		      limit->accelerators);
 }
 
+static uint32_t tighter(uint32_t a, uint32_t b)
+{
+	if (!a || !b)
+		return a + b;
+	return a < b ? a : b;
+}
+
+struct zr_resources zr_sched_team_limit(const struct zr_sched_team *team)
+{
+	const struct zr_resources limit = {
+		.millicpus = tighter(team->limit.millicpus,
+				     team->allotment.millicpus),
+		.memory_mb = tighter(team->limit.memory_mb,
+				     team->allotment.memory_mb),
+		.accelerators = tighter(team->limit.accelerators,
+					team->allotment.accelerators),
+	};
+
+	return limit;
+}
+
+bool zr_sched_team_over(const struct zr_sched_team *team)
+{
+	struct zr_resources limit = zr_sched_team_limit(team);
+
+	return (limit.millicpus && team->used.millicpus > limit.millicpus) ||
+	       (limit.memory_mb && team->used.memory_mb > limit.memory_mb) ||
+	       (limit.accelerators &&
+		team->used.accelerators > limit.accelerators);
+}
+
 bool zr_sched_team_allows(const struct zr_sched_team *team,
 			  const struct zr_resources *size, uint32_t count)
 {
-	return allows(&team->allotment, &team->used, size, count);
+	struct zr_resources limit = zr_sched_team_limit(team);
+
+	return allows(&limit, &team->used, size, count);
 }
 
 bool zr_sched_team_could(const struct zr_sched_team *team,
@@ -80,7 +113,9 @@
 {
 	static const struct zr_resources none = {0};
 
-	return allows(&team->allotment, &none, size, count);
+	struct zr_resources limit = zr_sched_team_limit(team);
+
+	return allows(&limit, &none, size, count);
 }
 
 /* Shares */
@@ -139,8 +174,9 @@
 	if (error < 0)
 		return error;
 	team = zr_sched_team_row(sched, handle);
-	team->allotment = config->limit;
+	team->limit = config->limit;
 	team->share = config->share ? config->share : 1;
+	zr_sched_team_relieve(sched, handle);
 	return 0;
 }
 
@@ -149,6 +185,7 @@
 	uint32_t i;
 	int error;
 
+	zr_sched_now_refresh(sched);
 	sched->config = config;
 	sched->policy = zr_sched_policy_of(config->policy);
 	for (i = 0; i < config->teams_count; i++) {
@@ -169,7 +206,9 @@
 
 	if (!team)
 		return zr_error_set(ZR_E_NOT_FOUND, "no team '%s'", name);
+	zr_sched_now_refresh(sched);
 	zr_sched_team_row(sched, team)->allotment = *allotment;
+	zr_sched_team_relieve(sched, team);
 	zr_sched_queue_unblock(sched, team, ZR_SCHED_WAIT_LIMIT);
 	zr_sched_parked_reconsider(sched);
 	return 0;
