--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -10,6 +10,7 @@
 #include "net/rpc_server.h"
 #include "net/uv_timers.h"
 #include "rpc/procedures.h"
+#include "scheduler/declared.h"
 #include "scheduler/grants.h"
 #include "scheduler/service.h"
 #include "store/etcd.h"
@@ -31,6 +32,7 @@
 	uv_timer_t timer;
 	struct zr_config_watch *config;
 	struct zr_domain *domain;
+	struct zr_declared *declared;
 	struct zr_scheduler_service service;
 	struct zr_rpc_server *rpc;
 	struct zr_http_server *http;
@@ -42,6 +44,7 @@
 
 	scheduler->service.config_version = config->version;
 	zr_domain_configure(scheduler->domain, config);
+	zr_declared_configure(scheduler->declared, config);
 }
 
 static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
@@ -53,7 +56,6 @@
 	if (error < 0)
 		return;
 	zr_domain_hosts(scheduler->domain, hosts, count);
-	zr_grants_hosts(scheduler->service.grants, hosts, count);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -86,7 +88,8 @@
 	return zr_domain_new(&scheduler->domain, &options);
 }
 
-static int make_service(struct zr_scheduler *scheduler)
+static int make_service(struct zr_scheduler *scheduler,
+			const struct zr_clock *clock)
 {
 	const struct zr_settings *settings = scheduler->settings;
 	struct zr_scheduler_service *service = &scheduler->service;
@@ -95,7 +98,8 @@
 	service->domain = scheduler->domain;
 	service->name = settings->name;
 	service->domain_name = settings->failure_domain;
-	error = zr_grants_new(&service->grants, scheduler->domain);
+	error = zr_grants_new(&service->grants, scheduler->domain, clock,
+			      settings->failure_domain);
 	if (error < 0)
 		return error;
 	error = zr_rpc_server_new(
@@ -126,7 +130,10 @@
 	    (error = zr_http_host_list_new(&scheduler->host_list, loop,
 					   settings->host_list)) < 0 ||
 	    (error = make_domain(scheduler, clock)) < 0 ||
-	    (error = make_service(scheduler)) < 0 ||
+	    (error = zr_declared_new_for(
+		     &scheduler->declared, &scheduler->timers, clock,
+		     scheduler->domain, settings->failure_domain)) < 0 ||
+	    (error = make_service(scheduler, clock)) < 0 ||
 	    (error = zr_config_watch_new(&scheduler->config, &scheduler->timers,
 					 &scheduler->store, on_config,
 					 scheduler)) < 0)
@@ -144,6 +151,11 @@
 	zr_domain_stop(scheduler->domain, done, ctx);
 }
 
+unsigned int zr_scheduler_busy(const struct zr_scheduler *scheduler)
+{
+	return zr_rpc_server_open(scheduler->rpc);
+}
+
 void zr_scheduler_free(struct zr_scheduler *scheduler)
 {
 	if (!scheduler)
@@ -153,6 +165,7 @@
 	zr_http_server_stop(scheduler->http);
 	zr_config_watch_free(scheduler->config);
 	zr_domain_free(scheduler->domain);
+	zr_declared_free(scheduler->declared);
 	zr_grants_free(scheduler->service.grants);
 	scheduler->host_list.ops->free(scheduler->host_list.impl);
 	zr_store_free(&scheduler->store);
