--- a/src/libzinniarack/sched/core.h
+++ b/src/libzinniarack/sched/core.h
@@ -111,6 +111,7 @@
  * @delay_list: the list it is on when delayed
  * @place: which list @next and @previous link
  * @start_by: latest time to start, rounded down, for the queue
+ * @rank: its worth and that of its queue
  */
 struct zr_sched_job {
 	char *id;
@@ -133,6 +134,7 @@
 	int64_t start_by;
 	int64_t not_before;
 	const char *reason;
+	uint32_t rank;
 	zr_handle next;
 	zr_handle previous;
 	zr_handle failed_on[ZR_SCHED_FAILED_ON_MAX];
@@ -255,24 +257,25 @@
 };
 
 /**
- * struct zr_sched_lane - jobs of a class with the same latest start
+ * struct zr_sched_lane - jobs of a class with the same latest start and worth
  */
 struct zr_sched_lane {
 	int64_t start_by;
+	uint32_t rank;
 	zr_handle head;
 	zr_handle tail;
 };
 
 /**
  * struct zr_sched_class_key - what jobs of one class have in common
+ * @worth_band: for jobs with a deadline, 1 and more by their worth; else 0
  * @cpu_octave: binary logarithm of the processors asked for
  * @memory_octave: the same of the memory
  */
 struct zr_sched_class_key {
 	zr_handle team;
-	const struct zr_sched_name *queue;
 	uint32_t accelerators;
-	uint8_t worth;
+	uint8_t worth_band;
 	uint8_t urgent;
 	uint8_t kind;
 	uint8_t cpu_octave;
@@ -281,7 +284,6 @@
 
 /**
  * struct zr_sched_class - waiting jobs that are tried alike
- * @rank: worth of the jobs and of their queue
  * @position: index in the team's classes
  * @blocked: why it is not to be tried now, or ZR_SCHED_WAIT_NONE
  * @refused: the least that was refused; less free room is no reason to try
@@ -290,7 +292,6 @@
 struct zr_sched_class {
 	UT_hash_handle hh;
 	struct zr_sched_class_key key;
-	uint32_t rank;
 	uint32_t position;
 	uint32_t jobs;
 	struct zr_sched_lane *lanes;
--- a/src/libzinniarack/sched/decide.c
+++ b/src/libzinniarack/sched/decide.c
@@ -118,6 +118,14 @@
 	return true;
 }
 
+/* What is as large as a task that was refused just now is refused too. */
+static bool surely_refused(const struct zr_sched_job *job,
+			   const struct zr_resources *need,
+			   const struct zr_resources *least)
+{
+	return job->kind != ZR_JOB_GANG && zr_resources_fit(least, need);
+}
+
 static enum try_outcome try_gang(struct zr_sched *sched, zr_handle handle,
 				 const struct zr_resources *need,
 				 unsigned int *starts, unsigned int most)
@@ -183,10 +191,22 @@
 	return next;
 }
 
+static enum zr_sched_wait wait_after(struct zr_sched *sched,
+				     enum zr_sched_wait wait,
+				     enum try_outcome outcome)
+{
+	if (outcome == TRY_LATER) {
+		sched->gang_waits = true;
+		return ZR_SCHED_WAIT_GANG;
+	}
+	return outcome == TRY_NO_ROOM ? ZR_SCHED_WAIT_NO_ROOM : wait;
+}
+
 static unsigned int try_class(struct zr_sched *sched,
 			      struct zr_sched_class *class, unsigned int most)
 {
 	struct zr_resources least = {UINT32_MAX, UINT32_MAX, UINT32_MAX};
+	enum try_outcome outcome;
 	enum zr_sched_wait wait = ZR_SCHED_WAIT_LIMIT;
 	zr_handle handle = class->lanes[0].head;
 	unsigned int starts = 0;
@@ -194,22 +214,18 @@
 	unsigned int i;
 
 	for (i = 0; i < LOOK_AHEAD && handle; i++) {
-		struct zr_resources need =
-			zr_sched_job_need(zr_sched_job_row(sched, handle));
-		enum try_outcome outcome =
-			try_job(sched, handle, &starts, most);
-
-		/* The class may be gone with its last job. */
-		if (outcome == TRY_PLACED || outcome == TRY_MOVED)
-			return starts;
-		if (outcome == TRY_NO_ROOM)
-			wait = ZR_SCHED_WAIT_NO_ROOM;
-		if (outcome == TRY_LATER) {
-			wait = ZR_SCHED_WAIT_GANG;
-			sched->gang_waits = true;
-			break;
+		const struct zr_sched_job *job =
+			zr_sched_job_row(sched, handle);
+		struct zr_resources need = zr_sched_job_need(job);
+
+		if (!surely_refused(job, &need, &least)) {
+			outcome = try_job(sched, handle, &starts, most);
+			/* The class may be gone with its last job. */
+			if (outcome == TRY_PLACED || outcome == TRY_MOVED)
+				return starts;
+			wait = wait_after(sched, wait, outcome);
+			keep_least(&least, &need);
 		}
-		keep_least(&least, &need);
 		handle = next_in_class(sched, class, &lane, handle);
 	}
 	zr_sched_queue_block(sched, class, wait, &least);
--- a/src/libzinniarack/sched/explain.c
+++ b/src/libzinniarack/sched/explain.c
@@ -131,6 +131,23 @@
 		snprintf(out->hint, sizeof(out->hint), "%s", info->reason);
 }
 
+static uint32_t jobs_above(const struct zr_sched *sched,
+			   const struct zr_sched_class *class, uint32_t rank)
+{
+	uint32_t jobs = 0;
+	uint32_t i;
+
+	for (i = 0; i < class->lane_count; i++) {
+		zr_handle handle = class->lanes[i].head;
+
+		if (class->lanes[i].rank <= rank)
+			continue;
+		for (; handle; handle = zr_sched_job_row(sched, handle)->next)
+			jobs++;
+	}
+	return jobs;
+}
+
 static uint32_t jobs_before(const struct zr_sched *sched,
 			    const struct zr_sched_job *job)
 {
@@ -139,11 +156,8 @@
 	struct zr_sched_class *next;
 	uint32_t jobs = 0;
 
-	HASH_ITER (hh, sched->classes, class, next) {
-		if (class->rank > rank ||
-		    (class->rank == rank && class->key.urgent && !job->urgent))
-			jobs += class->jobs;
-	}
+	HASH_ITER (hh, sched->classes, class, next)
+		jobs += jobs_above(sched, class, rank);
 	return jobs;
 }
 
--- a/src/libzinniarack/sched/queue.c
+++ b/src/libzinniarack/sched/queue.c
@@ -6,14 +6,17 @@
 /**
  * DOC: Queues
  *
- * Waiting jobs of one team, queue, worth, kind and rough size form a class; a
- * class has one lane for each latest time to start. Only the head of a class
- * is tried. A class that was refused is left alone until a worker has room for
+ * Waiting jobs of one team, kind and rough size form a class. A class has one
+ * lane for each worth; jobs with a deadline are in classes by bands of worth,
+ * in which the earliest latest start goes first. Only the head of a class is
+ * tried. A class that was refused is left alone until a worker has room for
  * the least that was refused, so that a long backlog is never scanned.
  */
 
 /* Width of a lane, in milliseconds. */
 #define LANE_MS 60000
+/* Worth of jobs with a deadline that counts as alike. */
+#define WORTH_BAND 10
 /* Longest time for which the order of classes holds, in milliseconds. */
 #define ORDER_MS 250
 
@@ -51,7 +54,17 @@
 		lane->tail = job->previous;
 }
 
-static uint32_t find_lane(const struct zr_sched_class *class, int64_t start_by)
+/* Earliest latest start first, then most worth. */
+static bool lane_before(const struct zr_sched_lane *lane, int64_t start_by,
+			uint32_t rank)
+{
+	if (lane->start_by != start_by)
+		return lane->start_by < start_by;
+	return lane->rank > rank;
+}
+
+static uint32_t find_lane(const struct zr_sched_class *class, int64_t start_by,
+			  uint32_t rank)
 {
 	uint32_t low = 0;
 	uint32_t high = class->lane_count;
@@ -59,7 +72,7 @@
 	while (low < high) {
 		uint32_t middle = (low + high) / 2;
 
-		if (class->lanes[middle].start_by < start_by)
+		if (lane_before(&class->lanes[middle], start_by, rank))
 			low = middle + 1;
 		else
 			high = middle;
@@ -68,13 +81,14 @@
 }
 
 static int obtain_lane(uint32_t *out, struct zr_sched_class *class,
-		       int64_t start_by)
+		       int64_t start_by, uint32_t rank)
 {
-	uint32_t at = find_lane(class, start_by);
+	uint32_t at = find_lane(class, start_by, rank);
 	struct zr_sched_lane *lanes = class->lanes;
 
 	*out = at;
-	if (at < class->lane_count && lanes[at].start_by == start_by)
+	if (at < class->lane_count && lanes[at].start_by == start_by &&
+	    lanes[at].rank == rank)
 		return 0;
 	if (class->lane_count == class->lane_room) {
 		uint32_t room = class->lane_room ? class->lane_room * 2 : 1;
@@ -89,6 +103,7 @@
 		(class->lane_count - at) * sizeof(*lanes));
 	memset(&lanes[at], 0, sizeof(lanes[at]));
 	lanes[at].start_by = start_by;
+	lanes[at].rank = rank;
 	class->lane_count++;
 	return 0;
 }
@@ -115,9 +130,9 @@
 	/* Padding is hashed too. */
 	memset(key, 0, sizeof(*key));
 	key->team = job->profile->team;
-	key->queue = job->queue;
 	key->accelerators = need.accelerators;
-	key->worth = job->worth;
+	if (job->deadline_ms)
+		key->worth_band = (uint8_t)(1 + job->rank / WORTH_BAND);
 	key->urgent = job->urgent;
 	key->kind = job->kind;
 	key->cpu_octave = octave_of(need.millicpus);
@@ -132,20 +147,14 @@
 	return !memcmp(&key, &job->class->key, sizeof(key));
 }
 
-static uint32_t rank_of(const struct zr_sched *sched,
-			const struct zr_sched_name *queue, uint32_t worth)
-{
-	const struct zr_config_queue *config = NULL;
-
-	if (sched->config)
-		config = zr_config_queue(sched->config, queue->text);
-	return worth + (config ? config->worth : 0);
-}
-
 uint32_t zr_sched_job_rank(const struct zr_sched *sched,
 			   const struct zr_sched_job *job)
 {
-	return rank_of(sched, job->queue, job->worth);
+	const struct zr_config_queue *queue = NULL;
+
+	if (sched->config)
+		queue = zr_config_queue(sched->config, job->queue->text);
+	return job->worth + (queue ? queue->worth : 0);
 }
 
 static int list_class(struct zr_sched_team *team, struct zr_sched_class *class)
@@ -181,7 +190,6 @@
 		return ZR_E_NOMEM;
 	}
 	class->key = *key;
-	class->rank = rank_of(sched, key->queue, key->worth);
 	HASH_ADD(hh, sched->classes, key, sizeof(class->key), class);
 	sched->stats.job_bytes += sizeof(*class);
 	*out = class;
@@ -229,12 +237,13 @@
 	uint32_t lane = 0;
 	int error;
 
+	job->rank = zr_sched_job_rank(sched, job);
 	make_key(&key, job);
 	error = obtain_class(&class, sched, &key);
 	if (error < 0)
 		return error;
 	job->start_by = latest_start(sched, job);
-	error = obtain_lane(&lane, class, job->start_by);
+	error = obtain_lane(&lane, class, job->start_by, job->rank);
 	if (error < 0)
 		return error;
 	zr_sched_lane_append(sched, &class->lanes[lane], handle, first);
@@ -256,7 +265,7 @@
 {
 	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
 	struct zr_sched_class *class = job->class;
-	uint32_t lane = find_lane(class, job->start_by);
+	uint32_t lane = find_lane(class, job->start_by, job->rank);
 
 	zr_sched_lane_remove(sched, &class->lanes[lane], handle);
 	job->class = NULL;
@@ -340,7 +349,7 @@
 	struct zr_sched_candidate candidate = {
 		.class = class,
 		.urgent = class->key.urgent,
-		.rank = class->rank,
+		.rank = lane->rank,
 		.start_by = lane->start_by,
 		.slack_ms = INT64_MAX,
 		.weighted = team->dominant / team->share,
@@ -412,15 +421,27 @@
 	return best.class;
 }
 
+/* A queue's worth has changed: its jobs take their place anew. */
+static void queue_again(struct zr_sched *sched, zr_handle handle)
+{
+	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+
+	if (job->place != ZR_SCHED_PLACE_QUEUE ||
+	    job->rank == zr_sched_job_rank(sched, job))
+		return;
+	zr_sched_queue_remove(sched, handle);
+	zr_sched_job_route(sched, handle, false);
+}
+
 void zr_sched_queues_configure(struct zr_sched *sched)
 {
 	struct zr_sched_class *class;
 	struct zr_sched_class *next;
+	zr_handle job = ZR_HANDLE_NONE;
 
-	HASH_ITER (hh, sched->classes, class, next) {
-		class->rank =
-			rank_of(sched, class->key.queue, class->key.worth);
+	while ((job = zr_table_next(sched->jobs, job)))
+		queue_again(sched, job);
+	HASH_ITER (hh, sched->classes, class, next)
 		class->blocked = ZR_SCHED_WAIT_NONE;
-	}
 	order_all_again(sched);
 }
