HTTP and RPC servers tested against hostile callers; room made by idle ones

A flood of connections that ask nothing kept new callers out until they timed out: now the connection unused for longest is closed, never one with a request in progress; the RPC server likewise has a bound.

h2o reads nothing while a request is in progress, so a caller that has gone is found out by its reply; a half-closed one gets its answer.

--- a/src/libzinniarack/net/http_server.c
+++ b/src/libzinniarack/net/http_server.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <uthash.h>
+#include <utlist.h>
 #include <h2o.h>
 #include <h2o/http1.h>
 
@@ -26,11 +29,15 @@
 	h2o_globalconf_t config;
 	h2o_context_t context;
 	h2o_accept_ctx_t accept;
+	/* In the order in which they were last used. */
+	struct connection *connections;
+	struct connection *by_socket;
 };
 
 struct zr_http_exchange {
 	struct zr_http_server *server;
 	h2o_req_t *req;
+	struct connection *connection;
 	char *method;
 	char *path;
 	char *query;
@@ -45,8 +52,14 @@
 };
 
 struct connection {
-	uv_tcp_t tcp;
+	uv_tcp_t tcp; /* first: h2o hands it back as a handle */
+	struct connection *prev;
+	struct connection *next;
+	UT_hash_handle hh;
 	struct zr_http_server *server;
+	h2o_socket_t *sock;
+	bool busy;
+	bool evicted;
 };
 
 static const char *reason_of(int status)
@@ -92,6 +105,8 @@
 	struct zr_http_exchange *exchange = data;
 
 	exchange->server->open_exchanges--;
+	if (exchange->connection)
+		exchange->connection->busy = false;
 	if (!exchange->replied && exchange->gone)
 		exchange->gone(exchange->gone_ctx);
 }
@@ -101,6 +116,23 @@
 	return h2o_strdup(pool, base, length).base;
 }
 
+/* Its connection is busy, and the last one used. */
+static void mark_busy(struct zr_http_exchange *exchange)
+{
+	struct zr_http_server *server = exchange->server;
+	h2o_conn_t *conn = exchange->req->conn;
+	h2o_socket_t *sock = conn->callbacks->get_socket(conn);
+	struct connection *connection;
+
+	HASH_FIND_PTR(server->by_socket, &sock, connection);
+	exchange->connection = connection;
+	if (!connection)
+		return;
+	connection->busy = true;
+	DL_DELETE(server->connections, connection);
+	DL_APPEND(server->connections, connection);
+}
+
 static int on_request(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct zr_http_server *server = ((struct handler *)self)->server;
@@ -113,6 +145,7 @@
 	exchange->server = server;
 	exchange->req = req;
 	server->open_exchanges++;
+	mark_busy(exchange);
 	if (req->query_at != SIZE_MAX) {
 		path_end = req->query_at;
 		exchange->query =
@@ -131,9 +164,35 @@
 	struct connection *connection = (struct connection *)handle;
 
 	connection->server->open_connections--;
+	if (connection->sock) {
+		DL_DELETE(connection->server->connections, connection);
+		HASH_DEL(connection->server->by_socket, connection);
+	}
 	free(connection);
 }
 
+/*
+ * A flood of connections that ask nothing must not keep out those that ask:
+ * the one unused for longest makes room. Its end comes to h2o as the caller's.
+ */
+static bool make_room(struct zr_http_server *server)
+{
+	struct connection *connection;
+	uv_os_fd_t fd;
+
+	DL_FOREACH(server->connections, connection)
+	{
+		if (connection->busy || connection->evicted)
+			continue;
+		connection->evicted = true;
+		if (uv_fileno((uv_handle_t *)&connection->tcp, &fd) ||
+		    shutdown(fd, SHUT_RDWR))
+			continue;
+		return true;
+	}
+	return false;
+}
+
 static void on_accept(uv_stream_t *listener, int status)
 {
 	struct zr_http_server *server = listener->data;
@@ -143,17 +202,22 @@
 	if (status)
 		return;
 	connection = h2o_mem_alloc(sizeof(*connection));
+	memset(connection, 0, sizeof(*connection));
 	connection->server = server;
 	uv_tcp_init(server->loop, &connection->tcp);
 	server->open_connections++;
 	if (uv_accept(listener, (uv_stream_t *)&connection->tcp) ||
-	    server->open_connections > server->options.max_connections) {
+	    (server->open_connections > server->options.max_connections &&
+	     !make_room(server))) {
 		uv_close((uv_handle_t *)&connection->tcp, on_connection_closed);
 		return;
 	}
 	uv_tcp_nodelay(&connection->tcp, 1);
 	sock = h2o_uv_socket_create((uv_stream_t *)&connection->tcp,
 				    on_connection_closed);
+	connection->sock = sock;
+	DL_APPEND(server->connections, connection);
+	HASH_ADD_PTR(server->by_socket, sock, connection);
 	h2o_accept(&server->accept, sock);
 }
 
--- a/src/libzinniarack/net/http_server.h
+++ b/src/libzinniarack/net/http_server.h
@@ -28,7 +28,8 @@
  * @version: ZR_HTTP_SERVER_OPTIONS_VERSION
  * @max_body_bytes: a larger request body is answered 413
  * @request_timeout_ms: time a caller has to send a whole request
- * @max_connections: connections beyond it are closed at once
+ * @max_connections: beyond it, the connection unused for longest is closed; the
+ *	new one if a request is in progress on each
  */
 struct zr_http_server_options {
 	unsigned int version;
--- a/src/libzinniarack/net/rpc_server.c
+++ b/src/libzinniarack/net/rpc_server.c
@@ -9,6 +9,9 @@
 #include "net/rpc_stream.h"
 #include "zinniarack/errors.h"
 
+/* Peers are the daemons of all entry hosts: far fewer than this. */
+#define CONNECTIONS_MAX 512
+
 struct connection {
 	struct connection *prev;
 	struct connection *next;
@@ -61,6 +64,7 @@
 	struct connection *connection = ctx;
 
 	connection->stream = NULL;
+	connection->server->connection_count--;
 	maybe_free_connection(connection);
 }
 
@@ -148,6 +152,8 @@
 	struct rpc_msg message;
 	XDR xdrs;
 
+	DL_DELETE(server->connections, connection);
+	DL_APPEND(server->connections, connection);
 	memset(&message, 0, sizeof(message));
 	message.rm_call.cb_cred.oa_base = cred;
 	message.rm_call.cb_verf.oa_base = verf;
@@ -166,6 +172,20 @@
 			   (xdrproc_t)encode_nothing, NULL);
 }
 
+/* The connection unused for longest makes room for a new one. */
+static void close_unused(struct zr_rpc_server *server)
+{
+	struct connection *connection;
+
+	DL_FOREACH(server->connections, connection)
+	{
+		if (!connection->stream || connection->open_calls)
+			continue;
+		zr_rpc_stream_close(connection->stream);
+		return;
+	}
+}
+
 static void on_accept(uv_stream_t *listener, int status)
 {
 	static const struct zr_rpc_stream_events events = {
@@ -177,6 +197,8 @@
 
 	if (status < 0)
 		return;
+	if (server->connection_count == CONNECTIONS_MAX)
+		close_unused(server);
 	connection = calloc(1, sizeof(*connection));
 	if (!connection)
 		abort();
@@ -185,6 +207,7 @@
 			      connection))
 		abort();
 	DL_APPEND(server->connections, connection);
+	server->connection_count++;
 	if (uv_accept(listener,
 		      (uv_stream_t *)zr_rpc_stream_tcp(connection->stream)))
 		zr_rpc_stream_close(connection->stream);
--- a/tests/fakes/raw_tcp.c
+++ b/tests/fakes/raw_tcp.c
@@ -10,7 +10,7 @@
 
 #include "net/address.h"
 
-#define GIVE_UP_NS (60ULL * 1000000000ULL)
+#define GIVE_UP_NS (20ULL * 1000000000ULL)
 #define STEP_US 200
 
 static void stop_with(const char *what)
--- a/tests/fakes/raw_tcp.h
+++ b/tests/fakes/raw_tcp.h
@@ -32,12 +32,12 @@
  * @size: bytes of @out
  * @text: what to wait for; NULL: the end of the stream
  *
- * Return: whether it came; false also after a minute.
+ * Return: whether it came; false also after some seconds.
  */
 bool raw_read(uv_loop_t *loop, int fd, char *out, size_t size,
 	      const char *text);
 
-/** raw_run() - run @loop until @done is set; false after a minute */
+/** raw_run() - run @loop until @done is set; false after some seconds */
 bool raw_run(uv_loop_t *loop, const bool *done);
 
 #endif
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -36,6 +36,7 @@
 	uv_loop_init(&loop);
 	listener = raw_listen(address, sizeof(address));
 	options.max_connections = 2;
+	options.idle_timeout_ms = 600000;
 	options.max_answer_bytes = ANSWER_BYTES_MAX;
 	ck_assert_int_eq(zr_http_client_new(&client, &loop, address, &options),
 			 0);
--- /dev/null
+++ b/tests/unit/test_http_server.c
@@ -0,0 +1,315 @@
+/*
+ * The HTTP and RPC servers against hostile callers: bounded, and those who
+ * keep the protocol are served.
+ */
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fakes/raw_tcp.h"
+#include "net/address.h"
+#include "net/http_server.h"
+#include "net/rpc_server.h"
+#include "zinniarack/errors.h"
+
+#define TEXT_MAX 65536
+#define CONNECTIONS_MAX 8
+#define REQUEST_TIMEOUT_MS 300
+#define BODY_MAX 1000
+#define FLOOD 40
+#define BOMB_BYTES (2u << 20)
+#define GET(path) "GET " path " HTTP/1.1\r\nHost: x\r\n\r\n"
+
+static uv_loop_t loop;
+static struct zr_http_server *server;
+static char address[ZR_ADDRESS_MAX];
+static unsigned int handled;
+static struct zr_http_exchange *held;
+static bool gone;
+
+static void on_gone(void *ctx)
+{
+	(void)ctx;
+	gone = true;
+	held = NULL;
+}
+
+/* Replies with the path; /held is kept for the test to answer. */
+static void on_request(void *ctx, struct zr_http_exchange *exchange)
+{
+	const char *path = zr_http_path(exchange);
+
+	(void)ctx;
+	handled++;
+	if (!strcmp(path, "/held")) {
+		held = exchange;
+		zr_http_on_gone(exchange, on_gone, NULL);
+		return;
+	}
+	zr_http_reply(exchange, 200, "text/plain", path, strlen(path));
+}
+
+/* A port that was free a moment ago. */
+static void free_address(void)
+{
+	close(raw_listen(address, sizeof(address)));
+}
+
+static void setup(void)
+{
+	struct zr_http_server_options options = ZR_HTTP_SERVER_OPTIONS_INIT;
+
+	uv_loop_init(&loop);
+	options.max_connections = CONNECTIONS_MAX;
+	options.request_timeout_ms = REQUEST_TIMEOUT_MS;
+	options.max_body_bytes = BODY_MAX;
+	free_address();
+	ck_assert_int_eq(zr_http_server_new(&server, &loop, address, &options,
+					    on_request, NULL),
+			 0);
+	handled = 0;
+	held = NULL;
+	gone = false;
+}
+
+static void expect(int fd, const char *text)
+{
+	char got[TEXT_MAX];
+
+	ck_assert_msg(raw_read(&loop, fd, got, sizeof(got), text),
+		      "no '%s' in '%s'", text, got);
+}
+
+/* A caller that keeps the protocol is served. */
+static void expect_served(void)
+{
+	int fd = raw_connect(address);
+
+	raw_send(fd, GET("/well"), strlen(GET("/well")));
+	expect(fd, "/well");
+	close(fd);
+}
+
+START_TEST(test_slow_sender_is_cut_off)
+{
+	int slow = raw_connect(address);
+	char got[TEXT_MAX];
+
+	raw_send(slow, "GET / HTT", 9);
+	expect_served();
+	ck_assert(raw_read(&loop, slow, got, sizeof(got), NULL));
+	ck_assert_uint_eq(handled, 1);
+	close(slow);
+}
+END_TEST
+
+START_TEST(test_slow_body_is_cut_off)
+{
+	static const char head[] =
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf";
+	int slow = raw_connect(address);
+	char got[TEXT_MAX];
+
+	raw_send(slow, head, strlen(head));
+	expect_served();
+	ck_assert(raw_read(&loop, slow, got, sizeof(got), NULL));
+	ck_assert_uint_eq(handled, 1);
+	close(slow);
+}
+END_TEST
+
+START_TEST(test_header_bomb)
+{
+	char *bomb = malloc(BOMB_BYTES);
+	int fd = raw_connect(address);
+	size_t at = 0;
+	char got[TEXT_MAX];
+
+	raw_send(fd, "GET / HTTP/1.1\r\n", 16);
+	memset(bomb, 'a', BOMB_BYTES);
+	/* The socket's buffers take the rest; the server must have let go. */
+	while (at < BOMB_BYTES && at < TEXT_MAX * 8) {
+		raw_send(fd, bomb + at, 1024);
+		at += 1024;
+		uv_run(&loop, UV_RUN_NOWAIT);
+	}
+	raw_read(&loop, fd, got, sizeof(got), NULL);
+	ck_assert_uint_eq(handled, 0);
+	close(fd);
+	free(bomb);
+	expect_served();
+}
+END_TEST
+
+START_TEST(test_oversized_body)
+{
+	static const char head[] =
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1001\r\n\r\n";
+	int fd = raw_connect(address);
+
+	raw_send(fd, head, strlen(head));
+	expect(fd, "HTTP/1.1 413");
+	ck_assert_uint_eq(handled, 0);
+	close(fd);
+}
+END_TEST
+
+START_TEST(test_flood_keeps_nobody_out)
+{
+	int flood[FLOOD];
+	int busy = raw_connect(address);
+	int i;
+
+	raw_send(busy, GET("/held"), strlen(GET("/held")));
+	while (!held)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	for (i = 0; i < FLOOD; i++) {
+		flood[i] = raw_connect(address);
+		uv_run(&loop, UV_RUN_NOWAIT);
+	}
+	expect_served();
+	/* The one in progress was not closed to make room. */
+	ck_assert(!gone);
+	zr_http_reply(held, 200, "text/plain", "kept", 4);
+	expect(busy, "kept");
+	for (i = 0; i < FLOOD; i++)
+		close(flood[i]);
+	close(busy);
+}
+END_TEST
+
+START_TEST(test_pipelined_in_order)
+{
+	static const char text[] = GET("/held") GET("/second");
+	int fd = raw_connect(address);
+
+	raw_send(fd, text, strlen(text));
+	while (!held)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	/* The second waits for the first: no more than one at a time. */
+	ck_assert_uint_eq(handled, 1);
+	zr_http_reply(held, 200, "text/plain", "/first", 6);
+	expect(fd, "/second");
+	ck_assert_uint_eq(handled, 2);
+	close(fd);
+}
+END_TEST
+
+/* A half-closed caller still reads: it gets its whole answer. */
+START_TEST(test_half_closed_caller)
+{
+	int fd = raw_connect(address);
+
+	raw_send(fd, GET("/held"), strlen(GET("/held")));
+	shutdown(fd, SHUT_WR);
+	while (!held)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	expect_served();
+	zr_http_reply(held, 200, "text/plain", "kept", 4);
+	expect(fd, "kept");
+	close(fd);
+}
+END_TEST
+
+/*
+ * h2o does not read on while a request is in progress, so a caller that has
+ * gone is found out by the reply, which then goes nowhere.
+ */
+START_TEST(test_caller_gone)
+{
+	int fd = raw_connect(address);
+
+	raw_send(fd, GET("/held"), strlen(GET("/held")));
+	while (!held)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	close(fd);
+	zr_http_reply(held, 200, "text/plain", "lost", 4);
+	expect_served();
+	ck_assert_uint_eq(zr_http_server_open(server), 0);
+}
+END_TEST
+
+START_TEST(test_answer_states_its_length)
+{
+	int fd = raw_connect(address);
+
+	raw_send(fd, GET("/a"), strlen(GET("/a")));
+	expect(fd, "Content-Length: 2\r\n");
+	close(fd);
+}
+END_TEST
+
+START_TEST(test_draining_ends_connections)
+{
+	int fd = raw_connect(address);
+	char got[TEXT_MAX];
+
+	zr_http_server_drain(server);
+	raw_send(fd, GET("/a"), strlen(GET("/a")));
+	ck_assert(raw_read(&loop, fd, got, sizeof(got), NULL));
+	ck_assert_ptr_nonnull(strstr(got, "/a"));
+	close(fd);
+}
+END_TEST
+
+/* RPC */
+
+static const struct zr_rpc_service no_services[] = {{NULL, NULL}};
+
+START_TEST(test_rpc_garbage)
+{
+	static const char *const garbage[] = {
+		"GET / HTTP/1.1\r\n\r\n",    /* a mark without its last bit */
+		"\xff\xff\xff\xff garbage",  /* a record beyond any bound */
+		"\x80\x00\x00\x08xxxxxxxx"}; /* a record that is no call */
+	static const size_t lengths[] = {18, 12, 12};
+	struct zr_rpc_server *rpc;
+	char got[TEXT_MAX];
+	size_t i;
+	int fd;
+
+	free_address();
+	ck_assert_int_eq(zr_rpc_server_new(&rpc, &loop, address, 1, 1,
+					   no_services, NULL),
+			 0);
+	for (i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+		fd = raw_connect(address);
+		raw_send(fd, garbage[i], lengths[i]);
+		ck_assert(raw_read(&loop, fd, got, sizeof(got), NULL));
+		close(fd);
+	}
+	zr_rpc_server_free(rpc);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("http_server");
+	TCase *tests = tcase_create("callers");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tests, 120);
+	tcase_add_checked_fixture(tests, setup, NULL);
+	tcase_add_test(tests, test_slow_sender_is_cut_off);
+	tcase_add_test(tests, test_slow_body_is_cut_off);
+	tcase_add_test(tests, test_header_bomb);
+	tcase_add_test(tests, test_oversized_body);
+	tcase_add_test(tests, test_flood_keeps_nobody_out);
+	tcase_add_test(tests, test_pipelined_in_order);
+	tcase_add_test(tests, test_half_closed_caller);
+	tcase_add_test(tests, test_caller_gone);
+	tcase_add_test(tests, test_answer_states_its_length);
+	tcase_add_test(tests, test_draining_ends_connections);
+	tcase_add_test(tests, test_rpc_garbage);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
