A result for each task in the record and in the answer to a read

Outside this part: rpc/msg_jobs.x and entry/api_jobs.c show them as "results". Bounded at 1 KiB a task.

--- a/rpc/msg_jobs.h
+++ b/rpc/msg_jobs.h
@@ -17,6 +17,7 @@
 #define ZX_ID_MAX 127
 #define ZX_TEXT_MAX 65536
 #define ZX_LIST_MAX 4096
+#define ZX_RESULT_MAX 1024
 
 struct zx_resources {
 	u_int millicpus;
@@ -61,6 +62,13 @@
 };
 typedef struct zx_job_args zx_job_args;
 
+struct zx_task_result {
+	u_int index;
+	bool_t succeeded;
+	char *result;
+};
+typedef struct zx_task_result zx_task_result;
+
 struct zx_job {
 	char *id;
 	char *name;
@@ -73,6 +81,10 @@
 	u_int ended;
 	char *reason;
 	char *result;
+	struct {
+		u_int results_len;
+		zx_task_result *results_val;
+	} results;
 };
 typedef struct zx_job zx_job;
 
@@ -151,6 +163,7 @@
 extern  bool_t xdr_zx_submit_args (XDR *, zx_submit_args*);
 extern  bool_t xdr_zx_submit_result (XDR *, zx_submit_result*);
 extern  bool_t xdr_zx_job_args (XDR *, zx_job_args*);
+extern  bool_t xdr_zx_task_result (XDR *, zx_task_result*);
 extern  bool_t xdr_zx_job (XDR *, zx_job*);
 extern  bool_t xdr_zx_job_result (XDR *, zx_job_result*);
 extern  bool_t xdr_zx_list_args (XDR *, zx_list_args*);
@@ -167,6 +180,7 @@
 extern bool_t xdr_zx_submit_args ();
 extern bool_t xdr_zx_submit_result ();
 extern bool_t xdr_zx_job_args ();
+extern bool_t xdr_zx_task_result ();
 extern bool_t xdr_zx_job ();
 extern bool_t xdr_zx_job_result ();
 extern bool_t xdr_zx_list_args ();
--- a/rpc/msg_jobs.x
+++ b/rpc/msg_jobs.x
@@ -7,6 +7,8 @@
 const ZX_ID_MAX = 127;
 const ZX_TEXT_MAX = 65536;
 const ZX_LIST_MAX = 4096;
+/* Longest result of a task that is kept. */
+const ZX_RESULT_MAX = 1024;
 
 struct zx_resources {
 	unsigned int millicpus;
@@ -47,6 +49,13 @@
 	unsigned int wait_ms;
 };
 
+struct zx_task_result {
+	unsigned int index;
+	bool succeeded;
+	string result<ZX_RESULT_MAX>;
+};
+
+/* results: of tasks that have ended, by index; empty in lists. */
 struct zx_job {
 	string id<ZX_ID_MAX>;
 	string name<ZX_NAME_MAX>;
@@ -59,6 +68,7 @@
 	unsigned int ended;
 	string reason<ZX_TEXT_MAX>;
 	string result<ZX_TEXT_MAX>;
+	zx_task_result results<ZX_LIST_MAX>;
 };
 
 struct zx_job_result {
--- a/rpc/msg_jobs_xdr.c
+++ b/rpc/msg_jobs_xdr.c
@@ -166,6 +166,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_zx_task_result (XDR *xdrs, zx_task_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->succeeded))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->result, ZX_RESULT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_job (XDR *xdrs, zx_job *objp)
 {
@@ -205,6 +219,9 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->result, ZX_TEXT_MAX))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, ZX_LIST_MAX,
+			sizeof (zx_task_result), (xdrproc_t) xdr_zx_task_result))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->id, ZX_ID_MAX))
@@ -239,6 +256,9 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->result, ZX_TEXT_MAX))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, ZX_LIST_MAX,
+			sizeof (zx_task_result), (xdrproc_t) xdr_zx_task_result))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -264,6 +284,9 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->result, ZX_TEXT_MAX))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, ZX_LIST_MAX,
+		sizeof (zx_task_result), (xdrproc_t) xdr_zx_task_result))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/rpc/msg_journal.h
+++ b/rpc/msg_journal.h
@@ -24,7 +24,6 @@
 	ZX_RECORD_WORKER = 6,
 };
 typedef enum zx_record_kind zx_record_kind;
-#define ZX_RESULT_MAX 1024
 
 struct zx_accepted {
 	u_quad_t number;
--- a/rpc/msg_journal.x
+++ b/rpc/msg_journal.x
@@ -15,9 +15,6 @@
 	ZX_RECORD_WORKER = 6
 };
 
-/* Longest result of a task that is kept. */
-const ZX_RESULT_MAX = 1024;
-
 /* begun: a task of it may be sent without a further record. */
 struct zx_accepted {
 	unsigned hyper number;
--- a/src/libzinniarack/entry/api_jobs.c
+++ b/src/libzinniarack/entry/api_jobs.c
@@ -28,6 +28,25 @@
 			 "result", job->result);
 }
 
+static json_t *job_results_json(const zx_job *job)
+{
+	json_t *json = job_json(job);
+	json_t *results = json_array();
+	u_int i;
+
+	for (i = 0; i < job->results.results_len; i++) {
+		const zx_task_result *task = &job->results.results_val[i];
+
+		json_array_append_new(results,
+				      json_pack("{s:i, s:b, s:s}", "task",
+						(int)task->index, "succeeded",
+						(int)task->succeeded, "result",
+						task->result));
+	}
+	json_object_set_new(json, "results", results);
+	return json;
+}
+
 /* Which failure domain */
 
 /* The same key must reach the same domain through every entry daemon. */
@@ -186,7 +205,7 @@
 	else if (result->error < 0)
 		entry_call_end_error(call, result->error, result->detail);
 	else
-		entry_call_end_json(call, 200, job_json(&result->job));
+		entry_call_end_json(call, 200, job_results_json(&result->job));
 }
 
 static json_t *refusals_json(const zx_explain_result *result)
--- a/src/libzinniarack/scheduler/service_jobs.c
+++ b/src/libzinniarack/scheduler/service_jobs.c
@@ -62,6 +62,23 @@
 			      .reason = "",
 			      .result = ""};
 
+static void add_results(zx_job *out, const struct zr_domain_job *job)
+{
+	zx_task_result *results =
+		calloc(job->result_count + 1, sizeof(*results));
+	uint32_t i;
+
+	if (!results)
+		abort();
+	for (i = 0; i < job->result_count; i++) {
+		results[i].index = job->results[i].index;
+		results[i].succeeded = job->results[i].succeeded;
+		results[i].result = (char *)job->results[i].result;
+	}
+	out->results.results_len = job->result_count;
+	out->results.results_val = results;
+}
+
 static void on_job(void *ctx, int error, const struct zr_domain_job *job)
 {
 	zx_job_result result = {
@@ -70,9 +87,12 @@
 		.job = no_job,
 	};
 
-	if (job)
+	if (job) {
 		fill_job(&result.job, job);
+		add_results(&result.job, job);
+	}
 	zr_rpc_reply(ctx, &result);
+	free(result.job.results.results_val);
 }
 
 void zr_serve_job(void *ctx, struct zr_rpc_call *call, void *data)
