--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -12,6 +12,7 @@
 #include "rpc/procedures.h"
 #include "scheduler/grants.h"
 #include "scheduler/service.h"
+#include "store/budget.h"
 #include "store/etcd.h"
 #include "worker/http_host_list.h"
 #include "worker/http_worker.h"
@@ -19,6 +20,12 @@
 #include "zinniarack/log.h"
 
 #define HOST_LIST_POLL_MS 1000
+/* What one scheduler may call of the store. */
+#define STORE_WRITES_PER_S 25
+#define STORE_READS_PER_S 40
+#define STORE_BURST 60
+#define STORE_WAITING_MAX 256
+#define STORE_WAIT_MS 1000
 
 struct zr_scheduler {
 	uv_loop_t *loop;
@@ -86,6 +93,32 @@
 	return zr_domain_new(&scheduler->domain, &options);
 }
 
+static int make_store(struct zr_scheduler *scheduler,
+		      const struct zr_clock *clock)
+{
+	const struct zr_store_budget_options options = {
+		.version = ZR_STORE_BUDGET_OPTIONS_VERSION,
+		.timers = &scheduler->timers,
+		.clock = clock,
+		.writes_per_s = STORE_WRITES_PER_S,
+		.reads_per_s = STORE_READS_PER_S,
+		.burst = STORE_BURST,
+		.waiting_max = STORE_WAITING_MAX,
+		.wait_ms = STORE_WAIT_MS,
+		.metrics = scheduler->metrics,
+	};
+	struct zr_store inner;
+	int error = zr_etcd_new(&inner, scheduler->loop,
+				scheduler->settings->store, scheduler->metrics);
+
+	if (error < 0)
+		return error;
+	error = zr_store_budget_new(&scheduler->store, &inner, &options);
+	if (error < 0)
+		zr_store_free(&inner);
+	return error;
+}
+
 static int make_service(struct zr_scheduler *scheduler)
 {
 	const struct zr_settings *settings = scheduler->settings;
@@ -121,8 +154,7 @@
 	scheduler->timers = zr_uv_timers(loop);
 	scheduler->settings = settings;
 	if ((error = zr_metrics_new(&scheduler->metrics)) < 0 ||
-	    (error = zr_etcd_new(&scheduler->store, loop, settings->store,
-				 scheduler->metrics)) < 0 ||
+	    (error = make_store(scheduler, clock)) < 0 ||
 	    (error = zr_http_host_list_new(&scheduler->host_list, loop,
 					   settings->host_list)) < 0 ||
 	    (error = make_domain(scheduler, clock)) < 0 ||
