--- a/src/libzinniarack/domain/domain.c
+++ b/src/libzinniarack/domain/domain.c
@@ -246,6 +246,11 @@
 	return domain->epoch;
 }
 
+bool zr_domain_loaded(const struct zr_domain *domain)
+{
+	return domain->loaded;
+}
+
 const struct zr_sched *zr_domain_sched(const struct zr_domain *domain)
 {
 	return domain->sched;
