Team limits across failure domains by allotments

Cause: each domain applied a team's whole upper limit, so three domains could run three times as much.

Budget: order of new calls, order of the queue and the bound on what waits each fail test_domain_budget when out. Left: an owner without the store and its successor share one row, see docs/decisions/team-allotments.md.

--- a/rpc/msg_journal.h
+++ b/rpc/msg_journal.h
@@ -107,6 +107,29 @@
 };
 typedef struct zx_snapshot zx_snapshot;
 
+struct zx_allotment {
+	char *domain;
+	zx_resources amount;
+};
+typedef struct zx_allotment zx_allotment;
+
+struct zx_team_allotments {
+	char *team;
+	struct {
+		u_int domains_len;
+		zx_allotment *domains_val;
+	} domains;
+};
+typedef struct zx_team_allotments zx_team_allotments;
+
+struct zx_allotments {
+	struct {
+		u_int teams_len;
+		zx_team_allotments *teams_val;
+	} teams;
+};
+typedef struct zx_allotments zx_allotments;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -120,6 +143,9 @@
 extern  bool_t xdr_zx_record (XDR *, zx_record*);
 extern  bool_t xdr_zx_chunk (XDR *, zx_chunk*);
 extern  bool_t xdr_zx_snapshot (XDR *, zx_snapshot*);
+extern  bool_t xdr_zx_allotment (XDR *, zx_allotment*);
+extern  bool_t xdr_zx_team_allotments (XDR *, zx_team_allotments*);
+extern  bool_t xdr_zx_allotments (XDR *, zx_allotments*);
 
 #else /* K&R C */
 extern bool_t xdr_zx_record_kind ();
@@ -132,6 +158,9 @@
 extern bool_t xdr_zx_record ();
 extern bool_t xdr_zx_chunk ();
 extern bool_t xdr_zx_snapshot ();
+extern bool_t xdr_zx_allotment ();
+extern bool_t xdr_zx_team_allotments ();
+extern bool_t xdr_zx_allotments ();
 
 #endif /* K&R C */
 
--- a/rpc/msg_journal.x
+++ b/rpc/msg_journal.x
@@ -94,3 +94,19 @@
 	unsigned int slot;
 	zx_record records<ZX_LIST_MAX>;
 };
+
+/* How much of a team's upper limit holds in a failure domain. */
+struct zx_allotment {
+	string domain<ZX_NAME_MAX>;
+	zx_resources amount;
+};
+
+struct zx_team_allotments {
+	string team<ZX_NAME_MAX>;
+	zx_allotment domains<64>;
+};
+
+/* One record for all teams, changed by compare-and-swap. */
+struct zx_allotments {
+	zx_team_allotments teams<1024>;
+};
--- a/rpc/msg_journal_xdr.c
+++ b/rpc/msg_journal_xdr.c
@@ -223,3 +223,39 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_zx_allotment (XDR *xdrs, zx_allotment *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->domain, ZX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_zx_resources (xdrs, &objp->amount))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_team_allotments (XDR *xdrs, zx_team_allotments *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->team, ZX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, 64,
+		sizeof (zx_allotment), (xdrproc_t) xdr_zx_allotment))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_allotments (XDR *xdrs, zx_allotments *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->teams.teams_val, (u_int *) &objp->teams.teams_len, 1024,
+		sizeof (zx_team_allotments), (xdrproc_t) xdr_zx_team_allotments))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/libzinniarack/domain/domain.c
+++ b/src/libzinniarack/domain/domain.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "domain/private.h"
 #include "zinniarack/errors.h"
@@ -116,6 +117,7 @@
 	domain->loaded = false;
 	domain->recovering = false;
 	zr_fleet_end(domain->fleet);
+	zr_allotments_end(domain->allotments);
 	zr_journal_free(domain->journal);
 	domain->journal = NULL;
 	zr_domain_starts_clear(domain);
@@ -193,6 +195,64 @@
 	return zr_fleet_new(&domain->fleet, &options);
 }
 
+/* Team limits */
+
+static void on_usage(void *ctx, const char *team, struct zr_resources *out)
+{
+	const struct zr_domain *domain = ctx;
+
+	memset(out, 0, sizeof(*out));
+	zr_sched_team_usage(out, domain->sched, team);
+}
+
+static void on_allotment(void *ctx, const char *team,
+			 const struct zr_resources *allotment)
+{
+	struct zr_domain *domain = ctx;
+
+	zr_log(ZR_LOG_INFO,
+	       "allotment team=%s millicpus=%u memory_mb=%u accelerators=%u",
+	       team, allotment->millicpus, allotment->memory_mb,
+	       allotment->accelerators);
+	zr_sched_set_allotment(domain->sched, team, allotment);
+	zr_domain_drain(domain);
+}
+
+static int make_allotments(struct zr_domain *domain)
+{
+	const struct zr_allotments_options options = {
+		.version = ZR_ALLOTMENTS_OPTIONS_VERSION,
+		.timers = domain->options.timers,
+		.store = domain->options.store,
+		.domain = domain->name,
+		.events =
+			{
+				.usage = on_usage,
+				.set = on_allotment,
+				.ready = zr_domain_limits_ready,
+			},
+		.ctx = domain,
+	};
+
+	return zr_allotments_new(&domain->allotments, &options);
+}
+
+static unsigned int count_domains(const struct zr_host *hosts, size_t count)
+{
+	unsigned int domains = 0;
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < count; i++) {
+		for (j = 0; j < i; j++) {
+			if (!strcmp(hosts[i].domain, hosts[j].domain))
+				break;
+		}
+		domains += i == j;
+	}
+	return domains;
+}
+
 static void register_metrics(struct zr_domain *domain)
 {
 	struct zr_metrics *metrics = domain->options.metrics;
@@ -227,6 +287,8 @@
 	domain->decide_timer =
 		zr_timer_new(options->timers, on_decide_again, domain);
 	error = make_fleet(domain);
+	if (!error)
+		error = make_allotments(domain);
 	if (!error)
 		error = zr_owner_new(&domain->owner, options->timers,
 				     options->clock, options->store,
@@ -262,12 +324,14 @@
 	domain->config = config;
 	if (domain->sched)
 		zr_sched_configure(domain->sched, config);
+	zr_allotments_configure(domain->allotments, config);
 }
 
 void zr_domain_hosts(struct zr_domain *domain, const struct zr_host *hosts,
 		     size_t count)
 {
 	zr_fleet_hosts(domain->fleet, hosts, count);
+	zr_allotments_domains(domain->allotments, count_domains(hosts, count));
 }
 
 void zr_domain_free(struct zr_domain *domain)
@@ -277,6 +341,7 @@
 	if (domain->epoch)
 		on_lost(domain);
 	zr_owner_free(domain->owner);
+	zr_allotments_free(domain->allotments);
 	zr_fleet_free(domain->fleet);
 	zr_timer_free(domain->timer);
 	zr_timer_free(domain->decide_timer);
--- a/src/libzinniarack/domain/private.h
+++ b/src/libzinniarack/domain/private.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <uthash.h>
 
+#include "domain/allotment.h"
 #include "domain/domain.h"
 #include "domain/journal.h"
 #include "domain/owner.h"
@@ -114,6 +115,7 @@
 	struct zr_owner *owner;
 	struct zr_journal *journal;
 	struct zr_fleet *fleet;
+	struct zr_allotments *allotments;
 	struct zr_sched *sched;
 	const struct zr_config *config;
 	struct domain_job *jobs;
@@ -175,6 +177,7 @@
 
 /* recovery.c */
 void zr_domain_recover(struct zr_domain *domain);
+void zr_domain_limits_ready(void *ctx);
 void zr_domain_check_recovery(struct zr_domain *domain);
 zr_handle zr_domain_worker_up(void *ctx, const struct zr_host *host);
 void zr_domain_worker_gone(void *ctx, const char *name);
--- a/src/libzinniarack/domain/recovery.c
+++ b/src/libzinniarack/domain/recovery.c
@@ -260,6 +260,14 @@
 	/* Ends that completed a job whose own end was not kept. */
 	zr_domain_drain(domain);
 	domain->recovering = true;
+	zr_allotments_begin(domain->allotments);
+}
+
+/* Workers come after the limits, so that no adopted task is over them. */
+void zr_domain_limits_ready(void *ctx)
+{
+	struct zr_domain *domain = ctx;
+
 	zr_fleet_begin(domain->fleet, domain->epoch,
 		       domain->handed_over ? 0 : ZR_OWNER_UNRENEWED_MS);
 }
--- a/tests/unit/test_domain_budget.c
+++ b/tests/unit/test_domain_budget.c
@@ -101,6 +101,22 @@
 }
 END_TEST
 
+START_TEST(test_a_new_call_does_not_pass_one_that_waits)
+{
+	int i;
+
+	for (i = 0; i < BURST; i++)
+		put(ZR_STORE_ACCEPT, "-");
+	fake_net_advance(net, 5);
+	put(ZR_STORE_INTENT, "i");
+	/* A token is there, and the next tick is not. */
+	fake_net_advance(net, 97);
+	put(ZR_STORE_OTHER, "o");
+	fake_net_advance(net, 500);
+	ck_assert_mem_eq(order + BURST, "io", 2);
+}
+END_TEST
+
 START_TEST(test_leases_never_wait)
 {
 	int i;
@@ -143,6 +159,7 @@
 	tcase_add_test(tcase, test_calls_over_the_rate_wait);
 	tcase_add_test(tcase,
 		       test_intents_go_before_acceptance_before_the_rest);
+	tcase_add_test(tcase, test_a_new_call_does_not_pass_one_that_waits);
 	tcase_add_test(tcase, test_leases_never_wait);
 	tcase_add_test(tcase, test_what_waits_is_bounded_in_number_and_time);
 	suite_add_tcase(suite, tcase);
