Allotments follow what waits, and yield when nothing is free

Cause: a domain asked by what it used only, so a task larger than its row was refused as over the limit, or waited for ever (seen: test_path refused its first job); a domain that had taken all gave nothing.

Change: demand is what runs and what waits; a task within the team's limit is accepted though it is over the row; a domain above its even share yields as its work ends, and takes nothing for three readings after.

--- a/src/libzinniarack/domain/allotment.c
+++ b/src/libzinniarack/domain/allotment.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include <xxhash.h>
 
 #include "domain/allotment_record.h"
 #include "domain/allotment_share.h"
@@ -12,6 +13,10 @@
 
 #define TICK_MS 2000
 #define FIRST_READ_MS 200
+/* Readings for which a domain that has yielded takes nothing. */
+#define YIELD_READS 3
+/* When another writer was first, this long and as much again at random. */
+#define CONFLICT_RETRY_MS 100
 
 /* What this domain has in force for a team. */
 struct team {
@@ -19,6 +24,8 @@
 	char name[ZR_NAME_MAX];
 	struct zr_resources in_force;
 	bool told;
+	unsigned int yielded;
+	struct zr_resources target;
 };
 
 struct zr_allotments {
@@ -111,6 +118,16 @@
 	return false;
 }
 
+static void retry_soon(struct zr_allotments *allotments)
+{
+	uint64_t jitter = XXH64(allotments->domain, strlen(allotments->domain),
+				(uint64_t)allotments->revision) %
+			  CONFLICT_RETRY_MS;
+
+	zr_timer_start(allotments->timer,
+		       CONFLICT_RETRY_MS + (unsigned int)jitter, TICK_MS);
+}
+
 static void on_written(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct zr_allotments *allotments = ctx;
@@ -122,6 +139,8 @@
 		allotments->uncertain = true;
 		allotments->uncertain_revision = allotments->revision;
 	}
+	if (!error && !reply->succeeded)
+		retry_soon(allotments);
 	if (error < 0 || !reply->succeeded)
 		return;
 	allotments->uncertain = false;
@@ -147,19 +166,28 @@
 static bool adjust_team(struct zr_allotments *allotments,
 			const struct zr_config_team *team)
 {
+	struct team *row = obtain_team(allotments, team->name);
 	struct zr_allotment_state state = {
 		.limit = team->limit,
 		.own = held(allotments, team->name),
 		.others = zr_allotment_others(&allotments->record, team->name,
 					      allotments->domain),
 		.domains = allotments->domains,
+		.yielded = row->yielded > 0,
 	};
 	struct zr_resources less;
 	struct zr_resources next;
+	struct zr_allotment_state idle;
 
 	allotments->options.events.usage(allotments->options.ctx, team->name,
-					 &state.used);
+					 &state.used, &state.demand);
 	next = zr_allotment_next(&state);
+	row->yielded -= row->yielded > 0;
+	idle = state;
+	memset(&idle.used, 0, sizeof(idle.used));
+	row->target = zr_allotment_next(&idle);
+	if (zr_allotment_yields(&state, &row->target))
+		row->yielded = YIELD_READS;
 	less = zr_allotment_least(&state.own, &next);
 	put_in_force(allotments, team, &less);
 	if (!memcmp(&next, &state.own, sizeof(next)))
@@ -169,6 +197,26 @@
 	return true;
 }
 
+void zr_allotments_ended(struct zr_allotments *allotments, const char *name)
+{
+	const struct zr_config_team *configured = NULL;
+	struct zr_resources demand;
+	struct zr_resources used;
+	struct zr_resources most;
+	struct team *team;
+
+	HASH_FIND_STR(allotments->teams, name, team);
+	if (allotments->config)
+		configured = zr_config_team(allotments->config, name);
+	if (!team || !team->yielded || !configured || !allotments->active)
+		return;
+	allotments->options.events.usage(allotments->options.ctx, name, &used,
+					 &demand);
+	most = zr_allotment_most(&used, &team->target);
+	most = zr_allotment_least(&most, &team->in_force);
+	put_in_force(allotments, configured, &most);
+}
+
 static void adjust(struct zr_allotments *allotments)
 {
 	const struct zr_config *config = allotments->config;
@@ -290,6 +338,8 @@
 		if (unlimited(obtain_team(allotments, team->name), team))
 			put_in_force(allotments, team, &nothing);
 	}
+	if (allotments->active)
+		zr_timer_start(allotments->timer, 0, TICK_MS);
 }
 
 void zr_allotments_domains(struct zr_allotments *allotments, unsigned int count)
--- a/src/libzinniarack/domain/allotment.h
+++ b/src/libzinniarack/domain/allotment.h
@@ -21,12 +21,13 @@
 
 /**
  * struct zr_allotments_events - how allotments act on a failure domain
- * @usage: what a team has running here
+ * @usage: what a team has running here, and that with what waits here
  * @set: a team's allotment is in force; a zero member sets no limit
  * @ready: the record has been read for the first time
  */
 struct zr_allotments_events {
-	void (*usage)(void *ctx, const char *team, struct zr_resources *out);
+	void (*usage)(void *ctx, const char *team, struct zr_resources *used,
+		      struct zr_resources *demand);
 	void (*set)(void *ctx, const char *team,
 		    const struct zr_resources *allotment);
 	void (*ready)(void *ctx);
@@ -65,6 +66,15 @@
 void zr_allotments_configure(struct zr_allotments *allotments,
 			     const struct zr_config *config);
 
+/**
+ * zr_allotments_ended() - work of a team has ended here
+ * @allotments: the allotments
+ * @team: the team
+ *
+ * Call it before the room is filled again: a domain that yields gives it.
+ */
+void zr_allotments_ended(struct zr_allotments *allotments, const char *team);
+
 /** zr_allotments_domains() - how many failure domains share the limits */
 void zr_allotments_domains(struct zr_allotments *allotments,
 			   unsigned int count);
--- a/src/libzinniarack/domain/allotment_share.c
+++ b/src/libzinniarack/domain/allotment_share.c
@@ -1,15 +1,13 @@
 #include "domain/allotment_share.h"
 
-#include <stdbool.h>
-
-/* A domain that uses this much of what it holds asks for more. */
-#define GROW_USED_PERCENT 80
-/* One that uses less than this gives. */
-#define GIVE_USED_PERCENT 40
-/* What it keeps above its use when it gives. */
+/* A domain whose demand is less than this part of what it holds gives. */
+#define GIVE_DEMAND_PERCENT 40
+/* What it keeps above its demand when it gives. */
 #define KEEP_PERCENT 150
 /* It keeps at least this part of an even share, to start work at once. */
 #define KEEP_SHARE_DIVISOR 4
+/* When nothing is free, one above its even share gives this part of it. */
+#define YIELD_DIVISOR 8
 #define PERCENT 100
 
 static uint64_t greater(uint64_t a, uint64_t b)
@@ -22,23 +20,25 @@
 	return a < b ? a : b;
 }
 
-static uint64_t wanted(uint64_t limit, uint64_t own, uint64_t used,
-		       uint64_t even)
+static uint64_t wanted(uint64_t own, uint64_t demand, uint64_t even,
+		       uint64_t free)
 {
 	uint64_t floor = greater(even / KEEP_SHARE_DIVISOR, 1);
 
-	if (used * PERCENT >= own * GROW_USED_PERCENT)
-		return greater(even, own + greater(limit / 8, 1));
-	if (used * PERCENT < own * GIVE_USED_PERCENT)
+	if (demand * PERCENT < own * GIVE_DEMAND_PERCENT)
 		return greater(floor,
-			       lesser(own, used * KEEP_PERCENT / PERCENT));
-	return own;
+			       lesser(own, demand * KEEP_PERCENT / PERCENT));
+	if (!free && own > even)
+		return greater(even, own - even / YIELD_DIVISOR);
+	return greater(floor, greater(own, demand));
 }
 
 static uint32_t next_member(uint32_t limit, uint32_t own, uint32_t others,
-			    uint32_t used, unsigned int domains)
+			    uint32_t used, uint32_t demand,
+			    unsigned int domains)
 {
 	uint64_t total = (uint64_t)own + others;
+	uint64_t free = total < limit ? limit - total : 0;
 	uint64_t next;
 
 	if (!limit)
@@ -47,8 +47,8 @@
 		/* A lowered limit takes from each in proportion. */
 		next = (uint64_t)own * limit / total;
 	else
-		next = lesser(wanted(limit, own, used, limit / domains),
-			      own + (limit - total));
+		next = lesser(wanted(own, demand, limit / domains, free),
+			      own + free);
 	/* What runs is held until it has ended. */
 	return (uint32_t)(next < own ? greater(next, lesser(used, own)) : next);
 }
@@ -56,21 +56,37 @@
 struct zr_resources zr_allotment_next(const struct zr_allotment_state *state)
 {
 	const struct zr_resources next = {
-		.millicpus = next_member(state->limit.millicpus,
-					 state->own.millicpus,
-					 state->others.millicpus,
-					 state->used.millicpus, state->domains),
-		.memory_mb = next_member(state->limit.memory_mb,
-					 state->own.memory_mb,
-					 state->others.memory_mb,
-					 state->used.memory_mb, state->domains),
+		.millicpus = next_member(
+			state->limit.millicpus, state->own.millicpus,
+			state->others.millicpus, state->used.millicpus,
+			state->demand.millicpus, state->domains),
+		.memory_mb = next_member(
+			state->limit.memory_mb, state->own.memory_mb,
+			state->others.memory_mb, state->used.memory_mb,
+			state->demand.memory_mb, state->domains),
 		.accelerators = next_member(
 			state->limit.accelerators, state->own.accelerators,
 			state->others.accelerators, state->used.accelerators,
-			state->domains),
+			state->demand.accelerators, state->domains),
 	};
 
-	return next;
+	return state->yielded ? zr_allotment_least(&next, &state->own) : next;
+}
+
+static bool yields(uint32_t own, uint32_t next, uint32_t demand)
+{
+	return next < own && demand >= own;
+}
+
+bool zr_allotment_yields(const struct zr_allotment_state *state,
+			 const struct zr_resources *next)
+{
+	return yields(state->own.millicpus, next->millicpus,
+		      state->demand.millicpus) ||
+	       yields(state->own.memory_mb, next->memory_mb,
+		      state->demand.memory_mb) ||
+	       yields(state->own.accelerators, next->accelerators,
+		      state->demand.accelerators);
 }
 
 struct zr_resources zr_allotment_least(const struct zr_resources *a,
@@ -86,6 +102,19 @@
 	return least;
 }
 
+struct zr_resources zr_allotment_most(const struct zr_resources *a,
+				      const struct zr_resources *b)
+{
+	const struct zr_resources most = {
+		.millicpus = (uint32_t)greater(a->millicpus, b->millicpus),
+		.memory_mb = (uint32_t)greater(a->memory_mb, b->memory_mb),
+		.accelerators =
+			(uint32_t)greater(a->accelerators, b->accelerators),
+	};
+
+	return most;
+}
+
 static bool lacks(uint32_t limit, uint32_t amount)
 {
 	return limit && !amount;
--- a/src/libzinniarack/domain/domain.c
+++ b/src/libzinniarack/domain/domain.c
@@ -197,12 +197,44 @@
 
 /* Team limits */
 
-static void on_usage(void *ctx, const char *team, struct zr_resources *out)
+static uint32_t times(uint32_t each, uint32_t count, uint32_t sum)
 {
-	const struct zr_domain *domain = ctx;
+	uint64_t total = (uint64_t)each * count + sum;
+
+	return total > UINT32_MAX ? UINT32_MAX : (uint32_t)total;
+}
 
-	memset(out, 0, sizeof(*out));
-	zr_sched_team_usage(out, domain->sched, team);
+static void add_waiting(struct zr_resources *demand,
+			const struct domain_job *job)
+{
+	struct zr_sched_job_info info;
+	uint32_t waiting;
+
+	if (!job->handle ||
+	    zr_sched_job_info(&info, job->domain->sched, job->handle) < 0)
+		return;
+	waiting = job->spec.tasks - info.running - info.ended;
+	demand->millicpus =
+		times(job->spec.size.millicpus, waiting, demand->millicpus);
+	demand->memory_mb =
+		times(job->spec.size.memory_mb, waiting, demand->memory_mb);
+	demand->accelerators = times(job->spec.size.accelerators, waiting,
+				     demand->accelerators);
+}
+
+static void on_usage(void *ctx, const char *team, struct zr_resources *used,
+		     struct zr_resources *demand)
+{
+	const struct zr_domain *domain = ctx;
+	const struct domain_job *job;
+
+	memset(used, 0, sizeof(*used));
+	zr_sched_team_usage(used, domain->sched, team);
+	*demand = *used;
+	for (job = domain->jobs; job; job = job->hh.next) {
+		if (!strcmp(job->spec.team, team))
+			add_waiting(demand, job);
+	}
 }
 
 static void on_allotment(void *ctx, const char *team,
--- a/src/libzinniarack/domain/jobs.c
+++ b/src/libzinniarack/domain/jobs.c
@@ -445,6 +445,23 @@
 	zr_domain_decide(domain);
 }
 
+static bool under(uint32_t limit, uint32_t size)
+{
+	return !limit || size <= limit;
+}
+
+/* A task that is over the allotment only waits until that has grown. */
+static bool within_limit(const struct zr_domain *domain,
+			 const struct zr_job_spec *spec)
+{
+	const struct zr_config_team *team =
+		zr_config_team(domain->config, spec->team);
+
+	return team && under(team->limit.millicpus, spec->size.millicpus) &&
+	       under(team->limit.memory_mb, spec->size.memory_mb) &&
+	       under(team->limit.accelerators, spec->size.accelerators);
+}
+
 static int check_submission(struct zr_domain *domain,
 			    const struct zr_job_spec *spec)
 {
@@ -459,6 +476,8 @@
 	if (!domain->config)
 		return zr_error_set(ZR_E_STALE_CONFIG, "no configuration yet");
 	error = zr_sched_job_check(domain->sched, spec);
+	if (error == ZR_E_LIMIT && within_limit(domain, spec))
+		return 0;
 	/* The worker that could hold it may not have answered yet. */
 	if (error == ZR_E_NEVER_FITS && domain->recovering)
 		return zr_error_set(ZR_E_OVERLOADED, "workers not known yet");
--- a/tests/unit/test_allotment.c
+++ b/tests/unit/test_allotment.c
@@ -32,13 +32,16 @@
 static struct zr_config_team team = {.name = "photos", .limit = {LIMIT, 0, 0}};
 static struct zr_config config = {.teams = &team, .teams_count = 1};
 
-static void on_usage(void *ctx, const char *name, struct zr_resources *out)
+static void on_usage(void *ctx, const char *name, struct zr_resources *used,
+		     struct zr_resources *demand)
 {
 	const struct domain *domain = ctx;
 
 	(void)name;
-	memset(out, 0, sizeof(*out));
-	out->millicpus = domain->used;
+	memset(used, 0, sizeof(*used));
+	used->millicpus = domain->used;
+	*demand = *used;
+	demand->millicpus = domain->demand;
 }
 
 static void on_set(void *ctx, const char *name,
@@ -161,6 +164,27 @@
 }
 END_TEST
 
+START_TEST(test_all_that_want_come_near_an_even_share)
+{
+	int i;
+
+	domains[0].demand = LIMIT;
+	run(PATIENCE_MS, LIMIT);
+	for (i = 0; i < DOMAINS; i++)
+		domains[i].demand = LIMIT;
+	/* Work that ends makes room. */
+	for (i = 0; i < 60 * DOMAINS; i++) {
+		struct domain *domain = &domains[i % DOMAINS];
+
+		domain->used -= domain->used / 4;
+		zr_allotments_ended(domain->allotments, team.name);
+		run(700, LIMIT);
+	}
+	for (i = 0; i < DOMAINS; i++)
+		ck_assert_uint_ge(domains[i].in_force, LIMIT / DOMAINS / 2);
+}
+END_TEST
+
 START_TEST(test_a_lowered_limit_takes_from_each)
 {
 	int i;
@@ -294,6 +318,7 @@
 	tcase_add_test(tcase,
 		       test_nothing_is_in_force_before_the_record_is_read);
 	tcase_add_test(tcase, test_allotments_follow_the_demand);
+	tcase_add_test(tcase, test_all_that_want_come_near_an_even_share);
 	tcase_add_test(tcase, test_a_lowered_limit_takes_from_each);
 	tcase_add_test(tcase, test_a_cut_off_domain_keeps_its_allotment);
 	tcase_add_test(tcase,
