Operators' keys; configuration relayed, confirmed and never reverting

Cause: anyone could change the configuration and read the hashes of keys; each process polled the store, so a domain without it heard of no change, a lost answer of a proposal stayed open, and a withdrawn key went on in a domain that was cut off.

Operators: a key has a role; the settings name operators that need no configuration. Reading and changing the configuration takes an operator's key; with one, any team's job can be read and cancelled. The secret of an unknown id is hashed and compared all the same. Explain now checks the job's team.

Outside: the scheduler daemon follows through peers; its explain handler; the cell of the end-to-end tests names an operator.

--- a/include/zinniarack/config.h
+++ b/include/zinniarack/config.h
@@ -110,6 +110,21 @@
 	uint32_t failure_domains_count;
 };
 
+/** Most changes that a document remembers. */
+#define ZR_CONFIG_HISTORY_MAX 16
+
+/**
+ * struct zr_config_change - an accepted change
+ * @proposal: names the proposal, so that its lost answer can be settled
+ * @version: the version that it made
+ * @author: id of the key that came with it
+ */
+struct zr_config_change {
+	char *proposal;
+	uint64_t version;
+	char *author;
+};
+
 /** struct zr_config_name - an item that is a name alone */
 struct zr_config_name {
 	char *name;
@@ -137,7 +152,7 @@
 /**
  * struct zr_config - one version of the configuration
  * @version: raised by one with each accepted change
- * @author: id of the key under which this version was accepted
+ * @history: the latest changes, oldest first
  * @policy: the order of worth
  * @key_check: keys while nobody can confirm that they are in force
  * @failure_domains: the failure domains; each idempotency key has its home in
@@ -150,7 +165,8 @@
  */
 struct zr_config {
 	uint64_t version;
-	char *author;
+	struct zr_config_change *history;
+	uint32_t history_count;
 	enum zr_policy policy;
 	struct {
 		enum zr_unconfirmed when_unconfirmed;
@@ -208,6 +224,48 @@
 int zr_config_print(char **out, size_t *out_length,
 		    const struct zr_config *config);
 
+/**
+ * enum zr_config_difference - how an item differs between two documents
+ */
+enum zr_config_difference {
+	ZR_CONFIG_ADDED,
+	ZR_CONFIG_REMOVED,
+	ZR_CONFIG_CHANGED,
+};
+
+/** zr_config_difference_name() - "added", "removed" or "changed" */
+const char *zr_config_difference_name(enum zr_config_difference difference);
+
+/**
+ * typedef zr_config_difference_fn - called for each difference
+ * @ctx: as given to zr_config_diff()
+ * @section: the list, such as "teams", or a field of the document
+ * @name: name or id of the item, NULL for a field of the document
+ * @difference: what became of it
+ */
+typedef void (*zr_config_difference_fn)(void *ctx, const char *section,
+					const char *name,
+					enum zr_config_difference difference);
+
+/**
+ * zr_config_diff() - what an operator would see between two documents
+ * @from: the former document, NULL for an empty one
+ * @to: the later document
+ * @each: called for each item that differs, in the order of the documents
+ * @ctx: passed to @each
+ *
+ * Version and history are no differences.
+ */
+void zr_config_diff(const struct zr_config *from, const struct zr_config *to,
+		    zr_config_difference_fn each, void *ctx);
+
+/**
+ * zr_config_author() - who made the version of a document
+ *
+ * Return: id of a key; "" for a document without history.
+ */
+const char *zr_config_author(const struct zr_config *config);
+
 /** zr_config_free() - free a document, or do nothing for NULL */
 void zr_config_free(struct zr_config *config);
 
@@ -236,8 +294,9 @@
 
 /**
  * zr_config_authenticate() - find the key that a caller presented
- * @out: the key's entry, valid as long as @config
- * @config: the configuration in force
+ * @out: the key's entry, valid as long as @keys
+ * @keys: keys in force
+ * @count: how many
  * @credential: `<id>.<secret>`
  *
  * The work is the same for an unknown id as for a wrong secret, and secrets
@@ -246,7 +305,7 @@
  * Return: 0 or ZR_E_UNAUTHORIZED.
  */
 int zr_config_authenticate(const struct zr_config_key **out,
-			   const struct zr_config *config,
+			   const struct zr_config_key *keys, uint32_t count,
 			   const char *credential);
 
 /** Longest credential, with the final NUL. */
--- a/src/cli/call.c
+++ b/src/cli/call.c
@@ -72,6 +72,17 @@
 	return 0;
 }
 
+int cli_call_operator(struct cli_answer *out, const struct cli_options *options,
+		      const char *method, const char *path, const void *body,
+		      size_t length)
+{
+	struct cli_options with_key = *options;
+
+	if (options->operator_key)
+		with_key.key = options->operator_key;
+	return cli_call(out, &with_key, method, path, body, length);
+}
+
 int cli_show(struct cli_answer *answer)
 {
 	int status = answer->status;
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -22,11 +22,13 @@
  * struct cli_options - options that come before the subcommand
  * @entry: address of an entry daemon
  * @key: the caller's key, or NULL
+ * @operator_key: an operator's key, or NULL
  * @json: print JSON
  */
 struct cli_options {
 	const char *entry;
 	const char *key;
+	const char *operator_key;
 	bool json;
 };
 
@@ -77,6 +79,11 @@
 	     const char *method, const char *path, const void *body,
 	     size_t length);
 
+/** cli_call_operator() - as cli_call(), with the operator's key */
+int cli_call_operator(struct cli_answer *out, const struct cli_options *options,
+		      const char *method, const char *path, const void *body,
+		      size_t length);
+
 /**
  * cli_show() - print an answer's body and turn its status into an exit code
  * @answer: the answer; its body is freed
--- a/src/cli/config.c
+++ b/src/cli/config.c
@@ -26,7 +26,8 @@
 static int show(const struct cli_options *options)
 {
 	struct cli_answer answer;
-	int error = cli_call(&answer, options, "GET", "/v1/config", NULL, 0);
+	int error = cli_call_operator(&answer, options, "GET", "/v1/config",
+				      NULL, 0);
 
 	return error < 0 ? cli_fail(error) : cli_show(&answer);
 }
@@ -36,7 +37,8 @@
 {
 	struct zr_config *config;
 	struct cli_answer answer;
-	int error = cli_call(&answer, options, "GET", "/v1/config", NULL, 0);
+	int error = cli_call_operator(&answer, options, "GET", "/v1/config",
+				      NULL, 0);
 
 	*out = 0;
 	if (error < 0)
@@ -67,7 +69,7 @@
 	if (error < 0)
 		return cli_fail(error);
 	snprintf(path, sizeof(path), "/v1/config?expected=%" PRIu64, version);
-	error = cli_call(&answer, options, "PUT", path, text, length);
+	error = cli_call_operator(&answer, options, "PUT", path, text, length);
 	free(text);
 	return error < 0 ? cli_fail(error) : cli_show(&answer);
 }
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -28,6 +28,8 @@
 	 ")",
 	 0},
 	{"key", 'k', "KEY", 0, "Key to present (default: $ZINNIARACK_KEY)", 0},
+	{"operator-key", 'o', "KEY", 0,
+	 "Operator's key (default: $ZINNIARACK_OPERATOR_KEY)", 0},
 	{"json", 'j', NULL, 0, "Print JSON", 0},
 	{0},
 };
@@ -43,6 +45,9 @@
 	case 'k':
 		line->options.key = arg;
 		return 0;
+	case 'o':
+		line->options.operator_key = arg;
+		return 0;
 	case 'j':
 		line->options.json = true;
 		return 0;
@@ -106,6 +111,7 @@
 
 	line.options.entry = getenv("ZINNIARACK_ENTRY");
 	line.options.key = getenv("ZINNIARACK_KEY");
+	line.options.operator_key = getenv("ZINNIARACK_OPERATOR_KEY");
 	if (!line.options.entry)
 		line.options.entry = DEFAULT_ENTRY;
 	describe_commands(doc, sizeof(doc));
--- a/src/libzinniarack/config/keys.c
+++ b/src/libzinniarack/config/keys.c
@@ -43,38 +43,46 @@
 	return 0;
 }
 
-static const struct zr_config_key *find_key(const struct zr_config *config,
-					    const char *id, size_t length)
+/* Hashed against for an unknown id, so that it takes as long as a known one. */
+static const struct zr_config_key no_key = {
+	.salt = "00000000000000000000000000000000",
+	.sha256 = "00000000000000000000000000000000"
+		  "00000000000000000000000000000000",
+};
+
+static const struct zr_config_key *find_key(const struct zr_config_key *keys,
+					    uint32_t count, const char *id,
+					    size_t length)
 {
+	const struct zr_config_key *found = &no_key;
 	uint32_t i;
 
-	for (i = 0; i < config->keys_count; i++) {
-		const struct zr_config_key *key = &config->keys[i];
-
-		if (strlen(key->id) == length && !memcmp(key->id, id, length))
-			return key;
+	for (i = 0; i < count; i++) {
+		if (strlen(keys[i].id) == length &&
+		    !CRYPTO_memcmp(keys[i].id, id, length))
+			found = &keys[i];
 	}
-	return NULL;
+	return found;
 }
 
 int zr_config_authenticate(const struct zr_config_key **out,
-			   const struct zr_config *config,
+			   const struct zr_config_key *keys, uint32_t count,
 			   const char *credential)
 {
 	const char *dot = credential ? strrchr(credential, '.') : NULL;
 	const struct zr_config_key *key;
 	char hash[HEX_HASH_MAX];
+	bool same;
 	int error;
 
 	if (!dot)
 		return zr_error_set(ZR_E_UNAUTHORIZED, "no key was presented");
-	key = find_key(config, credential, (size_t)(dot - credential));
-	if (!key)
-		return zr_error_set(ZR_E_UNAUTHORIZED, "no such key in force");
+	key = find_key(keys, count, credential, (size_t)(dot - credential));
 	error = hash_secret(hash, key->salt, dot + 1);
 	if (error < 0)
 		return error;
-	if (CRYPTO_memcmp(hash, key->sha256, HEX_HASH_MAX - 1))
+	same = !CRYPTO_memcmp(hash, key->sha256, HEX_HASH_MAX - 1);
+	if (!same || key == &no_key)
 		return zr_error_set(ZR_E_UNAUTHORIZED, "no such key in force");
 	*out = key;
 	return 0;
--- a/src/libzinniarack/config/schema.c
+++ b/src/libzinniarack/config/schema.c
@@ -120,6 +120,16 @@
 
 /* Document */
 
+static const cyaml_schema_field_t change_fields[] = {
+	NAME_PTR("proposal", 0, struct zr_config_change, proposal),
+	CYAML_FIELD_UINT("version", CYAML_FLAG_DEFAULT, struct zr_config_change,
+			 version),
+	NAME_PTR("author", 0, struct zr_config_change, author),
+	CYAML_FIELD_END};
+
+static const cyaml_schema_value_t change_schema = {CYAML_VALUE_MAPPING(
+	CYAML_FLAG_DEFAULT, struct zr_config_change, change_fields)};
+
 static const cyaml_schema_field_t key_check_fields[] = {
 	CYAML_FIELD_ENUM(
 		"when_unconfirmed", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT,
@@ -136,7 +146,7 @@
 static const cyaml_schema_field_t config_fields[] = {
 	CYAML_FIELD_UINT("version", CYAML_FLAG_OPTIONAL, struct zr_config,
 			 version),
-	NAME_PTR("author", CYAML_FLAG_OPTIONAL, struct zr_config, author),
+	ITEMS("history", history, change_schema),
 	CYAML_FIELD_ENUM("policy", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT,
 			 struct zr_config, policy, policies,
 			 CYAML_ARRAY_LEN(policies)),
@@ -176,7 +186,9 @@
 
 const struct zr_field_rule zr_config_rules[] = {
 	RANGE("version", 0, 1e15, NULL, "0"),
-	NAME("author", "none"),
+	NAME("history[].proposal", NULL),
+	RANGE("history[].version", 1, 1e15, NULL, NULL),
+	NAME("history[].author", NULL),
 	ANY("policy", "waiting-first"),
 	ANY("key_check.when_unconfirmed", "refuse"),
 	RANGE("key_check.confirm_within_ms", 1000, 600000, "ms", "5000"),
--- a/src/libzinniarack/config/watch.c
+++ b/src/libzinniarack/config/watch.c
@@ -2,94 +2,182 @@
 
 #include <inttypes.h>
 #include <stdlib.h>
+#include <string.h>
 
+#include "config/private.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
-#define CONFIG_KEY "zr/config"
-#define POLL_MS 1000
-
-struct zr_config_watch {
-	const struct zr_store *store;
-	zr_config_changed_fn changed;
-	void *ctx;
-	struct zr_timer *timer;
-	bool call_open;
-	struct zr_config *current;
-	int64_t mod_revision;
-};
-
-struct proposal {
-	struct zr_config_watch *watch;
-	uint64_t version;
-	zr_config_proposed_fn done;
-	void *ctx;
-};
-
-static uint64_t current_version(const struct zr_config_watch *watch)
+#define TICK_MS 200
+/* The first process of a domain reads so often, the others when it is silent */
+#define READ_EACH_MS 1000
+#define READ_AFTER_MS 1600
+#define READ_RANK_MS 400
+
+struct timespec config_now(const struct zr_config_watch *watch)
+{
+	return zr_clock_now(watch->options.clock);
+}
+
+uint64_t config_version(const struct zr_config_watch *watch)
 {
 	return watch->current ? watch->current->version : 0;
 }
 
-static void take(struct zr_config_watch *watch,
-		 const struct zr_store_value *value)
+/* Versions */
+
+static void keep_former(struct zr_config_watch *watch)
+{
+	size_t i;
+
+	zr_config_free(watch->former[CONFIG_FORMER_MAX - 1]);
+	for (i = CONFIG_FORMER_MAX - 1; i > 0; i--)
+		watch->former[i] = watch->former[i - 1];
+	watch->former[0] = watch->current;
+}
+
+static void put_in_force(struct zr_config_watch *watch,
+			 struct zr_config *config, char *text, size_t length,
+			 const char *source)
+{
+	if (watch->current)
+		keep_former(watch);
+	free(watch->text);
+	watch->current = config;
+	watch->text = text;
+	watch->length = length;
+	watch->version->value = (int64_t)config->version;
+	zr_log(ZR_LOG_INFO,
+	       "config.in_force version=%" PRIu64 " author=%s source=%s",
+	       config->version, zr_config_author(config), source);
+	watch->options.changed(watch->options.ctx, config);
+	config_settle_proposals(watch);
+}
+
+bool config_take_text(struct zr_config_watch *watch, const char *source,
+		      const char *text, size_t length)
 {
-	struct zr_config *former = watch->current;
 	struct zr_config *config;
+	char *copy;
 
-	if (value->mod_revision <= watch->mod_revision)
-		return;
-	if (zr_config_parse(&config, CONFIG_KEY, value->data, value->length)) {
+	watch->readable = !zr_config_parse(&config, source, text, length);
+	if (!watch->readable) {
 		zr_log(ZR_LOG_ERROR, "config.unreadable detail=\"%s\"",
 		       zr_error_last());
-		return;
+		return false;
 	}
-	watch->mod_revision = value->mod_revision;
-	if (config->version <= current_version(watch)) {
+	copy = malloc(length);
+	if (config->version <= config_version(watch) || !copy) {
 		zr_config_free(config);
-		return;
+		free(copy);
+		return false;
 	}
-	watch->current = config;
-	zr_log(ZR_LOG_INFO, "config.in_force version=%" PRIu64,
-	       config->version);
-	watch->changed(watch->ctx, config);
-	zr_config_free(former);
+	memcpy(copy, text, length);
+	put_in_force(watch, config, copy, length, source);
+	return true;
 }
 
+bool config_take_value(struct zr_config_watch *watch,
+		       const struct zr_store_value *value)
+{
+	if (value->mod_revision < watch->mod_revision)
+		return false;
+	watch->mod_revision = value->mod_revision;
+	if (watch->current && value->length == watch->length &&
+	    !memcmp(value->data, watch->text, watch->length))
+		return false;
+	return config_take_text(watch, "store", value->data, value->length);
+}
+
+/* Reads of the store */
+
 static void on_read(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct zr_config_watch *watch = ctx;
+	bool taken;
+
+	watch->reading = false;
+	if (error < 0)
+		return;
+	if (!reply->count) {
+		if (!watch->current)
+			config_confirm(watch, watch->asked);
+		return;
+	}
+	if (reply->values[0].mod_revision < watch->mod_revision)
+		return;
+	taken = config_take_value(watch, &reply->values[0]);
+	/* A value that cannot be read confirms nothing. */
+	if (watch->readable)
+		config_confirm(watch, watch->asked);
+	if (taken && watch->options.spread)
+		watch->options.spread(watch->options.ctx);
+}
 
-	watch->call_open = false;
-	if (!error && reply->count)
-		take(watch, &reply->values[0]);
+static void read_store(struct zr_config_watch *watch)
+{
+	watch->reading = true;
+	watch->ever_read = true;
+	watch->asked = config_now(watch);
+	watch->reads->value++;
+	zr_store_range(watch->options.store, ZR_STORE_CONFIG, CONFIG_KEY, false,
+		       on_read, watch);
+}
+
+static bool read_is_due(const struct zr_config_watch *watch)
+{
+	unsigned int rank = config_rank(watch);
+	struct timespec now = config_now(watch);
+	int64_t after_ms =
+		rank ? READ_AFTER_MS + READ_RANK_MS * rank : READ_EACH_MS;
+
+	if (watch->reading)
+		return false;
+	if (watch->ever_read &&
+	    zr_time_diff_ms(now, watch->asked) < READ_EACH_MS)
+		return false;
+	return !watch->confirmed.set ||
+	       zr_time_diff_ms(now, watch->confirmed.at) >= after_ms;
 }
 
 static void on_tick(void *ctx)
 {
 	struct zr_config_watch *watch = ctx;
 
-	if (watch->call_open)
-		return;
-	watch->call_open = true;
-	zr_store_range(watch->store, ZR_STORE_CONFIG, CONFIG_KEY, false,
-		       on_read, watch);
+	config_try_candidate(watch);
+	if (read_is_due(watch))
+		read_store(watch);
+}
+
+/* Interface */
+
+static void register_metrics(struct zr_config_watch *watch)
+{
+	struct zr_metrics *metrics = watch->options.metrics;
+
+	watch->reads = zr_metrics_counter(
+		metrics, "zinniarack_config_store_reads_total", NULL,
+		"Reads of the configuration sent to the store.");
+	watch->relayed = zr_metrics_counter(
+		metrics, "zinniarack_config_relayed_total", NULL,
+		"Versions of the configuration that came from a peer.");
+	watch->version =
+		zr_metrics_gauge(metrics, "zinniarack_config_version", NULL,
+				 "Version of the configuration in force here.");
 }
 
 int zr_config_watch_new(struct zr_config_watch **out,
-			const struct zr_timers *timers,
-			const struct zr_store *store,
-			zr_config_changed_fn changed, void *ctx)
+			const struct zr_config_watch_options *options)
 {
 	struct zr_config_watch *watch = calloc(1, sizeof(*watch));
 
 	if (!watch)
 		return ZR_E_NOMEM;
-	watch->store = store;
-	watch->changed = changed;
-	watch->ctx = ctx;
-	watch->timer = zr_timer_new(timers, on_tick, watch);
-	zr_timer_start(watch->timer, 0, POLL_MS);
+	watch->options = *options;
+	watch->started = config_now(watch);
+	register_metrics(watch);
+	watch->timer = zr_timer_new(options->timers, on_tick, watch);
+	zr_timer_start(watch->timer, 0, TICK_MS);
 	*out = watch;
 	return 0;
 }
@@ -100,72 +188,31 @@
 	return watch->current;
 }
 
-static void on_proposed(void *ctx, int error,
-			const struct zr_store_reply *reply)
-{
-	struct proposal *proposal = ctx;
-	struct zr_config_watch *watch = proposal->watch;
-	uint64_t version = proposal->version;
-
-	if (!error && !reply->succeeded) {
-		if (reply->count)
-			take(watch, &reply->values[0]);
-		error = ZR_E_CONFLICT;
-		version = current_version(watch);
-	}
-	if (!error)
-		on_tick(watch);
-	proposal->done(proposal->ctx, error, version);
-	free(proposal);
-}
-
-static void commit(struct proposal *proposal, const char *text, size_t length)
-{
-	struct zr_config_watch *watch = proposal->watch;
-	const struct zr_store_compare compare = {CONFIG_KEY,
-						 watch->mod_revision};
-	const struct zr_store_put put = {CONFIG_KEY, text, length, 0};
-	const struct zr_store_txn txn = {&compare, 1, &put, 1};
-
-	zr_store_commit(watch->store, ZR_STORE_CONFIG, &txn, on_proposed,
-			proposal);
-}
-
-void zr_config_watch_propose(struct zr_config_watch *watch,
-			     struct zr_config *config, uint64_t expected,
-			     zr_config_proposed_fn done, void *ctx)
+const struct zr_config *
+zr_config_watch_former(const struct zr_config_watch *watch, uint64_t version)
 {
-	struct proposal *proposal;
-	size_t length;
-	char *text;
-	int error;
+	size_t i;
 
-	if (expected != current_version(watch)) {
-		done(ctx, ZR_E_CONFLICT, current_version(watch));
-		return;
+	for (i = 0; i < CONFIG_FORMER_MAX && watch->former[i]; i++) {
+		if (watch->former[i]->version == version)
+			return watch->former[i];
 	}
-	config->version = expected + 1;
-	error = zr_config_print(&text, &length, config);
-	if (error < 0) {
-		done(ctx, error, expected);
-		return;
-	}
-	proposal = calloc(1, sizeof(*proposal));
-	if (!proposal)
-		abort();
-	proposal->watch = watch;
-	proposal->version = config->version;
-	proposal->done = done;
-	proposal->ctx = ctx;
-	commit(proposal, text, length);
-	free(text);
+	return NULL;
 }
 
 void zr_config_watch_free(struct zr_config_watch *watch)
 {
+	size_t i;
+
 	if (!watch)
 		return;
 	zr_timer_free(watch->timer);
+	config_proposals_free(watch);
+	config_peers_free(watch);
+	for (i = 0; i < CONFIG_FORMER_MAX; i++)
+		zr_config_free(watch->former[i]);
 	zr_config_free(watch->current);
+	free(watch->text);
+	free(watch->candidate);
 	free(watch);
 }
--- a/src/libzinniarack/entry/api.c
+++ b/src/libzinniarack/entry/api.c
@@ -1,13 +1,11 @@
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "entry/private.h"
 #include "net/metrics_page.h"
 #include "zinniarack/errors.h"
 
-#define BEARER "Bearer "
 #define RETRY_AFTER_S "1"
 
 static int status_of(int error)
@@ -107,27 +105,6 @@
 	free(call);
 }
 
-/* Keys */
-
-int entry_authenticate(const char **out, struct zr_entry *entry,
-		       struct zr_http_exchange *exchange)
-{
-	const struct zr_config *config = zr_config_watch_current(entry->config);
-	const char *header = zr_http_header(exchange, "authorization");
-	const struct zr_config_key *key;
-	int error;
-
-	if (!config)
-		return zr_error_set(ZR_E_STALE_CONFIG, "no configuration yet");
-	if (!header || strncasecmp(header, BEARER, strlen(BEARER)))
-		return zr_error_set(ZR_E_UNAUTHORIZED, "no key was presented");
-	error = zr_config_authenticate(&key, config, header + strlen(BEARER));
-	if (error < 0)
-		return error;
-	*out = key->team;
-	return 0;
-}
-
 /* Dispatch */
 
 static const char *after(const char *path, const char *prefix)
--- a/src/libzinniarack/entry/api_jobs.c
+++ b/src/libzinniarack/entry/api_jobs.c
@@ -370,7 +370,7 @@
 		submit(entry, exchange);
 		return;
 	}
-	error = entry_authenticate(&team, entry, exchange);
+	error = entry_authenticate_reader(&team, entry, exchange);
 	if (error < 0) {
 		entry_reply_error(exchange, error, zr_error_last());
 		return;
--- a/src/libzinniarack/entry/api_operators.c
+++ b/src/libzinniarack/entry/api_operators.c
@@ -10,34 +10,123 @@
 
 /* Configuration */
 
+struct config_call {
+	struct entry_call *call;
+	uint64_t expected;
+};
+
+static void add_difference(void *ctx, const char *section, const char *name,
+			   enum zr_config_difference difference)
+{
+	json_array_append_new(ctx,
+			      json_pack("{s:s, s:s*, s:s}", "section", section,
+					"name", name, "difference",
+					zr_config_difference_name(difference)));
+}
+
+/* Who has changed the configuration since, and what differs from then. */
+static json_t *conflict_json(const struct zr_entry *entry, uint64_t expected)
+{
+	const struct zr_config *config = zr_config_watch_current(entry->config);
+	const struct zr_config *base =
+		zr_config_watch_former(entry->config, expected);
+	json_t *changes = json_array();
+	json_t *differences = NULL;
+	uint32_t i;
+
+	for (i = 0; config && i < config->history_count; i++) {
+		const struct zr_config_change *change = &config->history[i];
+
+		if (change->version <= expected)
+			continue;
+		json_array_append_new(changes,
+				      json_pack("{s:I, s:s}", "version",
+						(json_int_t)change->version,
+						"author", change->author));
+	}
+	if (config && (base || !expected)) {
+		differences = json_array();
+		zr_config_diff(base, config, add_difference, differences);
+	}
+	return json_pack("{s:s, s:s, s:b, s:I, s:o, s:o*}", "error",
+			 zr_error_name(ZR_E_CONFLICT), "detail",
+			 "another change was first; nothing of it is lost, and "
+			 "this one was not made",
+			 "not_run", 1, "version",
+			 (json_int_t)(config ? config->version : 0), "changes",
+			 changes, "differences", differences);
+}
+
 static void on_proposed(void *ctx, int error, uint64_t version)
 {
-	struct entry_call *call = ctx;
+	struct config_call *config_call = ctx;
+	struct entry_call *call = config_call->call;
 
-	if (error < 0)
+	if (error == ZR_E_CONFLICT)
 		entry_call_end_json(
-			call, error == ZR_E_CONFLICT ? 409 : 503,
-			json_pack("{s:s, s:s, s:I}", "error",
-				  zr_error_name(error), "detail",
-				  "the configuration was not changed by this "
-				  "request",
-				  "version", (json_int_t)version));
+			call, 409,
+			conflict_json(call->entry, config_call->expected));
+	else if (error == ZR_E_OUTCOME_UNKNOWN)
+		entry_call_end_error(call, error,
+				     "the change may yet take effect; see "
+				     "'zinniarack config show'");
+	else if (error < 0)
+		entry_call_end_error(call, error,
+				     "the configuration was not changed");
 	else
 		entry_call_end_json(
 			call, 200,
 			json_pack("{s:I}", "version", (json_int_t)version));
+	free(config_call);
+}
+
+static void propose(struct zr_entry *entry, struct zr_http_exchange *exchange,
+		    struct zr_config *config, uint64_t expected,
+		    const char *author)
+{
+	struct config_call *call = calloc(1, sizeof(*call));
+	int error;
+
+	if (!call)
+		abort();
+	call->expected = expected;
+	call->call = entry_call_new(entry, exchange);
+	error = zr_config_watch_propose(entry->config, config, expected, author,
+					on_proposed, call);
+	if (error == ZR_E_CONFLICT) {
+		on_proposed(call, error, 0);
+	} else if (error < 0) {
+		entry_call_end_error(call->call, error, zr_error_last());
+		free(call);
+	}
+}
+
+static bool read_number(uint64_t *out, const char *text)
+{
+	char *end;
+
+	if (!text || *text < '0' || *text > '9')
+		return false;
+	*out = strtoull(text, &end, 10);
+	return !*end;
 }
 
 static void put_config(struct zr_entry *entry,
 		       struct zr_http_exchange *exchange)
 {
 	const char *expected = zr_http_query(exchange, "expected");
+	const struct zr_config_key *key;
 	struct zr_config *config;
+	uint64_t version;
 	size_t length;
 	const void *body = zr_http_body(exchange, &length);
-	int error;
+	int error = entry_operator(&key, entry, exchange);
 
-	if (!expected) {
+	if (error < 0) {
+		entry_reply_error(exchange, error, zr_error_last());
+		return;
+	}
+	if (!read_number(&version, expected)) {
 		entry_reply_error(exchange, ZR_E_INVALID,
 				  "parameter 'expected': the version that the "
 				  "change was made from");
@@ -48,9 +137,7 @@
 		entry_reply_error(exchange, error, zr_error_last());
 		return;
 	}
-	zr_config_watch_propose(entry->config, config,
-				strtoull(expected, NULL, 10), on_proposed,
-				entry_call_new(entry, exchange));
+	propose(entry, exchange, config, version, key->id);
 	zr_config_free(config);
 }
 
@@ -58,9 +145,16 @@
 		       struct zr_http_exchange *exchange)
 {
 	const struct zr_config *config = zr_config_watch_current(entry->config);
+	const struct zr_config_key *key;
 	size_t length;
 	char *text;
+	/* It holds the hashes of keys, which are nobody else's to see. */
+	int error = entry_operator(&key, entry, exchange);
 
+	if (error < 0) {
+		entry_reply_error(exchange, error, zr_error_last());
+		return;
+	}
 	if (!config) {
 		entry_reply_error(exchange, ZR_E_NOT_FOUND,
 				  "no configuration is in force");
@@ -103,13 +197,15 @@
 	json_t *schedulers = json_array();
 
 	zr_directory_each(entry->directory, add_row, schedulers);
-	entry_reply_json(exchange, 200,
-			 json_pack("{s:s, s:s, s:I, s:o}", "name",
-				   entry->settings->name, "domain",
-				   entry->settings->failure_domain,
-				   "config_version",
-				   (json_int_t)(config ? config->version : 0),
-				   "schedulers", schedulers));
+	entry_reply_json(
+		exchange, 200,
+		json_pack("{s:s, s:s, s:I, s:I, s:o}", "name",
+			  entry->settings->name, "domain",
+			  entry->settings->failure_domain, "config_version",
+			  (json_int_t)(config ? config->version : 0),
+			  "config_age_ms",
+			  (json_int_t)zr_config_watch_age_ms(entry->config),
+			  "schedulers", schedulers));
 }
 
 /* Workers of one failure domain */
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "entry/private.h"
+#include "msg_peers.h"
 #include "net/uv_timers.h"
 #include "rpc/procedures.h"
 #include "store/etcd.h"
@@ -57,8 +58,11 @@
 	struct zr_entry *entry = ctx;
 
 	entry->host_list_open = false;
-	if (!error)
-		zr_directory_hosts(entry->directory, hosts, count);
+	if (error < 0)
+		return;
+	zr_directory_hosts(entry->directory, hosts, count);
+	zr_config_peers_hosts(entry->peers, hosts, count,
+			      entry->host_list_asked);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -69,6 +73,7 @@
 
 	if (!entry->host_list_open) {
 		entry->host_list_open = true;
+		entry->host_list_asked = zr_clock_now(entry->clock);
 		entry->host_list.ops->read(entry->host_list.impl, on_hosts,
 					   entry);
 	}
@@ -83,6 +88,44 @@
 	(void)config;
 }
 
+static void on_spread(void *ctx)
+{
+	struct zr_entry *entry = ctx;
+
+	if (entry->peers)
+		zr_config_peers_spread(entry->peers);
+}
+
+static int follow_config(struct zr_entry *entry)
+{
+	const struct zr_settings *settings = entry->settings;
+	const struct zr_config_watch_options options = {
+		.version = ZR_CONFIG_WATCH_OPTIONS_VERSION,
+		.timers = &entry->timers,
+		.clock = entry->clock,
+		.store = &entry->store,
+		.metrics = entry->metrics,
+		.name = settings->name,
+		.domain = settings->failure_domain,
+		.address = settings->entry.rpc,
+		.changed = on_config,
+		.spread = on_spread,
+		.ctx = entry,
+	};
+	int error = zr_config_watch_new(&entry->config, &options);
+
+	if (error < 0)
+		return error;
+	error = zr_config_peers_new(&entry->peers, entry->loop, &entry->timers,
+				    entry->clock, entry->config, true,
+				    settings->name, settings->failure_domain);
+	if (error < 0)
+		return error;
+	return zr_rpc_server_new(&entry->rpc, entry->loop, settings->entry.rpc,
+				 ZX_PEERS, ZX_PEERS_V1,
+				 zr_config_peers_services, entry->config);
+}
+
 static int serve_http(struct zr_entry *entry)
 {
 	const struct zr_settings *settings = entry->settings;
@@ -96,6 +139,19 @@
 				  entry);
 }
 
+static int make_metrics(struct zr_entry *entry)
+{
+	int error = zr_metrics_new(&entry->metrics);
+
+	if (error < 0)
+		return error;
+	entry->unconfirmed = zr_metrics_counter(
+		entry->metrics, "zinniarack_entry_keys_unconfirmed_total", NULL,
+		"Requests refused since nobody could confirm that keys are in "
+		"force.");
+	return 0;
+}
+
 int zr_entry_new(struct zr_entry **out, uv_loop_t *loop,
 		 const struct zr_clock *clock,
 		 const struct zr_settings *settings)
@@ -109,7 +165,7 @@
 	entry->timers = zr_uv_timers(loop);
 	entry->clock = clock;
 	entry->settings = settings;
-	if ((error = zr_metrics_new(&entry->metrics)) < 0 ||
+	if ((error = make_metrics(entry)) < 0 ||
 	    (error = zr_etcd_new(&entry->store, loop, settings->store,
 				 entry->metrics)) < 0 ||
 	    (error = zr_http_host_list_new(&entry->host_list, loop,
@@ -117,9 +173,7 @@
 	    (error = zr_directory_new(&entry->directory, loop, clock)) < 0 ||
 	    (error = zr_router_new(&entry->router, loop, clock,
 				   entry->metrics)) < 0 ||
-	    (error = zr_config_watch_new(&entry->config, &entry->timers,
-					 &entry->store, on_config, entry)) <
-		    0 ||
+	    (error = follow_config(entry)) < 0 ||
 	    (error = serve_http(entry)) < 0)
 		return error;
 	uv_timer_init(loop, &entry->timer);
@@ -132,6 +186,7 @@
 void zr_entry_stop(struct zr_entry *entry)
 {
 	zr_http_server_stop(entry->http);
+	zr_config_watch_leave(entry->config);
 }
 
 bool zr_entry_busy(const struct zr_entry *entry)
@@ -146,6 +201,8 @@
 	uv_close((uv_handle_t *)&entry->timer, NULL);
 	zr_directory_free(entry->directory);
 	zr_router_free(entry->router);
+	zr_rpc_server_free(entry->rpc);
+	zr_config_peers_free(entry->peers);
 	zr_config_watch_free(entry->config);
 	entry->host_list.ops->free(entry->host_list.impl);
 	zr_store_free(&entry->store);
--- a/src/libzinniarack/entry/private.h
+++ b/src/libzinniarack/entry/private.h
@@ -3,9 +3,11 @@
 
 #include <stdbool.h>
 
+#include "config/peers.h"
 #include "config/watch.h"
 #include "entry/directory.h"
 #include "net/http_server.h"
+#include "net/rpc_server.h"
 #include "route/router.h"
 #include "zinniarack/entry.h"
 #include "zinniarack/metrics.h"
@@ -14,8 +16,9 @@
 /**
  * DOC: What the files of the entry module share
  *
- * entry.c: the daemon's parts. api.c: dispatch, replies, keys. api_jobs.c,
- * api_requests.c, api_operators.c: the HTTP interface by subject.
+ * entry.c: the daemon's parts. api.c: dispatch, replies. api_keys.c: whose
+ * request it is. api_jobs.c, api_requests.c, api_operators.c: the HTTP
+ * interface by subject.
  */
 
 struct zr_entry {
@@ -27,12 +30,16 @@
 	struct zr_store store;
 	struct zr_host_list host_list;
 	bool host_list_open;
+	struct timespec host_list_asked;
 	uv_timer_t timer;
 	struct zr_config_watch *config;
+	struct zr_config_peers *peers;
+	struct zr_rpc_server *rpc;
 	struct zr_directory *directory;
 	struct zr_router *router;
 	struct zr_http_server *http;
 	uint64_t request_sequence;
+	struct zr_metric *unconfirmed;
 };
 
 /**
@@ -65,11 +72,42 @@
  * @entry: the daemon
  * @exchange: the request
  *
- * Return: 0, ZR_E_UNAUTHORIZED, or ZR_E_STALE_CONFIG.
+ * Return: 0, ZR_E_UNAUTHORIZED, ZR_E_STALE_CONFIG, or ZR_E_FORBIDDEN for an
+ * operator's key.
  */
 int entry_authenticate(const char **out, struct zr_entry *entry,
 		       struct zr_http_exchange *exchange);
 
+/**
+ * entry_authenticate_reader() - whose jobs a caller may read and cancel
+ * @out: the team's name; empty for an operator, who may any team's
+ * @entry: the daemon
+ * @exchange: the request
+ *
+ * Return: as entry_authenticate().
+ */
+int entry_authenticate_reader(const char **out, struct zr_entry *entry,
+			      struct zr_http_exchange *exchange);
+
+/**
+ * entry_caller() - find the key that came with a request
+ * @out: the key, valid as long as the configuration
+ * @entry: the daemon
+ * @exchange: the request
+ *
+ * Return: 0, ZR_E_UNAUTHORIZED, or ZR_E_STALE_CONFIG.
+ */
+int entry_caller(const struct zr_config_key **out, struct zr_entry *entry,
+		 struct zr_http_exchange *exchange);
+
+/** entry_is_operator() - whether a key that entry_caller() gave is one */
+bool entry_is_operator(const struct zr_config_key *key,
+		       const struct zr_entry *entry);
+
+/** entry_operator() - as entry_caller(), ZR_E_FORBIDDEN for a team's key */
+int entry_operator(const struct zr_config_key **out, struct zr_entry *entry,
+		   struct zr_http_exchange *exchange);
+
 /* api_jobs.c */
 void entry_jobs(struct zr_entry *entry, struct zr_http_exchange *exchange,
 		const char *rest);
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/peers.h"
 #include "config/watch.h"
 #include "domain/domain.h"
 #include "net/http_server.h"
@@ -29,8 +30,11 @@
 	struct zr_store store;
 	struct zr_host_list host_list;
 	bool host_list_open;
+	struct timespec host_list_asked;
+	const struct zr_clock *clock;
 	uv_timer_t timer;
 	struct zr_config_watch *config;
+	struct zr_config_peers *peers;
 	struct zr_domain *domain;
 	struct zr_declared *declared;
 	struct zr_scheduler_service service;
@@ -56,6 +60,8 @@
 	if (error < 0)
 		return;
 	zr_domain_hosts(scheduler->domain, hosts, count);
+	zr_config_peers_hosts(scheduler->peers, hosts, count,
+			      scheduler->host_list_asked);
 	zr_grants_hosts(scheduler->service.grants, hosts, count);
 }
 
@@ -66,10 +72,35 @@
 	if (scheduler->host_list_open)
 		return;
 	scheduler->host_list_open = true;
+	scheduler->host_list_asked = zr_clock_now(scheduler->clock);
 	scheduler->host_list.ops->read(scheduler->host_list.impl, on_hosts,
 				       scheduler);
 }
 
+static int follow_config(struct zr_scheduler *scheduler)
+{
+	const struct zr_settings *settings = scheduler->settings;
+	const struct zr_config_watch_options options = {
+		.version = ZR_CONFIG_WATCH_OPTIONS_VERSION,
+		.timers = &scheduler->timers,
+		.clock = scheduler->clock,
+		.store = &scheduler->store,
+		.metrics = scheduler->metrics,
+		.name = settings->name,
+		.domain = settings->failure_domain,
+		.changed = on_config,
+		.ctx = scheduler,
+	};
+	int error = zr_config_watch_new(&scheduler->config, &options);
+
+	if (error < 0)
+		return error;
+	return zr_config_peers_new(&scheduler->peers, scheduler->loop,
+				   &scheduler->timers, scheduler->clock,
+				   scheduler->config, false, settings->name,
+				   settings->failure_domain);
+}
+
 static int make_domain(struct zr_scheduler *scheduler,
 		       const struct zr_clock *clock)
 {
@@ -122,6 +153,7 @@
 		return ZR_E_NOMEM;
 	scheduler->loop = loop;
 	scheduler->timers = zr_uv_timers(loop);
+	scheduler->clock = clock;
 	scheduler->settings = settings;
 	if ((error = zr_metrics_new(&scheduler->metrics)) < 0 ||
 	    (error = zr_etcd_new(&scheduler->store, loop, settings->store,
@@ -133,9 +165,7 @@
 		     &scheduler->declared, &scheduler->timers, clock,
 		     scheduler->domain, settings->failure_domain)) < 0 ||
 	    (error = make_service(scheduler)) < 0 ||
-	    (error = zr_config_watch_new(&scheduler->config, &scheduler->timers,
-					 &scheduler->store, on_config,
-					 scheduler)) < 0)
+	    (error = follow_config(scheduler)) < 0)
 		return error;
 	uv_timer_init(loop, &scheduler->timer);
 	scheduler->timer.data = scheduler;
@@ -157,6 +187,7 @@
 	uv_close((uv_handle_t *)&scheduler->timer, NULL);
 	zr_rpc_server_free(scheduler->rpc);
 	zr_http_server_stop(scheduler->http);
+	zr_config_peers_free(scheduler->peers);
 	zr_config_watch_free(scheduler->config);
 	zr_domain_free(scheduler->domain);
 	zr_declared_free(scheduler->declared);
--- a/src/libzinniarack/scheduler/service_jobs.c
+++ b/src/libzinniarack/scheduler/service_jobs.c
@@ -117,6 +117,13 @@
 	free(result.jobs.jobs_val);
 }
 
+/* Another team's job is as unknown here as it is to a read. */
+static void note_error(void *ctx, int error, const struct zr_domain_job *job)
+{
+	(void)job;
+	*(int *)ctx = error;
+}
+
 void zr_serve_explain(void *ctx, struct zr_rpc_call *call, void *data)
 {
 	struct zr_scheduler_service *service = ctx;
@@ -128,6 +135,9 @@
 	if (!sched)
 		result.error = zr_error_set(ZR_E_NOT_OWNER, "not active");
 	else
+		zr_domain_read(service->domain, args->id, args->team, 0,
+			       note_error, &result.error);
+	if (!result.error)
 		result.error = zr_sched_explain(
 			&explanation, sched,
 			zr_domain_handle(service->domain, args->id));
--- a/tests/cell.sh
+++ b/tests/cell.sh
@@ -7,6 +7,10 @@
 # Ports: BASE+1 store, BASE+2 host list, BASE+100+10*i entry host i,
 # BASE+400+j worker j.
 
+# The operator that the settings of every entry host name.
+ZINNIARACK_OPERATOR_KEY=cell-operator.7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e7e
+export ZINNIARACK_OPERATOR_KEY
+
 cell_init () {
 	cell_dir=$1
 	cell_build=$2
@@ -54,6 +58,10 @@
 	  rpc: $(cell_port $(($offset + 3)))
 	log:
 	  level: info
+	operators:
+	  - id: cell-operator
+	    salt: 5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a
+	    sha256: 9dc323b07d8cf4ebae049303deaed32f808a52da134eb35f7de775b6a7bef062
 	EOF
 	printf '{"kind":"entry","name":"%s","domain":"%s","address":"%s","scheduler":"%s"}\n' \
 		"$name" "$1" "$(cell_port $(($offset + 1)))" \
