--- a/src/libzinniarack/config/private.h
+++ b/src/libzinniarack/config/private.h
@@ -56,6 +56,7 @@
 	struct timespec started;
 	struct zr_timer *timer;
 	bool reading;
+	bool freed; /* free it when the store answers the open read */
 	bool ever_read;
 	struct timespec asked; /* when the last read was sent */
 
--- a/src/libzinniarack/config/watch.c
+++ b/src/libzinniarack/config/watch.c
@@ -97,6 +97,10 @@
 	bool taken;
 
 	watch->reading = false;
+	if (watch->freed) {
+		free(watch);
+		return;
+	}
 	if (error < 0)
 		return;
 	if (!reply->count) {
@@ -214,5 +218,8 @@
 	zr_config_free(watch->current);
 	free(watch->text);
 	free(watch->candidate);
-	free(watch);
+	watch->freed = true;
+	/* The store still answers an open read. */
+	if (!watch->reading)
+		free(watch);
 }
--- a/src/libzinniarack/entry/api_keys.c
+++ b/src/libzinniarack/entry/api_keys.c
@@ -31,12 +31,16 @@
 	const struct zr_config *config = zr_config_watch_current(entry->config);
 	const char *credential = credential_of(exchange);
 
-	if (!credential)
-		return zr_error_set(ZR_E_UNAUTHORIZED, "no key was presented");
+	if (!credential) {
+		zr_error_set(ZR_E_UNAUTHORIZED, "no key was presented");
+		return ZR_E_UNAUTHORIZED;
+	}
 	if (find_operator(out, entry, credential))
 		return 0;
-	if (!config)
-		return zr_error_set(ZR_E_STALE_CONFIG, "no configuration yet");
+	if (!config) {
+		zr_error_set(ZR_E_STALE_CONFIG, "no configuration yet");
+		return ZR_E_STALE_CONFIG;
+	}
 	return zr_config_authenticate(out, config->keys, config->keys_count,
 				      credential);
 }
