Idempotency keys have their home in the declared failure domains

Cause: the home of a key was picked among the domains that an entry daemon had seen in the host list so far, so two daemons could send a repeated request to two domains, and a new domain moved live keys.

The home follows from the failure domains of the configuration, by rendezvous hashing. A change that would give keys another home is refused; a new domain is declared with no_keys. Without a declared domain, a request with a key is refused as not run.

--- a/include/zinniarack/config.h
+++ b/include/zinniarack/config.h
@@ -130,6 +130,16 @@
 	char *name;
 };
 
+/**
+ * struct zr_config_domain - a failure domain
+ * @name: its name
+ * @no_keys: it is the home of no idempotency keys
+ */
+struct zr_config_domain {
+	char *name;
+	bool no_keys;
+};
+
 /**
  * enum zr_unconfirmed - what to do with keys that may have been withdrawn
  * @ZR_UNCONFIRMED_REFUSE: refuse new keyed work as not run
@@ -156,7 +166,7 @@
  * @policy: the order of worth
  * @key_check: keys while nobody can confirm that they are in force
  * @failure_domains: the failure domains; each idempotency key has its home in
- *	one of them
+ *	one of those that take keys
  * @teams: teams
  * @queues: queues
  * @keys: keys in force
@@ -172,7 +182,7 @@
 		enum zr_unconfirmed when_unconfirmed;
 		uint32_t confirm_within_ms;
 	} key_check;
-	struct zr_config_name *failure_domains;
+	struct zr_config_domain *failure_domains;
 	uint32_t failure_domains_count;
 	struct zr_config_team *teams;
 	uint32_t teams_count;
@@ -274,6 +284,26 @@
 const struct zr_config_queue *zr_config_queue(const struct zr_config *config,
 					      const char *name);
 
+/**
+ * zr_config_home() - the failure domain that keeps the record of a key
+ * @config: the configuration in force
+ * @key: an idempotency key
+ *
+ * It depends on the declared domains alone, so that every entry daemon sends a
+ * repeated request to the same one.
+ *
+ * Return: its name, or NULL when no declared domain takes keys.
+ */
+const char *zr_config_home(const struct zr_config *config, const char *key);
+
+/**
+ * zr_config_moves_keys() - whether a change would give keys another home
+ * @from: the configuration in force, or NULL
+ * @to: the one to come
+ */
+bool zr_config_moves_keys(const struct zr_config *from,
+			  const struct zr_config *to);
+
 /** zr_config_drained() - whether a worker is to get no new work */
 bool zr_config_drained(const struct zr_config *config, const char *worker);
 
--- a/src/libzinniarack/config/schema.c
+++ b/src/libzinniarack/config/schema.c
@@ -118,6 +118,15 @@
 static const cyaml_schema_value_t name_schema = {CYAML_VALUE_MAPPING(
 	CYAML_FLAG_DEFAULT, struct zr_config_name, name_fields)};
 
+static const cyaml_schema_field_t domain_fields[] = {
+	NAME_PTR("name", 0, struct zr_config_domain, name),
+	CYAML_FIELD_BOOL("no_keys", CYAML_FLAG_OPTIONAL,
+			 struct zr_config_domain, no_keys),
+	CYAML_FIELD_END};
+
+static const cyaml_schema_value_t domain_schema = {CYAML_VALUE_MAPPING(
+	CYAML_FLAG_DEFAULT, struct zr_config_domain, domain_fields)};
+
 /* Document */
 
 static const cyaml_schema_field_t change_fields[] = {
@@ -152,7 +161,7 @@
 			 CYAML_ARRAY_LEN(policies)),
 	CYAML_FIELD_MAPPING("key_check", CYAML_FLAG_OPTIONAL, struct zr_config,
 			    key_check, key_check_fields),
-	ITEMS("failure_domains", failure_domains, name_schema),
+	ITEMS("failure_domains", failure_domains, domain_schema),
 	ITEMS("teams", teams, team_schema),
 	ITEMS("queues", queues, queue_schema),
 	ITEMS("keys", keys, key_schema),
@@ -193,6 +202,7 @@
 	ANY("key_check.when_unconfirmed", "refuse"),
 	RANGE("key_check.confirm_within_ms", 1000, 600000, "ms", "5000"),
 	NAME("failure_domains[].name", NULL),
+	ANY("failure_domains[].no_keys", "false"),
 	NAME("teams[].name", NULL),
 	RANGE("teams[].share", 1, 1000000, NULL, NULL),
 	RANGE("teams[].limit.millicpus", 0, UINT_MAX_VALUE,
--- a/src/libzinniarack/entry/api_jobs.c
+++ b/src/libzinniarack/entry/api_jobs.c
@@ -2,7 +2,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "domain/convert.h"
 #include "entry/private.h"
@@ -30,28 +29,6 @@
 
 /* Which failure domain */
 
-/* The same key must reach the same domain through every entry daemon. */
-static const char *home_of_key(const struct zr_entry *entry,
-			       const struct zr_job_spec *spec)
-{
-	uint64_t best_weight = 0;
-	const char *best = NULL;
-	const char *domain;
-	size_t i;
-
-	for (i = 0; (domain = zr_directory_domain(entry->directory, i)); i++) {
-		uint64_t weight = XXH64(spec->idempotency_key,
-					strlen(spec->idempotency_key),
-					XXH64(domain, strlen(domain), 0));
-
-		if (!best || weight > best_weight) {
-			best = domain;
-			best_weight = weight;
-		}
-	}
-	return best;
-}
-
 static const char *home_of(const struct zr_entry *entry,
 			   const struct zr_job_spec *spec)
 {
@@ -59,8 +36,10 @@
 	const char *domain;
 	size_t i;
 
+	/* The same key must reach the same domain through every entry daemon */
 	if (*spec->idempotency_key)
-		return home_of_key(entry, spec);
+		return zr_config_home(zr_config_watch_current(entry->config),
+				      spec->idempotency_key);
 	if (zr_directory_active(entry->directory, own))
 		return own;
 	for (i = 0; (domain = zr_directory_domain(entry->directory, i)); i++) {
@@ -136,11 +115,17 @@
 		    const struct zr_job_spec *spec)
 {
 	const char *domain = home_of(entry, spec);
-	struct zr_rpc_client *client =
-		zr_directory_active(entry->directory, domain);
+	struct zr_rpc_client *client;
 	struct entry_call *call;
 	zx_submit_args args;
 
+	if (!domain) {
+		entry_reply_error(exchange, ZR_E_NOT_FOUND,
+				  "no declared failure domain takes "
+				  "idempotency keys");
+		return;
+	}
+	client = zr_directory_active(entry->directory, domain);
 	if (!client) {
 		entry_reply_error(exchange, ZR_E_UNREACHABLE,
 				  "the job's home domain has no active "
--- a/src/libzinniarack/entry/api_operators.c
+++ b/src/libzinniarack/entry/api_operators.c
@@ -137,7 +137,18 @@
 		entry_reply_error(exchange, error, zr_error_last());
 		return;
 	}
-	propose(entry, exchange, config, version, key->id);
+	if (zr_config_moves_keys(zr_config_watch_current(entry->config),
+				 config) &&
+	    !zr_http_query(exchange, "move_keys"))
+		entry_reply_error(
+			exchange, ZR_E_STATE,
+			"the failure domains that take idempotency "
+			"keys would change, and a repeated request "
+			"could run twice; declare a new domain with "
+			"'no_keys: true', or see 'failure domains' in "
+			"docs/OPERATIONS.md");
+	else
+		propose(entry, exchange, config, version, key->id);
 	zr_config_free(config);
 }
 
--- a/src/libzinniarack/entry/directory.c
+++ b/src/libzinniarack/entry/directory.c
@@ -53,10 +53,9 @@
 	const zx_status_result *status = data;
 
 	scheduler->call_open = false;
-	if (error < 0) {
-		scheduler->active = false;
+	/* Its last word holds a while; a successor has a higher epoch. */
+	if (error < 0)
 		return;
-	}
 	scheduler->ever_heard = true;
 	scheduler->heard = zr_clock_now(scheduler->directory->clock);
 	scheduler->active = status->active;
