Operators' command: every subject a subcommand, changes as files of the folder

Cause: the command could check, apply and show a folder, and read jobs.

A change by command is a new file of the folder, taken away again when it is refused; without a folder it changes what is in force and says that the folder does not hold it. Draining is a list in the configuration; the scheduler takes such a worker for leaving. Status names the entry daemons and the version each holds.

Outside: the scheduler hands drained workers on as leaving.

--- a/include/zinniarack/config.h
+++ b/include/zinniarack/config.h
@@ -211,6 +211,19 @@
  */
 int zr_config_load_folder(struct zr_config **out, const char *path);
 
+/**
+ * zr_config_amend() - a document with the declarations of one more file
+ * @out: the new document with version 0
+ * @base: the document
+ * @source: what error texts call the file
+ * @text: its YAML, with `replace` and `remove` as in a folder
+ * @length: its length in bytes
+ *
+ * Return: as zr_config_load_folder().
+ */
+int zr_config_amend(struct zr_config **out, const struct zr_config *base,
+		    const char *source, const void *text, size_t length);
+
 /**
  * zr_config_parse() - read a merged document
  * @out: the document, to be freed with zr_config_free()
--- a/src/cli/call.c
+++ b/src/cli/call.c
@@ -83,6 +83,25 @@
 	return cli_call(out, &with_key, method, path, body, length);
 }
 
+int cli_get_operator(json_t **out, const struct cli_options *options,
+		     const char *path)
+{
+	struct cli_answer answer;
+	int error = cli_call_operator(&answer, options, "GET", path, NULL, 0);
+
+	*out = NULL;
+	if (error < 0)
+		return cli_fail(error);
+	if (answer.status != 200)
+		return cli_show(&answer);
+	*out = json_loadb(answer.body, answer.length, 0, NULL);
+	free(answer.body);
+	if (*out)
+		return CLI_EXIT_OK;
+	zr_error_set(ZR_E_PROTOCOL, "%s: the answer is not JSON", path);
+	return cli_fail(ZR_E_PROTOCOL);
+}
+
 int cli_show(struct cli_answer *answer)
 {
 	int status = answer->status;
@@ -115,7 +134,8 @@
 
 int cli_usage(const struct cli_command *command)
 {
-	fprintf(stderr, "usage: zinniarack %s %s\n", command->name,
-		command->args);
+	fprintf(stderr,
+		"usage: zinniarack %s %s\nTry 'zinniarack %s --help'.\n",
+		command->name, command->args, command->name);
 	return CLI_EXIT_USAGE;
 }
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -1,11 +1,18 @@
 #ifndef CLI_H
 #define CLI_H
 
+#include <jansson.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
+
+#include "zinniarack/config.h"
 
 /**
  * DOC: Operators' command: what the subcommands share
+ *
+ * One file a subject. call.c: the entry daemon over HTTP. output.c: JSON and
+ * tables. change.c: changes of the configuration.
  */
 
 /** Exit codes of the command. */
@@ -36,22 +43,36 @@
  * struct cli_command - a subcommand
  * @name: its name
  * @args: its arguments, for --help
- * @help: one line, for --help
+ * @help: what it does, for --help
+ * @examples: for `SUBCOMMAND --help`, one a line
  * @run: runs it with the arguments after its name; returns an exit code
  */
 struct cli_command {
 	const char *name;
 	const char *args;
 	const char *help;
+	const char *examples;
 	int (*run)(const struct cli_options *options, int argc, char **argv);
 };
 
 extern const struct cli_command cli_config;
+extern const struct cli_command cli_teams;
+extern const struct cli_command cli_queues;
 extern const struct cli_command cli_key;
 extern const struct cli_command cli_status;
+extern const struct cli_command cli_domains;
+extern const struct cli_command cli_workers;
+extern const struct cli_command cli_drain;
+extern const struct cli_command cli_undrain;
+extern const struct cli_command cli_counters;
+extern const struct cli_command cli_jobs;
+extern const struct cli_command cli_explain;
+extern const struct cli_command cli_cancel;
 extern const struct cli_command cli_submit;
 extern const struct cli_command cli_job;
 
+/* call.c */
+
 /**
  * struct cli_answer - an HTTP answer
  * @status: HTTP status
@@ -84,6 +105,17 @@
 		      const char *method, const char *path, const void *body,
 		      size_t length);
 
+/**
+ * cli_get_operator() - GET a JSON document with the operator's key
+ * @out: the document; NULL when it was refused
+ * @options: where and with which key
+ * @path: path and query
+ *
+ * Return: CLI_EXIT_OK, or the exit code after the reason was printed.
+ */
+int cli_get_operator(json_t **out, const struct cli_options *options,
+		     const char *path);
+
 /**
  * cli_show() - print an answer's body and turn its status into an exit code
  * @answer: the answer; its body is freed
@@ -96,4 +128,65 @@
 /** cli_usage() - print how a subcommand is used; returns CLI_EXIT_USAGE */
 int cli_usage(const struct cli_command *command);
 
+/* output.c */
+
+/** Most columns of a table. */
+#define CLI_COLUMNS_MAX 10
+
+/**
+ * cli_table() - print an array of objects
+ * @options: as JSON, or as a table
+ * @rows: the array
+ * @columns: names of the members to show, ended by NULL; `a.b` is a member of a
+ *	member
+ */
+void cli_table(const struct cli_options *options, const json_t *rows,
+	       const char *const *columns);
+
+/** cli_print_json() - print a document on one line */
+void cli_print_json(const json_t *json);
+
+/* change.c */
+
+/**
+ * cli_config_read() - the configuration in force
+ * @out: the document; NULL when there is none yet
+ * @options: where and with which key
+ *
+ * Return: CLI_EXIT_OK, or the exit code after the reason was printed.
+ */
+int cli_config_read(struct zr_config **out, const struct cli_options *options);
+
+/**
+ * cli_config_put() - make a document the next version
+ * @options: where and with which key
+ * @config: the document
+ * @expected: the version it was made from
+ * @move_keys: allow that idempotency keys get another home
+ *
+ * Return: an exit code; the outcome was printed.
+ */
+int cli_config_put(const struct cli_options *options,
+		   const struct zr_config *config, uint64_t expected,
+		   bool move_keys);
+
+/**
+ * cli_config_change() - add a file to a folder and apply it, or, without a
+ * folder, change the configuration in force
+ * @options: where and with which key
+ * @folder: the folder, or NULL
+ * @file: name of the file
+ * @text: the file's YAML
+ *
+ * A file that is not accepted is taken away again.
+ *
+ * Return: an exit code; the outcome was printed.
+ */
+int cli_config_change(const struct cli_options *options, const char *folder,
+		      const char *file, const char *text);
+
+/** cli_config_apply() - apply a folder; returns an exit code */
+int cli_config_apply(const struct cli_options *options, const char *folder,
+		     bool move_keys);
+
 #endif
--- a/src/cli/config.c
+++ b/src/cli/config.c
@@ -7,8 +7,6 @@
 #include "zinniarack/config.h"
 #include "zinniarack/errors.h"
 
-#define PATH_MAX_BYTES 64
-
 static int check(const char *folder)
 {
 	struct zr_config *config;
@@ -32,76 +30,116 @@
 	return error < 0 ? cli_fail(error) : cli_show(&answer);
 }
 
-/* The version in force, so that a change made meanwhile is a conflict. */
-static int read_version(uint64_t *out, const struct cli_options *options)
+static void add_difference(void *ctx, const char *section, const char *name,
+			   enum zr_config_difference difference)
 {
-	struct zr_config *config;
-	struct cli_answer answer;
-	int error = cli_call_operator(&answer, options, "GET", "/v1/config",
-				      NULL, 0);
-
-	*out = 0;
-	if (error < 0)
-		return error;
-	if (answer.status == 200)
-		error = zr_config_parse(&config, "configuration in force",
-					answer.body, answer.length);
-	if (!error && answer.status == 200) {
-		*out = config->version;
-		zr_config_free(config);
-	}
-	free(answer.body);
-	return error;
+	json_array_append_new(ctx,
+			      json_pack("{s:s, s:s, s:s}", "section", section,
+					"name", name ? name : "", "difference",
+					zr_config_difference_name(difference)));
 }
 
-static int put(const struct cli_options *options,
-	       const struct zr_config *config)
+/* What applying the folder would change. */
+static int diff(const struct cli_options *options, const char *folder)
 {
-	char path[PATH_MAX_BYTES];
-	struct cli_answer answer;
-	uint64_t version;
-	size_t length = 0;
-	char *text = NULL;
-	int error = read_version(&version, options);
+	static const char *const columns[] = {"section", "name", "difference",
+					      NULL};
+	struct zr_config *current;
+	struct zr_config *config;
+	json_t *rows = json_array();
+	int error = zr_config_load_folder(&config, folder);
+	int result;
 
-	if (!error)
-		error = zr_config_print(&text, &length, config);
-	if (error < 0)
+	if (error < 0) {
+		json_decref(rows);
 		return cli_fail(error);
-	snprintf(path, sizeof(path), "/v1/config?expected=%" PRIu64, version);
-	error = cli_call_operator(&answer, options, "PUT", path, text, length);
-	free(text);
-	return error < 0 ? cli_fail(error) : cli_show(&answer);
+	}
+	result = cli_config_read(&current, options);
+	if (result == CLI_EXIT_OK) {
+		zr_config_diff(current, config, add_difference, rows);
+		cli_table(options, rows, columns);
+	}
+	json_decref(rows);
+	zr_config_free(current);
+	zr_config_free(config);
+	return result;
 }
 
-static int apply(const struct cli_options *options, const char *folder)
+static int history(const struct cli_options *options)
 {
+	static const char *const columns[] = {"version", "author", NULL};
 	struct zr_config *config;
-	int result;
-	int error = zr_config_load_folder(&config, folder);
+	json_t *rows = json_array();
+	int result = cli_config_read(&config, options);
+	uint32_t i;
 
-	if (error < 0)
-		return cli_fail(error);
-	result = put(options, config);
+	for (i = 0; config && i < config->history_count; i++)
+		json_array_append_new(
+			rows, json_pack("{s:I, s:s}", "version",
+					(json_int_t)config->history[i].version,
+					"author", config->history[i].author));
+	if (result == CLI_EXIT_OK)
+		cli_table(options, rows, columns);
+	json_decref(rows);
 	zr_config_free(config);
 	return result;
 }
 
+/* Which version is in force in each process, as one entry daemon hears. */
+static int where(const struct cli_options *options)
+{
+	static const char *const columns[] = {
+		"process", "name", "domain", "address", "config_version", NULL};
+	json_t *rows = json_array();
+	json_t *status;
+	json_t *row;
+	size_t i;
+	int result = cli_get_operator(&status, options, "/v1/status");
+
+	json_array_foreach (json_object_get(status, "entries"), i, row) {
+		json_object_set_new(row, "process", json_string("entry"));
+		json_array_append(rows, row);
+	}
+	json_array_foreach (json_object_get(status, "schedulers"), i, row) {
+		json_object_set_new(row, "process", json_string("scheduler"));
+		json_array_append(rows, row);
+	}
+	if (result == CLI_EXIT_OK)
+		cli_table(options, rows, columns);
+	json_decref(rows);
+	json_decref(status);
+	return result;
+}
+
 static int run(const struct cli_options *options, int argc, char **argv)
 {
 	if (argc == 2 && !strcmp(argv[0], "check"))
 		return check(argv[1]);
 	if (argc == 2 && !strcmp(argv[0], "apply"))
-		return apply(options, argv[1]);
+		return cli_config_apply(options, argv[1], false);
+	if (argc == 3 && !strcmp(argv[0], "apply") &&
+	    !strcmp(argv[1], "--move-keys"))
+		return cli_config_apply(options, argv[2], true);
+	if (argc == 2 && !strcmp(argv[0], "diff"))
+		return diff(options, argv[1]);
 	if (argc == 1 && !strcmp(argv[0], "show"))
 		return show(options);
+	if (argc == 1 && !strcmp(argv[0], "history"))
+		return history(options);
+	if (argc == 1 && !strcmp(argv[0], "where"))
+		return where(options);
 	return cli_usage(&cli_config);
 }
 
 const struct cli_command cli_config = {
 	.name = "config",
-	.args = "check FOLDER | apply FOLDER | show",
-	.help = "Check or apply a configuration folder, or show what is in "
-		"force.",
+	.args = "check FOLDER | diff FOLDER | apply [--move-keys] FOLDER | "
+		"show | where | history",
+	.help = "Check a configuration folder, see what applying it would "
+		"change, apply it; show what is in force, in which process, "
+		"and who changed it.",
+	.examples = "zinniarack config check examples/kitakaze\n"
+		    "zinniarack config diff examples/kitakaze\n"
+		    "zinniarack --json config where\n",
 	.run = run,
 };
--- a/src/cli/job.c
+++ b/src/cli/job.c
@@ -40,5 +40,6 @@
 	.args = "list | show ID | wait ID | explain ID | cancel ID",
 	.help = "List a team's jobs, show one, wait for its end, say why it "
 		"waits, or cancel it.",
+	.examples = "zinniarack job wait sapporo-1-42\n",
 	.run = run,
 };
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -5,13 +5,15 @@
 
 #include "cli.h"
 
-#define HELP_MAX 4096
+#define HELP_MAX 8192
 #define DEFAULT_ENTRY "127.0.0.1:8080"
 
 const char *argp_program_version = "zinniarack 0.1";
 
 static const struct cli_command *const commands[] = {
-	&cli_config, &cli_key, &cli_status, &cli_submit, &cli_job,
+	&cli_config,  &cli_teams,   &cli_queues, &cli_key,     &cli_status,
+	&cli_domains, &cli_workers, &cli_drain,	 &cli_undrain, &cli_counters,
+	&cli_jobs,    &cli_explain, &cli_cancel, &cli_submit,  &cli_job,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
@@ -66,6 +68,10 @@
 	}
 }
 
+static const char exit_codes[] =
+	"Exit codes: 0 done, 1 refused, 2 wrong command line, 3 invalid "
+	"file,\n4 no entry daemon answered, 5 another change was first.\n";
+
 static void describe_commands(char *out, size_t size)
 {
 	size_t used;
@@ -78,10 +84,21 @@
 					 "  %s %s\n      %s\n",
 					 commands[i]->name, commands[i]->args,
 					 commands[i]->help);
-	snprintf(out + used, size - used,
-		 "\nExit codes: 0 done, 1 refused, 2 wrong command line, "
-		 "3 invalid file,\n4 no entry daemon answered, 5 another "
-		 "change was first.\n");
+	snprintf(out + used, size - used, "\n%s", exit_codes);
+}
+
+static int describe(const struct cli_command *command)
+{
+	printf("usage: zinniarack %s %s\n\n%s\n\nExamples:\n%s\n%s",
+	       command->name, command->args, command->help, command->examples,
+	       exit_codes);
+	return CLI_EXIT_OK;
+}
+
+static bool asks_for_help(const struct command_line *line)
+{
+	return line->argc == 2 && (!strcmp(line->argv[1], "--help") ||
+				   !strcmp(line->argv[1], "help"));
 }
 
 static int run_command(const struct command_line *line)
@@ -89,9 +106,12 @@
 	size_t i;
 
 	for (i = 0; i < COMMAND_COUNT; i++) {
-		if (!strcmp(line->argv[0], commands[i]->name))
-			return commands[i]->run(&line->options, line->argc - 1,
-						line->argv + 1);
+		if (strcmp(line->argv[0], commands[i]->name))
+			continue;
+		if (asks_for_help(line))
+			return describe(commands[i]);
+		return commands[i]->run(&line->options, line->argc - 1,
+					line->argv + 1);
 	}
 	fprintf(stderr, "zinniarack: no subcommand '%s'; see --help\n",
 		line->argv[0]);
--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -1,6 +1,6 @@
 #include "cli.h"
 
-static int run(const struct cli_options *options, int argc, char **argv)
+static int run_status(const struct cli_options *options, int argc, char **argv)
 {
 	struct cli_answer answer;
 	int error;
@@ -12,9 +12,36 @@
 	return error < 0 ? cli_fail(error) : cli_show(&answer);
 }
 
+static int run_domains(const struct cli_options *options, int argc, char **argv)
+{
+	static const char *const columns[] = {
+		"domain", "name", "address", "heard", "active", "epoch", NULL};
+	json_t *status;
+	int result;
+
+	(void)argv;
+	if (argc)
+		return cli_usage(&cli_domains);
+	result = cli_get_operator(&status, options, "/v1/status");
+	if (result == CLI_EXIT_OK)
+		cli_table(options, json_object_get(status, "schedulers"),
+			  columns);
+	json_decref(status);
+	return result;
+}
+
 const struct cli_command cli_status = {
 	.name = "status",
 	.args = "",
-	.help = "Show the schedulers and the configuration in force.",
-	.run = run,
+	.help = "Show the schedulers and the configuration in force, as JSON.",
+	.examples = "zinniarack status\n",
+	.run = run_status,
+};
+
+const struct cli_command cli_domains = {
+	.name = "domains",
+	.args = "",
+	.help = "List the schedulers by failure domain, and which is active.",
+	.examples = "zinniarack domains\n",
+	.run = run_domains,
 };
--- a/src/cli/submit.c
+++ b/src/cli/submit.c
@@ -45,5 +45,6 @@
 	.name = "submit",
 	.args = "FILE.json",
 	.help = "Submit a job; '-' reads standard input.",
+	.examples = "zinniarack submit job.json\n",
 	.run = run,
 };
--- a/src/libzinniarack/config/folder.c
+++ b/src/libzinniarack/config/folder.c
@@ -109,6 +109,37 @@
 	return error;
 }
 
+static int merge_base(struct zr_merge *merge, const struct zr_config *base)
+{
+	size_t length;
+	char *text;
+	int error =
+		zr_yaml_save_text(&text, &length, &zr_config_file_schema, base);
+
+	if (error < 0)
+		return error;
+	error = zr_merge_file(merge, "configuration in force", text, length);
+	free(text);
+	return error;
+}
+
+int zr_config_amend(struct zr_config **out, const struct zr_config *base,
+		    const char *source, const void *text, size_t length)
+{
+	struct zr_merge *merge;
+	int error = zr_merge_new(&merge);
+
+	if (error < 0)
+		return error;
+	error = merge_base(merge, base);
+	if (!error)
+		error = zr_merge_file(merge, source, text, length);
+	if (!error)
+		error = load_merged(out, merge, source);
+	zr_merge_free(merge);
+	return error;
+}
+
 int zr_config_load_folder(struct zr_config **out, const char *path)
 {
 	struct zr_merge *merge;
--- a/src/libzinniarack/config/freshness.c
+++ b/src/libzinniarack/config/freshness.c
@@ -249,6 +249,13 @@
 			   watch->started) >= 0;
 }
 
+static bool is_self(const struct zr_config_watch *watch,
+		    const struct config_peer *peer)
+{
+	return watch->options.address &&
+	       !strcmp(peer->address, watch->options.address);
+}
+
 static void note_heard(struct config_peer *peer,
 		       const struct zr_config_news *news, struct timespec asked)
 {
@@ -285,6 +292,32 @@
 	adopt(watch, news, asked);
 }
 
+void zr_config_watch_each(const struct zr_config_watch *watch,
+			  void (*each)(void *ctx,
+				       const struct zr_config_peer_info *info),
+			  void *ctx)
+{
+	const struct config_peer *peer;
+
+	DL_FOREACH(watch->peers, peer)
+	{
+		struct zr_config_peer_info info = {
+			.name = peer->name,
+			.domain = peer->domain,
+			.address = peer->address,
+			.heard_ms = peer->heard ? since_ms(watch, peer->as_of)
+						: ZR_CONFIG_NEVER_CONFIRMED,
+			.version = peer->version,
+		};
+
+		if (is_self(watch, peer)) {
+			info.heard_ms = 0;
+			info.version = config_version(watch);
+		}
+		each(ctx, &info);
+	}
+}
+
 void zr_config_watch_leave(struct zr_config_watch *watch)
 {
 	watch->leaving = true;
@@ -294,13 +327,6 @@
 
 /* Trust in keys */
 
-static bool is_self(const struct zr_config_watch *watch,
-		    const struct config_peer *peer)
-{
-	return watch->options.address &&
-	       !strcmp(peer->address, watch->options.address);
-}
-
 /*
  * Changes are accepted by listed entry daemons alone. From a time on at which
  * nothing newer was accepted, and all who may accept are known here, it goes on
--- a/src/libzinniarack/config/watch.h
+++ b/src/libzinniarack/config/watch.h
@@ -138,6 +138,28 @@
 			   const struct zr_host *hosts, size_t count,
 			   struct timespec asked);
 
+/**
+ * struct zr_config_peer_info - an entry daemon as it was last heard
+ * @name: its host
+ * @domain: its failure domain
+ * @address: its address
+ * @heard_ms: how long ago it was heard, or ZR_CONFIG_NEVER_CONFIRMED
+ * @version: the version it held
+ */
+struct zr_config_peer_info {
+	const char *name;
+	const char *domain;
+	const char *address;
+	int64_t heard_ms;
+	uint64_t version;
+};
+
+/** zr_config_watch_each() - call @each for every listed entry daemon */
+void zr_config_watch_each(const struct zr_config_watch *watch,
+			  void (*each)(void *ctx,
+				       const struct zr_config_peer_info *info),
+			  void *ctx);
+
 /** zr_config_watch_leave() - accept no change from now on, and tell so */
 void zr_config_watch_leave(struct zr_config_watch *watch);
 
--- a/src/libzinniarack/entry/api_operators.c
+++ b/src/libzinniarack/entry/api_operators.c
@@ -202,21 +202,32 @@
 			  "config_version", (json_int_t)row->config_version));
 }
 
+static void add_entry(void *ctx, const struct zr_config_peer_info *info)
+{
+	json_array_append_new(
+		ctx, json_pack("{s:s, s:s, s:s, s:I, s:I}", "name", info->name,
+			       "domain", info->domain, "address", info->address,
+			       "heard_ms", (json_int_t)info->heard_ms,
+			       "config_version", (json_int_t)info->version));
+}
+
 void entry_status(struct zr_entry *entry, struct zr_http_exchange *exchange)
 {
 	const struct zr_config *config = zr_config_watch_current(entry->config);
 	json_t *schedulers = json_array();
+	json_t *entries = json_array();
 
+	zr_config_watch_each(entry->config, add_entry, entries);
 	zr_directory_each(entry->directory, add_row, schedulers);
 	entry_reply_json(
 		exchange, 200,
-		json_pack("{s:s, s:s, s:I, s:I, s:o}", "name",
+		json_pack("{s:s, s:s, s:I, s:I, s:o, s:o}", "name",
 			  entry->settings->name, "domain",
 			  entry->settings->failure_domain, "config_version",
 			  (json_int_t)(config ? config->version : 0),
 			  "config_age_ms",
 			  (json_int_t)zr_config_watch_age_ms(entry->config),
-			  "schedulers", schedulers));
+			  "schedulers", schedulers, "entries", entries));
 }
 
 /* Workers of one failure domain */
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -51,6 +51,26 @@
 	zr_declared_configure(scheduler->declared, config);
 }
 
+/* A drained worker is treated as one that the host list says is leaving. */
+static void take_hosts(struct zr_scheduler *scheduler,
+		       const struct zr_host *hosts, size_t count)
+{
+	const struct zr_config *config =
+		zr_config_watch_current(scheduler->config);
+	struct zr_host *copy = calloc(count ? count : 1, sizeof(*copy));
+	size_t i;
+
+	if (!copy)
+		return;
+	for (i = 0; i < count; i++) {
+		copy[i] = hosts[i];
+		copy[i].leaving |= config && hosts[i].kind == ZR_HOST_WORKER &&
+				   zr_config_drained(config, hosts[i].name);
+	}
+	zr_domain_hosts(scheduler->domain, copy, count);
+	free(copy);
+}
+
 static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
 		     size_t count)
 {
@@ -59,7 +79,7 @@
 	scheduler->host_list_open = false;
 	if (error < 0)
 		return;
-	zr_domain_hosts(scheduler->domain, hosts, count);
+	take_hosts(scheduler, hosts, count);
 	zr_config_peers_hosts(scheduler->peers, hosts, count,
 			      scheduler->host_list_asked);
 }
--- /dev/null
+++ b/tests/e2e/test_operators_commands.sh
@@ -0,0 +1,213 @@
+#!/bin/sh
+# The operators' command against a cell of two failure domains: who may do what,
+# each subcommand, a key granted and withdrawn, a worker drained, declared jobs.
+set -eu
+cell_source=$(cd "$(dirname "$0")/../.." && pwd)
+. "$cell_source/tests/cell.sh"
+work=$(mktemp -d)
+cell_init "$work" "${ZR_BUILD:-$cell_source/build}" "${ZR_PORT:-21000}"
+trap 'cell_stop; rm -rf "$work"' EXIT
+cell_add_entry sapporo
+cell_add_entry hakodate
+cell_add_worker sapporo r1 8000 16000 0
+cell_add_worker sapporo r2 8000 16000 0
+cell_add_worker hakodate r1 8000 16000 0
+cell_start_platform
+cell_start_hosts
+cell_entry=$(cell_port 110)
+other=$(cell_port 120)
+zr="$cell_build/zinniarack -e $cell_entry"
+folder=$work/config
+mkdir "$folder"
+
+# expect CODE COMMAND...: the exit code must be this one.
+expect () {
+	wanted=$1
+	shift
+	got=0
+	"$@" >"$work/out" 2>&1 || got=$?
+	test "$got" -eq "$wanted" && return 0
+	echo "exit $got, not $wanted: $*"
+	cat "$work/out"
+	return 1
+}
+
+# says TEXT: the last expected command printed this.
+says () {
+	grep -q -- "$1" "$work/out" && return 0
+	echo "not printed: $1"
+	cat "$work/out"
+	return 1
+}
+
+cat >"$folder/10-base.yaml" <<-EOT
+failure_domains:
+  - name: sapporo
+  - name: hakodate
+teams:
+  - name: booths
+    share: 1
+  - name: reprints
+    share: 1
+queues:
+  - name: any
+jobs:
+  - name: faces
+    team: booths
+    queue: any
+    kind: service
+    cpus: 0.5
+    command: serve 5
+    failure_domains: [sapporo, hakodate]
+EOT
+cell_until 10 cell_active_domains 2
+
+# Only operators change the configuration or see the hashes of keys.
+expect 1 env -u ZINNIARACK_OPERATOR_KEY $zr config apply "$folder"
+says '"error":"unauthorized"'
+expect 0 $zr config diff "$folder"
+says 'teams *booths *added'
+expect 0 $zr config apply "$folder"
+says '"version":1'
+expect 0 $zr key grant booth1 booths "$folder"
+booth=$(tail -n 1 "$work/out")
+expect 0 $zr key grant reprint1 reprints "$folder"
+reprint=$(tail -n 1 "$work/out")
+cell_until 5 cell_config_version "$cell_entry" 3
+cell_until 5 cell_config_version "$other" 3
+expect 1 $zr -o "$booth" config apply "$folder"
+says '"error":"forbidden"'
+expect 1 $zr -o "$booth" config show
+expect 1 $zr -o "$booth.wrong" config show
+says '"error":"unauthorized"'
+expect 0 $zr config show
+says 'id: booth1'
+curl -s "http://$cell_entry/v1/status" "http://$cell_entry/metrics" |
+	grep -E 'salt|sha256|booth1' && exit 1
+grep -hE "${booth#*.}|${ZINNIARACK_OPERATOR_KEY#*.}" "$work"/*.log && exit 1
+
+# Declared jobs: one in each domain; a repeated apply changes nothing.
+declared () {
+	test "$($zr --json jobs | tr '{' '\n' | grep '"name":"faces"' |
+		grep -c "\"state\":\"running\",.*\"tasks\":$1")" -eq 2
+}
+cell_until 10 declared 1
+sed -i 's/    cpus: 0.5/    tasks: 2\n    cpus: 0.5/' "$folder/10-base.yaml"
+expect 0 $zr config apply "$folder"
+cell_until 10 declared 2
+test "$($zr --json jobs | grep -o '"name":"faces"' | wc -l)" -eq 4
+
+# Reading.
+expect 0 $zr teams
+says '^booths  *1 '
+expect 0 $zr queues
+says '^any '
+expect 0 $zr workers hakodate
+says '^w3  *r1  *up'
+expect 0 $zr domains
+says '^hakodate  *hakodate-2 '
+expect 0 $zr config where
+says '^entry  *hakodate-2 .* 4$'
+says '^scheduler  *sapporo-1 .* 4$'
+expect 0 $zr config history
+says '^4  *cell-operator'
+expect 0 $zr counters config
+says 'zinniarack_config_version'
+expect 0 $zr --json teams
+says '"name":"booths"'
+
+# Another team's job is out of reach; an operator's reach is every team's.
+id=$(printf '{"name":"slow","queue":"any","kind":"batch","cpus":1,
+	"command":"run 60000 late"}' | $zr -k "$booth" submit - |
+	sed 's/.*"id":"\([^"]*\)".*/\1/')
+for path in show wait explain cancel
+do
+	expect 1 $zr -k "$reprint" job $path "$id"
+	says '"error":"not_found"'
+done
+expect 0 $zr -k "$reprint" job list
+grep -q "$id" "$work/out" && exit 1
+expect 0 $zr jobs
+says "$id"
+expect 0 $zr explain "$id"
+expect 0 $zr cancel "$id"
+says "\"id\":\"$id\""
+expect 1 $zr cancel sapporo-1-999999
+says '"error":"not_found"'
+
+# Two operators: the second one is told what the first one did.
+(
+	expected=$($zr --json config history | grep -o '"version":[0-9]*' |
+		tail -n 1 | cut -d: -f2)
+	$zr config show >"$work/stale.yaml"
+	expect 0 $zr drain w3
+	code=$(curl -s -o "$work/out" -w '%{http_code}' -X PUT \
+		-H "Authorization: Bearer $ZINNIARACK_OPERATOR_KEY" \
+		--data-binary @"$work/stale.yaml" \
+		"http://$cell_entry/v1/config?expected=$expected")
+	test "$code" -eq 409
+	says '"error":"conflict"'
+	says '"author":"cell-operator"'
+	says '"section":"drained","name":"w3","difference":"added"'
+	expect 0 $zr undrain w3
+)
+
+# A drained worker gets no new work; undrained, it does again.
+expect 0 $zr drain w1 "$folder"
+worker_is () {
+	$zr workers sapporo | grep -q "^$1 .* $2 "
+}
+cell_until 5 worker_is w1 leaving
+starts=$(grep -c 'start .* w1' "$work/ledger" || :)
+for i in 1 2 3 4
+do
+	printf '{"name":"b%d","queue":"any","kind":"batch","cpus":1,
+		"command":"run 10 x"}' $i | $zr -k "$booth" submit - |
+		sed 's/.*"id":"\([^"]*\)".*/\1/' >"$work/id"
+	$zr -k "$booth" job wait "$(cat "$work/id")" | grep -q succeeded
+done
+test "$(grep -c 'start .* w1' "$work/ledger" || :)" -eq "$starts"
+expect 0 $zr undrain w1 "$folder"
+cell_until 5 worker_is w1 up
+
+# A withdrawn key stops working on the other host within seconds.
+reads_jobs () {
+	curl -sf -o "$work/out" -H "Authorization: Bearer $booth" \
+		"http://$other/v1/jobs"
+}
+refuses () {
+	! reads_jobs
+}
+reads_jobs
+expect 0 $zr key withdraw booth1 "$folder"
+cell_until 2 refuses
+expect 1 $zr -e "$other" -k "$booth" job list
+says '"error":"unauthorized"'
+
+# A rejected folder changes nothing; wrong use is exit 2, no daemon exit 4.
+version=$(curl -s "http://$cell_entry/v1/status" |
+	grep -o '^{[^[]*' | grep -o '"config_version":[0-9]*')
+echo 'teams: [{name: booths, share: 2}]' >"$folder/99-double.yaml"
+expect 3 $zr config apply "$folder"
+says 'conflict: .*99-double.yaml:1: teams .booths. is declared in .*10-base.yaml:5'
+rm "$folder/99-double.yaml"
+expect 3 $zr drain 'a/b' "$folder"
+expect 2 $zr drain
+expect 2 $zr nonsense
+expect 2 $zr --nonsense
+expect 4 $zr -e 127.0.0.1:1 teams
+curl -s "http://$cell_entry/v1/status" | grep -q "$version"
+
+# Gone from the folder, gone from every domain.
+cat >"$folder/96-no-faces.yaml" <<-EOT
+jobs:
+  - name: faces
+    remove: true
+EOT
+expect 0 $zr config apply "$folder"
+no_faces () {
+	! $zr --json jobs | tr '{' '\n' | grep '"name":"faces"' |
+		grep -E '"state":"(running|waiting|parked)"'
+}
+cell_until 10 no_faces
+echo "test_operators_commands: ok"
