--- a/src/libzinniarack/sched/preempt.c
+++ b/src/libzinniarack/sched/preempt.c
@@ -275,6 +275,13 @@
 		       zr_sched_team_row(sched, job->profile->team), &need, 1);
 }
 
+/* All victims have ended and other tasks have grown into their room. */
+static bool in_vain(const struct zr_sched *sched,
+		    const struct zr_sched_claim *claim)
+{
+	return !zr_sched_host_row(sched, claim->worker)->stops;
+}
+
 static bool start_claim(struct zr_sched *sched, uint32_t at)
 {
 	const struct zr_sched_claim claim = sched->claims[at];
@@ -298,7 +305,8 @@
 
 		if (is_ready(sched, &claim)) {
 			starts += start_claim(sched, i);
-		} else if (claim.until <= sched->now) {
+		} else if (claim.until <= sched->now ||
+			   in_vain(sched, &claim)) {
 			drop_claim(sched, i);
 			zr_sched_job_route(sched, claim.job, true);
 		} else {
