--- a/src/libzinniarack/sched/core.h
+++ b/src/libzinniarack/sched/core.h
@@ -130,7 +130,7 @@
 	struct zr_resources size;
 	uint64_t run_ms;
 	int64_t deadline_ms;
-	int64_t arrived_ms;
+	uint64_t arrival;
 	int64_t start_by;
 	int64_t not_before;
 	const char *reason;
@@ -309,7 +309,7 @@
  * @slack_ms: time left until then
  * @weighted: the team's dominant share over the weight of its share
  * @under_share: whether the team has less than its share
- * @arrived_ms: since when it waits
+ * @arrival: number of its arrival
  */
 struct zr_sched_candidate {
 	struct zr_sched_class *class;
@@ -319,7 +319,7 @@
 	int64_t slack_ms;
 	uint64_t weighted;
 	bool under_share;
-	int64_t arrived_ms;
+	uint64_t arrival;
 };
 
 /**
@@ -344,23 +344,19 @@
 };
 
 /**
- * struct zr_sched_reservation - room being gathered for a gang
- * @members: the worker of each member for which room is held
- * @got: how many members have one
+ * struct zr_sched_reservation - room being kept for a gang
+ * @members: for each member, the worker on which room is held
  * @ready_by: when room for all is expected
  * @until: when it is given up
- * @freed: value of &zr_sched.freed at the last look
  */
 struct zr_sched_reservation {
 	zr_handle job;
 	struct zr_resources size;
 	zr_handle *members;
 	uint32_t count;
-	uint32_t got;
 	uint32_t cursor;
 	int64_t ready_by;
 	int64_t until;
-	uint64_t freed;
 };
 
 /**
@@ -412,7 +408,7 @@
 	zr_handle preempt_cursor;
 	zr_handle probe_cursor;
 	uint32_t suspects;
-	uint64_t freed;
+	uint64_t arrivals;
 	int64_t now;
 	int64_t ordered_at;
 	int64_t urgent_at; /* when urgent work is tried again */
@@ -529,6 +525,8 @@
 /** zr_sched_job_could_run() - whether it would if nothing else were running */
 bool zr_sched_job_could_run(const struct zr_sched *sched,
 			    const struct zr_sched_job *job);
+/** zr_sched_job_unreserve() - let go of room kept for a job's tasks */
+void zr_sched_job_unreserve(struct zr_sched *sched, zr_handle job);
 /** zr_sched_job_obstacle() - why a job could not run */
 enum zr_sched_wait zr_sched_job_obstacle(const struct zr_sched *sched,
 					 const struct zr_sched_job *job);
--- a/src/libzinniarack/sched/fit.c
+++ b/src/libzinniarack/sched/fit.c
@@ -36,8 +36,11 @@
 {
 	const struct zr_resources *capacity = &host->capacity;
 	struct zr_resources used = host->reserved;
-	struct zr_resources room;
+	struct zr_resources room = {0};
 
+	/* A worker that is over in one resource gets nothing at all. */
+	if (!zr_resources_fit(&used, capacity))
+		return room;
 	zr_resources_add(&used, &host->held);
 	room.millicpus = left_over(capacity->millicpus, used.millicpus);
 	room.memory_mb = left_over(capacity->memory_mb, used.memory_mb);
--- a/src/libzinniarack/sched/gang.c
+++ b/src/libzinniarack/sched/gang.c
@@ -7,26 +7,28 @@
  * DOC: Gangs
  *
  * All tasks of a gang start together or none does. When there is no room for
- * all, one gang at a time gathers room as it becomes free, up to a time limit.
- * Work that is expected to end before the gang can start may run on the
- * gathered room; run times are wrong, so it is preempted when it has not ended
- * by then.
+ * all, room is reserved for one gang at a time, up to a time limit, on the
+ * workers that are expected to have it first. Work that is expected to end
+ * before the gang can start may run there; run times are wrong, so it is
+ * preempted when only it is in the way.
  */
 
-/* Room is gathered for one gang so long, in milliseconds. */
+/* Room is reserved for one gang so long, in milliseconds. */
 #define RESERVATION_MS 120000
 /* Members whose workers are looked at for one backfill. */
 #define BACKFILL_SEARCH_MAX 16
 /* Tasks of a worker whose ends are foreseen. */
 #define FORESEEN_MAX 64
 
-/* Gathering room */
+/* Room that is there now */
 
 static uint32_t gather(struct zr_sched *sched, const struct zr_sched_job *job,
 		       const struct zr_resources *need, zr_handle *members,
-		       uint32_t got, uint32_t count)
+		       uint32_t count)
 {
-	for (; got < count; got++) {
+	uint32_t got;
+
+	for (got = 0; got < count; got++) {
 		zr_handle worker = zr_sched_fit_find(sched, job, need);
 
 		if (!worker)
@@ -64,10 +66,11 @@
 	return starts;
 }
 
-/* When room for all is to be expected */
+/* Where and when room for members is to be expected */
 
 struct foreseen {
 	int64_t at;
+	zr_handle worker;
 	struct zr_resources room;
 };
 
@@ -76,7 +79,10 @@
 	const struct foreseen *first = a;
 	const struct foreseen *second = b;
 
-	return (first->at > second->at) - (first->at < second->at);
+	if (first->at != second->at)
+		return first->at < second->at ? -1 : 1;
+	return (first->worker > second->worker) -
+	       (first->worker < second->worker);
 }
 
 static unsigned int foresee_ends(const struct zr_sched *sched,
@@ -93,67 +99,73 @@
 		int64_t run = zr_sched_job_run_ms(
 			zr_sched_job_row(sched, placement->job));
 
-		if (run == INT64_MAX)
-			continue;
-		ends[count].at = placement->started_ms + run;
+		ends[count].at = INT64_MAX;
+		if (run != INT64_MAX)
+			ends[count].at = placement->started_ms + run;
 		ends[count++].room = placement->reserved;
 	}
 	qsort(ends, count, sizeof(*ends), by_time);
 	return count;
 }
 
+struct forecast {
+	struct foreseen *members;
+	uint32_t count;
+	uint32_t room; /* of the array */
+};
+
+static void foresee_members(struct forecast *forecast, zr_handle worker,
+			    struct zr_resources *room,
+			    const struct zr_resources *need, int64_t at)
+{
+	while (forecast->count < forecast->room &&
+	       zr_resources_fit(need, room)) {
+		zr_resources_sub(room, need);
+		forecast->members[forecast->count].worker = worker;
+		forecast->members[forecast->count++].at = at;
+	}
+}
+
 /* Adds the times at which a worker can take a member each. */
-static uint32_t foresee_worker(const struct zr_sched *sched,
-			       const struct zr_sched_host *host,
-			       const struct zr_resources *need,
-			       struct foreseen *times, uint32_t room_for)
+static void foresee_worker(struct forecast *forecast,
+			   const struct zr_sched *sched, zr_handle worker,
+			   const struct zr_resources *need)
 {
+	const struct zr_sched_host *host = zr_sched_host_row(sched, worker);
 	struct foreseen ends[FORESEEN_MAX];
 	unsigned int count = foresee_ends(sched, host, ends);
 	struct zr_resources room = zr_sched_host_free(host);
-	uint32_t added = 0;
 	unsigned int i;
 
+	foresee_members(forecast, worker, &room, need, sched->now);
 	for (i = 0; i < count; i++) {
 		zr_resources_add(&room, &ends[i].room);
-		while (added < room_for && zr_resources_fit(need, &room)) {
-			zr_resources_sub(&room, need);
-			times[added++].at = ends[i].at;
-		}
+		foresee_members(forecast, worker, &room, need, ends[i].at);
 	}
-	return added;
 }
 
-static int64_t foresee(const struct zr_sched *sched,
-		       const struct zr_sched_reservation *gang)
+/* Keeps the earliest members only, whenever the array has filled. */
+static void foresee_all(struct forecast *forecast, struct zr_sched *sched,
+			const struct zr_resources *need, uint32_t wanted)
 {
-	uint32_t missing = gang->count - gang->got;
-	uint32_t limit = gang->count + missing;
-	uint32_t known = 0;
-	int64_t at = gang->until;
 	zr_handle worker = ZR_HANDLE_NONE;
-	struct foreseen *times = calloc(limit, sizeof(*times));
 
-	if (!times)
-		return sched->now;
 	while ((worker = zr_table_next(sched->workers, worker))) {
 		const struct zr_sched_host *host =
 			zr_sched_host_row(sched, worker);
 
+		sched->stats.workers_examined++;
 		if (host->state != ZR_SCHED_WORKER_UP || host->suspect)
 			continue;
-		if (known > missing) {
-			qsort(times, known, sizeof(*times), by_time);
-			known = missing;
-		}
-		known += foresee_worker(sched, host, &gang->size, times + known,
-					limit - known);
+		foresee_worker(forecast, sched, worker, need);
+		if (forecast->count <= wanted)
+			continue;
+		qsort(forecast->members, forecast->count,
+		      sizeof(*forecast->members), by_time);
+		forecast->count = wanted;
 	}
-	qsort(times, known, sizeof(*times), by_time);
-	if (known >= missing && missing && times[missing - 1].at < at)
-		at = times[missing - 1].at;
-	free(times);
-	return at;
+	qsort(forecast->members, forecast->count, sizeof(*forecast->members),
+	      by_time);
 }
 
 /* The reservation */
@@ -172,33 +184,58 @@
 	struct zr_sched_reservation *gang = &sched->gang;
 	uint32_t i;
 
-	let_go(sched, &gang->size, gang->members, gang->got);
-	for (i = 0; i < gang->got; i++) {
+	let_go(sched, &gang->size, gang->members, gang->count);
+	for (i = 0; i < gang->count; i++) {
 		if (zr_sched_host_row(sched, gang->members[i]))
 			zr_sched_queue_freed(sched, gang->members[i]);
 	}
 	end_reservation(sched);
 }
 
-static void begin_reservation(struct zr_sched *sched, zr_handle handle,
-			      const struct zr_resources *need,
-			      zr_handle *members, uint32_t got, uint32_t count)
+/* Room is held at once, also where tasks still run, so that it goes to
+ * nothing else when they end. */
+static void hold_members(struct zr_sched *sched,
+			 const struct forecast *forecast)
 {
-	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
 	struct zr_sched_reservation *gang = &sched->gang;
+	uint32_t i;
 
-	gang->job = handle;
-	gang->size = *need;
-	gang->members = members;
-	gang->got = got;
-	gang->count = count;
+	for (i = 0; i < gang->count; i++) {
+		gang->members[i] = forecast->members[i].worker;
+		zr_sched_host_hold(sched, gang->members[i], &gang->size);
+	}
 	gang->until = sched->now + RESERVATION_MS;
-	gang->ready_by = foresee(sched, gang);
-	gang->freed = sched->freed;
+	gang->ready_by = forecast->members[gang->count - 1].at;
+	if (gang->ready_by > gang->until)
+		gang->ready_by = gang->until;
+}
+
+static bool begin_reservation(struct zr_sched *sched, zr_handle handle,
+			      const struct zr_resources *need,
+			      zr_handle *members, uint32_t count)
+{
+	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+	struct forecast forecast = {.room = 2 * count};
+
+	forecast.members = calloc(forecast.room, sizeof(*forecast.members));
+	if (!forecast.members)
+		return false;
+	foresee_all(&forecast, sched, need, count);
+	if (forecast.count < count) {
+		free(forecast.members);
+		return false;
+	}
+	sched->gang.job = handle;
+	sched->gang.size = *need;
+	sched->gang.members = members;
+	sched->gang.count = count;
+	hold_members(sched, &forecast);
+	free(forecast.members);
 	job->reserving = true;
 	zr_sched_job_route(sched, handle, true);
 	job->wait = ZR_SCHED_WAIT_GANG;
 	zr_sched_queue_unblock(sched, ZR_HANDLE_NONE, ZR_SCHED_WAIT_NO_ROOM);
+	return true;
 }
 
 unsigned int zr_sched_gang_try(struct zr_sched *sched, zr_handle handle,
@@ -212,54 +249,90 @@
 
 	if (!members)
 		return 0;
-	got = gather(sched, job, need, members, 0, count);
-	if (got < count && !sched->gang.job) {
-		begin_reservation(sched, handle, need, members, got, count);
-		return 0;
-	}
-	if (got == count)
+	got = gather(sched, job, need, members, count);
+	if (got == count) {
 		starts = start_members(sched, handle, need, members, count);
-	else
+	} else {
 		let_go(sched, need, members, got);
+		if (!sched->gang.job &&
+		    begin_reservation(sched, handle, need, members, count))
+			return 0;
+	}
 	free(members);
 	return starts;
 }
 
 void zr_sched_gang_drop(struct zr_sched *sched, zr_handle job, zr_handle worker)
 {
-	struct zr_sched_reservation *gang = &sched->gang;
-	uint32_t i = 0;
+	zr_handle owner = sched->gang.job;
+	uint32_t i;
 
-	if (!gang->job)
+	if (!owner)
 		return;
-	if (gang->job == job) {
+	if (owner == job) {
 		give_back(sched);
 		return;
 	}
-	while (i < gang->got) {
-		if (gang->members[i] != worker) {
-			i++;
+	for (i = 0; i < sched->gang.count; i++) {
+		if (sched->gang.members[i] != worker)
 			continue;
-		}
-		zr_sched_host_unhold(sched, worker, &gang->size);
-		gang->members[i] = gang->members[--gang->got];
-		gang->freed = UINT64_MAX; /* look for another worker */
+		give_back(sched);
+		zr_sched_job_route(sched, owner, true);
+		return;
 	}
 }
 
 /* Starting what is reserved */
 
-/* Whether a worker has the room but for tasks that lend it; those stop. */
-static bool clear_backfill(struct zr_sched *sched, zr_handle worker)
+/* What a worker will have in use when those that lend it room have gone. */
+static struct zr_resources
+used_without_backfill(const struct zr_sched *sched,
+		      const struct zr_sched_host *host)
 {
-	const struct zr_sched_host *host = zr_sched_host_row(sched, worker);
 	struct zr_resources used = host->reserved;
 	zr_handle handle = host->first;
 
 	zr_resources_add(&used, &host->held);
-	if (zr_resources_fit(&used, &host->capacity))
-		return true;
 	while (handle) {
+		const struct zr_sched_placement *placement =
+			zr_sched_placement_row(sched, handle);
+
+		if (placement->backfill)
+			zr_resources_sub(&used, &placement->reserved);
+		handle = placement->next;
+	}
+	return used;
+}
+
+static bool has_room(const struct zr_sched *sched, zr_handle worker,
+		     bool but_for_backfill)
+{
+	const struct zr_sched_host *host = zr_sched_host_row(sched, worker);
+	struct zr_resources used = host->reserved;
+
+	if (but_for_backfill)
+		used = used_without_backfill(sched, host);
+	else
+		zr_resources_add(&used, &host->held);
+	return zr_resources_fit(&used, &host->capacity);
+}
+
+static bool all_have_room(const struct zr_sched *sched, bool but_for_backfill)
+{
+	uint32_t i;
+
+	for (i = 0; i < sched->gang.count; i++) {
+		if (!has_room(sched, sched->gang.members[i], but_for_backfill))
+			return false;
+	}
+	return true;
+}
+
+static void stop_backfill(struct zr_sched *sched, zr_handle worker)
+{
+	zr_handle handle = zr_sched_host_row(sched, worker)->first;
+
+	while (handle && !has_room(sched, worker, false)) {
 		const struct zr_sched_placement *placement =
 			zr_sched_placement_row(sched, handle);
 		zr_handle next = placement->next;
@@ -270,17 +343,6 @@
 		}
 		handle = next;
 	}
-	return false;
-}
-
-static bool all_clear(struct zr_sched *sched)
-{
-	bool clear = true;
-	uint32_t i;
-
-	for (i = 0; i < sched->gang.got; i++)
-		clear &= clear_backfill(sched, sched->gang.members[i]);
-	return clear;
 }
 
 static unsigned int start_reserved(struct zr_sched *sched)
@@ -314,6 +376,7 @@
 	struct zr_sched_reservation *gang = &sched->gang;
 	zr_handle handle = gang->job;
 	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+	uint32_t i;
 
 	if (!handle)
 		return 0;
@@ -323,12 +386,11 @@
 		zr_sched_job_route(sched, handle, true);
 		return 0;
 	}
-	if (gang->freed != sched->freed) {
-		gang->got = gather(sched, job, &gang->size, gang->members,
-				   gang->got, gang->count);
-		gang->freed = sched->freed;
-	}
-	if (gang->got < gang->count || !all_clear(sched))
+	if (!all_have_room(sched, true))
+		return 0;
+	for (i = 0; i < gang->count; i++)
+		stop_backfill(sched, gang->members[i]);
+	if (!all_have_room(sched, false))
 		return 0;
 	if (gang->count > most) {
 		sched->more = true;
@@ -375,12 +437,11 @@
 	int64_t run = zr_sched_job_run_ms(job);
 	uint32_t i;
 
-	if (!gang->got || gang->got == gang->count || job->at_most_once ||
-	    job->kind != ZR_JOB_BATCH || run == INT64_MAX ||
-	    sched->now + run > gang->ready_by)
+	if (!gang->job || job->at_most_once || job->kind != ZR_JOB_BATCH ||
+	    run == INT64_MAX || sched->now + run > gang->ready_by)
 		return ZR_HANDLE_NONE;
-	for (i = 0; i < gang->got && i < BACKFILL_SEARCH_MAX; i++) {
-		gang->cursor = (gang->cursor + 1) % gang->got;
+	for (i = 0; i < gang->count && i < BACKFILL_SEARCH_MAX; i++) {
+		gang->cursor = (gang->cursor + 1) % gang->count;
 		sched->stats.workers_examined++;
 		if (may_lend(sched, job, gang->members[gang->cursor], need))
 			return gang->members[gang->cursor];
--- a/src/libzinniarack/sched/jobs.c
+++ b/src/libzinniarack/sched/jobs.c
@@ -98,7 +98,7 @@
 	job->urgent = spec->urgent;
 	job->at_most_once = spec->at_most_once;
 	job->reason = "accepted";
-	job->arrived_ms = sched->now;
+	job->arrival = sched->arrivals++;
 	sched->stats.job_bytes += sizeof(*job) + strlen(id) + 1;
 	return job->id && job->queue && job->profile ? 0 : ZR_E_NOMEM;
 }
@@ -393,6 +393,16 @@
 
 /* Cancelling */
 
+void zr_sched_job_unreserve(struct zr_sched *sched, zr_handle handle)
+{
+	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+
+	if (job->claims)
+		zr_sched_claims_drop(sched, handle, ZR_HANDLE_NONE);
+	if (job->reserving)
+		zr_sched_gang_drop(sched, handle, ZR_HANDLE_NONE);
+}
+
 static void stop_all(struct zr_sched *sched, zr_handle handle)
 {
 	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
@@ -412,10 +422,7 @@
 		return zr_error_set(ZR_E_STATE, "the job has ended");
 	zr_sched_now_refresh(sched);
 	job->cancelled = true;
-	if (job->claims)
-		zr_sched_claims_drop(sched, handle, ZR_HANDLE_NONE);
-	if (job->reserving)
-		zr_sched_gang_drop(sched, handle, ZR_HANDLE_NONE);
+	zr_sched_job_unreserve(sched, handle);
 	zr_sched_job_route(sched, handle, false);
 	if (job->running)
 		stop_all(sched, handle);
@@ -431,10 +438,8 @@
 		return;
 	zr_sched_now_refresh(sched);
 	job->held = held;
-	if (held && job->claims)
-		zr_sched_claims_drop(sched, handle, ZR_HANDLE_NONE);
-	if (held && job->reserving)
-		zr_sched_gang_drop(sched, handle, ZR_HANDLE_NONE);
+	if (held)
+		zr_sched_job_unreserve(sched, handle);
 	if (!held)
 		zr_sched_gang_check(sched, handle);
 	zr_sched_job_route(sched, handle, false);
@@ -448,10 +453,7 @@
 		return;
 	zr_sched_now_refresh(sched);
 	job->cancelled = true;
-	if (job->claims)
-		zr_sched_claims_drop(sched, handle, ZR_HANDLE_NONE);
-	if (job->reserving)
-		zr_sched_gang_drop(sched, handle, ZR_HANDLE_NONE);
+	zr_sched_job_unreserve(sched, handle);
 	zr_sched_job_route(sched, handle, false);
 	zr_sched_job_clear(sched, job);
 	zr_table_remove(sched->jobs, handle);
--- a/src/libzinniarack/sched/policy.c
+++ b/src/libzinniarack/sched/policy.c
@@ -52,9 +52,7 @@
 static int by_age(const struct zr_sched_candidate *a,
 		  const struct zr_sched_candidate *b)
 {
-	if (a->arrived_ms != b->arrived_ms)
-		return a->arrived_ms < b->arrived_ms ? -1 : 1;
-	return 0;
+	return by_number(a->arrival, b->arrival);
 }
 
 static int waiting_first(void *ctx, const struct zr_sched_candidate *a,
--- a/src/libzinniarack/sched/queue.c
+++ b/src/libzinniarack/sched/queue.c
@@ -297,7 +297,6 @@
 	struct zr_sched_class *class;
 	struct zr_sched_class *next;
 
-	sched->freed++;
 	if (host->state != ZR_SCHED_WORKER_UP || host->suspect)
 		return;
 	HASH_ITER (hh, sched->classes, class, next) {
@@ -353,7 +352,7 @@
 		.start_by = lane->start_by,
 		.slack_ms = INT64_MAX,
 		.weighted = team->dominant / team->share,
-		.arrived_ms = job->arrived_ms,
+		.arrival = job->arrival,
 	};
 
 	if (lane->start_by != INT64_MAX)
--- a/src/libzinniarack/sched/read.c
+++ b/src/libzinniarack/sched/read.c
@@ -28,7 +28,7 @@
 		"its team is at its upper limit",
 		"held until all workers are heard",
 		"tried again after a delay",
-		"room for all its tasks is being gathered",
+		"room for all its tasks is being reserved",
 		"tasks of less worth are being stopped for it",
 		"larger than the workers can hold",
 		"larger than its team's upper limit",
--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -213,6 +213,7 @@
 	if (job->slots && job->slots[index].state != ZR_SCHED_TASK_WAITING)
 		return ZR_E_EXISTS;
 	zr_sched_now_refresh(sched);
+	zr_sched_job_unreserve(sched, handle);
 	error = zr_sched_task_reserve(&placement, sched, handle, index, worker);
 	if (error < 0)
 		return error;
@@ -311,6 +312,8 @@
 	release(sched, job->slots[index].placement);
 	blame(sched, handle, &placement, outcome);
 	end_slot(sched, job, index, outcome);
+	if (job->given_up)
+		zr_sched_job_unreserve(sched, handle);
 	if (outcome != ZR_SCHED_SUCCEEDED)
 		zr_sched_gang_check(sched, handle);
 	zr_sched_job_settle(sched, handle);
@@ -329,6 +332,7 @@
 	    job->slots[index].state != ZR_SCHED_TASK_WAITING)
 		return;
 	zr_sched_now_refresh(sched);
+	zr_sched_job_unreserve(sched, handle);
 	job->slots[index].attempt = attempt;
 	end_slot(sched, job, index, outcome);
 	zr_sched_job_settle(sched, handle);
