Scheduler core: try only the best class that fits a freed worker

Change: workers with freed room are kept in a list; of the classes that wait for room only the best that fits is tried, then the next. Learned quantiles are kept instead of read at each use.

--- a/src/libzinniarack/sched/core.h
+++ b/src/libzinniarack/sched/core.h
@@ -63,6 +63,8 @@
  * @refs: jobs that use it
  * @millicpus: peaks of processor use of runs that succeeded
  * @run_ms: run times of runs that succeeded
+ * @learned_millicpus: upper quantile of @millicpus, 0 before enough runs
+ * @learned_run_ms: the same of @run_ms
  * @memory_mb: the highest memory use of any run
  * @millicpus_least: the lowest processor use of any report, 0 before the first
  */
@@ -74,6 +76,8 @@
 	uint32_t millicpus_least;
 	struct zr_sched_quantile millicpus;
 	struct zr_sched_quantile run_ms;
+	uint32_t learned_millicpus;
+	int64_t learned_run_ms;
 	const char *name;
 	char key[];
 };
@@ -192,6 +196,7 @@
  * @cell: where it is in the index, see index.c
  * @stops: stop decisions whose tasks have not ended
  * @stop_head: stops that wait their turn
+ * @freed: whether it is on the list of workers with freed room
  * @failed: jobs that failed on it since one succeeded
  * @probe_at: when a suspect worker may get its next probe
  */
@@ -217,6 +222,8 @@
 	bool suspect;
 	bool probing;
 	bool gone;
+	bool freed;
+	zr_handle next_freed;
 	int64_t probe_at;
 	int64_t probe_delay;
 };
@@ -287,7 +294,7 @@
  * @position: index in the team's classes
  * @blocked: why it is not to be tried now, or ZR_SCHED_WAIT_NONE
  * @refused: the least that was refused; less free room is no reason to try
- * @blocked_at: when it was blocked
+ * @round: the last look at a freed worker in which it was tried
  */
 struct zr_sched_class {
 	UT_hash_handle hh;
@@ -299,7 +306,7 @@
 	uint32_t lane_room;
 	enum zr_sched_wait blocked;
 	struct zr_resources refused;
-	int64_t blocked_at;
+	uint64_t round;
 };
 
 /**
@@ -402,6 +409,9 @@
 	uint32_t parked_to_review;
 	zr_handle stop_head;
 	zr_handle stop_tail;
+	zr_handle freed_head;
+	zr_handle freed_tail;
+	uint64_t round;
 	struct zr_sched_claim *claims;
 	uint32_t claim_count;
 	struct zr_sched_reservation gang;
@@ -498,6 +508,8 @@
 			  const struct zr_resources *refused);
 /** zr_sched_queue_freed() - room is free on a worker: try what it can hold */
 void zr_sched_queue_freed(struct zr_sched *sched, zr_handle worker);
+/** zr_sched_freed_drop() - a worker is about to go */
+void zr_sched_freed_drop(struct zr_sched *sched, zr_handle worker);
 /** zr_sched_queue_unblock() - try what waits for @wait; a team or all teams */
 void zr_sched_queue_unblock(struct zr_sched *sched, zr_handle team,
 			    enum zr_sched_wait wait);
--- a/src/libzinniarack/sched/profile.c
+++ b/src/libzinniarack/sched/profile.c
@@ -81,6 +81,12 @@
 	return bucket_top(i);
 }
 
+static uint32_t with_margin(uint64_t value)
+{
+	value += value * MARGIN_PERCENT / 100;
+	return value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
+}
+
 /* Profiles */
 
 static void evict_oldest(struct zr_sched *sched)
@@ -159,24 +165,23 @@
 	count_value(&profile->run_ms, run_ms > 0 ? (uint64_t)run_ms : 0);
 	if (peak->millicpus && peak->memory_mb)
 		count_value(&profile->millicpus, peak->millicpus);
+	if (profile->run_ms.total >= RUNS_MIN)
+		profile->learned_run_ms =
+			(int64_t)read_quantile(&profile->run_ms);
+	if (profile->millicpus.total >= RUNS_MIN)
+		profile->learned_millicpus =
+			with_margin(read_quantile(&profile->millicpus));
 }
 
 /* Estimates */
 
-static uint32_t with_margin(uint64_t value)
-{
-	value += value * MARGIN_PERCENT / 100;
-	return value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
-}
-
 struct zr_resources zr_sched_job_need(const struct zr_sched_job *job)
 {
 	const struct zr_sched_profile *profile = job->profile;
 	struct zr_resources need = job->size;
 
-	if (profile->millicpus.total >= RUNS_MIN) {
-		need.millicpus =
-			with_margin(read_quantile(&profile->millicpus));
+	if (profile->learned_millicpus) {
+		need.millicpus = profile->learned_millicpus;
 		need.memory_mb = with_margin(profile->memory_mb);
 	} else if (profile->memory_mb > need.memory_mb) {
 		need.memory_mb = profile->memory_mb;
@@ -192,7 +197,7 @@
 
 	if (job->kind == ZR_JOB_SERVICE)
 		return INT64_MAX;
-	if (profile->run_ms.total >= RUNS_MIN)
-		return (int64_t)read_quantile(&profile->run_ms);
+	if (profile->learned_run_ms)
+		return profile->learned_run_ms;
 	return job->run_ms ? (int64_t)job->run_ms : INT64_MAX;
 }
--- a/src/libzinniarack/sched/queue.c
+++ b/src/libzinniarack/sched/queue.c
@@ -286,39 +286,32 @@
 {
 	class->blocked = wait;
 	class->refused = *refused;
-	class->blocked_at = sched->now;
 	zr_sched_team_row(sched, class->key.team)->stale = true;
 }
 
-void zr_sched_queue_freed(struct zr_sched *sched, zr_handle worker)
+static void unblock(struct zr_sched *sched, struct zr_sched_class *class)
 {
-	const struct zr_sched_host *host = zr_sched_host_row(sched, worker);
-	struct zr_resources room = zr_sched_host_free(host);
-	struct zr_sched_class *class;
-	struct zr_sched_class *next;
-
-	if (host->state != ZR_SCHED_WORKER_UP || host->suspect)
-		return;
-	HASH_ITER (hh, sched->classes, class, next) {
-		if (class->blocked != ZR_SCHED_WAIT_NO_ROOM ||
-		    !zr_resources_fit(&class->refused, &room))
-			continue;
-		class->blocked = ZR_SCHED_WAIT_NONE;
-		zr_sched_team_row(sched, class->key.team)->stale = true;
-	}
+	class->blocked = ZR_SCHED_WAIT_NONE;
+	zr_sched_team_row(sched, class->key.team)->stale = true;
 }
 
 void zr_sched_queue_unblock(struct zr_sched *sched, zr_handle team,
 			    enum zr_sched_wait wait)
 {
+	const struct zr_sched_team *row = zr_sched_team_row(sched, team);
 	struct zr_sched_class *class;
 	struct zr_sched_class *next;
+	uint32_t i;
 
+	for (i = 0; row && i < row->class_count; i++) {
+		if (row->classes[i]->blocked == wait)
+			unblock(sched, row->classes[i]);
+	}
+	if (row)
+		return;
 	HASH_ITER (hh, sched->classes, class, next) {
-		if (class->blocked != wait || (team && class->key.team != team))
-			continue;
-		class->blocked = ZR_SCHED_WAIT_NONE;
-		zr_sched_team_row(sched, class->key.team)->stale = true;
+		if (class->blocked == wait)
+			unblock(sched, class);
 	}
 }
 
@@ -331,8 +324,7 @@
 		if (!class->key.urgent ||
 		    class->blocked != ZR_SCHED_WAIT_NO_ROOM)
 			continue;
-		class->blocked = ZR_SCHED_WAIT_NONE;
-		zr_sched_team_row(sched, class->key.team)->stale = true;
+		unblock(sched, class);
 	}
 }
 
@@ -400,9 +392,9 @@
 		zr_sched_team_row(sched, team)->stale = true;
 }
 
-struct zr_sched_class *zr_sched_queue_best(struct zr_sched *sched)
+/* The best of the classes that are not blocked. */
+static void take_best(struct zr_sched *sched, struct zr_sched_candidate *best)
 {
-	struct zr_sched_candidate best = {0};
 	struct zr_sched_candidate candidate;
 	zr_handle handle = ZR_HANDLE_NONE;
 
@@ -414,8 +406,105 @@
 		if (team->stale)
 			order_team(sched, team);
 		if (team->best &&
-		    goes_first(sched, team->best, &best, &candidate))
-			best = candidate;
+		    goes_first(sched, team->best, best, &candidate))
+			*best = candidate;
+	}
+}
+
+/* Workers with freed room. One has room for few tasks, so that of the classes
+ * that wait for room only the best that fits is tried, then the next. */
+
+void zr_sched_queue_freed(struct zr_sched *sched, zr_handle handle)
+{
+	struct zr_sched_host *host = zr_sched_host_row(sched, handle);
+
+	if (host->freed || host->state != ZR_SCHED_WORKER_UP || host->suspect)
+		return;
+	host->freed = true;
+	host->next_freed = ZR_HANDLE_NONE;
+	if (sched->freed_tail)
+		zr_sched_host_row(sched, sched->freed_tail)->next_freed =
+			handle;
+	else
+		sched->freed_head = handle;
+	sched->freed_tail = handle;
+	if (sched->freed_head == handle)
+		sched->round++;
+}
+
+static void pop_freed(struct zr_sched *sched)
+{
+	struct zr_sched_host *host =
+		zr_sched_host_row(sched, sched->freed_head);
+
+	host->freed = false;
+	sched->freed_head = host->next_freed;
+	if (!sched->freed_head)
+		sched->freed_tail = ZR_HANDLE_NONE;
+	sched->round++;
+}
+
+void zr_sched_freed_drop(struct zr_sched *sched, zr_handle worker)
+{
+	zr_handle previous = ZR_HANDLE_NONE;
+	zr_handle handle = sched->freed_head;
+	const struct zr_sched_host *host = zr_sched_host_row(sched, worker);
+
+	if (!host->freed)
+		return;
+	while (handle != worker) {
+		previous = handle;
+		handle = zr_sched_host_row(sched, handle)->next_freed;
+	}
+	if (!previous) {
+		pop_freed(sched);
+		return;
+	}
+	zr_sched_host_row(sched, previous)->next_freed = host->next_freed;
+	if (sched->freed_tail == worker)
+		sched->freed_tail = previous;
+}
+
+static bool may_use(const struct zr_sched *sched,
+		    const struct zr_sched_class *class,
+		    const struct zr_resources *room)
+{
+	return class->blocked == ZR_SCHED_WAIT_NO_ROOM &&
+	       class->round != sched->round &&
+	       zr_resources_fit(&class->refused, room);
+}
+
+/* The best of the classes that wait for room and may fit the first worker. */
+static bool take_best_freed(struct zr_sched *sched,
+			    struct zr_sched_candidate *best)
+{
+	const struct zr_sched_host *host =
+		zr_sched_host_row(sched, sched->freed_head);
+	struct zr_resources room = zr_sched_host_free(host);
+	struct zr_sched_candidate candidate;
+	struct zr_sched_class *class;
+	struct zr_sched_class *next;
+
+	if (host->state != ZR_SCHED_WORKER_UP || host->suspect)
+		return false;
+	HASH_ITER (hh, sched->classes, class, next) {
+		if (may_use(sched, class, &room) &&
+		    goes_first(sched, class, best, &candidate))
+			*best = candidate;
+	}
+	return best->class != NULL;
+}
+
+struct zr_sched_class *zr_sched_queue_best(struct zr_sched *sched)
+{
+	struct zr_sched_candidate best = {0};
+
+	while (sched->freed_head && !take_best_freed(sched, &best))
+		pop_freed(sched);
+	take_best(sched, &best);
+	if (best.class && best.class->blocked) {
+		best.class->round = sched->round;
+		unblock(sched, best.class);
 	}
 	return best.class;
 }
