--- /dev/null
+++ b/bench/bench_capacity.c
@@ -0,0 +1,47 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "capacity/capacity.h"
+
+/*
+ * Measures the slopes that docs/CAPACITY.md is worked out from, and works out
+ * each role at the target size. With --check it is brief and judges memory and
+ * messages, which are counted; processor time is printed.
+ */
+
+struct arguments {
+	bool check;
+};
+
+static error_t parse(int key, char *value, struct argp_state *state)
+{
+	struct arguments *arguments = state->input;
+
+	(void)value;
+	if (key != 'c')
+		return ARGP_ERR_UNKNOWN;
+	arguments->check = true;
+	return 0;
+}
+
+static const struct argp_option options[] = {
+	{"check", 'c', NULL, 0, "Brief; fail past a bound", 0},
+	{0},
+};
+
+static const struct argp argp = {options, parse, NULL, NULL, NULL, NULL, NULL};
+
+int main(int argc, char **argv)
+{
+	struct arguments arguments = {false};
+	struct capacity capacity = {0};
+	bool met;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	capacity_core(&capacity);
+	capacity_wire(&capacity);
+	capacity_store(&capacity, arguments.check);
+	met = capacity_roles(&capacity);
+	return met || !arguments.check ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/bench/decisions/arrivals.c
+++ b/bench/decisions/arrivals.c
@@ -22,9 +22,13 @@
 #define DEADLINE_SLACK_MIN_MS 30000
 #define DEADLINE_SLACK_MS 240000
 #define RUN_MIN_MS 2000
+/* Urgent work has this worth, other work less. */
+#define URGENT_WORTH 50
 #define JITTER_PERCENT 10
 #define MB_PER_CORE_MIN 2048
 #define MB_PER_CORE_MORE 1536
+/* Of the worker to which the two numbers above belong. */
+#define MB_PER_CORE_USUAL 4437
 /* A task really uses at most one of so many parts of a worker. */
 #define USED_PARTS 3
 
@@ -98,25 +102,27 @@
 	arrival->used.accelerators = arrival->declared.accelerators;
 }
 
+/* Jobs of one name declare the same size. */
 static void draw_size(struct maker *maker, struct arrival *arrival)
 {
 	static const uint32_t millicpus[] = {250, 500, 1000, 2000};
 	static const uint32_t percent[] = {30, 30, 25, 15};
-	uint32_t ticket = rng_below(&maker->rng, 100);
-	uint64_t per_core =
-		MB_PER_CORE_MIN + rng_below(&maker->rng, MB_PER_CORE_MORE);
+	struct rng rng = {arrival->team * 31337u + arrival->name * 271u +
+			  arrival->kind};
+	uint32_t ticket = rng_below(&rng, 100);
+	uint64_t per_core = MB_PER_CORE_MIN + rng_below(&rng, MB_PER_CORE_MORE);
 	uint32_t i = 0;
 
 	while (ticket >= percent[i])
 		ticket -= percent[i++];
 	/* Memory follows the worker's own proportion of it to processors. */
 	per_core = per_core * maker->scenario->capacity.memory_mb /
-		   maker->scenario->capacity.millicpus * 1000 / 4437;
+		   maker->scenario->capacity.millicpus * 1000 /
+		   MB_PER_CORE_USUAL;
 	arrival->declared.millicpus = millicpus[i];
 	arrival->declared.memory_mb =
 		(uint32_t)(millicpus[i] * per_core / 1000);
-	arrival->declared.accelerators =
-		rng_chance(&maker->rng, ACCELERATOR_PERCENT);
+	arrival->declared.accelerators = rng_chance(&rng, ACCELERATOR_PERCENT);
 	draw_used(maker, arrival);
 }
 
@@ -170,7 +176,8 @@
 	arrival->at_ms = at_ms;
 	arrival->team = draw_team(maker);
 	arrival->name = rng_below(&maker->rng, NAMES_PER_TEAM);
-	arrival->worth = rng_below(&maker->rng, 50);
+	arrival->worth = URGENT_WORTH / maker->scenario->worths *
+			 rng_below(&maker->rng, maker->scenario->worths);
 	draw_kind(maker, arrival);
 	draw_size(maker, arrival);
 	draw_run(maker, arrival);
@@ -190,7 +197,7 @@
 	arrival->kind = ARRIVAL_URGENT;
 	arrival->team = draw_team(maker);
 	arrival->name = rng_below(&maker->rng, NAMES_PER_TEAM);
-	arrival->worth = 50 + rng_below(&maker->rng, 50);
+	arrival->worth = URGENT_WORTH;
 	arrival->tasks = 1;
 	arrival->declared.millicpus = URGENT_MILLICPUS;
 	arrival->declared.memory_mb = 256;
--- a/bench/decisions/driver_result.c
+++ b/bench/decisions/driver_result.c
@@ -13,6 +13,12 @@
 	return a > b ? a : b;
 }
 
+/* Room given past what a worker holds is no packing. */
+static double smaller(double a, double b)
+{
+	return a < b ? a : b;
+}
+
 /* The larger part of processors and memory. */
 static double dominant(const double used[2], const double whole[2])
 {
@@ -35,8 +41,10 @@
 
 		if (worker->fails)
 			continue;
-		reserved[0] += info.reserved.millicpus;
-		reserved[1] += info.reserved.memory_mb;
+		reserved[0] += smaller(info.reserved.millicpus,
+				       info.capacity.millicpus);
+		reserved[1] += smaller(info.reserved.memory_mb,
+				       info.capacity.memory_mb);
 		used[0] += worker->used.millicpus;
 		used[1] += worker->used.memory_mb;
 		whole[0] += info.capacity.millicpus;
@@ -112,6 +120,8 @@
 	struct driver_result *out = driver->out;
 	const struct arrival *arrival = job->arrival;
 
+	if (arrival->cancel)
+		return;
 	if (arrival->fault == ARRIVAL_TOO_LARGE) {
 		out->too_large++;
 		out->parked += job->parked;
@@ -122,8 +132,6 @@
 		out->hopeless_starts += job->starts;
 		return;
 	}
-	if (arrival->cancel)
-		return;
 	finish_deadline(driver, job);
 	if (job->started)
 		return;
--- a/bench/decisions/scenario.h
+++ b/bench/decisions/scenario.h
@@ -28,6 +28,7 @@
  * @backlog: jobs that wait from the beginning
  * @starts_per_second: task starts that arrivals ask for
  * @duration_ms: length of the run
+ * @worths: levels of worth that teams use
  * @faults: wrong sizes, failing workers, jobs that can never run, and a wave
  *	of cancellations
  */
@@ -42,6 +43,7 @@
 	uint32_t backlog;
 	uint32_t starts_per_second;
 	uint32_t duration_ms;
+	uint32_t worths;
 	bool faults;
 };
 
