--- a/src/libzinniarack/sched/jobs.c
+++ b/src/libzinniarack/sched/jobs.c
@@ -98,7 +98,7 @@
 	job->urgent = spec->urgent;
 	job->at_most_once = spec->at_most_once;
 	job->reason = "accepted";
-	job->arrived_ms = sched->now;
+	job->arrival = sched->arrivals++;
 	sched->stats.job_bytes += sizeof(*job) + strlen(id) + 1;
 	return job->id && job->queue && job->profile ? 0 : ZR_E_NOMEM;
 }
@@ -239,7 +239,10 @@
 	if (job->place != ZR_SCHED_PLACE_NONE)
 		return;
 	job->wait = ZR_SCHED_WAIT_QUEUED;
-	if (job->not_before > sched->now)
+	if (sched->shape_count && !zr_sched_job_could_run(sched, job))
+		zr_sched_job_park(sched, handle,
+				  zr_sched_job_obstacle(sched, job));
+	else if (job->not_before > sched->now)
 		delay(sched, handle);
 	else if (zr_sched_queue_push(sched, handle, first) < 0)
 		zr_sched_job_set_state(sched, handle, ZR_JOB_FAILED,
@@ -390,6 +393,16 @@
 
 /* Cancelling */
 
+void zr_sched_job_unreserve(struct zr_sched *sched, zr_handle handle)
+{
+	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+
+	if (job->claims)
+		zr_sched_claims_drop(sched, handle, ZR_HANDLE_NONE);
+	if (job->reserving)
+		zr_sched_gang_drop(sched, handle, ZR_HANDLE_NONE);
+}
+
 static void stop_all(struct zr_sched *sched, zr_handle handle)
 {
 	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
@@ -409,10 +422,7 @@
 		return zr_error_set(ZR_E_STATE, "the job has ended");
 	zr_sched_now_refresh(sched);
 	job->cancelled = true;
-	if (job->claims)
-		zr_sched_claims_drop(sched, handle, ZR_HANDLE_NONE);
-	if (job->reserving)
-		zr_sched_gang_drop(sched, handle, ZR_HANDLE_NONE);
+	zr_sched_job_unreserve(sched, handle);
 	zr_sched_job_route(sched, handle, false);
 	if (job->running)
 		stop_all(sched, handle);
@@ -428,10 +438,8 @@
 		return;
 	zr_sched_now_refresh(sched);
 	job->held = held;
-	if (held && job->claims)
-		zr_sched_claims_drop(sched, handle, ZR_HANDLE_NONE);
-	if (held && job->reserving)
-		zr_sched_gang_drop(sched, handle, ZR_HANDLE_NONE);
+	if (held)
+		zr_sched_job_unreserve(sched, handle);
 	if (!held)
 		zr_sched_gang_check(sched, handle);
 	zr_sched_job_route(sched, handle, false);
@@ -445,10 +453,7 @@
 		return;
 	zr_sched_now_refresh(sched);
 	job->cancelled = true;
-	if (job->claims)
-		zr_sched_claims_drop(sched, handle, ZR_HANDLE_NONE);
-	if (job->reserving)
-		zr_sched_gang_drop(sched, handle, ZR_HANDLE_NONE);
+	zr_sched_job_unreserve(sched, handle);
 	zr_sched_job_route(sched, handle, false);
 	zr_sched_job_clear(sched, job);
 	zr_table_remove(sched->jobs, handle);
