--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -42,6 +42,7 @@
 	capacity_core(&capacity);
 	capacity_wire(&capacity);
 	capacity_store(&capacity, arguments.check);
+	capacity_failure(&capacity);
 	met = capacity_roles(&capacity);
 	return met || !arguments.check ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/bench/capacity/capacity.h
+++ b/bench/capacity/capacity.h
@@ -56,10 +56,18 @@
  * @start_out: bytes of a start's request by bytes of the command
  * @accepted_bytes: bytes of a job's ACCEPTED record by bytes of its command
  * @grant_bytes: bytes of the answer to an ask for slots by workers
+ * @hosts_bytes: bytes of the host list by hosts
+ * @config_bytes: bytes of the configuration by teams, one queue and key each
+ * @domain_bytes: memory of an active scheduler by jobs, without the core's
  * @store_writes: store writes a second of a domain by jobs a second
+ * @store_bound: the same past the journal's bound on writes
  * @store_reads: store reads a second of a domain by jobs a second
  * @store_bytes: bytes written to the store a second by jobs a second
  * @standby_reads: store reads a second of a domain by its hosts
+ * @lost_ms: time until a lost worker's tasks run again, by tasks
+ * @takeover_ms: time until a job submitted after its owner's death runs, by
+ *	jobs kept
+ * @takeover_reads: store reads of that take-over
  */
 struct capacity {
 	struct line worker_bytes;
@@ -73,16 +81,25 @@
 	struct line start_out;
 	struct line accepted_bytes;
 	struct line grant_bytes;
+	struct line hosts_bytes;
+	struct line config_bytes;
+	struct line domain_bytes;
 	struct line store_writes;
+	struct line store_bound;
 	struct line store_reads;
 	struct line store_bytes;
 	struct line standby_reads;
+	struct line lost_ms;
+	struct line takeover_ms;
+	struct line takeover_reads;
 };
 
 void capacity_core(struct capacity *out);
 void capacity_wire(struct capacity *out);
 void capacity_store(struct capacity *out, bool brief);
 
+void capacity_failure(struct capacity *out);
+
 /** capacity_cpu_us() - processor time of this process, in microseconds */
 double capacity_cpu_us(void);
 
--- a/bench/capacity/wire.c
+++ b/bench/capacity/wire.c
@@ -10,6 +10,7 @@
 #include "msg_grants.h"
 #include "msg_journal.h"
 #include "worker/http_worker.h"
+#include "zinniarack/config.h"
 
 /* Bytes of messages on the wire, by encoding the real ones. */
 
@@ -203,7 +204,8 @@
 static void grants_at(struct capacity *out, uint32_t workers)
 {
 	zx_grant *grants = calloc(workers, sizeof(*grants));
-	static zx_name service = "face-size-check";
+	static char service_name[] = "face-size-check";
+	static zx_name service = service_name;
 	zx_grant_result result = {.lease_ms = 10000};
 	uint32_t i;
 
@@ -223,6 +225,89 @@
 	free(grants);
 }
 
+/* As tests/standins/platform.c shows a worker. */
+static void hosts_at(struct capacity *out, uint32_t hosts)
+{
+	json_t *list = json_array();
+	json_t *body;
+	char *text;
+	uint32_t i;
+
+	for (i = 0; i < hosts; i++)
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:s, s:s, s:s, s:s, s:b, s:i, s:i, "
+				  "s:i, s:i}",
+				  "kind", "worker", "name", "worker-100",
+				  "domain", "sapporo", "rack", "rack-12",
+				  "address", "10.20.30.40:8080", "leaving", 0,
+				  "millicpus", 30000, "memory_mb", 133120,
+				  "accelerators", 1, "slots", 8));
+	body = json_pack("{s:o}", "hosts", list);
+	text = json_dumps(body, JSON_COMPACT);
+	if (!text)
+		abort();
+	line_add(&out->hosts_bytes, hosts, (double)strlen(text));
+	free(text);
+	json_decref(body);
+}
+
+static void config_at(struct capacity *out, uint32_t count)
+{
+	struct zr_config_team *teams = calloc(count, sizeof(*teams));
+	struct zr_config_queue *queues = calloc(count, sizeof(*queues));
+	struct zr_config_key *keys = calloc(count, sizeof(*keys));
+	struct zr_config config = {
+		.version = 850,
+		.teams = teams,
+		.teams_count = count,
+		.queues = queues,
+		.queues_count = count,
+		.keys = keys,
+		.keys_count = count,
+	};
+	size_t length;
+	char *text;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		teams[i].name = "branch-muscat";
+		teams[i].share = 4;
+		teams[i].limit = (struct zr_resources){600000, 2400000, 40};
+		queues[i].name = "reclaims-muscat";
+		queues[i].team = "branch-muscat";
+		queues[i].worth = 10;
+		keys[i].id = "branch-muscat-2026";
+		keys[i].team = "branch-muscat";
+		keys[i].salt = "0123456789abcdef0123456789abcdef";
+		keys[i].sha256 = "0123456789abcdef0123456789abcdef"
+				 "0123456789abcdef0123456789abcdef";
+	}
+	if (zr_config_print(&text, &length, &config) < 0)
+		abort();
+	line_add(&out->config_bytes, count, (double)length);
+	free(text);
+	free(teams);
+	free(queues);
+	free(keys);
+}
+
+static void lists(struct capacity *out)
+{
+	static const uint32_t hosts[] = {100, 200, 400, 800};
+	static const uint32_t teams[] = {4, 8, 16, 32};
+	size_t i;
+
+	out->hosts_bytes.name = "host list by hosts, bytes";
+	out->config_bytes.name = "configuration by teams, bytes";
+	for (i = 0; i < 4; i++) {
+		hosts_at(out, hosts[i]);
+		config_at(out, teams[i]);
+	}
+	line_fit(&out->hosts_bytes);
+	line_fit(&out->config_bytes);
+}
+
 void capacity_wire(struct capacity *out)
 {
 	static const uint32_t tasks[] = {0, 6, 12, 24, 48};
@@ -252,4 +337,5 @@
 	line_fit(&out->start_out);
 	line_fit(&out->accepted_bytes);
 	line_fit(&out->grant_bytes);
+	lists(out);
 }
