--- a/src/libzinniarack/route/private.h
+++ b/src/libzinniarack/route/private.h
@@ -84,6 +84,7 @@
 	char name[ZR_NAME_MAX];
 	struct route_worker **workers;
 	size_t worker_count;
+	uint32_t usable;
 	struct route_use *uses;
 	double latency_ms;
 	double deviation_ms;
@@ -152,8 +153,8 @@
 /* targets.c */
 struct route_service *route_service_find(const struct zr_router *router,
 					 const char *name);
-uint32_t route_service_slots(const struct route_service *service,
-			     struct timespec now);
+/** Count the slots that the service may use now. */
+void route_service_count(struct route_service *service, struct timespec now);
 /** Whether any grant for the service is in force, be it of no slots. */
 bool route_service_granted(const struct route_service *service,
 			   struct timespec now);
--- a/src/libzinniarack/route/queue.c
+++ b/src/libzinniarack/route/queue.c
@@ -13,6 +13,12 @@
 #define RETRY_AFTER_MS_MAX 10000
 /* How far above its mean a latency is to be expected. */
 #define DEVIATIONS 2.0
+/*
+ * Part of the time left that a newcomer's expected answer may take. The rest
+ * covers what the estimate does not see: a queue filled up to its deadlines
+ * turns each small delay into an answer that comes too late.
+ */
+#define ADMITTED_PART 0.6
 
 double route_expected_ms(const struct route_service *service)
 {
@@ -50,23 +56,25 @@
 	return team;
 }
 
-static void insert(struct route_team *team, struct route_call *call)
+/* Puts a request behind those of no less worth; returns its place. */
+static unsigned int insert(struct route_team *team, struct route_call *call)
 {
-	struct route_call *before;
+	unsigned int place = team->count;
+	struct route_call *after = team->calls ? team->calls->prev : NULL;
 
-	DL_FOREACH(team->calls, before)
-	{
-		if (before->worth < call->worth)
-			break;
+	while (place && after->worth < call->worth) {
+		after = after->prev;
+		place--;
 	}
-	if (before)
-		DL_PREPEND_ELEM(team->calls, before, call);
+	if (place)
+		DL_APPEND_ELEM(team->calls, after, call);
 	else
-		DL_APPEND(team->calls, call);
+		DL_PREPEND(team->calls, call);
 	call->team = team;
 	team->count++;
 	call->service->waiting++;
 	call->router->waiting++;
+	return place;
 }
 
 void route_queue_remove(struct route_call *call)
@@ -96,14 +104,12 @@
 
 /* Admission */
 
-static double wait_per_call(const struct zr_router *router,
-			    const struct route_service *service)
+/* Time until so many requests have got a slot. */
+static double wait_of(const struct route_service *service, double calls)
 {
-	uint32_t slots = route_service_slots(service, route_now(router));
-
-	if (!slots)
-		return GRANT_WAIT_MS + service->latency_ms;
-	return service->latency_ms / slots;
+	if (!service->usable)
+		return GRANT_WAIT_MS + calls * service->latency_ms;
+	return calls * service->latency_ms / service->usable;
 }
 
 /* Requests served before one at this place of its team's queue. */
@@ -125,19 +131,18 @@
 
 static bool in_time(const struct route_call *call,
 		    const struct route_team *team, unsigned int place,
-		    unsigned int slack, double wait_ms)
+		    double part)
 {
 	const struct route_service *service = call->service;
-	double wait = (calls_before(service, team, place) + slack) * wait_ms;
+	double wait = wait_of(service, calls_before(service, team, place));
 
-	return wait + route_expected_ms(service) < remaining_ms(call);
+	return wait + route_expected_ms(service) < part * remaining_ms(call);
 }
 
 unsigned int route_queue_retry_after(struct zr_router *router,
 				     const struct route_service *service)
 {
-	double ms = service->waiting * wait_per_call(router, service) +
-		    service->latency_ms;
+	double ms = wait_of(service, service->waiting) + service->latency_ms;
 
 	if (ms < RETRY_AFTER_MS_MIN)
 		ms = RETRY_AFTER_MS_MIN;
@@ -147,28 +152,39 @@
 	return (unsigned int)(ms * (1 + route_random(router)));
 }
 
-/*
- * Refuses what cannot be answered in time. A newcomer (@slack 1) must allow for
- * one that has just begun; what waits has seen it go on.
- */
-static void refuse_late(const struct zr_router *router,
-			const struct route_service *service,
-			struct route_team *team, unsigned int slack)
+static void refuse_late(struct route_team *team)
 {
-	double wait_ms = wait_per_call(router, service);
 	struct route_call *call;
 	struct route_call *next;
 	unsigned int place = 0;
 
 	DL_FOREACH_SAFE(team->calls, call, next)
 	{
-		if (in_time(call, team, place, slack, wait_ms))
+		if (in_time(call, team, place, 1))
 			place++;
 		else
 			route_call_refuse(call, ZR_E_OVERLOADED, "not_in_time");
 	}
 }
 
+/*
+ * Admits a request that has been put in its place, or refuses it. It allows for
+ * one request that has just begun. Then the last of its team may be too late.
+ */
+static void admit(struct route_call *call, unsigned int place)
+{
+	struct route_team *team = call->team;
+	struct route_call *last;
+
+	if (!in_time(call, team, place + 1, ADMITTED_PART)) {
+		route_call_refuse(call, ZR_E_OVERLOADED, "not_in_time");
+		return;
+	}
+	last = team->calls->prev;
+	if (last != call && !in_time(last, team, team->count - 1, 1))
+		route_call_refuse(last, ZR_E_OVERLOADED, "not_in_time");
+}
+
 /* The team that has most waiting for its share. */
 static struct route_team *longest(const struct route_service *service)
 {
@@ -189,19 +205,20 @@
 	struct route_service *service = call->service;
 	struct zr_router *router = call->router;
 	struct route_team *team = get_team(service, call);
+	unsigned int place;
 
 	route_unmet(service);
 	if (!route_service_granted(service, route_now(router))) {
 		route_call_refuse(call, ZR_E_OVERLOADED, "grants_lapsed");
 		return;
 	}
-	insert(team, call);
+	place = insert(team, call);
 	route_decided(router, "wait", call->id, service, NULL, "no_free_slot");
 	if (service->waiting > WAITING_MAX)
 		route_call_refuse(longest(service)->calls->prev,
 				  ZR_E_OVERLOADED, "queue_full");
-	if (router->options.admission)
-		refuse_late(router, service, team, 1);
+	else if (router->options.admission)
+		admit(call, place);
 }
 
 /* Service */
@@ -228,6 +245,11 @@
 
 	while (!router->freeing && (team = next_team(service))) {
 		call = team->calls;
+		if (router->options.admission &&
+		    remaining_ms(call) < route_expected_ms(service)) {
+			route_call_refuse(call, ZR_E_OVERLOADED, "not_in_time");
+			continue;
+		}
 		worker = route_choose(&reason, call);
 		if (!worker)
 			return;
@@ -273,11 +295,12 @@
 	if (!router->waiting)
 		return;
 	for (service = router->services; service; service = service->hh.next) {
+		route_service_count(service, route_now(router));
 		route_queue_pump(router, service);
 		DL_FOREACH(service->teams, team)
 		{
 			if (router->options.admission)
-				refuse_late(router, service, team, 0);
+				refuse_late(team);
 			else
 				expire_all(team);
 		}
--- a/src/libzinniarack/route/targets.c
+++ b/src/libzinniarack/route/targets.c
@@ -72,20 +72,18 @@
 	free(service);
 }
 
-uint32_t route_service_slots(const struct route_service *service,
-			     struct timespec now)
+void route_service_count(struct route_service *service, struct timespec now)
 {
-	uint32_t sum = 0;
 	size_t i;
 
+	service->usable = 0;
 	for (i = 0; i < service->worker_count; i++) {
 		const struct route_worker *worker = service->workers[i];
 
 		if (!worker->leaving && worker->health == ROUTE_HEALTHY &&
 		    zr_time_cmp(now, worker->expires) < 0)
-			sum += worker->slots;
+			service->usable += worker->slots;
 	}
-	return sum;
 }
 
 bool route_service_granted(const struct route_service *service,
@@ -355,8 +353,10 @@
 			   expires);
 	settle_unnamed(router, domain, result->partial, expires);
 	list_workers(router);
-	for (service = router->services; service; service = service->hh.next)
+	for (service = router->services; service; service = service->hh.next) {
+		route_service_count(service, route_now(router));
 		route_queue_pump(router, service);
+	}
 }
 
 void zr_router_leave(struct zr_router *router)
@@ -373,6 +373,7 @@
 void zr_router_hosts(struct zr_router *router, const struct zr_host *hosts,
 		     size_t count)
 {
+	struct route_service *service;
 	struct route_worker *worker;
 	size_t i;
 
@@ -383,6 +384,8 @@
 				worker->leaving = hosts[i].leaving;
 		}
 	}
+	for (service = router->services; service; service = service->hh.next)
+		route_service_count(service, route_now(router));
 }
 
 void route_workers_free(struct zr_router *router)
