--- a/src/libzinniarack/entry/api_jobs.c
+++ b/src/libzinniarack/entry/api_jobs.c
@@ -2,7 +2,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "domain/convert.h"
 #include "entry/private.h"
@@ -28,30 +27,27 @@
 			 "result", job->result);
 }
 
-/* Which failure domain */
-
-/* The same key must reach the same domain through every entry daemon. */
-static const char *home_of_key(const struct zr_entry *entry,
-			       const struct zr_job_spec *spec)
+static json_t *job_results_json(const zx_job *job)
 {
-	uint64_t best_weight = 0;
-	const char *best = NULL;
-	const char *domain;
-	size_t i;
+	json_t *json = job_json(job);
+	json_t *results = json_array();
+	u_int i;
 
-	for (i = 0; (domain = zr_directory_domain(entry->directory, i)); i++) {
-		uint64_t weight = XXH64(spec->idempotency_key,
-					strlen(spec->idempotency_key),
-					XXH64(domain, strlen(domain), 0));
-
-		if (!best || weight > best_weight) {
-			best = domain;
-			best_weight = weight;
-		}
+	for (i = 0; i < job->results.results_len; i++) {
+		const zx_task_result *task = &job->results.results_val[i];
+
+		json_array_append_new(results,
+				      json_pack("{s:i, s:b, s:s}", "task",
+						(int)task->index, "succeeded",
+						(int)task->succeeded, "result",
+						task->result));
 	}
-	return best;
+	json_object_set_new(json, "results", results);
+	return json;
 }
 
+/* Which failure domain */
+
 static const char *home_of(const struct zr_entry *entry,
 			   const struct zr_job_spec *spec)
 {
@@ -59,8 +55,10 @@
 	const char *domain;
 	size_t i;
 
+	/* The same key must reach the same domain through every entry daemon */
 	if (*spec->idempotency_key)
-		return home_of_key(entry, spec);
+		return zr_config_home(zr_config_watch_current(entry->config),
+				      spec->idempotency_key);
 	if (zr_directory_active(entry->directory, own))
 		return own;
 	for (i = 0; (domain = zr_directory_domain(entry->directory, i)); i++) {
@@ -136,11 +134,17 @@
 		    const struct zr_job_spec *spec)
 {
 	const char *domain = home_of(entry, spec);
-	struct zr_rpc_client *client =
-		zr_directory_active(entry->directory, domain);
+	struct zr_rpc_client *client;
 	struct entry_call *call;
 	zx_submit_args args;
 
+	if (!domain) {
+		entry_reply_error(exchange, ZR_E_NOT_FOUND,
+				  "no declared failure domain takes "
+				  "idempotency keys");
+		return;
+	}
+	client = zr_directory_active(entry->directory, domain);
 	if (!client) {
 		entry_reply_error(exchange, ZR_E_UNREACHABLE,
 				  "the job's home domain has no active "
@@ -186,7 +190,7 @@
 	else if (result->error < 0)
 		entry_call_end_error(call, result->error, result->detail);
 	else
-		entry_call_end_json(call, 200, job_json(&result->job));
+		entry_call_end_json(call, 200, job_results_json(&result->job));
 }
 
 static json_t *refusals_json(const zx_explain_result *result)
@@ -370,7 +374,7 @@
 		submit(entry, exchange);
 		return;
 	}
-	error = entry_authenticate(&team, entry, exchange);
+	error = entry_authenticate_reader(&team, entry, exchange);
 	if (error < 0) {
 		entry_reply_error(exchange, error, zr_error_last());
 		return;
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/peers.h"
 #include "config/watch.h"
 #include "domain/domain.h"
 #include "net/http_server.h"
@@ -10,8 +11,10 @@
 #include "net/rpc_server.h"
 #include "net/uv_timers.h"
 #include "rpc/procedures.h"
+#include "scheduler/declared.h"
 #include "scheduler/grants.h"
 #include "scheduler/service.h"
+#include "store/budget.h"
 #include "store/etcd.h"
 #include "worker/http_host_list.h"
 #include "worker/http_worker.h"
@@ -19,6 +22,12 @@
 #include "zinniarack/log.h"
 
 #define HOST_LIST_POLL_MS 1000
+/* What one scheduler may call of the store. */
+#define STORE_WRITES_PER_S 25
+#define STORE_READS_PER_S 40
+#define STORE_BURST 60
+#define STORE_WAITING_MAX 256
+#define STORE_WAIT_MS 1000
 
 struct zr_scheduler {
 	uv_loop_t *loop;
@@ -28,9 +37,13 @@
 	struct zr_store store;
 	struct zr_host_list host_list;
 	bool host_list_open;
+	struct timespec host_list_asked;
+	const struct zr_clock *clock;
 	uv_timer_t timer;
 	struct zr_config_watch *config;
+	struct zr_config_peers *peers;
 	struct zr_domain *domain;
+	struct zr_declared *declared;
 	struct zr_scheduler_service service;
 	struct zr_rpc_server *rpc;
 	struct zr_http_server *http;
@@ -42,6 +55,27 @@
 
 	scheduler->service.config_version = config->version;
 	zr_domain_configure(scheduler->domain, config);
+	zr_declared_configure(scheduler->declared, config);
+}
+
+/* A drained worker is treated as one that the host list says is leaving. */
+static void take_hosts(struct zr_scheduler *scheduler,
+		       const struct zr_host *hosts, size_t count)
+{
+	const struct zr_config *config =
+		zr_config_watch_current(scheduler->config);
+	struct zr_host *copy = calloc(count ? count : 1, sizeof(*copy));
+	size_t i;
+
+	if (!copy)
+		return;
+	for (i = 0; i < count; i++) {
+		copy[i] = hosts[i];
+		copy[i].leaving |= config && hosts[i].kind == ZR_HOST_WORKER &&
+				   zr_config_drained(config, hosts[i].name);
+	}
+	zr_domain_hosts(scheduler->domain, copy, count);
+	free(copy);
 }
 
 static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
@@ -52,7 +86,9 @@
 	scheduler->host_list_open = false;
 	if (error < 0)
 		return;
-	zr_domain_hosts(scheduler->domain, hosts, count);
+	take_hosts(scheduler, hosts, count);
+	zr_config_peers_hosts(scheduler->peers, hosts, count,
+			      scheduler->host_list_asked);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -62,10 +98,35 @@
 	if (scheduler->host_list_open)
 		return;
 	scheduler->host_list_open = true;
+	scheduler->host_list_asked = zr_clock_now(scheduler->clock);
 	scheduler->host_list.ops->read(scheduler->host_list.impl, on_hosts,
 				       scheduler);
 }
 
+static int follow_config(struct zr_scheduler *scheduler)
+{
+	const struct zr_settings *settings = scheduler->settings;
+	const struct zr_config_watch_options options = {
+		.version = ZR_CONFIG_WATCH_OPTIONS_VERSION,
+		.timers = &scheduler->timers,
+		.clock = scheduler->clock,
+		.store = &scheduler->store,
+		.metrics = scheduler->metrics,
+		.name = settings->name,
+		.domain = settings->failure_domain,
+		.changed = on_config,
+		.ctx = scheduler,
+	};
+	int error = zr_config_watch_new(&scheduler->config, &options);
+
+	if (error < 0)
+		return error;
+	return zr_config_peers_new(&scheduler->peers, scheduler->loop,
+				   &scheduler->timers, scheduler->clock,
+				   scheduler->config, false, settings->name,
+				   settings->failure_domain);
+}
+
 static int make_domain(struct zr_scheduler *scheduler,
 		       const struct zr_clock *clock)
 {
@@ -85,6 +146,32 @@
 	return zr_domain_new(&scheduler->domain, &options);
 }
 
+static int make_store(struct zr_scheduler *scheduler,
+		      const struct zr_clock *clock)
+{
+	const struct zr_store_budget_options options = {
+		.version = ZR_STORE_BUDGET_OPTIONS_VERSION,
+		.timers = &scheduler->timers,
+		.clock = clock,
+		.writes_per_s = STORE_WRITES_PER_S,
+		.reads_per_s = STORE_READS_PER_S,
+		.burst = STORE_BURST,
+		.waiting_max = STORE_WAITING_MAX,
+		.wait_ms = STORE_WAIT_MS,
+		.metrics = scheduler->metrics,
+	};
+	struct zr_store inner;
+	int error = zr_etcd_new(&inner, scheduler->loop,
+				scheduler->settings->store, scheduler->metrics);
+
+	if (error < 0)
+		return error;
+	error = zr_store_budget_new(&scheduler->store, &inner, &options);
+	if (error < 0)
+		zr_store_free(&inner);
+	return error;
+}
+
 static int make_service(struct zr_scheduler *scheduler,
 			const struct zr_clock *clock)
 {
@@ -120,17 +207,18 @@
 		return ZR_E_NOMEM;
 	scheduler->loop = loop;
 	scheduler->timers = zr_uv_timers(loop);
+	scheduler->clock = clock;
 	scheduler->settings = settings;
 	if ((error = zr_metrics_new(&scheduler->metrics)) < 0 ||
-	    (error = zr_etcd_new(&scheduler->store, loop, settings->store,
-				 scheduler->metrics)) < 0 ||
+	    (error = make_store(scheduler, clock)) < 0 ||
 	    (error = zr_http_host_list_new(&scheduler->host_list, loop,
 					   settings->host_list)) < 0 ||
 	    (error = make_domain(scheduler, clock)) < 0 ||
+	    (error = zr_declared_new_for(
+		     &scheduler->declared, &scheduler->timers, clock,
+		     scheduler->domain, settings->failure_domain)) < 0 ||
 	    (error = make_service(scheduler, clock)) < 0 ||
-	    (error = zr_config_watch_new(&scheduler->config, &scheduler->timers,
-					 &scheduler->store, on_config,
-					 scheduler)) < 0)
+	    (error = follow_config(scheduler)) < 0)
 		return error;
 	uv_timer_init(loop, &scheduler->timer);
 	scheduler->timer.data = scheduler;
@@ -157,8 +245,10 @@
 	uv_close((uv_handle_t *)&scheduler->timer, NULL);
 	zr_rpc_server_free(scheduler->rpc);
 	zr_http_server_stop(scheduler->http);
+	zr_config_peers_free(scheduler->peers);
 	zr_config_watch_free(scheduler->config);
 	zr_domain_free(scheduler->domain);
+	zr_declared_free(scheduler->declared);
 	zr_grants_free(scheduler->service.grants);
 	scheduler->host_list.ops->free(scheduler->host_list.impl);
 	zr_store_free(&scheduler->store);
