Status: entry daemons state their version under a name of its own

Cause: rows of entry daemons carried config_version as schedulers' rows do, so that a search for an active scheduler with that version also found them, and test_path went on before the scheduler had it.

--- a/src/libzinniarack/entry/api_operators.c
+++ b/src/libzinniarack/entry/api_operators.c
@@ -208,7 +208,7 @@
 		ctx, json_pack("{s:s, s:s, s:s, s:I, s:I}", "name", info->name,
 			       "domain", info->domain, "address", info->address,
 			       "heard_ms", (json_int_t)info->heard_ms,
-			       "config_version", (json_int_t)info->version));
+			       "version", (json_int_t)info->version));
 }
 
 void entry_status(struct zr_entry *entry, struct zr_http_exchange *exchange)
