--- a/src/cli/config.c
+++ b/src/cli/config.c
@@ -88,8 +88,8 @@
 /* Which version is in force in each process, as one entry daemon hears. */
 static int where(const struct cli_options *options)
 {
-	static const char *const columns[] = {
-		"process", "name", "domain", "address", "config_version", NULL};
+	static const char *const columns[] = {"process", "name",    "domain",
+					      "address", "version", NULL};
 	json_t *rows = json_array();
 	json_t *status;
 	json_t *row;
@@ -102,6 +102,8 @@
 	}
 	json_array_foreach (json_object_get(status, "schedulers"), i, row) {
 		json_object_set_new(row, "process", json_string("scheduler"));
+		json_object_set(row, "version",
+				json_object_get(row, "config_version"));
 		json_array_append(rows, row);
 	}
 	if (result == CLI_EXIT_OK)
