--- a/src/libzinniarack/config/rules.c
+++ b/src/libzinniarack/config/rules.c
@@ -58,7 +58,7 @@
 
 	switch (rule->kind) {
 	case ZR_RULE_RANGE:
-		snprintf(out, size, "%.10g to %.10g%s%s", rule->min, rule->max,
+		snprintf(out, size, "%.12g to %.12g%s%s", rule->min, rule->max,
 			 *unit ? " " : "", unit);
 		return;
 	case ZR_RULE_NAME:
