--- a/src/libzinniarack/entry/api.c
+++ b/src/libzinniarack/entry/api.c
@@ -30,6 +30,8 @@
 		return 422;
 	case ZR_E_OUTCOME_UNKNOWN:
 	case ZR_E_PROTOCOL:
+	case ZR_E_CANCELLED:
+	case ZR_E_TIMEOUT:
 		return 502;
 	default:
 		return 503;
@@ -39,7 +41,8 @@
 /* Whether the request surely had no effect. */
 static bool not_run(int error)
 {
-	return error != ZR_E_OUTCOME_UNKNOWN && error != ZR_E_PROTOCOL;
+	/* A call that was given up may have been sent before. */
+	return status_of(error) != 502;
 }
 
 void entry_reply_json(struct zr_http_exchange *exchange, int status, void *json)
