Scheduler core: probes find their worker; counted work under test

Cause: a script of a cell whose only worker is suspect showed that no probe ever starts while all waiting work is refused: there was no way back. Change: a suspect worker whose probe is due is offered to waiting work like one with freed room. Rank is kept with the job, lanes count their jobs, so that explain walks no queue. tests/unit/test_sched_work.c bounds counted work and bytes. Figures: test_sched_work: a decide stays within 8,192 + 256 jobs and workers examined with 100,000 waiting; a second decide examines 0; cancelling 100,000 examines 0; work per start at 800 workers within 2 times that at 50.

--- a/src/libzinniarack/sched/blame.c
+++ b/src/libzinniarack/sched/blame.c
@@ -15,8 +15,8 @@
 /* First and longest interval between probes, in milliseconds. */
 #define PROBE_FIRST_MS 5000
 #define PROBE_LONGEST_MS 600000
-/* Workers looked at for one probe. */
-#define PROBE_SEARCH_MAX 8
+/* Interval between looks for workers whose probe is due, in milliseconds. */
+#define PROBE_LOOK_MS 1000
 
 bool zr_sched_blame_avoids(const struct zr_sched_job *job, zr_handle worker)
 {
@@ -151,38 +151,61 @@
 
 /* Probes */
 
-static bool may_probe(const struct zr_sched *sched,
-		      const struct zr_sched_host *host,
-		      const struct zr_resources *need)
+bool zr_sched_probe_due(const struct zr_sched *sched,
+			const struct zr_sched_host *host)
 {
-	struct zr_resources room = zr_sched_host_free(host);
-
 	return host->suspect && !host->probing &&
 	       host->state == ZR_SCHED_WORKER_UP &&
-	       host->probe_at <= sched->now && zr_resources_fit(need, &room);
+	       host->probe_at <= sched->now;
+}
+
+/* The suspect worker after the last one whose next probe is due. */
+static zr_handle next_due(struct zr_sched *sched, zr_handle from,
+			  zr_handle until)
+{
+	zr_handle worker = from;
+
+	while ((worker = zr_table_next(sched->workers, worker))) {
+		sched->stats.workers_examined++;
+		if (zr_sched_probe_due(sched,
+				       zr_sched_host_row(sched, worker)) ||
+		    worker == until)
+			break;
+	}
+	return worker;
+}
+
+void zr_sched_probes_due(struct zr_sched *sched)
+{
+	zr_handle last = sched->probe_worker;
+	zr_handle worker;
+
+	if (!sched->suspects || sched->now < sched->probe_at)
+		return;
+	sched->probe_at = sched->now + PROBE_LOOK_MS;
+	worker = next_due(sched, last, ZR_HANDLE_NONE);
+	if (!worker)
+		worker = next_due(sched, ZR_HANDLE_NONE, last);
+	sched->probe_worker = worker;
+	if (worker)
+		zr_sched_queue_freed(sched, worker);
 }
 
 zr_handle zr_sched_probe_find(struct zr_sched *sched,
 			      const struct zr_sched_job *job,
 			      const struct zr_resources *need)
 {
-	unsigned int i;
+	const struct zr_sched_host *host =
+		zr_sched_host_row(sched, sched->probe_worker);
+	struct zr_resources room;
 
 	/* Nothing that anybody waits for, or that cannot be run again. */
-	if (!sched->suspects || job->kind != ZR_JOB_BATCH || job->urgent ||
+	if (!host || job->kind != ZR_JOB_BATCH || job->urgent ||
 	    job->at_most_once)
 		return ZR_HANDLE_NONE;
-	for (i = 0; i < PROBE_SEARCH_MAX; i++) {
-		const struct zr_sched_host *host;
-
-		sched->probe_cursor =
-			zr_table_next(sched->workers, sched->probe_cursor);
-		host = zr_sched_host_row(sched, sched->probe_cursor);
-		if (!host)
-			continue;
-		sched->stats.workers_examined++;
-		if (may_probe(sched, host, need))
-			return sched->probe_cursor;
-	}
-	return ZR_HANDLE_NONE;
+	sched->stats.workers_examined++;
+	room = zr_sched_host_free(host);
+	if (!zr_sched_probe_due(sched, host) || !zr_resources_fit(need, &room))
+		return ZR_HANDLE_NONE;
+	return sched->probe_worker;
 }
--- a/src/libzinniarack/sched/core.h
+++ b/src/libzinniarack/sched/core.h
@@ -269,6 +269,7 @@
 struct zr_sched_lane {
 	int64_t start_by;
 	uint32_t rank;
+	uint32_t count;
 	zr_handle head;
 	zr_handle tail;
 };
@@ -287,6 +288,7 @@
 	uint8_t kind;
 	uint8_t cpu_octave;
 	uint8_t memory_octave;
+	uint8_t unused[3]; /* the key is hashed and compared as bytes */
 };
 
 /**
@@ -416,7 +418,7 @@
 	uint32_t claim_count;
 	struct zr_sched_reservation gang;
 	zr_handle preempt_cursor;
-	zr_handle probe_cursor;
+	zr_handle probe_worker; /* whose probe is due */
 	uint32_t suspects;
 	uint64_t arrivals;
 	int64_t now;
@@ -548,6 +550,7 @@
 uint32_t zr_sched_job_waiting(const struct zr_sched_job *job);
 /** zr_sched_job_next_task() - the first waiting task, or job->tasks */
 uint32_t zr_sched_job_next_task(struct zr_sched_job *job);
+/** zr_sched_job_rank() - worth of a job and of its queue, as configured */
 uint32_t zr_sched_job_rank(const struct zr_sched *sched,
 			   const struct zr_sched_job *job);
 void zr_sched_jobs_due(struct zr_sched *sched);
@@ -626,6 +629,11 @@
 			   zr_handle worker, bool probe,
 			   enum zr_sched_outcome outcome);
 bool zr_sched_blame_avoids(const struct zr_sched_job *job, zr_handle worker);
+/** zr_sched_probe_due() - whether a suspect worker may get a probe */
+bool zr_sched_probe_due(const struct zr_sched *sched,
+			const struct zr_sched_host *host);
+/** zr_sched_probes_due() - look for a worker whose probe is due */
+void zr_sched_probes_due(struct zr_sched *sched);
 /** zr_sched_probe_find() - a suspect worker that may get a probe, or none */
 zr_handle zr_sched_probe_find(struct zr_sched *sched,
 			      const struct zr_sched_job *job,
--- a/src/libzinniarack/sched/decide.c
+++ b/src/libzinniarack/sched/decide.c
@@ -11,8 +11,6 @@
 #define LOOK_AHEAD 4
 /* Urgent work that found no victims is tried again after this time. */
 #define URGENT_RETRY_MS 100
-/* Suspect workers without a probe are looked at again after this time. */
-#define PROBE_RETRY_MS 250
 
 enum try_outcome {
 	TRY_PLACED, /* one or more tasks have started */
@@ -50,19 +48,14 @@
 	zr_handle worker;
 	zr_handle placement;
 
-	if (sched->now < sched->probe_at)
-		return false;
 	worker = zr_sched_probe_find(sched, zr_sched_job_row(sched, handle),
 				     need);
-	if (!worker) {
-		sched->probe_at = sched->now + PROBE_RETRY_MS;
-		return false;
-	}
 	placement = start_on(sched, handle, worker, "probe of the worker");
 	if (!placement)
 		return false;
 	zr_sched_placement_row(sched, placement)->probe = true;
 	zr_sched_host_row(sched, worker)->probing = true;
+	sched->probe_worker = ZR_HANDLE_NONE;
 	return true;
 }
 
@@ -86,7 +79,7 @@
 {
 	zr_handle worker;
 
-	if (sched->suspects && start_probe(sched, handle, need))
+	if (sched->probe_worker && start_probe(sched, handle, need))
 		return true;
 	worker =
 		zr_sched_fit_find(sched, zr_sched_job_row(sched, handle), need);
@@ -275,6 +268,7 @@
 	zr_sched_stops_due(sched);
 	zr_sched_jobs_due(sched);
 	zr_sched_parked_review(sched);
+	zr_sched_probes_due(sched);
 	retry_urgent(sched);
 	retry_gangs(sched);
 	starts = zr_sched_claims_due(sched, most_starts);
--- a/src/libzinniarack/sched/explain.c
+++ b/src/libzinniarack/sched/explain.c
@@ -131,19 +131,14 @@
 		snprintf(out->hint, sizeof(out->hint), "%s", info->reason);
 }
 
-static uint32_t jobs_above(const struct zr_sched *sched,
-			   const struct zr_sched_class *class, uint32_t rank)
+static uint32_t jobs_above(const struct zr_sched_class *class, uint32_t rank)
 {
 	uint32_t jobs = 0;
 	uint32_t i;
 
 	for (i = 0; i < class->lane_count; i++) {
-		zr_handle handle = class->lanes[i].head;
-
-		if (class->lanes[i].rank <= rank)
-			continue;
-		for (; handle; handle = zr_sched_job_row(sched, handle)->next)
-			jobs++;
+		if (class->lanes[i].rank > rank)
+			jobs += class->lanes[i].count;
 	}
 	return jobs;
 }
@@ -151,13 +146,12 @@
 static uint32_t jobs_before(const struct zr_sched *sched,
 			    const struct zr_sched_job *job)
 {
-	uint32_t rank = zr_sched_job_rank(sched, job);
 	struct zr_sched_class *class;
 	struct zr_sched_class *next;
 	uint32_t jobs = 0;
 
 	HASH_ITER (hh, sched->classes, class, next)
-		jobs += jobs_above(sched, class, rank);
+		jobs += jobs_above(class, job->rank);
 	return jobs;
 }
 
--- a/src/libzinniarack/sched/policy.c
+++ b/src/libzinniarack/sched/policy.c
@@ -9,7 +9,7 @@
  */
 
 /* Work with less slack than this counts as pressed, in milliseconds. */
-#define PRESSED_SLACK_MS (15 * 60 * 1000)
+#define PRESSED_SLACK_MS INT64_C(900000)
 /* Worth added to pressed work. */
 #define PRESSED_WORTH 25
 /* Weighted shares that differ by less count as alike, in parts per billion. */
--- a/src/libzinniarack/sched/preempt.c
+++ b/src/libzinniarack/sched/preempt.c
@@ -63,8 +63,7 @@
 
 	return slot->state == ZR_SCHED_TASK_RUNNING && !job->urgent &&
 	       !job->at_most_once && job->kind != ZR_JOB_GANG &&
-	       slot->preempted < VICTIM_BUDGET &&
-	       zr_sched_job_rank(sched, job) < rank &&
+	       slot->preempted < VICTIM_BUDGET && job->rank < rank &&
 	       team_has_budget(sched,
 			       zr_sched_team_row(sched, job->profile->team));
 }
@@ -73,8 +72,7 @@
 static uint64_t cost_of(const struct zr_sched *sched,
 			const struct zr_sched_placement *placement)
 {
-	uint64_t rank = zr_sched_job_rank(
-		sched, zr_sched_job_row(sched, placement->job));
+	uint64_t rank = zr_sched_job_row(sched, placement->job)->rank;
 	int64_t ran = sched->now - placement->started_ms;
 
 	return rank << 32 | (ran < UINT32_MAX ? (uint64_t)ran : UINT32_MAX);
@@ -160,7 +158,7 @@
 		   const struct zr_sched_job *job,
 		   const struct zr_resources *need)
 {
-	uint32_t rank = zr_sched_job_rank(sched, job);
+	uint32_t rank = job->rank;
 	unsigned int found = 0;
 	struct choice choice = {0};
 	unsigned int i;
--- a/src/libzinniarack/sched/profile.c
+++ b/src/libzinniarack/sched/profile.c
@@ -109,8 +109,6 @@
 {
 	struct zr_sched_profile *profile;
 
-	if (HASH_COUNT(sched->profiles) >= PROFILES_MAX)
-		evict_oldest(sched);
 	profile = calloc(1, sizeof(*profile) + length + 1);
 	if (!profile)
 		return NULL;
@@ -137,6 +135,8 @@
 				      strlen(team_name) + 1);
 	if (profile)
 		profile->refs++;
+	if (HASH_COUNT(sched->profiles) > PROFILES_MAX)
+		evict_oldest(sched);
 	return profile;
 }
 
--- a/src/libzinniarack/sched/queue.c
+++ b/src/libzinniarack/sched/queue.c
@@ -37,6 +37,7 @@
 		zr_sched_job_row(sched, job->next)->previous = handle;
 	else
 		lane->tail = handle;
+	lane->count++;
 }
 
 void zr_sched_lane_remove(struct zr_sched *sched, struct zr_sched_lane *lane,
@@ -52,6 +53,7 @@
 		zr_sched_job_row(sched, job->next)->previous = job->previous;
 	else
 		lane->tail = job->previous;
+	lane->count--;
 }
 
 /* Earliest latest start first, then most worth. */
@@ -127,7 +129,6 @@
 {
 	struct zr_resources need = zr_sched_job_need(job);
 
-	/* Padding is hashed too. */
 	memset(key, 0, sizeof(*key));
 	key->team = job->profile->team;
 	key->accelerators = need.accelerators;
@@ -237,7 +238,6 @@
 	uint32_t lane = 0;
 	int error;
 
-	job->rank = zr_sched_job_rank(sched, job);
 	make_key(&key, job);
 	error = obtain_class(&class, sched, &key);
 	if (error < 0)
@@ -414,11 +414,19 @@
 /* Workers with freed room. One has room for few tasks, so that of the classes
  * that wait for room only the best that fits is tried, then the next. */
 
+static bool may_get_work(const struct zr_sched *sched,
+			 const struct zr_sched_host *host)
+{
+	if (host->suspect)
+		return zr_sched_probe_due(sched, host);
+	return host->state == ZR_SCHED_WORKER_UP;
+}
+
 void zr_sched_queue_freed(struct zr_sched *sched, zr_handle handle)
 {
 	struct zr_sched_host *host = zr_sched_host_row(sched, handle);
 
-	if (host->freed || host->state != ZR_SCHED_WORKER_UP || host->suspect)
+	if (host->freed || !may_get_work(sched, host))
 		return;
 	host->freed = true;
 	host->next_freed = ZR_HANDLE_NONE;
@@ -485,7 +493,7 @@
 	struct zr_sched_class *class;
 	struct zr_sched_class *next;
 
-	if (host->state != ZR_SCHED_WORKER_UP || host->suspect)
+	if (!may_get_work(sched, host))
 		return false;
 	HASH_ITER (hh, sched->classes, class, next) {
 		if (may_use(sched, class, &room) &&
@@ -512,13 +520,17 @@
 /* A queue's worth has changed: its jobs take their place anew. */
 static void queue_again(struct zr_sched *sched, zr_handle handle)
 {
-	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+	uint32_t rank = zr_sched_job_rank(sched, job);
+	bool queued = job->place == ZR_SCHED_PLACE_QUEUE;
 
-	if (job->place != ZR_SCHED_PLACE_QUEUE ||
-	    job->rank == zr_sched_job_rank(sched, job))
+	if (job->rank == rank)
 		return;
-	zr_sched_queue_remove(sched, handle);
-	zr_sched_job_route(sched, handle, false);
+	if (queued)
+		zr_sched_queue_remove(sched, handle);
+	job->rank = rank;
+	if (queued)
+		zr_sched_job_route(sched, handle, false);
 }
 
 void zr_sched_queues_configure(struct zr_sched *sched)
--- a/src/libzinniarack/sched/relief.c
+++ b/src/libzinniarack/sched/relief.c
@@ -76,7 +76,7 @@
 {
 	const struct zr_sched_job *job =
 		zr_sched_job_row(sched, placement->job);
-	uint32_t rank = zr_sched_job_rank(sched, job);
+	uint32_t rank = job->rank;
 
 	if (placement->backfill)
 		return 0;
--- a/src/libzinniarack/sched/sched.c
+++ b/src/libzinniarack/sched/sched.c
@@ -68,26 +68,39 @@
 	zr_table_free(sched->teams);
 }
 
-static void free_hashes(struct zr_sched *sched)
+static void free_classes(struct zr_sched *sched)
 {
-	struct zr_sched_class *class;
-	struct zr_sched_class *next_class;
-	struct zr_sched_profile *profile;
-	struct zr_sched_profile *next_profile;
-	struct zr_sched_name *name;
-	struct zr_sched_name *next_name;
-
-	HASH_ITER (hh, sched->classes, class, next_class) {
-		HASH_DELETE(hh, sched->classes, class);
+	struct zr_sched_class *class = sched->classes;
+	struct zr_sched_class *next;
+
+	HASH_CLEAR(hh, sched->classes);
+	for (; class; class = next) {
+		next = class->hh.next;
 		free(class->lanes);
 		free(class);
 	}
-	HASH_ITER (hh, sched->profiles, profile, next_profile) {
-		HASH_DELETE(hh, sched->profiles, profile);
+}
+
+static void free_profiles(struct zr_sched *sched)
+{
+	struct zr_sched_profile *profile = sched->profiles;
+	struct zr_sched_profile *next;
+
+	HASH_CLEAR(hh, sched->profiles);
+	for (; profile; profile = next) {
+		next = profile->hh.next;
 		free(profile);
 	}
-	HASH_ITER (hh, sched->names, name, next_name) {
-		HASH_DELETE(hh, sched->names, name);
+}
+
+static void free_names(struct zr_sched *sched)
+{
+	struct zr_sched_name *name = sched->names;
+	struct zr_sched_name *next;
+
+	HASH_CLEAR(hh, sched->names);
+	for (; name; name = next) {
+		next = name->hh.next;
 		free(name);
 	}
 }
@@ -98,7 +111,9 @@
 		return;
 	free_jobs(sched);
 	free_teams(sched);
-	free_hashes(sched);
+	free_classes(sched);
+	free_profiles(sched);
+	free_names(sched);
 	zr_table_free(sched->workers);
 	zr_table_free(sched->racks);
 	zr_table_free(sched->placements);
--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -138,7 +138,7 @@
 		error = count_rack(sched, job, worker, 1);
 	if (!error)
 		error = add_placement(out, sched, handle, index, worker);
-	if (error < 0)
+	if (error)
 		return error;
 	enter_worker(sched, *out);
 	zr_sched_placement_row(sched, *out)->base = need;
@@ -215,7 +215,7 @@
 	zr_sched_now_refresh(sched);
 	zr_sched_job_unreserve(sched, handle);
 	error = zr_sched_task_reserve(&placement, sched, handle, index, worker);
-	if (error < 0)
+	if (error)
 		return error;
 	job->slots[index].attempt = attempt;
 	zr_sched_job_set_state(sched, handle, ZR_JOB_RUNNING, "found running");
--- a/tests/runners/run_sched.c
+++ b/tests/runners/run_sched.c
@@ -350,7 +350,7 @@
 	add_job(runner, words[1], &spec);
 }
 
-static void jobs(struct runner *runner, char **words)
+static void many_jobs(struct runner *runner, char **words)
 {
 	struct zr_job_spec spec;
 	char id[ZR_JOB_ID_MAX];
@@ -384,8 +384,6 @@
 	} else if (!strcmp(verb, "forget")) {
 		sched_model_job_forget(runner->model, entry->name);
 		zr_sched_job_forget(runner->sched, handle);
-		HASH_DEL(runner->jobs, entry);
-		free(entry);
 	} else {
 		sched_model_job_hold(runner->model, entry->name, *verb == 'h');
 		zr_sched_job_hold(runner->sched, handle, *verb == 'h');
@@ -556,7 +554,7 @@
 	printf("; %s\n", explanation.hint);
 }
 
-static void workers(struct runner *runner, char **words)
+static void show_workers(struct runner *runner, char **words)
 {
 	static const char *const states[] = {"up", "leaving", "unheard"};
 	struct zr_sched_worker_info info;
@@ -614,7 +612,7 @@
 	{"unheard", 2, worker_state},
 	{"remove", 2, worker_remove},
 	{"job", 3, job},
-	{"jobs", 4, jobs},
+	{"jobs", 4, many_jobs},
 	{"check", 2, check},
 	{"cancel", 2, act_on_jobs},
 	{"hold", 2, act_on_jobs},
@@ -632,7 +630,7 @@
 	{"loud", 1, set_quiet},
 	{"show", 2, show},
 	{"explain", 2, explain},
-	{"workers", 1, workers},
+	{"workers", 1, show_workers},
 	{"usage-of", 2, usage_of},
 	{"counts", 1, counts},
 };
@@ -691,26 +689,29 @@
 		die("no memory", "core");
 }
 
-static void free_entries(struct entry *list)
+static void free_entries(struct entry *entry)
 {
-	struct entry *entry;
 	struct entry *next;
 
-	HASH_ITER (hh, list, entry, next) {
-		HASH_DEL(list, entry);
+	for (; entry; entry = next) {
+		next = entry->hh.next;
 		free(entry);
 	}
 }
 
 static void free_runner(struct runner *runner)
 {
+	struct entry *jobs = runner->jobs;
+	struct entry *workers = runner->workers;
 	uint32_t i;
 
 	zr_sched_free(runner->sched);
 	sched_model_free(runner->model);
 	fake_time_free(runner->time);
-	free_entries(runner->jobs);
-	free_entries(runner->workers);
+	HASH_CLEAR(hh, runner->jobs);
+	HASH_CLEAR(hh, runner->workers);
+	free_entries(jobs);
+	free_entries(workers);
 	for (i = 0; i < runner->config.teams_count; i++)
 		free(runner->teams[i].name);
 	for (i = 0; i < runner->config.queues_count; i++) {
--- /dev/null
+++ b/tests/unit/test_sched_work.c
@@ -0,0 +1,264 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/fake_time.h"
+#include "zinniarack/sched.h"
+
+/* Counted work of the scheduler core: what must stay flat with size. */
+
+#define BACKLOG 100000
+#define WORKERS_MANY 800
+#define WORKERS_FEW 50
+/* Work that one decide may do: its bound and the last try begun under it. */
+#define WORK_MAX (8192 + 256)
+/* Bytes of a waiting job at the most. */
+#define JOB_BYTES_MAX 512
+/* Growth of examined workers for 16 times the workers. */
+#define GROWTH_MAX 2
+
+struct cell {
+	struct fake_time *time;
+	struct zr_sched *sched;
+	struct zr_config config;
+	struct zr_config_team team;
+	struct zr_config_queue queue;
+	zr_handle *jobs;
+	uint32_t starts;
+	zr_handle last_job;
+	uint32_t last_attempt;
+};
+
+static void on_start(void *ctx, const struct zr_sched_task *task,
+		     const struct zr_job_spec *spec, const char *reason)
+{
+	struct cell *cell = ctx;
+
+	(void)spec;
+	(void)reason;
+	cell->starts++;
+	cell->last_job = task->job;
+	cell->last_attempt = task->attempt;
+}
+
+static void on_stop(void *ctx, const struct zr_sched_task *task,
+		    enum zr_sched_stop why)
+{
+	(void)ctx;
+	(void)task;
+	(void)why;
+}
+
+static void on_job_changed(void *ctx, zr_handle job, const char *job_id,
+			   enum zr_job_state state, const char *reason)
+{
+	(void)ctx;
+	(void)job;
+	(void)job_id;
+	(void)state;
+	(void)reason;
+}
+
+static void add_workers(struct cell *cell, uint32_t workers)
+{
+	struct zr_sched_worker worker = {.capacity = {8000, 32000, 0}};
+	char name[32];
+	char rack[32];
+	zr_handle handle;
+	uint32_t i;
+
+	worker.name = name;
+	worker.rack = rack;
+	for (i = 0; i < workers; i++) {
+		snprintf(name, sizeof(name), "w%u", i);
+		snprintf(rack, sizeof(rack), "r%u", i / 8);
+		ck_assert_int_eq(
+			zr_sched_worker_add(&handle, cell->sched, &worker), 0);
+	}
+}
+
+static struct cell *cell_new(uint32_t workers)
+{
+	struct cell *cell = calloc(1, sizeof(*cell));
+	struct zr_sched_options options = ZR_SCHED_OPTIONS_INIT;
+	const struct zr_sched_sink sink = {on_start, on_stop, on_job_changed,
+					   cell};
+
+	ck_assert_ptr_nonnull(cell);
+	cell->time = fake_time_new();
+	options.clock = fake_time_clock(cell->time);
+	options.sink = sink;
+	ck_assert_int_eq(zr_sched_new(&cell->sched, &options), 0);
+	cell->team.name = "prints";
+	cell->team.share = 1;
+	cell->queue.name = "prints";
+	cell->queue.team = "prints";
+	cell->config.teams = &cell->team;
+	cell->config.teams_count = 1;
+	cell->config.queues = &cell->queue;
+	cell->config.queues_count = 1;
+	zr_sched_configure(cell->sched, &cell->config);
+	add_workers(cell, workers);
+	cell->jobs = calloc(BACKLOG, sizeof(*cell->jobs));
+	ck_assert_ptr_nonnull(cell->jobs);
+	return cell;
+}
+
+static void cell_free(struct cell *cell)
+{
+	zr_sched_free(cell->sched);
+	fake_time_free(cell->time);
+	free(cell->jobs);
+	free(cell);
+}
+
+/* Jobs of many sizes and worths. */
+static void add_jobs(struct cell *cell, uint32_t count)
+{
+	struct zr_job_spec spec = {.tasks = 1, .kind = ZR_JOB_BATCH};
+	char id[ZR_JOB_ID_MAX];
+	uint32_t i;
+
+	snprintf(spec.team, sizeof(spec.team), "prints");
+	snprintf(spec.queue, sizeof(spec.queue), "prints");
+	for (i = 0; i < count; i++) {
+		snprintf(id, sizeof(id), "sapporo-1-%u", i);
+		snprintf(spec.name, sizeof(spec.name), "n%u", i % 50);
+		spec.worth = i % 100;
+		spec.size.millicpus = 200 + i % 17 * 100;
+		spec.size.memory_mb = 100 + i % 23 * 200;
+		ck_assert_int_eq(zr_sched_job_add(&cell->jobs[i], cell->sched,
+						  id, &spec),
+				 0);
+	}
+}
+
+static uint64_t work_of(const struct cell *cell)
+{
+	struct zr_sched_stats stats;
+
+	zr_sched_stats(&stats, cell->sched);
+	return stats.workers_examined + stats.jobs_examined;
+}
+
+static void fill(struct cell *cell)
+{
+	do {
+		uint64_t before = work_of(cell);
+
+		zr_sched_decide(cell->sched, UINT32_MAX);
+		ck_assert_uint_le(work_of(cell) - before, WORK_MAX);
+	} while (zr_sched_more(cell->sched));
+}
+
+START_TEST(test_a_decide_does_bounded_work)
+{
+	struct cell *cell = cell_new(WORKERS_MANY);
+
+	add_jobs(cell, BACKLOG);
+	fill(cell);
+	ck_assert_uint_gt(cell->starts, WORKERS_MANY);
+	cell_free(cell);
+}
+END_TEST
+
+START_TEST(test_a_backlog_that_was_refused_is_not_scanned)
+{
+	struct cell *cell = cell_new(WORKERS_MANY);
+	uint64_t before;
+
+	add_jobs(cell, BACKLOG);
+	fill(cell);
+	before = work_of(cell);
+	zr_sched_decide(cell->sched, UINT32_MAX);
+	ck_assert_uint_eq(work_of(cell), before);
+	cell_free(cell);
+}
+END_TEST
+
+START_TEST(test_cancelling_examines_nothing)
+{
+	struct cell *cell = cell_new(WORKERS_FEW);
+	struct zr_sched_stats stats;
+	uint64_t before;
+	uint32_t i;
+
+	add_jobs(cell, BACKLOG);
+	fill(cell);
+	before = work_of(cell);
+	for (i = 0; i < BACKLOG; i++)
+		zr_sched_job_cancel(cell->sched, cell->jobs[i]);
+	ck_assert_uint_eq(work_of(cell), before);
+	zr_sched_stats(&stats, cell->sched);
+	ck_assert_uint_eq(stats.waiting, 0);
+	cell_free(cell);
+}
+END_TEST
+
+START_TEST(test_a_waiting_job_takes_little_memory)
+{
+	struct cell *cell = cell_new(0);
+	struct zr_sched_stats stats;
+
+	add_jobs(cell, BACKLOG);
+	zr_sched_stats(&stats, cell->sched);
+	ck_assert_uint_le(stats.job_bytes / BACKLOG, JOB_BYTES_MAX);
+	cell_free(cell);
+}
+END_TEST
+
+/* Workers and jobs examined for a start when one task ends on a full cell. */
+static double work_per_start(uint32_t workers)
+{
+	struct cell *cell = cell_new(workers);
+	uint64_t before;
+	uint32_t starts;
+	double work;
+	uint32_t i;
+
+	add_jobs(cell, BACKLOG);
+	fill(cell);
+	before = work_of(cell);
+	starts = cell->starts;
+	for (i = 0; i < 1000; i++) {
+		zr_sched_task_ended(cell->sched, cell->last_job, 0,
+				    cell->last_attempt, ZR_SCHED_SUCCEEDED);
+		zr_sched_decide(cell->sched, UINT32_MAX);
+	}
+	ck_assert_uint_gt(cell->starts, starts);
+	work = (double)(work_of(cell) - before) / (cell->starts - starts);
+	cell_free(cell);
+	return work;
+}
+
+START_TEST(test_work_per_start_stays_flat_with_workers)
+{
+	double few = work_per_start(WORKERS_FEW);
+	double many = work_per_start(WORKERS_MANY);
+
+	ck_assert_msg(many <= few * GROWTH_MAX,
+		      "%.1f at %d workers, %.1f at %d", few, WORKERS_FEW, many,
+		      WORKERS_MANY);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("sched_work");
+	TCase *tcase = tcase_create("sched_work");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, test_a_decide_does_bounded_work);
+	tcase_add_test(tcase, test_a_backlog_that_was_refused_is_not_scanned);
+	tcase_add_test(tcase, test_cancelling_examines_nothing);
+	tcase_add_test(tcase, test_a_waiting_job_takes_little_memory);
+	tcase_add_test(tcase, test_work_per_start_stays_flat_with_workers);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
