Scheduler core: work that comes back takes its place by age

Cause: jobs whose delay ended together came back in the reverse order. Change: a returning job goes before the first younger one of its lane.

--- a/src/libzinniarack/sched/queue.c
+++ b/src/libzinniarack/sched/queue.c
@@ -17,18 +17,44 @@
 #define LANE_MS 60000
 /* Worth of jobs with a deadline that counts as alike. */
 #define WORTH_BAND 10
+/* Jobs of a lane passed over to find the place of one that comes back. */
+#define RETURN_SEARCH_MAX 16
 /* Longest time for which the order of classes holds, in milliseconds. */
 #define ORDER_MS 250
 
 /* Lanes: lists of jobs linked by handles */
 
+/* Whose place a job takes that comes back: that of the first younger one, but
+ * for a bounded search. */
+static zr_handle younger_than(const struct zr_sched *sched,
+			      const struct zr_sched_lane *lane,
+			      uint64_t arrival)
+{
+	zr_handle handle = lane->head;
+	unsigned int i;
+
+	for (i = 0; handle && i < RETURN_SEARCH_MAX; i++) {
+		const struct zr_sched_job *job =
+			zr_sched_job_row(sched, handle);
+
+		if (job->arrival > arrival)
+			break;
+		handle = job->next;
+	}
+	return handle;
+}
+
 void zr_sched_lane_append(struct zr_sched *sched, struct zr_sched_lane *lane,
 			  zr_handle handle, bool first)
 {
 	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
 
-	job->previous = first ? ZR_HANDLE_NONE : lane->tail;
-	job->next = first ? lane->head : ZR_HANDLE_NONE;
+	job->next = ZR_HANDLE_NONE;
+	if (first)
+		job->next = younger_than(sched, lane, job->arrival);
+	job->previous = lane->tail;
+	if (job->next)
+		job->previous = zr_sched_job_row(sched, job->next)->previous;
 	if (job->previous)
 		zr_sched_job_row(sched, job->previous)->next = handle;
 	else
--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -210,7 +210,9 @@
 		return ZR_E_NOT_FOUND;
 	if (zr_job_state_final(job->state))
 		return ZR_E_STATE;
-	if (job->slots && job->slots[index].state != ZR_SCHED_TASK_WAITING)
+	if (zr_sched_slots_obtain(sched, job) < 0)
+		return ZR_E_NOMEM;
+	if (job->slots[index].state != ZR_SCHED_TASK_WAITING)
 		return ZR_E_EXISTS;
 	zr_sched_now_refresh(sched);
 	zr_sched_job_unreserve(sched, handle);
