--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -5,13 +5,15 @@
 
 #include "cli.h"
 
-#define HELP_MAX 4096
+#define HELP_MAX 8192
 #define DEFAULT_ENTRY "127.0.0.1:8080"
 
 const char *argp_program_version = "zinniarack 0.1";
 
 static const struct cli_command *const commands[] = {
-	&cli_config, &cli_key, &cli_status, &cli_submit, &cli_job,
+	&cli_config,  &cli_teams,   &cli_queues, &cli_key,     &cli_status,
+	&cli_domains, &cli_workers, &cli_drain,	 &cli_undrain, &cli_counters,
+	&cli_jobs,    &cli_explain, &cli_cancel, &cli_submit,  &cli_job,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
@@ -28,6 +30,8 @@
 	 ")",
 	 0},
 	{"key", 'k', "KEY", 0, "Key to present (default: $ZINNIARACK_KEY)", 0},
+	{"operator-key", 'o', "KEY", 0,
+	 "Operator's key (default: $ZINNIARACK_OPERATOR_KEY)", 0},
 	{"json", 'j', NULL, 0, "Print JSON", 0},
 	{0},
 };
@@ -43,6 +47,9 @@
 	case 'k':
 		line->options.key = arg;
 		return 0;
+	case 'o':
+		line->options.operator_key = arg;
+		return 0;
 	case 'j':
 		line->options.json = true;
 		return 0;
@@ -61,6 +68,10 @@
 	}
 }
 
+static const char exit_codes[] =
+	"Exit codes: 0 done, 1 refused, 2 wrong command line, 3 invalid "
+	"file,\n4 no entry daemon answered, 5 another change was first.\n";
+
 static void describe_commands(char *out, size_t size)
 {
 	size_t used;
@@ -73,10 +84,21 @@
 					 "  %s %s\n      %s\n",
 					 commands[i]->name, commands[i]->args,
 					 commands[i]->help);
-	snprintf(out + used, size - used,
-		 "\nExit codes: 0 done, 1 refused, 2 wrong command line, "
-		 "3 invalid file,\n4 no entry daemon answered, 5 another "
-		 "change was first.\n");
+	snprintf(out + used, size - used, "\n%s", exit_codes);
+}
+
+static int describe(const struct cli_command *command)
+{
+	printf("usage: zinniarack %s %s\n\n%s\n\nExamples:\n%s\n%s",
+	       command->name, command->args, command->help, command->examples,
+	       exit_codes);
+	return CLI_EXIT_OK;
+}
+
+static bool asks_for_help(const struct command_line *line)
+{
+	return line->argc == 2 && (!strcmp(line->argv[1], "--help") ||
+				   !strcmp(line->argv[1], "help"));
 }
 
 static int run_command(const struct command_line *line)
@@ -84,9 +106,12 @@
 	size_t i;
 
 	for (i = 0; i < COMMAND_COUNT; i++) {
-		if (!strcmp(line->argv[0], commands[i]->name))
-			return commands[i]->run(&line->options, line->argc - 1,
-						line->argv + 1);
+		if (strcmp(line->argv[0], commands[i]->name))
+			continue;
+		if (asks_for_help(line))
+			return describe(commands[i]);
+		return commands[i]->run(&line->options, line->argc - 1,
+					line->argv + 1);
 	}
 	fprintf(stderr, "zinniarack: no subcommand '%s'; see --help\n",
 		line->argv[0]);
@@ -106,6 +131,7 @@
 
 	line.options.entry = getenv("ZINNIARACK_ENTRY");
 	line.options.key = getenv("ZINNIARACK_KEY");
+	line.options.operator_key = getenv("ZINNIARACK_OPERATOR_KEY");
 	if (!line.options.entry)
 		line.options.entry = DEFAULT_ENTRY;
 	describe_commands(doc, sizeof(doc));
