--- a/src/libzinniarack/sched/core.h
+++ b/src/libzinniarack/sched/core.h
@@ -66,14 +66,16 @@
  * @learned_millicpus: upper quantile of @millicpus, 0 before enough runs
  * @learned_run_ms: the same of @run_ms
  * @memory_mb: the highest memory use of any run
- * @millicpus_least: the lowest processor use of any report, 0 before the first
+ * @least: the least that was reported of any task
+ * @reporters: tasks of which there was a report
  */
 struct zr_sched_profile {
 	UT_hash_handle hh;
 	zr_handle team;
 	uint32_t refs;
 	uint32_t memory_mb;
-	uint32_t millicpus_least;
+	struct zr_resources least;
+	uint32_t reporters;
 	struct zr_sched_quantile millicpus;
 	struct zr_sched_quantile run_ms;
 	uint32_t learned_millicpus;
@@ -187,6 +189,7 @@
 	bool stop_waits:1;
 	bool told_to_stop:1;
 	bool backfill:1;
+	bool reported:1;
 	bool probe:1;
 };
 
@@ -458,9 +461,14 @@
 			   struct zr_sched_profile *profile);
 void zr_sched_profile_learn(struct zr_sched_profile *profile,
 			    const struct zr_resources *peak, int64_t run_ms);
-/** zr_sched_profile_saw() - memory is not lent below what was seen */
-void zr_sched_profile_saw(struct zr_sched_profile *profile,
-			  const struct zr_resources *used);
+/**
+ * zr_sched_profile_saw() - take a report of a running task
+ * @first: whether it is the first of that task
+ *
+ * Return: whether the least that tasks of this name need is known from now on.
+ */
+bool zr_sched_profile_saw(struct zr_sched_profile *profile,
+			  const struct zr_resources *used, bool first);
 /** zr_sched_job_need() - the room to reserve for a task of a job */
 struct zr_resources zr_sched_job_need(const struct zr_sched_job *job);
 /** zr_sched_job_run_ms() - expected run time, INT64_MAX when unknown */
--- a/src/libzinniarack/sched/profile.c
+++ b/src/libzinniarack/sched/profile.c
@@ -15,6 +15,8 @@
 
 /* Runs that must have succeeded before what was learned is used. */
 #define RUNS_MIN 5
+/* Tasks that must have reported before the least of them holds for all. */
+#define REPORTERS_MIN 8
 /* The quantile that is used, in per cent. */
 #define QUANTILE_PERCENT 95
 /* Added to what was learned, in per cent. */
@@ -149,14 +151,24 @@
 		profile->refs--;
 }
 
-void zr_sched_profile_saw(struct zr_sched_profile *profile,
-			  const struct zr_resources *used)
+static uint32_t lower(uint32_t a, uint32_t b)
 {
+	return a < b ? a : b;
+}
+
+bool zr_sched_profile_saw(struct zr_sched_profile *profile,
+			  const struct zr_resources *used, bool first)
+{
+	struct zr_resources *least = &profile->least;
+
 	if (used->memory_mb > profile->memory_mb)
 		profile->memory_mb = used->memory_mb;
-	if (!profile->millicpus_least ||
-	    used->millicpus < profile->millicpus_least)
-		profile->millicpus_least = used->millicpus;
+	if (!profile->reporters)
+		*least = *used;
+	least->millicpus = lower(least->millicpus, used->millicpus);
+	least->memory_mb = lower(least->memory_mb, used->memory_mb);
+	profile->reporters += first;
+	return first && profile->reporters == REPORTERS_MIN;
 }
 
 void zr_sched_profile_learn(struct zr_sched_profile *profile,
@@ -186,8 +198,8 @@
 	} else if (profile->memory_mb > need.memory_mb) {
 		need.memory_mb = profile->memory_mb;
 	}
-	if (profile->millicpus_least > need.millicpus)
-		need.millicpus = profile->millicpus_least;
+	if (profile->least.millicpus > need.millicpus)
+		need.millicpus = profile->least.millicpus;
 	return need;
 }
 
