--- a/src/libzinniarack/sched/gang.c
+++ b/src/libzinniarack/sched/gang.c
@@ -17,8 +17,6 @@
 #define RESERVATION_MS 120000
 /* Members whose workers are looked at for one backfill. */
 #define BACKFILL_SEARCH_MAX 16
-/* Tasks of a worker whose ends are foreseen. */
-#define FORESEEN_MAX 64
 
 /* Room that is there now */
 
@@ -66,108 +64,6 @@
 	return starts;
 }
 
-/* Where and when room for members is to be expected */
-
-struct foreseen {
-	int64_t at;
-	zr_handle worker;
-	struct zr_resources room;
-};
-
-static int by_time(const void *a, const void *b)
-{
-	const struct foreseen *first = a;
-	const struct foreseen *second = b;
-
-	if (first->at != second->at)
-		return first->at < second->at ? -1 : 1;
-	return (first->worker > second->worker) -
-	       (first->worker < second->worker);
-}
-
-static unsigned int foresee_ends(const struct zr_sched *sched,
-				 const struct zr_sched_host *host,
-				 struct foreseen *ends)
-{
-	zr_handle handle = host->first;
-	unsigned int count = 0;
-
-	for (; handle && count < FORESEEN_MAX;
-	     handle = zr_sched_placement_row(sched, handle)->next) {
-		const struct zr_sched_placement *placement =
-			zr_sched_placement_row(sched, handle);
-		int64_t run = zr_sched_job_run_ms(
-			zr_sched_job_row(sched, placement->job));
-
-		ends[count].at = INT64_MAX;
-		if (run != INT64_MAX)
-			ends[count].at = placement->started_ms + run;
-		ends[count++].room = placement->reserved;
-	}
-	qsort(ends, count, sizeof(*ends), by_time);
-	return count;
-}
-
-struct forecast {
-	struct foreseen *members;
-	uint32_t count;
-	uint32_t room; /* of the array */
-};
-
-static void foresee_members(struct forecast *forecast, zr_handle worker,
-			    struct zr_resources *room,
-			    const struct zr_resources *need, int64_t at)
-{
-	while (forecast->count < forecast->room &&
-	       zr_resources_fit(need, room)) {
-		zr_resources_sub(room, need);
-		forecast->members[forecast->count].worker = worker;
-		forecast->members[forecast->count++].at = at;
-	}
-}
-
-/* Adds the times at which a worker can take a member each. */
-static void foresee_worker(struct forecast *forecast,
-			   const struct zr_sched *sched, zr_handle worker,
-			   const struct zr_resources *need)
-{
-	const struct zr_sched_host *host = zr_sched_host_row(sched, worker);
-	struct foreseen ends[FORESEEN_MAX];
-	unsigned int count = foresee_ends(sched, host, ends);
-	struct zr_resources room = zr_sched_host_free(host);
-	unsigned int i;
-
-	foresee_members(forecast, worker, &room, need, sched->now);
-	for (i = 0; i < count; i++) {
-		zr_resources_add(&room, &ends[i].room);
-		foresee_members(forecast, worker, &room, need, ends[i].at);
-	}
-}
-
-/* Keeps the earliest members only, whenever the array has filled. */
-static void foresee_all(struct forecast *forecast, struct zr_sched *sched,
-			const struct zr_resources *need, uint32_t wanted)
-{
-	zr_handle worker = ZR_HANDLE_NONE;
-
-	while ((worker = zr_table_next(sched->workers, worker))) {
-		const struct zr_sched_host *host =
-			zr_sched_host_row(sched, worker);
-
-		sched->stats.workers_examined++;
-		if (host->state != ZR_SCHED_WORKER_UP || host->suspect)
-			continue;
-		foresee_worker(forecast, sched, worker, need);
-		if (forecast->count <= wanted)
-			continue;
-		qsort(forecast->members, forecast->count,
-		      sizeof(*forecast->members), by_time);
-		forecast->count = wanted;
-	}
-	qsort(forecast->members, forecast->count, sizeof(*forecast->members),
-	      by_time);
-}
-
 /* The reservation */
 
 static void end_reservation(struct zr_sched *sched)
@@ -195,7 +91,7 @@
 /* Room is held at once, also where tasks still run, so that it goes to
  * nothing else when they end. */
 static void hold_members(struct zr_sched *sched,
-			 const struct forecast *forecast)
+			 const struct zr_sched_forecast *forecast)
 {
 	struct zr_sched_reservation *gang = &sched->gang;
 	uint32_t i;
@@ -215,12 +111,12 @@
 			      zr_handle *members, uint32_t count)
 {
 	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
-	struct forecast forecast = {.room = 2 * count};
+	struct zr_sched_forecast forecast = {.room = 2 * count};
 
 	forecast.members = calloc(forecast.room, sizeof(*forecast.members));
 	if (!forecast.members)
 		return false;
-	foresee_all(&forecast, sched, need, count);
+	zr_sched_foresee(&forecast, sched, need, count);
 	if (forecast.count < count) {
 		free(forecast.members);
 		return false;
--- a/src/libzinniarack/sched/jobs.c
+++ b/src/libzinniarack/sched/jobs.c
@@ -11,9 +11,6 @@
  * belongs: a queue, the parked ones, or those whose next try is delayed.
  */
 
-/* Parked jobs that one decide looks at again. */
-#define PARKED_REVIEW_MAX 64
-
 struct zr_sched_job *zr_sched_job_row(const struct zr_sched *sched,
 				      zr_handle job)
 {
@@ -192,7 +189,7 @@
 	       zr_sched_job_waiting(job);
 }
 
-static void leave_list(struct zr_sched *sched, zr_handle handle)
+void zr_sched_job_leave_list(struct zr_sched *sched, zr_handle handle)
 {
 	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
 
@@ -230,7 +227,7 @@
 	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
 
 	if (!may_be_placed(job)) {
-		leave_list(sched, handle);
+		zr_sched_job_leave_list(sched, handle);
 		if (job->held)
 			job->wait = ZR_SCHED_WAIT_HELD;
 		else if (!job->reserving)
@@ -272,89 +269,13 @@
 		while ((handle = sched->delayed[i].head) &&
 		       zr_sched_job_row(sched, handle)->not_before <=
 			       sched->now) {
-			leave_list(sched, handle);
+			zr_sched_job_leave_list(sched, handle);
 			zr_sched_job_route(sched, handle, true);
 			sched->stats.jobs_examined++;
 		}
 	}
 }
 
-/* Parking */
-
-void zr_sched_job_park(struct zr_sched *sched, zr_handle handle,
-		       enum zr_sched_wait wait)
-{
-	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
-	const char *reason = wait == ZR_SCHED_WAIT_OVER_LIMIT
-				     ? "larger than its team's upper limit"
-				     : "larger than the workers can hold";
-
-	leave_list(sched, handle);
-	job->place = ZR_SCHED_PLACE_PARKED;
-	job->wait = (uint8_t)wait;
-	zr_sched_lane_append(sched, &sched->parked, handle, false);
-	sched->stats.parked++;
-	if (!job->running)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_PARKED, reason);
-}
-
-enum zr_sched_wait zr_sched_job_obstacle(const struct zr_sched *sched,
-					 const struct zr_sched_job *job)
-{
-	struct zr_resources need = zr_sched_job_need(job);
-	uint32_t together = job->kind == ZR_JOB_GANG ? job->tasks : 1;
-	const struct zr_sched_team *team =
-		zr_sched_team_row(sched, job->profile->team);
-
-	if (!zr_sched_fits_empty(sched, &need, together))
-		return ZR_SCHED_WAIT_NEVER_FITS;
-	if (!zr_sched_team_could(team, &need, together))
-		return ZR_SCHED_WAIT_OVER_LIMIT;
-	return ZR_SCHED_WAIT_NONE;
-}
-
-bool zr_sched_job_could_run(const struct zr_sched *sched,
-			    const struct zr_sched_job *job)
-{
-	return zr_sched_job_obstacle(sched, job) == ZR_SCHED_WAIT_NONE;
-}
-
-static void review(struct zr_sched *sched, zr_handle handle)
-{
-	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
-
-	sched->stats.jobs_examined++;
-	if (!zr_sched_job_could_run(sched, job)) {
-		zr_sched_lane_remove(sched, &sched->parked, handle);
-		zr_sched_lane_append(sched, &sched->parked, handle, false);
-		return;
-	}
-	leave_list(sched, handle);
-	if (!job->running)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_WAITING,
-				       "it can run now");
-	zr_sched_job_route(sched, handle, false);
-}
-
-void zr_sched_parked_review(struct zr_sched *sched)
-{
-	unsigned int reviewed = 0;
-
-	while (sched->parked_to_review && sched->parked.head &&
-	       reviewed++ < PARKED_REVIEW_MAX) {
-		sched->parked_to_review--;
-		review(sched, sched->parked.head);
-	}
-	if (!sched->parked.head)
-		sched->parked_to_review = 0;
-	sched->more |= sched->parked_to_review > 0;
-}
-
-void zr_sched_parked_reconsider(struct zr_sched *sched)
-{
-	sched->parked_to_review = sched->stats.parked;
-}
-
 /* States */
 
 void zr_sched_job_set_state(struct zr_sched *sched, zr_handle handle,
--- a/src/libzinniarack/sched/queue.c
+++ b/src/libzinniarack/sched/queue.c
@@ -17,131 +17,6 @@
 #define LANE_MS 60000
 /* Worth of jobs with a deadline that counts as alike. */
 #define WORTH_BAND 10
-/* Jobs of a lane passed over to find the place of one that comes back. */
-#define RETURN_SEARCH_MAX 16
-/* Longest time for which the order of classes holds, in milliseconds. */
-#define ORDER_MS 250
-
-/* Lanes: lists of jobs linked by handles */
-
-/* Whose place a job takes that comes back: that of the first younger one, but
- * for a bounded search. */
-static zr_handle younger_than(const struct zr_sched *sched,
-			      const struct zr_sched_lane *lane,
-			      uint64_t arrival)
-{
-	zr_handle handle = lane->head;
-	unsigned int i;
-
-	for (i = 0; handle && i < RETURN_SEARCH_MAX; i++) {
-		const struct zr_sched_job *job =
-			zr_sched_job_row(sched, handle);
-
-		if (job->arrival > arrival)
-			break;
-		handle = job->next;
-	}
-	return handle;
-}
-
-void zr_sched_lane_append(struct zr_sched *sched, struct zr_sched_lane *lane,
-			  zr_handle handle, bool first)
-{
-	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
-
-	job->next = ZR_HANDLE_NONE;
-	if (first)
-		job->next = younger_than(sched, lane, job->arrival);
-	job->previous = lane->tail;
-	if (job->next)
-		job->previous = zr_sched_job_row(sched, job->next)->previous;
-	if (job->previous)
-		zr_sched_job_row(sched, job->previous)->next = handle;
-	else
-		lane->head = handle;
-	if (job->next)
-		zr_sched_job_row(sched, job->next)->previous = handle;
-	else
-		lane->tail = handle;
-	lane->count++;
-}
-
-void zr_sched_lane_remove(struct zr_sched *sched, struct zr_sched_lane *lane,
-			  zr_handle handle)
-{
-	const struct zr_sched_job *job = zr_sched_job_row(sched, handle);
-
-	if (job->previous)
-		zr_sched_job_row(sched, job->previous)->next = job->next;
-	else
-		lane->head = job->next;
-	if (job->next)
-		zr_sched_job_row(sched, job->next)->previous = job->previous;
-	else
-		lane->tail = job->previous;
-	lane->count--;
-}
-
-/* Earliest latest start first, then most worth. */
-static bool lane_before(const struct zr_sched_lane *lane, int64_t start_by,
-			uint32_t rank)
-{
-	if (lane->start_by != start_by)
-		return lane->start_by < start_by;
-	return lane->rank > rank;
-}
-
-static uint32_t find_lane(const struct zr_sched_class *class, int64_t start_by,
-			  uint32_t rank)
-{
-	uint32_t low = 0;
-	uint32_t high = class->lane_count;
-
-	while (low < high) {
-		uint32_t middle = (low + high) / 2;
-
-		if (lane_before(&class->lanes[middle], start_by, rank))
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return low;
-}
-
-static int obtain_lane(uint32_t *out, struct zr_sched_class *class,
-		       int64_t start_by, uint32_t rank)
-{
-	uint32_t at = find_lane(class, start_by, rank);
-	struct zr_sched_lane *lanes = class->lanes;
-
-	*out = at;
-	if (at < class->lane_count && lanes[at].start_by == start_by &&
-	    lanes[at].rank == rank)
-		return 0;
-	if (class->lane_count == class->lane_room) {
-		uint32_t room = class->lane_room ? class->lane_room * 2 : 1;
-
-		lanes = realloc(lanes, room * sizeof(*lanes));
-		if (!lanes)
-			return ZR_E_NOMEM;
-		class->lanes = lanes;
-		class->lane_room = room;
-	}
-	memmove(&lanes[at + 1], &lanes[at],
-		(class->lane_count - at) * sizeof(*lanes));
-	memset(&lanes[at], 0, sizeof(lanes[at]));
-	lanes[at].start_by = start_by;
-	lanes[at].rank = rank;
-	class->lane_count++;
-	return 0;
-}
-
-static void drop_lane(struct zr_sched_class *class, uint32_t at)
-{
-	class->lane_count--;
-	memmove(&class->lanes[at], &class->lanes[at + 1],
-		(class->lane_count - at) * sizeof(*class->lanes));
-}
 
 /* Classes */
 
@@ -269,7 +144,7 @@
 	if (error < 0)
 		return error;
 	job->start_by = latest_start(sched, job);
-	error = obtain_lane(&lane, class, job->start_by, job->rank);
+	error = zr_sched_lane_obtain(&lane, class, job->start_by, job->rank);
 	if (error < 0)
 		return error;
 	zr_sched_lane_append(sched, &class->lanes[lane], handle, first);
@@ -291,7 +166,7 @@
 {
 	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
 	struct zr_sched_class *class = job->class;
-	uint32_t lane = find_lane(class, job->start_by, job->rank);
+	uint32_t lane = zr_sched_lane_find(class, job->start_by, job->rank);
 
 	zr_sched_lane_remove(sched, &class->lanes[lane], handle);
 	job->class = NULL;
@@ -299,7 +174,7 @@
 	sched->stats.waiting--;
 	zr_sched_team_row(sched, class->key.team)->stale = true;
 	if (!class->lanes[lane].head)
-		drop_lane(class, lane);
+		zr_sched_lane_drop(class, lane);
 	if (!--class->jobs)
 		drop_class(sched, class);
 }
@@ -315,7 +190,8 @@
 	zr_sched_team_row(sched, class->key.team)->stale = true;
 }
 
-static void unblock(struct zr_sched *sched, struct zr_sched_class *class)
+void zr_sched_class_unblock(struct zr_sched *sched,
+			    struct zr_sched_class *class)
 {
 	class->blocked = ZR_SCHED_WAIT_NONE;
 	zr_sched_team_row(sched, class->key.team)->stale = true;
@@ -331,13 +207,13 @@
 
 	for (i = 0; row && i < row->class_count; i++) {
 		if (row->classes[i]->blocked == wait)
-			unblock(sched, row->classes[i]);
+			zr_sched_class_unblock(sched, row->classes[i]);
 	}
 	if (row)
 		return;
 	HASH_ITER (hh, sched->classes, class, next) {
 		if (class->blocked == wait)
-			unblock(sched, class);
+			zr_sched_class_unblock(sched, class);
 	}
 }
 
@@ -350,224 +226,6 @@
 		if (!class->key.urgent ||
 		    class->blocked != ZR_SCHED_WAIT_NO_ROOM)
 			continue;
-		unblock(sched, class);
-	}
-}
-
-/* Order */
-
-static struct zr_sched_candidate make_candidate(const struct zr_sched *sched,
-						struct zr_sched_class *class)
-{
-	const struct zr_sched_team *team =
-		zr_sched_team_row(sched, class->key.team);
-	const struct zr_sched_lane *lane = &class->lanes[0];
-	const struct zr_sched_job *job = zr_sched_job_row(sched, lane->head);
-	struct zr_sched_candidate candidate = {
-		.class = class,
-		.urgent = class->key.urgent,
-		.rank = lane->rank,
-		.start_by = lane->start_by,
-		.slack_ms = INT64_MAX,
-		.weighted = team->dominant / team->share,
-		.arrival = job->arrival,
-	};
-
-	if (lane->start_by != INT64_MAX)
-		candidate.slack_ms = lane->start_by - sched->now;
-	candidate.under_share = team->dominant * sched->total_share <
-				(uint64_t)team->share * 1000000000u;
-	return candidate;
-}
-
-static bool goes_first(const struct zr_sched *sched,
-		       struct zr_sched_class *class,
-		       const struct zr_sched_candidate *best,
-		       struct zr_sched_candidate *candidate)
-{
-	const struct zr_sched_policy *policy = &sched->policy;
-
-	*candidate = make_candidate(sched, class);
-	return !best->class ||
-	       policy->compare(policy->ctx, candidate, best) < 0;
-}
-
-static void order_team(const struct zr_sched *sched, struct zr_sched_team *team)
-{
-	struct zr_sched_candidate best = {0};
-	struct zr_sched_candidate candidate;
-	uint32_t i;
-
-	for (i = 0; i < team->class_count; i++) {
-		struct zr_sched_class *class = team->classes[i];
-
-		if (!class->blocked &&
-		    goes_first(sched, class, &best, &candidate))
-			best = candidate;
+		zr_sched_class_unblock(sched, class);
 	}
-	team->best = best.class;
-	team->stale = false;
-}
-
-static void order_all_again(struct zr_sched *sched)
-{
-	zr_handle team = ZR_HANDLE_NONE;
-
-	sched->ordered_at = sched->now;
-	while ((team = zr_table_next(sched->teams, team)))
-		zr_sched_team_row(sched, team)->stale = true;
-}
-
-/* The best of the classes that are not blocked. */
-static void take_best(struct zr_sched *sched, struct zr_sched_candidate *best)
-{
-	struct zr_sched_candidate candidate;
-	zr_handle handle = ZR_HANDLE_NONE;
-
-	if (sched->now - sched->ordered_at >= ORDER_MS)
-		order_all_again(sched);
-	while ((handle = zr_table_next(sched->teams, handle))) {
-		struct zr_sched_team *team = zr_sched_team_row(sched, handle);
-
-		if (team->stale)
-			order_team(sched, team);
-		if (team->best &&
-		    goes_first(sched, team->best, best, &candidate))
-			*best = candidate;
-	}
-}
-
-/* Workers with freed room. One has room for few tasks, so that of the classes
- * that wait for room only the best that fits is tried, then the next. */
-
-static bool may_get_work(const struct zr_sched *sched,
-			 const struct zr_sched_host *host)
-{
-	if (host->suspect)
-		return zr_sched_probe_due(sched, host);
-	return host->state == ZR_SCHED_WORKER_UP;
-}
-
-void zr_sched_queue_freed(struct zr_sched *sched, zr_handle handle)
-{
-	struct zr_sched_host *host = zr_sched_host_row(sched, handle);
-
-	if (host->freed || !may_get_work(sched, host))
-		return;
-	host->freed = true;
-	host->next_freed = ZR_HANDLE_NONE;
-	if (sched->freed_tail)
-		zr_sched_host_row(sched, sched->freed_tail)->next_freed =
-			handle;
-	else
-		sched->freed_head = handle;
-	sched->freed_tail = handle;
-	if (sched->freed_head == handle)
-		sched->round++;
-}
-
-static void pop_freed(struct zr_sched *sched)
-{
-	struct zr_sched_host *host =
-		zr_sched_host_row(sched, sched->freed_head);
-
-	host->freed = false;
-	sched->freed_head = host->next_freed;
-	if (!sched->freed_head)
-		sched->freed_tail = ZR_HANDLE_NONE;
-	sched->round++;
-}
-
-void zr_sched_freed_drop(struct zr_sched *sched, zr_handle worker)
-{
-	zr_handle previous = ZR_HANDLE_NONE;
-	zr_handle handle = sched->freed_head;
-	const struct zr_sched_host *host = zr_sched_host_row(sched, worker);
-
-	if (!host->freed)
-		return;
-	while (handle != worker) {
-		previous = handle;
-		handle = zr_sched_host_row(sched, handle)->next_freed;
-	}
-	if (!previous) {
-		pop_freed(sched);
-		return;
-	}
-	zr_sched_host_row(sched, previous)->next_freed = host->next_freed;
-	if (sched->freed_tail == worker)
-		sched->freed_tail = previous;
-}
-
-static bool may_use(const struct zr_sched *sched,
-		    const struct zr_sched_class *class,
-		    const struct zr_resources *room)
-{
-	return class->blocked == ZR_SCHED_WAIT_NO_ROOM &&
-	       class->round != sched->round &&
-	       zr_resources_fit(&class->refused, room);
-}
-
-/* The best of the classes that wait for room and may fit the first worker. */
-static bool take_best_freed(struct zr_sched *sched,
-			    struct zr_sched_candidate *best)
-{
-	const struct zr_sched_host *host =
-		zr_sched_host_row(sched, sched->freed_head);
-	struct zr_resources room = zr_sched_host_free(host);
-	struct zr_sched_candidate candidate;
-	struct zr_sched_class *class;
-	struct zr_sched_class *next;
-
-	if (!may_get_work(sched, host))
-		return false;
-	HASH_ITER (hh, sched->classes, class, next) {
-		if (may_use(sched, class, &room) &&
-		    goes_first(sched, class, best, &candidate))
-			*best = candidate;
-	}
-	return best->class != NULL;
-}
-
-struct zr_sched_class *zr_sched_queue_best(struct zr_sched *sched)
-{
-	struct zr_sched_candidate best = {0};
-
-	while (sched->freed_head && !take_best_freed(sched, &best))
-		pop_freed(sched);
-	take_best(sched, &best);
-	if (best.class && best.class->blocked) {
-		best.class->round = sched->round;
-		unblock(sched, best.class);
-	}
-	return best.class;
-}
-
-/* A queue's worth has changed: its jobs take their place anew. */
-static void queue_again(struct zr_sched *sched, zr_handle handle)
-{
-	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
-	uint32_t rank = zr_sched_job_rank(sched, job);
-	bool queued = job->place == ZR_SCHED_PLACE_QUEUE;
-
-	if (job->rank == rank)
-		return;
-	if (queued)
-		zr_sched_queue_remove(sched, handle);
-	job->rank = rank;
-	if (queued)
-		zr_sched_job_route(sched, handle, false);
-}
-
-void zr_sched_queues_configure(struct zr_sched *sched)
-{
-	struct zr_sched_class *class;
-	struct zr_sched_class *next;
-	zr_handle job = ZR_HANDLE_NONE;
-
-	while ((job = zr_table_next(sched->jobs, job)))
-		queue_again(sched, job);
-	HASH_ITER (hh, sched->classes, class, next)
-		class->blocked = ZR_SCHED_WAIT_NONE;
-	order_all_again(sched);
 }
