Decisions bench: accelerators count for shares while they are full

Cause: the measure left accelerators out, while the core's dominant share always counts them. Three teams that took idle accelerators by small tasks get half of the processors due to them.

Change: nearness to share counts processors, memory, and accelerators while the cell has given out 90% of them: a share is for when all is full.

--- a/bench/decisions/driver_private.h
+++ b/bench/decisions/driver_private.h
@@ -83,6 +83,7 @@
 	double used;
 	double overloaded;
 	double *team_share;
+	bool accelerators_full;
 };
 
 /** driver_sink() - the sink by which the engine's decisions reach workers */
--- a/bench/decisions/driver_result.c
+++ b/bench/decisions/driver_result.c
@@ -8,6 +8,9 @@
 /* The cell counts as full while so many jobs have not started. */
 #define FULL_JOBS 32
 
+/* A resource counts as full when this part of it has been given out. */
+#define FULL_PART 0.9
+
 static double larger(double a, double b)
 {
 	return a > b ? a : b;
@@ -32,6 +35,7 @@
 	double reserved[2] = {0};
 	double used[2] = {0};
 	double whole[2] = {0};
+	uint32_t accelerators = 0;
 	uint32_t over = 0;
 
 	while ((handle = driver->engine->worker_next(&info, driver->state,
@@ -47,30 +51,44 @@
 				       info.capacity.memory_mb);
 		used[0] += worker->used.millicpus;
 		used[1] += worker->used.memory_mb;
+		accelerators += info.reserved.accelerators;
 		whole[0] += info.capacity.millicpus;
 		whole[1] += info.capacity.memory_mb;
 		over += !zr_resources_fit(&worker->used, &info.capacity);
 	}
+	driver->accelerators_full =
+		accelerators >= FULL_PART * driver->scenario->accelerators;
 	driver->packing += dominant(reserved, whole);
 	driver->used += dominant(used, whole);
 	driver->overloaded += (double)over / driver->scenario->workers;
 }
 
+static double part(double used, double whole)
+{
+	return whole > 0 ? used / whole : 0;
+}
+
+/*
+ * The largest part of the cell that a team holds of a resource. Shares are for
+ * when all is full: idle accelerators count for no team.
+ */
 static double team_share(const struct driver *driver, uint32_t team)
 {
 	const struct zr_resources *capacity = &driver->scenario->capacity;
 	double workers = driver->scenario->workers;
-	const double whole[2] = {capacity->millicpus * workers,
-				 capacity->memory_mb * workers};
 	struct zr_resources usage;
-	double used[2];
+	double most;
 
 	if (driver->engine->team_usage(&usage, driver->state,
 				       driver->config->teams[team].name) < 0)
 		return 0;
-	used[0] = usage.millicpus;
-	used[1] = usage.memory_mb;
-	return dominant(used, whole) / driver->config->teams[team].share;
+	most = part(usage.millicpus, capacity->millicpus * workers);
+	most = larger(most,
+		      part(usage.memory_mb, capacity->memory_mb * workers));
+	if (driver->accelerators_full)
+		most = larger(most, part(usage.accelerators,
+					 driver->scenario->accelerators));
+	return most / driver->config->teams[team].share;
 }
 
 void driver_sample(struct driver *driver)
