--- a/bench/capacity/roles.c
+++ b/bench/capacity/roles.c
@@ -76,7 +76,7 @@
 /* Ends of tasks bring a sync forward: one for each start that was. */
 static double syncs_per_s(void)
 {
-	return SYNCS_PER_S * WORKERS / DOMAINS + STARTS_PER_S / DOMAINS;
+	return SYNCS_PER_S * WORKERS / DOMAINS + (double)STARTS_PER_S / DOMAINS;
 }
 
 static double sync_bytes(const struct capacity *c)
@@ -170,10 +170,11 @@
 static void print_processor(const struct capacity *c)
 {
 	double starts = (double)STARTS_PER_S / DOMAINS;
-	double placing = starts * line_at(&c->start_us, WORKERS / DOMAINS);
+	double placing =
+		starts * line_at(&c->start_us, (double)WORKERS / DOMAINS);
 	double syncs = syncs_per_s() * line_at(&c->sync_us, tasks_per_worker());
 	double reports = syncs_per_s() * tasks_per_worker() *
-			 line_at(&c->report_us, RUNNING / DOMAINS);
+			 line_at(&c->report_us, (double)RUNNING / DOMAINS);
 	double percent = (placing + syncs + reports) / 1e4;
 
 	printf("active scheduler, %% of a core: starts %.2f, syncs %.2f, "
--- a/bench/decisions/first_fit.c
+++ b/bench/decisions/first_fit.c
@@ -163,7 +163,8 @@
 		abort();
 	if (ff->jobs_count == ff->jobs_room) {
 		ff->jobs_room = ff->jobs_room ? ff->jobs_room * 2 : 1024;
-		ff->jobs = grown(ff->jobs, ff->jobs_room, sizeof(*ff->jobs));
+		ff->jobs =
+			grown(ff->jobs, ff->jobs_room, sizeof(struct ff_job *));
 	}
 	ff->jobs[ff->jobs_count++] = job;
 	job->handle = ff->jobs_count;
