--- a/bench/capacity/failure.c
+++ b/bench/capacity/failure.c
@@ -133,7 +133,7 @@
 	out->takeover_ms.name =
 		"time until a domain whose owner died accepts jobs, by jobs "
 		"kept, ms";
-	out->takeover_reads.name = "store reads of that take-over, by jobs";
+	out->takeover_reads.name = "store reads of a take-over by jobs kept";
 	for (i = 0; i < 4; i++) {
 		lose_worker(out, tasks[i]);
 		take_over(out, jobs[i]);
--- a/bench/capacity/store.c
+++ b/bench/capacity/store.c
@@ -158,7 +158,9 @@
 
 	out->store_writes.name =
 		"store writes a second of a domain by jobs a second";
-	out->store_bound.name = "the same past the journal's bound on writes";
+	out->store_bound.name =
+		"store writes a second of a domain past the journal's bound, "
+		"by jobs a second";
 	out->store_reads.name =
 		"store reads a second of a domain of 3 hosts by jobs a second";
 	out->store_bytes.name =
