Bench of state and recovery; fail-over with real processes

bench_recovery counts store calls and virtual time; test_failover_kill, _pause and _lost_answers judge by the ledger of the worker stand-in.

--- /dev/null
+++ b/bench/recovery/load.c
@@ -0,0 +1,82 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "recovery/recovery.h"
+
+#define MS_PER_S 1000u
+#define RUN_MS 5000
+/* Writes of the naive way for a job: accepted, begun, task and job ended. */
+#define NAIVE_WRITES_PER_JOB 4
+
+static int by_value(const void *a, const void *b)
+{
+	unsigned int first = *(const unsigned int *)a;
+	unsigned int second = *(const unsigned int *)b;
+
+	return (first > second) - (first < second);
+}
+
+static void fill_delays(struct load *load, const struct fake_cell *cell)
+{
+	size_t count;
+	const unsigned int *delays = fake_cell_delays(cell, &count);
+	unsigned int *sorted;
+	size_t i;
+
+	if (!count)
+		return;
+	sorted = calloc(count, sizeof(*sorted));
+	if (!sorted)
+		abort();
+	for (i = 0; i < count; i++)
+		sorted[i] = delays[i];
+	qsort(sorted, count, sizeof(*sorted), by_value);
+	load->median_ms = sorted[count / 2];
+	load->p99_ms = sorted[count * 99 / 100];
+	free(sorted);
+}
+
+static void submit(struct fake_cell *cell, unsigned int number)
+{
+	char name[32];
+	const struct fake_cell_job job = {
+		.name = name,
+		.run_ms = RUN_MS,
+		.tasks = 1,
+		.key = "",
+		.at_most_once = number % 4 == 0,
+	};
+
+	snprintf(name, sizeof(name), "j%u", number);
+	fake_cell_submit(cell, "a", &job);
+}
+
+/* Arrivals at the rate, a millisecond at a time. */
+static unsigned int arrive(struct fake_cell *cell, unsigned int per_s,
+			   unsigned int ms, unsigned int number)
+{
+	unsigned int part = 0;
+
+	for (; ms; ms--) {
+		for (part += per_s; part >= MS_PER_S; part -= MS_PER_S)
+			submit(cell, number++);
+		fake_cell_run(cell, 1);
+	}
+	return number;
+}
+
+struct load run_load(unsigned int per_s, unsigned int seconds)
+{
+	struct fake_cell *cell = bench_cell(WORKERS, WORKER_MILLICPUS);
+	struct load load = {0};
+	unsigned int number = arrive(cell, per_s, 10 * MS_PER_S, 0);
+	struct meter meter = meter_begin(cell);
+
+	arrive(cell, per_s, seconds * MS_PER_S, number);
+	load.rates = meter_end(&meter, cell);
+	load.naive_writes = (double)per_s * NAIVE_WRITES_PER_JOB +
+			    load.rates.by_purpose[ZR_STORE_LEASE];
+	fill_delays(&load, cell);
+	fake_cell_free(cell);
+	return load;
+}
--- /dev/null
+++ b/bench/recovery/outage.c
@@ -0,0 +1,78 @@
+#include <stdio.h>
+
+#include "recovery/recovery.h"
+
+#define MS_PER_S 1000
+#define SMALL_WORKERS 50
+#define SMALL_MILLICPUS 30000
+#define SUBMITS_PER_S 20
+#define AFTER_S 60
+
+static void submit(struct fake_cell *cell, const char *host,
+		   unsigned int number, unsigned int run_ms)
+{
+	char name[32];
+	const struct fake_cell_job job = {
+		.name = name,
+		.run_ms = run_ms,
+		.tasks = 1,
+		.key = "",
+	};
+
+	snprintf(name, sizeof(name), "j%u", number);
+	fake_cell_submit(cell, host, &job);
+}
+
+static unsigned long all_writes(struct fake_cell *cell)
+{
+	const struct fake_store_counts *counts =
+		fake_store_counts(fake_cell_store(cell));
+	unsigned long sum = 0;
+	int i;
+
+	for (i = 0; i < ZR_STORE_PURPOSES; i++)
+		sum += counts->writes[i];
+	return sum;
+}
+
+static unsigned long most_writes(struct fake_cell *cell)
+{
+	unsigned long most = 0;
+	int second;
+
+	for (second = 0; second < AFTER_S; second++) {
+		unsigned long before = all_writes(cell);
+
+		fake_cell_run(cell, MS_PER_S);
+		if (all_writes(cell) - before > most)
+			most = all_writes(cell) - before;
+	}
+	return most;
+}
+
+struct outage run_outage(unsigned int seconds)
+{
+	struct fake_cell *cell = bench_cell(SMALL_WORKERS, SMALL_MILLICPUS);
+	struct outage out = {0};
+	unsigned int number = 0;
+	unsigned int failed;
+	unsigned int i;
+
+	/* Work that ends all through the outage. */
+	for (i = 0; i < 1000; i++)
+		submit(cell, "a", number++, i * seconds);
+	fake_cell_run(cell, 2 * MS_PER_S);
+	fake_net_link(fake_cell_net(cell), NULL, "store", FAKE_LINK_REFUSE);
+	for (i = 0; i < seconds * SUBMITS_PER_S; i++) {
+		submit(cell, "a", number++, 100);
+		fake_cell_run(cell, MS_PER_S / SUBMITS_PER_S);
+	}
+	out.refused = fake_cell_counts(cell)->refused;
+	out.ended = fake_cell_counts(cell)->ended;
+	fake_net_link(fake_cell_net(cell), NULL, "store", FAKE_LINK_PASS);
+	out.most_writes_in_a_second = most_writes(cell);
+	out.unfinished = fake_cell_unfinished(cell, &failed);
+	out.violations = fake_cell_violations(cell) + failed;
+	fake_cell_free(cell);
+	return out;
+}
--- a/tests/fakes/fake_cell.h
+++ b/tests/fakes/fake_cell.h
@@ -39,6 +39,8 @@
 void fake_cell_list(struct fake_cell *cell, const char *worker, bool listed);
 void fake_cell_run(struct fake_cell *cell, unsigned int ms);
 void fake_cell_kill(struct fake_cell *cell, const char *host);
+/** fake_cell_kill_active() - kill the owner; another host comes in its place */
+void fake_cell_kill_active(struct fake_cell *cell);
 void fake_cell_stop(struct fake_cell *cell, const char *host);
 void fake_cell_restart_worker(struct fake_cell *cell, const char *worker);
 
@@ -74,6 +76,8 @@
  * @unknown: jobs whose acceptance is open
  * @begun: tasks begun
  * @reruns: tasks begun again
+ * @ended: tasks that have ended
+ * @first_begun_ms: when a task last began as the first under its epoch
  */
 struct fake_cell_counts {
 	unsigned int accepted;
@@ -81,10 +85,23 @@
 	unsigned int unknown;
 	unsigned int begun;
 	unsigned int reruns;
+	unsigned int ended;
+	long first_begun_ms;
 };
 
 const struct fake_cell_counts *fake_cell_counts(const struct fake_cell *cell);
 
+/** fake_cell_delays() - how long each acceptance took, in milliseconds */
+const unsigned int *fake_cell_delays(const struct fake_cell *cell,
+				     size_t *count);
+
+/**
+ * fake_cell_unfinished() - accepted jobs that have not ended
+ * @cell: the cell
+ * @failed: how many have ended otherwise than well
+ */
+unsigned int fake_cell_unfinished(struct fake_cell *cell, unsigned int *failed);
+
 /** fake_cell_running() - tasks that run now, on all workers */
 unsigned int fake_cell_running(const struct fake_cell *cell);
 
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -11,12 +11,14 @@
 #define TIMEOUT_MS 2000
 #define TICK_MS 10
 #define RESULT_MAX 64
+#define REMEMBER_MS 20000
 
 struct task {
 	UT_hash_handle hh;
 	char id[ZR_TASK_ID_MAX];
 	char result[RESULT_MAX];
 	int64_t ends_ms;
+	int64_t ended_ms;
 	bool fails;
 	bool ended;
 	bool succeeded;
@@ -96,6 +98,7 @@
 	task->succeeded = succeeded;
 	task->stopped = stopped;
 	task->sequence = ++worker->sequence;
+	task->ended_ms = now_ms(worker);
 	observe(worker, stopped ? FAKE_TASK_STOPPED : FAKE_TASK_ENDED, task);
 }
 
@@ -112,6 +115,21 @@
 	}
 }
 
+/* Ends that are kept need to be known as long as a start may still arrive. */
+static void forget_tasks(struct fake_worker *worker)
+{
+	struct task *task;
+	struct task *next;
+
+	HASH_ITER (hh, worker->tasks, task, next) {
+		if (!task->ended || !task->acknowledged ||
+		    task->ended_ms + REMEMBER_MS > now_ms(worker))
+			continue;
+		HASH_DEL(worker->tasks, task);
+		free(task);
+	}
+}
+
 /* A token is the time of its issue, so that it needs no record. */
 static int64_t lease_end(const struct fake_worker *worker, uint64_t boot,
 			 uint64_t token, uint32_t lease_ms)
@@ -423,6 +441,7 @@
 	struct fake_worker *worker = ctx;
 
 	end_tasks(worker);
+	forget_tasks(worker);
 	answer_waiting(worker);
 }
 
