--- a/src/libzinniarack/domain/snapshot.c
+++ b/src/libzinniarack/domain/snapshot.c
@@ -8,6 +8,7 @@
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
+/* Larger than any record, as a command is at most 64 KiB. */
 #define PART_BYTES_MAX (256u << 10)
 /* When the log is this long, a round of snapshots begins. */
 #define LOG_CHUNKS_MAX 512
@@ -52,7 +53,7 @@
 	if (!snapshot->parts)
 		abort();
 	builder->part = &snapshot->parts[snapshot->part_count++];
-	builder->part->bytes = malloc(HEADER_BYTES);
+	builder->part->bytes = malloc(PART_BYTES_MAX);
 	if (!builder->part->bytes)
 		abort();
 	builder->part->length = HEADER_BYTES;
@@ -79,9 +80,6 @@
 		begin_part(builder);
 		part = builder->part;
 	}
-	part->bytes = realloc(part->bytes, part->length + length);
-	if (!part->bytes)
-		abort();
 	memcpy(part->bytes + part->length, bytes, length);
 	part->length += length;
 	builder->count++;
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -201,13 +201,17 @@
 struct text {
 	char *bytes;
 	size_t length;
+	size_t room;
 };
 
 static void add_bytes(void *ctx, const char *bytes, u_int length)
 {
 	struct text *text = ctx;
 
-	text->bytes = realloc(text->bytes, text->length + length);
+	if (text->length + length > text->room) {
+		text->room = 2 * (text->length + length);
+		text->bytes = realloc(text->bytes, text->room);
+	}
 	memcpy(text->bytes + text->length, bytes, length);
 	text->length += length;
 }
