--- a/bench/bench_requests.c
+++ b/bench/bench_requests.c
@@ -155,7 +155,7 @@
 
 static void bench_overload(void)
 {
-	static const double times[] = {0.5, 1, 2, 3};
+	static const unsigned int halves[] = {1, 2, 4, 6};
 	struct bench_setup setup = {SERVE_MS, BENCH_WELL, true, true};
 	struct bench_load load = {.timeout_ms = TIMEOUT_MS};
 	struct bench_result result;
@@ -166,8 +166,9 @@
 	load.seconds = seconds();
 	for (admission = 1; admission >= 0; admission--) {
 		setup.admission = admission;
-		for (i = 0; i < sizeof(times) / sizeof(times[0]); i++) {
-			load.per_second = (unsigned int)(times[i] * CAPACITY);
+		for (i = 0; i < sizeof(halves) / sizeof(halves[0]); i++) {
+			load.per_second =
+				(unsigned int)(times[i] * (double)CAPACITY);
 			run(&result, &counts, &setup, &load);
 			printf("load %.1f admission %s: goodput %.0f/s of %u/s "
 			       "offered; late %u refused %u unknown %u; p99 "
--- a/src/libzinniarack/route/queue.c
+++ b/src/libzinniarack/route/queue.c
@@ -62,11 +62,11 @@
 	unsigned int place = team->count;
 	struct route_call *after = team->calls ? team->calls->prev : NULL;
 
-	while (place && after->worth < call->worth) {
+	while (after && place && after->worth < call->worth) {
 		after = after->prev;
 		place--;
 	}
-	if (place)
+	if (after && place)
 		DL_APPEND_ELEM(team->calls, after, call);
 	else
 		DL_PREPEND(team->calls, call);
--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -132,7 +132,7 @@
 	raw_send(fd, "GET / HTTP/1.1\r\n", 16);
 	memset(bomb, 'a', BOMB_BYTES);
 	/* The socket's buffers take the rest; the server must have let go. */
-	while (at < BOMB_BYTES && at < TEXT_MAX * 8) {
+	while (at < BOMB_BYTES && at < 8UL * TEXT_MAX) {
 		raw_send(fd, bomb + at, 1024);
 		at += 1024;
 		uv_run(&loop, UV_RUN_NOWAIT);
