--- a/bench/bench_requests.c
+++ b/bench/bench_requests.c
@@ -167,13 +167,12 @@
 	for (admission = 1; admission >= 0; admission--) {
 		setup.admission = admission;
 		for (i = 0; i < sizeof(halves) / sizeof(halves[0]); i++) {
-			load.per_second =
-				(unsigned int)(times[i] * (double)CAPACITY);
+			load.per_second = CAPACITY * halves[i] / 2;
 			run(&result, &counts, &setup, &load);
 			printf("load %.1f admission %s: goodput %.0f/s of %u/s "
 			       "offered; late %u refused %u unknown %u; p99 "
 			       "%.1f ms\n",
-			       times[i], admission ? "on" : "off",
+			       halves[i] / 2.0, admission ? "on" : "off",
 			       result.good / result.seconds, load.per_second,
 			       result.late, result.refused, result.unknown,
 			       result.p99_ms);
