--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -4,7 +4,8 @@
  * that begins or ends adds a line to the ledger, which tests read to count
  * runs: what, the task, the worker, and the monotonic time in milliseconds.
  *
- * A short request adds none; GET /v1/serving gives how many are and were open.
+ * A short request adds none; GET /v1/serving gives how many are and were open,
+ * and how many came in all.
  * It is given up when the deadline that came with it has passed. A silent
  * service takes requests and never answers.
  */
@@ -72,6 +73,7 @@
 	struct timespec lease;
 	unsigned int serving;
 	unsigned int most_serving;
+	unsigned int served;
 };
 
 static struct {
@@ -351,6 +353,7 @@
 		ms = (unsigned int)strtoul(deadline, NULL, 10);
 	}
 	served->exchange = exchange;
+	worker->served++;
 	if (++worker->serving > worker->most_serving)
 		worker->most_serving = worker->serving;
 	zr_http_on_gone(exchange, on_served_gone, served);
@@ -404,8 +407,10 @@
 
 	if (!strcmp(path, "/v1/serving")) {
 		reply_json(exchange, 200,
-			   json_pack("{s:i, s:i}", "now", (int)worker->serving,
-				     "most", (int)worker->most_serving));
+			   json_pack("{s:i, s:i, s:i}", "now",
+				     (int)worker->serving, "most",
+				     (int)worker->most_serving, "served",
+				     (int)worker->served));
 		return;
 	}
 	if (!strncmp(path, serve, sizeof(serve) - 1)) {
