HTTP server cuts off a caller that does not read its reply

h2o has no time limit on writing: slow readers held their replies' memory and their places among the connections without end.

--- a/src/libzinniarack/net/http_server.c
+++ b/src/libzinniarack/net/http_server.c
@@ -14,6 +14,7 @@
 #include "zinniarack/log.h"
 
 #define HOST_PORT_ANY 65535
+#define SWEEP_MS 250
 
 struct zr_http_server {
 	uv_loop_t *loop;
@@ -24,6 +25,7 @@
 	bool listening;
 	bool draining;
 	uv_check_t check;
+	uv_timer_t sweep;
 	unsigned int open_exchanges;
 	unsigned int open_connections;
 	h2o_globalconf_t config;
@@ -60,6 +62,8 @@
 	h2o_socket_t *sock;
 	bool busy;
 	bool evicted;
+	bool replying;
+	uint64_t replied_ms;
 };
 
 static const char *reason_of(int status)
@@ -106,7 +110,8 @@
 
 	exchange->server->open_exchanges--;
 	if (exchange->connection)
-		exchange->connection->busy = false;
+		exchange->connection->busy = exchange->connection->replying =
+			false;
 	if (!exchange->replied && exchange->gone)
 		exchange->gone(exchange->gone_ctx);
 }
@@ -171,28 +176,49 @@
 	free(connection);
 }
 
+/* Ends a connection; to h2o its caller has gone. */
+static bool evict(struct connection *connection)
+{
+	uv_os_fd_t fd;
+
+	connection->evicted = true;
+	return !uv_fileno((uv_handle_t *)&connection->tcp, &fd) &&
+	       !shutdown(fd, SHUT_RDWR);
+}
+
 /*
  * A flood of connections that ask nothing must not keep out those that ask:
- * the one unused for longest makes room. Its end comes to h2o as the caller's.
+ * the one unused for longest makes room.
  */
 static bool make_room(struct zr_http_server *server)
 {
 	struct connection *connection;
-	uv_os_fd_t fd;
 
 	DL_FOREACH(server->connections, connection)
 	{
-		if (connection->busy || connection->evicted)
-			continue;
-		connection->evicted = true;
-		if (uv_fileno((uv_handle_t *)&connection->tcp, &fd) ||
-		    shutdown(fd, SHUT_RDWR))
-			continue;
-		return true;
+		if (!connection->busy && !connection->evicted &&
+		    evict(connection))
+			return true;
 	}
 	return false;
 }
 
+/* A caller that does not read its reply is cut off. */
+static void on_sweep(uv_timer_t *timer)
+{
+	struct zr_http_server *server = timer->data;
+	uint64_t now_ms = uv_now(server->loop);
+	struct connection *connection;
+
+	DL_FOREACH(server->connections, connection)
+	{
+		if (connection->replying && !connection->evicted &&
+		    now_ms - connection->replied_ms >
+			    server->options.request_timeout_ms)
+			evict(connection);
+	}
+}
+
 static void on_accept(uv_stream_t *listener, int status)
 {
 	struct zr_http_server *server = listener->data;
@@ -223,6 +249,9 @@
 
 static int start_listening(struct zr_http_server *server, const char *address)
 {
+	uv_timer_init(server->loop, &server->sweep);
+	server->sweep.data = server;
+	uv_timer_start(&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 	uv_tcp_init(server->loop, &server->listener);
 	server->listener.data = server;
 	server->listening = true;
@@ -301,6 +330,7 @@
 
 	uv_close((uv_handle_t *)check, NULL);
 	uv_close((uv_handle_t *)&server->listener, NULL);
+	uv_close((uv_handle_t *)&server->sweep, NULL);
 }
 
 void zr_http_server_stop(struct zr_http_server *server)
@@ -406,6 +436,11 @@
 	h2o_req_t *req = exchange->req;
 
 	exchange->replied = true;
+	if (exchange->connection) {
+		exchange->connection->replying = true;
+		exchange->connection->replied_ms =
+			uv_now(exchange->server->loop);
+	}
 	req->res.status = status;
 	req->res.reason = reason_of(status);
 	/* Without a length a truncated answer would look whole. */
--- a/src/libzinniarack/net/http_server.h
+++ b/src/libzinniarack/net/http_server.h
@@ -27,7 +27,8 @@
  * struct zr_http_server_options - limits of a server
  * @version: ZR_HTTP_SERVER_OPTIONS_VERSION
  * @max_body_bytes: a larger request body is answered 413
- * @request_timeout_ms: time a caller has to send a whole request
+ * @request_timeout_ms: time a caller has to send a whole request, and to read
+ *	the reply
  * @max_connections: beyond it, the connection unused for longest is closed; the
  *	new one if a request is in progress on each
  */
--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -4,6 +4,7 @@
  */
 #include <arpa/inet.h>
 #include <check.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +22,8 @@
 #define REQUEST_TIMEOUT_MS 300
 #define BODY_MAX 1000
 #define FLOOD 40
+/* More than the sockets' buffers on both sides take. */
+#define LARGE_BYTES (32u << 20)
 #define BOMB_BYTES (2u << 20)
 #define GET(path) "GET " path " HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -30,6 +33,7 @@
 static unsigned int handled;
 static struct zr_http_exchange *held;
 static bool gone;
+static char large[LARGE_BYTES];
 
 static void on_gone(void *ctx)
 {
@@ -45,6 +49,10 @@
 
 	(void)ctx;
 	handled++;
+	if (!strcmp(path, "/large")) {
+		zr_http_reply(exchange, 200, "text/plain", large, LARGE_BYTES);
+		return;
+	}
 	if (!strcmp(path, "/held")) {
 		held = exchange;
 		zr_http_on_gone(exchange, on_gone, NULL);
@@ -182,6 +190,27 @@
 }
 END_TEST
 
+/* Its reply, and the memory for it, are given up. */
+START_TEST(test_slow_reader_is_cut_off)
+{
+	int fd = raw_connect(address);
+	bool over = false;
+	int tries;
+
+	raw_send(fd, GET("/large"), strlen(GET("/large")));
+	while (!handled)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	ck_assert_uint_eq(zr_http_server_open(server), 1);
+	for (tries = 0; tries < 1000 && !over; tries++) {
+		expect_served();
+		usleep(20000);
+		over = !zr_http_server_open(server);
+	}
+	ck_assert(over);
+	close(fd);
+}
+END_TEST
+
 START_TEST(test_pipelined_in_order)
 {
 	static const char text[] = GET("/held") GET("/second");
@@ -293,6 +322,7 @@
 	SRunner *runner;
 	int failed;
 
+	signal(SIGPIPE, SIG_IGN);
 	tcase_set_timeout(tests, 120);
 	tcase_add_checked_fixture(tests, setup, NULL);
 	tcase_add_test(tests, test_slow_sender_is_cut_off);
@@ -300,6 +330,7 @@
 	tcase_add_test(tests, test_header_bomb);
 	tcase_add_test(tests, test_oversized_body);
 	tcase_add_test(tests, test_flood_keeps_nobody_out);
+	tcase_add_test(tests, test_slow_reader_is_cut_off);
 	tcase_add_test(tests, test_pipelined_in_order);
 	tcase_add_test(tests, test_half_closed_caller);
 	tcase_add_test(tests, test_caller_gone);
