Idempotency keys kept in the store, wired into the entry daemon

The intent is created only if the key has none, the answer replaces it, a lost answer of the store is read back. Two writes a request; their rate is bounded for each process.

--- a/rpc/msg_grants.h
+++ b/rpc/msg_grants.h
@@ -56,6 +56,19 @@
 	} services;
 };
 typedef struct zx_grant zx_grant;
+#define ZX_ANSWER_MAX 262144
+
+struct zx_once {
+	u_quad_t digest;
+	char *run;
+	bool_t answered;
+	int status;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct zx_once zx_once;
 
 struct zx_grant_result {
 	int error;
@@ -77,6 +90,7 @@
 extern  bool_t xdr_zx_held (XDR *, zx_held*);
 extern  bool_t xdr_zx_grant_args (XDR *, zx_grant_args*);
 extern  bool_t xdr_zx_grant (XDR *, zx_grant*);
+extern  bool_t xdr_zx_once (XDR *, zx_once*);
 extern  bool_t xdr_zx_grant_result (XDR *, zx_grant_result*);
 
 #else /* K&R C */
@@ -85,6 +99,7 @@
 extern bool_t xdr_zx_held ();
 extern bool_t xdr_zx_grant_args ();
 extern bool_t xdr_zx_grant ();
+extern bool_t xdr_zx_once ();
 extern bool_t xdr_zx_grant_result ();
 
 #endif /* K&R C */
--- a/rpc/msg_grants.x
+++ b/rpc/msg_grants.x
@@ -44,6 +44,20 @@
 	zx_name services<ZX_LIST_MAX>;
 };
 
+const ZX_ANSWER_MAX = 262144;
+
+/*
+ * Kept for an idempotency key: the intent to run its request, and then the
+ * answer. The digest tells another request under the same key.
+ */
+struct zx_once {
+	unsigned hyper digest;
+	string run<ZX_ID_MAX>;
+	bool answered;
+	int status;
+	opaque body<ZX_ANSWER_MAX>;
+};
+
 struct zx_grant_result {
 	int error;
 	/* Not all replicas are known yet: workers not named keep their slots. */
--- a/rpc/msg_grants_xdr.c
+++ b/rpc/msg_grants_xdr.c
@@ -80,6 +80,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_zx_once (XDR *xdrs, zx_once *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->run, ZX_ID_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answered))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, ZX_ANSWER_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_grant_result (XDR *xdrs, zx_grant_result *objp)
 {
--- a/src/libzinniarack/entry/api_requests.c
+++ b/src/libzinniarack/entry/api_requests.c
@@ -18,7 +18,9 @@
 	struct zr_entry *entry;
 	struct zr_http_exchange *exchange;
 	zr_handle handle;
+	bool sent; /* the call that sends it has returned */
 	bool done;
+	bool keyed;
 };
 
 /* Replies */
@@ -32,6 +34,12 @@
 		return "cannot be answered in time";
 	case ZR_E_NOT_FOUND:
 		return "no such service";
+	case ZR_E_CONFLICT:
+		return "the key was used for another request";
+	case ZR_E_FULL:
+		return "too many requests with a key";
+	case ZR_E_STORE_DOWN:
+		return "the key cannot be kept";
 	default:
 		return "not sent to any worker";
 	}
@@ -52,28 +60,39 @@
 				   "retry_after_ms", (int)retry_after_ms));
 }
 
-static void on_answer(void *ctx, const struct zr_route_answer *answer)
+static void reply(struct zr_http_exchange *exchange,
+		  const struct zr_route_answer *answer)
 {
-	struct request *request = ctx;
-
-	request->done = true;
 	if (answer->error == ZR_E_OVERLOADED)
-		reply_overloaded(request->exchange, answer->retry_after_ms);
+		reply_overloaded(exchange, answer->retry_after_ms);
 	else if (answer->error < 0)
-		entry_reply_error(request->exchange, answer->error,
+		entry_reply_error(exchange, answer->error,
 				  detail_of(answer->error));
 	else
-		zr_http_reply(request->exchange, answer->status,
+		zr_http_reply(exchange, answer->status,
 			      "application/octet-stream", answer->body,
 			      answer->length);
-	if (request->handle)
+}
+
+static void on_answer(void *ctx, const struct zr_route_answer *answer)
+{
+	struct request *request = ctx;
+
+	request->done = true;
+	if (request->exchange)
+		reply(request->exchange, answer);
+	if (request->sent)
 		free(request);
 }
 
+/* What must run once for a key goes on: a repeat wants its answer. */
 static void on_gone(void *ctx)
 {
 	struct request *request = ctx;
 
+	request->exchange = NULL;
+	if (request->keyed)
+		return;
 	zr_router_cancel(request->entry->router, request->handle);
 	free(request);
 }
@@ -122,11 +141,28 @@
 	return value && !strcmp(value, "true");
 }
 
+/* A key of printable characters without spaces, or none. */
+static int read_key(const char **out, struct zr_http_exchange *exchange)
+{
+	const char *key = zr_http_header(exchange, "idempotency-key");
+	const char *at;
+
+	*out = key;
+	if (!key)
+		return 0;
+	for (at = key; *at; at++) {
+		if (*at <= ' ' || *at > '~' || *at == '/')
+			return ZR_E_INVALID;
+	}
+	return at == key || at - key >= ZR_IDEMPOTENCY_KEY_MAX ? ZR_E_INVALID
+							       : 0;
+}
+
 /* Routing */
 
 static void send_request(struct zr_entry *entry,
 			 struct zr_http_exchange *exchange,
-			 const struct zr_route_request *route)
+			 const struct zr_route_request *route, const char *key)
 {
 	struct request *request = calloc(1, sizeof(*request));
 
@@ -134,8 +170,14 @@
 		abort();
 	request->entry = entry;
 	request->exchange = exchange;
-	request->handle =
-		zr_router_send(entry->router, route, on_answer, request);
+	request->keyed = key != NULL;
+	if (key)
+		zr_once_send(entry->router, &entry->once, entry->clock, route,
+			     key, on_answer, request);
+	else
+		request->handle = zr_router_send(entry->router, route,
+						 on_answer, request);
+	request->sent = true;
 	if (request->done)
 		free(request);
 	else
@@ -144,7 +186,8 @@
 
 static void route_request(struct zr_entry *entry,
 			  struct zr_http_exchange *exchange,
-			  const char *service, const char *team)
+			  const char *service, const char *team,
+			  const char *key)
 {
 	char id[ZR_ROUTE_ID_MAX];
 	struct zr_route_request route = {
@@ -161,7 +204,7 @@
 	snprintf(id, sizeof(id), "%.40s-%" PRIu64, entry->settings->name,
 		 ++entry->request_sequence);
 	route.body = zr_http_body(exchange, &route.length);
-	send_request(entry, exchange, &route);
+	send_request(entry, exchange, &route, key);
 }
 
 void entry_requests(struct zr_entry *entry, struct zr_http_exchange *exchange,
@@ -169,6 +212,7 @@
 {
 	char service[ZR_NAME_MAX];
 	const char *team;
+	const char *key;
 	int error = entry_authenticate(&team, entry, exchange);
 
 	if (error < 0)
@@ -177,10 +221,10 @@
 		 !read_service(service, rest))
 		entry_reply_error(exchange, ZR_E_NOT_FOUND,
 				  "POST /v1/services/NAME/requests");
-	else if (zr_http_header(exchange, "idempotency-key"))
-		/* Without a durable record a repeat could run twice. */
-		entry_reply_error(exchange, ZR_E_STORE_DOWN,
-				  "no record of keys can be kept");
+	else if (read_key(&key, exchange) < 0)
+		entry_reply_error(exchange, ZR_E_INVALID,
+				  "Idempotency-Key: 1 to 127 printable "
+				  "characters, no space, no slash");
 	else
-		route_request(entry, exchange, service, team);
+		route_request(entry, exchange, service, team, key);
 }
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -7,6 +7,7 @@
 #include "entry/private.h"
 #include "msg_peers.h"
 #include "net/uv_timers.h"
+#include "route/once_store.h"
 #include "rpc/procedures.h"
 #include "store/etcd.h"
 #include "worker/http_host_list.h"
@@ -158,8 +159,21 @@
 	return 0;
 }
 
+static int make_once(struct zr_entry *entry, uint64_t incarnation)
+{
+	struct zr_once_store_options options = ZR_ONCE_STORE_OPTIONS_INIT;
+
+	options.store = &entry->store;
+	options.clock = entry->clock;
+	options.entry = entry->settings->name;
+	options.incarnation = incarnation;
+	return zr_once_store_new(&entry->once, &options);
+}
+
 static int make_router(struct zr_entry *entry)
 {
+	int error;
+
 	struct zr_router_options options = ZR_ROUTER_OPTIONS_INIT;
 	struct timespec started = entry->clock->realtime(entry->clock->ctx);
 
@@ -171,6 +185,9 @@
 	options.incarnation = (uint64_t)started.tv_sec * 1000000000u +
 			      (uint64_t)started.tv_nsec;
 	options.peer_ctx = entry->loop;
+	error = make_once(entry, options.incarnation);
+	if (error < 0)
+		return error;
 	return zr_router_new(&entry->router, &options);
 }
 
@@ -237,6 +254,7 @@
 	/* Closing handles still refer to the modules: run the loop dry. */
 	uv_run(entry->loop, UV_RUN_DEFAULT);
 	zr_http_server_free(entry->http);
+	zr_once_store_free(&entry->once);
 	zr_metrics_free(entry->metrics);
 	free(entry);
 }
--- a/src/libzinniarack/entry/private.h
+++ b/src/libzinniarack/entry/private.h
@@ -8,6 +8,7 @@
 #include "entry/directory.h"
 #include "net/http_server.h"
 #include "net/rpc_server.h"
+#include "route/once.h"
 #include "route/router.h"
 #include "zinniarack/entry.h"
 #include "zinniarack/metrics.h"
@@ -37,6 +38,7 @@
 	struct zr_rpc_server *rpc;
 	struct zr_directory *directory;
 	struct zr_router *router;
+	struct zr_once once;
 	struct zr_http_server *http;
 	uint64_t request_sequence;
 	struct zr_metric *unconfirmed;
--- a/src/libzinniarack/route/once.c
+++ b/src/libzinniarack/route/once.c
@@ -125,10 +125,11 @@
 }
 
 static void on_begun(void *ctx, int error, enum zr_once_state state,
-		     const struct zr_once_answer *answer)
+		     int64_t version, const struct zr_once_answer *answer)
 {
 	struct zr_once_call *call = ctx;
 
+	call->key.version = version;
 	if (error == ZR_E_OUTCOME_UNKNOWN) {
 		/* The intent may be kept, but this request does not run. */
 		call->once->ops->withdraw(call->once->impl, &call->key);
--- a/src/libzinniarack/route/once.h
+++ b/src/libzinniarack/route/once.h
@@ -27,13 +27,15 @@
  * @key: the idempotency key; each team has its own
  * @digest: of the service and the body; another one under the same key is
  *	another request
- * @run: id of this run of it; only this run's intent may be withdrawn by it
+ * @run: id of this run of it
+ * @version: of the intent of this run, as @begin gave it; 0 before
  */
 struct zr_once_key {
 	const char *team;
 	const char *key;
 	uint64_t digest;
 	const char *run;
+	int64_t version;
 };
 
 /**
@@ -54,9 +56,11 @@
  * @error: 0; ZR_E_CONFLICT: the key was used for another request; any other:
  *	nothing may be run
  * @state: without an error, what was found
+ * @version: with ZR_ONCE_FRESH, of the intent that is kept now
  * @answer: with ZR_ONCE_ANSWERED; valid during the call
  */
 typedef void (*zr_once_begin_fn)(void *ctx, int error, enum zr_once_state state,
+				 int64_t version,
 				 const struct zr_once_answer *answer);
 
 /**
--- a/tests/fakes/fake_once.c
+++ b/tests/fakes/fake_once.c
@@ -65,17 +65,17 @@
 	if (fresh)
 		add(homes, key);
 	if (homes->down)
-		done(ctx, ZR_E_STORE_DOWN, ZR_ONCE_OPEN, NULL);
+		done(ctx, ZR_E_STORE_DOWN, ZR_ONCE_OPEN, 0, NULL);
 	else if (homes->lossy)
-		done(ctx, ZR_E_OUTCOME_UNKNOWN, ZR_ONCE_OPEN, NULL);
+		done(ctx, ZR_E_OUTCOME_UNKNOWN, ZR_ONCE_OPEN, 0, NULL);
 	else if (fresh)
-		done(ctx, 0, ZR_ONCE_FRESH, NULL);
+		done(ctx, 0, ZR_ONCE_FRESH, 1, NULL);
 	else if (record->digest != key->digest)
-		done(ctx, ZR_E_CONFLICT, ZR_ONCE_OPEN, NULL);
+		done(ctx, ZR_E_CONFLICT, ZR_ONCE_OPEN, 0, NULL);
 	else if (record->answered)
-		done(ctx, 0, ZR_ONCE_ANSWERED, &record->answer);
+		done(ctx, 0, ZR_ONCE_ANSWERED, 0, &record->answer);
 	else
-		done(ctx, 0, ZR_ONCE_OPEN, NULL);
+		done(ctx, 0, ZR_ONCE_OPEN, 0, NULL);
 }
 
 static void answered(void *impl, const struct zr_once_key *key,
