--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -12,12 +12,15 @@
 #define SCHEDULERS 3
 #define PORT_OFFSET 900
 #define LIMIT_MS 5000
+#define HELD_MAX 32
 
 /* Schedulers that answer as a test says, on the loop of the test. */
 struct scheduler {
 	struct zr_rpc_server *server;
 	zx_status_result status;
 	bool silent;
+	struct zr_rpc_call *held[HELD_MAX]; /* answered at the end */
+	size_t held_count;
 };
 
 static uv_loop_t loop;
@@ -31,8 +34,12 @@
 	struct scheduler *scheduler = ctx;
 
 	(void)args;
-	if (!scheduler->silent)
+	if (!scheduler->silent) {
 		zr_rpc_reply(call, &scheduler->status);
+		return;
+	}
+	ck_assert_uint_lt(scheduler->held_count, HELD_MAX);
+	scheduler->held[scheduler->held_count++] = call;
 }
 
 static const struct zr_rpc_service services[] = {
@@ -97,15 +104,23 @@
 	set_host(2, "a1", "a");
 }
 
+static void stop_server(struct scheduler *scheduler)
+{
+	while (scheduler->held_count)
+		zr_rpc_reply(scheduler->held[--scheduler->held_count],
+			     &scheduler->status);
+	if (scheduler->server)
+		zr_rpc_server_free(scheduler->server);
+	scheduler->server = NULL;
+}
+
 static void teardown(void)
 {
 	int i;
 
 	zr_directory_free(directory);
-	for (i = 0; i < SCHEDULERS; i++) {
-		if (schedulers[i].server)
-			zr_rpc_server_free(schedulers[i].server);
-	}
+	for (i = 0; i < SCHEDULERS; i++)
+		stop_server(&schedulers[i]);
 	uv_run(&loop, UV_RUN_DEFAULT);
 	uv_loop_close(&loop);
 	fake_time_free(fake);
@@ -128,8 +143,7 @@
 	serve(0, true, 1);
 	zr_directory_hosts(directory, hosts, 1);
 	wait_active("a", hosts[0].scheduler);
-	zr_rpc_server_free(schedulers[0].server);
-	schedulers[0].server = NULL;
+	stop_server(&schedulers[0]);
 	serve(2, true, 2);
 	zr_directory_hosts(directory, &hosts[2], 1);
 	wait_active("a", hosts[2].scheduler);
