A restarted entry daemon is no witness for the one before it

Cause: a daemon that accepted a change, told nobody and was started again at its address was taken for one that had accepted nothing, so with the store down a withdrawn key stayed good. News carry an incarnation; a new one counts as a host gone without a word. Keys of operators that the configuration names need it confirmed too.

--- a/rpc/msg_peers.h
+++ b/rpc/msg_peers.h
@@ -20,6 +20,7 @@
 	char *name;
 	char *domain;
 	char *address;
+	u_quad_t incarnation;
 	u_quad_t held_version;
 	quad_t age_ms;
 	quad_t trusted_age_ms;
--- a/rpc/msg_peers.x
+++ b/rpc/msg_peers.x
@@ -15,6 +15,7 @@
 	string name<ZX_PEER_NAME_MAX>;
 	string domain<ZX_PEER_NAME_MAX>;
 	string address<ZX_PEER_NAME_MAX>;
+	unsigned hyper incarnation;
 	unsigned hyper held_version;
 	hyper age_ms;
 	hyper trusted_age_ms;
--- a/rpc/msg_peers_xdr.c
+++ b/rpc/msg_peers_xdr.c
@@ -16,6 +16,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->address, ZX_PEER_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->held_version))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->age_ms))
--- a/src/libzinniarack/config/freshness.c
+++ b/src/libzinniarack/config/freshness.c
@@ -173,6 +173,7 @@
 		.name = watch->options.name,
 		.domain = watch->options.domain,
 		.address = watch->options.address ? watch->options.address : "",
+		.incarnation = watch->incarnation,
 		.version = config_version(watch),
 		.age_ms = age_of(watch, &watch->confirmed),
 		.trusted_age_ms = zr_config_watch_age_ms(watch),
@@ -256,11 +257,15 @@
 	       !strcmp(peer->address, watch->options.address);
 }
 
-static void note_heard(struct config_peer *peer,
+static void note_heard(struct zr_config_watch *watch, struct config_peer *peer,
 		       const struct zr_config_news *news, struct timespec asked)
 {
 	if (peer->heard && zr_time_cmp(asked, peer->as_of) <= 0)
 		return;
+	/* The process before it went without a word, as a host may. */
+	if (peer->heard && peer->incarnation != news->incarnation)
+		note_gone(watch, peer, asked);
+	peer->incarnation = news->incarnation;
 	peer->heard = true;
 	peer->as_of = asked;
 	peer->version = news->version;
@@ -287,7 +292,7 @@
 	struct config_peer *peer = find_peer(watch, address);
 
 	if (peer)
-		note_heard(peer, news, asked);
+		note_heard(watch, peer, news, asked);
 	take_news(watch, news, is_fresh(watch, news, asked));
 	adopt(watch, news, asked);
 }
--- a/src/libzinniarack/config/private.h
+++ b/src/libzinniarack/config/private.h
@@ -24,6 +24,7 @@
  * @added: when the host list was asked that named it first
  * @heard: whether it has answered
  * @as_of: when it was asked for its last answer
+ * @incarnation: which process it was
  * @version: the version it held
  * @unsettled: it did not know the effect of a proposal
  * @leaving: it has said that it accepts no change any more
@@ -38,6 +39,7 @@
 	struct timespec added;
 	bool heard;
 	struct timespec as_of;
+	uint64_t incarnation;
 	uint64_t version;
 	bool unsettled;
 	bool leaving;
@@ -54,6 +56,7 @@
 struct zr_config_watch {
 	struct zr_config_watch_options options;
 	struct timespec started;
+	uint64_t incarnation;
 	struct zr_timer *timer;
 	bool reading;
 	bool freed; /* free it when the store answers the open read */
--- a/src/libzinniarack/config/watch.c
+++ b/src/libzinniarack/config/watch.c
@@ -1,6 +1,7 @@
 #include "config/watch.h"
 
 #include <inttypes.h>
+#include <openssl/rand.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -179,6 +180,11 @@
 		return ZR_E_NOMEM;
 	watch->options = *options;
 	watch->started = config_now(watch);
+	if (RAND_bytes((unsigned char *)&watch->incarnation,
+		       sizeof(watch->incarnation)) != 1) {
+		free(watch);
+		return zr_error_set(ZR_E_IO, "no randomness to be had");
+	}
 	register_metrics(watch);
 	watch->timer = zr_timer_new(options->timers, on_tick, watch);
 	zr_timer_start(watch->timer, 0, TICK_MS);
--- a/src/libzinniarack/config/watch.h
+++ b/src/libzinniarack/config/watch.h
@@ -76,6 +76,7 @@
  * @name: the sender's host
  * @domain: its failure domain
  * @address: where an entry daemon is reached; "" for a scheduler
+ * @incarnation: differs between a process and the one that replaces it
  * @version: the version it holds; 0 for none
  * @age_ms: how long ago the store confirmed that nothing newer was accepted,
  *	or ZR_CONFIG_NEVER_CONFIRMED
@@ -89,6 +90,7 @@
 	const char *name;
 	const char *domain;
 	const char *address;
+	uint64_t incarnation;
 	uint64_t version;
 	int64_t age_ms;
 	int64_t trusted_age_ms;
--- a/src/libzinniarack/entry/api_keys.c
+++ b/src/libzinniarack/entry/api_keys.c
@@ -45,8 +45,8 @@
 				      credential);
 }
 
-bool entry_is_operator(const struct zr_config_key *key,
-		       const struct zr_entry *entry)
+static bool is_in_settings(const struct zr_config_key *key,
+			   const struct zr_entry *entry)
 {
 	uint32_t i;
 
@@ -54,7 +54,26 @@
 		if (key == &entry->settings->operators[i])
 			return true;
 	}
-	return key->role == ZR_KEY_OPERATOR;
+	return false;
+}
+
+bool entry_is_operator(const struct zr_config_key *key,
+		       const struct zr_entry *entry)
+{
+	return is_in_settings(key, entry) || key->role == ZR_KEY_OPERATOR;
+}
+
+/* A key that may have been withdrawn unseen is as good as none. */
+static int check_fresh(struct zr_entry *entry, const struct zr_config_key *key)
+{
+	int error;
+
+	if (is_in_settings(key, entry))
+		return 0;
+	error = zr_config_watch_check_keys(entry->config);
+	if (error < 0)
+		entry->unconfirmed->value++;
+	return error;
 }
 
 int entry_operator(const struct zr_config_key **out, struct zr_entry *entry,
@@ -67,17 +86,7 @@
 	if (!entry_is_operator(*out, entry))
 		return zr_error_set(ZR_E_FORBIDDEN,
 				    "an operator's key is needed");
-	return 0;
-}
-
-/* A key that may have been withdrawn unseen is as good as none. */
-static int check_fresh(struct zr_entry *entry)
-{
-	int error = zr_config_watch_check_keys(entry->config);
-
-	if (error < 0)
-		entry->unconfirmed->value++;
-	return error;
+	return check_fresh(entry, *out);
 }
 
 int entry_authenticate(const char **out, struct zr_entry *entry,
@@ -88,7 +97,7 @@
 
 	if (error)
 		return error;
-	error = check_fresh(entry);
+	error = check_fresh(entry, key);
 	if (error)
 		return error;
 	if (entry_is_operator(key, entry))
@@ -107,10 +116,6 @@
 
 	if (error)
 		return error;
-	if (entry_is_operator(key, entry)) {
-		*out = "";
-		return 0;
-	}
-	*out = key->team;
-	return check_fresh(entry);
+	*out = entry_is_operator(key, entry) ? "" : key->team;
+	return check_fresh(entry, key);
 }
