zinniarack recover: a lost domain's part of the limits, by an operator's word

Exit code 5 is for a lost race alone, not for every 409.

test_operators_commands: refused while heard, refused to a team's key, carried out once the domain's processes are killed.

--- a/src/cli/call.c
+++ b/src/cli/call.c
@@ -105,12 +105,13 @@
 int cli_show(struct cli_answer *answer)
 {
 	int status = answer->status;
+	bool raced = strstr(answer->body, "\"error\":\"conflict\"") != NULL;
 
 	fwrite(answer->body, 1, answer->length, stdout);
 	if (answer->length && answer->body[answer->length - 1] != '\n')
 		putchar('\n');
 	free(answer->body);
-	if (status == 409)
+	if (raced)
 		return CLI_EXIT_CONFLICT;
 	return status < 300 ? CLI_EXIT_OK : CLI_EXIT_REFUSED;
 }
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -66,6 +66,7 @@
 extern const struct cli_command cli_undrain;
 extern const struct cli_command cli_counters;
 extern const struct cli_command cli_jobs;
+extern const struct cli_command cli_recover;
 extern const struct cli_command cli_explain;
 extern const struct cli_command cli_cancel;
 extern const struct cli_command cli_submit;
--- a/src/cli/jobs.c
+++ b/src/cli/jobs.c
@@ -37,11 +37,40 @@
 	return error < 0 ? cli_fail(error) : cli_show(&answer);
 }
 
+static void print_explanation(const json_t *answer)
+{
+	json_t *refusals = json_object_get(answer, "workers_refusing");
+	const char *hint = json_string_value(json_object_get(answer, "hint"));
+	const char *reason;
+	json_t *count;
+
+	printf("%s\n", hint && *hint ? hint : "nothing keeps it");
+	printf("workers that fit: %" JSON_INTEGER_FORMAT "\n",
+	       json_integer_value(json_object_get(answer, "workers_fitting")));
+	printf("jobs before it: %" JSON_INTEGER_FORMAT "\n",
+	       json_integer_value(json_object_get(answer, "jobs_before")));
+	json_object_foreach (refusals, reason, count) {
+		printf("workers passed over, %s: %" JSON_INTEGER_FORMAT "\n",
+		       reason, json_integer_value(count));
+	}
+}
+
 static int run_explain(const struct cli_options *options, int argc, char **argv)
 {
+	char path[PATH_MAX_BYTES];
+	json_t *answer;
+	int result;
+
 	if (argc != 1)
 		return cli_usage(&cli_explain);
-	return call(options, "GET", argv[0], "/explain");
+	snprintf(path, sizeof(path), "/v1/jobs/%.128s/explain", argv[0]);
+	result = cli_get_operator(&answer, options, path);
+	if (result == CLI_EXIT_OK && options->json)
+		cli_print_json(answer);
+	else if (result == CLI_EXIT_OK)
+		print_explanation(answer);
+	json_decref(answer);
+	return result;
 }
 
 static int run_cancel(const struct cli_options *options, int argc, char **argv)
--- a/src/libzinniarack/entry/api.c
+++ b/src/libzinniarack/entry/api.c
@@ -133,6 +133,8 @@
 		entry_jobs(entry, exchange, rest);
 	else if ((rest = after(path, "/v1/services")))
 		entry_requests(entry, exchange, rest);
+	else if ((rest = after(path, "/v1/domains")))
+		entry_domains(entry, exchange, rest);
 	else if (!strcmp(path, "/v1/config"))
 		entry_config(entry, exchange);
 	else if (!strcmp(path, "/v1/status"))
--- a/src/libzinniarack/entry/private.h
+++ b/src/libzinniarack/entry/private.h
@@ -119,6 +119,10 @@
 /* api_operators.c */
 void entry_config(struct zr_entry *entry, struct zr_http_exchange *exchange);
 void entry_status(struct zr_entry *entry, struct zr_http_exchange *exchange);
+/* api_domains.c */
+void entry_domains(struct zr_entry *entry, struct zr_http_exchange *exchange,
+		   const char *rest);
+
 void entry_workers(struct zr_entry *entry, struct zr_http_exchange *exchange);
 
 #endif
--- a/tests/e2e/test_operators_commands.sh
+++ b/tests/e2e/test_operators_commands.sh
@@ -49,6 +49,8 @@
     share: 1
   - name: reprints
     share: 1
+    limit:
+      millicpus: 4000
 queues:
   - name: any
 jobs:
@@ -130,6 +132,9 @@
 expect 0 $zr jobs
 says "$id"
 expect 0 $zr explain "$id"
+says '^workers that fit: [0-9]'
+expect 0 $zr --json explain "$id"
+says '"workers_fitting":'
 expect 0 $zr cancel "$id"
 says "\"id\":\"$id\""
 expect 1 $zr cancel sapporo-1-999999
@@ -210,4 +215,19 @@
 		grep -E '"state":"(running|waiting|parked)"'
 }
 cell_until 10 no_faces
+
+# What a lost failure domain held comes back, by an operator's word alone.
+expect 2 $zr recover hakodate
+expect 1 $zr recover hakodate --lost
+says '"error":"state"'
+expect 1 $zr -o "$reprint" recover hakodate --lost
+says '"error":"forbidden"'
+kill -KILL "$(cell_pid hakodate-2.scheduler)" "$(cell_pid hakodate-2.entry)"
+recovered () {
+	$zr recover hakodate --lost >"$work/out"
+}
+cell_until 10 recovered || { cat "$work/out"; exit 1; }
+says '"recovered":"hakodate"'
+expect 1 $zr recover nowhere --lost
+says '"error":"not_found"'
 echo "test_operators_commands: ok"
