--- a/src/util/log.c
+++ b/src/util/log.c
@@ -1,7 +1,6 @@
 #include "zinniarack/log.h"
 
 #include <log4c.h>
-#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <time.h>
@@ -70,6 +69,19 @@
 	.format = format_line,
 };
 
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+/* log4c's own stream appenders put their name before each line. */
+static const log4c_appender_type_t appender_type = {
+	.name = "zinniarack",
+	.append = append_line,
+};
+
 static int priority_of(enum zr_log_level level)
 {
 	switch (level) {
@@ -108,10 +120,9 @@
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get("zinniarack");
 	log4c_layout_set_type(layout, &layout_type);
-	/* stream2, unlike stream, puts nothing of its own before a line. */
+	log4c_appender_type_set(&appender_type);
 	appender = log4c_appender_get("zinniarack");
-	log4c_appender_set_type(appender, &log4c_appender_type_stream2);
-	log4c_stream2_set_fp(appender, stderr);
+	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	events = open_category("event", priority_of(level), appender);
 	decisions = open_category("decision",
--- a/tests/cell.sh
+++ b/tests/cell.sh
@@ -106,6 +106,15 @@
 	cell_spawn workers "$cell_build/standin-worker" \
 		--base-port $(($cell_base + 400)) \
 		--count "$cell_worker_count" --ledger "$cell_dir/ledger"
+	cell_until 5 curl -sf "http://$(cell_port 2)/v1/hosts"
+	for name in platform workers
+	do
+		kill -0 "$(cell_pid $name)" || {
+			echo "$name did not start; are its ports in use?" >&2
+			cat "$cell_dir/$name.log" >&2
+			return 1
+		}
+	done
 }
 
 # cell_start_host NAME: both daemons of an entry host.
