--- a/src/libzinniarack/sched/rows.h
+++ b/src/libzinniarack/sched/rows.h
@@ -407,6 +407,8 @@
 	uint32_t shape_count;
 	struct zr_resources total; /* saturates */
 	uint64_t total_share;
+	uint32_t accelerators; /* in use */
+	bool accelerators_short;
 	struct zr_sched_lane parked;
 	struct zr_sched_lane delayed[ZR_SCHED_DELAYS];
 	uint32_t parked_to_review;
--- a/src/libzinniarack/sched/team.c
+++ b/src/libzinniarack/sched/team.c
@@ -11,6 +11,8 @@
  */
 
 #define PARTS_PER_BILLION 1000000000u
+/* Accelerators are short when so much of them is in use, in per cent. */
+#define SHORT_PERCENT 90
 
 struct zr_sched_team *zr_sched_team_row(const struct zr_sched *sched,
 					zr_handle team)
@@ -130,14 +132,25 @@
 	return a > b ? a : b;
 }
 
+/* Whether nearly all accelerators are in use. */
+static bool are_short(const struct zr_sched *sched)
+{
+	return (uint64_t)sched->accelerators * 100 >=
+	       (uint64_t)sched->total.accelerators * SHORT_PERCENT;
+}
+
+/* Shares are for when all is full: accelerators that nobody lacks do not count
+ * against the team that uses them. */
 static void weigh(const struct zr_sched *sched, struct zr_sched_team *team)
 {
 	const struct zr_resources *total = &sched->total;
 
-	team->dominant = most(
-		part_of(team->used.millicpus, total->millicpus),
-		most(part_of(team->used.memory_mb, total->memory_mb),
-		     part_of(team->used.accelerators, total->accelerators)));
+	team->dominant = most(part_of(team->used.millicpus, total->millicpus),
+			      part_of(team->used.memory_mb, total->memory_mb));
+	if (sched->accelerators_short)
+		team->dominant =
+			most(team->dominant, part_of(team->used.accelerators,
+						     total->accelerators));
 }
 
 void zr_sched_teams_weigh(struct zr_sched *sched)
@@ -145,6 +158,7 @@
 	zr_handle handle = ZR_HANDLE_NONE;
 
 	sched->total_share = 0;
+	sched->accelerators_short = are_short(sched);
 	while ((handle = zr_table_next(sched->teams, handle))) {
 		struct zr_sched_team *team = zr_sched_team_row(sched, handle);
 
@@ -159,6 +173,9 @@
 {
 	zr_resources_sub(&team->used, before);
 	zr_resources_add(&team->used, after);
+	sched->accelerators += after->accelerators - before->accelerators;
+	if (sched->accelerators_short != are_short(sched))
+		zr_sched_teams_weigh(sched);
 	weigh(sched, team);
 }
 
