Decisions bench: no packing figure for a cell that was never full

Cause: first-fit drains the backlog of 50 workers by overfilling them, and the table then showed 0% packing.

--- a/bench/decisions/driver.h
+++ b/bench/decisions/driver.h
@@ -31,7 +31,7 @@
  * @deadlines: deadlines that fell due
  * @missed: those not met
  * @packing: room given out over room usable while full, the larger of
- *	processors and memory, 0 to 1
+ *	processors and memory, 0 to 1; NAN for a cell that was never full
  * @used: the same of what tasks really used
  * @overloaded: share of worker samples in which tasks really used more than
  *	the worker holds
--- a/bench/decisions/driver_result.c
+++ b/bench/decisions/driver_result.c
@@ -182,7 +182,7 @@
 void driver_finish(struct driver *driver)
 {
 	struct driver_result *out = driver->out;
-	double samples = driver->samples ? driver->samples : 1;
+	double samples = driver->samples ? driver->samples : NAN;
 	uint32_t i;
 
 	out->packing = driver->packing / samples;
--- a/bench/decisions/report.c
+++ b/bench/decisions/report.c
@@ -1,12 +1,23 @@
 #include "decisions/report.h"
 
+#include <math.h>
 #include <stdio.h>
 
+static void value(double number, int digits)
+{
+	if (isnan(number))
+		printf(" %12s", "-");
+	else
+		printf(" %12.*f", digits, number);
+}
+
 static void row(const char *name, double core, double baseline,
 		const char *unit, int digits)
 {
-	printf("  %-34s %12.*f %12.*f  %s\n", name, digits, core, digits,
-	       baseline, unit);
+	printf("  %-34s", name);
+	value(core, digits);
+	value(baseline, digits);
+	printf("  %s\n", unit);
 }
 
 static void print_waits(struct driver_result *core,
