--- a/bench/bench_requests.c
+++ b/bench/bench_requests.c
@@ -185,6 +185,33 @@
 	}
 }
 
+/* Half of the capacity right after three times of it. */
+static void bench_recovery(void)
+{
+	const struct bench_setup setup = {SERVE_MS, BENCH_WELL, true, true};
+	struct bench_load load = {
+		.per_second = 3 * CAPACITY,
+		.timeout_ms = TIMEOUT_MS,
+		.seconds = CHECK_SECONDS,
+	};
+	struct bench_result flood;
+	struct bench_result after;
+	struct bench_counts counts;
+	struct bench_cell cell;
+
+	bench_cell_start(&cell, &setup);
+	bench_load_run(&flood, &cell, &load);
+	load.per_second = CAPACITY / 2;
+	bench_load_run(&after, &cell, &load);
+	bench_counts_read(&counts, &cell);
+	bench_cell_stop(&cell);
+	judge_all(&after, &counts);
+	printf("after a load of 3.0: goodput %.0f/s of %u/s offered; late %u "
+	       "refused %u unknown %u; p99 %.1f ms\n",
+	       after.good / after.seconds, load.per_second, after.late,
+	       after.refused, after.unknown, after.p99_ms);
+}
+
 static void bench_faults(void)
 {
 	static const char *const names[] = {"well", "silent", "slow",
@@ -230,6 +257,7 @@
 	bench_cost();
 	bench_bytes();
 	bench_overload();
+	bench_recovery();
 	bench_faults();
 	return failures ? 1 : 0;
 }
