--- a/tests/caller/caller.h
+++ b/tests/caller/caller.h
@@ -91,6 +91,8 @@
 struct caller {
 	uv_loop_t *loop;
 	struct zr_http_client *entries[CALLER_ENTRIES_MAX];
+	/* Apart, so that requests do not wait behind reads that wait. */
+	struct zr_http_client *request_entries[CALLER_ENTRIES_MAX];
 	size_t entry_count;
 	size_t next_entry;
 	struct caller_team teams[CALLER_TEAMS_MAX];
