A job's end is written once, also at a take-over

Cause: the ends of tasks that a take-over replays let the core end the job again, and its end was written and listed a second time; the list of ended jobs was then broken and nothing of it expired. Found by the new script retention, which failed with this line out.

--- a/bench/bench_recovery.c
+++ b/bench/bench_recovery.c
@@ -106,7 +106,8 @@
 	       seconds, outage.refused, outage.ended,
 	       outage.most_writes_in_a_second, outage.unfinished,
 	       outage.violations);
-	judge(check, outage.most_writes_in_a_second * DOMAINS < WRITES_MAX * 2,
+	judge(check,
+	      (double)outage.most_writes_in_a_second * DOMAINS < WRITES_MAX * 2,
 	      "no stampede: under twice the budget when the store returns");
 	judge(check, !outage.violations && !outage.unfinished,
 	      "nothing lost or doubled over an outage");
--- a/src/libzinniarack/domain/jobs.c
+++ b/src/libzinniarack/domain/jobs.c
@@ -383,6 +383,9 @@
 	zx_record record = {.kind = ZX_RECORD_JOB_ENDED};
 	zx_job_ended *ended = &record.zx_record_u.job_ended;
 
+	/* At a take-over the journal tells the ends of tasks and of the job. */
+	if (job->final_kept)
+		return;
 	job->final = state;
 	free(job->reason);
 	job->reason = strdup(reason);
--- a/tests/fakes/fake_cell.c
+++ b/tests/fakes/fake_cell.c
@@ -15,6 +15,8 @@
 #define TEXT_MAX 512
 #define HOST_LIST_EVERY_MS 1000
 #define MEMORY_MB 1000000
+/* A job that has ended can be read for so long. */
+#define RETAIN_MS (60 * 60 * 1000)
 /* With a larger ledger a task's places are counted only when it begins. */
 #define SCAN_MAX 300
 
@@ -54,6 +56,7 @@
 	int error;
 	bool begun;
 	long sent_ms;
+	long ended_ms;
 };
 
 /* A task of a job, over all its attempts. */
@@ -166,6 +169,15 @@
 		violation(cell, "refused as not run, and runs", job);
 }
 
+static void note_end(struct fake_cell *cell, const char *job)
+{
+	struct submission *submission;
+
+	HASH_FIND_STR(cell->submissions, job, submission);
+	if (submission)
+		submission->ended_ms = fake_cell_now_ms(cell);
+}
+
 static void on_task(void *ctx, const char *worker, enum fake_worker_event event,
 		    const char *id, uint64_t epoch, const char *result)
 {
@@ -178,6 +190,7 @@
 	if (event != FAKE_TASK_BEGUN) {
 		task->running--;
 		cell->counts.ended += event == FAKE_TASK_ENDED;
+		note_end(cell, result);
 		return;
 	}
 	if (epoch > cell->epoch) {
@@ -537,6 +550,10 @@
 		return;
 	for (submission = cell->submissions; submission;
 	     submission = submission->hh.next) {
+		/* What has ended long ago may be forgotten. */
+		if (submission->ended_ms &&
+		    submission->ended_ms + RETAIN_MS < fake_cell_now_ms(cell))
+			continue;
 		if (submission->answered && !submission->error)
 			zr_domain_read(domain, submission->id, "", 0,
 				       check_found, submission);
