--- a/bench/decisions/report.c
+++ b/bench/decisions/report.c
@@ -1,12 +1,23 @@
 #include "decisions/report.h"
 
+#include <math.h>
 #include <stdio.h>
 
+static void value(double number, int digits)
+{
+	if (isnan(number))
+		printf(" %12s", "-");
+	else
+		printf(" %12.*f", digits, number);
+}
+
 static void row(const char *name, double core, double baseline,
 		const char *unit, int digits)
 {
-	printf("  %-34s %12.*f %12.*f  %s\n", name, digits, core, digits,
-	       baseline, unit);
+	printf("  %-34s", name);
+	value(core, digits);
+	value(baseline, digits);
+	printf("  %s\n", unit);
 }
 
 static void print_waits(struct driver_result *core,
@@ -27,6 +38,10 @@
 			 arrival_kind_name(kind));
 		row(name, samples_percentile(a, 99) / 1000.0,
 		    samples_percentile(b, 99) / 1000.0, "s", 2);
+		snprintf(name, sizeof(name), "wait %s, longest",
+			 arrival_kind_name(kind));
+		row(name, samples_percentile(a, 100) / 1000.0,
+		    samples_percentile(b, 100) / 1000.0, "s", 2);
 		snprintf(name, sizeof(name), "not started %s",
 			 arrival_kind_name(kind));
 		row(name, core->unstarted[kind], baseline->unstarted[kind],
@@ -104,4 +119,6 @@
 	print_waits(core, baseline);
 	print_cell(core, baseline);
 	print_cost(core, baseline);
+	printf("  Workers given too much do not slow down here, which flatters "
+	       "first-fit.\n");
 }
--- a/src/libzinniarack/entry/private.h
+++ b/src/libzinniarack/entry/private.h
@@ -8,6 +8,7 @@
 #include "entry/directory.h"
 #include "net/http_server.h"
 #include "net/rpc_server.h"
+#include "route/once.h"
 #include "route/router.h"
 #include "zinniarack/entry.h"
 #include "zinniarack/metrics.h"
@@ -37,6 +38,7 @@
 	struct zr_rpc_server *rpc;
 	struct zr_directory *directory;
 	struct zr_router *router;
+	struct zr_once once;
 	struct zr_http_server *http;
 	uint64_t request_sequence;
 	struct zr_metric *unconfirmed;
@@ -119,6 +121,10 @@
 /* api_operators.c */
 void entry_config(struct zr_entry *entry, struct zr_http_exchange *exchange);
 void entry_status(struct zr_entry *entry, struct zr_http_exchange *exchange);
+/* api_domains.c */
+void entry_domains(struct zr_entry *entry, struct zr_http_exchange *exchange,
+		   const char *rest);
+
 void entry_workers(struct zr_entry *entry, struct zr_http_exchange *exchange);
 
 #endif
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -69,6 +69,19 @@
 	.format = format_line,
 };
 
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+/* log4c's own stream appenders put their name before each line. */
+static const log4c_appender_type_t appender_type = {
+	.name = "zinniarack",
+	.append = append_line,
+};
+
 static int priority_of(enum zr_log_level level)
 {
 	switch (level) {
@@ -107,7 +120,9 @@
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get("zinniarack");
 	log4c_layout_set_type(layout, &layout_type);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&appender_type);
+	appender = log4c_appender_get("zinniarack");
+	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	events = open_category("event", priority_of(level), appender);
 	decisions = open_category("decision",
--- a/tests/cell.sh
+++ b/tests/cell.sh
@@ -106,6 +106,15 @@
 	cell_spawn workers "$cell_build/standin-worker" \
 		--base-port $(($cell_base + 400)) \
 		--count "$cell_worker_count" --ledger "$cell_dir/ledger"
+	cell_until 5 curl -sf "http://$(cell_port 2)/v1/hosts"
+	for name in platform workers
+	do
+		kill -0 "$(cell_pid $name)" || {
+			echo "$name did not start; are its ports in use?" >&2
+			cat "$cell_dir/$name.log" >&2
+			return 1
+		}
+	done
 }
 
 # cell_start_host NAME: both daemons of an entry host.
@@ -147,6 +156,15 @@
 		grep -o '"active":true' | wc -l)" -eq "$1"
 }
 
+# cell_schedulers_configured VERSION: whether every active scheduler has taken
+# the version into force, as the entry host of $cell_entry sees it.
+cell_schedulers_configured () {
+	"$cell_build/zinniarack" -e "$cell_entry" --json status |
+		tr '{' '\n' | grep '"active":true' >"$cell_dir/active"
+	test -s "$cell_dir/active" &&
+		! grep -v "\"config_version\":$1[,}]" "$cell_dir/active"
+}
+
 cell_config_version () {
 	"$cell_build/zinniarack" -e "$1" status |
 		grep -q "\"config_version\":$2"
