A task that uses all it is given does not make its name grow

Cause: a start carries what was learned plus 10%. A task that used all of that taught it as its need, and the next start was given 10% more, without end.

Change: use of the margin teaches that the size given is enough; use beyond what was given counts in full. A running task still counts with all that was reported of it.

tests/runners/run_sched.c gets a verb "use PREFIX PER-CENT", since the script must report a part of whatever was reserved.

--- a/src/libzinniarack/sched/profile.c
+++ b/src/libzinniarack/sched/profile.c
@@ -11,6 +11,9 @@
  * used is kept in logarithmic buckets; an upper quantile, with a margin, takes
  * the place of what was declared. Memory is never lent below the most that was
  * seen, since a task that needs more than it has cannot be slowed down.
+ *
+ * A task may use all that it is given, however much that is. So what is used of
+ * the margin teaches that the size given is enough, not that more is needed.
  */
 
 /* Runs that must have succeeded before what was learned is used. */
@@ -21,6 +24,8 @@
 #define QUANTILE_PERCENT 95
 /* Added to what was learned, in per cent. */
 #define MARGIN_PERCENT 10
+/* What was learned counts up to this multiple of what was declared. */
+#define LEARNED_MAX 8
 /* Counts are halved beyond this many runs, so that old runs fade. */
 #define RUNS_MAX 1024
 /* Profiles that are kept; beyond, the oldest one without a job goes. */
@@ -89,6 +94,22 @@
 	return value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
 }
 
+/* The least that comes to @value with the margin. */
+static uint64_t without_margin(uint32_t value)
+{
+	uint64_t part = 100 + MARGIN_PERCENT;
+
+	return ((uint64_t)value * 100 + part - 1) / part;
+}
+
+/* Use of the margin asks for no more; use beyond what was given does. */
+static uint32_t taught(uint32_t used, uint32_t given)
+{
+	uint64_t enough = without_margin(given);
+
+	return used > enough && used <= given ? (uint32_t)enough : used;
+}
+
 /* Profiles */
 
 static void evict_oldest(struct zr_sched *sched)
@@ -157,12 +178,14 @@
 }
 
 bool zr_sched_profile_saw(struct zr_sched_profile *profile,
-			  const struct zr_resources *used, bool first)
+			  const struct zr_resources *used,
+			  const struct zr_resources *given, bool first)
 {
 	struct zr_resources *least = &profile->least;
+	uint32_t memory_mb = taught(used->memory_mb, given->memory_mb);
 
-	if (used->memory_mb > profile->memory_mb)
-		profile->memory_mb = used->memory_mb;
+	if (memory_mb > profile->memory_mb)
+		profile->memory_mb = memory_mb;
 	if (!profile->reporters)
 		*least = *used;
 	least->millicpus = lower(least->millicpus, used->millicpus);
@@ -172,11 +195,13 @@
 }
 
 void zr_sched_profile_learn(struct zr_sched_profile *profile,
-			    const struct zr_resources *peak, int64_t run_ms)
+			    const struct zr_resources *peak,
+			    const struct zr_resources *given, int64_t run_ms)
 {
 	count_value(&profile->run_ms, run_ms > 0 ? (uint64_t)run_ms : 0);
 	if (peak->millicpus && peak->memory_mb)
-		count_value(&profile->millicpus, peak->millicpus);
+		count_value(&profile->millicpus,
+			    taught(peak->millicpus, given->millicpus));
 	if (profile->run_ms.total >= RUNS_MIN)
 		profile->learned_run_ms =
 			(int64_t)read_quantile(&profile->run_ms);
@@ -187,19 +212,35 @@
 
 /* Estimates */
 
+static uint32_t bounded(uint64_t learned, uint32_t declared)
+{
+	uint64_t most = (uint64_t)declared * LEARNED_MAX;
+
+	if (declared && learned > most)
+		learned = most;
+	return learned < UINT32_MAX ? (uint32_t)learned : UINT32_MAX;
+}
+
 struct zr_resources zr_sched_job_need(const struct zr_sched_job *job)
 {
 	const struct zr_sched_profile *profile = job->profile;
-	struct zr_resources need = job->size;
+	const struct zr_resources *declared = &job->size;
+	struct zr_resources need = *declared;
+	uint32_t memory_mb = profile->memory_mb;
 
 	if (profile->learned_millicpus) {
-		need.millicpus = profile->learned_millicpus;
-		need.memory_mb = with_margin(profile->memory_mb);
-	} else if (profile->memory_mb > need.memory_mb) {
-		need.memory_mb = profile->memory_mb;
+		need.millicpus = bounded(profile->learned_millicpus,
+					 declared->millicpus);
+		need.memory_mb =
+			bounded(with_margin(memory_mb), declared->memory_mb);
+	} else if (memory_mb > need.memory_mb) {
+		need.memory_mb = bounded(memory_mb, declared->memory_mb);
 	}
+	/* No task of the name was heard to need less. */
 	if (profile->least.millicpus > need.millicpus)
 		need.millicpus = profile->least.millicpus;
+	if (profile->least.memory_mb > need.memory_mb)
+		need.memory_mb = profile->least.memory_mb;
 	return need;
 }
 
--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -279,6 +279,7 @@
 
 	if (outcome == ZR_SCHED_SUCCEEDED)
 		zr_sched_profile_learn(job->profile, &placement->peak,
+				       &placement->base,
 				       sched->now - placement->started_ms);
 }
 
--- a/src/libzinniarack/sched/usage.c
+++ b/src/libzinniarack/sched/usage.c
@@ -68,7 +68,7 @@
 		placement->seen_ms = at;
 		placement->millicpus = used->millicpus;
 	}
-	if (zr_sched_profile_saw(job->profile, used, first))
+	if (zr_sched_profile_saw(job->profile, used, &placement->base, first))
 		raise_unheard(sched, job->profile);
 }
 
--- a/tests/runners/run_sched.c
+++ b/tests/runners/run_sched.c
@@ -19,7 +19,8 @@
  *   check QUEUE [KEY=VALUE]...
  *   cancel|hold|release|forget PREFIX
  *   end ID INDEX OUTCOME / end-all PREFIX OUTCOME / end-stopping
- *   usage ID INDEX CPU MEM [AGO_MS] / adopt ID INDEX ATTEMPT WORKER /
+ *   usage ID INDEX CPU MEM [AGO_MS] /
+ *   use PREFIX PER-CENT / adopt ID INDEX ATTEMPT WORKER /
  *   replay ID INDEX ATTEMPT OUTCOME
  *   decide [MOST] / wait MS / quiet / loud
  *   show ID / explain ID / workers / usage-of TEAM / counts
@@ -453,22 +454,51 @@
 	end_tasks(runner, "", ZR_SCHED_STOPPED, true);
 }
 
-static void usage(struct runner *runner, char **words)
+static void report(struct runner *runner, const struct entry *entry,
+		   uint32_t index, const struct zr_resources *used, int64_t ago)
 {
-	const struct entry *entry = find(runner->jobs, words[1]);
-	const struct zr_resources used = {number(words[3]), number(words[4]),
-					  0};
-	int64_t ago = words[5] ? number(words[5]) : 0;
-	uint32_t index = number(words[2]);
 	struct zr_sched_task_info info;
 	struct timespec at = zr_time_add_ms(
 		zr_clock_now(fake_time_clock(runner->time)), -ago);
 
 	zr_sched_task_info(&info, runner->sched, entry->handle, index);
 	sched_model_task_usage(runner->model, entry->name, index, info.attempt,
-			       &used);
+			       used);
 	zr_sched_task_usage(runner->sched, entry->handle, index, info.attempt,
-			    &used, at);
+			    used, at);
+}
+
+static void usage(struct runner *runner, char **words)
+{
+	const struct zr_resources used = {number(words[3]), number(words[4]),
+					  0};
+
+	report(runner, find(runner->jobs, words[1]), number(words[2]), &used,
+	       words[5] ? number(words[5]) : 0);
+}
+
+/* Each running task uses PER-CENT of what is reserved for it. */
+static void use_part(struct runner *runner, char **words)
+{
+	struct zr_sched_task_info info;
+	const struct entry *entry;
+	uint64_t part = number(words[2]);
+	uint32_t i;
+
+	for (entry = runner->jobs; entry; entry = entry->hh.next) {
+		if (strncmp(entry->name, words[1], strlen(words[1])))
+			continue;
+		for (i = 0; !zr_sched_task_info(&info, runner->sched,
+						entry->handle, i);
+		     i++) {
+			struct zr_resources *used = &info.reserved;
+
+			used->millicpus = used->millicpus * part / 100;
+			used->memory_mb = used->memory_mb * part / 100;
+			if (info.state == ZR_SCHED_TASK_RUNNING)
+				report(runner, entry, i, used, 0);
+		}
+	}
 }
 
 static void adopt(struct runner *runner, char **words)
@@ -622,6 +652,7 @@
 	{"end-all", 3, end_all},
 	{"end-stopping", 1, end_stopping},
 	{"usage", 5, usage},
+	{"use", 3, use_part},
 	{"adopt", 5, adopt},
 	{"replay", 5, replay},
 	{"decide", 1, decide},
