Services move off a leaving worker, one replica at a time

Cause: ZR_SCHED_STOP_DRAINED was never given, so that the replicas of a service stayed on a leaving worker until it was gone.

Change: drain.c stops a replica on a leaving worker when all replicas of its service run, none stops, and a worker has room; that room is held until the old one has ended, then claimed for the new one. Gangs, batches, held and at-most-once services stay. The old replica stops before the new one starts, since a task is named by its job and index and must not run twice; the invariant checker is as it was.

--- a/src/libzinniarack/sched/core.h
+++ b/src/libzinniarack/sched/core.h
@@ -192,6 +192,16 @@
 void zr_sched_stop_ended(struct zr_sched *sched, zr_handle placement);
 void zr_sched_stops_due(struct zr_sched *sched);
 
+/* drain.c */
+/** zr_sched_drains_due() - move services away from leaving workers */
+void zr_sched_drains_due(struct zr_sched *sched);
+/** zr_sched_drain_ended() - let go of the room to which a task was to move */
+void zr_sched_drain_ended(struct zr_sched *sched,
+			  const struct zr_sched_placement *placement);
+/** zr_sched_drain_moved() - keep that room for the replica that waits now */
+void zr_sched_drain_moved(struct zr_sched *sched,
+			  const struct zr_sched_placement *placement);
+
 /** zr_sched_work() - jobs and workers examined so far */
 uint64_t zr_sched_work(const struct zr_sched *sched);
 
@@ -199,6 +209,9 @@
 /** zr_sched_preempt() - make room for a task of an urgent job */
 bool zr_sched_preempt(struct zr_sched *sched, zr_handle job,
 		      const struct zr_resources *need);
+/** zr_sched_claim_add() - keep room on a worker for a waiting task of a job */
+bool zr_sched_claim_add(struct zr_sched *sched, zr_handle job, zr_handle worker,
+			const struct zr_resources *need, const char *reason);
 /** zr_sched_claims_due() - start at most @most tasks whose room is there */
 unsigned int zr_sched_claims_due(struct zr_sched *sched, unsigned int most);
 void zr_sched_claims_drop(struct zr_sched *sched, zr_handle job,
--- a/src/libzinniarack/sched/hosts.c
+++ b/src/libzinniarack/sched/hosts.c
@@ -167,6 +167,8 @@
 	if (!host || host->state == state)
 		return;
 	zr_sched_now_refresh(sched);
+	sched->leaving -= host->state == ZR_SCHED_WORKER_LEAVING;
+	sched->leaving += state == ZR_SCHED_WORKER_LEAVING;
 	host->state = state;
 	zr_sched_index_update(sched, handle);
 	if (state == ZR_SCHED_WORKER_UP) {
--- a/src/libzinniarack/sched/preempt.c
+++ b/src/libzinniarack/sched/preempt.c
@@ -194,8 +194,9 @@
 
 /* Claims */
 
-static bool add_claim(struct zr_sched *sched, zr_handle handle,
-		      zr_handle worker, const struct zr_resources *need)
+bool zr_sched_claim_add(struct zr_sched *sched, zr_handle handle,
+			zr_handle worker, const struct zr_resources *need,
+			const char *reason)
 {
 	struct zr_sched_claim *claim;
 
@@ -209,6 +210,7 @@
 	claim->job = handle;
 	claim->worker = worker;
 	claim->size = *need;
+	claim->reason = reason;
 	claim->until = sched->now + CLAIM_MS;
 	zr_sched_job_row(sched, handle)->claims++;
 	zr_sched_host_hold(sched, worker, need);
@@ -233,7 +235,8 @@
 	unsigned int i;
 
 	if (!choose(&choice, sched, job, need) ||
-	    !add_claim(sched, handle, choice.worker, need))
+	    !zr_sched_claim_add(sched, handle, choice.worker, need,
+				"room of preempted tasks"))
 		return false;
 	for (i = 0; i < choice.count; i++)
 		stop_victim(sched, choice.victims[i]);
@@ -287,7 +290,7 @@
 
 	drop_claim(sched, at);
 	if (zr_sched_task_start(&placement, sched, claim.job, claim.worker,
-				"room of preempted tasks") < 0)
+				claim.reason) < 0)
 		return false;
 	zr_sched_job_route(sched, claim.job, true);
 	return true;
--- a/src/libzinniarack/sched/rows.h
+++ b/src/libzinniarack/sched/rows.h
@@ -167,6 +167,8 @@
  * @millicpus: processor use in the latest report
  * @next_stop: next on the list of stops, see stop.c
  * @stop_at: when its stop falls due again
+ * @moves_to: worker that holds room for it since its own one leaves
+ * @moves_with: how much
  */
 struct zr_sched_placement {
 	zr_handle job;
@@ -184,6 +186,8 @@
 	int64_t stop_at;
 	int64_t throttled_ms;
 	uint32_t millicpus;
+	zr_handle moves_to;
+	struct zr_resources moves_with;
 	bool stop_waits:1;
 	bool told_to_stop:1;
 	bool backfill:1;
@@ -344,13 +348,16 @@
 };
 
 /**
- * struct zr_sched_claim - room kept on a worker for one task of an urgent job
+ * struct zr_sched_claim - room kept on a worker for one task, of an urgent job
+ * or of a service that moves
+ * @reason: why it starts there
  */
 struct zr_sched_claim {
 	zr_handle job;
 	zr_handle worker;
 	struct zr_resources size;
 	int64_t until;
+	const char *reason;
 };
 
 /**
@@ -421,6 +428,9 @@
 	uint32_t claim_count;
 	struct zr_sched_reservation gang;
 	zr_handle preempt_cursor;
+	uint32_t leaving; /* workers in this state */
+	zr_handle drain_cursor;
+	int64_t drain_at;	/* when leaving workers are looked at again */
 	zr_handle probe_worker; /* whose probe is due */
 	uint32_t suspects;
 	uint64_t arrivals;
--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -159,6 +159,7 @@
 	struct zr_sched_job *job = zr_sched_job_row(sched, placement->job);
 
 	zr_sched_stop_ended(sched, handle);
+	zr_sched_drain_ended(sched, placement);
 	leave_worker(sched, placement);
 	zr_sched_placement_resize(sched, handle, &nothing);
 	count_rack(sched, job, placement->worker, -1);
@@ -320,6 +321,8 @@
 	if (outcome != ZR_SCHED_SUCCEEDED)
 		zr_sched_gang_check(sched, handle);
 	zr_sched_job_settle(sched, handle);
+	if (outcome == ZR_SCHED_STOPPED || outcome == ZR_SCHED_LOST)
+		zr_sched_drain_moved(sched, &placement);
 	zr_sched_job_route(sched, handle, true);
 	zr_sched_queue_freed(sched, placement.worker);
 	zr_sched_queue_unblock(sched, team, ZR_SCHED_WAIT_LIMIT);
