Asks for slots and their answers carry changes only

Cause: each ask listed every held slot and each answer every worker, 64 bytes a worker twice a second for each entry host and domain.

Change: the scheduler keeps its last answer to each entry host under the sequence of the ask. An ask with that base lists what differs from it, and so does the answer; the whole ask is put together before the escrow sees it. Any other base is refused untouched and the host asks in full at once (entry/entry.c and the runner of the route scripts do so; the expected outputs are unchanged).

--- a/bench/capacity/capacity.h
+++ b/bench/capacity/capacity.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /**
  * DOC: Parts of the capacity bench
@@ -55,7 +56,7 @@
  * @sync_us: processor time of a sync by tasks, both ends of the connection
  * @start_out: bytes of a start's request by bytes of the command
  * @accepted_bytes: bytes of a job's ACCEPTED record by bytes of its command
- * @grant_bytes: bytes of the answer to an ask for slots by workers
+ * @grant_bytes: bytes of an ask for slots and its answer by workers
  * @hosts_bytes: bytes of the host list by hosts
  * @config_bytes: bytes of the configuration by teams, one queue and key each
  * @domain_bytes: memory of an active scheduler by jobs, without the core's
@@ -106,4 +107,14 @@
 /** capacity_roles() - print each role at the target; false past a bound */
 bool capacity_roles(const struct capacity *capacity);
 
+/**
+ * slots_bytes_at() - mean bytes of an answer to an ask for slots
+ * @out_ask: mean bytes of the ask
+ * @workers: of the failure domain
+ * @changes_only: asks have a base
+ * @steady: demand is the same at each ask
+ */
+double slots_bytes_at(double *out_ask, uint32_t workers, bool changes_only,
+		      bool steady);
+
 #endif
--- a/bench/capacity/wire.c
+++ b/bench/capacity/wire.c
@@ -201,28 +201,23 @@
 	free(command);
 }
 
+/* An ask and its answer, as they go on while demand differs at each ask. */
 static void grants_at(struct capacity *out, uint32_t workers)
 {
-	zx_grant *grants = calloc(workers, sizeof(*grants));
-	static char service_name[] = "face-size-check";
-	static zx_name service = service_name;
-	zx_grant_result result = {.lease_ms = 10000};
-	uint32_t i;
-
-	if (!grants)
-		abort();
-	for (i = 0; i < workers; i++) {
-		grants[i].worker = "worker-100";
-		grants[i].address = "10.20.30.40:8080";
-		grants[i].slots = 2;
-		grants[i].services.services_len = 1;
-		grants[i].services.services_val = &service;
-	}
-	result.grants.grants_len = workers;
-	result.grants.grants_val = grants;
-	line_add(&out->grant_bytes, workers,
-		 (double)xdr_sizeof((xdrproc_t)xdr_zx_grant_result, &result));
-	free(grants);
+	double ask;
+	double answer;
+
+	answer = slots_bytes_at(&ask, workers, false, false);
+	printf("slots, %u workers, all listed: ask %.0f, answer %.0f bytes\n",
+	       workers, ask, answer);
+	answer = slots_bytes_at(&ask, workers, true, true);
+	printf("slots, %u workers, changes, even demand: ask %.0f, answer "
+	       "%.0f bytes\n",
+	       workers, ask, answer);
+	answer = slots_bytes_at(&ask, workers, true, false);
+	printf("slots, %u workers, changes: ask %.0f, answer %.0f bytes\n",
+	       workers, ask, answer);
+	line_add(&out->grant_bytes, workers, ask + answer);
 }
 
 /* As tests/standins/platform.c shows a worker. */
@@ -323,7 +318,7 @@
 	out->start_out.name = "request of a start by bytes of command, bytes";
 	out->accepted_bytes.name = "ACCEPTED record by bytes of command, bytes";
 	out->grant_bytes.name =
-		"answer to an ask for slots by workers granted, bytes";
+		"ask for slots and its answer by workers granted, bytes";
 	for (i = 0; i < 5; i++)
 		sync_at(out, tasks[i]);
 	for (i = 0; i < 4; i++) {
--- a/rpc/msg_grants.h
+++ b/rpc/msg_grants.h
@@ -34,6 +34,7 @@
 	char *domain;
 	u_quad_t incarnation;
 	u_quad_t sequence;
+	u_quad_t base;
 	bool_t leaving;
 	struct {
 		u_int demand_len;
@@ -73,6 +74,7 @@
 struct zx_grant_result {
 	int error;
 	bool_t partial;
+	bool_t changes_only;
 	u_quad_t epoch;
 	u_int lease_ms;
 	struct {
--- a/rpc/msg_grants.x
+++ b/rpc/msg_grants.x
@@ -22,7 +22,7 @@
 };
 
 /*
- * Each ask lists all that is held; what it leaves out has been given back.
+ * An ask without a base lists all that is held; the rest was given back.
  * The sequence rises with each ask of one incarnation of the daemon.
  */
 struct zx_grant_args {
@@ -30,6 +30,11 @@
 	string domain<ZX_NAME_MAX>;
 	unsigned hyper incarnation;
 	unsigned hyper sequence;
+	/*
+	 * Sequence of the ask whose answer was taken last: held lists only
+	 * what differs from that answer. 0: held lists all.
+	 */
+	unsigned hyper base;
 	/* The daemon stops: it gets nothing more. */
 	bool leaving;
 	zx_demand demand<ZX_LIST_MAX>;
@@ -62,6 +67,8 @@
 	int error;
 	/* Not all replicas are known yet: workers not named keep their slots. */
 	bool partial;
+	/* Workers not named are as in the answer to the ask's base. */
+	bool changes_only;
 	unsigned hyper epoch;
 	unsigned int lease_ms;
 	zx_grant grants<ZX_LIST_MAX>;
--- a/rpc/msg_grants_xdr.c
+++ b/rpc/msg_grants_xdr.c
@@ -52,6 +52,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, ZX_LIST_MAX,
@@ -103,10 +105,61 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->error))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->partial))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->changes_only))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_LONG(buf, objp->error);
+		IXDR_PUT_BOOL(buf, objp->partial);
+		IXDR_PUT_BOOL(buf, objp->changes_only);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->lease_ms))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, ZX_LIST_MAX,
+			sizeof (zx_grant), (xdrproc_t) xdr_zx_grant))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->error))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->partial))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->changes_only))
+				 return FALSE;
+
+		} else {
+		objp->error = IXDR_GET_LONG(buf);
+		objp->partial = IXDR_GET_BOOL(buf);
+		objp->changes_only = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->lease_ms))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, ZX_LIST_MAX,
+			sizeof (zx_grant), (xdrproc_t) xdr_zx_grant))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_int (xdrs, &objp->error))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->partial))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->changes_only))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->lease_ms))
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -23,12 +23,15 @@
 	struct timespec asked;
 };
 
+static void ask_grants(struct zr_entry *entry, const char *domain);
+
 static void on_grants(void *ctx, int error, void *data)
 {
 	struct grant_call *call = ctx;
 
-	zr_router_grants(call->entry->router, call->domain,
-			 error < 0 ? NULL : data, call->asked);
+	if (zr_router_grants(call->entry->router, call->domain,
+			     error < 0 ? NULL : data, call->asked))
+		ask_grants(call->entry, call->domain);
 	free(call);
 }
 
--- a/src/libzinniarack/route/private.h
+++ b/src/libzinniarack/route/private.h
@@ -23,6 +23,10 @@
 	bool local;
 	uint64_t epoch;
 	uint64_t sequence;
+	/* Sequence of the ask whose answer holds; 0: the next lists all. */
+	uint64_t base;
+	/* The open ask lists changes only. */
+	bool ask_reduced;
 	bool ask_open;
 };
 
@@ -46,6 +50,8 @@
 	struct timespec expires;
 	/* Slots named in the last ask as held. */
 	uint32_t reported;
+	/* Slots in the last answer that named it. */
+	uint32_t granted;
 	bool named;
 	bool leaving;
 	double latency_ms;
--- a/src/libzinniarack/route/router.h
+++ b/src/libzinniarack/route/router.h
@@ -169,8 +169,10 @@
  * @result: its answer, which replaces what it granted before; NULL: the ask
  *	was given up, and no answer to it may be taken any more
  * @asked: when the grants were asked for; their lease runs from there
+ *
+ * Return: whether to ask again at once, since the base of the ask was refused.
  */
-void zr_router_grants(struct zr_router *router, const char *domain,
+bool zr_router_grants(struct zr_router *router, const char *domain,
 		      const zx_grant_result *result, struct timespec asked);
 
 /** zr_router_hosts() - take the host list's word about leaving workers */
--- a/src/libzinniarack/route/targets.c
+++ b/src/libzinniarack/route/targets.c
@@ -139,7 +139,9 @@
 	zx_held *held;
 
 	worker->reported = slots;
-	if (!slots || out->held.held_len == ZX_LIST_MAX)
+	if (out->base ? slots == worker->granted : !slots)
+		return;
+	if (out->held.held_len == ZX_LIST_MAX)
 		return;
 	held = &out->held.held_val[out->held.held_len++];
 	held->worker = worker->name;
@@ -162,6 +164,21 @@
 	demand->slots = slots;
 }
 
+/* Changes are told by worker name, so each must be in the last answer once. */
+static uint64_t base_of(const struct zr_router *router,
+			const struct route_domain *domain)
+{
+	const struct route_worker *worker;
+
+	if (router->leaving)
+		return 0;
+	for (worker = router->workers; worker; worker = worker->hh.next) {
+		if (worker->domain == domain && !worker->named)
+			return 0;
+	}
+	return domain->base;
+}
+
 int zr_router_ask(zx_grant_args *out, struct zr_router *router,
 		  const char *domain_name)
 {
@@ -178,6 +195,8 @@
 	out->domain = (char *)router->options.domain;
 	out->incarnation = router->options.incarnation;
 	out->sequence = ++domain->sequence;
+	out->base = base_of(router, domain);
+	domain->ask_reduced = out->base > 0;
 	out->leaving = router->leaving;
 	out->held.held_val =
 		calloc(HASH_COUNT(router->workers) + 1, sizeof(zx_held));
@@ -255,18 +274,34 @@
 			 grant->services.services_val[i]);
 }
 
-static void take_grant(struct zr_router *router, struct route_domain *domain,
+static bool take_grant(struct zr_router *router, struct route_domain *domain,
 		       const zx_grant *grant, struct timespec expires)
 {
 	struct route_worker *worker = get_worker(router, domain, grant);
 
 	if (!worker)
-		return;
+		return false;
 	worker->named = true;
 	worker->expires = expires;
 	worker->slots = grant->slots;
+	worker->granted = grant->slots;
 	worker->peer.ops->limit(worker->peer.impl, grant->slots);
 	take_services(worker, grant);
+	return true;
+}
+
+static void renew_unnamed(struct zr_router *router,
+			  const struct route_domain *domain,
+			  struct timespec expires)
+{
+	struct route_worker *worker;
+
+	for (worker = router->workers; worker; worker = worker->hh.next) {
+		if (worker->domain != domain || worker->named)
+			continue;
+		worker->named = true;
+		worker->expires = expires;
+	}
 }
 
 /* A worker that a whole answer does not name may not be used any more. */
@@ -328,7 +363,7 @@
 	}
 }
 
-void zr_router_grants(struct zr_router *router, const char *domain_name,
+bool zr_router_grants(struct zr_router *router, const char *domain_name,
 		      const zx_grant_result *result, struct timespec asked)
 {
 	struct route_domain *domain = get_domain(router, domain_name);
@@ -338,25 +373,33 @@
 	u_int i;
 
 	domain->ask_open = false;
+	domain->base = 0;
 	if (!result || result->error || router->leaving ||
 	    result->epoch < domain->epoch ||
 	    zr_time_diff_ms(route_now(router), asked) > ANSWER_WITHIN_MS)
-		return;
+		return result && result->error == ZR_E_CONFLICT &&
+		       domain->ask_reduced;
 	domain->epoch = result->epoch;
+	domain->base = result->partial ? 0 : domain->sequence;
 	expires = zr_time_add_ms(asked, result->lease_ms);
 	for (worker = router->workers; worker; worker = worker->hh.next) {
 		if (worker->domain == domain)
 			worker->named = false;
 	}
 	for (i = 0; i < result->grants.grants_len; i++)
-		take_grant(router, domain, &result->grants.grants_val[i],
-			   expires);
-	settle_unnamed(router, domain, result->partial, expires);
+		if (!take_grant(router, domain, &result->grants.grants_val[i],
+				expires))
+			domain->base = 0;
+	if (result->changes_only)
+		renew_unnamed(router, domain, expires);
+	else
+		settle_unnamed(router, domain, result->partial, expires);
 	list_workers(router);
 	for (service = router->services; service; service = service->hh.next) {
 		route_service_count(service, route_now(router));
 		route_queue_pump(router, service);
 	}
+	return false;
 }
 
 void zr_router_leave(struct zr_router *router)
--- a/src/libzinniarack/scheduler/grants.c
+++ b/src/libzinniarack/scheduler/grants.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "route/grant_changes.h"
 #include "route/grant_message.h"
 #include "zinniarack/errors.h"
 
@@ -16,6 +17,7 @@
 	struct zr_domain *domain;
 	const char *domain_name;
 	struct zr_slot_escrow *escrow;
+	struct zr_grant_changes *changes;
 	const struct zr_clock *clock;
 	uint64_t epoch;
 	struct timespec began;
@@ -42,6 +44,12 @@
 		free(grants);
 		return error;
 	}
+	error = zr_grant_changes_new(&grants->changes);
+	if (error < 0) {
+		zr_slot_escrow_free(grants->escrow);
+		free(grants);
+		return error;
+	}
 	*out = grants;
 	return 0;
 }
@@ -108,6 +116,7 @@
 	grants->epoch = epoch;
 	grants->began = zr_clock_now(grants->clock);
 	zr_slot_escrow_begin(grants->escrow, epoch > FIRST_EPOCH);
+	zr_grant_changes_clear(grants->changes);
 }
 
 static bool inventory_open(const struct zr_grants *grants)
@@ -123,6 +132,7 @@
 {
 	struct builder builder = {.grants = grants, .result = out};
 	uint64_t epoch = zr_domain_epoch(grants->domain);
+	zx_grant_args whole;
 	uint32_t holder;
 
 	memset(out, 0, sizeof(*out));
@@ -134,8 +144,12 @@
 	}
 	follow_epoch(grants, epoch);
 	out->partial = inventory_open(grants);
-	out->error = zr_grant_message_ask(&holder, grants->escrow, ask,
+	out->error = zr_grant_changes_expand(&whole, grants->changes, ask);
+	if (out->error < 0)
+		return;
+	out->error = zr_grant_message_ask(&holder, grants->escrow, &whole,
 					  grants->domain_name);
+	free(whole.held.held_val);
 	if (out->error < 0)
 		return;
 	out->grants.grants_val = calloc(ZX_LIST_MAX, sizeof(zx_grant));
@@ -144,6 +158,7 @@
 	zr_slot_escrow_unlist(grants->escrow);
 	zr_domain_replicas(grants->domain, add_replica, &builder);
 	zr_grant_message_fill(out, grants->escrow, holder);
+	zr_grant_changes_reduce(out, grants->changes, ask);
 }
 
 void zr_grants_answer_free(zx_grant_result *result)
@@ -160,5 +175,6 @@
 	if (!grants)
 		return;
 	zr_slot_escrow_free(grants->escrow);
+	zr_grant_changes_free(grants->changes);
 	free(grants);
 }
--- a/tests/runners/run_route.c
+++ b/tests/runners/run_route.c
@@ -31,6 +31,7 @@
 #include "fakes/fake_once.h"
 #include "fakes/fake_peer.h"
 #include "fakes/fake_time.h"
+#include "route/grant_changes.h"
 #include "route/grant_message.h"
 #include "route/router.h"
 #include "zinniarack/errors.h"
@@ -54,6 +55,7 @@
 	struct scheduler *next;
 	char domain[ZR_NAME_MAX];
 	struct zr_slot_escrow *escrow;
+	struct zr_grant_changes *changes;
 	uint64_t epoch;
 	bool stopped;
 };
@@ -170,6 +172,7 @@
 	if (!scheduler) {
 		scheduler = calloc(1, sizeof(*scheduler));
 		snprintf(scheduler->domain, ZR_NAME_MAX, "%s", words[1]);
+		zr_grant_changes_new(&scheduler->changes);
 		zr_slot_escrow_new(&scheduler->escrow,
 				   fake_time_clock(run.time));
 		LL_APPEND(run.schedulers, scheduler);
@@ -179,6 +182,7 @@
 		return;
 	scheduler->epoch++;
 	zr_slot_escrow_begin(scheduler->escrow, recover);
+	zr_grant_changes_clear(scheduler->changes);
 }
 
 static void run_worker(char **words, int count)
@@ -250,18 +254,33 @@
 	entry->router = NULL;
 }
 
+/* The grants' own lists, as unchanged grants are freed. */
+static void give_services(zx_grant *grant, const struct worker *worker)
+{
+	size_t size = worker->service_count * sizeof(zx_name);
+
+	grant->services.services_val = malloc(size + 1);
+	memcpy(grant->services.services_val, worker->service_names, size);
+	grant->services.services_len = worker->service_count;
+}
+
 static void answer_ask(zx_grant_result *out, struct scheduler *scheduler,
 		       const zx_grant_args *args)
 {
 	struct worker *worker;
+	zx_grant_args whole;
 	uint32_t holder;
 	zx_grant *grant;
 
 	memset(out, 0, sizeof(*out));
 	out->epoch = scheduler->epoch;
 	out->lease_ms = ZR_GRANT_LEASE_MS;
-	out->error = zr_grant_message_ask(&holder, scheduler->escrow, args,
+	out->error = zr_grant_changes_expand(&whole, scheduler->changes, args);
+	if (out->error)
+		return;
+	out->error = zr_grant_message_ask(&holder, scheduler->escrow, &whole,
 					  scheduler->domain);
+	free(whole.held.held_val);
 	if (out->error)
 		return;
 	out->grants.grants_val = calloc(ZX_LIST_MAX, sizeof(zx_grant));
@@ -275,34 +294,46 @@
 		grant = &out->grants.grants_val[out->grants.grants_len++];
 		grant->worker = worker->name;
 		grant->address = worker->name;
-		grant->services.services_val = worker->service_names;
-		grant->services.services_len = worker->service_count;
+		give_services(grant, worker);
 	}
 	zr_grant_message_fill(out, scheduler->escrow, holder);
+	zr_grant_changes_reduce(out, scheduler->changes, args);
 }
 
-static void run_ask(char **words, int count)
+static bool ask_once(struct entry *entry, struct scheduler *scheduler,
+		     bool lost)
 {
 	struct timespec asked = zr_clock_now(fake_time_clock(run.time));
-	bool lost = count > 3 && !strcmp(words[3], "lost");
-	struct scheduler *scheduler;
-	zx_grant_result result;
-	struct entry *entry;
+	zx_grant_result result = {0};
 	zx_grant_args args;
+	bool again;
+	u_int i;
 
-	FIND(run.entries, name, words[1], entry);
-	FIND(run.schedulers, domain, words[2], scheduler);
-	if (zr_router_ask(&args, entry->router, words[2]) < 0)
+	if (zr_router_ask(&args, entry->router, scheduler->domain) < 0)
 		stop_with("ask", "one is open");
-	if (scheduler->stopped) {
-		zr_router_grants(entry->router, words[2], NULL, asked);
-	} else {
+	if (!scheduler->stopped)
 		answer_ask(&result, scheduler, &args);
-		zr_router_grants(entry->router, words[2], lost ? NULL : &result,
+	again = zr_router_grants(entry->router, scheduler->domain,
+				 lost || scheduler->stopped ? NULL : &result,
 				 asked);
-		free(result.grants.grants_val);
-	}
+	for (i = 0; i < result.grants.grants_len; i++)
+		free(result.grants.grants_val[i].services.services_val);
+	free(result.grants.grants_val);
 	zr_router_ask_free(&args);
+	return again;
+}
+
+static void run_ask(char **words, int count)
+{
+	bool lost = count > 3 && !strcmp(words[3], "lost");
+	struct scheduler *scheduler;
+	struct entry *entry;
+
+	FIND(run.entries, name, words[1], entry);
+	FIND(run.schedulers, domain, words[2], scheduler);
+	/* As entry/entry.c does. */
+	if (ask_once(entry, scheduler, lost))
+		ask_once(entry, scheduler, false);
 }
 
 static void read_option(struct zr_route_request *route, char *word)
@@ -520,6 +551,7 @@
 	zr_router_free(entry->router);
 	LL_FOREACH_SAFE(run.schedulers, scheduler, next_scheduler)
 	{
+		zr_grant_changes_free(scheduler->changes);
 		zr_slot_escrow_free(scheduler->escrow);
 		free(scheduler);
 	}
