A worker of which only the number of slots changed is told by name and number

Cause: a changed grant repeated address and services, 64 bytes.

Change: answers to asks with a base list such workers as `resized`.

--- a/bench/capacity/slots.c
+++ b/bench/capacity/slots.c
@@ -83,7 +83,15 @@
 		granted[place] = grant->slots;
 		free(grant->services.services_val);
 	}
+	for (i = 0; i < answer->resized.resized_len; i++) {
+		zx_held *resized = &answer->resized.resized_val[i];
+		long place = ((char *)resized->worker - bench->names[0]) /
+			     NAME_BYTES;
+
+		granted[place] = resized->slots;
+	}
 	free(answer->grants.grants_val);
+	free(answer->resized.resized_val);
 }
 
 static void list_held(zx_grant_args *out, struct bench *bench,
--- a/rpc/msg_grants.h
+++ b/rpc/msg_grants.h
@@ -75,6 +75,10 @@
 	int error;
 	bool_t partial;
 	bool_t changes_only;
+	struct {
+		u_int resized_len;
+		zx_held *resized_val;
+	} resized;
 	u_quad_t epoch;
 	u_int lease_ms;
 	struct {
--- a/rpc/msg_grants.x
+++ b/rpc/msg_grants.x
@@ -69,6 +69,8 @@
 	bool partial;
 	/* Workers not named are as in the answer to the ask's base. */
 	bool changes_only;
+	/* Workers of which only the number of slots changed. */
+	zx_held resized<ZX_LIST_MAX>;
 	unsigned hyper epoch;
 	unsigned int lease_ms;
 	zx_grant grants<ZX_LIST_MAX>;
--- a/rpc/msg_grants_xdr.c
+++ b/rpc/msg_grants_xdr.c
@@ -121,6 +121,9 @@
 		IXDR_PUT_BOOL(buf, objp->partial);
 		IXDR_PUT_BOOL(buf, objp->changes_only);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->resized.resized_val, (u_int *) &objp->resized.resized_len, ZX_LIST_MAX,
+			sizeof (zx_held), (xdrproc_t) xdr_zx_held))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->lease_ms))
@@ -144,6 +147,9 @@
 		objp->partial = IXDR_GET_BOOL(buf);
 		objp->changes_only = IXDR_GET_BOOL(buf);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->resized.resized_val, (u_int *) &objp->resized.resized_len, ZX_LIST_MAX,
+			sizeof (zx_held), (xdrproc_t) xdr_zx_held))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->lease_ms))
@@ -160,6 +166,9 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->changes_only))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->resized.resized_val, (u_int *) &objp->resized.resized_len, ZX_LIST_MAX,
+		sizeof (zx_held), (xdrproc_t) xdr_zx_held))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->lease_ms))
--- a/src/libzinniarack/route/grant_changes.c
+++ b/src/libzinniarack/route/grant_changes.c
@@ -153,18 +153,26 @@
 			   const struct kept_grant *now)
 {
 	zx_grant *grants = answer->grants.grants_val;
+	zx_held *resized =
+		calloc(answer->grants.grants_len + 1, sizeof(*resized));
 	const struct kept_grant *old;
 	u_int count = answer->grants.grants_len;
 	u_int left = 0;
 	u_int i;
 
+	if (!resized)
+		abort();
+	answer->resized.resized_val = resized;
 	for (i = 0; i < count; i++) {
 		old = find_kept(base, now[i].worker, i);
-		if (old && old->slots == now[i].slots &&
-		    old->services == now[i].services)
-			free(grants[i].services.services_val);
-		else
+		if (!old || old->services != now[i].services) {
 			grants[left++] = grants[i];
+			continue;
+		}
+		if (old->slots != now[i].slots)
+			resized[answer->resized.resized_len++] =
+				(zx_held){grants[i].worker, grants[i].slots};
+		free(grants[i].services.services_val);
 	}
 	answer->grants.grants_len = left;
 	answer->changes_only = true;
--- a/src/libzinniarack/route/grant_changes.h
+++ b/src/libzinniarack/route/grant_changes.h
@@ -35,7 +35,8 @@
 /**
  * zr_grant_changes_reduce() - keep a whole answer, leave in it what changed
  * @answer: the answer; what is left out of it is freed, so that the lists of
- *          services must be its own and on the heap
+ *          services must be its own and on the heap; free its
+ *          resized.resized_val
  * @changes: the answers
  * @ask: the ask that it answers, as it came
  */
--- a/src/libzinniarack/route/targets.c
+++ b/src/libzinniarack/route/targets.c
@@ -304,6 +304,26 @@
 	}
 }
 
+static bool take_resized(struct zr_router *router,
+			 const struct route_domain *domain,
+			 const zx_held *resized, struct timespec expires)
+{
+	struct route_worker *worker;
+
+	for (worker = router->workers; worker; worker = worker->hh.next) {
+		if (worker->domain != domain ||
+		    strcmp(worker->name, resized->worker) != 0)
+			continue;
+		worker->named = true;
+		worker->expires = expires;
+		worker->slots = resized->slots;
+		worker->granted = resized->slots;
+		worker->peer.ops->limit(worker->peer.impl, resized->slots);
+		return true;
+	}
+	return false;
+}
+
 /* A worker that a whole answer does not name may not be used any more. */
 static void settle_unnamed(struct zr_router *router,
 			   struct route_domain *domain, bool partial,
@@ -390,6 +410,11 @@
 		if (!take_grant(router, domain, &result->grants.grants_val[i],
 				expires))
 			domain->base = 0;
+	for (i = 0; i < result->resized.resized_len; i++) {
+		if (!take_resized(router, domain,
+				  &result->resized.resized_val[i], expires))
+			domain->base = 0;
+	}
 	if (result->changes_only)
 		renew_unnamed(router, domain, expires);
 	else
--- a/src/libzinniarack/scheduler/grants.c
+++ b/src/libzinniarack/scheduler/grants.c
@@ -168,6 +168,7 @@
 	for (i = 0; i < result->grants.grants_len; i++)
 		free(result->grants.grants_val[i].services.services_val);
 	free(result->grants.grants_val);
+	free(result->resized.resized_val);
 }
 
 void zr_grants_free(struct zr_grants *grants)
--- a/tests/runners/run_route.c
+++ b/tests/runners/run_route.c
@@ -319,6 +319,7 @@
 	for (i = 0; i < result.grants.grants_len; i++)
 		free(result.grants.grants_val[i].services.services_val);
 	free(result.grants.grants_val);
+	free(result.resized.resized_val);
 	zr_router_ask_free(&args);
 	return again;
 }
--- a/tests/unit/test_grant_changes.c
+++ b/tests/unit/test_grant_changes.c
@@ -75,6 +75,9 @@
 	out->result.grants.grants_val = &out->grant;
 	zr_grant_message_fill(&out->result, escrow, holder);
 	zr_grant_changes_reduce(&out->result, changes, &args);
+	if (out->result.resized.resized_len)
+		out->grant.slots = out->result.resized.resized_val[0].slots;
+	free(out->result.resized.resized_val);
 	if (out->result.grants.grants_len)
 		free(out->grant.services.services_val);
 	return 0;
@@ -90,6 +93,7 @@
 	ck_assert_int_eq(ask(&answer, "a", 2, 1, -1), 0);
 	ck_assert(answer.result.changes_only);
 	ck_assert_uint_eq(answer.result.grants.grants_len, 0);
+	ck_assert_uint_eq(answer.result.resized.resized_len, 0);
 	ck_assert_uint_eq(zr_slot_escrow_counted(escrow, "w1"), SLOTS);
 }
 END_TEST
