--- a/tests/fakes/fake_cell.c
+++ b/tests/fakes/fake_cell.c
@@ -16,7 +16,7 @@
 #define HOST_LIST_EVERY_MS 1000
 #define MEMORY_MB 1000000
 /* A job that has ended can be read for so long. */
-#define RETAIN_MS (60 * 60 * 1000)
+#define RETAIN_MS 3600000L
 /* With a larger ledger a task's places are counted only when it begins. */
 #define SCAN_MAX 300
 
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -328,7 +328,7 @@
 	fake_net_link(net, NULL, NULL, FAKE_LINK_PASS);
 	fake_net_release(net, NULL, NULL, false);
 	fake_net_advance(net, SETTLE_MS);
-	ck_assert_uint_eq(kept + down, 2u * JOBS);
+	ck_assert_uint_eq(kept + down, 2ul * JOBS);
 	ck_assert_uint_gt(fake_store_size(store, PREFIX "snapshot/"), 0);
 	ck_assert(zr_journal_idle(journal));
 	zr_journal_free(journal);
