Charts interpreted: jobs, workers, connections and ownership move by events

Cause: the charts were read and checked, but the modules kept their states by assignments of their own; a chart could say one thing and the code do another.

Change: owner, fleet, HTTP client and scheduler core let events move their states by the chart in force. The daemons take the folder that their settings name; the library holds the text of the shipped charts for programs without settings.

--- a/include/zinniarack/chart.h
+++ b/include/zinniarack/chart.h
@@ -39,6 +39,17 @@
 int zr_chart_load(struct zr_chart **out, const char *folder,
 		  const struct zr_chart_names *names);
 
+/**
+ * zr_chart_parse() - as zr_chart_load(), from text in memory
+ * @out: the chart, to be freed with zr_chart_free()
+ * @text: NUL-terminated YAML
+ * @names: what the code expects in it; kept by reference
+ *
+ * Return: 0 or ZR_E_INVALID.
+ */
+int zr_chart_parse(struct zr_chart **out, const char *text,
+		   const struct zr_chart_names *names);
+
 /** zr_chart_initial() - the state in which everything begins */
 int zr_chart_initial(const struct zr_chart *chart);
 
@@ -53,6 +64,16 @@
  */
 int zr_chart_next(int *out, const struct zr_chart *chart, int state, int event);
 
+/**
+ * zr_chart_step() - let an event move a state, and log what the chart refuses
+ * @state: the state; moved unless the event is unknown in it
+ * @chart: the chart
+ * @event: the event
+ *
+ * Return: 0, or ZR_E_STATE.
+ */
+int zr_chart_step(int *state, const struct zr_chart *chart, int event);
+
 /** zr_chart_final() - whether nothing leads out of a state */
 bool zr_chart_final(const struct zr_chart *chart, int state);
 
--- a/include/zinniarack/charts.h
+++ b/include/zinniarack/charts.h
@@ -35,7 +35,7 @@
 	ZR_WORKER_HEARD,
 	ZR_WORKER_HEARD_LEAVING,
 	ZR_WORKER_SILENT,
-	ZR_WORKER_LEASE_LAPSED,
+	ZR_WORKER_GONE,
 };
 
 /** States of a pooled connection; see charts/connection.yaml. */
@@ -50,7 +50,7 @@
 	ZR_CONNECTION_CONNECTED,
 	ZR_CONNECTION_SENT,
 	ZR_CONNECTION_ANSWERED,
-	ZR_CONNECTION_FAILED,
+	ZR_CONNECTION_CLOSED,
 };
 
 /** Events of a job; its states are &enum zr_job_state; see charts/job.yaml. */
@@ -87,6 +87,22 @@
  */
 int zr_charts_load(struct zr_charts *out, const char *folder);
 
+/**
+ * zr_charts() - the charts in force in this process
+ *
+ * Those of the folder that zr_charts_use() was given, else those that the
+ * library was built with. Read-only once the first module has asked.
+ */
+const struct zr_charts *zr_charts(void);
+
+/**
+ * zr_charts_use() - take the charts of a folder into force, at start
+ * @folder: where they are
+ *
+ * Return: as zr_chart_load(); the charts in force stay on an error.
+ */
+int zr_charts_use(const char *folder);
+
 /** zr_charts_clear() - free all charts */
 void zr_charts_clear(struct zr_charts *charts);
 
--- a/src/daemons/daemon.c
+++ b/src/daemons/daemon.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "zinniarack/charts.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
@@ -94,6 +95,12 @@
 			zr_error_name(error), zr_error_last());
 		return DAEMON_EXIT_SETTINGS;
 	}
+	error = zr_charts_use(settings->charts);
+	if (error < 0) {
+		fprintf(stderr, "%s: %s: %s\n", info->name,
+			zr_error_name(error), zr_error_last());
+		return DAEMON_EXIT_SETTINGS;
+	}
 	error = run(settings);
 	zr_settings_free(settings);
 	return error;
--- a/src/libzinniarack/chart/chart.c
+++ b/src/libzinniarack/chart/chart.c
@@ -8,6 +8,7 @@
 #include "chart/schema.h"
 #include "config/yaml.h"
 #include "zinniarack/errors.h"
+#include "zinniarack/log.h"
 
 #define NO_WAY (-1)
 
@@ -212,10 +213,25 @@
 	return 0;
 }
 
+static int build(struct zr_chart **out, const struct chart_file *file,
+		 const struct zr_chart_names *names)
+{
+	struct zr_chart *chart = NULL;
+	int error = make_chart(&chart, names);
+
+	if (!error)
+		error = read_file(chart, file);
+	if (error < 0) {
+		zr_chart_free(chart);
+		return error;
+	}
+	*out = chart;
+	return 0;
+}
+
 int zr_chart_load(struct zr_chart **out, const char *folder,
 		  const struct zr_chart_names *names)
 {
-	struct zr_chart *chart = NULL;
 	char path[PATH_MAX];
 	void *file;
 	int error;
@@ -224,16 +240,23 @@
 	error = zr_yaml_load_file(&file, path, &zr_chart_schema);
 	if (error < 0)
 		return error;
-	error = make_chart(&chart, names);
-	if (!error)
-		error = read_file(chart, file);
+	error = build(out, file, names);
 	zr_yaml_free(&zr_chart_schema, file);
-	if (error < 0) {
-		zr_chart_free(chart);
+	return error;
+}
+
+int zr_chart_parse(struct zr_chart **out, const char *text,
+		   const struct zr_chart_names *names)
+{
+	void *file;
+	int error = zr_yaml_load_text(&file, names->chart, text, strlen(text),
+				      &zr_chart_schema);
+
+	if (error < 0)
 		return error;
-	}
-	*out = chart;
-	return 0;
+	error = build(out, file, names);
+	zr_yaml_free(&zr_chart_schema, file);
+	return error;
 }
 
 int zr_chart_initial(const struct zr_chart *chart)
@@ -254,6 +277,16 @@
 	return 0;
 }
 
+int zr_chart_step(int *state, const struct zr_chart *chart, int event)
+{
+	int error = zr_chart_next(state, chart, *state, event);
+
+	if (error < 0)
+		zr_log(ZR_LOG_ERROR, "chart.refused detail=\"%s\"",
+		       zr_error_last());
+	return error;
+}
+
 bool zr_chart_final(const struct zr_chart *chart, int state)
 {
 	return chart->final[state];
--- a/src/libzinniarack/chart/charts.c
+++ b/src/libzinniarack/chart/charts.c
@@ -1,7 +1,10 @@
 #include "zinniarack/charts.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include "chart/charts_text.h"
+
 static const char *const ownership_states[] = {
 	"standby", "campaigning", "owning", "released", NULL,
 };
@@ -15,7 +18,7 @@
 };
 
 static const char *const worker_events[] = {
-	"heard", "heard_leaving", "silent", "lease_lapsed", NULL,
+	"heard", "heard_leaving", "silent", "gone", NULL,
 };
 
 static const char *const connection_states[] = {
@@ -23,7 +26,7 @@
 };
 
 static const char *const connection_events[] = {
-	"connected", "sent", "answered", "failed", NULL,
+	"connected", "sent", "answered", "closed", NULL,
 };
 
 static const char *const job_states[] = {
@@ -85,3 +88,36 @@
 	zr_chart_free(charts->job);
 	memset(charts, 0, sizeof(*charts));
 }
+
+static struct zr_charts in_force;
+
+static void parse_built_in(struct zr_charts *out)
+{
+	const char *const *text = zr_charts_text;
+
+	/* The build's own charts fail only by a fault of the build. */
+	if (zr_chart_parse(&out->ownership, text[0], &ownership_names) < 0 ||
+	    zr_chart_parse(&out->worker, text[1], &worker_names) < 0 ||
+	    zr_chart_parse(&out->connection, text[2], &connection_names) < 0 ||
+	    zr_chart_parse(&out->job, text[3], &job_names) < 0)
+		abort();
+}
+
+const struct zr_charts *zr_charts(void)
+{
+	if (!in_force.job)
+		parse_built_in(&in_force);
+	return &in_force;
+}
+
+int zr_charts_use(const char *folder)
+{
+	struct zr_charts charts;
+	int error = zr_charts_load(&charts, folder);
+
+	if (error < 0)
+		return error;
+	zr_charts_clear(&in_force);
+	in_force = charts;
+	return 0;
+}
--- a/src/libzinniarack/domain/fleet.c
+++ b/src/libzinniarack/domain/fleet.c
@@ -6,6 +6,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "zinniarack/charts.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
@@ -40,7 +41,7 @@
 	struct zr_host host;
 	struct zr_worker adapter;
 	zr_handle handle;
-	enum zr_sched_worker_state state;
+	int state; /* enum zr_worker_state */
 	bool listed;
 	bool sync_open;
 	bool heard;
@@ -72,19 +73,42 @@
 	return zr_clock_now(fleet->options.clock);
 }
 
-static void set_state(struct worker *worker, enum zr_sched_worker_state state)
+static void step(struct worker *worker, enum zr_worker_event event)
 {
-	struct zr_fleet *fleet = worker->fleet;
+	zr_chart_step(&worker->state, zr_charts()->worker, event);
+}
+
+static void tell_state(const struct worker *worker)
+{
+	static const struct {
+		const char *name;
+		enum zr_sched_worker_state state;
+	} states[] = {
+		[ZR_WORKER_UNKNOWN] = {"unknown", ZR_SCHED_WORKER_UNHEARD},
+		[ZR_WORKER_UP] = {"up", ZR_SCHED_WORKER_UP},
+		[ZR_WORKER_LEAVING] = {"leaving", ZR_SCHED_WORKER_LEAVING},
+		[ZR_WORKER_UNHEARD] = {"unheard", ZR_SCHED_WORKER_UNHEARD},
+	};
+	const struct zr_fleet *fleet = worker->fleet;
 
-	if (worker->state == state || !worker->handle)
-		return;
-	worker->state = state;
 	zr_log(ZR_LOG_INFO, "worker.state worker=%s state=%s",
-	       worker->host.name,
-	       state == ZR_SCHED_WORKER_UP	  ? "up"
-	       : state == ZR_SCHED_WORKER_LEAVING ? "leaving"
-						  : "unheard");
-	fleet->options.events.state(fleet->options.ctx, worker->handle, state);
+	       worker->host.name, states[worker->state].name);
+	fleet->options.events.state(fleet->options.ctx, worker->handle,
+				    states[worker->state].state);
+}
+
+static void take_event(struct worker *worker, enum zr_worker_event event)
+{
+	int former = worker->state;
+
+	if (!worker->handle)
+		return;
+	step(worker, event);
+	if (worker->state == former)
+		return;
+	/* The core takes a worker that it was just given as up. */
+	if (former != ZR_WORKER_UNKNOWN || worker->state != ZR_WORKER_UP)
+		tell_state(worker);
 }
 
 /* A worker that doesn't fence may still get tasks from the owner before. */
@@ -96,11 +120,11 @@
 	       zr_time_cmp(now(fleet), fleet->unfenced_from) < 0;
 }
 
-static enum zr_sched_worker_state heard_state(const struct worker *worker)
+static enum zr_worker_event heard_event(const struct worker *worker)
 {
 	if (worker->host.leaving || !worker->listed || rival_may_start(worker))
-		return ZR_SCHED_WORKER_LEAVING;
-	return ZR_SCHED_WORKER_UP;
+		return ZR_WORKER_HEARD_LEAVING;
+	return ZR_WORKER_HEARD;
 }
 
 static bool may_send(const struct worker *worker)
@@ -156,6 +180,7 @@
 
 	zr_log(ZR_LOG_WARN, "worker.lost worker=%s reason=%s",
 	       worker->host.name, reason);
+	step(worker, ZR_WORKER_GONE);
 	worker->handle = ZR_HANDLE_NONE;
 	clear_ends(worker);
 	if (handle)
@@ -208,11 +233,10 @@
 	if (!worker->handle) {
 		worker->handle = fleet->options.events.up(fleet->options.ctx,
 							  &worker->host);
-		worker->state = ZR_SCHED_WORKER_UP;
 		if (!worker->handle)
 			return;
 	}
-	set_state(worker, heard_state(worker));
+	take_event(worker, heard_event(worker));
 	worker->owed = false;
 	tell_report(worker, report);
 }
@@ -297,7 +321,7 @@
 
 	if (silent < UNHEARD_AFTER_MS)
 		return;
-	set_state(worker, ZR_SCHED_WORKER_UNHEARD);
+	take_event(worker, ZR_WORKER_SILENT);
 	if ((worker->handle || worker->owed) && lease_lapsed(worker)) {
 		worker->owed = false;
 		lose(worker, "lease_lapsed");
@@ -328,8 +352,8 @@
 	HASH_ITER (hh, fleet->workers, worker, next) {
 		if (fleet->epoch)
 			check_silence(worker);
-		if (fleet->epoch && worker->state == ZR_SCHED_WORKER_LEAVING)
-			set_state(worker, heard_state(worker));
+		if (fleet->epoch && worker->state == ZR_WORKER_LEAVING)
+			take_event(worker, heard_event(worker));
 		if (may_forget(worker))
 			forget(worker);
 		else if (fleet->epoch)
@@ -349,6 +373,7 @@
 		abort();
 	worker->fleet = fleet;
 	worker->host = *host;
+	worker->state = zr_chart_initial(zr_charts()->worker);
 	error = fleet->options.worker_new(
 		&worker->adapter, fleet->options.worker_ctx, host->address);
 	if (error < 0) {
@@ -389,8 +414,8 @@
 	for (i = 0; i < count; i++)
 		take_host(fleet, &hosts[i]);
 	HASH_ITER (hh, fleet->workers, worker, next) {
-		if (worker->state != ZR_SCHED_WORKER_UNHEARD)
-			set_state(worker, heard_state(worker));
+		if (worker->state != ZR_WORKER_UNHEARD)
+			take_event(worker, heard_event(worker));
 	}
 }
 
@@ -399,6 +424,7 @@
 static void begin_worker(struct worker *worker)
 {
 	worker->handle = ZR_HANDLE_NONE;
+	worker->state = zr_chart_initial(zr_charts()->worker);
 	clear_ends(worker);
 	worker->heard = false;
 	worker->token = 0;
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "zinniarack/charts.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/job.h"
 #include "zinniarack/log.h"
@@ -16,13 +17,6 @@
 #define KEY_MAX (ZR_NAME_MAX + 32)
 #define EPOCH_TEXT_MAX 24
 
-enum owner_state {
-	OWNER_STANDBY,
-	OWNER_CAMPAIGNING,
-	OWNER_OWNING,
-	OWNER_RELEASED,
-};
-
 struct zr_owner {
 	const struct zr_clock *clock;
 	const struct zr_store *store;
@@ -35,7 +29,7 @@
 	struct zr_owner_events events;
 	void *ctx;
 	struct zr_timer *timer;
-	enum owner_state state;
+	int state; /* enum zr_ownership_state */
 	unsigned int open_calls;
 	bool freeing;
 	int64_t lease;
@@ -73,18 +67,26 @@
 					    LEASE_MS - CLOCK_RATE_MARGIN_MS);
 }
 
+static void step(struct zr_owner *owner, enum zr_ownership_event event)
+{
+	zr_chart_step(&owner->state, zr_charts()->ownership, event);
+}
+
 static void set_tick(struct zr_owner *owner, unsigned int after_ms)
 {
 	zr_timer_start(owner->timer, after_ms,
-		       owner->state == OWNER_OWNING ? RENEW_MS
-						    : STANDBY_POLL_MS);
+		       owner->state == ZR_OWNERSHIP_OWNING ? RENEW_MS
+							   : STANDBY_POLL_MS);
 }
 
 static void step_down(struct zr_owner *owner, const char *reason)
 {
-	bool owned = owner->state == OWNER_OWNING;
+	bool owned = owner->state == ZR_OWNERSHIP_OWNING;
 
-	owner->state = OWNER_STANDBY;
+	if (owned)
+		step(owner, ZR_OWNERSHIP_LOST);
+	else if (owner->state == ZR_OWNERSHIP_CAMPAIGNING)
+		step(owner, ZR_OWNERSHIP_NOT_WON);
 	owner->lease = 0;
 	set_tick(owner, STANDBY_POLL_MS);
 	if (!owned)
@@ -102,17 +104,17 @@
 	struct zr_owner *owner = ctx;
 	struct zr_owner_gain gain = {0};
 
-	if (!take_answer(owner) || owner->state != OWNER_CAMPAIGNING)
+	if (!take_answer(owner) || owner->state != ZR_OWNERSHIP_CAMPAIGNING)
 		return;
 	if (error < 0 || !reply->succeeded) {
 		/* An unknown outcome shows at the next read of the keys. */
-		owner->state = OWNER_STANDBY;
+		step(owner, ZR_OWNERSHIP_NOT_WON);
 		return;
 	}
 	gain.handed_over = owner->released_epoch == owner->epoch;
 	gain.epoch = ++owner->epoch;
 	gain.guard = reply->revision;
-	owner->state = OWNER_OWNING;
+	step(owner, ZR_OWNERSHIP_WON);
 	owner->guard = gain.guard;
 	set_tick(owner, RENEW_MS);
 	zr_log(ZR_LOG_INFO,
@@ -147,10 +149,10 @@
 {
 	struct zr_owner *owner = ctx;
 
-	if (!take_answer(owner) || owner->state != OWNER_CAMPAIGNING)
+	if (!take_answer(owner) || owner->state != ZR_OWNERSHIP_CAMPAIGNING)
 		return;
 	if (error < 0) {
-		owner->state = OWNER_STANDBY;
+		step(owner, ZR_OWNERSHIP_NOT_WON);
 		return;
 	}
 	owner->lease = reply->lease;
@@ -164,7 +166,8 @@
 	bool owned = false;
 	size_t i;
 
-	if (!take_answer(owner) || owner->state != OWNER_STANDBY || error < 0)
+	if (!take_answer(owner) || owner->state != ZR_OWNERSHIP_STANDBY ||
+	    error < 0)
 		return;
 	owner->epoch = 0;
 	owner->epoch_revision = 0;
@@ -183,7 +186,7 @@
 	}
 	if (owned)
 		return;
-	owner->state = OWNER_CAMPAIGNING;
+	step(owner, ZR_OWNERSHIP_VACANT);
 	open_call(owner);
 	zr_store_lease_grant(owner->store, LEASE_MS, on_granted, owner);
 }
@@ -194,7 +197,7 @@
 {
 	struct zr_owner *owner = ctx;
 
-	if (!take_answer(owner) || owner->state != OWNER_OWNING)
+	if (!take_answer(owner) || owner->state != ZR_OWNERSHIP_OWNING)
 		return;
 	if (error == ZR_E_NOT_FOUND || (!error && reply->ttl_ms <= 0))
 		step_down(owner, "lease_ended");
@@ -206,7 +209,7 @@
 {
 	int64_t past;
 
-	if (owner->state != OWNER_OWNING)
+	if (owner->state != ZR_OWNERSHIP_OWNING)
 		return ZR_OWNER_NONE;
 	past = zr_time_diff_ms(zr_clock_now(owner->clock), owner->lease_until);
 	if (past < 0)
@@ -219,16 +222,16 @@
 {
 	struct zr_owner *owner = ctx;
 
-	if (owner->state == OWNER_OWNING &&
+	if (owner->state == ZR_OWNERSHIP_OWNING &&
 	    zr_owner_standing(owner) == ZR_OWNER_NONE)
 		step_down(owner, "unrenewed");
 	if (owner->open_calls)
 		return;
-	if (owner->state == OWNER_STANDBY) {
+	if (owner->state == ZR_OWNERSHIP_STANDBY) {
 		open_call(owner);
 		zr_store_range(owner->store, ZR_STORE_LEASE, owner->prefix,
 			       true, on_keys, owner);
-	} else if (owner->state == OWNER_OWNING) {
+	} else if (owner->state == ZR_OWNERSHIP_OWNING) {
 		open_call(owner);
 		zr_store_lease_keep(owner->store, owner->lease, on_kept, owner);
 	}
@@ -262,7 +265,7 @@
 
 uint64_t zr_owner_epoch(const struct zr_owner *owner)
 {
-	return owner->state == OWNER_OWNING ? owner->epoch : 0;
+	return owner->state == ZR_OWNERSHIP_OWNING ? owner->epoch : 0;
 }
 
 const char *zr_owner_key(const struct zr_owner *owner)
@@ -323,11 +326,11 @@
 void zr_owner_release(struct zr_owner *owner, void (*done)(void *ctx),
 		      void *ctx)
 {
-	bool owned = owner->state == OWNER_OWNING;
+	bool owned = owner->state == ZR_OWNERSHIP_OWNING;
 	int64_t lease = owner->lease;
 
 	step_down(owner, "released");
-	owner->state = OWNER_RELEASED;
+	step(owner, ZR_OWNERSHIP_RELEASE);
 	zr_timer_stop(owner->timer);
 	if (!owned) {
 		done(ctx);
--- a/src/libzinniarack/net/http_client.c
+++ b/src/libzinniarack/net/http_client.c
@@ -9,6 +9,7 @@
 #include <utstring.h>
 
 #include "net/address.h"
+#include "zinniarack/charts.h"
 #include "zinniarack/errors.h"
 
 #define REQUEST_ID_FIELD "x-request-id"
@@ -16,19 +17,12 @@
 #define REQUEST_ID_MAX 96
 #define READ_CHUNK_BYTES 65536
 
-enum connection_state {
-	CONNECTION_OPENING,
-	CONNECTION_IDLE,
-	CONNECTION_BUSY,
-	CONNECTION_CLOSING,
-};
-
 struct connection {
 	struct connection *prev;
 	struct connection *next;
 	struct zr_http_client *client;
 	struct zr_http_request *request;
-	enum connection_state state;
+	int state; /* enum zr_connection_state */
 	bool reused;
 	uv_tcp_t tcp;
 	uv_connect_t connect;
@@ -112,11 +106,16 @@
 	maybe_free_client(client);
 }
 
+static void step(struct connection *connection, enum zr_connection_event event)
+{
+	zr_chart_step(&connection->state, zr_charts()->connection, event);
+}
+
 static void close_connection(struct connection *connection)
 {
-	if (connection->state == CONNECTION_CLOSING)
+	if (connection->state == ZR_CONNECTION_CLOSING)
 		return;
-	connection->state = CONNECTION_CLOSING;
+	step(connection, ZR_CONNECTION_CLOSED);
 	connection->client->connection_count--;
 	uv_close((uv_handle_t *)&connection->tcp, on_connection_handle_closed);
 	uv_close((uv_handle_t *)&connection->timer,
@@ -277,10 +276,11 @@
 	.on_message_complete = on_message_complete,
 };
 
-static void become_idle(struct connection *connection)
+static void become_idle(struct connection *connection,
+			enum zr_connection_event event)
 {
-	connection->state = CONNECTION_IDLE;
-	connection->reused = true;
+	step(connection, event);
+	connection->reused = event == ZR_CONNECTION_ANSWERED;
 	uv_timer_start(&connection->timer, on_connection_timer,
 		       connection->client->options.idle_timeout_ms, 0);
 }
@@ -298,7 +298,7 @@
 		return;
 	}
 	if (keep)
-		become_idle(connection);
+		become_idle(connection, ZR_CONNECTION_ANSWERED);
 	finish(request, 0);
 	if (!keep)
 		close_connection(connection);
@@ -341,11 +341,11 @@
 {
 	struct connection *connection = stream->data;
 
-	if (connection->state == CONNECTION_CLOSING || !got)
+	if (connection->state == ZR_CONNECTION_CLOSING || !got)
 		return;
 	if (got < 0)
 		on_end_of_stream(connection);
-	else if (connection->state == CONNECTION_BUSY && connection->request)
+	else if (connection->state == ZR_CONNECTION_BUSY && connection->request)
 		parse(connection, buf->base, (size_t)got);
 	else
 		/* Bytes that answer no request: this peer is out of step. */
@@ -372,7 +372,7 @@
 
 	if (!job)
 		abort();
-	connection->state = CONNECTION_BUSY;
+	step(connection, ZR_CONNECTION_SENT);
 	connection->request = request;
 	request->connection = connection;
 	request->sent = true;
@@ -405,15 +405,14 @@
 {
 	struct connection *connection = connect->data;
 
-	if (connection->state == CONNECTION_CLOSING)
+	if (connection->state == ZR_CONNECTION_CLOSING)
 		return;
 	if (status < 0) {
 		fail_connection(connection, ZR_E_UNREACHABLE);
 		return;
 	}
 	uv_read_start((uv_stream_t *)&connection->tcp, on_alloc, on_read);
-	become_idle(connection);
-	connection->reused = false;
+	become_idle(connection, ZR_CONNECTION_CONNECTED);
 	if (connection->request) {
 		send_request(connection, connection->request);
 		return;
@@ -429,7 +428,7 @@
 	if (!connection)
 		abort();
 	connection->client = client;
-	connection->state = CONNECTION_OPENING;
+	connection->state = zr_chart_initial(zr_charts()->connection);
 	connection->request = request;
 	request->connection = connection;
 	connection->open_handles = 2;
@@ -454,7 +453,7 @@
 
 	DL_FOREACH(client->connections, connection)
 	{
-		if (connection->state == CONNECTION_IDLE &&
+		if (connection->state == ZR_CONNECTION_IDLE &&
 		    !connection->request)
 			return connection;
 	}
@@ -486,7 +485,7 @@
 	{
 		if (client->connection_count <= most)
 			return;
-		if (connection->state == CONNECTION_IDLE &&
+		if (connection->state == ZR_CONNECTION_IDLE &&
 		    !connection->request)
 			close_connection(connection);
 	}
--- a/src/libzinniarack/sched/core.h
+++ b/src/libzinniarack/sched/core.h
@@ -2,6 +2,7 @@
 #define SCHED_CORE_H
 
 #include "sched/rows.h"
+#include "zinniarack/charts.h"
 #include "zinniarack/errors.h"
 
 /**
@@ -127,8 +128,9 @@
 /* jobs.c */
 /** zr_sched_job_leave_list() - take a job off the list on which it is */
 void zr_sched_job_leave_list(struct zr_sched *sched, zr_handle job);
-void zr_sched_job_set_state(struct zr_sched *sched, zr_handle job,
-			    enum zr_job_state state, const char *reason);
+/** zr_sched_job_event() - let an event move a job by its chart, and tell */
+void zr_sched_job_event(struct zr_sched *sched, zr_handle job,
+			enum zr_job_event event, const char *reason);
 /** zr_sched_job_route() - put a job on the list where it now belongs */
 void zr_sched_job_route(struct zr_sched *sched, zr_handle job, bool first);
 /** zr_sched_job_park() - take a job out of the queues as it cannot run */
--- a/src/libzinniarack/sched/jobs.c
+++ b/src/libzinniarack/sched/jobs.c
@@ -244,8 +244,8 @@
 	else if (job->not_before > sched->now)
 		delay(sched, handle);
 	else if (zr_sched_queue_push(sched, handle, first) < 0)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_FAILED,
-				       "out of memory");
+		zr_sched_job_event(sched, handle, ZR_JOB_EVENT_FAILED,
+				   "out of memory");
 }
 
 void zr_sched_job_delay(const struct zr_sched *sched, struct zr_sched_job *job)
@@ -278,17 +278,20 @@
 
 /* States */
 
-void zr_sched_job_set_state(struct zr_sched *sched, zr_handle handle,
-			    enum zr_job_state state, const char *reason)
+void zr_sched_job_event(struct zr_sched *sched, zr_handle handle,
+			enum zr_job_event event, const char *reason)
 {
 	struct zr_sched_job *job = zr_sched_job_row(sched, handle);
+	int state = job->state;
 
+	if (zr_chart_step(&state, zr_charts()->job, event) < 0)
+		return;
 	job->reason = reason;
 	if (job->state == state)
 		return;
 	job->state = (uint8_t)state;
-	sched->sink.job_changed(sched->sink.ctx, handle, job->id, state,
-				reason);
+	sched->sink.job_changed(sched->sink.ctx, handle, job->id,
+				(enum zr_job_state)state, reason);
 }
 
 void zr_sched_job_settle(struct zr_sched *sched, zr_handle handle)
@@ -298,20 +301,20 @@
 	if (job->running || zr_job_state_final(job->state))
 		return;
 	if (job->cancelled)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_CANCELLED,
-				       "cancelled");
+		zr_sched_job_event(sched, handle, ZR_JOB_EVENT_CANCELLED,
+				   "cancelled");
 	else if (job->ended == job->tasks)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_SUCCEEDED,
-				       "all tasks ended");
+		zr_sched_job_event(sched, handle, ZR_JOB_EVENT_SUCCEEDED,
+				   "all tasks ended");
 	else if (job->given_up)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_FAILED,
-				       job->at_most_once
-					       ? "it may have begun and must "
-						 "not begin again"
-					       : "its tasks fail");
+		zr_sched_job_event(sched, handle, ZR_JOB_EVENT_FAILED,
+				   job->at_most_once
+					   ? "it may have begun and must "
+					     "not begin again"
+					   : "its tasks fail");
 	else if (job->state == ZR_JOB_RUNNING)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_WAITING,
-				       "to be placed again");
+		zr_sched_job_event(sched, handle, ZR_JOB_EVENT_DISPLACED,
+				   "to be placed again");
 }
 
 /* Cancelling */
--- a/src/libzinniarack/sched/park.c
+++ b/src/libzinniarack/sched/park.c
@@ -24,7 +24,7 @@
 	zr_sched_lane_append(sched, &sched->parked, handle, false);
 	sched->stats.parked++;
 	if (!job->running)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_PARKED, reason);
+		zr_sched_job_event(sched, handle, ZR_JOB_EVENT_PARKED, reason);
 }
 
 enum zr_sched_wait zr_sched_job_obstacle(const struct zr_sched *sched,
@@ -60,8 +60,8 @@
 	}
 	zr_sched_job_leave_list(sched, handle);
 	if (!job->running)
-		zr_sched_job_set_state(sched, handle, ZR_JOB_WAITING,
-				       "it can run now");
+		zr_sched_job_event(sched, handle, ZR_JOB_EVENT_UNPARKED,
+				   "it can run now");
 	zr_sched_job_route(sched, handle, false);
 }
 
--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -188,7 +188,7 @@
 	task = zr_sched_task_name(sched, *out);
 	sched->sink.start(sched->sink.ctx, &task, zr_sched_job_spec(sched, job),
 			  reason);
-	zr_sched_job_set_state(sched, handle, ZR_JOB_RUNNING, "placed");
+	zr_sched_job_event(sched, handle, ZR_JOB_EVENT_PLACED, "placed");
 	return 0;
 }
 
@@ -221,7 +221,7 @@
 	if (error)
 		return error;
 	job->slots[index].attempt = attempt;
-	zr_sched_job_set_state(sched, handle, ZR_JOB_RUNNING, "found running");
+	zr_sched_job_event(sched, handle, ZR_JOB_EVENT_PLACED, "found running");
 	zr_sched_job_route(sched, handle, false);
 	if (job->cancelled)
 		zr_sched_stop_paced(sched, placement);
--- a/tests/unit/test_chart.c
+++ b/tests/unit/test_chart.c
@@ -106,6 +106,34 @@
 }
 END_TEST
 
+START_TEST(test_refused_event_leaves_the_state)
+{
+	int state = ZR_OWNERSHIP_STANDBY;
+
+	ck_assert_int_eq(
+		zr_chart_step(&state, zr_charts()->ownership, ZR_OWNERSHIP_WON),
+		ZR_E_STATE);
+	ck_assert_int_eq(state, ZR_OWNERSHIP_STANDBY);
+	ck_assert_int_eq(zr_chart_step(&state, zr_charts()->ownership,
+				       ZR_OWNERSHIP_VACANT),
+			 0);
+	ck_assert_int_eq(state, ZR_OWNERSHIP_CAMPAIGNING);
+}
+END_TEST
+
+START_TEST(test_charts_of_a_folder_replace_those_built_in)
+{
+	const struct zr_chart *built_in = zr_charts()->job;
+
+	ck_assert_int_eq(zr_charts_use(folder), ZR_E_NOT_FOUND);
+	ck_assert_ptr_eq(zr_charts()->job, built_in);
+	ck_assert_int_eq(zr_charts_use(ZR_SOURCE "/charts"), 0);
+	ck_assert_ptr_ne(zr_charts()->job, built_in);
+	ck_assert_int_eq(zr_chart_initial(zr_charts()->job), ZR_JOB_WAITING);
+	zr_charts_clear((struct zr_charts *)zr_charts());
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("chart");
@@ -119,6 +147,8 @@
 	tcase_add_test(tcase, test_interprets_a_chart);
 	tcase_add_test(tcase, test_refuses_faulty_charts);
 	tcase_add_test(tcase, test_shipped_charts_load);
+	tcase_add_test(tcase, test_refused_event_leaves_the_state);
+	tcase_add_test(tcase, test_charts_of_a_folder_replace_those_built_in);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
