--- a/src/libzinniarack/net/http_client.c
+++ b/src/libzinniarack/net/http_client.c
@@ -1,20 +1,16 @@
 #include "net/http_client.h"
 
-#include <http_parser.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <utlist.h>
 #include <utstring.h>
 
 #include "net/address.h"
+#include "net/http_answer.h"
 #include "zinniarack/charts.h"
 #include "zinniarack/errors.h"
 
-#define REQUEST_ID_FIELD "x-request-id"
-#define FIELD_NAME_MAX 32
-#define REQUEST_ID_MAX 96
 #define READ_CHUNK_BYTES 65536
 
 struct connection {
@@ -28,7 +24,6 @@
 	uv_connect_t connect;
 	uv_timer_t timer;
 	int open_handles;
-	http_parser parser;
 };
 
 struct zr_http_request {
@@ -44,16 +39,8 @@
 	bool sent;
 	bool retried;
 	int early_error;
-	bool complete;
-	bool answer_begun;
-	bool too_large;
-	UT_string body;
-	char field[FIELD_NAME_MAX];
-	size_t field_length;
-	char request_id[REQUEST_ID_MAX];
-	char expected_id[REQUEST_ID_MAX];
-	size_t request_id_length;
-	bool reading_value;
+	struct zr_http_answer_reader reader;
+	char expected_id[ZR_HTTP_REQUEST_ID_MAX];
 };
 
 struct zr_http_client {
@@ -127,7 +114,7 @@
 	struct zr_http_request *request = handle->data;
 
 	utstring_done(&request->bytes);
-	utstring_done(&request->body);
+	zr_http_answer_clear(&request->reader);
 	free(request);
 }
 
@@ -155,15 +142,12 @@
 static void finish(struct zr_http_request *request, int error)
 {
 	struct zr_http_answer answer = {
-		.status = 0,
-		.body = utstring_body(&request->body),
-		.body_length = utstring_len(&request->body),
-		.request_id = request->request_id,
+		.status = (int)request->reader.parser.status_code,
+		.body = utstring_body(&request->reader.body),
+		.body_length = utstring_len(&request->reader.body),
+		.request_id = request->reader.request_id,
 	};
-	struct connection *connection = request->connection;
 
-	if (connection)
-		answer.status = (int)connection->parser.status_code;
 	detach(request);
 	request->done(request->ctx, error, error < 0 ? NULL : &answer);
 	release(request);
@@ -182,7 +166,7 @@
 	const struct zr_http_request *request = connection->request;
 
 	return connection->reused && request->idempotent && !request->retried &&
-	       !request->answer_begun;
+	       !request->reader.begun;
 }
 
 static void wait_again(struct zr_http_request *request)
@@ -212,69 +196,7 @@
 	fail_connection(timer->data, ZR_E_UNREACHABLE);
 }
 
-/* Parsing of answers */
-
-static int on_header_field(http_parser *parser, const char *at, size_t length)
-{
-	struct connection *connection = parser->data;
-	struct zr_http_request *request = connection->request;
-
-	if (request->reading_value)
-		request->field_length = 0;
-	request->reading_value = false;
-	if (request->field_length + length >= sizeof(request->field))
-		length = sizeof(request->field) - 1 - request->field_length;
-	memcpy(request->field + request->field_length, at, length);
-	request->field_length += length;
-	request->field[request->field_length] = '\0';
-	return 0;
-}
-
-static int on_header_value(http_parser *parser, const char *at, size_t length)
-{
-	struct connection *connection = parser->data;
-	struct zr_http_request *request = connection->request;
-
-	request->reading_value = true;
-	if (strcasecmp(request->field, REQUEST_ID_FIELD))
-		return 0;
-	if (request->request_id_length + length >= sizeof(request->request_id))
-		return 1;
-	memcpy(request->request_id + request->request_id_length, at, length);
-	request->request_id_length += length;
-	request->request_id[request->request_id_length] = '\0';
-	return 0;
-}
-
-static int on_body(http_parser *parser, const char *at, size_t length)
-{
-	struct connection *connection = parser->data;
-	struct zr_http_request *request = connection->request;
-	size_t limit = connection->client->options.max_answer_bytes;
-
-	if (utstring_len(&request->body) + length > limit) {
-		request->too_large = true;
-		return 1;
-	}
-	utstring_bincpy(&request->body, at, length);
-	return 0;
-}
-
-static int on_message_complete(http_parser *parser)
-{
-	struct connection *connection = parser->data;
-
-	connection->request->complete = true;
-	http_parser_pause(parser, 1);
-	return 0;
-}
-
-static const http_parser_settings parser_settings = {
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_body = on_body,
-	.on_message_complete = on_message_complete,
-};
+/* Answers */
 
 static void become_idle(struct connection *connection,
 			enum zr_connection_event event)
@@ -288,12 +210,13 @@
 static void complete_answer(struct connection *connection, bool surplus)
 {
 	struct zr_http_client *client = connection->client;
-	bool keep = http_should_keep_alive(&connection->parser) && !surplus &&
-		    client->connection_count <= client->options.max_connections;
 	struct zr_http_request *request = connection->request;
+	bool keep = http_should_keep_alive(&request->reader.parser) &&
+		    !surplus &&
+		    client->connection_count <= client->options.max_connections;
 
 	if (request->expected_id[0] &&
-	    strcmp(request->expected_id, request->request_id)) {
+	    strcmp(request->expected_id, request->reader.request_id)) {
 		fail_connection(connection, ZR_E_PROTOCOL);
 		return;
 	}
@@ -308,23 +231,22 @@
 static void parse(struct connection *connection, const char *bytes,
 		  size_t length)
 {
-	struct zr_http_request *request = connection->request;
-	size_t used;
-
-	request->answer_begun = true;
-	used = http_parser_execute(&connection->parser, &parser_settings, bytes,
-				   length);
-	if (request->complete)
-		complete_answer(connection, used < length);
-	else if (request->too_large)
+	bool surplus;
+
+	switch (zr_http_answer_read(&connection->request->reader, bytes, length,
+				    &surplus)) {
+	case ZR_HTTP_MORE:
+		break;
+	case ZR_HTTP_WHOLE:
+		complete_answer(connection, surplus);
+		break;
+	case ZR_HTTP_TOO_LARGE:
 		fail_connection(connection, ZR_E_TOO_LARGE);
-	else if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK)
+		break;
+	case ZR_HTTP_BROKEN:
 		fail_connection(connection, ZR_E_PROTOCOL);
-}
-
-static void on_end_of_stream(struct connection *connection)
-{
-	fail_connection(connection, ZR_E_UNREACHABLE);
+		break;
+	}
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
@@ -344,7 +266,7 @@
 	if (connection->state == ZR_CONNECTION_CLOSING || !got)
 		return;
 	if (got < 0)
-		on_end_of_stream(connection);
+		fail_connection(connection, ZR_E_UNREACHABLE);
 	else if (connection->state == ZR_CONNECTION_BUSY && connection->request)
 		parse(connection, buf->base, (size_t)got);
 	else
@@ -377,8 +299,6 @@
 	request->connection = connection;
 	request->sent = true;
 	uv_timer_stop(&connection->timer);
-	http_parser_init(&connection->parser, HTTP_RESPONSE);
-	connection->parser.data = connection;
 	utstring_init(&job->bytes);
 	utstring_concat(&job->bytes, &request->bytes);
 	buf = uv_buf_init(utstring_body(&job->bytes),
@@ -511,7 +431,7 @@
 		finish(request, request->early_error);
 		return;
 	}
-	silent = connection && request->sent && !request->answer_begun;
+	silent = connection && request->sent && !request->reader.begun;
 	finish(request, failure_of(request, ZR_E_UNREACHABLE));
 	if (connection)
 		close_connection(connection);
@@ -552,7 +472,7 @@
 		snprintf(request->expected_id, sizeof(request->expected_id),
 			 "%s", call->request_id);
 	utstring_init(&request->bytes);
-	utstring_init(&request->body);
+	zr_http_answer_init(&request->reader, client->options.max_answer_bytes);
 	format_request(&request->bytes, client->host, call);
 	uv_timer_init(client->loop, &request->timer);
 	request->timer.data = request;
