A key that was accepted is looked up before anything may refuse its request

Cause: reading zr_domain_submit: the checks of a submission came before the look-up of its idempotency key, so a repeated request of an accepted job could be refused, as not run, by a limit, a hand-over, or a worker not yet known after a take-over, while its task ran.

Change: the look-up comes first. A submission is also refused at once as not run (store_down) while the owner's lease is unconfirmed, instead of waiting for the store.

Before: domain/key_in_outage, after a take-over with its worker unheard: 'submit again: overloaded'.

--- a/src/libzinniarack/domain/jobs.c
+++ b/src/libzinniarack/domain/jobs.c
@@ -465,15 +465,25 @@
 	       under(team->limit.accelerators, spec->size.accelerators);
 }
 
+/* Whether this process can tell what was accepted here before. */
+static int check_knowledge(const struct zr_domain *domain)
+{
+	if (!domain->epoch || !domain->loaded)
+		return zr_error_set(ZR_E_NOT_OWNER, "not active");
+	return 0;
+}
+
 static int check_submission(struct zr_domain *domain,
 			    const struct zr_job_spec *spec)
 {
 	int error;
 
-	if (!domain->epoch || !domain->loaded)
-		return zr_error_set(ZR_E_NOT_OWNER, "not active");
 	if (domain->stopped)
 		return zr_error_set(ZR_E_SHUTTING_DOWN, "handing over");
+	/* Whether a record is kept would stay open until the store answers. */
+	if (zr_owner_standing(domain->owner) != ZR_OWNER_HELD)
+		return zr_error_set(ZR_E_STORE_DOWN,
+				    "the store has not been heard lately");
 	if (*spec->idempotency_key && domain->ended_keyed > RETAIN_KEYED_JOBS)
 		return zr_error_set(ZR_E_FULL, "too many idempotency keys");
 	if (!domain->config)
@@ -520,37 +530,45 @@
 		on_accepted(submission, error);
 }
 
+/* A repeated request gets the job that its first one made. */
+static void answer_repeated(struct submission *submission,
+			    const struct domain_job *earlier,
+			    const struct zr_job_spec *spec)
+{
+	if (strcmp(earlier->spec.team, spec->team)) {
+		refuse(submission, ZR_E_FORBIDDEN);
+		return;
+	}
+	if (earlier->handle || earlier->final_kept)
+		submission->done(submission->ctx, 0, earlier->id);
+	else
+		submission->done(submission->ctx, ZR_E_OUTCOME_UNKNOWN, NULL);
+	free(submission);
+}
+
 void zr_domain_submit(struct zr_domain *domain, const struct zr_job_spec *spec,
 		      zr_domain_submit_fn done, void *ctx)
 {
 	struct submission *submission = calloc(1, sizeof(*submission));
-	const struct domain_job *earlier;
-	int error = check_submission(domain, spec);
+	const struct domain_job *earlier = NULL;
+	int error = check_knowledge(domain);
 
 	if (!submission)
 		abort();
 	submission->domain = domain;
 	submission->done = done;
 	submission->ctx = ctx;
-	if (error < 0) {
+	/* First of all: what was accepted must not be refused as not run. */
+	if (!error)
+		earlier = find_key(domain, spec);
+	if (!error && !earlier)
+		error = check_submission(domain, spec);
+	if (error < 0)
 		refuse(submission, error);
-		return;
-	}
-	earlier = find_key(domain, spec);
-	if (!earlier) {
-		accept_job(domain, spec, submission);
-		return;
-	}
-	/* A repeated request gets the job that its first one made. */
-	if (strcmp(earlier->spec.team, spec->team)) {
-		refuse(submission, ZR_E_FORBIDDEN);
-		return;
-	}
-	if (earlier->handle || earlier->final_kept)
-		done(ctx, 0, earlier->id);
+	else if (earlier)
+		answer_repeated(submission, earlier, spec);
 	else
-		done(ctx, ZR_E_OUTCOME_UNKNOWN, NULL);
-	free(submission);
+		accept_job(domain, spec, submission);
 }
 
 void zr_domain_cancel(struct zr_domain *domain, const char *id,
--- a/tests/e2e/test_silent_store.sh
+++ b/tests/e2e/test_silent_store.sh
@@ -51,6 +51,12 @@
 kill -USR2 "$relay"
 job cut 10 | $zr submit - >"$work/refusal" || :
 cat "$work/refusal"
+# With host list and store unheard, nobody can tell that the key is in force.
+refused () {
+	job "refused" 10 | $zr submit - |
+		grep -q '"error":"stale_config".*"not_run":true'
+}
+cell_until 10 refused
 kill -HUP "$relay"
 cell_until 20 accepted cut
 $zr job wait "$id" | grep -q '"state":"succeeded"'
