RPC client: no call goes over a connection that is being given up

Cause: when a call timed out, its done ran before the connection was closed; a call made there was sent over the dying connection and ended outcome_unknown, and a call made while an old connection closed ended unreachable.

Change: the connection is closed first, and calls that were not sent go over a new one if the old had worked. A refused connection still ends them at once.

--- a/src/libzinniarack/net/rpc_client.c
+++ b/src/libzinniarack/net/rpc_client.c
@@ -34,7 +34,8 @@
 	uint32_t next_xid;
 	struct zr_rpc_stream *stream;
 	uv_connect_t connect;
-	bool connected;
+	bool connected;	  /* calls may be sent */
+	bool established; /* the stream has been connected */
 	bool freeing;
 	uv_timer_t guard;
 	bool guard_closed;
@@ -75,25 +76,44 @@
 	return call->sent ? ZR_E_OUTCOME_UNKNOWN : ZR_E_UNREACHABLE;
 }
 
-static void fail_calls(struct zr_rpc_client *client)
+static void open_stream(struct zr_rpc_client *client);
+
+static void fail_calls(struct zr_rpc_client *client, bool unsent_too)
 {
 	struct call *call;
 	struct call *next;
 
 	DL_FOREACH_SAFE(client->calls, call, next)
 	{
-		if (!call->early_error)
+		if (!call->early_error && (call->sent || unsent_too))
 			finish(call, failure_of(call), NULL);
 	}
 }
 
+static bool has_unsent(const struct zr_rpc_client *client)
+{
+	const struct call *call;
+
+	DL_FOREACH(client->calls, call)
+	{
+		if (!call->early_error && !call->sent)
+			return true;
+	}
+	return false;
+}
+
+/* Calls made while a stream that had worked was closing go over a new one. */
 static void on_stream_closed(void *ctx)
 {
 	struct zr_rpc_client *client = ctx;
+	bool had_worked = client->established;
 
 	client->stream = NULL;
 	client->connected = false;
-	fail_calls(client);
+	client->established = false;
+	fail_calls(client, !had_worked);
+	if (!client->freeing && !client->stream && has_unsent(client))
+		open_stream(client);
 	maybe_free_client(client);
 }
 
@@ -186,6 +206,7 @@
 		return;
 	}
 	client->connected = true;
+	client->established = true;
 	zr_rpc_stream_start(client->stream);
 	DL_FOREACH(client->calls, call)
 	{
@@ -218,10 +239,15 @@
 		finish(call, call->early_error, NULL);
 		return;
 	}
-	finish(call, failure_of(call), NULL);
-	/* It may be a connection gone silent for good: open a new one. */
-	if (client->stream)
+	/*
+	 * It may be a connection gone silent for good: open a new one. It is
+	 * closed first, so that no call made by the one that ends goes over it.
+	 */
+	if (client->stream) {
+		client->connected = false;
 		zr_rpc_stream_close(client->stream);
+	}
+	finish(call, failure_of(call), NULL);
 }
 
 static int encode_args(struct call *call, void *args)
