The demo's caller sends a cancel again that no host has taken

Cause: the fresh clone's script/demo gave up on Majan: the one cancel of its service had gone to the killed host, and the caller took it for sent.

Change: after an error or a 5xx the cancel is sent again.

--- a/tests/caller/send.c
+++ b/tests/caller/send.c
@@ -93,6 +93,9 @@
 	json_t *body = error ? NULL : parse(answer);
 	size_t i;
 
+	/* A cancel that no host has taken is sent again. */
+	if (error || answer->status >= 500)
+		step->cancelling = false;
 	copy_field(step->job->final, sizeof(step->job->final), body, "state");
 	json_decref(body);
 	for (i = 0; i < sizeof(ends) / sizeof(ends[0]); i++) {
