One function writes a new file of the operator's folder

Cause: write_file() in key.c and write_new() in change.c were the same lines.

Change: cli_file_new(), declared in cli.h. No change of behaviour.

Measured: test_operators_commands and test_readme ok; format and clang-tidy clean on both files. script/test was not run whole after it.

--- a/src/cli/change.c
+++ b/src/cli/change.c
@@ -97,7 +97,7 @@
 	return result;
 }
 
-static int write_new(const char *path, const char *text)
+int cli_file_new(const char *path, const char *text)
 {
 	FILE *file = fopen(path, "wx");
 
@@ -124,7 +124,7 @@
 	if (!folder)
 		return change_in_force(options, file, text);
 	snprintf(path, sizeof(path), "%s/%s", folder, file);
-	error = write_new(path, text);
+	error = cli_file_new(path, text);
 	if (error < 0)
 		return cli_fail(error);
 	result = cli_config_apply(options, folder, false);
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -190,4 +190,13 @@
 int cli_config_apply(const struct cli_options *options, const char *folder,
 		     bool move_keys);
 
+/**
+ * cli_file_new() - write a file that must not be there yet
+ * @path: the file
+ * @text: what it is to hold
+ *
+ * Return: 0, ZR_E_EXISTS or ZR_E_IO.
+ */
+int cli_file_new(const char *path, const char *text);
+
 #endif
--- a/src/cli/key.c
+++ b/src/cli/key.c
@@ -27,19 +27,6 @@
 	return 0;
 }
 
-static int write_file(const char *path, const char *text)
-{
-	FILE *file = fopen(path, "wx");
-
-	if (!file)
-		return zr_error_set(ZR_E_EXISTS, "%s: cannot be made anew",
-				    path);
-	fputs(text, file);
-	if (fclose(file))
-		return zr_error_set(ZR_E_IO, "%s: cannot be written", path);
-	return 0;
-}
-
 static int new_key(const char *id, const char *team, const char *path)
 {
 	char credential[ZR_CREDENTIAL_MAX];
@@ -47,7 +34,7 @@
 	int error = make(credential, text, id, team);
 
 	if (!error)
-		error = write_file(path, text);
+		error = cli_file_new(path, text);
 	if (error < 0)
 		return cli_fail(error);
 	printf("%s\n", credential);
