--- a/include/zinniarack/charts.h
+++ b/include/zinniarack/charts.h
@@ -64,18 +64,42 @@
 	ZR_JOB_EVENT_CANCELLED,
 };
 
+/** States of a task of a cell; see charts/task.yaml. */
+enum zr_task_state {
+	ZR_TASK_WAITING,
+	ZR_TASK_PLACED,
+	ZR_TASK_STARTING,
+	ZR_TASK_RUNNING,
+	ZR_TASK_UNSURE,
+	ZR_TASK_STOPPING,
+	ZR_TASK_DONE,
+};
+
+enum zr_task_event {
+	ZR_TASK_EVENT_PLACED,
+	ZR_TASK_EVENT_SENT,
+	ZR_TASK_EVENT_CONFIRMED,
+	ZR_TASK_EVENT_UNANSWERED,
+	ZR_TASK_EVENT_STOP,
+	ZR_TASK_EVENT_FOUND,
+	ZR_TASK_EVENT_GONE,
+	ZR_TASK_EVENT_DONE,
+};
+
 /**
  * struct zr_charts - all charts of a process
  * @ownership: &enum zr_ownership_state by &enum zr_ownership_event
  * @worker: &enum zr_worker_state by &enum zr_worker_event
  * @connection: &enum zr_connection_state by &enum zr_connection_event
  * @job: &enum zr_job_state by &enum zr_job_event
+ * @task: &enum zr_task_state by &enum zr_task_event
  */
 struct zr_charts {
 	struct zr_chart *ownership;
 	struct zr_chart *worker;
 	struct zr_chart *connection;
 	struct zr_chart *job;
+	struct zr_chart *task;
 };
 
 /**
--- a/include/zinniarack/clock.h
+++ b/include/zinniarack/clock.h
@@ -30,6 +30,14 @@
  */
 const struct zr_clock *zr_clock_system(void);
 
+/**
+ * zr_clock_boottime() - as zr_clock_system(), counting while suspended
+ *
+ * For leases that others measure: a host that was suspended must find them
+ * over when it wakes.
+ */
+const struct zr_clock *zr_clock_boottime(void);
+
 /**
  * zr_clock_now() - read the monotonic time
  * @clock: the clock
--- a/include/zinniarack/log.h
+++ b/include/zinniarack/log.h
@@ -39,6 +39,21 @@
 int zr_log_init(const char *process, enum zr_log_level level,
 		enum zr_log_format format);
 
+/**
+ * zr_log_use_stdout() - write lines to standard output, without ever waiting
+ *
+ * To be called before zr_log_init(). Lines are dropped, and counted in a line
+ * of their own, while the reader does not keep up or when a second holds more
+ * than ZR_LOG_LINES_PER_S of them.
+ */
+void zr_log_use_stdout(void);
+
+/** Lines that a process writes to standard output in one second at most. */
+#define ZR_LOG_LINES_PER_S 2000
+
+/** zr_log_set_level() - the least severe level written from now on */
+void zr_log_set_level(enum zr_log_level level);
+
 /** zr_log_close() - flush and close the log */
 void zr_log_close(void);
 
--- a/include/zinniarack/store.h
+++ b/include/zinniarack/store.h
@@ -113,6 +113,9 @@
  * @lease_grant: make a lease of @ttl_ms
  * @lease_keep: renew a lease; ZR_E_NOT_FOUND when it has ended
  * @lease_revoke: end a lease and delete its keys
+ * @watch: wait for changes of keys under a prefix after a revision; NULL when
+ *	the adapter offers none. A deleted key has no data. ZR_E_NOT_FOUND: the
+ *	store no longer keeps that history
  * @free: end open calls with ZR_E_CANCELLED and free the adapter
  */
 struct zr_store_ops {
@@ -128,6 +131,8 @@
 			   void *ctx);
 	void (*lease_revoke)(void *impl, int64_t lease, zr_store_done_fn done,
 			     void *ctx);
+	void (*watch)(void *impl, const char *prefix, int64_t after,
+		      unsigned int wait_ms, zr_store_done_fn done, void *ctx);
 	void (*free)(void *impl);
 };
 
@@ -159,6 +164,11 @@
 void zr_store_lease_revoke(const struct zr_store *store, int64_t lease,
 			   zr_store_done_fn done, void *ctx);
 
+/** zr_store_watch() - see &struct zr_store_ops.watch */
+void zr_store_watch(const struct zr_store *store, const char *prefix,
+		    int64_t after, unsigned int wait_ms, zr_store_done_fn done,
+		    void *ctx);
+
 /** zr_store_free() - free the adapter */
 void zr_store_free(struct zr_store *store);
 
--- /dev/null
+++ b/src/libzinniarack/cell/advice.c
@@ -0,0 +1,100 @@
+#include "cell/advice.h"
+
+#include <string.h>
+
+#define US_PER_MS 1000
+/* Questions of at least this length leave hosts to shorter ones. */
+#define LONG_QUESTION_MS 200
+#define MEDIUM_QUESTION_MS 40
+/* Hosts that long and medium questions leave idle. */
+#define SPARED_BY_LONG 3
+#define SPARED_BY_MEDIUM 1
+
+uint32_t zr_cell_advice_ms(const struct zr_cell_queue *queue, size_t count)
+{
+	return queue->advise_ms +
+	       (uint32_t)(queue->advise_worker_us * count / US_PER_MS);
+}
+
+static struct zr_cell_helper_row *find(struct zr_cell_advice *advice,
+				       const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < advice->count; i++) {
+		if (!strcmp(advice->helpers[i].helper.name, name))
+			return &advice->helpers[i];
+	}
+	return NULL;
+}
+
+/* A row with an open question stays where its answer finds it. */
+static struct zr_cell_helper_row *new_row(struct zr_cell_advice *advice)
+{
+	size_t i;
+
+	for (i = 0; i < advice->count; i++) {
+		if (advice->helpers[i].gone && !advice->helpers[i].busy)
+			return &advice->helpers[i];
+	}
+	if (advice->count == ZR_CELL_HELPERS_MAX)
+		return NULL;
+	return &advice->helpers[advice->count++];
+}
+
+void zr_cell_advice_helpers(struct zr_cell_advice *advice,
+			    const struct zr_cell_helper *helpers, size_t count)
+{
+	struct zr_cell_helper_row *row;
+	size_t i;
+
+	for (i = 0; i < advice->count; i++)
+		advice->helpers[i].gone = true;
+	for (i = 0; i < count; i++) {
+		row = find(advice, helpers[i].name);
+		if (!row) {
+			row = new_row(advice);
+			if (!row)
+				return;
+			memset(row, 0, sizeof(*row));
+		}
+		row->helper = helpers[i];
+		row->gone = false;
+	}
+}
+
+static size_t spared(size_t helpers, uint32_t question_ms)
+{
+	size_t spare = 0;
+
+	if (question_ms >= LONG_QUESTION_MS)
+		spare = SPARED_BY_LONG;
+	else if (question_ms >= MEDIUM_QUESTION_MS)
+		spare = SPARED_BY_MEDIUM;
+	/* With few hosts, sparing must not shut long questions out. */
+	return spare < helpers / 2 ? spare : helpers / 2;
+}
+
+struct zr_cell_helper_row *zr_cell_advice_pick(struct zr_cell_advice *advice,
+					       int64_t now,
+					       uint32_t question_ms)
+{
+	struct zr_cell_helper_row *best = NULL;
+	size_t usable = 0;
+	size_t idle = 0;
+	size_t i;
+
+	for (i = 0; i < advice->count; i++) {
+		struct zr_cell_helper_row *row = &advice->helpers[i];
+
+		if (row->gone || now < row->rest_until)
+			continue;
+		usable++;
+		if (row->busy)
+			continue;
+		idle++;
+		if (!best || row->failures < best->failures)
+			best = row;
+	}
+	return idle > spared(usable, question_ms) ? best : NULL;
+}
--- /dev/null
+++ b/src/libzinniarack/cell/advice.h
@@ -0,0 +1,55 @@
+#ifndef ZR_CELL_ADVICE_H
+#define ZR_CELL_ADVICE_H
+
+#include "cell/model.h"
+#include "cell/scheduler.h"
+
+/**
+ * DOC: Questions to the placement adviser
+ *
+ * The adviser answers one question at a time from each host, so hosts are what
+ * is scarce. Long questions never take the last hosts, which are left to short
+ * ones.
+ */
+
+/** Most hosts through which the adviser is asked. */
+#define ZR_CELL_HELPERS_MAX 64
+
+/** struct zr_cell_helper_row - a helper and what it is doing */
+struct zr_cell_helper_row {
+	struct zr_cell_helper helper;
+	bool busy;
+	bool gone;
+	int64_t rest_until;
+	uint32_t failures;
+};
+
+/** struct zr_cell_advice - the helpers */
+struct zr_cell_advice {
+	struct zr_cell_helper_row helpers[ZR_CELL_HELPERS_MAX];
+	size_t count;
+	struct zr_metric *asked;
+	struct zr_metric *failed;
+	struct zr_histogram *answer_ms;
+};
+
+/** zr_cell_advice_helpers() - hosts that can ask from now on */
+void zr_cell_advice_helpers(struct zr_cell_advice *advice,
+			    const struct zr_cell_helper *helpers, size_t count);
+
+/** zr_cell_advice_ms() - how long a question about @count workers takes */
+uint32_t zr_cell_advice_ms(const struct zr_cell_queue *queue, size_t count);
+
+/**
+ * zr_cell_advice_pick() - an idle helper for a question
+ * @advice: the helpers
+ * @now: the time
+ * @question_ms: how long the question takes
+ *
+ * Return: the helper, or NULL while those that are idle must stay so.
+ */
+struct zr_cell_helper_row *zr_cell_advice_pick(struct zr_cell_advice *advice,
+					       int64_t now,
+					       uint32_t question_ms);
+
+#endif
--- /dev/null
+++ b/src/libzinniarack/cell/journal.c
@@ -0,0 +1,459 @@
+#include "cell/journal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "cell/records.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+/*
+ * Transactions open at once: enough to keep up with the starts and ends of a
+ * full cell while an answer takes a quarter of a second.
+ */
+#define BATCHES_MAX 4
+/* Pause after a transaction that failed, in milliseconds. */
+#define RETRY_MS 60
+/* Jobs of one transaction: each takes up to two conditions and four writes. */
+#define BATCH_JOBS_MAX 14
+#define FORGET_MAX 64
+
+struct batch_job {
+	zr_handle job;
+	uint64_t change;
+	char id[ZR_NAME_MAX];
+};
+
+/* A transaction that is open. */
+struct batch {
+	struct zr_cell_journal *journal;
+	uint64_t opening;
+	struct batch_job jobs[BATCH_JOBS_MAX];
+	size_t job_count;
+};
+
+/* The parts of a transaction while it is put together. */
+struct draft {
+	char keys[ZR_CELL_TXN_ENTRIES_MAX][ZR_CELL_KEY_MAX];
+	size_t key_count;
+	struct zr_store_compare compares[ZR_CELL_TXN_ENTRIES_MAX];
+	size_t compare_count;
+	struct zr_store_put puts[ZR_CELL_TXN_ENTRIES_MAX];
+	size_t put_count;
+	struct zr_cell_bytes bytes[BATCH_JOBS_MAX + 1];
+	size_t byte_count;
+};
+
+struct zr_cell_journal {
+	const struct zr_store *store;
+	struct zr_cell_model *model;
+	struct zr_cell_journal_events events;
+	void *ctx;
+	struct zr_timer *retry;
+	bool waiting;
+	const char *owner_key; /* NULL: closed */
+	int64_t guard;
+	uint64_t opening;
+	unsigned int open_batches;
+	struct zr_cell_bytes counts;
+	char forget[FORGET_MAX][ZR_NAME_MAX];
+	size_t forget_count;
+	bool freeing;
+	struct zr_metric *writes;
+};
+
+/* Drafts */
+
+static const char *add_key(struct draft *draft, const char *prefix,
+			   const char *id, const char *suffix)
+{
+	char *key = draft->keys[draft->key_count++];
+
+	snprintf(key, ZR_CELL_KEY_MAX, "%s%s%s", prefix, id, suffix);
+	return key;
+}
+
+static void add_compare(struct draft *draft, const char *key, int64_t revision)
+{
+	draft->compares[draft->compare_count++] =
+		(struct zr_store_compare){key, revision};
+}
+
+static void add_put(struct draft *draft, const char *key,
+		    const struct zr_cell_bytes *bytes)
+{
+	draft->puts[draft->put_count++] = (struct zr_store_put){
+		key, bytes ? bytes->data : NULL, bytes ? bytes->length : 0, 0};
+}
+
+static size_t entries(const struct draft *draft)
+{
+	return draft->compare_count + draft->put_count;
+}
+
+static void clear_draft(struct draft *draft)
+{
+	while (draft->byte_count)
+		free(draft->bytes[--draft->byte_count].data);
+}
+
+/* Where a job stands */
+
+static bool over_and_quiet(const struct zr_cell_job *job)
+{
+	return zr_cell_job_over(job) && !job->open;
+}
+
+static void record_tasks(struct zr_cell_journal *journal,
+			 const struct zr_cell_job *job, zx_cell_progress *out)
+{
+	uint32_t i;
+
+	out->tasks.tasks_val =
+		calloc(job->task_count + 1, sizeof(*out->tasks.tasks_val));
+	if (!out->tasks.tasks_val)
+		abort();
+	out->tasks.tasks_len = job->task_count;
+	for (i = 0; i < job->task_count; i++) {
+		const struct zr_cell_task *task = &job->tasks[i];
+		const struct zr_cell_worker *worker =
+			zr_cell_worker(journal->model, task->worker);
+		zx_cell_task *row = &out->tasks.tasks_val[i];
+
+		row->attempt = task->attempt;
+		row->failures = task->failures;
+		row->done = task->state == ZR_TASK_DONE;
+		row->worker = worker ? (char *)worker->report.name : "";
+		row->checkpoint = (char *)task->checkpoint;
+	}
+}
+
+static int encode_progress(struct zr_cell_bytes *out,
+			   struct zr_cell_journal *journal,
+			   const struct zr_cell_job *job)
+{
+	zx_cell_progress record = {
+		.state = job->state,
+		.client = zr_cell_client(journal->model, job->client)->name,
+		.queue = (char *)job->queue,
+		.ended_ms = job->ended_at,
+	};
+	int error;
+
+	if (!over_and_quiet(job))
+		record_tasks(journal, job, &record);
+	error = zr_cell_encode(out, (xdrproc_t)xdr_zx_cell_progress, &record);
+	free(record.tasks.tasks_val);
+	return error;
+}
+
+static void draft_job(struct draft *draft, struct zr_cell_journal *journal,
+		      struct zr_cell_job *job)
+{
+	struct zr_cell_bytes *bytes = &draft->bytes[draft->byte_count];
+	const char *key = add_key(draft, ZR_CELL_AT_PREFIX, job->id, "");
+
+	if (encode_progress(bytes, journal, job) < 0) {
+		zr_log(ZR_LOG_ERROR, "journal.too_large job=%s tasks=%" PRIu32,
+		       job->id, job->task_count);
+		return;
+	}
+	draft->byte_count++;
+	add_compare(draft, key, job->revision);
+	add_put(draft, key, bytes);
+	if (!over_and_quiet(job))
+		return;
+	add_put(draft, add_key(draft, ZR_CELL_IN_PREFIX, job->id, ""), NULL);
+	add_put(draft,
+		add_key(draft, ZR_CELL_IN_PREFIX, job->id,
+			ZR_CELL_CANCEL_SUFFIX),
+		NULL);
+}
+
+/* Answers */
+
+static void restart_later(struct zr_cell_journal *journal)
+{
+	journal->waiting = true;
+	zr_timer_start(journal->retry, RETRY_MS, 0);
+}
+
+static void mark_dirty(struct zr_cell_journal *journal, struct zr_cell_job *job)
+{
+	if (job->dirty)
+		return;
+	job->dirty = true;
+	DL_APPEND(journal->model->dirty, job);
+}
+
+static void settle_written(struct zr_cell_journal *journal, struct batch *batch,
+			   int64_t revision)
+{
+	size_t i;
+
+	for (i = 0; i < batch->job_count; i++) {
+		struct zr_cell_job *job =
+			zr_cell_job(journal->model, batch->jobs[i].job);
+
+		if (!job)
+			continue;
+		job->writing = 0;
+		job->revision = revision;
+		job->written = batch->jobs[i].change;
+		if (job->change != job->written)
+			mark_dirty(journal, job);
+		journal->events.written(journal->ctx, job);
+	}
+}
+
+static void settle_failed(struct zr_cell_journal *journal, struct batch *batch)
+{
+	size_t i;
+
+	for (i = 0; i < batch->job_count; i++) {
+		struct zr_cell_job *job =
+			zr_cell_job(journal->model, batch->jobs[i].job);
+
+		if (!job)
+			continue;
+		job->writing = 0;
+		mark_dirty(journal, job);
+	}
+}
+
+static const struct zr_store_value *find_key(const struct zr_store_reply *reply,
+					     const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < reply->count; i++) {
+		if (reply->values[i].data && !strcmp(reply->values[i].key, key))
+			return &reply->values[i];
+	}
+	return NULL;
+}
+
+/*
+ * While the owner key is unchanged only this scheduler writes these records: a
+ * revision not known here is that of its own write whose answer was lost.
+ */
+static void adopt_revisions(struct zr_cell_journal *journal,
+			    struct batch *batch,
+			    const struct zr_store_reply *reply)
+{
+	char key[ZR_CELL_KEY_MAX];
+	size_t i;
+
+	for (i = 0; i < batch->job_count; i++) {
+		struct zr_cell_job *job =
+			zr_cell_job(journal->model, batch->jobs[i].job);
+		const struct zr_store_value *value;
+
+		if (!job)
+			continue;
+		snprintf(key, sizeof(key), "%s%s", ZR_CELL_AT_PREFIX, job->id);
+		value = find_key(reply, key);
+		job->revision = value ? value->mod_revision : 0;
+	}
+}
+
+static void on_conflict(struct zr_cell_journal *journal, struct batch *batch,
+			const struct zr_store_reply *reply)
+{
+	const struct zr_store_value *owner =
+		find_key(reply, journal->owner_key);
+
+	if (!owner || owner->mod_revision != journal->guard) {
+		zr_log(ZR_LOG_WARN, "journal.deposed guard=%" PRId64,
+		       journal->guard);
+		journal->events.deposed(journal->ctx);
+		return;
+	}
+	adopt_revisions(journal, batch, reply);
+	settle_failed(journal, batch);
+	zr_cell_journal_flush(journal);
+}
+
+static void free_journal(struct zr_cell_journal *journal)
+{
+	zr_timer_free(journal->retry);
+	free(journal->counts.data);
+	free(journal);
+}
+
+static void on_committed(void *ctx, int error,
+			 const struct zr_store_reply *reply)
+{
+	struct batch *batch = ctx;
+	struct zr_cell_journal *journal = batch->journal;
+
+	journal->open_batches--;
+	if (journal->freeing) {
+		if (!journal->open_batches)
+			free_journal(journal);
+	} else if (batch->opening == journal->opening && journal->owner_key) {
+		if (error < 0) {
+			zr_log(ZR_LOG_WARN, "journal.failed error=%s jobs=%zu",
+			       zr_error_name(error), batch->job_count);
+			settle_failed(journal, batch);
+			restart_later(journal);
+		} else if (!reply->succeeded) {
+			on_conflict(journal, batch, reply);
+		} else {
+			settle_written(journal, batch, reply->revision);
+			zr_cell_journal_flush(journal);
+		}
+	}
+	free(batch);
+}
+
+/* Batches */
+
+static void take_jobs(struct zr_cell_journal *journal, struct draft *draft,
+		      struct batch *batch)
+{
+	struct zr_cell_job *job;
+	struct zr_cell_job *next;
+
+	DL_FOREACH_SAFE(journal->model->dirty, job, next)
+	{
+		if (batch->job_count == BATCH_JOBS_MAX ||
+		    entries(draft) + 4 > ZR_CELL_TXN_ENTRIES_MAX)
+			return;
+		if (job->writing)
+			continue;
+		DL_DELETE(journal->model->dirty, job);
+		job->dirty = false;
+		job->writing = job->change;
+		draft_job(draft, journal, job);
+		batch->jobs[batch->job_count].job = job->self;
+		batch->jobs[batch->job_count].change = job->change;
+		batch->job_count++;
+	}
+}
+
+static void take_rest(struct zr_cell_journal *journal, struct draft *draft)
+{
+	if (journal->counts.data && entries(draft) < ZR_CELL_TXN_ENTRIES_MAX) {
+		draft->bytes[draft->byte_count++] = journal->counts;
+		add_put(draft, ZR_CELL_COUNTS_KEY, &journal->counts);
+		journal->counts.data = NULL;
+	}
+	while (journal->forget_count &&
+	       entries(draft) < ZR_CELL_TXN_ENTRIES_MAX)
+		add_put(draft,
+			add_key(draft, ZR_CELL_AT_PREFIX,
+				journal->forget[--journal->forget_count], ""),
+			NULL);
+}
+
+static bool send_batch(struct zr_cell_journal *journal)
+{
+	struct draft draft = {0};
+	struct batch *batch = calloc(1, sizeof(*batch));
+	struct zr_store_txn txn;
+
+	if (!batch)
+		abort();
+	add_compare(&draft, journal->owner_key, journal->guard);
+	take_jobs(journal, &draft, batch);
+	take_rest(journal, &draft);
+	if (!draft.put_count) {
+		free(batch);
+		return false;
+	}
+	batch->journal = journal;
+	batch->opening = journal->opening;
+	journal->open_batches++;
+	journal->writes->value++;
+	txn = (struct zr_store_txn){draft.compares, draft.compare_count,
+				    draft.puts, draft.put_count};
+	zr_store_commit(journal->store, ZR_STORE_INTENT, &txn, on_committed,
+			batch);
+	clear_draft(&draft);
+	return true;
+}
+
+void zr_cell_journal_flush(struct zr_cell_journal *journal)
+{
+	while (journal->owner_key && !journal->waiting &&
+	       journal->open_batches < BATCHES_MAX && send_batch(journal))
+		;
+}
+
+static void on_retry(void *ctx)
+{
+	struct zr_cell_journal *journal = ctx;
+
+	journal->waiting = false;
+	zr_cell_journal_flush(journal);
+}
+
+bool zr_cell_journal_idle(const struct zr_cell_journal *journal)
+{
+	return !journal->open_batches && !journal->model->dirty;
+}
+
+void zr_cell_journal_counts(struct zr_cell_journal *journal,
+			    struct zr_cell_bytes counts)
+{
+	free(journal->counts.data);
+	journal->counts = counts;
+}
+
+void zr_cell_journal_forget(struct zr_cell_journal *journal, const char *id)
+{
+	if (journal->forget_count < FORGET_MAX)
+		snprintf(journal->forget[journal->forget_count++], ZR_NAME_MAX,
+			 "%s", id);
+}
+
+void zr_cell_journal_open(struct zr_cell_journal *journal,
+			  const char *owner_key, int64_t guard)
+{
+	journal->owner_key = owner_key;
+	journal->guard = guard;
+	journal->opening++;
+}
+
+void zr_cell_journal_close(struct zr_cell_journal *journal)
+{
+	journal->owner_key = NULL;
+	journal->waiting = false;
+	zr_timer_stop(journal->retry);
+}
+
+int zr_cell_journal_new(struct zr_cell_journal **out,
+			const struct zr_timers *timers,
+			const struct zr_store *store,
+			struct zr_cell_model *model, struct zr_metrics *metrics,
+			const struct zr_cell_journal_events *events, void *ctx)
+{
+	struct zr_cell_journal *journal = calloc(1, sizeof(*journal));
+
+	if (!journal)
+		return ZR_E_NOMEM;
+	journal->store = store;
+	journal->model = model;
+	journal->events = *events;
+	journal->ctx = ctx;
+	journal->retry = zr_timer_new(timers, on_retry, journal);
+	journal->writes = zr_metrics_counter(
+		metrics, "zinniarack_cell_journal_writes_total", NULL,
+		"Transactions of the journal");
+	*out = journal;
+	return 0;
+}
+
+void zr_cell_journal_free(struct zr_cell_journal *journal)
+{
+	if (!journal)
+		return;
+	journal->freeing = true;
+	zr_cell_journal_close(journal);
+	if (!journal->open_batches)
+		free_journal(journal);
+}
--- /dev/null
+++ b/src/libzinniarack/cell/members.h
@@ -0,0 +1,50 @@
+#ifndef ZR_CELL_MEMBERS_H
+#define ZR_CELL_MEMBERS_H
+
+#include <uv.h>
+
+#include "cell/scheduler.h"
+#include "zinniarack/cell.h"
+#include "zinniarack/timer.h"
+
+/**
+ * DOC: Hosts of a cell
+ *
+ * Each host keeps its RPC address in the store under a lease. The host whose
+ * scheduler is active reads them and asks the adviser through all of them.
+ */
+
+struct zr_cell_members;
+
+/** Called when the hosts through which the adviser can be asked have changed.
+ */
+typedef void (*zr_cell_members_fn)(void *ctx,
+				   const struct zr_cell_helper *helpers,
+				   size_t count);
+
+/**
+ * zr_cell_members_new() - register this host and serve the others
+ * @out: to be freed with zr_cell_members_free()
+ * @loop: the loop it runs on
+ * @timers: where timers come from
+ * @surroundings: what it calls; kept by reference
+ * @name: this host's name
+ * @address: its RPC address
+ * @changed: called with @ctx while zr_cell_members_follow() is on
+ * @ctx: passed to @changed
+ *
+ * Return: 0, ZR_E_INVALID or ZR_E_ADDRESS_IN_USE.
+ */
+int zr_cell_members_new(struct zr_cell_members **out, uv_loop_t *loop,
+			const struct zr_timers *timers,
+			const struct zr_cell_surroundings *surroundings,
+			const char *name, const char *address,
+			zr_cell_members_fn changed, void *ctx);
+
+/** zr_cell_members_follow() - whether to read who the hosts are */
+void zr_cell_members_follow(struct zr_cell_members *members, bool follow);
+
+/** zr_cell_members_leave() - this host asks the adviser for others no more */
+void zr_cell_members_leave(struct zr_cell_members *members);
+
+#endif
--- /dev/null
+++ b/src/libzinniarack/cell/model.c
@@ -0,0 +1,520 @@
+#include "cell/model.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "zinniarack/errors.h"
+
+static void *row(const struct zr_table *table, zr_handle handle)
+{
+	void **slot = handle ? zr_table_get(table, handle) : NULL;
+
+	return slot ? *slot : NULL;
+}
+
+static zr_handle add_row(struct zr_table *table, void *pointer)
+{
+	zr_handle handle;
+
+	if (zr_table_add(&handle, table) < 0)
+		abort();
+	*(void **)zr_table_get(table, handle) = pointer;
+	return handle;
+}
+
+struct zr_cell_job *zr_cell_job(const struct zr_cell_model *model,
+				zr_handle job)
+{
+	return row(model->jobs, job);
+}
+
+struct zr_cell_worker *zr_cell_worker(const struct zr_cell_model *model,
+				      zr_handle worker)
+{
+	return row(model->workers, worker);
+}
+
+struct zr_cell_client_row *zr_cell_client(const struct zr_cell_model *model,
+					  zr_handle client)
+{
+	return row(model->clients, client);
+}
+
+int zr_cell_model_init(struct zr_cell_model *model)
+{
+	int error;
+
+	memset(model, 0, sizeof(*model));
+	if ((error = zr_table_new(&model->jobs, sizeof(void *))) < 0 ||
+	    (error = zr_table_new(&model->workers, sizeof(void *))) < 0 ||
+	    (error = zr_table_new(&model->clients, sizeof(void *))) < 0)
+		zr_cell_model_clear(model);
+	return error;
+}
+
+void zr_cell_model_clear(struct zr_cell_model *model)
+{
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next_worker;
+	struct zr_cell_job *job;
+	struct zr_cell_job *next_job;
+	zr_handle client;
+
+	if (!model->clients)
+		return;
+	HASH_ITER (hh, model->job_by_id, job, next_job)
+		zr_cell_job_remove(model, job);
+	HASH_ITER (hh, model->worker_by_name, worker, next_worker)
+		zr_cell_worker_remove(model, worker);
+	for (client = zr_table_next(model->clients, ZR_HANDLE_NONE); client;
+	     client = zr_table_next(model->clients, client))
+		free(zr_cell_client(model, client));
+	zr_table_free(model->jobs);
+	zr_table_free(model->workers);
+	zr_table_free(model->clients);
+	memset(model, 0, sizeof(*model));
+}
+
+/* Workers */
+
+struct zr_cell_worker *zr_cell_worker_find(const struct zr_cell_model *model,
+					   const char *name)
+{
+	struct zr_cell_worker *worker;
+
+	HASH_FIND_STR(model->worker_by_name, name, worker);
+	return worker;
+}
+
+struct zr_cell_worker *zr_cell_worker_obtain(struct zr_cell_model *model,
+					     const char *name)
+{
+	struct zr_cell_worker *worker = zr_cell_worker_find(model, name);
+
+	if (worker)
+		return worker;
+	worker = calloc(1, sizeof(*worker));
+	if (!worker)
+		abort();
+	snprintf(worker->report.name, sizeof(worker->report.name), "%s", name);
+	worker->rack = "";
+	worker->clock_ms = -1;
+	worker->look_due = ZR_CELL_NEVER;
+	worker->state = zr_chart_initial(zr_charts()->worker);
+	worker->self = add_row(model->workers, worker);
+	HASH_ADD_STR(model->worker_by_name, report.name, worker);
+	return worker;
+}
+
+void zr_cell_worker_remove(struct zr_cell_model *model,
+			   struct zr_cell_worker *worker)
+{
+	if (worker->orders.ops)
+		worker->orders.ops->free(worker->orders.impl);
+	HASH_DEL(model->worker_by_name, worker);
+	zr_table_remove(model->workers, worker->self);
+	free(worker->runs);
+	free(worker->acks);
+	free(worker);
+}
+
+struct zr_resources zr_cell_worker_free(const struct zr_cell_worker *worker)
+{
+	const struct zr_resources *all = &worker->report.capacity;
+	struct zr_resources left = {0};
+
+	if (all->millicpus > worker->used_millicpus)
+		left.millicpus =
+			(uint32_t)(all->millicpus - worker->used_millicpus);
+	if (all->memory_mb > worker->used_memory_mb)
+		left.memory_mb =
+			(uint32_t)(all->memory_mb - worker->used_memory_mb);
+	if (all->accelerators > worker->used_accelerators)
+		left.accelerators = (uint32_t)(all->accelerators -
+					       worker->used_accelerators);
+	return left;
+}
+
+/* Client accounts */
+
+zr_handle zr_cell_client_obtain(struct zr_cell_model *model, const char *name)
+{
+	struct zr_cell_client_row *client;
+	zr_handle handle;
+
+	/* Client accounts are few: dozens at most. */
+	for (handle = zr_table_next(model->clients, ZR_HANDLE_NONE); handle;
+	     handle = zr_table_next(model->clients, handle)) {
+		if (!strcmp(zr_cell_client(model, handle)->name, name))
+			return handle;
+	}
+	client = calloc(1, sizeof(*client));
+	if (!client)
+		abort();
+	snprintf(client->name, sizeof(client->name), "%s", name);
+	return add_row(model->clients, client);
+}
+
+static uint32_t room_of(uint64_t used, uint32_t limit, uint32_t need)
+{
+	if (!limit || !need)
+		return UINT32_MAX;
+	return used >= limit ? 0 : (uint32_t)((limit - used) / need);
+}
+
+uint32_t zr_cell_client_room(const struct zr_cell_client_row *client,
+			     const struct zr_resources *need)
+{
+	uint32_t cpu = room_of(client->used_millicpus, client->limit.millicpus,
+			       need->millicpus);
+	uint32_t memory = room_of(client->used_memory_mb,
+				  client->limit.memory_mb, need->memory_mb);
+	uint32_t accelerators =
+		room_of(client->used_accelerators, client->limit.accelerators,
+			need->accelerators);
+
+	if (memory < cpu)
+		cpu = memory;
+	return accelerators < cpu ? accelerators : cpu;
+}
+
+/* Jobs */
+
+struct zr_cell_job *zr_cell_job_find(const struct zr_cell_model *model,
+				     const char *id)
+{
+	struct zr_cell_job *job;
+
+	HASH_FIND_STR(model->job_by_id, id, job);
+	return job;
+}
+
+static void add_steps(struct zr_cell_job *job)
+{
+	const struct zr_cell_job_spec *spec = &job->spec;
+	uint32_t occurrences = spec->repeats ? spec->repeats : 1;
+	uint32_t i;
+
+	job->step_count = occurrences * spec->step_count;
+	job->steps = calloc(job->step_count, sizeof(*job->steps));
+	if (!job->steps)
+		abort();
+	for (i = 0; i < job->step_count; i++) {
+		struct zr_cell_step_row *step = &job->steps[i];
+
+		step->occurrence = i / spec->step_count;
+		step->number = i % spec->step_count;
+		step->spec = &spec->steps[step->number];
+		step->job = job->self;
+		step->first = job->task_count;
+		step->waiting = step->spec->count;
+		step->ready_at = ZR_CELL_NEVER;
+		job->task_count += step->spec->count;
+	}
+	job->tasks = calloc(job->task_count, sizeof(*job->tasks));
+	if (!job->tasks)
+		abort();
+}
+
+struct zr_cell_job *zr_cell_job_add(struct zr_cell_model *model, const char *id,
+				    struct zr_cell_job_spec *spec,
+				    const char *client)
+{
+	struct zr_cell_job *job = calloc(1, sizeof(*job));
+
+	if (!job)
+		abort();
+	snprintf(job->id, sizeof(job->id), "%s", id);
+	job->spec = *spec;
+	memset(spec, 0, sizeof(*spec));
+	job->client = zr_cell_client_obtain(model, client);
+	job->self = add_row(model->jobs, job);
+	add_steps(job);
+	HASH_ADD_STR(model->job_by_id, id, job);
+	return job;
+}
+
+static void unlist_step(struct zr_cell_model *model,
+			struct zr_cell_step_row *step)
+{
+	if (!step->listed)
+		return;
+	DL_DELETE(model->ready, step);
+	step->listed = false;
+}
+
+static void list_step(struct zr_cell_model *model,
+		      struct zr_cell_step_row *step)
+{
+	if (step->listed)
+		return;
+	DL_APPEND(model->ready, step);
+	step->listed = true;
+}
+
+/* Workers must not keep pointing at a step that goes. */
+static void unreserve(struct zr_cell_model *model,
+		      const struct zr_cell_step_row *step)
+{
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next;
+
+	HASH_ITER (hh, model->worker_by_name, worker, next) {
+		if (worker->reserved_for == step)
+			worker->reserved_for = NULL;
+	}
+}
+
+static void free_steps(struct zr_cell_model *model, struct zr_cell_job *job)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->step_count; i++) {
+		unlist_step(model, &job->steps[i]);
+		unreserve(model, &job->steps[i]);
+		free(job->steps[i].passes);
+	}
+	free(job->steps);
+	job->steps = NULL;
+	job->step_count = 0;
+}
+
+void zr_cell_job_shrink(struct zr_cell_model *model, struct zr_cell_job *job)
+{
+	free_steps(model, job);
+	zr_cell_job_spec_clear(&job->spec);
+	free(job->tasks);
+	job->tasks = NULL;
+	job->task_count = 0;
+}
+
+void zr_cell_job_remove(struct zr_cell_model *model, struct zr_cell_job *job)
+{
+	free_steps(model, job);
+	if (job->dirty)
+		DL_DELETE(model->dirty, job);
+	HASH_DEL(model->job_by_id, job);
+	zr_table_remove(model->jobs, job->self);
+	zr_cell_job_spec_clear(&job->spec);
+	free(job->tasks);
+	free(job);
+}
+
+bool zr_cell_job_over(const struct zr_cell_job *job)
+{
+	return job->state != ZR_CELL_JOB_QUEUED &&
+	       job->state != ZR_CELL_JOB_ACTIVE;
+}
+
+void zr_cell_job_changed(struct zr_cell_model *model, struct zr_cell_job *job)
+{
+	job->change++;
+	if (job->dirty)
+		return;
+	job->dirty = true;
+	DL_APPEND(model->dirty, job);
+}
+
+static bool earlier_done(const struct zr_cell_job *job,
+			 const struct zr_cell_step_row *step)
+{
+	const struct zr_cell_step_row *first =
+		&job->steps[step->occurrence * job->spec.step_count];
+	uint32_t i;
+
+	for (i = 0; i < step->spec->after_count; i++) {
+		const struct zr_cell_step_row *earlier =
+			&first[step->spec->after[i]];
+
+		if (earlier->done < earlier->spec->count)
+			return false;
+	}
+	return true;
+}
+
+static bool all_done(const struct zr_cell_job *job)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->step_count; i++) {
+		if (job->steps[i].done < job->steps[i].spec->count)
+			return false;
+	}
+	return true;
+}
+
+void zr_cell_job_review(struct zr_cell_model *model, struct zr_cell_job *job,
+			int64_t now, int64_t today_ms)
+{
+	uint32_t i;
+
+	if (!zr_cell_job_over(job) && all_done(job)) {
+		job->state = ZR_CELL_JOB_COMPLETED;
+		job->ended_at = today_ms;
+		zr_cell_job_changed(model, job);
+	}
+	for (i = 0; i < job->step_count; i++) {
+		struct zr_cell_step_row *step = &job->steps[i];
+
+		if (zr_cell_job_over(job) || !step->waiting) {
+			unlist_step(model, step);
+			unreserve(model, step);
+			continue;
+		}
+		if (step->ready_at == ZR_CELL_NEVER && earlier_done(job, step))
+			step->ready_at =
+				now > step->due_at ? now : step->due_at;
+		if (step->ready_at != ZR_CELL_NEVER)
+			list_step(model, step);
+	}
+}
+
+/* Tasks */
+
+struct zr_cell_step_row *zr_cell_task_step(const struct zr_cell_job *job,
+					   uint32_t task)
+{
+	uint32_t i = 0;
+
+	while (i + 1 < job->step_count && task >= job->steps[i + 1].first)
+		i++;
+	return &job->steps[i];
+}
+
+struct zr_cell_task_name zr_cell_task_name(const struct zr_cell_job *job,
+					   uint32_t task)
+{
+	const struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+	struct zr_cell_task_name name = {
+		.occurrence = step->occurrence,
+		.step = step->number,
+		.index = task - step->first,
+	};
+
+	strcpy(name.job, job->id);
+	return name;
+}
+
+struct zr_cell_job *zr_cell_task_find(uint32_t *out,
+				      const struct zr_cell_model *model,
+				      const struct zr_cell_task_name *name)
+{
+	struct zr_cell_job *job = zr_cell_job_find(model, name->job);
+	uint64_t row_number;
+
+	if (!job || name->step >= job->spec.step_count)
+		return NULL;
+	row_number =
+		(uint64_t)name->occurrence * job->spec.step_count + name->step;
+	if (row_number >= job->step_count ||
+	    name->index >= job->steps[row_number].spec->count)
+		return NULL;
+	*out = job->steps[row_number].first + name->index;
+	return job;
+}
+
+struct zr_resources zr_cell_need(const struct zr_cell_step *step)
+{
+	struct zr_resources need = step->need;
+
+	/* What fills takes no processors of its own from a worker. */
+	if (step->flags & ZR_STEP_FILLS)
+		need.millicpus = 0;
+	return need;
+}
+
+static void charge(struct zr_cell_model *model, const struct zr_cell_job *job,
+		   const struct zr_cell_step *step,
+		   struct zr_cell_worker *worker, int64_t sign)
+{
+	struct zr_cell_client_row *client = zr_cell_client(model, job->client);
+	struct zr_resources need = zr_cell_need(step);
+
+	worker->used_millicpus += (uint64_t)(sign * need.millicpus);
+	worker->used_memory_mb += (uint64_t)(sign * need.memory_mb);
+	worker->used_accelerators += (uint64_t)(sign * need.accelerators);
+	client->used_millicpus += (uint64_t)(sign * step->need.millicpus);
+	client->used_memory_mb += (uint64_t)(sign * step->need.memory_mb);
+	client->used_accelerators += (uint64_t)(sign * step->need.accelerators);
+}
+
+int zr_cell_task_event(struct zr_cell_task *task, enum zr_task_event event)
+{
+	return zr_chart_step(&task->state, zr_charts()->task, event);
+}
+
+static void add_run(struct zr_cell_worker *worker, zr_handle job, uint32_t task)
+{
+	if (worker->run_count == worker->run_room) {
+		worker->run_room = worker->run_room ? 2 * worker->run_room : 8;
+		worker->runs = realloc(
+			worker->runs, worker->run_room * sizeof(*worker->runs));
+		if (!worker->runs)
+			abort();
+	}
+	worker->runs[worker->run_count++] = (struct zr_cell_ref){job, task};
+}
+
+static void drop_run(struct zr_cell_worker *worker, zr_handle job,
+		     uint32_t task)
+{
+	size_t i;
+
+	for (i = 0; i < worker->run_count; i++) {
+		if (worker->runs[i].job == job &&
+		    worker->runs[i].task == task) {
+			worker->runs[i] = worker->runs[--worker->run_count];
+			return;
+		}
+	}
+}
+
+void zr_cell_task_open(struct zr_cell_model *model, struct zr_cell_job *job,
+		       uint32_t task, struct zr_cell_worker *worker,
+		       enum zr_task_event event)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+	struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+
+	if (zr_cell_task_event(row, event) < 0)
+		return;
+	row->worker = worker->self;
+	row->settled_at = ZR_CELL_NEVER;
+	row->stop_sent = false;
+	row->percent = 0;
+	step->waiting--;
+	step->open++;
+	job->open++;
+	job->begun = true;
+	if (job->state == ZR_CELL_JOB_QUEUED)
+		job->state = ZR_CELL_JOB_ACTIVE;
+	charge(model, job, step->spec, worker, 1);
+	add_run(worker, job->self, task);
+}
+
+void zr_cell_task_close(struct zr_cell_model *model, struct zr_cell_job *job,
+			uint32_t task, enum zr_task_event event)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+	struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+	struct zr_cell_worker *worker = zr_cell_worker(model, row->worker);
+	bool was_open = row->state != ZR_TASK_WAITING;
+
+	if (zr_cell_task_event(row, event) < 0)
+		return;
+	if (was_open) {
+		step->open--;
+		job->open--;
+		charge(model, job, step->spec, worker, -1);
+		drop_run(worker, job->self, task);
+	} else {
+		step->waiting--;
+	}
+	row->worker = ZR_HANDLE_NONE;
+	if (event == ZR_TASK_EVENT_DONE)
+		step->done++;
+	else
+		step->waiting++;
+}
--- /dev/null
+++ b/src/libzinniarack/cell/records.c
@@ -0,0 +1,123 @@
+#include "cell/records.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "zinniarack/errors.h"
+
+#define RECORD_BYTES_MAX (512 * 1024)
+
+int zr_cell_encode(struct zr_cell_bytes *out, xdrproc_t codec, void *record)
+{
+	unsigned long size = xdr_sizeof(codec, record);
+	XDR xdr;
+
+	if (!size || size > RECORD_BYTES_MAX)
+		return ZR_E_TOO_LARGE;
+	out->data = malloc(size);
+	if (!out->data)
+		abort();
+	out->length = size;
+	xdrmem_create(&xdr, out->data, (u_int)size, XDR_ENCODE);
+	if (codec(&xdr, record))
+		return 0;
+	free(out->data);
+	return ZR_E_TOO_LARGE;
+}
+
+int zr_cell_decode(void *record, xdrproc_t codec, const void *data,
+		   size_t length)
+{
+	XDR xdr;
+
+	if (!data || length > RECORD_BYTES_MAX)
+		return ZR_E_PROTOCOL;
+	xdrmem_create(&xdr, (char *)data, (u_int)length, XDR_DECODE);
+	if (codec(&xdr, record))
+		return 0;
+	xdr_free(codec, record);
+	return ZR_E_PROTOCOL;
+}
+
+static void step_to_record(zx_cell_step *out, const struct zr_cell_step *step)
+{
+	out->count = step->count;
+	out->millicpus = step->need.millicpus;
+	out->memory_mb = step->need.memory_mb;
+	out->accelerators = step->need.accelerators;
+	out->estimate_ms = step->estimate_ms;
+	out->after.after_len = step->after_count;
+	out->after.after_val = step->after;
+	out->flags = step->flags;
+	out->spread = step->spread;
+	out->unavailable_max = step->unavailable_max;
+	out->target_ms = step->target_ms;
+	out->label = (char *)step->label;
+	out->rack = (char *)step->rack;
+}
+
+void zr_cell_record_of(zx_cell_job *out, const struct zr_cell_job_spec *spec)
+{
+	uint32_t i;
+
+	out->payload = spec->payload;
+	out->repeats = spec->repeats;
+	out->first_ms = spec->first_ms;
+	out->interval_ms = spec->interval_ms;
+	out->steps.steps_len = spec->step_count;
+	out->steps.steps_val =
+		calloc(spec->step_count + 1, sizeof(*out->steps.steps_val));
+	if (!out->steps.steps_val)
+		abort();
+	for (i = 0; i < spec->step_count; i++)
+		step_to_record(&out->steps.steps_val[i], &spec->steps[i]);
+}
+
+void zr_cell_record_clear(zx_cell_job *record)
+{
+	free(record->steps.steps_val);
+	record->steps.steps_val = NULL;
+	record->steps.steps_len = 0;
+}
+
+static void step_of_record(struct zr_cell_step *out, const zx_cell_step *step)
+{
+	out->count = step->count;
+	out->need.millicpus = step->millicpus;
+	out->need.memory_mb = step->memory_mb;
+	out->need.accelerators = step->accelerators;
+	out->estimate_ms = step->estimate_ms;
+	out->after_count = step->after.after_len;
+	out->after = calloc(step->after.after_len + 1, sizeof(*out->after));
+	if (!out->after)
+		abort();
+	memcpy(out->after, step->after.after_val,
+	       step->after.after_len * sizeof(*out->after));
+	out->flags = step->flags;
+	out->spread = step->spread;
+	out->unavailable_max = step->unavailable_max;
+	out->target_ms = step->target_ms;
+	snprintf(out->label, sizeof(out->label), "%s", step->label);
+	snprintf(out->rack, sizeof(out->rack), "%s", step->rack);
+}
+
+int zr_cell_spec_of(struct zr_cell_job_spec *out, const zx_cell_job *record)
+{
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	if (!record->steps.steps_len)
+		return ZR_E_PROTOCOL;
+	out->payload = strdup(record->payload);
+	out->repeats = record->repeats;
+	out->first_ms = record->first_ms;
+	out->interval_ms = record->interval_ms;
+	out->step_count = record->steps.steps_len;
+	out->steps = calloc(out->step_count, sizeof(*out->steps));
+	if (!out->steps || !out->payload)
+		abort();
+	for (i = 0; i < out->step_count; i++)
+		step_of_record(&out->steps[i], &record->steps.steps_val[i]);
+	return 0;
+}
--- /dev/null
+++ b/src/libzinniarack/cell/registry.c
@@ -0,0 +1,146 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "cell/private.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+/* Labels that name a rack begin so. */
+#define RACK_PREFIX 'r'
+
+static const char *find_rack(const struct zr_worker_report *report)
+{
+	const char *label = report->labels;
+
+	for (; *label; label += strlen(label) + 1) {
+		if (label[0] == RACK_PREFIX && strchr(label, '-'))
+			return label;
+	}
+	return "";
+}
+
+static void connect_worker(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker, const char *address)
+{
+	const struct zr_cell_surroundings *surroundings =
+		scheduler->options.surroundings;
+
+	if (worker->orders.ops && !strcmp(worker->report.address, address))
+		return;
+	if (worker->orders.ops) {
+		/* Ends its open calls, whose answers may still come. */
+		worker->orders.ops->free(worker->orders.impl);
+		worker->orders.ops = NULL;
+	}
+	if (surroundings->orders_open(surroundings->ctx, &worker->orders,
+				      address, worker->report.name) < 0) {
+		worker->orders.ops = NULL;
+		zr_log(ZR_LOG_WARN, "worker.bad_address worker=%s",
+		       worker->report.name);
+	}
+}
+
+static void take_report(struct zr_cell_scheduler *scheduler,
+			const struct zr_worker_report *report)
+{
+	struct zr_cell_worker *worker =
+		zr_cell_worker_obtain(&scheduler->model, report->name);
+	int64_t incarnation = worker->report.incarnation;
+	bool was_leaving = worker->report.leaving && worker->listed;
+
+	connect_worker(scheduler, worker, report->address);
+	if (!incarnation || !worker->listed)
+		incarnation = incarnation > report->incarnation
+				      ? incarnation
+				      : report->incarnation;
+	else if (report->incarnation > incarnation)
+		zr_cell_new_life(scheduler, worker, report->incarnation);
+	if (incarnation < worker->report.incarnation)
+		incarnation = worker->report.incarnation;
+	if (!worker->listed)
+		zr_log_decision("worker.listed worker=%s domain=%s pool=%s "
+				"cpus=%u",
+				report->name, report->domain, report->pool,
+				report->capacity.millicpus);
+	if (report->leaving && !was_leaving)
+		zr_log_decision("worker.leaves worker=%s left_ms=%lld runs=%zu",
+				report->name, (long long)report->leaves_in_ms,
+				worker->run_count);
+	worker->report = *report;
+	worker->report.incarnation = incarnation;
+	worker->rack = find_rack(&worker->report);
+	worker->listed = true;
+	if (worker->clock_ms < 0 && report->clock_ms >= 0 &&
+	    report->incarnation >= incarnation) {
+		worker->clock_ms = report->clock_ms;
+		worker->clock_at = zr_cell_now(scheduler);
+	}
+	if (worker->run_count || worker->look_due != ZR_CELL_NEVER)
+		zr_cell_looks_due(scheduler, worker);
+}
+
+static void drop_unlisted(struct zr_cell_scheduler *scheduler)
+{
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next;
+
+	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+		if (worker->listed)
+			continue;
+		if (worker->run_count || worker->looking)
+			continue;
+		zr_log_decision("worker.gone worker=%s", worker->report.name);
+		zr_cell_worker_remove(&scheduler->model, worker);
+	}
+}
+
+static void on_registry(void *ctx, int error,
+			const struct zr_store_reply *reply)
+{
+	struct zr_cell_scheduler *scheduler = ctx;
+	const struct zr_cell_surroundings *surroundings =
+		scheduler->options.surroundings;
+	struct zr_worker_report report;
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next;
+	size_t i;
+
+	if (!zr_cell_call_ended(scheduler))
+		return;
+	scheduler->registry_reading = false;
+	if (error < 0 || scheduler->phase != ZR_CELL_ACTIVE)
+		return;
+	scheduler->registry_read_at = zr_cell_now(scheduler);
+	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
+		worker->seen_listed = false;
+	for (i = 0; i < reply->count; i++) {
+		if (surroundings->worker_decode(&report, &reply->values[i]) < 0)
+			continue;
+		take_report(scheduler, &report);
+		worker = zr_cell_worker_find(&scheduler->model, report.name);
+		worker->seen_listed = true;
+	}
+	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+		if (worker->listed && !worker->seen_listed)
+			zr_log_decision("worker.unlisted worker=%s runs=%zu",
+					worker->report.name, worker->run_count);
+		worker->listed = worker->seen_listed;
+	}
+	drop_unlisted(scheduler);
+	zr_cell_plan_soon(scheduler);
+}
+
+void zr_cell_registry_read(struct zr_cell_scheduler *scheduler)
+{
+	const struct zr_cell_surroundings *surroundings =
+		scheduler->options.surroundings;
+
+	if (scheduler->registry_reading)
+		return;
+	scheduler->registry_reading = true;
+	scheduler->registry_asked_at = zr_cell_now(scheduler);
+	scheduler->open_calls++;
+	zr_store_range(&surroundings->store, ZR_STORE_OTHER,
+		       surroundings->worker_prefix, true, on_registry,
+		       scheduler);
+}
--- /dev/null
+++ b/src/libzinniarack/cell/runs.c
@@ -0,0 +1,642 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/private.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+/* A worker answers an order in a few milliseconds; later it has gone silent. */
+#define ORDER_TIMEOUT_MS 600
+/* A worker's clock may run this much slower than ours, in permille. */
+#define CLOCK_SLOW_PERMILLE 25
+#define PERMILLE 1000
+#define LEASE_SLACK_MS 50
+/* After an order that was not answered the worker gets no work for so long. */
+#define SILENT_REST_MS 1000
+#define REFUSED_REST_MS 300
+/* Failures in a row, each of another job, that make a worker suspect. */
+#define SUSPECT_FAILURES 2
+#define SUSPECT_REST_MS 5000
+
+/* An order that is open. */
+struct order {
+	struct zr_cell_scheduler *scheduler;
+	uint64_t reign;
+	zr_handle job;
+	zr_handle worker;
+	uint32_t task;
+	uint32_t attempt;
+	int64_t sent_at;
+};
+
+/* Leases */
+
+void zr_cell_heard(struct zr_cell_scheduler *scheduler,
+		   struct zr_cell_worker *worker, int64_t clock_ms)
+{
+	zr_chart_step(&worker->state, zr_charts()->worker,
+		      worker->report.leaving ? ZR_WORKER_HEARD_LEAVING
+					     : ZR_WORKER_HEARD);
+	if (clock_ms < 0)
+		return;
+	worker->clock_ms = clock_ms;
+	worker->clock_at = zr_cell_now(scheduler);
+}
+
+static void extend_silence(struct zr_cell_worker *worker)
+{
+	int64_t left = worker->lease_until_ms - worker->clock_ms;
+	int64_t until = worker->clock_at + left +
+			left * CLOCK_SLOW_PERMILLE / PERMILLE + LEASE_SLACK_MS;
+
+	if (until > worker->silent_until)
+		worker->silent_until = until;
+}
+
+int64_t zr_cell_lease_until(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker)
+{
+	int64_t elapsed = zr_cell_now(scheduler) - worker->clock_at;
+	int64_t until =
+		worker->clock_ms + elapsed + scheduler->options.limits.lease_ms;
+
+	if (until > worker->lease_until_ms)
+		worker->lease_until_ms = until;
+	extend_silence(worker);
+	return worker->lease_until_ms;
+}
+
+static void rest(struct zr_cell_scheduler *scheduler,
+		 struct zr_cell_worker *worker, int64_t ms, const char *reason)
+{
+	int64_t until = zr_cell_now(scheduler) + ms;
+
+	if (until <= worker->suspect_until)
+		return;
+	worker->suspect_until = until;
+	zr_log_decision("worker.rested worker=%s ms=%" PRId64 " reason=%s",
+			worker->report.name, ms, reason);
+}
+
+/* Blame: failures of different jobs in a row are the worker's own. */
+
+static void blame(struct zr_cell_scheduler *scheduler,
+		  struct zr_cell_worker *worker, const struct zr_cell_job *job)
+{
+	if (worker->blamed == job->self)
+		return;
+	worker->blamed = job->self;
+	if (++worker->failures >= SUSPECT_FAILURES)
+		rest(scheduler, worker, SUSPECT_REST_MS, "failures");
+}
+
+static void praise(struct zr_cell_worker *worker)
+{
+	worker->failures = 0;
+	worker->blamed = ZR_HANDLE_NONE;
+}
+
+/* Ends of runs */
+
+static bool is_gang(const struct zr_cell_step_row *step)
+{
+	return step->spec->flags & ZR_STEP_GANG;
+}
+
+static uint32_t failures_of(const struct zr_cell_job *job,
+			    const struct zr_cell_step_row *step, uint32_t task)
+{
+	uint32_t sum = 0;
+	uint32_t i;
+
+	if (!is_gang(step))
+		return job->tasks[task].failures;
+	for (i = 0; i < step->spec->count; i++)
+		sum += job->tasks[step->first + i].failures;
+	return sum;
+}
+
+static void job_fail(struct zr_cell_scheduler *scheduler,
+		     struct zr_cell_job *job, uint32_t task)
+{
+	if (zr_cell_job_over(job))
+		return;
+	job->state = ZR_CELL_JOB_FAILED;
+	job->ended_at = zr_cell_today(scheduler);
+	zr_log_decision("job.failed job=%s queue=%s task=%" PRIu32
+			" attempts=%" PRIu32,
+			job->id, job->queue, task, job->attempts);
+	zr_cell_job_changed(&scheduler->model, job);
+	zr_cell_stop_job(scheduler, job, "job_failed");
+}
+
+/* Members of a gang run only together: one that is away ends the others. */
+static void check_gang(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_job *job,
+		       const struct zr_cell_step_row *step)
+{
+	uint32_t i;
+
+	if (!is_gang(step) || !step->waiting || !step->open)
+		return;
+	for (i = step->first; i < step->first + step->spec->count; i++)
+		zr_cell_stop_run(scheduler, job, i, "gang_broken");
+}
+
+void zr_cell_repair_gangs(struct zr_cell_scheduler *scheduler,
+			  struct zr_cell_job *job)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->step_count; i++)
+		check_gang(scheduler, job, &job->steps[i]);
+}
+
+void zr_cell_run_over(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_job *job, uint32_t task,
+		      const char *reason)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+	const struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+	const struct zr_cell_worker *worker =
+		zr_cell_worker(&scheduler->model, row->worker);
+
+	if (!row->finished || !worker)
+		zr_log_decision("run.over job=%s task=%" PRIu32
+				" attempt=%" PRIu32 " worker=%s reason=%s "
+				"failures=%" PRIu32,
+				job->id, task, row->attempt,
+				worker ? worker->report.name : "-", reason,
+				row->failures);
+	zr_cell_task_close(&scheduler->model, job, task,
+			   row->finished ? ZR_TASK_EVENT_DONE
+					 : ZR_TASK_EVENT_GONE);
+	zr_cell_job_changed(&scheduler->model, job);
+	if (!(step->spec->flags & ZR_STEP_LASTING) &&
+	    failures_of(job, step, task) >= job->attempts && !row->finished)
+		job_fail(scheduler, job, task);
+	check_gang(scheduler, job, step);
+	zr_cell_job_review(&scheduler->model, job, zr_cell_now(scheduler),
+			   zr_cell_today(scheduler));
+	zr_cell_plan_soon(scheduler);
+}
+
+/* One end as done stands for all members of a gang. */
+static void mark_finished(struct zr_cell_job *job, uint32_t task)
+{
+	const struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+	uint32_t i;
+
+	job->tasks[task].finished = true;
+	if (!is_gang(step))
+		return;
+	for (i = step->first; i < step->first + step->spec->count; i++)
+		job->tasks[i].finished = true;
+}
+
+static const char *const end_names[] = {
+	[ZR_RUN_DONE] = "done",	      [ZR_RUN_FAILED] = "failed",
+	[ZR_RUN_STOPPED] = "stopped", [ZR_RUN_LAPSED] = "lapsed",
+	[ZR_RUN_BROKEN] = "broken",   [ZR_RUN_ALONE] = "alone",
+};
+
+/* A run given up earlier has ended as done: its successor is not needed. */
+static void take_late_done(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+
+	mark_finished(job, task);
+	zr_log_decision("run.late_end job=%s task=%" PRIu32, job->id, task);
+	if (row->state == ZR_TASK_WAITING)
+		zr_cell_run_over(scheduler, job, task, "done_late");
+	else if (row->state != ZR_TASK_DONE)
+		zr_cell_stop_run(scheduler, job, task, "done_late");
+}
+
+static void note_outcome(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_job *job, struct zr_cell_task *row,
+			 struct zr_cell_worker *worker, enum zr_run_end how)
+{
+	if (how == ZR_RUN_DONE) {
+		praise(worker);
+		if (row->started_at)
+			zr_histogram_observe(scheduler->run_ms,
+					     (double)(zr_cell_now(scheduler) -
+						      row->started_at));
+	} else if (how == ZR_RUN_FAILED) {
+		row->failures++;
+		row->avoid = worker->self;
+		blame(scheduler, worker, job);
+	}
+}
+
+void zr_cell_take_end(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_worker *worker,
+		      const struct zr_cell_end *end)
+{
+	struct zr_cell_task *row;
+	struct zr_cell_job *job;
+	uint32_t task;
+
+	job = zr_cell_task_find(&task, &scheduler->model, &end->task);
+	if (!job || !job->tasks)
+		return;
+	row = &job->tasks[task];
+	if (row->worker != worker->self || row->attempt != end->attempt) {
+		if (end->how == ZR_RUN_DONE)
+			take_late_done(scheduler, job, task);
+		return;
+	}
+	if (end->checkpoint[0])
+		strcpy(row->checkpoint, end->checkpoint);
+	note_outcome(scheduler, job, row, worker, end->how);
+	if (end->how == ZR_RUN_DONE)
+		mark_finished(job, task);
+	zr_cell_run_over(scheduler, job, task, end_names[end->how]);
+}
+
+/* Stops */
+
+static void on_stop(void *ctx, int error,
+		    const struct zr_cell_order_reply *reply)
+{
+	struct order *order = ctx;
+	struct zr_cell_scheduler *scheduler = order->scheduler;
+	struct zr_cell_worker *worker;
+	struct zr_cell_task *row;
+	struct zr_cell_job *job;
+
+	if (!zr_cell_call_ended(scheduler) || order->reign != scheduler->reign)
+		goto out;
+	job = zr_cell_job(&scheduler->model, order->job);
+	worker = zr_cell_worker(&scheduler->model, order->worker);
+	if (!job || !job->tasks || !worker)
+		goto out;
+	row = &job->tasks[order->task];
+	if (row->attempt != order->attempt || row->state != ZR_TASK_STOPPING)
+		goto out;
+	row->stop_sent = false;
+	if (error < 0) {
+		scheduler->unanswered->value++;
+		goto out;
+	}
+	zr_cell_heard(scheduler, worker, reply->clock_ms);
+	if (reply->refusal != ZR_ORDER_TAKEN) {
+		zr_log(ZR_LOG_WARN,
+		       "stop.refused job=%s task=%" PRIu32
+		       " worker=%s refusal=%d",
+		       job->id, order->task, worker->report.name,
+		       reply->refusal);
+		goto out;
+	}
+	/* Barred now if it is not there yet: the next look tells. */
+	row->stop_sent = true;
+	if (row->settled_at == ZR_CELL_NEVER)
+		row->settled_at = zr_cell_now(scheduler);
+	zr_cell_look_soon(scheduler, worker, 0);
+out:
+	free(order);
+}
+
+static void on_stray_stop(void *ctx, int error,
+			  const struct zr_cell_order_reply *reply)
+{
+	/* A run that is still listed at the next look is stopped again. */
+	(void)error;
+	(void)reply;
+	zr_cell_call_ended(ctx);
+}
+
+void zr_cell_send_stray_stop(struct zr_cell_scheduler *scheduler,
+			     struct zr_cell_worker *worker,
+			     const struct zr_cell_task_name *task,
+			     uint32_t attempt)
+{
+	if (!zr_cell_may_order(scheduler))
+		return;
+	scheduler->open_calls++;
+	worker->orders.ops->stop(worker->orders.impl, task, attempt,
+				 scheduler->token, ORDER_TIMEOUT_MS,
+				 on_stray_stop, scheduler);
+}
+
+static struct order *new_order(struct zr_cell_scheduler *scheduler,
+			       const struct zr_cell_job *job, uint32_t task)
+{
+	struct order *order = calloc(1, sizeof(*order));
+
+	if (!order)
+		abort();
+	order->scheduler = scheduler;
+	order->reign = scheduler->reign;
+	order->job = job->self;
+	order->task = task;
+	order->attempt = job->tasks[task].attempt;
+	order->worker = job->tasks[task].worker;
+	order->sent_at = zr_cell_now(scheduler);
+	scheduler->open_calls++;
+	return order;
+}
+
+static void send_stop(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+	struct zr_cell_worker *worker =
+		zr_cell_worker(&scheduler->model, row->worker);
+	struct zr_cell_task_name name = zr_cell_task_name(job, task);
+
+	if (row->stop_sent || !worker->orders.ops ||
+	    !zr_cell_may_order(scheduler))
+		return;
+	row->stop_sent = true;
+	worker->orders.ops->stop(worker->orders.impl, &name, row->attempt,
+				 scheduler->token, ORDER_TIMEOUT_MS, on_stop,
+				 new_order(scheduler, job, task));
+}
+
+void zr_cell_stop_run(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_job *job, uint32_t task,
+		      const char *reason)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+
+	switch (row->state) {
+	case ZR_TASK_PLACED:
+		/* Not sent: the worker knows nothing of it. */
+		zr_cell_run_over(scheduler, job, task, reason);
+		return;
+	case ZR_TASK_STARTING:
+	case ZR_TASK_RUNNING:
+	case ZR_TASK_UNSURE:
+		zr_log_decision("run.stop job=%s task=%" PRIu32
+				" attempt=%" PRIu32 " reason=%s",
+				job->id, task, row->attempt, reason);
+		zr_cell_task_event(row, ZR_TASK_EVENT_STOP);
+		send_stop(scheduler, job, task);
+		return;
+	default:
+		return;
+	}
+}
+
+void zr_cell_stop_job(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_job *job, const char *reason)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->task_count && job->tasks; i++)
+		zr_cell_stop_run(scheduler, job, i, reason);
+}
+
+void zr_cell_job_cancel(struct zr_cell_scheduler *scheduler,
+			struct zr_cell_job *job)
+{
+	if (zr_cell_job_over(job))
+		return;
+	job->state = ZR_CELL_JOB_CANCELLED;
+	job->ended_at = zr_cell_today(scheduler);
+	zr_log_decision("job.cancelled job=%s queue=%s open=%" PRIu32, job->id,
+			job->queue, job->open);
+	zr_cell_job_changed(&scheduler->model, job);
+	zr_cell_stop_job(scheduler, job, "job_cancelled");
+	zr_cell_job_review(&scheduler->model, job, zr_cell_now(scheduler),
+			   zr_cell_today(scheduler));
+}
+
+void zr_cell_runs_due(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_worker *worker)
+{
+	size_t i;
+
+	for (i = 0; i < worker->run_count; i++) {
+		struct zr_cell_ref ref = worker->runs[i];
+		struct zr_cell_job *job =
+			zr_cell_job(&scheduler->model, ref.job);
+
+		if (job->tasks[ref.task].state == ZR_TASK_STOPPING)
+			send_stop(scheduler, job, ref.task);
+	}
+}
+
+/* Starts */
+
+/* A start of which the worker has surely done nothing. */
+static void start_undone(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_job *job, uint32_t task,
+			 const char *reason)
+{
+	scheduler->refused->value++;
+	zr_cell_run_over(scheduler, job, task, reason);
+}
+
+static void forget_pass(struct zr_cell_job *job, uint32_t task,
+			zr_handle worker)
+{
+	struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+	size_t i;
+
+	for (i = 0; i < step->pass_count; i++) {
+		if (step->passes[i].worker == worker)
+			step->passes[i].until = 0;
+	}
+}
+
+static void take_refusal(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_job *job, uint32_t task,
+			 struct zr_cell_worker *worker,
+			 enum zr_order_refusal refusal)
+{
+	switch (refusal) {
+	case ZR_ORDER_FENCED:
+		start_undone(scheduler, job, task, "fenced");
+		zr_owner_give_up(scheduler->owner);
+		return;
+	case ZR_ORDER_NO_PERMIT:
+		forget_pass(job, task, worker->self);
+		start_undone(scheduler, job, task, "no_permit");
+		return;
+	case ZR_ORDER_UNHEALTHY:
+		rest(scheduler, worker, SILENT_REST_MS, "unhealthy");
+		start_undone(scheduler, job, task, "unhealthy");
+		return;
+	case ZR_ORDER_OTHER_LIFE:
+		rest(scheduler, worker, SILENT_REST_MS, "other_life");
+		start_undone(scheduler, job, task, "other_life");
+		return;
+	case ZR_ORDER_NO_ROOM:
+		rest(scheduler, worker, REFUSED_REST_MS, "no_room");
+		zr_cell_look_soon(scheduler, worker, 0);
+		start_undone(scheduler, job, task, "no_room");
+		return;
+	case ZR_ORDER_LATE:
+		start_undone(scheduler, job, task, "late");
+		return;
+	case ZR_ORDER_SUPERSEDED:
+		start_undone(scheduler, job, task, "superseded");
+		return;
+	default:
+		zr_log(ZR_LOG_ERROR,
+		       "start.invalid job=%s task=%" PRIu32 " worker=%s",
+		       job->id, task, worker->report.name);
+		rest(scheduler, worker, SUSPECT_REST_MS, "invalid");
+		start_undone(scheduler, job, task, "invalid");
+	}
+}
+
+static void start_confirmed(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_job *job, uint32_t task,
+			    struct zr_cell_worker *worker)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+	const struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+	int64_t now = zr_cell_now(scheduler);
+
+	row->settled_at = now;
+	if (row->state == ZR_TASK_STOPPING)
+		return;
+	zr_cell_task_event(row, ZR_TASK_EVENT_CONFIRMED);
+	row->started_at = now;
+	row->percent_at = now;
+	if (step->ready_at != ZR_CELL_NEVER)
+		zr_histogram_observe(scheduler->wait_ms,
+				     (double)(now - step->ready_at));
+	zr_cell_look_soon(scheduler, worker, 0);
+}
+
+static void start_failed(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_job *job, uint32_t task,
+			 struct zr_cell_worker *worker, int error)
+{
+	scheduler->unanswered->value++;
+	rest(scheduler, worker, SILENT_REST_MS, zr_error_name(error));
+	if (error == ZR_E_UNREACHABLE || error == ZR_E_FULL ||
+	    error == ZR_E_CANCELLED) {
+		start_undone(scheduler, job, task, zr_error_name(error));
+		return;
+	}
+	zr_cell_task_event(&job->tasks[task], ZR_TASK_EVENT_UNANSWERED);
+	zr_log_decision("start.unanswered job=%s task=%" PRIu32
+			" attempt=%" PRIu32 " worker=%s",
+			job->id, task, job->tasks[task].attempt,
+			worker->report.name);
+	zr_cell_look_soon(scheduler, worker, 0);
+}
+
+static void on_start(void *ctx, int error,
+		     const struct zr_cell_order_reply *reply)
+{
+	struct order *order = ctx;
+	struct zr_cell_scheduler *scheduler = order->scheduler;
+	struct zr_cell_worker *worker;
+	struct zr_cell_task *row;
+	struct zr_cell_job *job;
+
+	if (!zr_cell_call_ended(scheduler) || order->reign != scheduler->reign)
+		goto out;
+	job = zr_cell_job(&scheduler->model, order->job);
+	worker = zr_cell_worker(&scheduler->model, order->worker);
+	if (!job || !job->tasks || !worker)
+		goto out;
+	row = &job->tasks[order->task];
+	if (row->attempt != order->attempt || row->worker != order->worker)
+		goto out;
+	if (error < 0) {
+		start_failed(scheduler, job, order->task, worker, error);
+		goto out;
+	}
+	zr_cell_heard(scheduler, worker, reply->clock_ms);
+	if (reply->refusal == ZR_ORDER_TAKEN)
+		start_confirmed(scheduler, job, order->task, worker);
+	else
+		take_refusal(scheduler, job, order->task, worker,
+			     reply->refusal);
+out:
+	free(order);
+}
+
+static const char *permit_of(const struct zr_cell_step_row *step,
+			     zr_handle worker)
+{
+	size_t i;
+
+	for (i = 0; i < step->pass_count; i++) {
+		if (step->passes[i].worker == worker)
+			return step->passes[i].ticket;
+	}
+	return "";
+}
+
+/* A checkpoint of any member is good for the whole gang. */
+static const char *checkpoint_of(const struct zr_cell_job *job,
+				 const struct zr_cell_step_row *step,
+				 uint32_t task)
+{
+	const char *best = job->tasks[task].checkpoint;
+	uint32_t i;
+
+	if (!is_gang(step))
+		return best;
+	for (i = step->first; i < step->first + step->spec->count; i++) {
+		if (strcmp(job->tasks[i].checkpoint, best) > 0)
+			best = job->tasks[i].checkpoint;
+	}
+	return best;
+}
+
+static void send_start(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+	const struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+	struct zr_cell_worker *worker =
+		zr_cell_worker(&scheduler->model, row->worker);
+	struct zr_cell_start start = {
+		.task = zr_cell_task_name(job, task),
+		.attempt = row->attempt,
+		.payload = job->spec.payload,
+		.token = scheduler->token,
+		.checkpoint = checkpoint_of(job, step, task),
+		.permit = permit_of(step, row->worker),
+	};
+
+	if (worker->report.leaving) {
+		start_undone(scheduler, job, task, "worker_leaves");
+		return;
+	}
+	start.lease_until_ms = zr_cell_lease_until(scheduler, worker);
+	scheduler->starts->value++;
+	zr_cell_task_event(row, ZR_TASK_EVENT_SENT);
+	worker->orders.ops->start(worker->orders.impl, &start, ORDER_TIMEOUT_MS,
+				  on_start, new_order(scheduler, job, task));
+}
+
+void zr_cell_start_written(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_job *job)
+{
+	uint32_t i;
+
+	if (!job->tasks || !zr_cell_may_order(scheduler))
+		return;
+	for (i = 0; i < job->task_count; i++) {
+		if (job->tasks[i].state == ZR_TASK_PLACED &&
+		    job->tasks[i].change <= job->written)
+			send_start(scheduler, job, i);
+	}
+}
+
+void zr_cell_place(struct zr_cell_scheduler *scheduler, struct zr_cell_job *job,
+		   uint32_t task, struct zr_cell_worker *worker,
+		   uint32_t attempt)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+
+	zr_cell_task_open(&scheduler->model, job, task, worker,
+			  ZR_TASK_EVENT_PLACED);
+	row->attempt = attempt;
+	zr_cell_job_changed(&scheduler->model, job);
+	row->change = job->change;
+	row->started_at = 0;
+}
--- /dev/null
+++ b/src/libzinniarack/cell/scheduler.c
@@ -0,0 +1,396 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/private.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+#define TICK_MS 50
+/* Changes that come together are planned together. */
+#define PLAN_DELAY_MS 1
+#define REGISTRY_POLL_MS 500
+#define COUNTS_MS 600
+
+int64_t zr_cell_now(const struct zr_cell_scheduler *scheduler)
+{
+	return zr_time_to_ms(zr_clock_now(scheduler->options.clock));
+}
+
+int64_t zr_cell_today(const struct zr_cell_scheduler *scheduler)
+{
+	const struct zr_clock *clock = scheduler->options.clock;
+
+	return zr_time_to_ms(clock->realtime(clock->ctx));
+}
+
+bool zr_cell_may_order(const struct zr_cell_scheduler *scheduler)
+{
+	return scheduler->phase == ZR_CELL_ACTIVE &&
+	       zr_owner_standing(scheduler->owner) == ZR_OWNER_HELD;
+}
+
+bool zr_cell_scheduler_active(const struct zr_cell_scheduler *scheduler)
+{
+	return scheduler->phase == ZR_CELL_ACTIVE;
+}
+
+static void on_plan(void *ctx)
+{
+	zr_cell_plan(ctx);
+}
+
+void zr_cell_plan_soon(struct zr_cell_scheduler *scheduler)
+{
+	if (scheduler->plan_due || scheduler->phase != ZR_CELL_ACTIVE)
+		return;
+	scheduler->plan_due = true;
+	zr_timer_start(scheduler->plan, PLAN_DELAY_MS, 0);
+}
+
+/* Waiting jobs of each queue, for callers at all hosts */
+
+struct queue_count {
+	char name[ZR_NAME_MAX];
+	uint32_t jobs;
+	UT_hash_handle hh;
+};
+
+static void count_job(struct queue_count **counts,
+		      const struct zr_cell_job *job)
+{
+	struct queue_count *count;
+
+	HASH_FIND_STR(*counts, job->queue, count);
+	if (!count) {
+		count = calloc(1, sizeof(*count));
+		if (!count)
+			abort();
+		strcpy(count->name, job->queue);
+		HASH_ADD_STR(*counts, name, count);
+	}
+	if (!job->begun && !zr_cell_job_over(job))
+		count->jobs++;
+}
+
+static void publish_counts(struct zr_cell_scheduler *scheduler)
+{
+	struct queue_count *counts = NULL;
+	struct queue_count *count;
+	struct queue_count *next_count;
+	struct zr_cell_bytes bytes;
+	zx_cell_counts record = {0};
+	struct zr_cell_job *job;
+	struct zr_cell_job *next;
+
+	HASH_ITER (hh, scheduler->model.job_by_id, job, next)
+		count_job(&counts, job);
+	record.queues.queues_val = calloc(HASH_COUNT(counts) + 1,
+					  sizeof(*record.queues.queues_val));
+	if (!record.queues.queues_val)
+		abort();
+	HASH_ITER (hh, counts, count, next_count) {
+		zx_cell_count *row =
+			&record.queues.queues_val[record.queues.queues_len++];
+
+		row->queue = count->name;
+		row->jobs = count->jobs;
+	}
+	if (!zr_cell_encode(&bytes, (xdrproc_t)xdr_zx_cell_counts, &record))
+		zr_cell_journal_counts(scheduler->journal, bytes);
+	free(record.queues.queues_val);
+	HASH_ITER (hh, counts, count, next_count) {
+		HASH_DEL(counts, count);
+		free(count);
+	}
+}
+
+/* Jobs that ended */
+
+/* Nothing but the end of a job that is over and kept is of use. */
+static void shrink_job(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_job *job)
+{
+	if (!job->tasks || !zr_cell_job_over(job) || job->open ||
+	    job->written != job->change)
+		return;
+	zr_cell_job_shrink(&scheduler->model, job);
+}
+
+static void forget_old_jobs(struct zr_cell_scheduler *scheduler)
+{
+	int64_t before = zr_cell_today(scheduler) -
+			 scheduler->options.limits.keep_ended_ms;
+	struct zr_cell_job *job;
+	struct zr_cell_job *next;
+
+	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
+		if (!zr_cell_job_over(job) || job->open || job->dirty ||
+		    job->writing || job->ended_at > before)
+			continue;
+		zr_cell_journal_forget(scheduler->journal, job->id);
+		zr_cell_job_remove(&scheduler->model, job);
+	}
+}
+
+static void on_written(void *ctx, struct zr_cell_job *job)
+{
+	struct zr_cell_scheduler *scheduler = ctx;
+
+	zr_cell_start_written(scheduler, job);
+	if (zr_cell_job_over(job) && !job->told &&
+	    job->written == job->change) {
+		job->told = true;
+		zr_histogram_observe(
+			scheduler->visible_ms,
+			(double)(zr_cell_now(scheduler) - job->accepted_at));
+		zr_log_decision(
+			"job.ended job=%s queue=%s state=%d age_ms=%" PRId64,
+			job->id, job->queue, job->state,
+			zr_cell_now(scheduler) - job->accepted_at);
+	}
+	shrink_job(scheduler, job);
+	zr_cell_acks_written(scheduler);
+}
+
+/* Ownership */
+
+static void end_reign(struct zr_cell_scheduler *scheduler)
+{
+	scheduler->reign++;
+	scheduler->phase = ZR_CELL_STANDBY;
+	zr_cell_journal_close(scheduler->journal);
+	zr_timer_stop(scheduler->rewatch);
+	zr_cell_model_clear(&scheduler->model);
+	if (zr_cell_model_init(&scheduler->model) < 0)
+		abort();
+}
+
+static void on_gained(void *ctx, const struct zr_owner_gain *gain)
+{
+	struct zr_cell_scheduler *scheduler = ctx;
+
+	scheduler->reign++;
+	scheduler->token = gain->epoch;
+	scheduler->phase = ZR_CELL_LOADING;
+	scheduler->watch_failures = 0;
+	scheduler->take_overs->value++;
+	zr_cell_journal_open(scheduler->journal, zr_owner_key(scheduler->owner),
+			     gain->guard);
+	zr_cell_load(scheduler);
+}
+
+static void on_lost(void *ctx)
+{
+	struct zr_cell_scheduler *scheduler = ctx;
+
+	end_reign(scheduler);
+}
+
+static void on_deposed(void *ctx)
+{
+	struct zr_cell_scheduler *scheduler = ctx;
+
+	zr_owner_give_up(scheduler->owner);
+}
+
+/* The tick */
+
+static void worker_due(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_worker *worker)
+{
+	zr_cell_looks_due(scheduler, worker);
+	zr_cell_runs_due(scheduler, worker);
+}
+
+static void finish_release(struct zr_cell_scheduler *scheduler)
+{
+	if (!zr_cell_journal_idle(scheduler->journal) &&
+	    zr_cell_may_order(scheduler))
+		return;
+	scheduler->releasing = false;
+	zr_owner_release(scheduler->owner, scheduler->released,
+			 scheduler->released_ctx);
+}
+
+static void on_tick(void *ctx)
+{
+	struct zr_cell_scheduler *scheduler = ctx;
+	int64_t now = zr_cell_now(scheduler);
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next;
+
+	if (scheduler->releasing)
+		finish_release(scheduler);
+	if (scheduler->phase != ZR_CELL_ACTIVE)
+		return;
+	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
+		worker_due(scheduler, worker);
+	if (now - scheduler->registry_asked_at >= REGISTRY_POLL_MS)
+		zr_cell_registry_read(scheduler);
+	if (now - scheduler->counts_at >= COUNTS_MS) {
+		scheduler->counts_at = now;
+		publish_counts(scheduler);
+		forget_old_jobs(scheduler);
+	}
+	zr_cell_plan_soon(scheduler);
+	zr_cell_journal_flush(scheduler->journal);
+}
+
+/* Life */
+
+static void register_metrics(struct zr_cell_scheduler *scheduler,
+			     struct zr_metrics *metrics)
+{
+	scheduler->starts =
+		zr_metrics_counter(metrics, "zinniarack_cell_starts_total",
+				   NULL, "Starts sent to workers");
+	scheduler->refused = zr_metrics_counter(
+		metrics, "zinniarack_cell_starts_undone_total", NULL,
+		"Starts of which the worker did nothing");
+	scheduler->unanswered = zr_metrics_counter(
+		metrics, "zinniarack_cell_orders_unanswered_total", NULL,
+		"Orders to workers that were not answered");
+	scheduler->looks =
+		zr_metrics_counter(metrics, "zinniarack_cell_looks_total", NULL,
+				   "Looks at workers");
+	scheduler->lost = zr_metrics_counter(
+		metrics, "zinniarack_cell_runs_lost_total", NULL,
+		"Runs that were lost with their worker or never began");
+	scheduler->take_overs =
+		zr_metrics_counter(metrics, "zinniarack_cell_take_overs_total",
+				   NULL, "Times this host took the cell over");
+	scheduler->advice.asked = zr_metrics_counter(
+		metrics, "zinniarack_cell_advice_total", "outcome=\"asked\"",
+		"Questions to the adviser");
+	scheduler->advice.failed = zr_metrics_counter(
+		metrics, "zinniarack_cell_advice_total", "outcome=\"failed\"",
+		"Questions to the adviser");
+	scheduler->advice.answer_ms =
+		zr_metrics_histogram(metrics, "zinniarack_cell_advice_ms", NULL,
+				     "Time until the adviser answered");
+	scheduler->wait_ms = zr_metrics_histogram(
+		metrics, "zinniarack_cell_task_wait_ms", NULL,
+		"Time from a task's turn until it was started");
+	scheduler->run_ms = zr_metrics_histogram(
+		metrics, "zinniarack_cell_task_run_ms", NULL,
+		"Run time of tasks that ended as done");
+	scheduler->visible_ms = zr_metrics_histogram(
+		metrics, "zinniarack_cell_job_ms", NULL,
+		"Time from a job's acceptance until its end could be read");
+}
+
+int zr_cell_scheduler_new(struct zr_cell_scheduler **out,
+			  const struct zr_cell_scheduler_options *options)
+{
+	static const struct zr_owner_events owner_events = {on_gained, on_lost};
+	static const struct zr_cell_journal_events journal_events = {
+		on_written, on_deposed};
+	struct zr_cell_scheduler *scheduler = calloc(1, sizeof(*scheduler));
+	const struct zr_store *store = &options->surroundings->store;
+	int error;
+
+	if (!scheduler)
+		return ZR_E_NOMEM;
+	scheduler->options = *options;
+	register_metrics(scheduler, options->metrics);
+	scheduler->tick = zr_timer_new(options->timers, on_tick, scheduler);
+	scheduler->plan = zr_timer_new(options->timers, on_plan, scheduler);
+	scheduler->rewatch =
+		zr_timer_new(options->timers, zr_cell_rewatch, scheduler);
+	error = zr_cell_model_init(&scheduler->model);
+	if (!error)
+		error = zr_cell_journal_new(&scheduler->journal,
+					    options->timers, store,
+					    &scheduler->model, options->metrics,
+					    &journal_events, scheduler);
+	if (!error)
+		error = zr_owner_new(&scheduler->owner, options->timers,
+				     options->clock, store, options->cell,
+				     options->host, &owner_events, scheduler);
+	if (error < 0) {
+		zr_cell_scheduler_free(scheduler);
+		return error;
+	}
+	zr_timer_start(scheduler->tick, TICK_MS, TICK_MS);
+	*out = scheduler;
+	return 0;
+}
+
+static void update_clients(struct zr_cell_scheduler *scheduler)
+{
+	const struct zr_cell_config *config = scheduler->config;
+	struct zr_cell_model *model = &scheduler->model;
+	size_t i;
+
+	for (i = 0; config && i < config->client_count; i++) {
+		struct zr_cell_client_row *row = zr_cell_client(
+			model,
+			zr_cell_client_obtain(model, config->clients[i].name));
+
+		row->limit = config->clients[i].limit;
+		row->weight = config->clients[i].weight;
+	}
+}
+
+void zr_cell_scheduler_configure(struct zr_cell_scheduler *scheduler,
+				 const struct zr_cell_config *config)
+{
+	scheduler->config = config;
+	update_clients(scheduler);
+	zr_cell_plan_soon(scheduler);
+}
+
+void zr_cell_limits_refresh(struct zr_cell_scheduler *scheduler)
+{
+	update_clients(scheduler);
+}
+
+void zr_cell_scheduler_helpers(struct zr_cell_scheduler *scheduler,
+			       const struct zr_cell_helper *helpers,
+			       size_t count)
+{
+	zr_cell_advice_helpers(&scheduler->advice, helpers, count);
+	zr_cell_plan_soon(scheduler);
+}
+
+void zr_cell_scheduler_release(struct zr_cell_scheduler *scheduler,
+			       void (*done)(void *ctx), void *ctx)
+{
+	zr_log(ZR_LOG_INFO, "cell.releasing active=%d",
+	       zr_cell_scheduler_active(scheduler));
+	scheduler->releasing = true;
+	scheduler->released = done;
+	scheduler->released_ctx = ctx;
+}
+
+static void free_scheduler(struct zr_cell_scheduler *scheduler)
+{
+	zr_cell_model_clear(&scheduler->model);
+	free(scheduler);
+}
+
+bool zr_cell_call_ended(struct zr_cell_scheduler *scheduler)
+{
+	scheduler->open_calls--;
+	if (!scheduler->freeing)
+		return true;
+	if (!scheduler->open_calls)
+		free_scheduler(scheduler);
+	return false;
+}
+
+void zr_cell_scheduler_free(struct zr_cell_scheduler *scheduler)
+{
+	if (!scheduler)
+		return;
+	zr_timer_free(scheduler->tick);
+	zr_timer_free(scheduler->plan);
+	zr_timer_free(scheduler->rewatch);
+	zr_owner_free(scheduler->owner);
+	zr_cell_journal_free(scheduler->journal);
+	scheduler->freeing = true;
+	scheduler->reign++;
+	if (!scheduler->open_calls)
+		free_scheduler(scheduler);
+}
--- a/src/libzinniarack/chart/charts.c
+++ b/src/libzinniarack/chart/charts.c
@@ -63,6 +63,22 @@
 	job_events,
 };
 
+static const char *const task_states[] = {
+	"waiting", "placed",   "starting", "running",
+	"unsure",  "stopping", "done",	   NULL,
+};
+
+static const char *const task_events[] = {
+	"placed", "sent", "confirmed", "unanswered", "stop",
+	"found",  "gone", "done",      NULL,
+};
+
+static const struct zr_chart_names task_names = {
+	"task",
+	task_states,
+	task_events,
+};
+
 int zr_charts_load(struct zr_charts *out, const char *folder)
 {
 	int error;
@@ -73,7 +89,8 @@
 	    (error = zr_chart_load(&out->worker, folder, &worker_names)) < 0 ||
 	    (error = zr_chart_load(&out->connection, folder,
 				   &connection_names)) < 0 ||
-	    (error = zr_chart_load(&out->job, folder, &job_names)) < 0) {
+	    (error = zr_chart_load(&out->job, folder, &job_names)) < 0 ||
+	    (error = zr_chart_load(&out->task, folder, &task_names)) < 0) {
 		zr_charts_clear(out);
 		return error;
 	}
@@ -86,6 +103,7 @@
 	zr_chart_free(charts->worker);
 	zr_chart_free(charts->connection);
 	zr_chart_free(charts->job);
+	zr_chart_free(charts->task);
 	memset(charts, 0, sizeof(*charts));
 }
 
@@ -99,7 +117,8 @@
 	if (zr_chart_parse(&out->ownership, text[0], &ownership_names) < 0 ||
 	    zr_chart_parse(&out->worker, text[1], &worker_names) < 0 ||
 	    zr_chart_parse(&out->connection, text[2], &connection_names) < 0 ||
-	    zr_chart_parse(&out->job, text[3], &job_names) < 0)
+	    zr_chart_parse(&out->job, text[3], &job_names) < 0 ||
+	    zr_chart_parse(&out->task, text[4], &task_names) < 0)
 		abort();
 }
 
--- a/src/libzinniarack/net/http_server.c
+++ b/src/libzinniarack/net/http_server.c
@@ -368,6 +368,13 @@
 	return exchange->path;
 }
 
+const char *zr_http_host(struct zr_http_exchange *exchange)
+{
+	h2o_req_t *req = exchange->req;
+
+	return copy_text(&req->pool, req->authority.base, req->authority.len);
+}
+
 const char *zr_http_query(struct zr_http_exchange *exchange, const char *name)
 {
 	size_t name_length = strlen(name);
--- a/src/util/clock.c
+++ b/src/util/clock.c
@@ -22,6 +22,25 @@
 	return t;
 }
 
+static struct timespec read_boottime(void *ctx)
+{
+	struct timespec t;
+
+	(void)ctx;
+	clock_gettime(CLOCK_BOOTTIME, &t);
+	return t;
+}
+
+const struct zr_clock *zr_clock_boottime(void)
+{
+	static const struct zr_clock boottime_clock = {
+		.monotonic = read_boottime,
+		.realtime = read_realtime,
+	};
+
+	return &boottime_clock;
+}
+
 const struct zr_clock *zr_clock_system(void)
 {
 	static const struct zr_clock system_clock = {
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -1,9 +1,13 @@
 #include "zinniarack/log.h"
 
+#include <fcntl.h>
 #include <log4c.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "zinniarack/errors.h"
 
@@ -69,10 +73,70 @@
 	.format = format_line,
 };
 
+/* Standard output: bounded, and never waited for */
+
+static bool bounded;
+static struct {
+	time_t second;
+	unsigned int lines;
+	unsigned long dropped;
+} flow;
+
+static bool over_rate(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	if (now.tv_sec != flow.second) {
+		flow.second = now.tv_sec;
+		flow.lines = 0;
+	}
+	return ++flow.lines > ZR_LOG_LINES_PER_S;
+}
+
+static bool put(const char *line)
+{
+	size_t length = strlen(line);
+
+	/* A line that is cut short can't be told from a whole one later. */
+	return write(STDOUT_FILENO, line, length) == (ssize_t)length;
+}
+
+static int put_bounded(const char *line)
+{
+	char note[64];
+
+	if (over_rate()) {
+		flow.dropped++;
+		return 0;
+	}
+	if (flow.dropped) {
+		snprintf(note, sizeof(note), "log.dropped lines=%lu\n",
+			 flow.dropped);
+		if (!put(note))
+			return 0;
+		flow.dropped = 0;
+	}
+	if (!put(line))
+		flow.dropped++;
+	return 0;
+}
+
+void zr_log_use_stdout(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	bounded = true;
+}
+
 static int append_line(log4c_appender_t *appender,
 		       const log4c_logging_event_t *event)
 {
 	(void)appender;
+	if (bounded)
+		return put_bounded(event->evt_rendered_msg);
 	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
 }
 
@@ -107,6 +171,18 @@
 	return category;
 }
 
+static int decision_priority(enum zr_log_level level)
+{
+	return level == ZR_LOG_ERROR ? LOG4C_PRIORITY_ERROR
+				     : LOG4C_PRIORITY_INFO;
+}
+
+void zr_log_set_level(enum zr_log_level level)
+{
+	log4c_category_set_priority(events, priority_of(level));
+	log4c_category_set_priority(decisions, decision_priority(level));
+}
+
 int zr_log_init(const char *process, enum zr_log_level level,
 		enum zr_log_format format)
 {
@@ -125,10 +201,8 @@
 	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	events = open_category("event", priority_of(level), appender);
-	decisions = open_category("decision",
-				  level == ZR_LOG_ERROR ? LOG4C_PRIORITY_ERROR
-							: LOG4C_PRIORITY_INFO,
-				  appender);
+	decisions =
+		open_category("decision", decision_priority(level), appender);
 	return 0;
 }
 
