--- a/src/libzinniarack/cell/intake.c
+++ b/src/libzinniarack/cell/intake.c
@@ -238,6 +238,7 @@
 	struct zr_cell_worker *worker;
 	int64_t lease_max = scheduler->options.limits.lease_max_ms;
 
+	job->begun |= record->done || record->failures || record->checkpoint[0];
 	task->attempt = record->attempt;
 	task->failures = record->failures;
 	snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
@@ -253,7 +254,7 @@
 	zr_cell_task_open(&scheduler->model, job, index, worker,
 			  ZR_TASK_EVENT_FOUND);
 	/* Our token bars what was sent before: any look tells. */
-	task->settled_at = 0;
+	task->settled = 0;
 	worker->silent_until = zr_cell_now(scheduler) + lease_max +
 			       lease_max * OLD_LEASE_PERMILLE / PERMILLE +
 			       OLD_LEASE_SLACK_MS;
@@ -281,7 +282,6 @@
 {
 	uint32_t i;
 
-	job->begun = true;
 	job->ended_at = record->ended_ms;
 	for (i = 0; i < job->task_count && i < record->tasks.tasks_len; i++)
 		restore_task(scheduler, job, i, &record->tasks.tasks_val[i]);
--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -22,7 +22,7 @@
 	struct zr_cell_scheduler *scheduler;
 	uint64_t reign;
 	zr_handle worker;
-	int64_t sent_at;
+	uint64_t sent;
 };
 
 void zr_cell_look_soon(struct zr_cell_scheduler *scheduler,
@@ -67,11 +67,6 @@
 	}
 }
 
-static bool settled(const struct zr_cell_task *task, int64_t at)
-{
-	return task->settled_at <= at;
-}
-
 void zr_cell_new_life(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_worker *worker, int64_t incarnation)
 {
@@ -94,7 +89,7 @@
 		struct zr_cell_task *row = &job->tasks[ref.task];
 
 		if (row->state == ZR_TASK_PLACED ||
-		    !settled(row, zr_cell_now(scheduler))) {
+		    row->settled == ZR_CELL_UNSETTLED) {
 			i++;
 			continue;
 		}
@@ -125,8 +120,7 @@
 
 static void take_unlisted(struct zr_cell_scheduler *scheduler,
 			  struct zr_cell_worker *worker,
-			  const struct zr_cell_look_reply *reply,
-			  int64_t sent_at)
+			  const struct zr_cell_look_reply *reply, uint64_t sent)
 {
 	size_t i = 0;
 
@@ -142,7 +136,7 @@
 		if (row->state == ZR_TASK_PLACED ||
 		    listed(reply, &name, row->attempt))
 			continue;
-		if (settled(row, sent_at)) {
+		if (row->settled < sent) {
 			scheduler->lost->value++;
 			zr_cell_run_over(scheduler, job, ref.task, "not_there");
 			i = 0;
@@ -182,6 +176,7 @@
 		return;
 	}
 	row = &job->tasks[task];
+	job->begun = true;
 	if (run->checkpoint[0])
 		strcpy(row->checkpoint, run->checkpoint);
 	if (run->percent != row->percent) {
@@ -190,7 +185,7 @@
 	}
 	if (row->state == ZR_TASK_UNSURE) {
 		zr_cell_task_event(row, ZR_TASK_EVENT_CONFIRMED);
-		row->settled_at = 0;
+		row->settled = 0;
 		row->started_at = now;
 		row->percent_at = now;
 	}
@@ -234,7 +229,7 @@
 
 static void take_look(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_worker *worker,
-		      const struct zr_cell_look_reply *reply, int64_t sent_at)
+		      const struct zr_cell_look_reply *reply, uint64_t sent)
 {
 	size_t i;
 
@@ -245,7 +240,7 @@
 	for (i = 0; i < reply->run_count; i++)
 		take_run(scheduler, worker, &reply->runs[i]);
 	if (reply->end_count < ENDS_MAX)
-		take_unlisted(scheduler, worker, reply, sent_at);
+		take_unlisted(scheduler, worker, reply, sent);
 }
 
 /* Sending looks */
@@ -285,12 +280,16 @@
 		zr_cell_look_soon(scheduler, worker, LOOK_RETRY_MS);
 	} else if (reply->refusal == ZR_ORDER_FENCED) {
 		zr_owner_give_up(scheduler->owner);
+	} else if (reply->refusal == ZR_ORDER_OTHER_LIFE) {
+		/* Another worker has the address: this one is no more. */
+		worker->listed = false;
+		lose_runs(scheduler, worker, "worker_replaced");
 	} else if (reply->refusal != ZR_ORDER_TAKEN) {
 		zr_log(ZR_LOG_WARN, "look.refused worker=%s refusal=%d",
 		       worker->report.name, reply->refusal);
 		zr_cell_look_soon(scheduler, worker, LOOK_RETRY_MS);
 	} else {
-		take_look(scheduler, worker, reply, look->sent_at);
+		take_look(scheduler, worker, reply, look->sent);
 		zr_cell_journal_flush(scheduler->journal);
 		schedule_next(scheduler, worker);
 	}
@@ -310,8 +309,8 @@
 	look->scheduler = scheduler;
 	look->reign = scheduler->reign;
 	look->worker = worker->self;
-	look->sent_at = zr_cell_now(scheduler);
-	worker->look_sent_at = look->sent_at;
+	look->sent = ++scheduler->events;
+	worker->look_sent_at = zr_cell_now(scheduler);
 	worker->looking = true;
 	worker->look_due = ZR_CELL_NEVER;
 	scheduler->looks->value++;
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -481,13 +481,12 @@
 	if (zr_cell_task_event(row, event) < 0)
 		return;
 	row->worker = worker->self;
-	row->settled_at = ZR_CELL_NEVER;
+	row->settled = ZR_CELL_UNSETTLED;
 	row->stop_sent = false;
 	row->percent = 0;
 	step->waiting--;
 	step->open++;
 	job->open++;
-	job->begun = true;
 	if (job->state == ZR_CELL_JOB_QUEUED)
 		job->state = ZR_CELL_JOB_ACTIVE;
 	charge(model, job, step->spec, worker, 1);
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -22,6 +22,9 @@
 /** Marks a time that has not come. */
 #define ZR_CELL_NEVER INT64_MAX
 
+/** No look tells whether a run is there. */
+#define ZR_CELL_UNSETTLED UINT64_MAX
+
 /** struct zr_cell_ref - names a task: a job, and the place among its tasks */
 struct zr_cell_ref {
 	zr_handle job;
@@ -35,7 +38,8 @@
  * @failures: runs that ended as failed
  * @worker: where its open run is
  * @change: the job's change number at which it was placed
- * @settled_at: since when a look at the worker must show the run if it is there
+ * @settled: a look sent after this many events must show the run if it is
+ *there; ZR_CELL_UNSETTLED while a start may still be on its way
  * @started_at: when its start was confirmed
  * @stop_sent: a stop is on its way
  * @finished: a run of it has ended as done
@@ -50,7 +54,7 @@
 	uint32_t failures;
 	zr_handle worker;
 	uint64_t change;
-	int64_t settled_at;
+	uint64_t settled;
 	int64_t started_at;
 	bool stop_sent;
 	bool finished;
@@ -131,7 +135,7 @@
  * @latency_target_ms: added to that objective
  * @accepted_at: when it was accepted
  * @state: as callers see it
- * @begun: a task of it has been placed
+ * @begun: a worker has begun a task of it, as far as is known
  * @cancel_found: a cancellation was found while loading
  * @told: its end has been logged
  * @open: tasks with an open run
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -21,6 +21,7 @@
 /**
  * struct zr_cell_scheduler - the scheduler
  * @reign: counts ownerships; an answer to a call of an earlier one is ignored
+ * @events: counts answers of workers and looks sent, to tell which came first
  * @watch_revision: changes of accepted jobs are known up to it
  * @watch_failures: watches that failed since the last one that did not
  * @registry_asked_at: when it was last asked for
@@ -33,6 +34,7 @@
 	enum zr_cell_phase phase;
 	uint64_t reign;
 	uint64_t token;
+	uint64_t events;
 	struct zr_cell_model model;
 	struct zr_cell_journal *journal;
 	struct zr_cell_advice advice;
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -293,8 +293,8 @@
 	}
 	/* Barred now if it is not there yet: the next look tells. */
 	row->stop_sent = true;
-	if (row->settled_at == ZR_CELL_NEVER)
-		row->settled_at = zr_cell_now(scheduler);
+	if (row->settled == ZR_CELL_UNSETTLED)
+		row->settled = ++scheduler->events;
 	zr_cell_look_soon(scheduler, worker, 0);
 out:
 	free(order);
@@ -464,6 +464,7 @@
 		return;
 	case ZR_ORDER_OTHER_LIFE:
 		rest(scheduler, worker, SILENT_REST_MS, "other_life");
+		zr_cell_look_soon(scheduler, worker, 0);
 		start_undone(scheduler, job, task, "other_life");
 		return;
 	case ZR_ORDER_NO_ROOM:
@@ -494,7 +495,8 @@
 	const struct zr_cell_step_row *step = zr_cell_task_step(job, task);
 	int64_t now = zr_cell_now(scheduler);
 
-	row->settled_at = now;
+	job->begun = true;
+	row->settled = ++scheduler->events;
 	if (row->state == ZR_TASK_STOPPING)
 		return;
 	zr_cell_task_event(row, ZR_TASK_EVENT_CONFIRMED);
