--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -32,9 +32,18 @@
 	struct lease *leases;
 	int64_t revision;
 	int64_t next_lease;
+	struct watcher *watchers;
 	struct fake_store_counts counts;
 };
 
+/* A watch that waits for a change. */
+struct watcher {
+	struct watcher *next;
+	struct fake_call *net_call;
+	struct call *call;
+	int64_t until_ms;
+};
+
 struct client {
 	struct fake_store *store;
 	struct fake_node *node;
@@ -46,6 +55,7 @@
 	CALL_GRANT,
 	CALL_KEEP,
 	CALL_REVOKE,
+	CALL_WATCH,
 };
 
 /* A call owns copies of what it asks and of what it is answered. */
@@ -57,6 +67,8 @@
 	bool prefix;
 	int64_t lease;
 	int64_t ttl_ms;
+	int64_t after;
+	unsigned int wait_ms;
 	struct zr_store_compare *compares;
 	size_t compare_count;
 	struct zr_store_put *puts;
@@ -266,6 +278,56 @@
 		end_lease(store, lease);
 }
 
+/* Changes after the revision of a watch; deletions are not told. */
+static void collect_changes(struct call *call)
+{
+	size_t length = strlen(call->key);
+	struct value *value;
+
+	HASH_SORT(call->store->values, by_key);
+	for (value = call->store->values; value; value = value->hh.next) {
+		if (value->revision > call->after &&
+		    !strncmp(value->key, call->key, length))
+			answer_value(call, value);
+	}
+	call->reply.revision = call->store->revision;
+}
+
+static void answer_watchers(struct fake_store *store)
+{
+	struct watcher **link = &store->watchers;
+
+	while (*link) {
+		struct watcher *watcher = *link;
+
+		collect_changes(watcher->call);
+		if (!watcher->call->reply.count &&
+		    now_ms(store) < watcher->until_ms) {
+			link = &watcher->next;
+			continue;
+		}
+		*link = watcher->next;
+		fake_call_reply(watcher->net_call);
+		fake_call_unref(watcher->net_call);
+		free(watcher);
+	}
+}
+
+static void serve_watch(struct fake_call *net_call, struct call *call)
+{
+	struct watcher *watcher = calloc(1, sizeof(*watcher));
+
+	if (!watcher)
+		abort();
+	watcher->net_call = net_call;
+	watcher->call = call;
+	watcher->until_ms = now_ms(call->store) + call->wait_ms;
+	watcher->next = call->store->watchers;
+	call->store->watchers = watcher;
+	fake_call_ref(net_call);
+	answer_watchers(call->store);
+}
+
 static void serve_once(struct call *call)
 {
 	call->error = 0;
@@ -284,6 +346,13 @@
 	struct call *call = ctx;
 	struct call again = *call;
 
+	if (call->kind == CALL_WATCH) {
+		/* A doubled watch would only be answered twice. */
+		if (!call->served)
+			serve_watch(net_call, call);
+		call->served = true;
+		return;
+	}
 	if (call->served) {
 		memset(&again.reply, 0, sizeof(again.reply));
 		again.values = NULL;
@@ -294,6 +363,7 @@
 		serve_once(call);
 	}
 	fake_call_reply(net_call);
+	answer_watchers(call->store);
 }
 
 static void finish(void *ctx, enum fake_result result)
@@ -306,8 +376,9 @@
 	else if (result == FAKE_REFUSED)
 		error = ZR_E_STORE_DOWN;
 	else if (result == FAKE_TIMED_OUT)
-		error = call->kind == CALL_RANGE ? ZR_E_STORE_DOWN
-						 : ZR_E_OUTCOME_UNKNOWN;
+		error = call->kind == CALL_RANGE || call->kind == CALL_WATCH
+				? ZR_E_STORE_DOWN
+				: ZR_E_OUTCOME_UNKNOWN;
 	call->done(call->ctx, error, error < 0 ? NULL : &call->reply);
 }
 
@@ -365,6 +436,19 @@
 	send_call(impl, call);
 }
 
+static void store_watch(void *impl, const char *prefix, int64_t after,
+			unsigned int wait_ms, zr_store_done_fn done, void *ctx)
+{
+	struct call *call = new_call(impl, CALL_WATCH, done, ctx);
+	struct client *client = impl;
+
+	call->key = strdup(prefix);
+	call->after = after;
+	call->wait_ms = wait_ms;
+	fake_call_send(client->node, client->store->node, &call_ops, call,
+		       wait_ms + TIMEOUT_MS);
+}
+
 static void copy_txn(struct call *call, const struct zr_store_txn *txn)
 {
 	size_t i;
@@ -442,6 +526,7 @@
 	.lease_grant = store_grant,
 	.lease_keep = store_keep,
 	.lease_revoke = store_revoke,
+	.watch = store_watch,
 	.free = store_free,
 };
 
@@ -470,6 +555,7 @@
 		if (now_ms(store) > lease->expires_ms)
 			end_lease(store, lease);
 	}
+	answer_watchers(store);
 }
 
 struct fake_store *fake_store_new(struct fake_net *net, const char *name)
@@ -511,6 +597,13 @@
 	struct lease *lease;
 	struct lease *next_lease;
 
+	while (store->watchers) {
+		struct watcher *watcher = store->watchers;
+
+		store->watchers = watcher->next;
+		fake_call_unref(watcher->net_call);
+		free(watcher);
+	}
 	HASH_ITER (hh, store->values, value, next_value)
 		delete_value(store, value);
 	HASH_ITER (hh, store->leases, lease, next_lease) {
