Take-over: a shorter lease, standbys that watch, and succession of oneself

Cause: of the jobs not served most were accepted while the owner's lease ran out (2 s, polled each 250 ms); callers leave after three seconds. Change: options of the owner module: length of the lease (1.2 s for a cell), several renewals open at once, a watch on the owner key, and a host whose former process owned the cell succeeds it at once. Domains keep their values; their scripts are unchanged.

--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -7,6 +7,15 @@
 #include "zinniarack/log.h"
 
 #define TICK_MS 50
+/*
+ * Callers who wait for an answer leave after three seconds: a take-over must
+ * take less. A slow store answers within a quarter of a second.
+ */
+#define OWNER_LEASE_MS 1200
+#define OWNER_RENEW_MS 250
+#define OWNER_RENEWALS_MAX 4
+/* A standby polls only while it can't watch. */
+#define OWNER_POLL_MS 400
 /* Changes that come together are planned together. */
 #define PLAN_DELAY_MS 1
 #define REGISTRY_POLL_MS 500
@@ -286,6 +295,15 @@
 	static const struct zr_owner_events owner_events = {on_gained, on_lost};
 	static const struct zr_cell_journal_events journal_events = {
 		on_written, on_deposed};
+	static const struct zr_owner_options owner_options = {
+		.version = ZR_OWNER_OPTIONS_VERSION,
+		.lease_ms = OWNER_LEASE_MS,
+		.renew_ms = OWNER_RENEW_MS,
+		.renewals_max = OWNER_RENEWALS_MAX,
+		.poll_ms = OWNER_POLL_MS,
+		.watch = true,
+		.one_process = true,
+	};
 	struct zr_cell_scheduler *scheduler = calloc(1, sizeof(*scheduler));
 	const struct zr_store *store = &options->surroundings->store;
 	int error;
@@ -307,7 +325,8 @@
 	if (!error)
 		error = zr_owner_new(&scheduler->owner, options->timers,
 				     options->clock, store, options->cell,
-				     options->host, &owner_events, scheduler);
+				     options->host, &owner_options,
+				     &owner_events, scheduler);
 	if (error < 0) {
 		zr_cell_scheduler_free(scheduler);
 		return error;
--- a/src/libzinniarack/domain/domain.c
+++ b/src/libzinniarack/domain/domain.c
@@ -324,8 +324,8 @@
 	if (!error)
 		error = zr_owner_new(&domain->owner, options->timers,
 				     options->clock, options->store,
-				     domain->name, options->name, &owner_events,
-				     domain);
+				     domain->name, options->name, NULL,
+				     &owner_events, domain);
 	if (error < 0) {
 		zr_domain_free(domain);
 		return error;
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -10,14 +10,14 @@
 #include "zinniarack/job.h"
 #include "zinniarack/log.h"
 
-#define LEASE_MS 2000
-#define RENEW_MS 500
-#define STANDBY_POLL_MS 250
+/* A watch that waits longer costs no more, but notices its loss later. */
+#define WATCH_WAIT_MS 2000
 #define CLOCK_RATE_MARGIN_MS 100
 #define KEY_MAX (ZR_NAME_MAX + 32)
 #define EPOCH_TEXT_MAX 24
 
 struct zr_owner {
+	struct zr_owner_options options;
 	const struct zr_clock *clock;
 	const struct zr_store *store;
 	char name[ZR_NAME_MAX];
@@ -26,11 +26,15 @@
 	char owner_key[KEY_MAX];
 	char epoch_key[KEY_MAX];
 	char released_key[KEY_MAX];
+	int64_t own_revision; /* of an owner key of this host's name, or 0 */
 	struct zr_owner_events events;
 	void *ctx;
 	struct zr_timer *timer;
 	int state; /* enum zr_ownership_state */
 	unsigned int open_calls;
+	unsigned int open_renewals;
+	bool watching;
+	int64_t watch_revision;
 	bool freeing;
 	int64_t lease;
 	struct timespec call_sent;
@@ -43,6 +47,9 @@
 	void *released_ctx;
 };
 
+static void read_keys(struct zr_owner *owner);
+static void watch(struct zr_owner *owner);
+
 /* Whether the owner is still there to take the answer of its open call. */
 static bool take_answer(struct zr_owner *owner)
 {
@@ -61,10 +68,13 @@
 }
 
 /* The store counts from a later moment than the call's sending. */
-static void extend_lease(struct zr_owner *owner)
+static void extend_lease(struct zr_owner *owner, struct timespec sent)
 {
-	owner->lease_until = zr_time_add_ms(owner->call_sent,
-					    LEASE_MS - CLOCK_RATE_MARGIN_MS);
+	struct timespec until = zr_time_add_ms(
+		sent, owner->options.lease_ms - CLOCK_RATE_MARGIN_MS);
+
+	if (zr_time_cmp(until, owner->lease_until) > 0)
+		owner->lease_until = until;
 }
 
 static void step(struct zr_owner *owner, enum zr_ownership_event event)
@@ -75,8 +85,9 @@
 static void set_tick(struct zr_owner *owner, unsigned int after_ms)
 {
 	zr_timer_start(owner->timer, after_ms,
-		       owner->state == ZR_OWNERSHIP_OWNING ? RENEW_MS
-							   : STANDBY_POLL_MS);
+		       owner->state == ZR_OWNERSHIP_OWNING
+			       ? owner->options.renew_ms
+			       : owner->options.poll_ms);
 }
 
 static void step_down(struct zr_owner *owner, const char *reason)
@@ -88,7 +99,7 @@
 	else if (owner->state == ZR_OWNERSHIP_CAMPAIGNING)
 		step(owner, ZR_OWNERSHIP_NOT_WON);
 	owner->lease = 0;
-	set_tick(owner, STANDBY_POLL_MS);
+	set_tick(owner, owner->options.poll_ms);
 	if (!owned)
 		return;
 	zr_log(ZR_LOG_WARN, "domain.lost domain=%s epoch=%" PRIu64 " reason=%s",
@@ -116,10 +127,12 @@
 	gain.guard = reply->revision;
 	step(owner, ZR_OWNERSHIP_WON);
 	owner->guard = gain.guard;
-	set_tick(owner, RENEW_MS);
+	set_tick(owner, owner->options.renew_ms);
 	zr_log(ZR_LOG_INFO,
-	       "domain.gained domain=%s epoch=%" PRIu64 " handed_over=%d",
-	       owner->domain, owner->epoch, gain.handed_over);
+	       "domain.gained domain=%s epoch=%" PRIu64
+	       " handed_over=%d succeeds_itself=%d",
+	       owner->domain, owner->epoch, gain.handed_over,
+	       owner->own_revision != 0);
 	owner->events.gained(owner->ctx, &gain);
 }
 
@@ -127,7 +140,7 @@
 {
 	char epoch[EPOCH_TEXT_MAX];
 	const struct zr_store_compare compares[] = {
-		{owner->owner_key, 0},
+		{owner->owner_key, owner->own_revision},
 		{owner->epoch_key, owner->epoch_revision},
 	};
 	const struct zr_store_put puts[] = {
@@ -156,10 +169,43 @@
 		return;
 	}
 	owner->lease = reply->lease;
-	extend_lease(owner);
+	owner->lease_until = (struct timespec){0, 0};
+	extend_lease(owner, owner->call_sent);
 	campaign(owner);
 }
 
+/* A process of this host that ended without a release. */
+static bool is_predecessor(const struct zr_owner *owner,
+			   const struct zr_store_value *value)
+{
+	return owner->options.one_process &&
+	       value->length == strlen(owner->name) &&
+	       !memcmp(value->data, owner->name, value->length);
+}
+
+static void on_watched(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	struct zr_owner *owner = ctx;
+
+	(void)reply;
+	owner->watching = false;
+	if (!take_answer(owner) || owner->state != ZR_OWNERSHIP_STANDBY)
+		return;
+	/* After an error the next poll reads again. */
+	if (!error)
+		read_keys(owner);
+}
+
+static void watch(struct zr_owner *owner)
+{
+	if (!owner->options.watch || owner->watching)
+		return;
+	owner->watching = true;
+	owner->open_calls++;
+	zr_store_watch(owner->store, owner->prefix, owner->watch_revision,
+		       WATCH_WAIT_MS, on_watched, owner);
+}
+
 static void on_keys(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct zr_owner *owner = ctx;
@@ -169,6 +215,8 @@
 	if (!take_answer(owner) || owner->state != ZR_OWNERSHIP_STANDBY ||
 	    error < 0)
 		return;
+	owner->watch_revision = reply->revision;
+	owner->own_revision = 0;
 	owner->epoch = 0;
 	owner->epoch_revision = 0;
 	owner->released_epoch = 0;
@@ -176,7 +224,9 @@
 		const struct zr_store_value *value = &reply->values[i];
 
 		if (!strcmp(value->key, owner->owner_key)) {
-			owned = true;
+			owned = !is_predecessor(owner, value);
+			if (!owned)
+				owner->own_revision = value->mod_revision;
 		} else if (!strcmp(value->key, owner->epoch_key)) {
 			owner->epoch = strtoull(value->data, NULL, 10);
 			owner->epoch_revision = value->mod_revision;
@@ -184,25 +234,64 @@
 			owner->released_epoch = strtoull(value->data, NULL, 10);
 		}
 	}
-	if (owned)
+	if (owned) {
+		watch(owner);
 		return;
+	}
 	step(owner, ZR_OWNERSHIP_VACANT);
 	open_call(owner);
-	zr_store_lease_grant(owner->store, LEASE_MS, on_granted, owner);
+	zr_store_lease_grant(owner->store, owner->options.lease_ms, on_granted,
+			     owner);
+}
+
+static void read_keys(struct zr_owner *owner)
+{
+	open_call(owner);
+	zr_store_range(owner->store, ZR_STORE_LEASE, owner->prefix, true,
+		       on_keys, owner);
 }
 
 /* Renewal */
 
+struct renewal {
+	struct zr_owner *owner;
+	struct timespec sent;
+	int64_t lease;
+};
+
 static void on_kept(void *ctx, int error, const struct zr_store_reply *reply)
 {
-	struct zr_owner *owner = ctx;
-
-	if (!take_answer(owner) || owner->state != ZR_OWNERSHIP_OWNING)
+	struct renewal *renewal = ctx;
+	struct zr_owner *owner = renewal->owner;
+	struct timespec sent = renewal->sent;
+	int64_t lease = renewal->lease;
+
+	free(renewal);
+	owner->open_renewals--;
+	if (!take_answer(owner) || owner->state != ZR_OWNERSHIP_OWNING ||
+	    lease != owner->lease)
 		return;
 	if (error == ZR_E_NOT_FOUND || (!error && reply->ttl_ms <= 0))
 		step_down(owner, "lease_ended");
 	else if (!error)
-		extend_lease(owner);
+		extend_lease(owner, sent);
+}
+
+static void renew(struct zr_owner *owner)
+{
+	struct renewal *renewal;
+
+	if (owner->open_renewals >= owner->options.renewals_max)
+		return;
+	renewal = calloc(1, sizeof(*renewal));
+	if (!renewal)
+		abort();
+	renewal->owner = owner;
+	renewal->sent = zr_clock_now(owner->clock);
+	renewal->lease = owner->lease;
+	owner->open_renewals++;
+	owner->open_calls++;
+	zr_store_lease_keep(owner->store, owner->lease, on_kept, renewal);
 }
 
 enum zr_owner_standing zr_owner_standing(const struct zr_owner *owner)
@@ -225,27 +314,24 @@
 	if (owner->state == ZR_OWNERSHIP_OWNING &&
 	    zr_owner_standing(owner) == ZR_OWNER_NONE)
 		step_down(owner, "unrenewed");
-	if (owner->open_calls)
-		return;
-	if (owner->state == ZR_OWNERSHIP_STANDBY) {
-		open_call(owner);
-		zr_store_range(owner->store, ZR_STORE_LEASE, owner->prefix,
-			       true, on_keys, owner);
-	} else if (owner->state == ZR_OWNERSHIP_OWNING) {
-		open_call(owner);
-		zr_store_lease_keep(owner->store, owner->lease, on_kept, owner);
-	}
+	if (owner->state == ZR_OWNERSHIP_OWNING)
+		renew(owner);
+	else if (owner->state == ZR_OWNERSHIP_STANDBY && !owner->open_calls)
+		read_keys(owner);
 }
 
 int zr_owner_new(struct zr_owner **out, const struct zr_timers *timers,
 		 const struct zr_clock *clock, const struct zr_store *store,
 		 const char *domain, const char *name,
+		 const struct zr_owner_options *options,
 		 const struct zr_owner_events *events, void *ctx)
 {
+	static const struct zr_owner_options defaults = ZR_OWNER_OPTIONS_INIT;
 	struct zr_owner *owner = calloc(1, sizeof(*owner));
 
 	if (!owner)
 		return ZR_E_NOMEM;
+	owner->options = options ? *options : defaults;
 	owner->clock = clock;
 	owner->store = store;
 	owner->events = *events;
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -56,6 +56,33 @@
 	void (*lost)(void *ctx);
 };
 
+/**
+ * struct zr_owner_options - how to compete
+ * @version: ZR_OWNER_OPTIONS_VERSION
+ * @lease_ms: length of the owner's lease in the store
+ * @renew_ms: how often it is renewed
+ * @renewals_max: renewals open at once; a lost answer must not end the lease
+ * @poll_ms: how often a standby looks whether there is an owner
+ * @watch: standbys watch the owner key and poll only when the watch fails
+ * @one_process: a host runs one process that competes, so an owner of this
+ *	host's name is a process that has ended, and is succeeded at once
+ */
+struct zr_owner_options {
+	unsigned int version;
+	unsigned int lease_ms;
+	unsigned int renew_ms;
+	unsigned int renewals_max;
+	unsigned int poll_ms;
+	bool watch;
+	bool one_process;
+};
+
+#define ZR_OWNER_OPTIONS_VERSION 1
+#define ZR_OWNER_OPTIONS_INIT                                             \
+	{                                                                 \
+		ZR_OWNER_OPTIONS_VERSION, 2000, 500, 1, 250, false, false \
+	}
+
 /**
  * zr_owner_new() - compete for a failure domain
  * @out: to be freed with zr_owner_free()
@@ -64,6 +91,7 @@
  * @store: the store, kept by reference
  * @domain: the failure domain
  * @name: this host's name
+ * @options: how to compete, NULL for the defaults
  * @events: called with @ctx
  * @ctx: passed to @events
  *
@@ -72,6 +100,7 @@
 int zr_owner_new(struct zr_owner **out, const struct zr_timers *timers,
 		 const struct zr_clock *clock, const struct zr_store *store,
 		 const char *domain, const char *name,
+		 const struct zr_owner_options *options,
 		 const struct zr_owner_events *events, void *ctx);
 
 /** zr_owner_epoch() - the epoch while this process owns it, else 0 */
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -33,9 +33,17 @@
 	int64_t revision;
 	int64_t next_lease;
 	struct watcher *watchers;
+	struct tombstone *tombstones;
 	struct fake_store_counts counts;
 };
 
+/* A key that was deleted, for watches. */
+struct tombstone {
+	struct tombstone *next;
+	char *key;
+	int64_t revision;
+};
+
 /* A watch that waits for a change. */
 struct watcher {
 	struct watcher *next;
@@ -94,6 +102,20 @@
 	free(value);
 }
 
+/* Deletes a key at the present revision, and keeps that for watches. */
+static void bury_value(struct fake_store *store, struct value *value)
+{
+	struct tombstone *tombstone = calloc(1, sizeof(*tombstone));
+
+	if (!tombstone)
+		abort();
+	tombstone->key = strdup(value->key);
+	tombstone->revision = store->revision;
+	tombstone->next = store->tombstones;
+	store->tombstones = tombstone;
+	delete_value(store, value);
+}
+
 static struct value *find_value(const struct fake_store *store, const char *key)
 {
 	struct value *value;
@@ -131,7 +153,8 @@
 	out->data = malloc(value->length + 1);
 	if (!out->key || !out->data)
 		abort();
-	memcpy(out->data, value->data, value->length);
+	if (value->length)
+		memcpy(out->data, value->data, value->length);
 	((char *)out->data)[value->length] = 0;
 	out->length = value->length;
 	out->mod_revision = value->revision;
@@ -178,8 +201,10 @@
 {
 	struct value *value = find_value(store, put->key);
 
-	if (value)
+	if (value && put->data)
 		delete_value(store, value);
+	else if (value)
+		bury_value(store, value);
 	if (!put->data)
 		return;
 	value = calloc(1, sizeof(*value));
@@ -250,7 +275,7 @@
 	store->revision++;
 	HASH_ITER (hh, store->values, value, next) {
 		if (value->lease == lease->id)
-			delete_value(store, value);
+			bury_value(store, value);
 	}
 	HASH_DEL(store->leases, lease);
 	free(lease);
@@ -278,12 +303,31 @@
 		end_lease(store, lease);
 }
 
-/* Changes after the revision of a watch; deletions are not told. */
+static void answer_deleted(struct call *call, const struct tombstone *tombstone)
+{
+	struct value gone = {.key = tombstone->key,
+			     .revision = tombstone->revision};
+	struct zr_store_value *out;
+
+	answer_value(call, &gone);
+	out = &call->values[call->reply.count - 1];
+	free(out->data);
+	out->data = NULL;
+}
+
+/* Changes after the revision of a watch. */
 static void collect_changes(struct call *call)
 {
 	size_t length = strlen(call->key);
+	const struct tombstone *tombstone;
 	struct value *value;
 
+	for (tombstone = call->store->tombstones; tombstone;
+	     tombstone = tombstone->next) {
+		if (tombstone->revision > call->after &&
+		    !strncmp(tombstone->key, call->key, length))
+			answer_deleted(call, tombstone);
+	}
 	HASH_SORT(call->store->values, by_key);
 	for (value = call->store->values; value; value = value->hh.next) {
 		if (value->revision > call->after &&
@@ -597,6 +641,13 @@
 	struct lease *lease;
 	struct lease *next_lease;
 
+	while (store->tombstones) {
+		struct tombstone *tombstone = store->tombstones;
+
+		store->tombstones = tombstone->next;
+		free(tombstone->key);
+		free(tombstone);
+	}
 	while (store->watchers) {
 		struct watcher *watcher = store->watchers;
 
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -84,7 +84,8 @@
 	size_t i;
 
 	for (i = 0; i < script->host_count; i++) {
-		if (!strcmp(script->hosts[i].name, name))
+		if (script->hosts[i].scheduler &&
+		    !strcmp(script->hosts[i].name, name))
 			return &script->hosts[i];
 	}
 	fprintf(stderr, "no host '%s'\n", name);
@@ -196,6 +197,7 @@
 		.cell = "main",
 	};
 
+	/* A name used before is a new process of that host. */
 	snprintf(host->name, sizeof(host->name), "%s", word(script, 1));
 	host->script = script;
 	host->node = fake_node_new(script->net, host->name);
@@ -255,7 +257,8 @@
 	size_t i;
 
 	for (i = 0; i < script->host_count; i++)
-		zr_cell_scheduler_configure(script->hosts[i].scheduler,
+		if (script->hosts[i].scheduler)
+			zr_cell_scheduler_configure(script->hosts[i].scheduler,
 					    &script->config);
 }
 
