A silent worker's lease is left to end

Ruled out: the registry's reads, which went on (they log their failures now). Change: looks at a worker that is unheard ask for no longer lease.

--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -315,7 +315,9 @@
 	worker->look_due = ZR_CELL_NEVER;
 	scheduler->looks->value++;
 	scheduler->open_calls++;
-	if (worker->clock_ms >= 0 && worker->run_count)
+	/* A silent worker's lease is left to end, so that its tasks can go on. */
+	if (worker->clock_ms >= 0 && worker->run_count &&
+	    worker->state != ZR_WORKER_UNHEARD)
 		lease_until = zr_cell_lease_until(scheduler, worker);
 	/* The first look after a take-over, and the last one, do not wait. */
 	if (worker->state == ZR_WORKER_UNKNOWN || !worker->run_count ||
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -108,6 +108,11 @@
 	if (!zr_cell_call_ended(scheduler))
 		return;
 	scheduler->registry_reading = false;
+	if (error < 0)
+		zr_log(ZR_LOG_WARN, "registry.unread error=%s age_ms=%lld",
+		       zr_error_name(error),
+		       (long long)(zr_cell_now(scheduler) -
+				   scheduler->registry_read_at));
 	if (error < 0 || scheduler->phase != ZR_CELL_ACTIVE)
 		return;
 	scheduler->registry_read_at = zr_cell_now(scheduler);
