Acceptance: nothing is sent on a suspect way to the store

Ruled out: the take-over (the same hosts refused at once where no call was open). Change: store/health watches the calls of a host; writes wait while an answer is overdue, and are refused after 250 ms with a true 'not run'; undecided ones end at their caller's deadline. Readiness follows after 500 ms. The adviser's answers are kept for every worker asked, so workers that join later are asked about too.

--- a/src/libzinniarack/cell/accept.c
+++ b/src/libzinniarack/cell/accept.c
@@ -11,9 +11,10 @@
 /* Each job takes two conditions and a write of the entries of a transaction. */
 #define BATCH_JOBS_MAX (ZR_CELL_TXN_ENTRIES_MAX / 3)
 #define BATCHES_MAX 3
-#define RETRY_MS 40
-/* Tries after which a store that refuses is believed to be down. */
-#define REFUSALS_MAX 3
+/* Pause after a failure, and between looks at the health of the store. */
+#define RETRY_MS 25
+/* A write that was never sent waits so long for the way to the store. */
+#define UNSENT_MS_MAX 250
 
 struct write {
 	struct write *prev;
@@ -21,8 +22,10 @@
 	char in_key[ZR_CELL_KEY_MAX];
 	char at_key[ZR_CELL_KEY_MAX];
 	struct zr_cell_bytes record;
+	struct timespec came_at;
 	struct timespec give_up_at;
-	unsigned int refusals;
+	struct batch *batch; /* that it is in, NULL while it waits */
+	size_t slot;
 	bool undecided;
 	zr_cell_accept_fn done;
 	void *ctx;
@@ -37,9 +40,11 @@
 struct zr_cell_accept {
 	const struct zr_clock *clock;
 	const struct zr_store *store;
+	const struct zr_store_health *health;
 	struct zr_timer *retry;
 	bool waiting;
 	struct write *pending;
+	struct write *sent;
 	unsigned int open_writes;
 	unsigned int open_batches;
 	bool freeing;
@@ -71,42 +76,63 @@
 	free(write);
 }
 
-/* Whether a write that failed is given up; its answer is final then. */
-static bool give_up(struct zr_cell_accept *accept, struct write *write)
+/* Whether a write is given up; its answer is final then. */
+static bool give_up(const struct zr_cell_accept *accept,
+		    const struct write *write)
 {
-	bool late = zr_time_cmp(zr_clock_now(accept->clock),
-				write->give_up_at) >= 0;
+	struct timespec now = zr_clock_now(accept->clock);
 
-	if (write->undecided)
-		return late;
-	return late || write->refusals >= REFUSALS_MAX;
+	if (zr_time_cmp(now, write->give_up_at) >= 0)
+		return true;
+	return !write->undecided && !write->batch &&
+	       zr_store_health_suspect_ms(accept->health) &&
+	       zr_time_diff_ms(now, write->came_at) >= UNSENT_MS_MAX;
 }
 
-static void try_again(struct zr_cell_accept *accept, struct write *write)
+static void leave_batch(struct zr_cell_accept *accept, struct write *write)
 {
-	if (give_up(accept, write)) {
+	DL_DELETE(accept->sent, write);
+	write->batch->writes[write->slot] = NULL;
+	write->batch = NULL;
+}
+
+static void settle_late(struct zr_cell_accept *accept)
+{
+	struct write *write;
+	struct write *next;
+
+	DL_FOREACH_SAFE(accept->pending, write, next)
+	{
+		if (!give_up(accept, write))
+			continue;
+		DL_DELETE(accept->pending, write);
 		settle(accept, write,
 		       write->undecided ? ZR_CELL_UNDECIDED : ZR_CELL_REFUSED);
-		return;
 	}
-	DL_APPEND(accept->pending, write);
+	DL_FOREACH_SAFE(accept->sent, write, next)
+	{
+		if (!give_up(accept, write))
+			continue;
+		leave_batch(accept, write);
+		settle(accept, write, ZR_CELL_UNDECIDED);
+	}
 }
 
+/* Later tries of a write that may have been carried out find its record. */
 static void fail_batch(struct zr_cell_accept *accept, struct batch *batch,
 		       int error)
 {
 	size_t i;
 
 	for (i = 0; i < batch->count; i++) {
-		if (error == ZR_E_STORE_DOWN)
-			batch->writes[i]->refusals++;
-		else
-			batch->writes[i]->undecided = true;
-		try_again(accept, batch->writes[i]);
-	}
-	if (accept->pending && !accept->waiting) {
-		accept->waiting = true;
-		zr_timer_start(accept->retry, RETRY_MS, 0);
+		struct write *write = batch->writes[i];
+
+		if (!write)
+			continue;
+		leave_batch(accept, write);
+		if (error != ZR_E_STORE_DOWN)
+			write->undecided = true;
+		DL_APPEND(accept->pending, write);
 	}
 }
 
@@ -130,6 +156,9 @@
 	for (i = 0; i < batch->count; i++) {
 		struct write *write = batch->writes[i];
 
+		if (!write)
+			continue;
+		leave_batch(accept, write);
 		if (found(reply, write->in_key) || found(reply, write->at_key))
 			settle(accept, write, ZR_CELL_ACCEPTED_BEFORE);
 		else
@@ -137,12 +166,19 @@
 	}
 }
 
-static void cancel_batch(struct zr_cell_accept *accept, struct batch *batch)
+static void settle_batch(struct zr_cell_accept *accept, struct batch *batch,
+			 enum zr_cell_accepted outcome)
 {
 	size_t i;
 
-	for (i = 0; i < batch->count; i++)
-		settle(accept, batch->writes[i], ZR_CELL_UNDECIDED);
+	for (i = 0; i < batch->count; i++) {
+		struct write *write = batch->writes[i];
+
+		if (!write)
+			continue;
+		leave_batch(accept, write);
+		settle(accept, write, outcome);
+	}
 }
 
 static void on_committed(void *ctx, int error,
@@ -150,18 +186,16 @@
 {
 	struct batch *batch = ctx;
 	struct zr_cell_accept *accept = batch->accept;
-	size_t i;
 
 	accept->open_batches--;
 	if (accept->freeing)
-		cancel_batch(accept, batch);
+		settle_batch(accept, batch, ZR_CELL_UNDECIDED);
 	else if (error < 0)
 		fail_batch(accept, batch, error);
 	else if (!reply->succeeded)
 		split_batch(accept, batch, reply);
 	else
-		for (i = 0; i < batch->count; i++)
-			settle(accept, batch->writes[i], ZR_CELL_ACCEPTED);
+		settle_batch(accept, batch, ZR_CELL_ACCEPTED);
 	free(batch);
 	if (!accept->freeing)
 		flush(accept);
@@ -169,19 +203,38 @@
 		free_accept(accept);
 }
 
+static struct write *first_undecided(struct zr_cell_accept *accept)
+{
+	struct write *write;
+
+	DL_FOREACH(accept->pending, write)
+	{
+		if (write->undecided)
+			return write;
+	}
+	return NULL;
+}
+
+/* A suspect way is only for writes that may have been carried out already. */
+static struct write *next_write(struct zr_cell_accept *accept)
+{
+	return zr_store_health_suspect_ms(accept->health)
+		       ? first_undecided(accept)
+		       : accept->pending;
+}
+
 static void send_batch(struct zr_cell_accept *accept)
 {
 	struct batch *batch = calloc(1, sizeof(*batch));
 	struct zr_store_compare compares[2 * BATCH_JOBS_MAX];
 	struct zr_store_put puts[BATCH_JOBS_MAX];
 	struct zr_store_txn txn = {compares, 0, puts, 0};
+	struct write *write;
 
 	if (!batch)
 		abort();
 	batch->accept = accept;
-	while (accept->pending && batch->count < BATCH_JOBS_MAX) {
-		struct write *write = accept->pending;
-
+	while (batch->count < BATCH_JOBS_MAX && (write = next_write(accept))) {
 		DL_DELETE(accept->pending, write);
 		compares[txn.compare_count++] =
 			(struct zr_store_compare){write->in_key, 0};
@@ -190,6 +243,9 @@
 		puts[txn.put_count++] =
 			(struct zr_store_put){write->in_key, write->record.data,
 					      write->record.length, 0};
+		DL_APPEND(accept->sent, write);
+		write->batch = batch;
+		write->slot = batch->count;
 		batch->writes[batch->count++] = write;
 	}
 	accept->open_batches++;
@@ -197,11 +253,19 @@
 			batch);
 }
 
+static void watch_over(struct zr_cell_accept *accept)
+{
+	if (accept->waiting || !accept->open_writes)
+		return;
+	accept->waiting = true;
+	zr_timer_start(accept->retry, RETRY_MS, 0);
+}
+
 static void flush(struct zr_cell_accept *accept)
 {
-	while (accept->pending && !accept->waiting &&
-	       accept->open_batches < BATCHES_MAX)
+	while (accept->open_batches < BATCHES_MAX && next_write(accept))
 		send_batch(accept);
+	watch_over(accept);
 }
 
 static void on_retry(void *ctx)
@@ -209,6 +273,7 @@
 	struct zr_cell_accept *accept = ctx;
 
 	accept->waiting = false;
+	settle_late(accept);
 	flush(accept);
 }
 
@@ -223,8 +288,8 @@
 	snprintf(write->in_key, ZR_CELL_KEY_MAX, "%s%s", ZR_CELL_IN_PREFIX, id);
 	snprintf(write->at_key, ZR_CELL_KEY_MAX, "%s%s", ZR_CELL_AT_PREFIX, id);
 	write->record = record;
-	write->give_up_at =
-		zr_time_add_ms(zr_clock_now(accept->clock), wait_ms);
+	write->came_at = zr_clock_now(accept->clock);
+	write->give_up_at = zr_time_add_ms(write->came_at, wait_ms);
 	write->done = done;
 	write->ctx = ctx;
 	accept->open_writes++;
@@ -240,7 +305,9 @@
 int zr_cell_accept_new(struct zr_cell_accept **out,
 		       const struct zr_timers *timers,
 		       const struct zr_clock *clock,
-		       const struct zr_store *store, struct zr_metrics *metrics)
+		       const struct zr_store *store,
+		       const struct zr_store_health *health,
+		       struct zr_metrics *metrics)
 {
 	static const char name[] = "zinniarack_cell_accepts_total";
 	static const char help[] = "Jobs written into the store";
@@ -250,6 +317,7 @@
 		return ZR_E_NOMEM;
 	accept->clock = clock;
 	accept->store = store;
+	accept->health = health;
 	accept->retry = zr_timer_new(timers, on_retry, accept);
 	accept->accepted =
 		zr_metrics_counter(metrics, name, "outcome=\"accepted\"", help);
--- a/src/libzinniarack/cell/accept.h
+++ b/src/libzinniarack/cell/accept.h
@@ -2,6 +2,7 @@
 #define ZR_CELL_ACCEPT_H
 
 #include "cell/records.h"
+#include "store/health.h"
 #include "zinniarack/clock.h"
 #include "zinniarack/metrics.h"
 #include "zinniarack/timer.h"
@@ -12,6 +13,10 @@
  * Writes a job into the store before its caller is told that it was accepted.
  * Writes that come while others are open share a transaction. Acceptance needs
  * no scheduler, so it goes on during a take-over.
+ *
+ * What has been sent and not answered may be carried out later, so nothing is
+ * sent while the way to the store is suspect: a job that waits then can be
+ * refused, and soon, with the promise that it will not run.
  */
 
 struct zr_cell_accept;
@@ -30,6 +35,7 @@
 		       const struct zr_timers *timers,
 		       const struct zr_clock *clock,
 		       const struct zr_store *store,
+		       const struct zr_store_health *health,
 		       struct zr_metrics *metrics);
 
 /**
--- a/src/libzinniarack/cell/front.c
+++ b/src/libzinniarack/cell/front.c
@@ -17,6 +17,8 @@
 /* When to come back after the store could not be reached. */
 #define STORE_RETRY_AFTER_MS 1000
 #define CANCEL_TRIES_MAX 8
+/* New calls are refused at once while the way has been suspect for longer. */
+#define SUSPECT_MAX_MS 400
 
 enum outcome_counter {
 	COUNT_OK,
@@ -472,6 +474,11 @@
 		return;
 	}
 	serving->version = config->version;
+	if (zr_store_health_suspect_ms(front->options.health) >
+	    SUSPECT_MAX_MS) {
+		finish_with(serving, ZR_CALL_NOT_RUN, "store_suspect");
+		return;
+	}
 	queue = zr_cell_config_route(config, call.host, call.path);
 	if (!queue) {
 		finish_with(serving, ZR_CALL_NO_QUEUE, "no_queue");
--- a/src/libzinniarack/cell/front.h
+++ b/src/libzinniarack/cell/front.h
@@ -35,6 +35,7 @@
  * @store: where they are read
  * @clock: the clock
  * @timers: where timers come from
+ * @health: of the way to the store
  * @key_age_max_ms: a key is not taken on an older confirmation
  * @metrics: where calls are counted
  */
@@ -45,6 +46,7 @@
 	const struct zr_store *store;
 	const struct zr_clock *clock;
 	const struct zr_timers *timers;
+	const struct zr_store_health *health;
 	unsigned int key_age_max_ms;
 	struct zr_metrics *metrics;
 };
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -10,6 +10,7 @@
 #include "net/http_server.h"
 #include "net/metrics_page.h"
 #include "net/uv_timers.h"
+#include "store/health.h"
 #include "zinniarack/cell_host.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
@@ -17,6 +18,8 @@
 #define FOLLOW_MS 100
 /* Ready while the store has confirmed the configuration within this time. */
 #define READY_AGE_MAX_MS 1300
+/* A way to the store that has been suspect for longer is taken as lost. */
+#define READY_SUSPECT_MAX_MS 500
 /* Callers are sent elsewhere for this long before connections are closed. */
 #define LINGER_MS 2600
 #define STOP_POLL_MS 50
@@ -28,6 +31,7 @@
 	struct zr_cell_host_options options;
 	struct zr_cell_surroundings surroundings;
 	struct zr_timers timers;
+	struct zr_store_health *health;
 	struct zr_cell_current *current;
 	struct zr_cell_accept *accept;
 	struct zr_cell_scheduler *scheduler;
@@ -49,7 +53,8 @@
 static bool is_ready(const struct zr_cell_host *host)
 {
 	return !host->stopping && zr_cell_current_config(host->current) &&
-	       zr_cell_current_age_ms(host->current) < READY_AGE_MAX_MS;
+	       zr_cell_current_age_ms(host->current) < READY_AGE_MAX_MS &&
+	       zr_store_health_suspect_ms(host->health) < READY_SUSPECT_MAX_MS;
 }
 
 static void on_readiness(void *ctx, struct zr_http_exchange *exchange)
@@ -116,9 +121,10 @@
 					    options->clock, &host->surroundings,
 					    options->metrics, on_config, host);
 	if (!error)
-		error = zr_cell_accept_new(
-			&host->accept, &host->timers, options->clock,
-			&host->surroundings.store, options->metrics);
+		error = zr_cell_accept_new(&host->accept, &host->timers,
+					   options->clock,
+					   &host->surroundings.store,
+					   host->health, options->metrics);
 	if (!error)
 		error = zr_cell_members_new(
 			&host->members, options->loop, &host->timers,
@@ -137,6 +143,7 @@
 		.store = &host->surroundings.store,
 		.clock = options->clock,
 		.timers = &host->timers,
+		.health = host->health,
 		.key_age_max_ms = options->settings->key_age_max_ms,
 		.metrics = options->metrics,
 	};
@@ -178,7 +185,11 @@
 	host->options = *options;
 	host->surroundings = options->surroundings;
 	host->timers = zr_uv_timers(options->loop);
-	error = start_store_users(host);
+	error = zr_store_health_new(&host->health, &host->surroundings.store,
+				    &options->surroundings.store,
+				    options->clock);
+	if (!error)
+		error = start_store_users(host);
 	if (!error)
 		error = start_front(host);
 	if (!error)
--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -315,7 +315,8 @@
 	worker->look_due = ZR_CELL_NEVER;
 	scheduler->looks->value++;
 	scheduler->open_calls++;
-	/* A silent worker's lease is left to end, so that its tasks can go on. */
+	/* A silent worker's lease is left to end, so that its tasks can go on.
+	 */
 	if (worker->clock_ms >= 0 && worker->run_count &&
 	    worker->state != ZR_WORKER_UNHEARD)
 		lease_until = zr_cell_lease_until(scheduler, worker);
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -64,9 +64,16 @@
 	char checkpoint[ZR_CELL_TOKEN_MAX];
 };
 
-/** struct zr_cell_pass - the adviser's word on a worker for a step */
+/**
+ * struct zr_cell_pass - the adviser's word on a worker for a step
+ * @worker: the worker
+ * @permitted: whether the step may run there, which does not change
+ * @until: the ticket is valid until then
+ * @ticket: what a start must carry
+ */
 struct zr_cell_pass {
 	zr_handle worker;
+	bool permitted;
 	int64_t until;
 	char ticket[ZR_CELL_TOKEN_MAX];
 };
@@ -85,9 +92,9 @@
  * @due_at: not to start before
  * @ready_at: since when its earlier steps are done; ZR_CELL_NEVER before
  * @retry_at: not to be tried before
- * @passes: workers that are permitted, with the latest ticket
+ * @passes: what the adviser said of each worker that it was asked about
  * @pass_count: how many
- * @explored: whether @passes tells all permitted workers
+ * @explored: whether the adviser has answered a question
  * @asking: a question to the adviser is open
  * @prev: in the list of ready steps
  * @next: likewise
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -32,6 +32,8 @@
 	uint32_t permit_ms;
 	int64_t asked_at;
 	struct zr_cell_helper_row *helper;
+	zr_handle named[ZR_CELL_ADVISE_MAX];
+	size_t named_count;
 };
 
 static uint32_t waiting_of(const struct zr_cell_step_row *step)
@@ -136,6 +138,13 @@
 	return NULL;
 }
 
+static bool permitted(const struct zr_cell_step_row *step, zr_handle worker)
+{
+	const struct zr_cell_pass *row = pass_of(step, worker);
+
+	return row && row->permitted;
+}
+
 static bool permitted_now(const struct pass *pass,
 			  const struct zr_cell_step_row *step,
 			  const struct zr_cell_queue *queue, zr_handle worker)
@@ -145,7 +154,8 @@
 	if (!queue->advised)
 		return true;
 	row = pass_of(step, worker);
-	return row && row->until > pass->now + PERMIT_SLACK_MS;
+	return row && row->permitted &&
+	       row->until > pass->now + PERMIT_SLACK_MS;
 }
 
 /* Placing */
@@ -264,7 +274,7 @@
 			continue;
 		slots = slots_on(job, step, worker);
 		room.anywhere += slots;
-		if (!queue->advised || pass_of(step, worker->self))
+		if (!queue->advised || permitted(step, worker->self))
 			room.allowed += slots;
 		if (permitted_now(pass, step, queue, worker->self))
 			room.now += slots;
@@ -321,7 +331,7 @@
 			return;
 		if (worker->reserved_for ||
 		    !eligible(pass, job, step, queue->pool, worker) ||
-		    (queue->advised && !pass_of(step, worker->self)))
+		    (queue->advised && !permitted(step, worker->self)))
 			continue;
 		worker->reserved_for = step;
 		held += fits(&worker->report.capacity, &need);
@@ -330,13 +340,33 @@
 
 /* Asking the adviser */
 
+static struct zr_cell_pass *obtain_pass(struct zr_cell_step_row *step,
+					zr_handle worker)
+{
+	struct zr_cell_pass *row = (struct zr_cell_pass *)pass_of(step, worker);
+
+	if (row)
+		return row;
+	step->passes = realloc(step->passes,
+			       (step->pass_count + 1) * sizeof(*step->passes));
+	if (!step->passes)
+		abort();
+	row = &step->passes[step->pass_count++];
+	memset(row, 0, sizeof(*row));
+	row->worker = worker;
+	return row;
+}
+
 static void store_passes(struct zr_cell_scheduler *scheduler,
 			 struct zr_cell_step_row *step,
+			 const struct question *question,
 			 const struct zr_cell_permit *permits, size_t count,
 			 int64_t until)
 {
 	size_t i;
 
+	for (i = 0; i < question->named_count; i++)
+		obtain_pass(step, question->named[i]);
 	for (i = 0; i < count; i++) {
 		struct zr_cell_worker *worker = zr_cell_worker_find(
 			&scheduler->model, permits[i].worker);
@@ -344,16 +374,8 @@
 
 		if (!worker)
 			continue;
-		row = (struct zr_cell_pass *)pass_of(step, worker->self);
-		if (!row) {
-			step->passes = realloc(step->passes,
-					       (step->pass_count + 1) *
-						       sizeof(*step->passes));
-			if (!step->passes)
-				abort();
-			row = &step->passes[step->pass_count++];
-			row->worker = worker->self;
-		}
+		row = obtain_pass(step, worker->self);
+		row->permitted = true;
 		row->until = until;
 		strcpy(row->ticket, permits[i].ticket);
 	}
@@ -410,7 +432,7 @@
 			step->explored = true;
 			if (!validity_ms || validity_ms > question->permit_ms)
 				validity_ms = question->permit_ms;
-			store_passes(scheduler, step, permits, count,
+			store_passes(scheduler, step, question, permits, count,
 				     now + validity_ms);
 		}
 	}
@@ -418,12 +440,14 @@
 	zr_cell_plan_soon(scheduler);
 }
 
-/* Workers to name: those known to be permitted, else all that could be. */
-static size_t name_workers(const char **out, const struct pass *pass,
+/* Workers to name: all that could be, but for those that are not permitted. */
+static size_t name_workers(const char **out, zr_handle *out_handles,
+			   const struct pass *pass,
 			   const struct zr_cell_job *job,
 			   const struct zr_cell_step_row *step,
 			   const struct zr_cell_queue *queue)
 {
+	const struct zr_cell_pass *row;
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 	size_t count = 0;
@@ -431,9 +455,11 @@
 	HASH_ITER (hh, pass->scheduler->model.worker_by_name, worker, next) {
 		if (count == ZR_CELL_ADVISE_MAX)
 			break;
+		row = pass_of(step, worker->self);
 		if (!eligible(pass, job, step, queue->pool, worker) ||
-		    (step->explored && !pass_of(step, worker->self)))
+		    (row && !row->permitted))
 			continue;
+		out_handles[count] = worker->self;
 		out[count++] = worker->report.name;
 	}
 	return count;
@@ -445,6 +471,7 @@
 {
 	struct zr_cell_scheduler *scheduler = pass->scheduler;
 	const char *names[ZR_CELL_ADVISE_MAX];
+	zr_handle handles[ZR_CELL_ADVISE_MAX];
 	struct zr_cell_helper_row *helper;
 	struct question *question;
 	uint32_t takes_ms;
@@ -452,7 +479,7 @@
 
 	if (step->asking || pass->now < step->retry_at)
 		return;
-	count = name_workers(names, pass, job, step, queue);
+	count = name_workers(names, handles, pass, job, step, queue);
 	takes_ms = zr_cell_advice_ms(queue, count);
 	helper = count ? zr_cell_advice_pick(&scheduler->advice, pass->now,
 					     takes_ms)
@@ -469,6 +496,8 @@
 	question->permit_ms = queue->permit_ms;
 	question->asked_at = pass->now;
 	question->helper = helper;
+	memcpy(question->named, handles, count * sizeof(*handles));
+	question->named_count = count;
 	helper->busy = true;
 	step->asking = true;
 	scheduler->advice.asked->value++;
