--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -18,6 +18,7 @@
 #define ZX_CELL_STEPS_MAX 4096
 #define ZX_CELL_TASKS_MAX 65536
 #define ZX_CELL_LIST_MAX 4096
+#define ZX_CELL_RECORD_MAX 524288
 
 struct zx_cell_step {
 	u_int count;
@@ -126,6 +127,31 @@
 };
 typedef struct zx_cell_advise_result zx_cell_advise_result;
 
+struct zx_cell_news {
+	char *job;
+	struct {
+		u_int record_len;
+		char *record_val;
+	} record;
+};
+typedef struct zx_cell_news zx_cell_news;
+
+struct zx_cell_taken {
+	bool_t taken;
+};
+typedef struct zx_cell_taken zx_cell_taken;
+
+struct zx_cell_state_args {
+	char *job;
+};
+typedef struct zx_cell_state_args zx_cell_state_args;
+
+struct zx_cell_state_result {
+	bool_t known;
+	u_int state;
+};
+typedef struct zx_cell_state_result zx_cell_state_result;
+
 #define ZX_CELL 0x20005a03
 #define ZX_CELL_V1 1
 
@@ -133,12 +159,24 @@
 #define ZX_CELL_ADVISE 1
 extern  zx_cell_advise_result * zx_cell_advise_1(zx_cell_advise_args , CLIENT *);
 extern  zx_cell_advise_result * zx_cell_advise_1_svc(zx_cell_advise_args , struct svc_req *);
+#define ZX_CELL_NEWS 2
+extern  zx_cell_taken * zx_cell_news_1(zx_cell_news , CLIENT *);
+extern  zx_cell_taken * zx_cell_news_1_svc(zx_cell_news , struct svc_req *);
+#define ZX_CELL_STATE 3
+extern  zx_cell_state_result * zx_cell_state_1(zx_cell_state_args , CLIENT *);
+extern  zx_cell_state_result * zx_cell_state_1_svc(zx_cell_state_args , struct svc_req *);
 extern int zx_cell_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define ZX_CELL_ADVISE 1
 extern  zx_cell_advise_result * zx_cell_advise_1();
 extern  zx_cell_advise_result * zx_cell_advise_1_svc();
+#define ZX_CELL_NEWS 2
+extern  zx_cell_taken * zx_cell_news_1();
+extern  zx_cell_taken * zx_cell_news_1_svc();
+#define ZX_CELL_STATE 3
+extern  zx_cell_state_result * zx_cell_state_1();
+extern  zx_cell_state_result * zx_cell_state_1_svc();
 extern int zx_cell_1_freeresult ();
 #endif /* K&R C */
 
@@ -155,6 +193,10 @@
 extern  bool_t xdr_zx_cell_advise_args (XDR *, zx_cell_advise_args*);
 extern  bool_t xdr_zx_cell_permit (XDR *, zx_cell_permit*);
 extern  bool_t xdr_zx_cell_advise_result (XDR *, zx_cell_advise_result*);
+extern  bool_t xdr_zx_cell_news (XDR *, zx_cell_news*);
+extern  bool_t xdr_zx_cell_taken (XDR *, zx_cell_taken*);
+extern  bool_t xdr_zx_cell_state_args (XDR *, zx_cell_state_args*);
+extern  bool_t xdr_zx_cell_state_result (XDR *, zx_cell_state_result*);
 
 #else /* K&R C */
 extern bool_t xdr_zx_cell_step ();
@@ -167,6 +209,10 @@
 extern bool_t xdr_zx_cell_advise_args ();
 extern bool_t xdr_zx_cell_permit ();
 extern bool_t xdr_zx_cell_advise_result ();
+extern bool_t xdr_zx_cell_news ();
+extern bool_t xdr_zx_cell_taken ();
+extern bool_t xdr_zx_cell_state_args ();
+extern bool_t xdr_zx_cell_state_result ();
 
 #endif /* K&R C */
 
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -8,6 +8,7 @@
 const ZX_CELL_STEPS_MAX = 4096;
 const ZX_CELL_TASKS_MAX = 65536;
 const ZX_CELL_LIST_MAX = 4096;
+const ZX_CELL_RECORD_MAX = 524288;
 
 struct zx_cell_step {
 	unsigned int count;
@@ -93,8 +94,30 @@
 	zx_cell_permit permits<ZX_CELL_LIST_MAX>;
 };
 
+/* A job that the store holds; record is empty for a cancellation. */
+struct zx_cell_news {
+	string job<ZX_CELL_NAME_MAX>;
+	opaque record<ZX_CELL_RECORD_MAX>;
+};
+
+struct zx_cell_taken {
+	bool taken;
+};
+
+struct zx_cell_state_args {
+	string job<ZX_CELL_NAME_MAX>;
+};
+
+/* known is false where the store has to be asked. */
+struct zx_cell_state_result {
+	bool known;
+	unsigned int state;
+};
+
 program ZX_CELL {
 	version ZX_CELL_V1 {
 		zx_cell_advise_result ZX_CELL_ADVISE(zx_cell_advise_args) = 1;
+		zx_cell_taken ZX_CELL_NEWS(zx_cell_news) = 2;
+		zx_cell_state_result ZX_CELL_STATE(zx_cell_state_args) = 3;
 	} = 1;
 } = 0x20005a03;
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -403,3 +403,47 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_zx_cell_news (XDR *xdrs, zx_cell_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->job, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->record.record_val, (u_int *) &objp->record.record_len, ZX_CELL_RECORD_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_taken (XDR *xdrs, zx_cell_taken *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->taken))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_state_args (XDR *xdrs, zx_cell_state_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->job, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_state_result (XDR *xdrs, zx_cell_state_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->state))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/libzinniarack/cell/front.c
+++ b/src/libzinniarack/cell/front.c
@@ -48,7 +48,7 @@
 	uint64_t version;
 	struct timespec began;
 	struct timespec give_up_at;
-	int64_t revision;
+	struct zr_cell_bytes record;
 	unsigned int tries;
 	bool undecided;
 };
@@ -116,6 +116,7 @@
 	log_call(serving, result, took_ms);
 	if (serving->exchange)
 		front->options.codec->reply(serving->exchange, result);
+	free(serving->record.data);
 	free(serving);
 }
 
@@ -137,6 +138,18 @@
 	finish(serving, &result);
 }
 
+/* Tells the owner of the cell, which would else find out by its watch. */
+static void tell_owner(struct serving *serving,
+		       const struct zr_cell_bytes *record)
+{
+	const struct zr_cell_front_options *options = &serving->front->options;
+
+	zr_cell_members_tell(options->members,
+			     zr_cell_scheduler_holder(options->scheduler),
+			     serving->job, record ? record->data : NULL,
+			     record ? record->length : 0);
+}
+
 /* Submissions */
 
 static void on_accepted(void *ctx, enum zr_cell_accepted outcome)
@@ -145,6 +158,7 @@
 
 	switch (outcome) {
 	case ZR_CELL_ACCEPTED:
+		tell_owner(serving, &serving->record);
 		finish_with(serving, ZR_CALL_OK, "accepted");
 		return;
 	case ZR_CELL_ACCEPTED_BEFORE:
@@ -207,6 +221,11 @@
 		finish_with(serving, ZR_CALL_BAD_REQUEST, "job_too_large");
 		return;
 	}
+	serving->record.data = malloc(bytes.length);
+	if (!serving->record.data)
+		abort();
+	serving->record.length = bytes.length;
+	memcpy(serving->record.data, bytes.data, bytes.length);
 	zr_cell_accept_job(front->options.accept, serving->job, bytes,
 			   left_ms(serving), on_accepted, serving);
 }
@@ -266,6 +285,25 @@
 	finish_state(serving, state);
 }
 
+static void on_owner_state(void *ctx, int error, enum zr_cell_job_state state)
+{
+	struct serving *serving = ctx;
+
+	if (error < 0)
+		read_key(serving, ZR_CELL_AT_PREFIX, on_at);
+	else
+		finish_state(serving, state);
+}
+
+static void ask_owner(struct serving *serving)
+{
+	const struct zr_cell_front_options *options = &serving->front->options;
+
+	zr_cell_members_state(options->members,
+			      zr_cell_scheduler_holder(options->scheduler),
+			      serving->job, on_owner_state, serving);
+}
+
 /* Cancellations */
 
 static void read_for_cancel(struct serving *serving);
@@ -287,9 +325,10 @@
 
 	if (error < 0)
 		cancel_failed(serving, error);
-	else if (reply->succeeded)
+	else if (reply->succeeded) {
+		tell_owner(serving, NULL);
 		finish_with(serving, ZR_CALL_OK, "cancelled");
-	else
+	} else
 		/* The job has ended meanwhile, or was cancelled before. */
 		read_for_cancel(serving);
 }
@@ -447,7 +486,7 @@
 		submit(serving, call, config, queue);
 		return;
 	case ZR_CALL_STATE:
-		read_key(serving, ZR_CELL_AT_PREFIX, on_at);
+		ask_owner(serving);
 		return;
 	case ZR_CALL_CANCEL:
 		read_for_cancel(serving);
--- a/src/libzinniarack/cell/front.h
+++ b/src/libzinniarack/cell/front.h
@@ -3,6 +3,7 @@
 
 #include "cell/accept.h"
 #include "cell/current.h"
+#include "cell/members.h"
 #include "net/http_server.h"
 #include "zinniarack/front.h"
 
@@ -33,6 +34,8 @@
  * @current: the configuration in force
  * @accept: where jobs are written
  * @store: where they are read
+ * @members: the hosts of the cell
+ * @scheduler: knows which of them owns it
  * @clock: the clock
  * @timers: where timers come from
  * @health: of the way to the store
@@ -44,6 +47,8 @@
 	const struct zr_cell_current *current;
 	struct zr_cell_accept *accept;
 	const struct zr_store *store;
+	struct zr_cell_members *members;
+	const struct zr_cell_scheduler *scheduler;
 	const struct zr_clock *clock;
 	const struct zr_timers *timers;
 	const struct zr_store_health *health;
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -89,6 +89,21 @@
 	zr_cell_scheduler_helpers(host->scheduler, helpers, count);
 }
 
+static bool on_news(void *ctx, const char *job, const void *record,
+		    size_t length)
+{
+	struct zr_cell_host *host = ctx;
+
+	return zr_cell_scheduler_news(host->scheduler, job, record, length);
+}
+
+static int on_state(void *ctx, enum zr_cell_job_state *out, const char *job)
+{
+	struct zr_cell_host *host = ctx;
+
+	return zr_cell_scheduler_state(out, host->scheduler, job);
+}
+
 static void on_follow(void *ctx)
 {
 	struct zr_cell_host *host = ctx;
@@ -101,6 +116,7 @@
 
 static int start_store_users(struct zr_cell_host *host)
 {
+	static const struct zr_cell_members_events events = {on_news, on_state};
 	const struct zr_cell_host_options *options = &host->options;
 	const struct zr_cell_settings *settings = options->settings;
 	const struct zr_cell_scheduler_options scheduler = {
@@ -129,7 +145,7 @@
 		error = zr_cell_members_new(
 			&host->members, options->loop, &host->timers,
 			&host->surroundings, settings->name,
-			settings->listen.peers, on_helpers, host);
+			settings->listen.peers, on_helpers, &events, host);
 	return error;
 }
 
@@ -141,6 +157,8 @@
 		.current = host->current,
 		.accept = host->accept,
 		.store = &host->surroundings.store,
+		.members = host->members,
+		.scheduler = host->scheduler,
 		.clock = options->clock,
 		.timers = &host->timers,
 		.health = host->health,
--- a/src/libzinniarack/cell/intake.c
+++ b/src/libzinniarack/cell/intake.c
@@ -10,6 +10,9 @@
 /* A watch waits this long; a connection that went silent costs no more. */
 #define WATCH_WAIT_MS 1500
 #define RETRY_MS 100
+/* Hosts tell of the jobs that they accept; the watch finds what they could not.
+ */
+#define PAUSE_MS 250
 /* A lease of the scheduler before may run this much longer by our clock. */
 #define OLD_LEASE_PERMILLE 30
 #define OLD_LEASE_SLACK_MS 300
@@ -93,17 +96,17 @@
 }
 
 static struct zr_cell_job *add_job(struct zr_cell_scheduler *scheduler,
-				   const char *id,
-				   const struct zr_store_value *value)
+				   const char *id, const void *data,
+				   size_t length)
 {
 	struct zr_cell_job_spec spec;
 	struct zr_cell_job *job = NULL;
 	zx_cell_job record = {0};
 
-	if (zr_cell_decode(&record, (xdrproc_t)xdr_zx_cell_job, value->data,
-			   value->length) < 0) {
+	if (zr_cell_decode(&record, (xdrproc_t)xdr_zx_cell_job, data, length) <
+	    0) {
 		zr_log(ZR_LOG_ERROR, "job.unreadable job=%s bytes=%zu", id,
-		       value->length);
+		       length);
 		return NULL;
 	}
 	if (!zr_cell_spec_of(&spec, &record)) {
@@ -121,36 +124,61 @@
 			   zr_cell_today(scheduler));
 }
 
-static void take_accepted(struct zr_cell_scheduler *scheduler,
-			  const struct zr_store_value *value)
+static void take_job(struct zr_cell_scheduler *scheduler, const char *id,
+		     const void *data, size_t length, const char *by)
 {
-	struct zr_cell_job *job;
-	char id[ZR_NAME_MAX];
-	bool cancel;
+	struct zr_cell_job *job = zr_cell_job_find(&scheduler->model, id);
 
-	if (!value->data ||
-	    key_id(id, &cancel, value->key, ZR_CELL_IN_PREFIX) < 0)
+	if (job)
 		return;
-	job = zr_cell_job_find(&scheduler->model, id);
-	if (cancel && job) {
-		zr_cell_job_cancel(scheduler, job);
-		return;
-	}
-	if (cancel || job)
-		return;
-	job = add_job(scheduler, id, value);
+	job = add_job(scheduler, id, data, length);
 	if (!job)
 		return;
 	zr_log_decision("job.taken job=%s queue=%s client=%s tasks=%" PRIu32
-			" steps=%" PRIu32 " age_ms=%" PRId64,
+			" steps=%" PRIu32 " age_ms=%" PRId64 " by=%s",
 			id, job->queue,
 			zr_cell_client(&scheduler->model, job->client)->name,
 			job->task_count, job->step_count,
-			zr_cell_now(scheduler) - job->accepted_at);
+			zr_cell_now(scheduler) - job->accepted_at, by);
 	review(scheduler, job);
 	zr_cell_plan_soon(scheduler);
 }
 
+static bool take_cancel(struct zr_cell_scheduler *scheduler, const char *id)
+{
+	struct zr_cell_job *job = zr_cell_job_find(&scheduler->model, id);
+
+	if (job)
+		zr_cell_job_cancel(scheduler, job);
+	return job != NULL;
+}
+
+static void take_accepted(struct zr_cell_scheduler *scheduler,
+			  const struct zr_store_value *value)
+{
+	char id[ZR_NAME_MAX];
+	bool cancel;
+
+	if (!value->data ||
+	    key_id(id, &cancel, value->key, ZR_CELL_IN_PREFIX) < 0)
+		return;
+	if (cancel)
+		take_cancel(scheduler, id);
+	else
+		take_job(scheduler, id, value->data, value->length, "store");
+}
+
+bool zr_cell_scheduler_news(struct zr_cell_scheduler *scheduler, const char *id,
+			    const void *record, size_t length)
+{
+	if (scheduler->phase != ZR_CELL_ACTIVE)
+		return false;
+	if (!record)
+		return take_cancel(scheduler, id);
+	take_job(scheduler, id, record, length, "host");
+	return true;
+}
+
 /* Cancellations come last: their jobs must be known. */
 static void take_all(struct zr_cell_scheduler *scheduler,
 		     const struct zr_store_reply *reply)
@@ -210,7 +238,7 @@
 	take_all(scheduler, reply);
 	if (reply->revision > scheduler->watch_revision)
 		scheduler->watch_revision = reply->revision;
-	zr_cell_watch_jobs(scheduler);
+	zr_timer_start(scheduler->rewatch, PAUSE_MS, 0);
 }
 
 void zr_cell_watch_jobs(struct zr_cell_scheduler *scheduler)
@@ -286,6 +314,7 @@
 	for (i = 0; i < job->task_count && i < record->tasks.tasks_len; i++)
 		restore_task(scheduler, job, i, &record->tasks.tasks_val[i]);
 	job->state = (enum zr_cell_job_state)record->state;
+	job->kept_state = job->state;
 	restore_gangs(job);
 }
 
@@ -389,7 +418,7 @@
 	if (cancel && job)
 		job->cancel_found = true;
 	else if (!cancel && !job)
-		add_job(scheduler, id, value);
+		add_job(scheduler, id, value->data, value->length);
 }
 
 static void on_accepted(void *ctx, int error,
--- a/src/libzinniarack/cell/journal.c
+++ b/src/libzinniarack/cell/journal.c
@@ -15,8 +15,10 @@
  * full cell while an answer takes a quarter of a second.
  */
 #define BATCHES_MAX 4
-/* Pause after a transaction that failed, in milliseconds. */
+/* Pause after a transaction that failed. */
 #define RETRY_MS 60
+/* Changes are gathered for so long: the store counts calls, not bytes. */
+#define GATHER_MS 14
 /* Jobs of one transaction: each takes up to two conditions and four writes. */
 #define BATCH_JOBS_MAX 14
 #define FORGET_MAX 64
@@ -24,7 +26,7 @@
 struct batch_job {
 	zr_handle job;
 	uint64_t change;
-	char id[ZR_NAME_MAX];
+	enum zr_cell_job_state state;
 };
 
 /* A transaction that is open. */
@@ -52,8 +54,10 @@
 	struct zr_cell_model *model;
 	struct zr_cell_journal_events events;
 	void *ctx;
+	const struct zr_clock *clock;
 	struct zr_timer *retry;
 	bool waiting;
+	struct timespec sent_at;
 	const char *owner_key; /* NULL: closed */
 	int64_t guard;
 	uint64_t opening;
@@ -203,6 +207,7 @@
 		job->writing = 0;
 		job->revision = revision;
 		job->written = batch->jobs[i].change;
+		job->kept_state = batch->jobs[i].state;
 		if (job->change != job->written)
 			mark_dirty(journal, job);
 		journal->events.written(journal->ctx, job);
@@ -331,6 +336,7 @@
 		draft_job(draft, journal, job);
 		batch->jobs[batch->job_count].job = job->self;
 		batch->jobs[batch->job_count].change = job->change;
+		batch->jobs[batch->job_count].state = job->state;
 		batch->job_count++;
 	}
 }
@@ -377,10 +383,28 @@
 	return true;
 }
 
+static bool anything_to_send(const struct zr_cell_journal *journal)
+{
+	return journal->model->dirty || journal->counts.data ||
+	       journal->forget_count;
+}
+
 void zr_cell_journal_flush(struct zr_cell_journal *journal)
 {
-	while (journal->owner_key && !journal->waiting &&
-	       journal->open_batches < BATCHES_MAX && send_batch(journal))
+	struct timespec now = zr_clock_now(journal->clock);
+	int64_t since = zr_time_diff_ms(now, journal->sent_at);
+
+	if (!journal->owner_key || journal->waiting ||
+	    !anything_to_send(journal))
+		return;
+	if (since < GATHER_MS) {
+		journal->waiting = true;
+		zr_timer_start(journal->retry,
+			       (unsigned int)(GATHER_MS - since), 0);
+		return;
+	}
+	journal->sent_at = now;
+	while (journal->open_batches < BATCHES_MAX && send_batch(journal))
 		;
 }
 
@@ -428,6 +452,7 @@
 
 int zr_cell_journal_new(struct zr_cell_journal **out,
 			const struct zr_timers *timers,
+			const struct zr_clock *clock,
 			const struct zr_store *store,
 			struct zr_cell_model *model, struct zr_metrics *metrics,
 			const struct zr_cell_journal_events *events, void *ctx)
@@ -436,6 +461,7 @@
 
 	if (!journal)
 		return ZR_E_NOMEM;
+	journal->clock = clock;
 	journal->store = store;
 	journal->model = model;
 	journal->events = *events;
--- a/src/libzinniarack/cell/journal.h
+++ b/src/libzinniarack/cell/journal.h
@@ -3,6 +3,7 @@
 
 #include "cell/model.h"
 #include "cell/records.h"
+#include "zinniarack/clock.h"
 #include "zinniarack/metrics.h"
 #include "zinniarack/store.h"
 #include "zinniarack/timer.h"
@@ -33,6 +34,7 @@
  * zr_cell_journal_new() - make a journal that is closed
  * @out: to be freed with zr_cell_journal_free()
  * @timers: where timers come from
+ * @clock: the clock
  * @store: the store, kept by reference
  * @model: whose jobs it writes
  * @metrics: where it counts
@@ -43,6 +45,7 @@
  */
 int zr_cell_journal_new(struct zr_cell_journal **out,
 			const struct zr_timers *timers,
+			const struct zr_clock *clock,
 			const struct zr_store *store,
 			struct zr_cell_model *model, struct zr_metrics *metrics,
 			const struct zr_cell_journal_events *events, void *ctx);
--- a/src/libzinniarack/cell/members.c
+++ b/src/libzinniarack/cell/members.c
@@ -16,6 +16,11 @@
 #define TICK_MS 800
 /* Added to the time that the adviser may take, for the way to the host. */
 #define RPC_SLACK_MS 100
+/* The store is asked, or its watch tells, when a host does not answer. */
+#define TELL_TIMEOUT_MS 400
+#define STATE_TIMEOUT_MS 250
+/* How often a host that does not own the cell reads who the hosts are. */
+#define IDLE_TICKS 5
 
 /* Another host. Rows are kept, so that open questions can refer to them. */
 struct member {
@@ -31,7 +36,9 @@
 	char name[ZR_NAME_MAX];
 	char address[ZR_NAME_MAX];
 	zr_cell_members_fn changed;
+	struct zr_cell_members_events events;
 	void *ctx;
+	unsigned int ticks;
 	struct zr_timer *timer;
 	struct zr_rpc_server *server;
 	struct member members[ZR_CELL_HELPERS_MAX];
@@ -52,6 +59,22 @@
 	.result_size = sizeof(zx_cell_advise_result),
 };
 
+static const struct zr_rpc_procedure news_procedure = {
+	.number = ZX_CELL_NEWS,
+	.encode_args = (xdrproc_t)xdr_zx_cell_news,
+	.decode_result = (xdrproc_t)xdr_zx_cell_taken,
+	.args_size = sizeof(zx_cell_news),
+	.result_size = sizeof(zx_cell_taken),
+};
+
+static const struct zr_rpc_procedure state_procedure = {
+	.number = ZX_CELL_STATE,
+	.encode_args = (xdrproc_t)xdr_zx_cell_state_args,
+	.decode_result = (xdrproc_t)xdr_zx_cell_state_result,
+	.args_size = sizeof(zx_cell_state_args),
+	.result_size = sizeof(zx_cell_state_result),
+};
+
 /* Registration */
 
 static void on_put(void *ctx, int error, const struct zr_store_reply *reply)
@@ -161,6 +184,116 @@
 			     on_advised, request);
 }
 
+/* Jobs */
+
+static void serve_news(void *ctx, struct zr_rpc_call *call, void *data)
+{
+	struct zr_cell_members *members = ctx;
+	const zx_cell_news *news = data;
+	bool cancel = !news->record.record_len;
+	zx_cell_taken result = {
+		members->events.news(members->ctx, news->job,
+				     cancel ? NULL : news->record.record_val,
+				     news->record.record_len)};
+
+	zr_rpc_reply(call, &result);
+}
+
+static void serve_state(void *ctx, struct zr_rpc_call *call, void *data)
+{
+	struct zr_cell_members *members = ctx;
+	const zx_cell_state_args *args = data;
+	enum zr_cell_job_state state = ZR_CELL_JOB_QUEUED;
+	zx_cell_state_result result = {
+		.known =
+			!members->events.state(members->ctx, &state, args->job),
+	};
+
+	result.state = state;
+	zr_rpc_reply(call, &result);
+}
+
+static struct member *present_member(struct zr_cell_members *members,
+				     const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < members->count; i++) {
+		if (members->members[i].present &&
+		    !strcmp(members->members[i].name, name))
+			return &members->members[i];
+	}
+	return NULL;
+}
+
+static void on_told(void *ctx, int error, void *data)
+{
+	const zx_cell_taken *result = data;
+	char *job = ctx;
+
+	if (error < 0 || !result->taken)
+		zr_log_decision("job.untold job=%s error=%s", job,
+				error < 0 ? zr_error_name(error) : "not_taken");
+	free(job);
+}
+
+void zr_cell_members_tell(struct zr_cell_members *members, const char *host,
+			  const char *job, const void *record, size_t length)
+{
+	struct member *member = present_member(members, host);
+	zx_cell_news news = {(char *)job, {(u_int)length, (char *)record}};
+
+	if (!strcmp(host, members->name))
+		members->events.news(members->ctx, job, record, length);
+	else if (member)
+		zr_rpc_client_call(member->client, &news_procedure, &news,
+				   TELL_TIMEOUT_MS, on_told, strdup(job));
+}
+
+struct state_call {
+	zr_cell_state_fn done;
+	void *ctx;
+};
+
+static void on_state(void *ctx, int error, void *data)
+{
+	struct state_call *call = ctx;
+	const zx_cell_state_result *result = data;
+
+	if (!error && !result->known)
+		error = ZR_E_NOT_FOUND;
+	call->done(call->ctx, error,
+		   error < 0 ? ZR_CELL_JOB_QUEUED
+			     : (enum zr_cell_job_state)result->state);
+	free(call);
+}
+
+void zr_cell_members_state(struct zr_cell_members *members, const char *host,
+			   const char *job, zr_cell_state_fn done, void *ctx)
+{
+	struct member *member = present_member(members, host);
+	zx_cell_state_args args = {(char *)job};
+	enum zr_cell_job_state state = ZR_CELL_JOB_QUEUED;
+	struct state_call *call;
+	int error;
+
+	if (!member) {
+		error = strcmp(host, members->name)
+				? ZR_E_UNREACHABLE
+				: members->events.state(members->ctx, &state,
+							job);
+		done(ctx, error, state);
+		return;
+	}
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		abort();
+	call->done = done;
+	call->ctx = ctx;
+	zr_rpc_client_call(member->client, &state_procedure, &args,
+			   STATE_TIMEOUT_MS, on_state, call);
+}
+
 /* Questions through another host */
 
 struct question {
@@ -281,7 +414,7 @@
 	size_t count = 0;
 	size_t i;
 
-	if (!members->surroundings->advise)
+	if (!members->surroundings->advise || !members->following)
 		return;
 	snprintf(helpers[0].name, sizeof(helpers[0].name), "%s", members->name);
 	helpers[0].ask = ask_here;
@@ -307,7 +440,7 @@
 	size_t i;
 
 	members->reading = false;
-	if (error < 0 || !members->following)
+	if (error < 0)
 		return;
 	for (i = 0; i < members->count; i++)
 		members->members[i].present = false;
@@ -328,7 +461,8 @@
 	struct zr_cell_members *members = ctx;
 
 	keep_registered(members);
-	if (!members->following || members->reading)
+	if (members->reading ||
+	    (!members->following && members->ticks++ % IDLE_TICKS))
 		return;
 	members->reading = true;
 	zr_store_range(&members->surroundings->store, ZR_STORE_OTHER,
@@ -367,10 +501,13 @@
 			const struct zr_timers *timers,
 			const struct zr_cell_surroundings *surroundings,
 			const char *name, const char *address,
-			zr_cell_members_fn changed, void *ctx)
+			zr_cell_members_fn changed,
+			const struct zr_cell_members_events *events, void *ctx)
 {
 	static const struct zr_rpc_service services[] = {
 		{&advise_procedure, serve_advise},
+		{&news_procedure, serve_news},
+		{&state_procedure, serve_state},
 		{NULL, NULL},
 	};
 	struct zr_cell_members *members = calloc(1, sizeof(*members));
@@ -381,6 +518,7 @@
 	members->loop = loop;
 	members->surroundings = surroundings;
 	members->changed = changed;
+	members->events = *events;
 	members->ctx = ctx;
 	snprintf(members->name, sizeof(members->name), "%s", name);
 	snprintf(members->address, sizeof(members->address), "%s", address);
--- a/src/libzinniarack/cell/members.h
+++ b/src/libzinniarack/cell/members.h
@@ -16,6 +16,17 @@
 
 struct zr_cell_members;
 
+/** struct zr_cell_members_events - what other hosts ask of this one */
+struct zr_cell_members_events {
+	bool (*news)(void *ctx, const char *job, const void *record,
+		     size_t length);
+	int (*state)(void *ctx, enum zr_cell_job_state *out, const char *job);
+};
+
+/** Called once; an error means that the store has to be asked. */
+typedef void (*zr_cell_state_fn)(void *ctx, int error,
+				 enum zr_cell_job_state state);
+
 /** Called when the hosts through which the adviser can be asked have changed.
  */
 typedef void (*zr_cell_members_fn)(void *ctx,
@@ -31,6 +42,7 @@
  * @name: this host's name
  * @address: its RPC address
  * @changed: called with @ctx while zr_cell_members_follow() is on
+ * @events: called with @ctx
  * @ctx: passed to @changed
  *
  * Return: 0, ZR_E_INVALID or ZR_E_ADDRESS_IN_USE.
@@ -39,9 +51,25 @@
 			const struct zr_timers *timers,
 			const struct zr_cell_surroundings *surroundings,
 			const char *name, const char *address,
-			zr_cell_members_fn changed, void *ctx);
+			zr_cell_members_fn changed,
+			const struct zr_cell_members_events *events, void *ctx);
+
+/**
+ * zr_cell_members_tell() - tell a host of a job that the store holds
+ * @members: the hosts
+ * @host: the host that owns the cell
+ * @job: the job
+ * @record: its record; NULL for a cancellation
+ * @length: bytes of @record
+ */
+void zr_cell_members_tell(struct zr_cell_members *members, const char *host,
+			  const char *job, const void *record, size_t length);
+
+/** zr_cell_members_state() - ask a host where a job stands */
+void zr_cell_members_state(struct zr_cell_members *members, const char *host,
+			   const char *job, zr_cell_state_fn done, void *ctx);
 
-/** zr_cell_members_follow() - whether to read who the hosts are */
+/** zr_cell_members_follow() - whether this host asks the adviser through all */
 void zr_cell_members_follow(struct zr_cell_members *members, bool follow);
 
 /** zr_cell_members_leave() - this host asks the adviser for others no more */
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -142,6 +142,7 @@
  * @latency_target_ms: added to that objective
  * @accepted_at: when it was accepted
  * @state: as callers see it
+ * @kept_state: the same, as the store holds it
  * @begun: a worker has begun a task of it, as far as is known
  * @cancel_found: a cancellation was found while loading
  * @told: its end has been logged
@@ -172,6 +173,7 @@
 	uint32_t latency_target_ms;
 	int64_t accepted_at;
 	enum zr_cell_job_state state;
+	enum zr_cell_job_state kept_state;
 	bool begun;
 	bool cancel_found;
 	bool told;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -318,10 +318,10 @@
 		zr_timer_new(options->timers, zr_cell_rewatch, scheduler);
 	error = zr_cell_model_init(&scheduler->model);
 	if (!error)
-		error = zr_cell_journal_new(&scheduler->journal,
-					    options->timers, store,
-					    &scheduler->model, options->metrics,
-					    &journal_events, scheduler);
+		error = zr_cell_journal_new(
+			&scheduler->journal, options->timers, options->clock,
+			store, &scheduler->model, options->metrics,
+			&journal_events, scheduler);
 	if (!error)
 		error = zr_owner_new(&scheduler->owner, options->timers,
 				     options->clock, store, options->cell,
@@ -360,6 +360,26 @@
 	zr_cell_plan_soon(scheduler);
 }
 
+const char *zr_cell_scheduler_holder(const struct zr_cell_scheduler *scheduler)
+{
+	return zr_owner_holder(scheduler->owner);
+}
+
+int zr_cell_scheduler_state(enum zr_cell_job_state *out,
+			    const struct zr_cell_scheduler *scheduler,
+			    const char *id)
+{
+	const struct zr_cell_job *job;
+
+	if (!zr_cell_may_order(scheduler))
+		return ZR_E_NOT_OWNER;
+	job = zr_cell_job_find(&scheduler->model, id);
+	if (!job)
+		return ZR_E_NOT_FOUND;
+	*out = job->kept_state;
+	return 0;
+}
+
 void zr_cell_limits_refresh(struct zr_cell_scheduler *scheduler)
 {
 	update_clients(scheduler);
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -3,6 +3,7 @@
 
 #include "zinniarack/cell.h"
 #include "zinniarack/clock.h"
+#include "zinniarack/front.h"
 #include "zinniarack/metrics.h"
 #include "zinniarack/timer.h"
 
@@ -77,6 +78,33 @@
 /** zr_cell_scheduler_active() - whether it owns the cell and places tasks */
 bool zr_cell_scheduler_active(const struct zr_cell_scheduler *scheduler);
 
+/** zr_cell_scheduler_holder() - the host that owns the cell, "" if unknown */
+const char *zr_cell_scheduler_holder(const struct zr_cell_scheduler *scheduler);
+
+/**
+ * zr_cell_scheduler_news() - the store holds a job, or its cancellation
+ * @scheduler: the scheduler
+ * @id: the job
+ * @record: its record; NULL for a cancellation
+ * @length: bytes of @record
+ *
+ * Return: whether it was taken; the watch tells of it in any case.
+ */
+bool zr_cell_scheduler_news(struct zr_cell_scheduler *scheduler, const char *id,
+			    const void *record, size_t length);
+
+/**
+ * zr_cell_scheduler_state() - where a job stands, as the store holds it
+ * @out: its state
+ * @scheduler: the scheduler
+ * @id: the job
+ *
+ * Return: 0; ZR_E_NOT_OWNER or ZR_E_NOT_FOUND when the store has to be asked.
+ */
+int zr_cell_scheduler_state(enum zr_cell_job_state *out,
+			    const struct zr_cell_scheduler *scheduler,
+			    const char *id);
+
 /** zr_cell_scheduler_release() - hand the cell over; @done is called once */
 void zr_cell_scheduler_release(struct zr_cell_scheduler *scheduler,
 			       void (*done)(void *ctx), void *ctx);
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -26,6 +26,7 @@
 	char owner_key[KEY_MAX];
 	char epoch_key[KEY_MAX];
 	char released_key[KEY_MAX];
+	char holder[ZR_NAME_MAX];
 	int64_t own_revision; /* of an owner key of this host's name, or 0 */
 	struct zr_owner_events events;
 	void *ctx;
@@ -127,6 +128,7 @@
 	gain.guard = reply->revision;
 	step(owner, ZR_OWNERSHIP_WON);
 	owner->guard = gain.guard;
+	snprintf(owner->holder, sizeof(owner->holder), "%s", owner->name);
 	set_tick(owner, owner->options.renew_ms);
 	zr_log(ZR_LOG_INFO,
 	       "domain.gained domain=%s epoch=%" PRIu64
@@ -217,6 +219,7 @@
 		return;
 	owner->watch_revision = reply->revision;
 	owner->own_revision = 0;
+	owner->holder[0] = '\0';
 	owner->epoch = 0;
 	owner->epoch_revision = 0;
 	owner->released_epoch = 0;
@@ -225,6 +228,8 @@
 
 		if (!strcmp(value->key, owner->owner_key)) {
 			owned = !is_predecessor(owner, value);
+			snprintf(owner->holder, sizeof(owner->holder), "%.*s",
+				 (int)value->length, (const char *)value->data);
 			if (!owned)
 				owner->own_revision = value->mod_revision;
 		} else if (!strcmp(value->key, owner->epoch_key)) {
@@ -354,6 +359,11 @@
 	return owner->state == ZR_OWNERSHIP_OWNING ? owner->epoch : 0;
 }
 
+const char *zr_owner_holder(const struct zr_owner *owner)
+{
+	return owner->holder;
+}
+
 const char *zr_owner_key(const struct zr_owner *owner)
 {
 	return owner->owner_key;
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -109,6 +109,13 @@
 /** zr_owner_standing() - what it may do at this moment; ask before each send */
 enum zr_owner_standing zr_owner_standing(const struct zr_owner *owner);
 
+/**
+ * zr_owner_holder() - name of the host that owned the domain when last read
+ *
+ * Return: "" when nobody did.
+ */
+const char *zr_owner_holder(const struct zr_owner *owner);
+
 /** zr_owner_key() - the key that journal commits compare */
 const char *zr_owner_key(const struct zr_owner *owner);
 
