Planner: tiers of worth, spots once a pass, questions to few workers

Change: jobs beyond their client account's weight, late and lost jobs wait behind those that can be on time; workers that take tasks are found once a pass; a question names as many workers as the learned share asks for, the roomiest first, is split over hosts when many are idle, and is followed by others about the rest; gangs keep up to a third of the workers. Tests: test_cell_order (a hot client, a backlog after a burst), test_cell_advice (long questions spare hosts), cell/gang_gathers, limit, cancelled, late_start.

--- a/src/daemons/celld.c
+++ b/src/daemons/celld.c
@@ -103,7 +103,7 @@
 		.codec = &codec,
 		.readiness_path = PF_READINESS_PATH,
 	};
-	struct pf_platform *platform;
+	struct pf_platform *platform = NULL;
 	int error = zr_metrics_new(&options.metrics);
 
 	if (!error)
--- a/src/libzinniarack/cell/advice.c
+++ b/src/libzinniarack/cell/advice.c
@@ -1,5 +1,6 @@
 #include "cell/advice.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define US_PER_MS 1000
@@ -9,6 +10,13 @@
 /* Hosts that long and medium questions leave idle. */
 #define SPARED_BY_LONG 3
 #define SPARED_BY_MEDIUM 1
+/* Share assumed of a queue of which nothing is known, and the least believed.
+ */
+#define SHARE_UNKNOWN 350
+#define SHARE_MIN 80
+#define PERMILLE 1000
+/* Part of a new answer in the learned share. */
+#define SHARE_SMOOTHING 16
 
 uint32_t zr_cell_advice_ms(const struct zr_cell_queue *queue, size_t count)
 {
@@ -98,3 +106,60 @@
 	}
 	return idle > spared(usable, question_ms) ? best : NULL;
 }
+
+size_t zr_cell_advice_idle(const struct zr_cell_advice *advice, int64_t now)
+{
+	size_t idle = 0;
+	size_t i;
+
+	for (i = 0; i < advice->count; i++) {
+		const struct zr_cell_helper_row *row = &advice->helpers[i];
+
+		if (!row->gone && !row->busy && now >= row->rest_until)
+			idle++;
+	}
+	return idle;
+}
+
+static const struct zr_cell_share *
+find_share(const struct zr_cell_advice *advice, const char *queue)
+{
+	size_t i;
+
+	for (i = 0; i < advice->share_count; i++) {
+		if (!strcmp(advice->shares[i].queue, queue))
+			return &advice->shares[i];
+	}
+	return NULL;
+}
+
+void zr_cell_advice_learn(struct zr_cell_advice *advice, const char *queue,
+			  size_t named, size_t permitted)
+{
+	struct zr_cell_share *share =
+		(struct zr_cell_share *)find_share(advice, queue);
+	double part = named ? (double)permitted * PERMILLE / (double)named : 0;
+
+	if (!named)
+		return;
+	if (!share) {
+		if (advice->share_count == ZR_CELL_SHARES_MAX)
+			return;
+		share = &advice->shares[advice->share_count++];
+		snprintf(share->queue, sizeof(share->queue), "%s", queue);
+		share->permille = part;
+		return;
+	}
+	share->permille += (part - share->permille) / SHARE_SMOOTHING;
+}
+
+uint32_t zr_cell_advice_share(const struct zr_cell_advice *advice,
+			      const char *queue)
+{
+	const struct zr_cell_share *share = find_share(advice, queue);
+
+	if (!share)
+		return SHARE_UNKNOWN;
+	return share->permille < SHARE_MIN ? SHARE_MIN
+					   : (uint32_t)share->permille;
+}
--- a/src/libzinniarack/cell/advice.h
+++ b/src/libzinniarack/cell/advice.h
@@ -24,10 +24,21 @@
 	uint32_t failures;
 };
 
-/** struct zr_cell_advice - the helpers */
+/** Queues of which the share of permitted workers is learned. */
+#define ZR_CELL_SHARES_MAX 32
+
+/** struct zr_cell_share - which part of the workers a queue is permitted */
+struct zr_cell_share {
+	char queue[ZR_NAME_MAX];
+	double permille;
+};
+
+/** struct zr_cell_advice - the helpers, and what was learned */
 struct zr_cell_advice {
 	struct zr_cell_helper_row helpers[ZR_CELL_HELPERS_MAX];
 	size_t count;
+	struct zr_cell_share shares[ZR_CELL_SHARES_MAX];
+	size_t share_count;
 	struct zr_metric *asked;
 	struct zr_metric *failed;
 	struct zr_histogram *answer_ms;
@@ -52,4 +63,15 @@
 					       int64_t now,
 					       uint32_t question_ms);
 
+/** zr_cell_advice_idle() - helpers that could be asked now */
+size_t zr_cell_advice_idle(const struct zr_cell_advice *advice, int64_t now);
+
+/** zr_cell_advice_learn() - of @named workers @permitted may run a step */
+void zr_cell_advice_learn(struct zr_cell_advice *advice, const char *queue,
+			  size_t named, size_t permitted);
+
+/** zr_cell_advice_share() - permitted part of the workers, in permille */
+uint32_t zr_cell_advice_share(const struct zr_cell_advice *advice,
+			      const char *queue);
+
 #endif
--- /dev/null
+++ b/src/libzinniarack/cell/ask.c
@@ -0,0 +1,295 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/plan.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
+
+/* The adviser is asked again this long after it failed. */
+#define ASK_AGAIN_MS 200
+/* A question is given up this long after its answer was due. */
+#define ASK_SLACK_MS 800
+/*
+ * Workers named for each that is wanted, by the share that was permitted in the
+ * queue so far: some lose their room while the adviser thinks.
+ */
+#define SPARE_FACTOR 2
+#define NAMED_MIN 10
+#define PERMILLE 1000
+/* A long list of workers is split over hosts, if enough are idle. */
+#define CHUNK_MIN 24
+#define CHUNKS_MAX 4
+
+/* A question to the adviser that is open. */
+struct question {
+	struct zr_cell_scheduler *scheduler;
+	uint64_t reign;
+	zr_handle job;
+	uint32_t step;
+	uint32_t permit_ms;
+	int64_t asked_at;
+	struct zr_cell_helper_row *helper;
+	zr_handle named[ZR_CELL_ADVISE_MAX];
+	size_t named_count;
+};
+
+/* A worker that could be named, and how many tasks it has room for. */
+struct candidate {
+	const struct zr_cell_worker *worker;
+	uint32_t slots;
+};
+
+/* Answers */
+
+static void store_passes(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_step_row *step,
+			 const struct question *question,
+			 const struct zr_cell_permit *permits, size_t count,
+			 int64_t until)
+{
+	size_t i;
+
+	for (i = 0; i < question->named_count; i++)
+		zr_cell_pass_obtain(step, question->named[i]);
+	for (i = 0; i < count; i++) {
+		struct zr_cell_worker *worker = zr_cell_worker_find(
+			&scheduler->model, permits[i].worker);
+		struct zr_cell_pass *pass;
+
+		if (!worker)
+			continue;
+		pass = zr_cell_pass_obtain(step, worker->self);
+		pass->permitted = true;
+		pass->until = until;
+		snprintf(pass->ticket, sizeof(pass->ticket), "%s",
+			 permits[i].ticket);
+	}
+}
+
+static void helper_answered(struct zr_cell_scheduler *scheduler,
+			    const struct question *question, int error)
+{
+	struct zr_cell_helper_row *helper = question->helper;
+	int64_t now = zr_cell_now(scheduler);
+
+	helper->busy = false;
+	zr_histogram_observe(scheduler->advice.answer_ms,
+			     (double)(now - question->asked_at));
+	if (!error) {
+		helper->failures = 0;
+		return;
+	}
+	helper->failures++;
+	helper->rest_until = now + ASK_SLACK_MS;
+	scheduler->advice.failed->value++;
+}
+
+static void take_answer(struct zr_cell_scheduler *scheduler,
+			const struct question *question,
+			struct zr_cell_job *job, int error,
+			const struct zr_cell_permit *permits, size_t count,
+			uint32_t validity_ms)
+{
+	struct zr_cell_step_row *step = &job->steps[question->step];
+	int64_t now = zr_cell_now(scheduler);
+
+	step->asking--;
+	zr_log_decision("advice.answered job=%s step=%" PRIu32
+			" host=%s error=%d named=%zu permitted=%zu "
+			"took_ms=%" PRId64,
+			job->id, step->number, question->helper->helper.name,
+			error, question->named_count, count,
+			now - question->asked_at);
+	if (error < 0) {
+		step->retry_at = now + ASK_AGAIN_MS;
+		return;
+	}
+	if (!validity_ms || validity_ms > question->permit_ms)
+		validity_ms = question->permit_ms;
+	store_passes(scheduler, step, question, permits, count,
+		     now + validity_ms);
+	zr_cell_advice_learn(&scheduler->advice, job->queue,
+			     question->named_count, count);
+}
+
+static void on_advice(void *ctx, int error,
+		      const struct zr_cell_permit *permits, size_t count,
+		      uint32_t validity_ms)
+{
+	struct question *question = ctx;
+	struct zr_cell_scheduler *scheduler = question->scheduler;
+	struct zr_cell_job *job;
+
+	if (!zr_cell_call_ended(scheduler)) {
+		free(question);
+		return;
+	}
+	helper_answered(scheduler, question, error);
+	job = question->reign == scheduler->reign
+		      ? zr_cell_job(&scheduler->model, question->job)
+		      : NULL;
+	if (job && question->step < job->step_count)
+		take_answer(scheduler, question, job, error, permits, count,
+			    validity_ms);
+	free(question);
+	zr_cell_plan_soon(scheduler);
+}
+
+/* Questions */
+
+static int by_slots(const void *a, const void *b)
+{
+	const struct candidate *x = a;
+	const struct candidate *y = b;
+
+	if (x->slots != y->slots)
+		return x->slots > y->slots ? -1 : 1;
+	return strcmp(x->worker->report.name, y->worker->report.name);
+}
+
+/* Workers with room: never asked about, or permitted without a valid ticket. */
+static size_t find_candidates(struct candidate *out,
+			      const struct zr_cell_plan *plan,
+			      const struct zr_cell_try *try, bool unasked)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < plan->spot_count; i++) {
+		const struct zr_cell_spot *spot = &plan->spots[i];
+		const struct zr_cell_pass *pass =
+			zr_cell_pass_find(try->step, spot->worker->self);
+		uint32_t slots;
+
+		if (unasked ? pass != NULL : !(pass && pass->permitted))
+			continue;
+		if (zr_cell_spot_permitted(try, spot, plan->now))
+			continue;
+		slots = zr_cell_spot_slots(try, spot);
+		if (!slots || !zr_cell_spot_suits(try, spot))
+			continue;
+		out[count].worker = spot->worker;
+		out[count].slots = slots;
+		count++;
+	}
+	qsort(out, count, sizeof(*out), by_slots);
+	return count;
+}
+
+/* How many of the candidates hold @wanted tasks. */
+static size_t enough(const struct candidate *candidates, size_t count,
+		     uint32_t wanted)
+{
+	uint32_t held = 0;
+	size_t i;
+
+	for (i = 0; i < count && held < wanted; i++)
+		held += candidates[i].slots;
+	return i;
+}
+
+static size_t unasked_wanted(const struct zr_cell_plan *plan,
+			     const struct zr_cell_try *try,
+			     const struct candidate *candidates, size_t count,
+			     uint32_t wanted)
+{
+	uint32_t share =
+		zr_cell_advice_share(&plan->scheduler->advice, try->job->queue);
+	size_t needed = enough(candidates, count, wanted) * SPARE_FACTOR *
+			PERMILLE / share;
+
+	if (needed < NAMED_MIN)
+		needed = NAMED_MIN;
+	return needed < count ? needed : count;
+}
+
+static void send_question(struct zr_cell_plan *plan,
+			  const struct zr_cell_try *try,
+			  const struct candidate *candidates, size_t count,
+			  struct zr_cell_helper_row *helper)
+{
+	struct zr_cell_scheduler *scheduler = plan->scheduler;
+	struct question *question = calloc(1, sizeof(*question));
+	const char *names[ZR_CELL_ADVISE_MAX];
+	size_t i;
+
+	if (!question)
+		abort();
+	question->scheduler = scheduler;
+	question->reign = scheduler->reign;
+	question->job = try->job->self;
+	question->step = (uint32_t)(try->step - try->job->steps);
+	question->permit_ms = try->queue.permit_ms;
+	question->asked_at = plan->now;
+	question->helper = helper;
+	for (i = 0; i < count; i++) {
+		names[i] = candidates[i].worker->report.name;
+		question->named[i] = candidates[i].worker->self;
+	}
+	question->named_count = count;
+	helper->busy = true;
+	try->step->asking++;
+	scheduler->advice.asked->value++;
+	scheduler->open_calls++;
+	helper->helper.ask(helper->helper.ctx, try->job->id,
+			   try->step->occurrence, try->step->number, names,
+			   count,
+			   zr_cell_advice_ms(&try->queue, count) + ASK_SLACK_MS,
+			   on_advice, question);
+}
+
+static size_t chunk_size(const struct zr_cell_plan *plan, size_t count)
+{
+	size_t chunks =
+		zr_cell_advice_idle(&plan->scheduler->advice, plan->now) /
+		CHUNKS_MAX;
+
+	if (chunks > CHUNKS_MAX)
+		chunks = CHUNKS_MAX;
+	if (chunks > count / CHUNK_MIN)
+		chunks = count / CHUNK_MIN;
+	if (!chunks)
+		chunks = 1;
+	count = (count + chunks - 1) / chunks;
+	return count < ZR_CELL_ADVISE_MAX ? count : ZR_CELL_ADVISE_MAX;
+}
+
+void zr_cell_ask(struct zr_cell_plan *plan, const struct zr_cell_try *try)
+{
+	struct zr_cell_advice *advice = &plan->scheduler->advice;
+	struct candidate *candidates;
+	uint32_t wanted = try->step->waiting;
+	size_t known;
+	size_t count;
+	size_t size;
+	size_t at;
+
+	if (try->step->asking || plan->now < try->step->retry_at)
+		return;
+	candidates = calloc(plan->spot_count + 1, sizeof(*candidates));
+	if (!candidates)
+		abort();
+	known = find_candidates(candidates, plan, try, false);
+	count = enough(candidates, known, wanted);
+	if (count == known) {
+		size_t unasked =
+			find_candidates(candidates + known, plan, try, true);
+
+		count += unasked_wanted(plan, try, candidates + known, unasked,
+					wanted);
+	}
+	size = chunk_size(plan, count);
+	for (at = 0; at < count; at += size) {
+		size_t named = count - at < size ? count - at : size;
+		struct zr_cell_helper_row *helper = zr_cell_advice_pick(
+			advice, plan->now,
+			zr_cell_advice_ms(&try->queue, named));
+
+		if (!helper)
+			break;
+		send_question(plan, try, candidates + at, named, helper);
+	}
+	free(candidates);
+}
--- a/src/libzinniarack/cell/front.c
+++ b/src/libzinniarack/cell/front.c
@@ -470,7 +470,8 @@
 		zr_cell_config_key(config, call->key);
 
 	if (client)
-		strcpy(serving->client, client->name);
+		snprintf(serving->client, sizeof(serving->client), "%s",
+			 client->name);
 	if (queue->open || client)
 		return true;
 	finish_with(serving, ZR_CALL_UNAUTHORIZED, "unknown_key");
@@ -523,7 +524,7 @@
 		finish_with(serving, ZR_CALL_NO_QUEUE, "no_queue");
 		return;
 	}
-	strcpy(serving->queue, queue->name);
+	snprintf(serving->queue, sizeof(serving->queue), "%s", queue->name);
 	if (!admit(serving, &call, config, queue))
 		return;
 	if (call.kind == ZR_CALL_COUNT) {
--- a/src/libzinniarack/cell/intake.c
+++ b/src/libzinniarack/cell/intake.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cell/private.h"
+#include "cell/plan.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
@@ -69,6 +69,20 @@
 
 /* Accepted jobs */
 
+static void charge(struct zr_cell_scheduler *scheduler, struct zr_cell_job *job)
+{
+	job->excess = !zr_cell_order_charge(
+		zr_cell_client(&scheduler->model, job->client),
+		job->accepted_at);
+}
+
+static int by_acceptance(struct zr_cell_job *a, struct zr_cell_job *b)
+{
+	if (a->accepted_at != b->accepted_at)
+		return a->accepted_at < b->accepted_at ? -1 : 1;
+	return 0;
+}
+
 static void fill_job(struct zr_cell_scheduler *scheduler,
 		     struct zr_cell_job *job, const zx_cell_job *record)
 {
@@ -86,6 +100,9 @@
 	job->accepted_at =
 		now -
 		(today > record->accepted_ms ? today - record->accepted_ms : 0);
+	/* Found jobs are charged in the order of their acceptance, later. */
+	if (scheduler->phase == ZR_CELL_ACTIVE)
+		charge(scheduler, job);
 	for (i = 0; i < job->step_count; i++) {
 		if (job->spec.repeats)
 			job->steps[i].due_at = now + job->spec.first_ms +
@@ -135,11 +152,12 @@
 	if (!job)
 		return;
 	zr_log_decision("job.taken job=%s queue=%s client=%s tasks=%" PRIu32
-			" steps=%" PRIu32 " age_ms=%" PRId64 " by=%s",
+			" steps=%" PRIu32 " age_ms=%" PRId64 " excess=%d by=%s",
 			id, job->queue,
 			zr_cell_client(&scheduler->model, job->client)->name,
 			job->task_count, job->step_count,
-			zr_cell_now(scheduler) - job->accepted_at, by);
+			zr_cell_now(scheduler) - job->accepted_at, job->excess,
+			by);
 	review(scheduler, job);
 	zr_cell_plan_soon(scheduler);
 }
@@ -362,7 +380,10 @@
 	size_t open = 0;
 
 	zr_cell_limits_refresh(scheduler);
+	HASH_SORT(scheduler->model.job_by_id, by_acceptance);
 	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
+		if (!zr_cell_job_over(job))
+			charge(scheduler, job);
 		open += job->open;
 		review(scheduler, job);
 		zr_cell_repair_gangs(scheduler, job);
--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -178,7 +179,8 @@
 	row = &job->tasks[task];
 	job->begun = true;
 	if (run->checkpoint[0])
-		strcpy(row->checkpoint, run->checkpoint);
+		snprintf(row->checkpoint, sizeof(row->checkpoint), "%s",
+			 run->checkpoint);
 	if (run->percent != row->percent) {
 		row->percent = run->percent;
 		row->percent_at = now;
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -254,17 +254,11 @@
 	step->listed = true;
 }
 
-/* Workers must not keep pointing at a step that goes. */
-static void unreserve(struct zr_cell_model *model,
-		      const struct zr_cell_step_row *step)
+void zr_cell_step_unlist_placed(struct zr_cell_model *model,
+				struct zr_cell_step_row *step)
 {
-	struct zr_cell_worker *worker;
-	struct zr_cell_worker *next;
-
-	HASH_ITER (hh, model->worker_by_name, worker, next) {
-		if (worker->reserved_for == step)
-			worker->reserved_for = NULL;
-	}
+	if (!step->waiting)
+		unlist_step(model, step);
 }
 
 static void free_steps(struct zr_cell_model *model, struct zr_cell_job *job)
@@ -273,8 +267,8 @@
 
 	for (i = 0; i < job->step_count; i++) {
 		unlist_step(model, &job->steps[i]);
-		unreserve(model, &job->steps[i]);
 		free(job->steps[i].passes);
+		free(job->steps[i].pass_index);
 	}
 	free(job->steps);
 	job->steps = NULL;
@@ -321,7 +315,7 @@
 			 const struct zr_cell_step_row *step)
 {
 	const struct zr_cell_step_row *first =
-		&job->steps[step->occurrence * job->spec.step_count];
+		&job->steps[(size_t)step->occurrence * job->spec.step_count];
 	uint32_t i;
 
 	for (i = 0; i < step->spec->after_count; i++) {
@@ -360,7 +354,6 @@
 
 		if (zr_cell_job_over(job) || !step->waiting) {
 			unlist_step(model, step);
-			unreserve(model, step);
 			continue;
 		}
 		if (step->ready_at == ZR_CELL_NEVER && earlier_done(job, step))
@@ -393,7 +386,7 @@
 		.index = task - step->first,
 	};
 
-	strcpy(name.job, job->id);
+	snprintf(name.job, sizeof(name.job), "%s", job->id);
 	return name;
 }
 
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -94,8 +94,9 @@
  * @retry_at: not to be tried before
  * @passes: what the adviser said of each worker that it was asked about
  * @pass_count: how many
- * @explored: whether the adviser has answered a question
- * @asking: a question to the adviser is open
+ * @pass_index: place in @passes, counted from 1, by a worker's index
+ * @pass_index_size: how many
+ * @asking: questions to the adviser that are open
  * @prev: in the list of ready steps
  * @next: likewise
  * @listed: whether it is there
@@ -116,8 +117,9 @@
 	int64_t retry_at;
 	struct zr_cell_pass *passes;
 	size_t pass_count;
-	bool explored;
-	bool asking;
+	uint16_t *pass_index;
+	size_t pass_index_size;
+	uint32_t asking;
 	struct zr_cell_step_row *prev;
 	struct zr_cell_step_row *next;
 	bool listed;
@@ -141,6 +143,7 @@
  * @stretch_permille: its objective, as a multiple of its work
  * @latency_target_ms: added to that objective
  * @accepted_at: when it was accepted
+ * @excess: its client account had sent more than its weight by then
  * @state: as callers see it
  * @kept_state: the same, as the store holds it
  * @begun: a worker has begun a task of it, as far as is known
@@ -172,6 +175,7 @@
 	uint32_t stretch_permille;
 	uint32_t latency_target_ms;
 	int64_t accepted_at;
+	bool excess;
 	enum zr_cell_job_state state;
 	enum zr_cell_job_state kept_state;
 	bool begun;
@@ -194,7 +198,9 @@
  * @name: its name
  * @used: what its open runs hold
  * @limit: its upper limit; a zero member sets none
- * @weight: its share when all is full
+ * @weight: its share when all is full, in jobs a second
+ * @credit: jobs that it may send within its weight, in thousandths
+ * @charged_at: when the last of them was accepted
  */
 struct zr_cell_client_row {
 	char name[ZR_NAME_MAX];
@@ -203,7 +209,8 @@
 	uint64_t used_accelerators;
 	struct zr_resources limit;
 	uint32_t weight;
-	UT_hash_handle hh;
+	int64_t credit;
+	int64_t charged_at;
 };
 
 /** struct zr_cell_ack - a job's change that a worker's ends wait for */
@@ -240,7 +247,6 @@
  * @suspect_until: gets no work until then
  * @blamed: the job that failed there last
  * @failures: failures in a row, of different jobs
- * @reserved_for: the gang that gathers room there
  */
 struct zr_cell_worker {
 	struct zr_worker_report report;
@@ -271,7 +277,6 @@
 	int64_t suspect_until;
 	zr_handle blamed;
 	uint32_t failures;
-	const struct zr_cell_step_row *reserved_for;
 	UT_hash_handle hh;
 };
 
@@ -283,7 +288,7 @@
  * @worker_by_name: the same by name
  * @clients: &struct zr_cell_client_row pointers by handle
  * @client_by_name: the same by name
- * @ready: steps with waiting tasks whose turn has come
+ * @ready: steps with waiting tasks whose turn has come, by rank
  * @dirty: jobs with changes that the store does not hold
  */
 struct zr_cell_model {
@@ -344,6 +349,10 @@
 void zr_cell_job_review(struct zr_cell_model *model, struct zr_cell_job *job,
 			int64_t now, int64_t today_ms);
 
+/** zr_cell_step_unlist_placed() - a step without waiting tasks is not ready */
+void zr_cell_step_unlist_placed(struct zr_cell_model *model,
+				struct zr_cell_step_row *step);
+
 struct zr_cell_step_row *zr_cell_task_step(const struct zr_cell_job *job,
 					   uint32_t task);
 struct zr_cell_task_name zr_cell_task_name(const struct zr_cell_job *job,
--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -6,7 +6,7 @@
 
 #include "zinniarack/errors.h"
 
-#define RECORD_BYTES_MAX (512 * 1024)
+#define RECORD_BYTES_MAX 524288UL
 
 int zr_cell_encode(struct zr_cell_bytes *out, xdrproc_t codec, void *record)
 {
@@ -66,8 +66,8 @@
 	out->first_ms = spec->first_ms;
 	out->interval_ms = spec->interval_ms;
 	out->steps.steps_len = spec->step_count;
-	out->steps.steps_val =
-		calloc(spec->step_count + 1, sizeof(*out->steps.steps_val));
+	out->steps.steps_val = calloc((size_t)spec->step_count + 1,
+				      sizeof(*out->steps.steps_val));
 	if (!out->steps.steps_val)
 		abort();
 	for (i = 0; i < spec->step_count; i++)
@@ -89,7 +89,8 @@
 	out->need.accelerators = step->accelerators;
 	out->estimate_ms = step->estimate_ms;
 	out->after_count = step->after.after_len;
-	out->after = calloc(step->after.after_len + 1, sizeof(*out->after));
+	out->after =
+		calloc((size_t)step->after.after_len + 1, sizeof(*out->after));
 	if (!out->after)
 		abort();
 	memcpy(out->after, step->after.after_val,
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -1,8 +1,9 @@
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "cell/private.h"
+#include "cell/plan.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
@@ -250,7 +251,8 @@
 		return;
 	}
 	if (end->checkpoint[0])
-		strcpy(row->checkpoint, end->checkpoint);
+		snprintf(row->checkpoint, sizeof(row->checkpoint), "%s",
+			 end->checkpoint);
 	note_outcome(scheduler, job, row, worker, end->how);
 	if (end->how == ZR_RUN_DONE)
 		mark_finished(job, task);
@@ -436,12 +438,8 @@
 			zr_handle worker)
 {
 	struct zr_cell_step_row *step = zr_cell_task_step(job, task);
-	size_t i;
 
-	for (i = 0; i < step->pass_count; i++) {
-		if (step->passes[i].worker == worker)
-			step->passes[i].until = 0;
-	}
+	zr_cell_pass_obtain(step, worker)->until = 0;
 }
 
 static void take_refusal(struct zr_cell_scheduler *scheduler,
@@ -562,13 +560,9 @@
 static const char *permit_of(const struct zr_cell_step_row *step,
 			     zr_handle worker)
 {
-	size_t i;
+	const struct zr_cell_pass *pass = zr_cell_pass_find(step, worker);
 
-	for (i = 0; i < step->pass_count; i++) {
-		if (step->passes[i].worker == worker)
-			return step->passes[i].ticket;
-	}
-	return "";
+	return pass ? pass->ticket : "";
 }
 
 /* A checkpoint of any member is good for the whole gang. */
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -75,7 +76,7 @@
 		count = calloc(1, sizeof(*count));
 		if (!count)
 			abort();
-		strcpy(count->name, job->queue);
+		snprintf(count->name, sizeof(count->name), "%s", job->queue);
 		HASH_ADD_STR(*counts, name, count);
 	}
 	if (!job->begun && !zr_cell_job_over(job))
