Gangs reserve all they need or nothing; lint

Change: the roomiest permitted workers that hold the whole gang are reserved, or none; the first gang may take more than a third of them.

--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -147,7 +147,8 @@
 	/* Client accounts are few: dozens at most. */
 	for (handle = zr_table_next(model->clients, ZR_HANDLE_NONE); handle;
 	     handle = zr_table_next(model->clients, handle)) {
-		if (!strcmp(zr_cell_client(model, handle)->name, name))
+		client = zr_cell_client(model, handle);
+		if (client && !strcmp(client->name, name))
 			return handle;
 	}
 	client = calloc(1, sizeof(*client));
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -5,7 +5,7 @@
 
 /* A permit must still be valid when the start arrives. */
 #define PERMIT_SLACK_MS 120
-/* Gangs may keep at most this part of the workers from later steps. */
+/* Gangs, but for the first, keep at most this part of the workers together. */
 #define RESERVED_PART 3
 
 static uint32_t times(uint32_t have, uint32_t need)
@@ -230,25 +230,60 @@
 	return placed;
 }
 
-void zr_cell_spots_reserve(struct zr_cell_plan *plan,
-			   const struct zr_cell_try *try)
+static int by_room(const void *a, const void *b)
 {
-	uint32_t wanted = try->step->spec->count;
-	uint32_t held = 0;
+	const struct zr_cell_spot *const *x = a;
+	const struct zr_cell_spot *const *y = b;
+
+	if ((*x)->left.millicpus != (*y)->left.millicpus)
+		return (*x)->left.millicpus > (*y)->left.millicpus ? -1 : 1;
+	return strcmp((*x)->worker->report.name, (*y)->worker->report.name);
+}
+
+static size_t find_reservable(struct zr_cell_spot **out,
+			      struct zr_cell_plan *plan,
+			      const struct zr_cell_try *try)
+{
+	size_t count = 0;
 	size_t i;
 
-	for (i = 0; i < plan->spot_count && held < wanted; i++) {
+	for (i = 0; i < plan->spot_count; i++) {
 		struct zr_cell_spot *spot = &plan->spots[i];
 		const struct zr_cell_pass *pass =
 			zr_cell_pass_find(try->step, spot->worker->self);
 
-		if (plan->reserved * RESERVED_PART >= plan->spot_count)
-			return;
-		if (spot->reserved_for || !zr_cell_spot_suits(try, spot) ||
-		    (try->queue.advised && !(pass && pass->permitted)))
-			continue;
-		spot->reserved_for = try->step;
-		plan->reserved++;
-		held += fits(&spot->worker->report.capacity, &try->need);
+		if (!spot->reserved_for && zr_cell_spot_suits(try, spot) &&
+		    (!try->queue.advised || (pass && pass->permitted)))
+			out[count++] = spot;
+	}
+	qsort(out, count, sizeof(struct zr_cell_spot *), by_room);
+	return count;
+}
+
+/* All that a gang needs or nothing: a part of it would only stand idle. */
+void zr_cell_spots_reserve(struct zr_cell_plan *plan,
+			   const struct zr_cell_try *try)
+{
+	uint32_t wanted = try->step->spec->count;
+	struct zr_cell_spot **spots;
+	uint32_t held = 0;
+	size_t needed = 0;
+	size_t count;
+	size_t i;
+
+	spots = calloc(plan->spot_count + 1, sizeof(struct zr_cell_spot *));
+	if (!spots)
+		abort();
+	count = find_reservable(spots, plan, try);
+	for (; needed < count && held < wanted; needed++)
+		held += fits(&spots[needed]->worker->report.capacity,
+			     &try->need);
+	if (held >= wanted &&
+	    (!plan->reserved ||
+	     (plan->reserved + needed) * RESERVED_PART <= plan->spot_count)) {
+		for (i = 0; i < needed; i++)
+			spots[i]->reserved_for = try->step;
+		plan->reserved += needed;
 	}
+	free(spots);
 }
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -326,7 +326,6 @@
 	const char *times = strchr(text, 'x');
 	const char *colon = strchr(text, ':');
 	const char *after = strchr(text, '@');
-	char entry[64];
 
 	if (!strncmp(text, "gang,", 5)) {
 		step->flags = ZR_STEP_GANG;
@@ -339,11 +338,10 @@
 		step->after[0] = (uint32_t)atoi(after + 1);
 		step->after_count = 1;
 	}
-	snprintf(entry, sizeof(entry), "%s%s%d:%u", *payload ? "," : "",
-		 colon[1] == 'f' ? "f" : "",
+	snprintf(payload + strlen(payload), LINE_MAX_BYTES - strlen(payload),
+		 "%s%s%d:%u", *payload ? "," : "", colon[1] == 'f' ? "f" : "",
 		 atoi(colon[1] == 'f' ? colon + 2 : colon + 1),
 		 step->need.millicpus);
-	strcat(payload, entry);
 }
 
 static void do_submit(struct script *script)
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -4,7 +4,7 @@
 
 #include "cell/plan.h"
 
-#define SECOND 1000
+#define SECOND INT64_C(1000)
 
 static struct zr_cell_step step = {.estimate_ms = 1000};
 
