--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -71,6 +71,7 @@
 extern const struct cli_command cli_cancel;
 extern const struct cli_command cli_submit;
 extern const struct cli_command cli_job;
+extern const struct cli_command cli_trace;
 
 /* call.c */
 
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -11,10 +11,10 @@
 const char *argp_program_version = "zinniarack 0.1";
 
 static const struct cli_command *const commands[] = {
-	&cli_config, &cli_teams,    &cli_queues,  &cli_key,
-	&cli_status, &cli_domains,  &cli_recover, &cli_workers,
-	&cli_drain,  &cli_undrain,  &cli_jobs,	  &cli_explain,
-	&cli_cancel, &cli_counters, &cli_submit,  &cli_job,
+	&cli_config,  &cli_teams,   &cli_queues,  &cli_key,	 &cli_status,
+	&cli_domains, &cli_recover, &cli_workers, &cli_drain,	 &cli_undrain,
+	&cli_jobs,    &cli_explain, &cli_cancel,  &cli_counters, &cli_submit,
+	&cli_job,     &cli_trace,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -37,16 +37,40 @@
 		zr_cell_looks_due(scheduler, worker);
 }
 
+/* Runs that are placed and not sent are not there to be lost. */
+static size_t count_sent(const struct zr_cell_scheduler *scheduler,
+			 const struct zr_cell_worker *worker)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < worker->run_count; i++) {
+		struct zr_cell_ref ref = worker->runs[i];
+		const struct zr_cell_job *job =
+			zr_cell_job(&scheduler->model, ref.job);
+
+		if (job->tasks[ref.task].state != ZR_TASK_PLACED)
+			count++;
+	}
+	return count;
+}
+
 static void lose_runs(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_worker *worker, const char *reason)
 {
-	while (worker->run_count) {
-		struct zr_cell_ref ref = worker->runs[worker->run_count - 1];
+	size_t i = 0;
+
+	while (i < worker->run_count) {
+		struct zr_cell_ref ref = worker->runs[i];
+		struct zr_cell_job *job =
+			zr_cell_job(&scheduler->model, ref.job);
 
+		i++;
+		if (job->tasks[ref.task].state == ZR_TASK_PLACED)
+			continue;
 		scheduler->lost->value++;
-		zr_cell_run_over(scheduler,
-				 zr_cell_job(&scheduler->model, ref.job),
-				 ref.task, reason);
+		zr_cell_run_over(scheduler, job, ref.task, reason);
+		i = 0;
 	}
 }
 
@@ -336,8 +360,9 @@
 {
 	int64_t now = zr_cell_now(scheduler);
 
-	if (worker->run_count && worker->state != ZR_WORKER_UP &&
-	    worker->state != ZR_WORKER_LEAVING && now > worker->silent_until) {
+	if (worker->state != ZR_WORKER_UP &&
+	    worker->state != ZR_WORKER_LEAVING && now > worker->silent_until &&
+	    count_sent(scheduler, worker)) {
 		zr_log_decision("worker.lease_over worker=%s runs=%zu",
 				worker->report.name, worker->run_count);
 		lose_runs(scheduler, worker, "lease_over");
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -14,25 +14,27 @@
 }
 
 static void log_placed(const struct zr_cell_plan *plan,
-		       const struct zr_cell_try *try, uint32_t placed)
+		       const struct zr_cell_try *try, uint32_t placed,
+		       const char *names)
 {
 	const struct zr_cell_step_row *step = try->step;
 
 	zr_log_decision("step.placed job=%s occurrence=%" PRIu32
 			" step=%" PRIu32 " tasks=%" PRIu32 " left=%" PRIu32
-			" waited_ms=%" PRId64 " version=%" PRIu64,
+			" waited_ms=%" PRId64 " version=%" PRIu64 " on=%s",
 			try->job->id, step->occurrence, step->number, placed,
 			step->waiting, plan->now - step->ready_at,
-			plan->scheduler->config->version);
+			plan->scheduler->config->version, names);
 }
 
 static void place(struct zr_cell_plan *plan, const struct zr_cell_try *try,
 		  uint32_t most)
 {
-	uint32_t placed = zr_cell_spots_place(plan, try, most);
+	char names[ZR_CELL_NAMES_MAX];
+	uint32_t placed = zr_cell_spots_place(plan, try, most, names);
 
 	if (placed)
-		log_placed(plan, try, placed);
+		log_placed(plan, try, placed, names);
 }
 
 static void try_gang(struct zr_cell_plan *plan, const struct zr_cell_try *try)
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -94,9 +94,21 @@
 			    const struct zr_cell_spot *spot, int64_t now);
 struct zr_cell_room zr_cell_spots_room(const struct zr_cell_plan *plan,
 				       const struct zr_cell_try *try);
-/** zr_cell_spots_place() - place up to @most waiting tasks */
+/** Longest list of workers in a log line, with the final NUL. */
+#define ZR_CELL_NAMES_MAX 200
+
+/**
+ * zr_cell_spots_place() - place up to @most waiting tasks
+ * @plan: the pass
+ * @try: the step
+ * @most: how many
+ * @names: the workers, separated by commas, as far as there is room
+ *
+ * Return: how many were placed.
+ */
 uint32_t zr_cell_spots_place(struct zr_cell_plan *plan,
-			     const struct zr_cell_try *try, uint32_t most);
+			     const struct zr_cell_try *try, uint32_t most,
+			     char names[ZR_CELL_NAMES_MAX]);
 /** zr_cell_spots_reserve() - keep later steps off workers a gang waits for */
 void zr_cell_spots_reserve(struct zr_cell_plan *plan,
 			   const struct zr_cell_try *try);
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -203,8 +204,18 @@
 	spot->left.accelerators -= need->accelerators;
 }
 
+static void add_name(char names[ZR_CELL_NAMES_MAX], const char *name)
+{
+	size_t used = strlen(names);
+
+	if (used + strlen(name) + 2 <= ZR_CELL_NAMES_MAX)
+		snprintf(names + used, ZR_CELL_NAMES_MAX - used, "%s%s",
+			 used ? "," : "", name);
+}
+
 uint32_t zr_cell_spots_place(struct zr_cell_plan *plan,
-			     const struct zr_cell_try *try, uint32_t most)
+			     const struct zr_cell_try *try, uint32_t most,
+			     char names[ZR_CELL_NAMES_MAX])
 {
 	const struct zr_cell_step_row *step = try->step;
 	bool gang = zr_cell_step_is_gang(step);
@@ -213,6 +224,7 @@
 	uint32_t placed = 0;
 	uint32_t task;
 
+	names[0] = '\0';
 	for (task = step->first; task < end && placed < most; task++) {
 		struct zr_cell_task *row = &try->job->tasks[task];
 		struct zr_cell_spot *spot;
@@ -225,6 +237,7 @@
 		zr_cell_place(plan->scheduler, try->job, task, spot->worker,
 			      gang ? attempt : row->attempt + 1);
 		take(spot, &try->need);
+		add_name(names, spot->worker->report.name);
 		placed++;
 	}
 	return placed;
