Small hosts leave a vacant cell to larger ones

Ruled out: the adviser (answers in 150 ms, as before). Change: hosts register their size; one that knows a larger one leaves a vacant cell to it for 350 ms. Test: cell/small_hosts.

--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -23,6 +23,7 @@
  * @store: address of the store
  * @adviser: address of the placement adviser, NULL without one
  * @listen: addresses to listen on
+ * @processors: how large the host is; the largest ones own the cell
  * @lease_ms: length of the leases given to workers
  * @lease_max_ms: workers cut longer leases to this
  * @keep_ended_ms: how long an ended job's state can be read
@@ -42,6 +43,7 @@
 		char *peers;
 		char *metrics;
 	} listen;
+	double processors;
 	uint32_t lease_ms;
 	uint32_t lease_max_ms;
 	uint32_t keep_ended_ms;
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -110,6 +110,8 @@
 
 	zr_cell_members_follow(host->members,
 			       zr_cell_scheduler_active(host->scheduler));
+	zr_cell_scheduler_outsized(host->scheduler,
+				   zr_cell_members_larger(host->members));
 }
 
 /* Start */
@@ -145,7 +147,8 @@
 		error = zr_cell_members_new(
 			&host->members, options->loop, &host->timers,
 			&host->surroundings, settings->name,
-			settings->listen.peers, on_helpers, &events, host);
+			settings->listen.peers, settings->processors,
+			on_helpers, &events, host);
 	return error;
 }
 
--- a/src/libzinniarack/cell/members.c
+++ b/src/libzinniarack/cell/members.c
@@ -1,5 +1,6 @@
 #include "cell/members.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,12 +22,14 @@
 #define STATE_TIMEOUT_MS 250
 /* How often a host that does not own the cell reads who the hosts are. */
 #define IDLE_TICKS 5
+#define MILLICPUS 1000
 
 /* Another host. Rows are kept, so that open questions can refer to them. */
 struct member {
 	char name[ZR_NAME_MAX];
 	char address[ZR_NAME_MAX];
 	struct zr_rpc_client *client;
+	uint32_t size;
 	bool present;
 };
 
@@ -35,6 +38,7 @@
 	const struct zr_cell_surroundings *surroundings;
 	char name[ZR_NAME_MAX];
 	char address[ZR_NAME_MAX];
+	uint32_t size; /* thousandths of a processor */
 	zr_cell_members_fn changed;
 	struct zr_cell_members_events events;
 	void *ctx;
@@ -89,8 +93,8 @@
 {
 	struct zr_cell_members *members = ctx;
 	char key[ZR_CELL_KEY_MAX];
-	struct zr_store_put put = {key, members->address,
-				   strlen(members->address), 0};
+	char value[2 * ZR_NAME_MAX];
+	struct zr_store_put put = {key, value, 0, 0};
 	const struct zr_store_txn txn = {NULL, 0, &put, 1};
 
 	if (error < 0) {
@@ -99,6 +103,8 @@
 	}
 	members->lease = reply->lease;
 	put.lease = reply->lease;
+	put.length = (size_t)snprintf(value, sizeof(value), "%s %" PRIu32,
+				      members->address, members->size);
 	snprintf(key, sizeof(key), "%s%s", ZR_CELL_HOST_PREFIX, members->name);
 	zr_store_commit(&members->surroundings->store, ZR_STORE_LEASE, &txn,
 			on_put, members);
@@ -387,7 +393,7 @@
 }
 
 static void add_member(struct zr_cell_members *members, const char *name,
-		       const char *address)
+		       const char *address, uint32_t size)
 {
 	struct member *member = find_member(members, name, address);
 
@@ -404,8 +410,10 @@
 	members->count++;
 	snprintf(member->name, sizeof(member->name), "%s", name);
 	snprintf(member->address, sizeof(member->address), "%s", address);
+	member->size = size;
 	member->present = true;
-	zr_log(ZR_LOG_INFO, "host.found host=%s address=%s", name, address);
+	zr_log(ZR_LOG_INFO, "host.found host=%s address=%s size=%" PRIu32, name,
+	       address, size);
 }
 
 static void tell_helpers(struct zr_cell_members *members)
@@ -433,10 +441,37 @@
 	members->changed(members->ctx, helpers, count);
 }
 
+/* A value is the address and the size, with a space between. */
+static int read_host(char out[ZR_NAME_MAX], uint32_t *out_size,
+		     const char *value)
+{
+	size_t length = strcspn(value, " ");
+
+	if (!length || length >= ZR_NAME_MAX)
+		return ZR_E_PROTOCOL;
+	memcpy(out, value, length);
+	out[length] = '\0';
+	*out_size = (uint32_t)strtoul(value + length, NULL, 10);
+	return 0;
+}
+
+bool zr_cell_members_larger(const struct zr_cell_members *members)
+{
+	size_t i;
+
+	for (i = 0; i < members->count; i++) {
+		if (members->members[i].present &&
+		    members->members[i].size > members->size)
+			return true;
+	}
+	return false;
+}
+
 static void on_hosts(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct zr_cell_members *members = ctx;
 	char address[ZR_NAME_MAX];
+	uint32_t size;
 	size_t i;
 
 	members->reading = false;
@@ -448,10 +483,9 @@
 		const struct zr_store_value *value = &reply->values[i];
 		const char *name = value->key + strlen(ZR_CELL_HOST_PREFIX);
 
-		snprintf(address, sizeof(address), "%s",
-			 (const char *)value->data);
-		if (strcmp(name, members->name))
-			add_member(members, name, address);
+		if (value->data && strcmp(name, members->name) &&
+		    read_host(address, &size, value->data) == 0)
+			add_member(members, name, address, size);
 	}
 	tell_helpers(members);
 }
@@ -501,7 +535,7 @@
 			const struct zr_timers *timers,
 			const struct zr_cell_surroundings *surroundings,
 			const char *name, const char *address,
-			zr_cell_members_fn changed,
+			double processors, zr_cell_members_fn changed,
 			const struct zr_cell_members_events *events, void *ctx)
 {
 	static const struct zr_rpc_service services[] = {
@@ -519,6 +553,7 @@
 	members->surroundings = surroundings;
 	members->changed = changed;
 	members->events = *events;
+	members->size = (uint32_t)(processors * MILLICPUS);
 	members->ctx = ctx;
 	snprintf(members->name, sizeof(members->name), "%s", name);
 	snprintf(members->address, sizeof(members->address), "%s", address);
--- a/src/libzinniarack/cell/members.h
+++ b/src/libzinniarack/cell/members.h
@@ -41,6 +41,7 @@
  * @surroundings: what it calls; kept by reference
  * @name: this host's name
  * @address: its RPC address
+ * @processors: how large the host is
  * @changed: called with @ctx while zr_cell_members_follow() is on
  * @events: called with @ctx
  * @ctx: passed to @changed
@@ -51,7 +52,7 @@
 			const struct zr_timers *timers,
 			const struct zr_cell_surroundings *surroundings,
 			const char *name, const char *address,
-			zr_cell_members_fn changed,
+			double processors, zr_cell_members_fn changed,
 			const struct zr_cell_members_events *events, void *ctx);
 
 /**
@@ -72,6 +73,9 @@
 /** zr_cell_members_follow() - whether this host asks the adviser through all */
 void zr_cell_members_follow(struct zr_cell_members *members, bool follow);
 
+/** zr_cell_members_larger() - whether a larger host was there when last read */
+bool zr_cell_members_larger(const struct zr_cell_members *members);
+
 /** zr_cell_members_leave() - this host asks the adviser for others no more */
 void zr_cell_members_leave(struct zr_cell_members *members);
 
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -20,6 +20,7 @@
 
 /**
  * struct zr_cell_scheduler - the scheduler
+ * @outsized: a larger host could own the cell
  * @reign: counts ownerships; an answer to a call of an earlier one is ignored
  * @events: counts answers of workers and looks sent, to tell which came first
  * @watch_revision: changes of accepted jobs are known up to it
@@ -32,6 +33,7 @@
 	const struct zr_cell_config *config;
 	struct zr_owner *owner;
 	enum zr_cell_phase phase;
+	bool outsized;
 	uint64_t reign;
 	uint64_t token;
 	uint64_t events;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -17,6 +17,11 @@
 #define OWNER_RENEWALS_MAX 4
 /* A standby polls only while it can't watch. */
 #define OWNER_POLL_MS 400
+/*
+ * The owner of a large cell needs a large host: smaller ones leave it this
+ * long to those. A watch tells all of them within milliseconds.
+ */
+#define OUTSIZED_DELAY_MS 350
 /* Changes that come together are planned together. */
 #define PLAN_DELAY_MS 1
 #define REGISTRY_POLL_MS 500
@@ -40,6 +45,12 @@
 	       zr_owner_standing(scheduler->owner) == ZR_OWNER_HELD;
 }
 
+void zr_cell_scheduler_outsized(struct zr_cell_scheduler *scheduler,
+				bool outsized)
+{
+	scheduler->outsized = outsized;
+}
+
 bool zr_cell_scheduler_active(const struct zr_cell_scheduler *scheduler)
 {
 	return scheduler->phase == ZR_CELL_ACTIVE;
@@ -197,6 +208,13 @@
 	end_reign(scheduler);
 }
 
+static unsigned int on_delay(void *ctx)
+{
+	const struct zr_cell_scheduler *scheduler = ctx;
+
+	return scheduler->outsized ? OUTSIZED_DELAY_MS : 0;
+}
+
 static void on_deposed(void *ctx)
 {
 	struct zr_cell_scheduler *scheduler = ctx;
@@ -293,7 +311,8 @@
 int zr_cell_scheduler_new(struct zr_cell_scheduler **out,
 			  const struct zr_cell_scheduler_options *options)
 {
-	static const struct zr_owner_events owner_events = {on_gained, on_lost};
+	static const struct zr_owner_events owner_events = {on_gained, on_lost,
+							    on_delay};
 	static const struct zr_cell_journal_events journal_events = {
 		on_written, on_deposed};
 	static const struct zr_owner_options owner_options = {
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -75,6 +75,10 @@
 			       const struct zr_cell_helper *helpers,
 			       size_t count);
 
+/** zr_cell_scheduler_outsized() - whether a larger host could own the cell */
+void zr_cell_scheduler_outsized(struct zr_cell_scheduler *scheduler,
+				bool outsized);
+
 /** zr_cell_scheduler_active() - whether it owns the cell and places tasks */
 bool zr_cell_scheduler_active(const struct zr_cell_scheduler *scheduler);
 
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -35,6 +35,8 @@
 	unsigned int open_calls;
 	unsigned int open_renewals;
 	bool watching;
+	bool vacant;
+	struct timespec vacant_since;
 	int64_t watch_revision;
 	bool freeing;
 	int64_t lease;
@@ -127,6 +129,7 @@
 	gain.epoch = ++owner->epoch;
 	gain.guard = reply->revision;
 	step(owner, ZR_OWNERSHIP_WON);
+	owner->vacant = false;
 	owner->guard = gain.guard;
 	snprintf(owner->holder, sizeof(owner->holder), "%s", owner->name);
 	set_tick(owner, owner->options.renew_ms);
@@ -208,6 +211,25 @@
 		       WATCH_WAIT_MS, on_watched, owner);
 }
 
+/* Whether hosts that suit better still have time to take a vacant domain. */
+static bool leaves_to_others(struct zr_owner *owner)
+{
+	unsigned int delay_ms = owner->events.delay_ms && !owner->own_revision
+					? owner->events.delay_ms(owner->ctx)
+					: 0;
+	struct timespec now = zr_clock_now(owner->clock);
+	int64_t left;
+
+	if (!owner->vacant)
+		owner->vacant_since = now;
+	owner->vacant = true;
+	left = delay_ms - zr_time_diff_ms(now, owner->vacant_since);
+	if (left <= 0)
+		return false;
+	set_tick(owner, (unsigned int)left);
+	return true;
+}
+
 static void on_keys(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct zr_owner *owner = ctx;
@@ -240,9 +262,12 @@
 		}
 	}
 	if (owned) {
+		owner->vacant = false;
 		watch(owner);
 		return;
 	}
+	if (leaves_to_others(owner))
+		return;
 	step(owner, ZR_OWNERSHIP_VACANT);
 	open_call(owner);
 	zr_store_lease_grant(owner->store, owner->options.lease_ms, on_granted,
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -50,10 +50,13 @@
  * struct zr_owner_events - what the owner's module tells
  * @gained: this process owns the domain
  * @lost: it does so no more
+ * @delay_ms: how long to leave a vacant domain to hosts that suit better; NULL:
+ *	not at all
  */
 struct zr_owner_events {
 	void (*gained)(void *ctx, const struct zr_owner_gain *gain);
 	void (*lost)(void *ctx);
+	unsigned int (*delay_ms)(void *ctx);
 };
 
 /**
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -504,6 +504,26 @@
 	zr_cell_scheduler_release(host->scheduler, on_released, host);
 }
 
+static void do_outsized(struct script *script)
+{
+	zr_cell_scheduler_outsized(
+		find_host(script, word(script, 1))->scheduler, true);
+}
+
+static void do_owner(struct script *script)
+{
+	size_t i;
+
+	for (i = 0; i < script->host_count; i++) {
+		const struct host *host = &script->hosts[i];
+
+		if (host->scheduler &&
+		    zr_cell_scheduler_active(host->scheduler))
+			printf("%6ld owner: %s\n", fake_net_now_ms(script->net),
+			       host->name);
+	}
+}
+
 static void do_restart(struct script *script)
 {
 	fake_pool_restart(script->pool, word(script, 1));
