--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -538,12 +538,16 @@
 	const char *name;
 	void (*run)(struct script *script);
 } verbs[] = {
-	{"host", do_host},   {"worker", do_worker},   {"queue", do_queue},
-	{"limit", do_limit}, {"submit", do_submit},   {"cancel", do_cancel},
-	{"state", do_state}, {"waiting", do_waiting}, {"run", do_run},
-	{"clock", do_clock}, {"link", do_link},	      {"release", do_release},
-	{"pause", do_pause}, {"resume", do_resume},   {"kill", do_kill},
-	{"stop", do_stop},   {"restart", do_restart}, {"replace", do_replace},
+	{"host", do_host},	   {"worker", do_worker},
+	{"queue", do_queue},	   {"limit", do_limit},
+	{"submit", do_submit},	   {"cancel", do_cancel},
+	{"state", do_state},	   {"waiting", do_waiting},
+	{"run", do_run},	   {"clock", do_clock},
+	{"link", do_link},	   {"release", do_release},
+	{"pause", do_pause},	   {"resume", do_resume},
+	{"kill", do_kill},	   {"stop", do_stop},
+	{"outsized", do_outsized}, {"owner", do_owner},
+	{"restart", do_restart},   {"replace", do_replace},
 };
 
 static void run_line(struct script *script, char *line)
