Sanitizers: no copy from NULL, and calls to workers end with their scheduler

Found by the sanitizers' part of script/test on the scripted cells: memcpy of no entries from NULL, and looks that were still open when a scheduler was freed, as it waited for them before it closed their connections. After: all scripts of cells pass under the sanitizers.

--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -93,8 +93,9 @@
 		calloc((size_t)step->after.after_len + 1, sizeof(*out->after));
 	if (!out->after)
 		abort();
-	memcpy(out->after, step->after.after_val,
-	       step->after.after_len * sizeof(*out->after));
+	if (step->after.after_len)
+		memcpy(out->after, step->after.after_val,
+		       step->after.after_len * sizeof(*out->after));
 	out->flags = step->flags;
 	out->spread = step->spread;
 	out->unavailable_max = step->unavailable_max;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -423,19 +423,13 @@
 	scheduler->released_ctx = ctx;
 }
 
-static void free_scheduler(struct zr_cell_scheduler *scheduler)
-{
-	zr_cell_model_clear(&scheduler->model);
-	free(scheduler);
-}
-
 bool zr_cell_call_ended(struct zr_cell_scheduler *scheduler)
 {
 	scheduler->open_calls--;
 	if (!scheduler->freeing)
 		return true;
 	if (!scheduler->open_calls)
-		free_scheduler(scheduler);
+		free(scheduler);
 	return false;
 }
 
@@ -450,6 +444,9 @@
 	zr_cell_journal_free(scheduler->journal);
 	scheduler->freeing = true;
 	scheduler->reign++;
-	if (!scheduler->open_calls)
-		free_scheduler(scheduler);
+	/* Closing the connections to workers ends the calls on them. */
+	scheduler->open_calls++;
+	zr_cell_model_clear(&scheduler->model);
+	if (!--scheduler->open_calls)
+		free(scheduler);
 }
