Slow and hung workers are told by the pace of runs

Change: run times over estimates, smoothed for each worker against the fleet's; slow workers are the last choice for 4 s; a batch task without progress for 1.5 s is stopped and goes on elsewhere. Tests: test_cell_pace, cell/hung_worker.

--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cell/private.h"
+#include "cell/plan.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
@@ -184,6 +184,25 @@
 	zr_cell_send_stray_stop(scheduler, worker, &run->task, run->attempt);
 }
 
+/* A batch task that stands still goes on elsewhere, from its checkpoint. */
+static void check_progress(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker,
+			   struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_task *row = &job->tasks[task];
+	const struct zr_cell_step *step = zr_cell_task_step(job, task)->spec;
+	int64_t now = zr_cell_now(scheduler);
+
+	if (step->flags & (ZR_STEP_GANG | ZR_STEP_LASTING | ZR_STEP_FILLS))
+		return;
+	zr_cell_pace_progress(&scheduler->model, worker, step->estimate_ms,
+			      now - row->started_at, row->percent, now);
+	if (!zr_cell_pace_stalled(row, now))
+		return;
+	row->avoid = worker->self;
+	zr_cell_stop_run(scheduler, job, task, "stalled");
+}
+
 static void take_run(struct zr_cell_scheduler *scheduler,
 		     struct zr_cell_worker *worker,
 		     const struct zr_cell_run *run)
@@ -217,6 +236,8 @@
 	}
 	if (zr_cell_job_over(job) || row->finished)
 		zr_cell_stop_run(scheduler, job, task, "job_over");
+	else if (row->state == ZR_TASK_RUNNING)
+		check_progress(scheduler, worker, job, task);
 }
 
 static void wait_for(struct zr_cell_worker *worker,
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -247,6 +247,8 @@
  * @suspect_until: gets no work until then
  * @blamed: the job that failed there last
  * @failures: failures in a row, of different jobs
+ * @pace: run times there over estimates, smoothed; 0: not known
+ * @pace_at: when that was last seen
  */
 struct zr_cell_worker {
 	struct zr_worker_report report;
@@ -277,6 +279,8 @@
 	int64_t suspect_until;
 	zr_handle blamed;
 	uint32_t failures;
+	double pace;
+	int64_t pace_at;
 	UT_hash_handle hh;
 };
 
@@ -290,6 +294,7 @@
  * @client_by_name: the same by name
  * @ready: steps with waiting tasks whose turn has come, by rank
  * @dirty: jobs with changes that the store does not hold
+ * @pace: run times over estimates on all workers, smoothed; 0: not known
  */
 struct zr_cell_model {
 	struct zr_table *jobs;
@@ -299,6 +304,7 @@
 	struct zr_table *clients;
 	struct zr_cell_step_row *ready;
 	struct zr_cell_job *dirty;
+	double pace;
 };
 
 int zr_cell_model_init(struct zr_cell_model *model);
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -16,11 +16,13 @@
  * struct zr_cell_spot - a worker that takes tasks in this pass
  * @worker: the worker
  * @left: what it has left
+ * @slow: it is slower than the others by far
  * @reserved_for: the gang that gathers room there, or NULL
  */
 struct zr_cell_spot {
 	struct zr_cell_worker *worker;
 	struct zr_resources left;
+	bool slow;
 	const struct zr_cell_step_row *reserved_for;
 };
 
@@ -113,6 +115,21 @@
 void zr_cell_spots_reserve(struct zr_cell_plan *plan,
 			   const struct zr_cell_try *try);
 
+/* pace.c */
+/** zr_cell_pace_sample() - a run on a worker has ended as done */
+void zr_cell_pace_sample(struct zr_cell_model *model,
+			 struct zr_cell_worker *worker, uint32_t estimate_ms,
+			 int64_t run_ms, int64_t now);
+/** zr_cell_pace_progress() - how far an open run has come */
+void zr_cell_pace_progress(struct zr_cell_model *model,
+			   struct zr_cell_worker *worker, uint32_t estimate_ms,
+			   int64_t ran_ms, uint32_t percent, int64_t now);
+/** zr_cell_pace_slow() - whether a worker is slower than the others by far */
+bool zr_cell_pace_slow(const struct zr_cell_model *model,
+		       const struct zr_cell_worker *worker, int64_t now);
+/** zr_cell_pace_stalled() - whether a run makes no progress any more */
+bool zr_cell_pace_stalled(const struct zr_cell_task *task, int64_t now);
+
 /* ask.c */
 /** zr_cell_ask() - ask the adviser about workers that have room for a step */
 void zr_cell_ask(struct zr_cell_plan *plan, const struct zr_cell_try *try);
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -218,14 +218,19 @@
 
 static void note_outcome(struct zr_cell_scheduler *scheduler,
 			 struct zr_cell_job *job, struct zr_cell_task *row,
-			 struct zr_cell_worker *worker, enum zr_run_end how)
+			 struct zr_cell_worker *worker, uint32_t estimate_ms,
+			 enum zr_run_end how)
 {
+	int64_t now = zr_cell_now(scheduler);
+
 	if (how == ZR_RUN_DONE) {
 		praise(worker);
-		if (row->started_at)
-			zr_histogram_observe(scheduler->run_ms,
-					     (double)(zr_cell_now(scheduler) -
-						      row->started_at));
+		if (!row->started_at)
+			return;
+		zr_histogram_observe(scheduler->run_ms,
+				     (double)(now - row->started_at));
+		zr_cell_pace_sample(&scheduler->model, worker, estimate_ms,
+				    now - row->started_at, now);
 	} else if (how == ZR_RUN_FAILED) {
 		row->failures++;
 		row->avoid = worker->self;
@@ -253,7 +258,8 @@
 	if (end->checkpoint[0])
 		snprintf(row->checkpoint, sizeof(row->checkpoint), "%s",
 			 end->checkpoint);
-	note_outcome(scheduler, job, row, worker, end->how);
+	note_outcome(scheduler, job, row, worker,
+		     zr_cell_task_step(job, task)->spec->estimate_ms, end->how);
 	if (end->how == ZR_RUN_DONE)
 		mark_finished(job, task);
 	zr_cell_run_over(scheduler, job, task, end_names[end->how]);
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -61,6 +61,8 @@
 		plan->spots[plan->spot_count].worker = worker;
 		plan->spots[plan->spot_count].left =
 			zr_cell_worker_free(worker);
+		plan->spots[plan->spot_count].slow =
+			zr_cell_pace_slow(model, worker, plan->now);
 		plan->spot_count++;
 	}
 }
@@ -152,6 +154,8 @@
 
 	if (!best)
 		return true;
+	if (spot->slow != best->slow)
+		return best->slow;
 	if (rack[0]) {
 		bool near = !strcmp(spot->worker->rack, rack);
 		bool best_near = !strcmp(best->worker->rack, rack);
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -18,6 +18,7 @@
 	struct zr_cell_task_name task;
 	uint32_t attempt;
 	uint32_t millicpus;
+	int64_t began_at;
 	int64_t ends_at;
 	bool fails;
 };
@@ -49,6 +50,7 @@
 	int64_t lease_until;
 	int64_t last_number;
 	bool replaced;
+	bool hung;
 	struct run *runs;
 	struct ended *ends;
 	struct waiter *waiters;
@@ -224,6 +226,7 @@
 	run->fails = entry && *entry == 'f';
 	if (run->fails)
 		entry++;
+	run->began_at = now;
 	run->ends_at = now + (entry ? atoi(entry) : 0);
 	entry = entry ? strchr(entry, ':') : NULL;
 	run->millicpus = entry ? (uint32_t)atoi(entry + 1) : 0;
@@ -293,6 +296,14 @@
 	}
 }
 
+static uint32_t percent_of(const struct box *box, const struct run *run)
+{
+	int64_t ran = true_now(box->pool) - run->began_at;
+	int64_t all = run->ends_at - run->began_at;
+
+	return all > 0 ? (uint32_t)(ran * 100 / all) : 0;
+}
+
 static void list_box(const struct box *box, struct call *call)
 {
 	const struct run *run;
@@ -308,6 +319,7 @@
 
 		row->task = run->task;
 		row->attempt = run->attempt;
+		row->percent = box->hung ? 0 : percent_of(box, run);
 	}
 	DL_COUNT(box->ends, ended, count);
 	call->ends = calloc(count + 1, sizeof(*call->ends));
@@ -596,6 +608,11 @@
 	find_box(pool, name)->replaced = true;
 }
 
+void fake_pool_hang(struct fake_pool *pool, const char *name)
+{
+	find_box(pool, name)->hung = true;
+}
+
 static void tick_box(struct box *box)
 {
 	struct run *run;
@@ -605,7 +622,7 @@
 	{
 		if (clock_of(box) >= box->lease_until)
 			end_run(box, run, ZR_RUN_LAPSED);
-		else if (true_now(box->pool) >= run->ends_at)
+		else if (!box->hung && true_now(box->pool) >= run->ends_at)
 			end_run(box, run,
 				run->fails ? ZR_RUN_FAILED : ZR_RUN_DONE);
 	}
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -33,6 +33,9 @@
 /** fake_pool_replace() - another worker has its address: it answers so */
 void fake_pool_replace(struct fake_pool *pool, const char *name);
 
+/** fake_pool_hang() - what runs on a worker stands still from now on */
+void fake_pool_hang(struct fake_pool *pool, const char *name);
+
 /** fake_pool_tick() - let tasks end and leases lapse; once a millisecond */
 void fake_pool_tick(struct fake_pool *pool);
 
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -333,6 +333,8 @@
 	}
 	step->count = (uint32_t)atoi(text);
 	step->need.millicpus = (uint32_t)atoi(times + 1);
+	step->estimate_ms =
+		(uint32_t)atoi(colon[1] == 'f' ? colon + 2 : colon + 1);
 	step->after = calloc(1, sizeof(*step->after));
 	if (after) {
 		step->after[0] = (uint32_t)atoi(after + 1);
@@ -529,6 +531,11 @@
 	fake_pool_restart(script->pool, word(script, 1));
 }
 
+static void do_hang(struct script *script)
+{
+	fake_pool_hang(script->pool, word(script, 1));
+}
+
 static void do_replace(struct script *script)
 {
 	fake_pool_replace(script->pool, word(script, 1));
@@ -538,16 +545,13 @@
 	const char *name;
 	void (*run)(struct script *script);
 } verbs[] = {
-	{"host", do_host},	   {"worker", do_worker},
-	{"queue", do_queue},	   {"limit", do_limit},
-	{"submit", do_submit},	   {"cancel", do_cancel},
-	{"state", do_state},	   {"waiting", do_waiting},
-	{"run", do_run},	   {"clock", do_clock},
-	{"link", do_link},	   {"release", do_release},
-	{"pause", do_pause},	   {"resume", do_resume},
-	{"kill", do_kill},	   {"stop", do_stop},
-	{"outsized", do_outsized}, {"owner", do_owner},
-	{"restart", do_restart},   {"replace", do_replace},
+	{"host", do_host},   {"worker", do_worker},   {"queue", do_queue},
+	{"limit", do_limit}, {"submit", do_submit},   {"cancel", do_cancel},
+	{"state", do_state}, {"waiting", do_waiting}, {"run", do_run},
+	{"clock", do_clock}, {"link", do_link},	      {"release", do_release},
+	{"pause", do_pause}, {"resume", do_resume},   {"kill", do_kill},
+	{"stop", do_stop},   {"hang", do_hang},	      {"outsized", do_outsized},
+	{"owner", do_owner}, {"restart", do_restart}, {"replace", do_replace},
 };
 
 static void run_line(struct script *script, char *line)
