--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -53,6 +53,7 @@
 	void (*released)(void *ctx);
 	void *released_ctx;
 	bool releasing;
+	int64_t release_by;
 	unsigned int open_calls;
 	bool freeing;
 	struct zr_metric *starts;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -22,6 +22,8 @@
  * long to those. A watch tells all of them within milliseconds.
  */
 #define OUTSIZED_DELAY_MS 350
+/* A release waits so long for the journal: meanwhile no task is placed. */
+#define RELEASE_MS_MAX 250
 /* Changes that come together are planned together. */
 #define PLAN_DELAY_MS 1
 #define REGISTRY_POLL_MS 500
@@ -231,10 +233,12 @@
 	zr_cell_runs_due(scheduler, worker);
 }
 
+/* What the journal could not keep in time the next owner hears from workers. */
 static void finish_release(struct zr_cell_scheduler *scheduler)
 {
 	if (!zr_cell_journal_idle(scheduler->journal) &&
-	    zr_cell_may_order(scheduler))
+	    zr_cell_may_order(scheduler) &&
+	    zr_cell_now(scheduler) < scheduler->release_by)
 		return;
 	scheduler->releasing = false;
 	zr_owner_release(scheduler->owner, scheduler->released,
@@ -419,6 +423,7 @@
 	zr_log(ZR_LOG_INFO, "cell.releasing active=%d",
 	       zr_cell_scheduler_active(scheduler));
 	scheduler->releasing = true;
+	scheduler->release_by = zr_cell_now(scheduler) + RELEASE_MS_MAX;
 	scheduler->released = done;
 	scheduler->released_ctx = ctx;
 }
