--- a/src/libzinniarack/cell/current.c
+++ b/src/libzinniarack/cell/current.c
@@ -76,6 +76,12 @@
 		       value->mod_revision, zr_error_name(error));
 }
 
+/* -1 before the first confirmation. */
+static int64_t logged_age_ms(const struct zr_cell_current *current)
+{
+	return current->confirmed ? zr_cell_current_age_ms(current) : -1;
+}
+
 static void note_store(struct zr_cell_current *current, int error)
 {
 	if (error < 0)
@@ -85,10 +91,10 @@
 	current->reachable = !error;
 	if (error < 0)
 		zr_log(ZR_LOG_WARN, "store.lost error=%s age_ms=%" PRId64,
-		       zr_error_name(error), zr_cell_current_age_ms(current));
+		       zr_error_name(error), logged_age_ms(current));
 	else
 		zr_log(ZR_LOG_INFO, "store.regained age_ms=%" PRId64,
-		       zr_cell_current_age_ms(current));
+		       logged_age_ms(current));
 }
 
 static void on_read(void *ctx, int error, const struct zr_store_reply *reply)
@@ -104,7 +110,10 @@
 			free_current(current);
 		return;
 	}
-	note_store(current, error);
+	/* A read that hung since before a newer one succeeded is no news. */
+	if (!error || !current->confirmed ||
+	    zr_time_cmp(sent_at, current->confirmed_at) > 0)
+		note_store(current, error);
 	if (error < 0)
 		return;
 	if (reply->count)
--- a/tests/unit/test_cell_pace.c
+++ b/tests/unit/test_cell_pace.c
@@ -3,7 +3,7 @@
 
 #include "cell/plan.h"
 
-#define ESTIMATE_MS 600
+#define ESTIMATE_MS INT64_C(600)
 
 static struct zr_cell_model model;
 static struct zr_cell_worker sound;
