--- a/include/zinniarack/cell.h
+++ b/include/zinniarack/cell.h
@@ -182,6 +182,7 @@
  * @address: where it takes orders
  * @pool: the pool it belongs to
  * @domain: its failure domain
+ * @rack: its rack, or ""
  * @leaving: it is to get no new work
  * @leaves_in_ms: least time until it is gone, -1 when not known
  * @capacity: what it holds
@@ -194,6 +195,7 @@
 	char address[ZR_NAME_MAX];
 	char pool[ZR_NAME_MAX];
 	char domain[ZR_NAME_MAX];
+	char rack[ZR_NAME_MAX];
 	bool leaving;
 	int64_t leaves_in_ms;
 	struct zr_resources capacity;
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -99,7 +99,6 @@
 	if (!worker)
 		abort();
 	snprintf(worker->report.name, sizeof(worker->report.name), "%s", name);
-	worker->rack = "";
 	worker->clock_ms = -1;
 	worker->look_due = ZR_CELL_NEVER;
 	worker->state = zr_chart_initial(zr_charts()->worker);
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -223,7 +223,6 @@
  * struct zr_cell_worker - a worker
  * @report: what the registry says
  * @self: its handle
- * @rack: its rack, of its labels
  * @listed: whether the registry holds it
  * @seen_listed: the read in hand holds it
  * @state: &enum zr_worker_state
@@ -253,7 +252,6 @@
 struct zr_cell_worker {
 	struct zr_worker_report report;
 	zr_handle self;
-	const char *rack;
 	bool listed;
 	bool seen_listed;
 	int state;
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -5,20 +5,6 @@
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
-/* Labels that name a rack begin so. */
-#define RACK_PREFIX 'r'
-
-static const char *find_rack(const struct zr_worker_report *report)
-{
-	const char *label = report->labels;
-
-	for (; *label; label += strlen(label) + 1) {
-		if (label[0] == RACK_PREFIX && strchr(label, '-'))
-			return label;
-	}
-	return "";
-}
-
 static void connect_worker(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_worker *worker, const char *address)
 {
@@ -68,7 +54,6 @@
 				worker->run_count);
 	worker->report = *report;
 	worker->report.incarnation = incarnation;
-	worker->rack = find_rack(&worker->report);
 	worker->listed = true;
 	if (worker->clock_ms < 0 && report->clock_ms >= 0 &&
 	    report->incarnation >= incarnation) {
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -267,43 +267,58 @@
 
 /* Stops */
 
+/* What an order that was answered is about. */
+struct subject {
+	struct zr_cell_job *job;
+	struct zr_cell_task *task;
+	struct zr_cell_worker *worker;
+};
+
+/* Whether the run that an order was about is still the task's open one. */
+static bool find_subject(struct subject *out, const struct order *order)
+{
+	const struct zr_cell_scheduler *scheduler = order->scheduler;
+
+	if (order->reign != scheduler->reign)
+		return false;
+	out->job = zr_cell_job(&scheduler->model, order->job);
+	out->worker = zr_cell_worker(&scheduler->model, order->worker);
+	if (!out->job || !out->job->tasks || !out->worker)
+		return false;
+	out->task = &out->job->tasks[order->task];
+	return out->task->attempt == order->attempt &&
+	       out->task->worker == order->worker;
+}
+
 static void on_stop(void *ctx, int error,
 		    const struct zr_cell_order_reply *reply)
 {
 	struct order *order = ctx;
 	struct zr_cell_scheduler *scheduler = order->scheduler;
-	struct zr_cell_worker *worker;
-	struct zr_cell_task *row;
-	struct zr_cell_job *job;
+	struct subject at;
 
-	if (!zr_cell_call_ended(scheduler) || order->reign != scheduler->reign)
-		goto out;
-	job = zr_cell_job(&scheduler->model, order->job);
-	worker = zr_cell_worker(&scheduler->model, order->worker);
-	if (!job || !job->tasks || !worker)
-		goto out;
-	row = &job->tasks[order->task];
-	if (row->attempt != order->attempt || row->state != ZR_TASK_STOPPING)
+	if (!zr_cell_call_ended(scheduler) || !find_subject(&at, order) ||
+	    at.task->state != ZR_TASK_STOPPING)
 		goto out;
-	row->stop_sent = false;
+	at.task->stop_sent = false;
 	if (error < 0) {
 		scheduler->unanswered->value++;
 		goto out;
 	}
-	zr_cell_heard(scheduler, worker, reply->clock_ms);
+	zr_cell_heard(scheduler, at.worker, reply->clock_ms);
 	if (reply->refusal != ZR_ORDER_TAKEN) {
 		zr_log(ZR_LOG_WARN,
 		       "stop.refused job=%s task=%" PRIu32
 		       " worker=%s refusal=%d",
-		       job->id, order->task, worker->report.name,
+		       at.job->id, order->task, at.worker->report.name,
 		       reply->refusal);
 		goto out;
 	}
 	/* Barred now if it is not there yet: the next look tells. */
-	row->stop_sent = true;
-	if (row->settled == ZR_CELL_UNSETTLED)
-		row->settled = ++scheduler->events;
-	zr_cell_look_soon(scheduler, worker, 0);
+	at.task->stop_sent = true;
+	if (at.task->settled == ZR_CELL_UNSETTLED)
+		at.task->settled = ++scheduler->events;
+	zr_cell_look_soon(scheduler, at.worker, 0);
 out:
 	free(order);
 }
@@ -536,28 +551,19 @@
 {
 	struct order *order = ctx;
 	struct zr_cell_scheduler *scheduler = order->scheduler;
-	struct zr_cell_worker *worker;
-	struct zr_cell_task *row;
-	struct zr_cell_job *job;
+	struct subject at;
 
-	if (!zr_cell_call_ended(scheduler) || order->reign != scheduler->reign)
-		goto out;
-	job = zr_cell_job(&scheduler->model, order->job);
-	worker = zr_cell_worker(&scheduler->model, order->worker);
-	if (!job || !job->tasks || !worker)
-		goto out;
-	row = &job->tasks[order->task];
-	if (row->attempt != order->attempt || row->worker != order->worker)
+	if (!zr_cell_call_ended(scheduler) || !find_subject(&at, order))
 		goto out;
 	if (error < 0) {
-		start_failed(scheduler, job, order->task, worker, error);
+		start_failed(scheduler, at.job, order->task, at.worker, error);
 		goto out;
 	}
-	zr_cell_heard(scheduler, worker, reply->clock_ms);
+	zr_cell_heard(scheduler, at.worker, reply->clock_ms);
 	if (reply->refusal == ZR_ORDER_TAKEN)
-		start_confirmed(scheduler, job, order->task, worker);
+		start_confirmed(scheduler, at.job, order->task, at.worker);
 	else
-		take_refusal(scheduler, job, order->task, worker,
+		take_refusal(scheduler, at.job, order->task, at.worker,
 			     reply->refusal);
 out:
 	free(order);
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -157,8 +157,8 @@
 	if (spot->slow != best->slow)
 		return best->slow;
 	if (rack[0]) {
-		bool near = !strcmp(spot->worker->rack, rack);
-		bool best_near = !strcmp(best->worker->rack, rack);
+		bool near = !strcmp(spot->worker->report.rack, rack);
+		bool best_near = !strcmp(best->worker->report.rack, rack);
 
 		if (near != best_near)
 			return near;
--- a/src/libzinniarack/config/cell_settings.c
+++ b/src/libzinniarack/config/cell_settings.c
@@ -15,18 +15,6 @@
 #define DEFAULT_KEY_AGE_MAX_MS 3500
 #define DEFAULT_LEAVE_MS 5000
 
-static const cyaml_strval_t log_levels[] = {
-	{"error", ZR_LOG_ERROR},
-	{"warn", ZR_LOG_WARN},
-	{"info", ZR_LOG_INFO},
-	{"debug", ZR_LOG_DEBUG},
-};
-
-static const cyaml_strval_t log_formats[] = {
-	{"text", ZR_LOG_TEXT},
-	{"json", ZR_LOG_JSON},
-};
-
 #define TEXT_FIELD(key, flags, type, member, min)                       \
 	CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER | (flags), type, \
 			       member, min, NAME_MAX_BYTES)
@@ -45,10 +33,10 @@
 static const cyaml_schema_field_t log_fields[] = {
 	CYAML_FIELD_ENUM("level", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT,
 			 __typeof__(((struct zr_cell_settings *)0)->log), level,
-			 log_levels, CYAML_ARRAY_LEN(log_levels)),
+			 zr_log_levels, ZR_LOG_LEVELS),
 	CYAML_FIELD_ENUM("format", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT,
 			 __typeof__(((struct zr_cell_settings *)0)->log),
-			 format, log_formats, CYAML_ARRAY_LEN(log_formats)),
+			 format, zr_log_formats, ZR_LOG_FORMATS),
 	CYAML_FIELD_END};
 
 #define NUMBER_FIELD(member)                           \
--- a/src/libzinniarack/config/schema.h
+++ b/src/libzinniarack/config/schema.h
@@ -46,4 +46,10 @@
 /** zr_config_fill_defaults() - set what absent fields stand for */
 void zr_config_fill_defaults(struct zr_config *config);
 
+/** Names of the log's levels and formats in settings files. */
+#define ZR_LOG_LEVELS 4
+#define ZR_LOG_FORMATS 2
+extern const cyaml_strval_t zr_log_levels[ZR_LOG_LEVELS];
+extern const cyaml_strval_t zr_log_formats[ZR_LOG_FORMATS];
+
 #endif
--- a/src/libzinniarack/config/settings.c
+++ b/src/libzinniarack/config/settings.c
@@ -12,14 +12,14 @@
 #define DEFAULT_REQUEST_TIMEOUT_MS 10000
 #define DEFAULT_CONNECTIONS 1024
 
-static const cyaml_strval_t log_levels[] = {
+const cyaml_strval_t zr_log_levels[ZR_LOG_LEVELS] = {
 	{"error", ZR_LOG_ERROR},
 	{"warn", ZR_LOG_WARN},
 	{"info", ZR_LOG_INFO},
 	{"debug", ZR_LOG_DEBUG},
 };
 
-static const cyaml_strval_t log_formats[] = {
+const cyaml_strval_t zr_log_formats[ZR_LOG_FORMATS] = {
 	{"text", ZR_LOG_TEXT},
 	{"json", ZR_LOG_JSON},
 };
@@ -53,10 +53,10 @@
 static const cyaml_schema_field_t log_fields[] = {
 	CYAML_FIELD_ENUM("level", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT,
 			 __typeof__(((struct zr_settings *)0)->log), level,
-			 log_levels, CYAML_ARRAY_LEN(log_levels)),
+			 zr_log_levels, ZR_LOG_LEVELS),
 	CYAML_FIELD_ENUM("format", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT,
 			 __typeof__(((struct zr_settings *)0)->log), format,
-			 log_formats, CYAML_ARRAY_LEN(log_formats)),
+			 zr_log_formats, ZR_LOG_FORMATS),
 	CYAML_FIELD_END};
 
 static const cyaml_schema_field_t limits_fields[] = {
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -144,6 +144,7 @@
 	ck_assert(!report.leaving);
 	ck_assert_str_eq(report.labels, "a");
 	ck_assert_str_eq(report.labels + 2, "r1-3");
+	ck_assert_str_eq(report.rack, "r1-3");
 	ck_assert_int_eq(decode_entry(&report, "draining"), 0);
 	ck_assert(report.leaving);
 }
