--- a/src/libzinniarack/cell/front.c
+++ b/src/libzinniarack/cell/front.c
@@ -50,7 +50,6 @@
 	struct timespec give_up_at;
 	struct zr_cell_bytes record;
 	unsigned int tries;
-	bool undecided;
 };
 
 static const char *const kind_names[] = {
@@ -308,10 +307,8 @@
 
 static void read_for_cancel(struct serving *serving);
 
-static void cancel_failed(struct serving *serving, int error)
+static void cancel_failed(struct serving *serving)
 {
-	if (error == ZR_E_OUTCOME_UNKNOWN)
-		serving->undecided = true;
 	if (left_ms(serving) && ++serving->tries < CANCEL_TRIES_MAX)
 		read_for_cancel(serving);
 	else
@@ -324,7 +321,7 @@
 	struct serving *serving = ctx;
 
 	if (error < 0)
-		cancel_failed(serving, error);
+		cancel_failed(serving);
 	else if (reply->succeeded) {
 		tell_owner(serving, NULL);
 		finish_with(serving, ZR_CALL_OK, "cancelled");
@@ -355,7 +352,7 @@
 	struct serving *serving = ctx;
 
 	if (error < 0)
-		cancel_failed(serving, error);
+		cancel_failed(serving);
 	else if (reply->count)
 		finish_with(serving, ZR_CALL_OK, "ended");
 	else
@@ -368,7 +365,7 @@
 	struct serving *serving = ctx;
 
 	if (error < 0)
-		cancel_failed(serving, error);
+		cancel_failed(serving);
 	else if (reply->count)
 		write_cancel(serving, reply->values[0].mod_revision);
 	else
--- a/src/libzinniarack/cell/front.h
+++ b/src/libzinniarack/cell/front.h
@@ -37,7 +37,6 @@
  * @members: the hosts of the cell
  * @scheduler: knows which of them owns it
  * @clock: the clock
- * @timers: where timers come from
  * @health: of the way to the store
  * @key_age_max_ms: a key is not taken on an older confirmation
  * @metrics: where calls are counted
@@ -50,7 +49,6 @@
 	struct zr_cell_members *members;
 	const struct zr_cell_scheduler *scheduler;
 	const struct zr_clock *clock;
-	const struct zr_timers *timers;
 	const struct zr_store_health *health;
 	unsigned int key_age_max_ms;
 	struct zr_metrics *metrics;
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -163,7 +163,6 @@
 		.members = host->members,
 		.scheduler = host->scheduler,
 		.clock = options->clock,
-		.timers = &host->timers,
 		.health = host->health,
 		.key_age_max_ms = options->settings->key_age_max_ms,
 		.metrics = options->metrics,
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -28,7 +28,6 @@
 	zr_handle worker;
 	uint32_t task;
 	uint32_t attempt;
-	int64_t sent_at;
 };
 
 /* Leases */
@@ -358,7 +357,6 @@
 	order->task = task;
 	order->attempt = job->tasks[task].attempt;
 	order->worker = job->tasks[task].worker;
-	order->sent_at = zr_cell_now(scheduler);
 	scheduler->open_calls++;
 	return order;
 }
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -360,7 +360,7 @@
 	return 0;
 }
 
-static void update_clients(struct zr_cell_scheduler *scheduler)
+void zr_cell_limits_refresh(struct zr_cell_scheduler *scheduler)
 {
 	const struct zr_cell_config *config = scheduler->config;
 	struct zr_cell_model *model = &scheduler->model;
@@ -380,7 +380,7 @@
 				 const struct zr_cell_config *config)
 {
 	scheduler->config = config;
-	update_clients(scheduler);
+	zr_cell_limits_refresh(scheduler);
 	zr_cell_plan_soon(scheduler);
 }
 
@@ -404,11 +404,6 @@
 	return 0;
 }
 
-void zr_cell_limits_refresh(struct zr_cell_scheduler *scheduler)
-{
-	update_clients(scheduler);
-}
-
 void zr_cell_scheduler_helpers(struct zr_cell_scheduler *scheduler,
 			       const struct zr_cell_helper *helpers,
 			       size_t count)
