Gangs hold room for their members, learn once where they may run, stop what yields

Ruled out: a lack of room in all (75 to 80% in use while 124 gangs waited); late acceptance (10 ms) and late placement of single tasks (17 ms).

Change: gather.c. A gang learns once of enough permitted workers and asks again only for tickets of those it has chosen. It holds room for its members instead of workers, spread over many of them. After an eighth of its time it stops tasks of later classes that save checkpoints, chooses the same workers in the next passes, and single tasks take those last. A pass looks only at workers where a step is known to be permitted.

--- /dev/null
+++ b/src/libzinniarack/cell/gather.c
@@ -0,0 +1,367 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/plan.h"
+#include "zinniarack/log.h"
+
+/*
+ * A gang needs all its room at once. On a full cell single tasks take each
+ * place as it comes free, and a gang would wait until the load falls. So it
+ * stops tasks of later classes that can resume from a checkpoint: they lose
+ * what a stop and a resume take. Where that is not enough it keeps workers from
+ * what comes after it until they are empty.
+ */
+
+/* Draining gangs, but for the first, hold at most this part of the cell. */
+#define DRAINING_PART 4
+/* They hold a little more than they need: the first places free are taken. */
+#define DRAIN_SPARE_PERCENT 130
+/*
+ * A gang knows of permitted workers that hold it this many times; while this
+ * part of the hosts is idle, once more for each time it has waited so long.
+ */
+#define KNOWN_SPREAD 3
+#define KNOW_MORE_MS 1000
+#define IDLE_PART 3
+/* A gang stops others after this part of the time until it is late. */
+#define PATIENCE_PART 8
+/* A task is not stopped again and again. */
+#define STARTS_MAX 2
+/* A run that has come this far ends by itself about as soon as by a stop. */
+#define NEARLY_DONE_PERCENT 85
+
+/* A gang that is not tried again for so long has given its workers up. */
+#define KEEP_MS 300
+
+static void add(struct zr_resources *to, const struct zr_resources *amount)
+{
+	to->millicpus += amount->millicpus;
+	to->memory_mb += amount->memory_mb;
+	to->accelerators += amount->accelerators;
+}
+
+/* Whether a run may be stopped for a step of @class. */
+static bool yields(const struct zr_cell_plan *plan,
+		   const struct zr_cell_job *job, uint32_t task, int64_t class)
+{
+	const struct zr_cell_task *row = &job->tasks[task];
+	uint32_t flags = zr_cell_task_step(job, task)->spec->flags;
+
+	return row->state == ZR_TASK_RUNNING && !row->finished &&
+	       row->percent < NEARLY_DONE_PERCENT &&
+	       row->attempt <= STARTS_MAX && (flags & ZR_STEP_CHECKPOINTS) &&
+	       !(flags & (ZR_STEP_GANG | ZR_STEP_LASTING | ZR_STEP_FILLS)) &&
+	       zr_cell_order_class(job, plan->now) > class;
+}
+
+/* Most gangs of a pass are of one class: the sums are kept for the last one. */
+static void sum_up(struct zr_cell_plan *plan, const struct zr_cell_try *try,
+		   struct zr_cell_spot *spot)
+{
+	const struct zr_cell_model *model = &plan->scheduler->model;
+	const struct zr_cell_worker *worker = spot->worker;
+	int64_t class = zr_cell_order_class(try->job, plan->now);
+	size_t i;
+
+	if (spot->reach_class == class)
+		return;
+	spot->reach_class = class;
+	spot->soon = spot->left;
+	spot->reach = spot->left;
+	for (i = 0; i < worker->run_count; i++) {
+		struct zr_cell_ref ref = worker->runs[i];
+		const struct zr_cell_job *job = zr_cell_job(model, ref.job);
+		struct zr_resources need =
+			zr_cell_need(zr_cell_task_step(job, ref.task)->spec);
+
+		if (job->tasks[ref.task].state == ZR_TASK_STOPPING) {
+			add(&spot->soon, &need);
+			add(&spot->reach, &need);
+		} else if (yields(plan, job, ref.task, class)) {
+			add(&spot->reach, &need);
+		}
+	}
+}
+
+uint32_t zr_cell_spot_soon(struct zr_cell_plan *plan,
+			   const struct zr_cell_try *try,
+			   struct zr_cell_spot *spot)
+{
+	struct zr_resources left;
+
+	sum_up(plan, try, spot);
+	left = zr_cell_left_of(&spot->soon, &spot->held);
+	return zr_cell_fits(&left, &try->need);
+}
+
+uint32_t zr_cell_spot_reach(struct zr_cell_plan *plan,
+			    const struct zr_cell_try *try,
+			    struct zr_cell_spot *spot)
+{
+	struct zr_resources left;
+
+	sum_up(plan, try, spot);
+	left = zr_cell_left_of(&spot->reach, &spot->held);
+	return zr_cell_fits(&left, &try->need);
+}
+
+static bool keeps(const struct zr_cell_plan *plan,
+		  const struct zr_cell_try *try,
+		  const struct zr_cell_worker *worker)
+{
+	return plan->now < worker->kept_until &&
+	       worker->keeper == try->job->self &&
+	       worker->keeper_step == try->step->number;
+}
+
+static void find_places(struct zr_cell_gathered *out, struct zr_cell_plan *plan,
+			const struct zr_cell_try *try)
+{
+	size_t i;
+
+	out->places = calloc(try->known_count + 1, sizeof(*out->places));
+	if (!out->places)
+		abort();
+	out->count = try->known_count;
+	for (i = 0; i < try->known_count; i++) {
+		struct zr_cell_spot *spot = try->known[i].spot;
+
+		out->places[i] = (struct zr_cell_place){
+			.known = &try->known[i],
+			.spot = spot,
+			.kept = keeps(plan, try, spot->worker),
+			.soon = zr_cell_spot_soon(plan, try, spot),
+			.reach = zr_cell_spot_reach(plan, try, spot),
+		};
+	}
+}
+
+/*
+ * Workers chosen before come first: others would be stopped for nothing. Then
+ * those with room; among those without, where most can be had.
+ */
+static int by_soon(const void *a, const void *b)
+{
+	const struct zr_cell_place *x = a;
+	const struct zr_cell_place *y = b;
+
+	if (x->kept != y->kept)
+		return x->kept ? -1 : 1;
+	if (x->soon != y->soon)
+		return x->soon > y->soon ? -1 : 1;
+	if (x->reach != y->reach)
+		return x->reach > y->reach ? -1 : 1;
+	return strcmp(x->spot->worker->report.name,
+		      y->spot->worker->report.name);
+}
+
+static int by_room(const void *a, const void *b)
+{
+	const struct zr_cell_place *x = a;
+	const struct zr_cell_place *y = b;
+
+	uint32_t x_left = zr_cell_spot_left(x->spot).millicpus;
+	uint32_t y_left = zr_cell_spot_left(y->spot).millicpus;
+
+	if (x_left != y_left)
+		return x_left > y_left ? -1 : 1;
+	return strcmp(x->spot->worker->report.name,
+		      y->spot->worker->report.name);
+}
+
+/* Stops what yields on a worker until @wanted members fit there. */
+static void stop_for(struct zr_cell_plan *plan, const struct zr_cell_try *try,
+		     struct zr_cell_spot *spot, uint32_t wanted)
+{
+	struct zr_cell_scheduler *scheduler = plan->scheduler;
+	struct zr_cell_worker *worker = spot->worker;
+	size_t i;
+
+	for (i = 0; i < worker->run_count; i++) {
+		struct zr_cell_ref ref = worker->runs[i];
+		struct zr_cell_job *job =
+			zr_cell_job(&scheduler->model, ref.job);
+		struct zr_resources need;
+
+		if (zr_cell_spot_soon(plan, try, spot) >= wanted)
+			return;
+		if (!yields(plan, job, ref.task, spot->reach_class))
+			continue;
+		need = zr_cell_need(zr_cell_task_step(job, ref.task)->spec);
+		add(&spot->soon, &need);
+		zr_cell_stop_run(scheduler, job, ref.task, "yields");
+	}
+}
+
+static void hold(const struct zr_cell_try *try, struct zr_cell_place *place,
+		 uint32_t members)
+{
+	struct zr_resources *held = &place->spot->held;
+
+	place->chosen = members;
+	held->millicpus += members * try->need.millicpus;
+	held->memory_mb += members * try->need.memory_mb;
+	held->accelerators += members * try->need.accelerators;
+}
+
+/* Holds room on a worker, and chooses it again in the next passes. */
+static void keep(const struct zr_cell_plan *plan, const struct zr_cell_try *try,
+		 struct zr_cell_place *place, uint32_t members)
+{
+	struct zr_cell_worker *worker = place->spot->worker;
+
+	hold(try, place, members);
+	worker->keeper = try->job->self;
+	worker->keeper_step = try->step->number;
+	worker->kept_until = plan->now + KEEP_MS;
+}
+
+static uint32_t least(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
+static bool take_soon(const struct zr_cell_plan *plan,
+		      const struct zr_cell_try *try,
+		      struct zr_cell_gathered *gathered)
+{
+	uint32_t wanted = try->step->spec->count;
+	uint32_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < gathered->count && sum < wanted; i++)
+		sum += gathered->places[i].soon;
+	if (sum < wanted)
+		return false;
+	for (i = 0; wanted; i++) {
+		struct zr_cell_place *place = &gathered->places[i];
+		uint32_t members = least(place->soon, wanted);
+
+		if (members)
+			keep(plan, try, place, members);
+		wanted -= members;
+	}
+	return true;
+}
+
+/* Whether all members have room once everything that yields is stopped. */
+static bool within_reach(const struct zr_cell_try *try,
+			 const struct zr_cell_gathered *gathered)
+{
+	uint32_t wanted = try->step->spec->count;
+	uint32_t held = 0;
+	size_t i;
+
+	for (i = 0; i < gathered->count && held < wanted; i++)
+		held += gathered->places[i].reach;
+	return held >= wanted;
+}
+
+static void stop_yielding(struct zr_cell_plan *plan,
+			  const struct zr_cell_try *try,
+			  struct zr_cell_gathered *gathered)
+{
+	uint32_t wanted = try->step->spec->count;
+	size_t i;
+
+	zr_log_decision("gang.makes_room job=%s step=%" PRIu32 " tasks=%" PRIu32
+			" waited_ms=%" PRId64,
+			try->job->id, try->step->number, wanted,
+			plan->now - try->step->ready_at);
+	for (i = 0; wanted; i++) {
+		struct zr_cell_place *place = &gathered->places[i];
+		uint32_t members = least(place->reach, wanted);
+
+		if (!members)
+			continue;
+		stop_for(plan, try, place->spot, members);
+		keep(plan, try, place, members);
+		wanted -= members;
+	}
+}
+
+/*
+ * Holds what comes free on many workers until all members fit. On few workers
+ * that would take as long as their longest task.
+ */
+static void drain(struct zr_cell_plan *plan, const struct zr_cell_try *try,
+		  struct zr_cell_gathered *gathered)
+{
+	uint32_t wanted = try->step->spec->count * DRAIN_SPARE_PERCENT / 100;
+	uint64_t millicpus = (uint64_t)wanted * try->need.millicpus;
+	uint32_t each;
+	size_t i;
+
+	if (!gathered->count ||
+	    (plan->draining &&
+	     (plan->draining + millicpus) * DRAINING_PART > plan->capacity))
+		return;
+	each = (wanted + (uint32_t)gathered->count - 1) /
+	       (uint32_t)gathered->count;
+	qsort(gathered->places, gathered->count, sizeof(*gathered->places),
+	      by_room);
+	for (i = 0; i < gathered->count && wanted; i++) {
+		uint32_t members = least(each, wanted);
+
+		hold(try, &gathered->places[i], members);
+		wanted -= members;
+	}
+	plan->draining += millicpus;
+}
+
+/*
+ * Where a gang is permitted does not change, so it learns once of workers that
+ * would hold it even if others gather room on some of them.
+ */
+static uint32_t missing_known(const struct zr_cell_plan *plan,
+			      const struct zr_cell_try *try,
+			      const struct zr_cell_gathered *gathered)
+{
+	int64_t waited = plan->now - try->step->ready_at;
+	uint32_t spread = KNOWN_SPREAD;
+	uint32_t wanted;
+	uint32_t held = 0;
+	size_t i;
+
+	if (zr_cell_advice_idle(&plan->scheduler->advice, plan->now) >=
+	    plan->scheduler->advice.count / IDLE_PART)
+		spread += (uint32_t)(waited / KNOW_MORE_MS);
+	wanted = spread * try->step->spec->count;
+	for (i = 0; i < gathered->count && held < wanted; i++)
+		held += zr_cell_fits(
+			&gathered->places[i].spot->worker->report.capacity,
+			&try->need);
+	return held < wanted ? wanted - held : 0;
+}
+
+static bool impatient(const struct zr_cell_plan *plan,
+		      const struct zr_cell_try *try)
+{
+	int64_t waited = plan->now - try->step->ready_at;
+
+	return waited * PATIENCE_PART > zr_cell_order_objective_ms(try->job);
+}
+
+void zr_cell_gather(struct zr_cell_gathered *out, struct zr_cell_plan *plan,
+		    const struct zr_cell_try *try)
+{
+	memset(out, 0, sizeof(*out));
+	find_places(out, plan, try);
+	qsort(out->places, out->count, sizeof(*out->places), by_soon);
+	out->missing = missing_known(plan, try, out);
+	out->near = take_soon(plan, try, out);
+	if (out->near)
+		return;
+	if (impatient(plan, try) && within_reach(try, out)) {
+		stop_yielding(plan, try, out);
+		out->near = true;
+	} else {
+		drain(plan, try, out);
+	}
+}
+
+void zr_cell_gathered_clear(struct zr_cell_gathered *gathered)
+{
+	free(gathered->places);
+}
--- a/src/libzinniarack/cell/intake.c
+++ b/src/libzinniarack/cell/intake.c
@@ -152,12 +152,13 @@
 	if (!job)
 		return;
 	zr_log_decision("job.taken job=%s queue=%s client=%s tasks=%" PRIu32
-			" steps=%" PRIu32 " age_ms=%" PRId64 " excess=%d by=%s",
+			" steps=%" PRIu32 " age_ms=%" PRId64
+			" objective_ms=%" PRId64 " excess=%d by=%s",
 			id, job->queue,
 			zr_cell_client(&scheduler->model, job->client)->name,
 			job->task_count, job->step_count,
-			zr_cell_now(scheduler) - job->accepted_at, job->excess,
-			by);
+			zr_cell_now(scheduler) - job->accepted_at,
+			zr_cell_order_objective_ms(job), job->excess, by);
 	review(scheduler, job);
 	zr_cell_plan_soon(scheduler);
 }
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -248,6 +248,10 @@
  * @failures: failures in a row, of different jobs
  * @pace: run times there over estimates, smoothed; 0: not known
  * @pace_at: when that was last seen
+ * @keeper: the job of the gang that gathers room there
+ * @keeper_step: its step
+ * @kept_until: until then, if it does not renew that
+ * @spot: its place among the spots of the pass in hand, from 1; 0: none
  */
 struct zr_cell_worker {
 	struct zr_worker_report report;
@@ -279,6 +283,10 @@
 	uint32_t failures;
 	double pace;
 	int64_t pace_at;
+	zr_handle keeper;
+	uint32_t keeper_step;
+	int64_t kept_until;
+	size_t spot;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/order.c
+++ b/src/libzinniarack/cell/order.c
@@ -54,13 +54,19 @@
 	return age > objective ? TIER_LATE : TIER_ON_TIME;
 }
 
-int64_t zr_cell_order_rank(const struct zr_cell_job *job, int64_t now)
+int64_t zr_cell_order_class(const struct zr_cell_job *job, int64_t now)
 {
 	int64_t priority =
 		job->priority < PRIORITY_MAX ? job->priority : PRIORITY_MAX;
 
-	return ((int64_t)tier_of(job, now) << TIER_SHIFT) +
-	       (priority << PRIORITY_SHIFT) + job->accepted_at;
+	return ((int64_t)tier_of(job, now) << (TIER_SHIFT - PRIORITY_SHIFT)) +
+	       priority;
+}
+
+int64_t zr_cell_order_rank(const struct zr_cell_job *job, int64_t now)
+{
+	return (zr_cell_order_class(job, now) << PRIORITY_SHIFT) +
+	       job->accepted_at;
 }
 
 bool zr_cell_order_charge(struct zr_cell_client_row *client,
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -39,32 +39,27 @@
 
 static void try_gang(struct zr_cell_plan *plan, const struct zr_cell_try *try)
 {
-	struct zr_cell_room room;
 	uint32_t count = try->step->spec->count;
+	struct zr_cell_gathered gathered;
 
 	/* Its members start together: all must wait. */
 	if (try->step->waiting < count || try->most < count)
 		return;
-	room = zr_cell_spots_room(plan, try);
-	if (room.now >= count) {
+	if (zr_cell_spots_room(plan, try) >= count) {
 		place(plan, try, count);
 		return;
 	}
-	if (try->queue.advised && room.allowed + room.unasked >= count)
-		zr_cell_ask(plan, try);
 	/* Room that is there must still be there when the answer comes. */
-	zr_cell_spots_reserve(plan, try);
+	zr_cell_gather(&gathered, plan, try);
+	if (try->queue.advised)
+		zr_cell_ask_gang(plan, try, &gathered);
+	zr_cell_gathered_clear(&gathered);
 }
 
 static void try_tasks(struct zr_cell_plan *plan, const struct zr_cell_try *try)
 {
-	struct zr_cell_room room;
-
 	place(plan, try, try->most);
-	if (!try->queue.advised || !try->step->waiting || try->step->asking)
-		return;
-	room = zr_cell_spots_room(plan, try);
-	if (room.allowed + room.unasked)
+	if (try->queue.advised && try->step->waiting)
 		zr_cell_ask(plan, try);
 }
 
@@ -98,6 +93,7 @@
 	if (!try.most)
 		return;
 	find_queue(&try, plan->scheduler->config);
+	zr_cell_spots_known(plan, &try);
 	if (zr_cell_step_is_gang(step))
 		try_gang(plan, &try);
 	else
@@ -143,5 +139,6 @@
 		zr_cell_step_unlist_placed(&scheduler->model, step);
 	}
 	free(plan.spots);
+	free(plan.known);
 	zr_cell_journal_flush(scheduler->journal);
 }
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -7,23 +7,41 @@
  * DOC: One pass over the steps whose turn has come
  *
  * plan.c orders the steps and tries them one after the other; spots.c knows
- * where there is room; ask.c asks the adviser; order.c says which step is
- * worth most. A pass sees the workers as they were at its begin, less what it
- * has placed itself.
+ * where there is room; gather.c makes room for all-at-once steps; ask.c asks
+ * the adviser; order.c says which step is worth most. A pass sees the workers
+ * as they were at its begin, less what it has placed itself.
  */
 
 /**
  * struct zr_cell_spot - a worker that takes tasks in this pass
  * @worker: the worker
  * @left: what it has left
+ * @held: what gangs that were tried before keep of that, or of what comes free
+ * @soon: what it will have left once its open stops are done
+ * @reach: the same, if all tasks that yield to @reach_class were stopped too
+ * @reach_class: for which class @soon and @reach were summed up; -1: none
  * @slow: it is slower than the others by far
- * @reserved_for: the gang that gathers room there, or NULL
+ * @kept: a gang gathers room there since an earlier pass
  */
 struct zr_cell_spot {
 	struct zr_cell_worker *worker;
 	struct zr_resources left;
+	struct zr_resources held;
+	struct zr_resources soon;
+	struct zr_resources reach;
+	int64_t reach_class;
 	bool slow;
-	const struct zr_cell_step_row *reserved_for;
+	bool kept;
+};
+
+/**
+ * struct zr_cell_known - a worker where a step is known to be permitted
+ * @spot: the worker
+ * @pass: the adviser's word; NULL when none is needed
+ */
+struct zr_cell_known {
+	struct zr_cell_spot *spot;
+	const struct zr_cell_pass *pass;
 };
 
 /**
@@ -32,14 +50,18 @@
  * @now: the time
  * @spots: workers that take tasks
  * @spot_count: how many
- * @reserved: how many of them are reserved
+ * @draining: millicpus that gangs wait for without an end in sight
+ * @capacity: millicpus of all spots
+ * @known: room for what is known of the step that is being tried
  */
 struct zr_cell_plan {
 	struct zr_cell_scheduler *scheduler;
 	int64_t now;
 	struct zr_cell_spot *spots;
 	size_t spot_count;
-	size_t reserved;
+	uint64_t draining;
+	uint64_t capacity;
+	struct zr_cell_known *known;
 };
 
 /**
@@ -49,6 +71,8 @@
  * @queue: its queue as configured now, or as it was at acceptance
  * @need: what a task takes from its worker
  * @most: how many tasks its client account allows
+ * @known: workers that suit it, where it is permitted
+ * @known_count: how many
  */
 struct zr_cell_try {
 	struct zr_cell_job *job;
@@ -56,14 +80,12 @@
 	struct zr_cell_queue queue;
 	struct zr_resources need;
 	uint32_t most;
+	struct zr_cell_known *known;
+	size_t known_count;
 };
 
-/** struct zr_cell_room - tasks of a step that there is room for */
-struct zr_cell_room {
-	uint32_t now;	  /* where a ticket is valid */
-	uint32_t allowed; /* where the step is known to be permitted */
-	uint32_t unasked; /* where the adviser has not been asked */
-};
+/** How long a stop and the read of its end take, with some to spare. */
+#define ZR_CELL_STOP_MS 450
 
 bool zr_cell_step_is_gang(const struct zr_cell_step_row *step);
 
@@ -74,6 +96,8 @@
  * @now: the time
  */
 int64_t zr_cell_order_rank(const struct zr_cell_job *job, int64_t now);
+/** zr_cell_order_class() - rank without age: a task yields to lesser classes */
+int64_t zr_cell_order_class(const struct zr_cell_job *job, int64_t now);
 /** zr_cell_order_objective_ms() - time after acceptance until a job is late */
 int64_t zr_cell_order_objective_ms(const struct zr_cell_job *job);
 /**
@@ -92,10 +116,14 @@
 /** zr_cell_spot_suits() - whether a worker may run a step when it has room */
 bool zr_cell_spot_suits(const struct zr_cell_try *try,
 			const struct zr_cell_spot *spot);
-bool zr_cell_spot_permitted(const struct zr_cell_try *try,
-			    const struct zr_cell_spot *spot, int64_t now);
-struct zr_cell_room zr_cell_spots_room(const struct zr_cell_plan *plan,
-				       const struct zr_cell_try *try);
+/** zr_cell_spots_known() - fill in @try->known */
+void zr_cell_spots_known(struct zr_cell_plan *plan, struct zr_cell_try *try);
+/** zr_cell_known_valid() - whether a start at @then would carry a valid ticket
+ */
+bool zr_cell_known_valid(const struct zr_cell_known *known, int64_t then);
+/** zr_cell_spots_room() - how many tasks could start now */
+uint32_t zr_cell_spots_room(const struct zr_cell_plan *plan,
+			    const struct zr_cell_try *try);
 /** Longest list of workers in a log line, with the final NUL. */
 #define ZR_CELL_NAMES_MAX 200
 
@@ -111,9 +139,68 @@
 uint32_t zr_cell_spots_place(struct zr_cell_plan *plan,
 			     const struct zr_cell_try *try, uint32_t most,
 			     char names[ZR_CELL_NAMES_MAX]);
-/** zr_cell_spots_reserve() - keep later steps off workers a gang waits for */
-void zr_cell_spots_reserve(struct zr_cell_plan *plan,
-			   const struct zr_cell_try *try);
+/** zr_cell_fits() - how many times @need fits into @have */
+uint32_t zr_cell_fits(const struct zr_resources *have,
+		      const struct zr_resources *need);
+
+/** zr_cell_spot_left() - what a step may use of what a spot has left */
+struct zr_resources zr_cell_spot_left(const struct zr_cell_spot *spot);
+/** zr_cell_left_of() - @have less @held, no less than nothing */
+struct zr_resources zr_cell_left_of(const struct zr_resources *have,
+				    const struct zr_resources *held);
+
+/* gather.c */
+/**
+ * struct zr_cell_place - a worker where a gang may run
+ * @known: the worker, and the adviser's word on it
+ * @spot: the worker
+ * @soon: members that fit once open stops are done
+ * @reach: members that fit if all that yields is stopped too
+ * @kept: it was chosen in an earlier pass
+ * @chosen: members that it is to hold
+ */
+struct zr_cell_place {
+	const struct zr_cell_known *known;
+	struct zr_cell_spot *spot;
+	uint32_t soon;
+	uint32_t reach;
+	bool kept;
+	uint32_t chosen;
+};
+
+/**
+ * struct zr_cell_gathered - how much room a gang has
+ * @places: workers where it is known to be permitted
+ * @count: how many
+ * @near: all its room will be there when the adviser has answered
+ * @missing: for so many tasks more it should learn where it is permitted
+ */
+struct zr_cell_gathered {
+	struct zr_cell_place *places;
+	size_t count;
+	bool near;
+	uint32_t missing;
+};
+
+/** zr_cell_spot_soon() - how many tasks fit once open stops are done */
+uint32_t zr_cell_spot_soon(struct zr_cell_plan *plan,
+			   const struct zr_cell_try *try,
+			   struct zr_cell_spot *spot);
+/** zr_cell_spot_reach() - how many fit if all that yields is stopped too */
+uint32_t zr_cell_spot_reach(struct zr_cell_plan *plan,
+			    const struct zr_cell_try *try,
+			    struct zr_cell_spot *spot);
+/**
+ * zr_cell_gather() - make room for a gang and keep later steps off it
+ * @out: the room; freed with zr_cell_gathered_clear()
+ * @plan: the pass
+ * @try: the gang
+ *
+ * Waits for open stops, lets workers drain, or stops tasks that yield.
+ */
+void zr_cell_gather(struct zr_cell_gathered *out, struct zr_cell_plan *plan,
+		    const struct zr_cell_try *try);
+void zr_cell_gathered_clear(struct zr_cell_gathered *gathered);
 
 /* pace.c */
 /** zr_cell_pace_sample() - a run on a worker has ended as done */
@@ -133,6 +220,14 @@
 /* ask.c */
 /** zr_cell_ask() - ask the adviser about workers that have room for a step */
 void zr_cell_ask(struct zr_cell_plan *plan, const struct zr_cell_try *try);
+/**
+ * zr_cell_ask_gang() - ask the adviser about workers that can hold a gang
+ * @plan: the pass
+ * @try: the gang
+ * @gathered: the room that it has in this pass
+ */
+void zr_cell_ask_gang(struct zr_cell_plan *plan, const struct zr_cell_try *try,
+		      const struct zr_cell_gathered *gathered);
 
 /* passes.c */
 const struct zr_cell_pass *
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -393,8 +393,11 @@
 	case ZR_TASK_RUNNING:
 	case ZR_TASK_UNSURE:
 		zr_log_decision("run.stop job=%s task=%" PRIu32
-				" attempt=%" PRIu32 " reason=%s",
-				job->id, task, row->attempt, reason);
+				" attempt=%" PRIu32 " worker=%s reason=%s",
+				job->id, task, row->attempt,
+				zr_cell_worker(&scheduler->model, row->worker)
+					->report.name,
+				reason);
 		zr_cell_task_event(row, ZR_TASK_EVENT_STOP);
 		send_stop(scheduler, job, task);
 		return;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "cell/private.h"
 #include "zinniarack/errors.h"
@@ -128,6 +129,37 @@
 	}
 }
 
+/* What explains why jobs wait: how full the workers are, and who waits. */
+static void log_load(const struct zr_cell_scheduler *scheduler, int64_t now)
+{
+	const struct zr_cell_model *model = &scheduler->model;
+	uint64_t capacity = 0;
+	uint64_t used = 0;
+	size_t kept = 0;
+	size_t tasks = 0;
+	size_t gangs = 0;
+	struct zr_cell_step_row *step;
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next;
+
+	HASH_ITER (hh, model->worker_by_name, worker, next) {
+		used += worker->used_millicpus;
+		if (worker->listed)
+			capacity += worker->report.capacity.millicpus;
+		kept += now < worker->kept_until;
+	}
+	DL_FOREACH(model->ready, step)
+	{
+		tasks += step->waiting;
+		gangs += (step->spec->flags & ZR_STEP_GANG) != 0;
+	}
+	zr_log_decision("cell.load used=%" PRIu64 " capacity=%" PRIu64
+			" waiting_tasks=%zu waiting_gangs=%zu kept=%zu "
+			"idle_hosts=%zu",
+			used, capacity, tasks, gangs, kept,
+			zr_cell_advice_idle(&scheduler->advice, now));
+}
+
 /* Jobs that ended */
 
 /* Nothing but the end of a job that is over and kept is of use. */
@@ -263,6 +295,7 @@
 	if (now - scheduler->counts_at >= COUNTS_MS) {
 		scheduler->counts_at = now;
 		publish_counts(scheduler);
+		log_load(scheduler, now);
 		forget_old_jobs(scheduler);
 	}
 	zr_cell_plan_soon(scheduler);
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -6,16 +6,14 @@
 
 /* A permit must still be valid when the start arrives. */
 #define PERMIT_SLACK_MS 120
-/* Gangs, but for the first, keep at most this part of the workers together. */
-#define RESERVED_PART 3
 
 static uint32_t times(uint32_t have, uint32_t need)
 {
 	return need ? have / need : UINT32_MAX;
 }
 
-static uint32_t fits(const struct zr_resources *have,
-		     const struct zr_resources *need)
+uint32_t zr_cell_fits(const struct zr_resources *have,
+		      const struct zr_resources *need)
 {
 	uint32_t slots = times(have->millicpus, need->millicpus);
 	uint32_t memory = times(have->memory_mb, need->memory_mb);
@@ -26,6 +24,26 @@
 	return accelerators < slots ? accelerators : slots;
 }
 
+static uint32_t less(uint32_t have, uint32_t held)
+{
+	return have > held ? have - held : 0;
+}
+
+struct zr_resources zr_cell_left_of(const struct zr_resources *have,
+				    const struct zr_resources *held)
+{
+	return (struct zr_resources){
+		.millicpus = less(have->millicpus, held->millicpus),
+		.memory_mb = less(have->memory_mb, held->memory_mb),
+		.accelerators = less(have->accelerators, held->accelerators),
+	};
+}
+
+struct zr_resources zr_cell_spot_left(const struct zr_cell_spot *spot)
+{
+	return zr_cell_left_of(&spot->left, &spot->held);
+}
+
 static bool has_label(const struct zr_cell_worker *worker, const char *label)
 {
 	const char *each = worker->report.labels;
@@ -45,25 +63,35 @@
 	       worker->state != ZR_WORKER_UNHEARD;
 }
 
+static void add_spot(struct zr_cell_plan *plan, struct zr_cell_worker *worker)
+{
+	struct zr_cell_spot *spot = &plan->spots[plan->spot_count++];
+
+	spot->worker = worker;
+	spot->left = zr_cell_worker_free(worker);
+	spot->reach_class = -1;
+	spot->kept = plan->now < worker->kept_until;
+	spot->slow =
+		zr_cell_pace_slow(&plan->scheduler->model, worker, plan->now);
+	plan->capacity += worker->report.capacity.millicpus;
+	worker->spot = plan->spot_count;
+}
+
 void zr_cell_spots_find(struct zr_cell_plan *plan)
 {
 	struct zr_cell_model *model = &plan->scheduler->model;
+	size_t most = HASH_COUNT(model->worker_by_name) + 1;
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 
-	plan->spots = calloc(HASH_COUNT(model->worker_by_name) + 1,
-			     sizeof(*plan->spots));
-	if (!plan->spots)
+	plan->spots = calloc(most, sizeof(*plan->spots));
+	plan->known = calloc(most, sizeof(*plan->known));
+	if (!plan->spots || !plan->known)
 		abort();
 	HASH_ITER (hh, model->worker_by_name, worker, next) {
-		if (!takes_tasks(worker, plan->now))
-			continue;
-		plan->spots[plan->spot_count].worker = worker;
-		plan->spots[plan->spot_count].left =
-			zr_cell_worker_free(worker);
-		plan->spots[plan->spot_count].slow =
-			zr_cell_pace_slow(model, worker, plan->now);
-		plan->spot_count++;
+		worker->spot = 0;
+		if (takes_tasks(worker, plan->now))
+			add_spot(plan, worker);
 	}
 }
 
@@ -73,7 +101,7 @@
 	const struct zr_cell_worker *worker = spot->worker;
 	const char *label = try->step->spec->label;
 
-	return fits(&worker->report.capacity, &try->need) &&
+	return zr_cell_fits(&worker->report.capacity, &try->need) &&
 	       !strcmp(worker->report.pool, try->queue.pool) &&
 	       (!label[0] || has_label(worker, label));
 }
@@ -96,12 +124,12 @@
 			    const struct zr_cell_spot *spot)
 {
 	uint32_t spread = try->step->spec->spread;
+	struct zr_resources left;
 	uint32_t slots;
 	uint32_t there;
 
-	if (spot->reserved_for && spot->reserved_for != try->step)
-		return 0;
-	slots = fits(&spot->left, &try->need);
+	left = zr_cell_spot_left(spot);
+	slots = zr_cell_fits(&left, &try->need);
 	if (!slots || !spread)
 		return slots;
 	there = tasks_on(try, spot->worker->self);
@@ -110,37 +138,48 @@
 	return slots < spread - there ? slots : spread - there;
 }
 
-bool zr_cell_spot_permitted(const struct zr_cell_try *try,
-			    const struct zr_cell_spot *spot, int64_t now)
+static void know(struct zr_cell_try *try, struct zr_cell_spot *spot,
+		 const struct zr_cell_pass *pass)
 {
-	const struct zr_cell_pass *pass;
-
-	if (!try->queue.advised)
-		return true;
-	pass = zr_cell_pass_find(try->step, spot->worker->self);
-	return pass && pass->permitted && pass->until > now + PERMIT_SLACK_MS;
+	if (zr_cell_spot_suits(try, spot))
+		try->known[try->known_count++] =
+			(struct zr_cell_known){spot, pass};
 }
 
-struct zr_cell_room zr_cell_spots_room(const struct zr_cell_plan *plan,
-				       const struct zr_cell_try *try)
+void zr_cell_spots_known(struct zr_cell_plan *plan, struct zr_cell_try *try)
 {
-	struct zr_cell_room room = {0};
+	const struct zr_cell_model *model = &plan->scheduler->model;
 	size_t i;
 
-	for (i = 0; i < plan->spot_count; i++) {
-		const struct zr_cell_spot *spot = &plan->spots[i];
-		uint32_t slots = zr_cell_spot_slots(try, spot);
-		const struct zr_cell_pass *pass;
+	try->known = plan->known;
+	try->known_count = 0;
+	for (i = 0; !try->queue.advised && i < plan->spot_count; i++)
+		know(try, &plan->spots[i], NULL);
+	for (i = 0; try->queue.advised && i < try->step->pass_count; i++) {
+		const struct zr_cell_pass *pass = &try->step->passes[i];
+		const struct zr_cell_worker *worker =
+			pass->permitted ? zr_cell_worker(model, pass->worker)
+					: NULL;
+
+		if (worker && worker->spot)
+			know(try, &plan->spots[worker->spot - 1], pass);
+	}
+}
 
-		if (!slots || !zr_cell_spot_suits(try, spot))
-			continue;
-		pass = zr_cell_pass_find(try->step, spot->worker->self);
-		if (zr_cell_spot_permitted(try, spot, plan->now))
-			room.now += slots;
-		if (!try->queue.advised || (pass && pass->permitted))
-			room.allowed += slots;
-		if (!pass)
-			room.unasked += slots;
+bool zr_cell_known_valid(const struct zr_cell_known *known, int64_t then)
+{
+	return !known->pass || known->pass->until > then + PERMIT_SLACK_MS;
+}
+
+uint32_t zr_cell_spots_room(const struct zr_cell_plan *plan,
+			    const struct zr_cell_try *try)
+{
+	uint32_t room = 0;
+	size_t i;
+
+	for (i = 0; i < try->known_count; i++) {
+		if (zr_cell_known_valid(&try->known[i], plan->now))
+			room += zr_cell_spot_slots(try, try->known[i].spot);
 	}
 	return room;
 }
@@ -156,6 +195,8 @@
 		return true;
 	if (spot->slow != best->slow)
 		return best->slow;
+	if (spot->kept != best->kept && !zr_cell_step_is_gang(try->step))
+		return best->kept;
 	if (rack[0]) {
 		bool near = !strcmp(spot->worker->report.rack, rack);
 		bool best_near = !strcmp(best->worker->report.rack, rack);
@@ -163,23 +204,23 @@
 		if (near != best_near)
 			return near;
 	}
-	return spot->left.millicpus < best->left.millicpus;
+	return zr_cell_spot_left(spot).millicpus <
+	       zr_cell_spot_left(best).millicpus;
 }
 
-static struct zr_cell_spot *best_spot(struct zr_cell_plan *plan,
+static struct zr_cell_spot *best_spot(const struct zr_cell_plan *plan,
 				      const struct zr_cell_try *try,
 				      zr_handle avoid)
 {
 	struct zr_cell_spot *best = NULL;
 	size_t i;
 
-	for (i = 0; i < plan->spot_count; i++) {
-		struct zr_cell_spot *spot = &plan->spots[i];
+	for (i = 0; i < try->known_count; i++) {
+		struct zr_cell_spot *spot = try->known[i].spot;
 
 		if (spot->worker->self != avoid &&
-		    zr_cell_spot_slots(try, spot) &&
-		    zr_cell_spot_permitted(try, spot, plan->now) &&
-		    zr_cell_spot_suits(try, spot) && better(try, spot, best))
+		    zr_cell_known_valid(&try->known[i], plan->now) &&
+		    zr_cell_spot_slots(try, spot) && better(try, spot, best))
 			best = spot;
 	}
 	return best;
@@ -206,6 +247,7 @@
 	spot->left.millicpus -= need->millicpus;
 	spot->left.memory_mb -= need->memory_mb;
 	spot->left.accelerators -= need->accelerators;
+	spot->reach_class = -1;
 }
 
 static void add_name(char names[ZR_CELL_NAMES_MAX], const char *name)
@@ -246,61 +288,3 @@
 	}
 	return placed;
 }
-
-static int by_room(const void *a, const void *b)
-{
-	const struct zr_cell_spot *const *x = a;
-	const struct zr_cell_spot *const *y = b;
-
-	if ((*x)->left.millicpus != (*y)->left.millicpus)
-		return (*x)->left.millicpus > (*y)->left.millicpus ? -1 : 1;
-	return strcmp((*x)->worker->report.name, (*y)->worker->report.name);
-}
-
-static size_t find_reservable(struct zr_cell_spot **out,
-			      struct zr_cell_plan *plan,
-			      const struct zr_cell_try *try)
-{
-	size_t count = 0;
-	size_t i;
-
-	for (i = 0; i < plan->spot_count; i++) {
-		struct zr_cell_spot *spot = &plan->spots[i];
-		const struct zr_cell_pass *pass =
-			zr_cell_pass_find(try->step, spot->worker->self);
-
-		if (!spot->reserved_for && zr_cell_spot_suits(try, spot) &&
-		    (!try->queue.advised || (pass && pass->permitted)))
-			out[count++] = spot;
-	}
-	qsort(out, count, sizeof(struct zr_cell_spot *), by_room);
-	return count;
-}
-
-/* All that a gang needs or nothing: a part of it would only stand idle. */
-void zr_cell_spots_reserve(struct zr_cell_plan *plan,
-			   const struct zr_cell_try *try)
-{
-	uint32_t wanted = try->step->spec->count;
-	struct zr_cell_spot **spots;
-	uint32_t held = 0;
-	size_t needed = 0;
-	size_t count;
-	size_t i;
-
-	spots = calloc(plan->spot_count + 1, sizeof(struct zr_cell_spot *));
-	if (!spots)
-		abort();
-	count = find_reservable(spots, plan, try);
-	for (; needed < count && held < wanted; needed++)
-		held += fits(&spots[needed]->worker->report.capacity,
-			     &try->need);
-	if (held >= wanted &&
-	    (!plan->reserved ||
-	     (plan->reserved + needed) * RESERVED_PART <= plan->spot_count)) {
-		for (i = 0; i < needed; i++)
-			spots[i]->reserved_for = try->step;
-		plan->reserved += needed;
-	}
-	free(spots);
-}
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -6,15 +6,22 @@
  *   worker NAME MILLICPUS
  *   queue advised              questions to the adviser are needed from now on
  *   limit MILLICPUS            upper limit of the client account
+ *   priority N                 of jobs submitted from now on
+ *   target MS                  time until they are late
  *   submit HOST JOB STEP...    as an entry host writes it, and tells of it
- *                              where the cell is owned. STEP:
- * [gang,]COUNTxMILLICPUS:MS[@AFTER], MS may be fMS for tasks that fail cancel
- * HOST JOB            as an entry host writes it state HOST JOB where it
- * stands, as the store tells waiting HOST               waiting jobs, as the
- * store tells run MS                     let time pass clock HOST MS how coarse
- * a host's clock is link FROM TO pass|hold|drop|double|refuse    `*` stands for
- * any release FROM TO [reverse]  let held messages go pause NODE, resume NODE,
- * kill HOST, stop HOST restart WORKER, replace WORKER
+ *                              where the cell is owned. STEP is
+ *                              [gang,|saves,]COUNTxMILLICPUS:MS[@AFTER];
+ *                              MS may be fMS for tasks that fail
+ *   cancel HOST JOB            as an entry host writes it
+ *   state HOST JOB             where it stands, as the store tells
+ *   waiting HOST               waiting jobs, as the store tells
+ *   questions                  how many the adviser was asked
+ *   run MS                     let time pass
+ *   clock HOST MS              how coarse a host's clock is
+ *   link FROM TO pass|hold|drop|double|refuse    `*` stands for any
+ *   release FROM TO [reverse]  let held messages go
+ *   pause NODE, resume NODE, kill HOST, stop HOST
+ *   restart WORKER, replace WORKER, hang WORKER
  *
  * Nodes are the hosts, the workers, "store" and "adviser". The pool prints
  * `VIOLATION` when a rule is broken.
@@ -58,6 +65,9 @@
 	struct zr_cell_queue queue;
 	struct zr_cell_client client;
 	struct zr_cell_config config;
+	uint32_t priority;
+	uint32_t target_ms;
+	unsigned int questions;
 	char *words[WORDS_MAX];
 	int count;
 };
@@ -145,6 +155,7 @@
 	struct question *question = calloc(1, sizeof(*question));
 	size_t i;
 
+	host->script->questions++;
 	(void)job;
 	(void)occurrence;
 	(void)step;
@@ -295,6 +306,22 @@
 	put(script, &script->hosts[0], key, "1", 1);
 }
 
+static void do_priority(struct script *script)
+{
+	script->priority = (uint32_t)atoi(word(script, 1));
+}
+
+static void do_target(struct script *script)
+{
+	script->target_ms = (uint32_t)atoi(word(script, 1));
+}
+
+static void do_questions(struct script *script)
+{
+	printf("%6ld questions: %u\n", fake_net_now_ms(script->net),
+	       script->questions);
+}
+
 static void configure(struct script *script)
 {
 	size_t i;
@@ -330,6 +357,9 @@
 	if (!strncmp(text, "gang,", 5)) {
 		step->flags = ZR_STEP_GANG;
 		text += 5;
+	} else if (!strncmp(text, "saves,", 6)) {
+		step->flags = ZR_STEP_CHECKPOINTS;
+		text += 6;
 	}
 	step->count = (uint32_t)atoi(text);
 	step->need.millicpus = (uint32_t)atoi(times + 1);
@@ -353,7 +383,13 @@
 	char payload[LINE_MAX_BYTES] = "";
 	struct zr_cell_job_spec spec = {.payload = payload, .steps = steps};
 	zx_cell_job record = {
-		.queue = "q", .client = "c", .pool = "pool", .attempts = 2};
+		.queue = "q",
+		.client = "c",
+		.pool = "pool",
+		.attempts = 2,
+		.priority = script->priority,
+		.latency_target_ms = script->target_ms,
+	};
 	const struct zr_clock *clock =
 		fake_time_clock(fake_node_time(host->node));
 	struct zr_cell_bytes bytes;
@@ -545,13 +581,18 @@
 	const char *name;
 	void (*run)(struct script *script);
 } verbs[] = {
-	{"host", do_host},   {"worker", do_worker},   {"queue", do_queue},
-	{"limit", do_limit}, {"submit", do_submit},   {"cancel", do_cancel},
-	{"state", do_state}, {"waiting", do_waiting}, {"run", do_run},
-	{"clock", do_clock}, {"link", do_link},	      {"release", do_release},
-	{"pause", do_pause}, {"resume", do_resume},   {"kill", do_kill},
-	{"stop", do_stop},   {"hang", do_hang},	      {"outsized", do_outsized},
-	{"owner", do_owner}, {"restart", do_restart}, {"replace", do_replace},
+	{"host", do_host},	 {"worker", do_worker},
+	{"queue", do_queue},	 {"limit", do_limit},
+	{"submit", do_submit},	 {"cancel", do_cancel},
+	{"state", do_state},	 {"waiting", do_waiting},
+	{"run", do_run},	 {"clock", do_clock},
+	{"link", do_link},	 {"release", do_release},
+	{"pause", do_pause},	 {"resume", do_resume},
+	{"kill", do_kill},	 {"stop", do_stop},
+	{"hang", do_hang},	 {"outsized", do_outsized},
+	{"owner", do_owner},	 {"restart", do_restart},
+	{"replace", do_replace}, {"priority", do_priority},
+	{"target", do_target},	 {"questions", do_questions},
 };
 
 static void run_line(struct script *script, char *line)
