Answers about a job's state wait for its end to be written

Cause: callers mostly ask for a job's state in the moment in which it ends.

Ruled out: slow answers (0 to 2 ms) and slow looks at workers.

Test: cell/end_being_written (before, a call during the write was answered "active").

--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -97,11 +97,12 @@
 	return zr_cell_scheduler_news(host->scheduler, job, record, length);
 }
 
-static int on_state(void *ctx, enum zr_cell_job_state *out, const char *job)
+static void on_state(void *ctx, const char *job, zr_cell_state_fn done,
+		     void *done_ctx)
 {
 	struct zr_cell_host *host = ctx;
 
-	return zr_cell_scheduler_state(out, host->scheduler, job);
+	zr_cell_scheduler_state(host->scheduler, job, done, done_ctx);
 }
 
 static void on_follow(void *ctx)
--- a/src/libzinniarack/cell/members.c
+++ b/src/libzinniarack/cell/members.c
@@ -205,18 +205,19 @@
 	zr_rpc_reply(call, &result);
 }
 
+static void on_own_state(void *ctx, int error, enum zr_cell_job_state state)
+{
+	zx_cell_state_result result = {.known = !error, .state = state};
+
+	zr_rpc_reply(ctx, &result);
+}
+
 static void serve_state(void *ctx, struct zr_rpc_call *call, void *data)
 {
 	struct zr_cell_members *members = ctx;
 	const zx_cell_state_args *args = data;
-	enum zr_cell_job_state state = ZR_CELL_JOB_QUEUED;
-	zx_cell_state_result result = {
-		.known =
-			!members->events.state(members->ctx, &state, args->job),
-	};
 
-	result.state = state;
-	zr_rpc_reply(call, &result);
+	members->events.state(members->ctx, args->job, on_own_state, call);
 }
 
 static struct member *present_member(struct zr_cell_members *members,
@@ -279,16 +280,14 @@
 {
 	struct member *member = present_member(members, host);
 	zx_cell_state_args args = {(char *)job};
-	enum zr_cell_job_state state = ZR_CELL_JOB_QUEUED;
 	struct state_call *call;
-	int error;
 
+	if (!strcmp(host, members->name)) {
+		members->events.state(members->ctx, job, done, ctx);
+		return;
+	}
 	if (!member) {
-		error = strcmp(host, members->name)
-				? ZR_E_UNREACHABLE
-				: members->events.state(members->ctx, &state,
-							job);
-		done(ctx, error, state);
+		done(ctx, ZR_E_UNREACHABLE, ZR_CELL_JOB_QUEUED);
 		return;
 	}
 	call = calloc(1, sizeof(*call));
--- a/src/libzinniarack/cell/members.h
+++ b/src/libzinniarack/cell/members.h
@@ -20,13 +20,10 @@
 struct zr_cell_members_events {
 	bool (*news)(void *ctx, const char *job, const void *record,
 		     size_t length);
-	int (*state)(void *ctx, enum zr_cell_job_state *out, const char *job);
+	void (*state)(void *ctx, const char *job, zr_cell_state_fn done,
+		      void *done_ctx);
 };
 
-/** Called once; an error means that the store has to be asked. */
-typedef void (*zr_cell_state_fn)(void *ctx, int error,
-				 enum zr_cell_job_state state);
-
 /** Called when the hosts through which the adviser can be asked have changed.
  */
 typedef void (*zr_cell_members_fn)(void *ctx,
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -25,6 +25,7 @@
  * @events: counts answers of workers and looks sent, to tell which came first
  * @watch_revision: changes of accepted jobs are known up to it
  * @watch_failures: watches that failed since the last one that did not
+ * @state_waits: callers who wait until the end of a job is written
  * @registry_asked_at: when it was last asked for
  * @registry_read_at: when the registry was last read with success
  */
@@ -54,6 +55,7 @@
 	void *released_ctx;
 	bool releasing;
 	int64_t release_by;
+	struct zr_cell_state_wait *state_waits;
 	unsigned int open_calls;
 	bool freeing;
 	struct zr_metric *starts;
@@ -90,6 +92,15 @@
 /* registry.c */
 void zr_cell_registry_read(struct zr_cell_scheduler *scheduler);
 
+/* states.c */
+/** zr_cell_states_written() - answer those who wait for a job's end */
+void zr_cell_states_written(struct zr_cell_scheduler *scheduler,
+			    const struct zr_cell_job *job);
+/** zr_cell_states_due() - answer those who have waited long enough */
+void zr_cell_states_due(struct zr_cell_scheduler *scheduler);
+/** zr_cell_states_end() - the ownership is over: the store has to be asked */
+void zr_cell_states_end(struct zr_cell_scheduler *scheduler);
+
 /* plan.c */
 void zr_cell_plan(struct zr_cell_scheduler *scheduler);
 
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -204,6 +204,7 @@
 			job->id, job->queue, job->state,
 			zr_cell_now(scheduler) - job->accepted_at);
 	}
+	zr_cell_states_written(scheduler, job);
 	shrink_job(scheduler, job);
 	zr_cell_acks_written(scheduler);
 }
@@ -214,6 +215,7 @@
 {
 	scheduler->reign++;
 	scheduler->phase = ZR_CELL_STANDBY;
+	zr_cell_states_end(scheduler);
 	zr_cell_journal_close(scheduler->journal);
 	zr_timer_stop(scheduler->rewatch);
 	zr_cell_model_clear(&scheduler->model);
@@ -288,6 +290,7 @@
 		finish_release(scheduler);
 	if (scheduler->phase != ZR_CELL_ACTIVE)
 		return;
+	zr_cell_states_due(scheduler);
 	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
 		worker_due(scheduler, worker);
 	if (now - scheduler->registry_asked_at >= REGISTRY_POLL_MS)
@@ -422,21 +425,6 @@
 	return zr_owner_holder(scheduler->owner);
 }
 
-int zr_cell_scheduler_state(enum zr_cell_job_state *out,
-			    const struct zr_cell_scheduler *scheduler,
-			    const char *id)
-{
-	const struct zr_cell_job *job;
-
-	if (!zr_cell_may_order(scheduler))
-		return ZR_E_NOT_OWNER;
-	job = zr_cell_job_find(&scheduler->model, id);
-	if (!job)
-		return ZR_E_NOT_FOUND;
-	*out = job->kept_state;
-	return 0;
-}
-
 void zr_cell_scheduler_helpers(struct zr_cell_scheduler *scheduler,
 			       const struct zr_cell_helper *helpers,
 			       size_t count)
@@ -475,6 +463,7 @@
 	zr_timer_free(scheduler->rewatch);
 	zr_owner_free(scheduler->owner);
 	zr_cell_journal_free(scheduler->journal);
+	zr_cell_states_end(scheduler);
 	scheduler->freeing = true;
 	scheduler->reign++;
 	/* Closing the connections to workers ends the calls on them. */
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -98,16 +98,23 @@
 			    const void *record, size_t length);
 
 /**
- * zr_cell_scheduler_state() - where a job stands, as the store holds it
- * @out: its state
+ * typedef zr_cell_state_fn - where a job stands, as the store holds it
+ * @ctx: as passed
+ * @error: 0; ZR_E_NOT_OWNER or ZR_E_NOT_FOUND when the store has to be asked
+ * @state: its state
+ */
+typedef void (*zr_cell_state_fn)(void *ctx, int error,
+				 enum zr_cell_job_state state);
+
+/**
+ * zr_cell_scheduler_state() - ask where a job stands
  * @scheduler: the scheduler
  * @id: the job
- *
- * Return: 0; ZR_E_NOT_OWNER or ZR_E_NOT_FOUND when the store has to be asked.
+ * @done: called once, at the latest 250 ms later
+ * @ctx: passed to @done
  */
-int zr_cell_scheduler_state(enum zr_cell_job_state *out,
-			    const struct zr_cell_scheduler *scheduler,
-			    const char *id);
+void zr_cell_scheduler_state(struct zr_cell_scheduler *scheduler,
+			     const char *id, zr_cell_state_fn done, void *ctx);
 
 /** zr_cell_scheduler_release() - hand the cell over; @done is called once */
 void zr_cell_scheduler_release(struct zr_cell_scheduler *scheduler,
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -14,6 +14,7 @@
  *                              MS may be fMS for tasks that fail
  *   cancel HOST JOB            as an entry host writes it
  *   state HOST JOB             where it stands, as the store tells
+ *   ask HOST JOB               where it stands, as that host answers callers
  *   waiting HOST               waiting jobs, as the store tells
  *   questions                  how many the adviser was asked
  *   run MS                     let time pass
@@ -418,10 +419,11 @@
 	put_job(script, find_host(script, word(script, 1)), key, NULL, 0);
 }
 
+static const char *const state_names[] = {"queued", "active", "completed",
+					  "failed", "cancelled"};
+
 static void on_state(void *ctx, int error, const struct zr_store_reply *reply)
 {
-	static const char *const names[] = {"queued", "active", "completed",
-					    "failed", "cancelled"};
 	struct script *script = ctx;
 	zx_cell_progress record = {0};
 
@@ -433,7 +435,7 @@
 		return;
 	}
 	printf("%6ld %s: %s\n", fake_net_now_ms(script->net),
-	       reply->values[0].key, names[record.state]);
+	       reply->values[0].key, state_names[record.state]);
 	xdr_free((xdrproc_t)xdr_zx_cell_progress, &record);
 }
 
@@ -446,6 +448,31 @@
 		       ZR_STORE_OTHER, key, false, on_state, script);
 }
 
+struct asking {
+	struct script *script;
+	char job[ZR_NAME_MAX];
+};
+
+static void on_answer(void *ctx, int error, enum zr_cell_job_state state)
+{
+	struct asking *asking = ctx;
+
+	printf("%6ld %s is answered: %s\n",
+	       fake_net_now_ms(asking->script->net), asking->job,
+	       error < 0 ? zr_error_name(error) : state_names[state]);
+	free(asking);
+}
+
+static void do_ask(struct script *script)
+{
+	struct asking *asking = calloc(1, sizeof(*asking));
+
+	asking->script = script;
+	snprintf(asking->job, sizeof(asking->job), "%s", word(script, 2));
+	zr_cell_scheduler_state(find_host(script, word(script, 1))->scheduler,
+				asking->job, on_answer, asking);
+}
+
 static void on_waiting(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct script *script = ctx;
@@ -593,6 +620,7 @@
 	{"owner", do_owner},	 {"restart", do_restart},
 	{"replace", do_replace}, {"priority", do_priority},
 	{"target", do_target},	 {"questions", do_questions},
+	{"ask", do_ask},
 };
 
 static void run_line(struct script *script, char *line)
