A worker that never answered the new owner counts as silent

An owner that takes over knows the clock of workers that the registry still lists. When such a worker is gone it never answers, stays "unknown" to the chart, and each look renewed its lease: its runs were in doubt for ever and it was given new tasks once a second. A debug line for old jobs showed runs found at the take-over at 14 s, still open at 56 s, and lease ends 6.7 s ahead.

Change: unanswered looks in a row are counted. A worker with one gets no tasks and no longer lease, as one that was heard before and went silent.

Test: cell/unheard_after_take_over (before, the runs were never given up).

--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -324,6 +324,7 @@
 					worker->run_count);
 		zr_chart_step(&worker->state, zr_charts()->worker,
 			      ZR_WORKER_SILENT);
+		worker->unanswered++;
 		zr_cell_look_soon(scheduler, worker, LOOK_RETRY_MS);
 	} else if (reply->refusal == ZR_ORDER_FENCED) {
 		zr_owner_give_up(scheduler->owner);
@@ -365,7 +366,7 @@
 	/* A silent worker's lease is left to end, so that its tasks can go on.
 	 */
 	if (worker->clock_ms >= 0 && worker->run_count &&
-	    worker->state != ZR_WORKER_UNHEARD)
+	    !zr_cell_worker_silent(worker))
 		lease_until = zr_cell_lease_until(scheduler, worker);
 	/* The first look after a take-over, and the last one, do not wait. */
 	if (worker->state == ZR_WORKER_UNKNOWN || !worker->run_count ||
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -119,6 +119,12 @@
 	free(worker);
 }
 
+bool zr_cell_worker_silent(const struct zr_cell_worker *worker)
+{
+	/* One that never answered this owner stays unknown to the chart. */
+	return worker->state == ZR_WORKER_UNHEARD || worker->unanswered;
+}
+
 struct zr_resources zr_cell_worker_free(const struct zr_cell_worker *worker)
 {
 	const struct zr_resources *all = &worker->report.capacity;
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -242,6 +242,7 @@
  * @ack_room: room of @acks
  * @looking: a look is open
  * @look_sent_at: since when
+ * @unanswered: looks in a row that were not answered
  * @look_due: when the next one is due; ZR_CELL_NEVER: none
  * @suspect_until: gets no work until then
  * @blamed: the job that failed there last
@@ -277,6 +278,7 @@
 	size_t ack_room;
 	bool looking;
 	int64_t look_sent_at;
+	uint32_t unanswered;
 	int64_t look_due;
 	int64_t suspect_until;
 	zr_handle blamed;
@@ -384,6 +386,8 @@
 /** zr_cell_task_event() - move a task that stays open */
 int zr_cell_task_event(struct zr_cell_task *task, enum zr_task_event event);
 
+/** zr_cell_worker_silent() - whether it does not answer, as far as is known */
+bool zr_cell_worker_silent(const struct zr_cell_worker *worker);
 /** zr_cell_worker_free() - what a worker has left */
 struct zr_resources zr_cell_worker_free(const struct zr_cell_worker *worker);
 /** zr_cell_need() - what a task of a step takes from its worker */
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -38,6 +38,7 @@
 	zr_chart_step(&worker->state, zr_charts()->worker,
 		      worker->report.leaving ? ZR_WORKER_HEARD_LEAVING
 					     : ZR_WORKER_HEARD);
+	worker->unanswered = 0;
 	if (clock_ms < 0)
 		return;
 	worker->clock_ms = clock_ms;
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -59,8 +59,7 @@
 {
 	return worker->listed && !worker->report.leaving &&
 	       worker->orders.ops && worker->clock_ms >= 0 &&
-	       now >= worker->suspect_until &&
-	       worker->state != ZR_WORKER_UNHEARD;
+	       now >= worker->suspect_until && !zr_cell_worker_silent(worker);
 }
 
 static void add_spot(struct zr_cell_plan *plan, struct zr_cell_worker *worker)
