A failure domain that does not answer gets no tasks

Cause: when a failure domain is cut off, each of its workers takes tasks until an order or a look there is given up, 0.6 s and more.

Change: domains.c. An order is answered in milliseconds; a domain from which nothing was heard for 150 ms after an order gets no tasks for 1.5 s.

Test: cell/domain_cut (without the bound 8 tasks are sent into the cut, with it 3).

--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -252,6 +252,7 @@
  * @keeper: the job of the gang that gathers room there
  * @keeper_step: its step
  * @kept_until: until then, if it does not renew that
+ * @domain: its failure domain, counted from 1; 0: not known
  * @spot: its place among the spots of the pass in hand, from 1; 0: none
  */
 struct zr_cell_worker {
@@ -288,10 +289,25 @@
 	zr_handle keeper;
 	uint32_t keeper_step;
 	int64_t kept_until;
+	uint32_t domain;
 	size_t spot;
 	UT_hash_handle hh;
 };
 
+/** Failure domains that are told apart. */
+#define ZR_CELL_DOMAINS_MAX 32
+
+/**
+ * struct zr_cell_domain - a failure domain
+ * @name: its name
+ * @asked_at: when the first order was sent since a worker there last answered;
+ *            ZR_CELL_NEVER: none was
+ */
+struct zr_cell_domain {
+	char name[ZR_NAME_MAX];
+	int64_t asked_at;
+};
+
 /**
  * struct zr_cell_model - all of it
  * @jobs: &struct zr_cell_job pointers by handle
@@ -303,6 +319,8 @@
  * @ready: steps with waiting tasks whose turn has come, by rank
  * @dirty: jobs with changes that the store does not hold
  * @pace: run times over estimates on all workers, smoothed; 0: not known
+ * @domains: failure domains of the workers
+ * @domain_count: how many
  */
 struct zr_cell_model {
 	struct zr_table *jobs;
@@ -313,6 +331,8 @@
 	struct zr_cell_step_row *ready;
 	struct zr_cell_job *dirty;
 	double pace;
+	struct zr_cell_domain domains[ZR_CELL_DOMAINS_MAX];
+	uint32_t domain_count;
 };
 
 int zr_cell_model_init(struct zr_cell_model *model);
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -217,6 +217,19 @@
 /** zr_cell_pace_stalled() - whether a run makes no progress any more */
 bool zr_cell_pace_stalled(const struct zr_cell_task *task, int64_t now);
 
+/* domains.c */
+/** zr_cell_domain_obtain() - the number of a failure domain, from 1; 0: none */
+uint32_t zr_cell_domain_obtain(struct zr_cell_model *model, const char *name);
+/** zr_cell_domain_asked() - an order was sent to a worker */
+void zr_cell_domain_asked(struct zr_cell_model *model,
+			  const struct zr_cell_worker *worker, int64_t now);
+/** zr_cell_domain_heard() - a worker answered */
+void zr_cell_domain_heard(struct zr_cell_model *model,
+			  const struct zr_cell_worker *worker);
+/** zr_cell_domain_silent() - whether no worker of its domain answers */
+bool zr_cell_domain_silent(struct zr_cell_model *model,
+			   const struct zr_cell_worker *worker, int64_t now);
+
 /* ask.c */
 /** zr_cell_ask() - ask the adviser about workers that have room for a step */
 void zr_cell_ask(struct zr_cell_plan *plan, const struct zr_cell_try *try);
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "cell/private.h"
+#include "cell/plan.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
@@ -54,6 +54,8 @@
 				worker->run_count);
 	worker->report = *report;
 	worker->report.incarnation = incarnation;
+	worker->domain =
+		zr_cell_domain_obtain(&scheduler->model, report->domain);
 	worker->listed = true;
 	if (worker->clock_ms < 0 && report->clock_ms >= 0 &&
 	    report->incarnation >= incarnation) {
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -39,6 +39,7 @@
 		      worker->report.leaving ? ZR_WORKER_HEARD_LEAVING
 					     : ZR_WORKER_HEARD);
 	worker->unanswered = 0;
+	zr_cell_domain_heard(&scheduler->model, worker);
 	if (clock_ms < 0)
 		return;
 	worker->clock_ms = clock_ms;
@@ -619,6 +620,7 @@
 	start.lease_until_ms = zr_cell_lease_until(scheduler, worker);
 	scheduler->starts->value++;
 	zr_cell_task_event(row, ZR_TASK_EVENT_SENT);
+	zr_cell_domain_asked(&scheduler->model, worker, zr_cell_now(scheduler));
 	worker->orders.ops->start(worker->orders.impl, &start, ORDER_TIMEOUT_MS,
 				  on_start, new_order(scheduler, job, task));
 }
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -89,7 +89,8 @@
 		abort();
 	HASH_ITER (hh, model->worker_by_name, worker, next) {
 		worker->spot = 0;
-		if (takes_tasks(worker, plan->now))
+		if (takes_tasks(worker, plan->now) &&
+		    !zr_cell_domain_silent(model, worker, plan->now))
 			add_spot(plan, worker);
 	}
 }
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -38,6 +38,7 @@
 };
 
 struct box {
+	char domain[ZR_NAME_MAX];
 	struct box *next;
 	struct fake_pool *pool;
 	struct fake_node *node;
@@ -608,6 +609,14 @@
 	find_box(pool, name)->replaced = true;
 }
 
+void fake_pool_domain(struct fake_pool *pool, const char *name,
+		      const char *domain)
+{
+	struct box *box = find_box(pool, name);
+
+	snprintf(box->domain, sizeof(box->domain), "%s", domain);
+}
+
 void fake_pool_hang(struct fake_pool *pool, const char *name)
 {
 	find_box(pool, name)->hung = true;
@@ -650,6 +659,7 @@
 	snprintf(out->name, sizeof(out->name), "%s", name);
 	snprintf(out->address, sizeof(out->address), "%s", name);
 	snprintf(out->pool, sizeof(out->pool), "pool");
+	snprintf(out->domain, sizeof(out->domain), "%s", box->domain);
 	out->leaves_in_ms = -1;
 	out->capacity.millicpus = box->millicpus;
 	out->capacity.memory_mb = box->millicpus;
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -3,7 +3,7 @@
  * adviser and fake workers. One verb a line:
  *
  *   host NAME                  a process that competes for the cell
- *   worker NAME MILLICPUS
+ *   worker NAME MILLICPUS [DOMAIN]
  *   queue advised              questions to the adviser are needed from now on
  *   limit MILLICPUS            upper limit of the client account
  *   priority N                 of jobs submitted from now on
@@ -303,6 +303,7 @@
 
 	fake_pool_add(script->pool, word(script, 1),
 		      (uint32_t)atoi(word(script, 2)));
+	fake_pool_domain(script->pool, word(script, 1), word(script, 3));
 	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
 	put(script, &script->hosts[0], key, "1", 1);
 }
