What runs on a worker's new life is told by its lists

A worker starts again under its id while a start is on its way. The start runs in the new life and is confirmed; then the registry or a look tells of that life, all confirmed runs were taken for lost, and the task started a second time.

Ruled out: the stand-in (the order of its lines), a start carried out late.

Change: learning of a new life stops only starts that were never answered. The look that follows tells what is there. An answer of an earlier life that comes late is ignored. A worker that starts again while it is not listed is noticed too. A lease is never taken for longer than it can be, also when it was given by the clock of the life before.

--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -85,18 +85,23 @@
 
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
+		struct zr_cell_job *job =
+			zr_cell_job(&scheduler->model, ref.job);
+		const struct zr_cell_task *row = &job->tasks[ref.task];
 
-		zr_cell_stop_run(scheduler,
-				 zr_cell_job(&scheduler->model, ref.job),
-				 ref.task, "new_life");
+		if (row->state == ZR_TASK_UNSURE &&
+		    row->settled == ZR_CELL_UNSETTLED)
+			zr_cell_stop_run(scheduler, job, ref.task, "new_life");
 	}
 }
 
+/*
+ * Confirmed runs are not lost by this: a start may have reached the new life
+ * before it was known. A look tells which of them are there.
+ */
 void zr_cell_new_life(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_worker *worker, int64_t incarnation)
 {
-	size_t i = 0;
-
 	zr_log_decision("worker.new_life worker=%s incarnation=%" PRId64
 			" runs=%zu",
 			worker->report.name, incarnation, worker->run_count);
@@ -107,20 +112,6 @@
 	worker->clock_ms = -1;
 	worker->lease_until_ms = 0;
 	worker->failures = 0;
-	while (i < worker->run_count) {
-		struct zr_cell_ref ref = worker->runs[i];
-		struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
-		struct zr_cell_task *row = &job->tasks[ref.task];
-
-		if (row->state == ZR_TASK_PLACED ||
-		    row->settled == ZR_CELL_UNSETTLED) {
-			i++;
-			continue;
-		}
-		zr_cell_run_over(scheduler, job, ref.task, "worker_restarted");
-		i = 0;
-	}
 	stop_unsettled(scheduler, worker);
 }
 
@@ -280,6 +271,10 @@
 {
 	size_t i;
 
+	/* An answer of the life before may come after one of the next. */
+	if (reply->incarnation &&
+	    reply->incarnation < worker->report.incarnation)
+		return;
 	if (reply->incarnation > worker->report.incarnation)
 		zr_cell_new_life(scheduler, worker, reply->incarnation);
 	zr_cell_heard(scheduler, worker, reply->clock_ms);
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -35,14 +35,12 @@
 	bool was_leaving = worker->report.leaving && worker->listed;
 
 	connect_worker(scheduler, worker, report->address);
-	if (!incarnation || !worker->listed)
-		incarnation = incarnation > report->incarnation
-				      ? incarnation
-				      : report->incarnation;
-	else if (report->incarnation > incarnation)
+	if (incarnation && report->incarnation > incarnation) {
 		zr_cell_new_life(scheduler, worker, report->incarnation);
-	if (incarnation < worker->report.incarnation)
-		incarnation = worker->report.incarnation;
+		zr_cell_look_soon(scheduler, worker, 0);
+	}
+	if (report->incarnation > incarnation)
+		incarnation = report->incarnation;
 	if (!worker->listed)
 		zr_log_decision("worker.listed worker=%s domain=%s pool=%s "
 				"cpus=%u",
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -46,12 +46,18 @@
 	worker->clock_at = zr_cell_now(scheduler);
 }
 
-static void extend_silence(struct zr_cell_worker *worker)
+static void extend_silence(const struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker)
 {
+	int64_t most = scheduler->options.limits.lease_max_ms;
 	int64_t left = worker->lease_until_ms - worker->clock_ms;
-	int64_t until = worker->clock_at + left +
-			left * CLOCK_SLOW_PERMILLE / PERMILLE + LEASE_SLACK_MS;
+	int64_t until;
 
+	/* The clock may be that of a new life, which began at zero. */
+	if (left > most)
+		left = most;
+	until = worker->clock_at + left +
+		left * CLOCK_SLOW_PERMILLE / PERMILLE + LEASE_SLACK_MS;
 	if (until > worker->silent_until)
 		worker->silent_until = until;
 }
@@ -65,7 +71,7 @@
 
 	if (until > worker->lease_until_ms)
 		worker->lease_until_ms = until;
-	extend_silence(worker);
+	extend_silence(scheduler, worker);
 	return worker->lease_until_ms;
 }
 
