A gang's end as done also stands for members that wait

A member whose start came to nothing waits to start again; the others, whose stops did not arrive, end as done. The end marked all members as finished, but the waiting one was never closed: a gang starts only when all wait, so the job stayed active for ever.

Change: members that wait when their gang ends as done are done, also when a new owner reads them. run_cell writes the log to standard error with ZR_TRACE.

--- a/src/libzinniarack/cell/intake.c
+++ b/src/libzinniarack/cell/intake.c
@@ -309,7 +309,7 @@
 }
 
 /* A done member stands for its whole gang. */
-static void restore_gangs(struct zr_cell_job *job)
+static void restore_gangs(struct zr_cell_model *model, struct zr_cell_job *job)
 {
 	uint32_t i;
 	uint32_t j;
@@ -321,6 +321,7 @@
 			continue;
 		for (j = step->first; j < step->first + step->spec->count; j++)
 			job->tasks[j].finished = true;
+		zr_cell_finish_waiting(model, job, step);
 	}
 }
 
@@ -334,7 +335,7 @@
 		restore_task(scheduler, job, i, &record->tasks.tasks_val[i]);
 	job->state = (enum zr_cell_job_state)record->state;
 	job->kept_state = job->state;
-	restore_gangs(job);
+	restore_gangs(&scheduler->model, job);
 }
 
 /* An ended job is kept to answer callers and to know its id again. */
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -126,6 +126,10 @@
 /** zr_cell_repair_gangs() - stop gangs that were found without a member */
 void zr_cell_repair_gangs(struct zr_cell_scheduler *scheduler,
 			  struct zr_cell_job *job);
+/** zr_cell_finish_waiting() - members that wait although their gang is done */
+void zr_cell_finish_waiting(struct zr_cell_model *model,
+			    struct zr_cell_job *job,
+			    const struct zr_cell_step_row *step);
 /** zr_cell_take_end() - a worker lists an ended run */
 void zr_cell_take_end(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_worker *worker,
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -209,6 +209,22 @@
 	[ZR_RUN_BROKEN] = "broken",   [ZR_RUN_ALONE] = "alone",
 };
 
+/* Members that wait when their gang ends as done have nothing left to do. */
+void zr_cell_finish_waiting(struct zr_cell_model *model,
+			    struct zr_cell_job *job,
+			    const struct zr_cell_step_row *step)
+{
+	uint32_t i;
+
+	for (i = step->first; i < step->first + step->spec->count; i++) {
+		if (!job->tasks[i].finished ||
+		    job->tasks[i].state != ZR_TASK_WAITING)
+			continue;
+		zr_cell_task_close(model, job, i, ZR_TASK_EVENT_DONE);
+		zr_cell_job_changed(model, job);
+	}
+}
+
 /* A run given up earlier has ended as done: its successor is not needed. */
 static void take_late_done(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_job *job, uint32_t task)
@@ -221,6 +237,10 @@
 		zr_cell_run_over(scheduler, job, task, "done_late");
 	else if (row->state != ZR_TASK_DONE)
 		zr_cell_stop_run(scheduler, job, task, "done_late");
+	zr_cell_finish_waiting(&scheduler->model, job,
+			       zr_cell_task_step(job, task));
+	zr_cell_job_review(&scheduler->model, job, zr_cell_now(scheduler),
+			   zr_cell_today(scheduler));
 }
 
 static void note_outcome(struct zr_cell_scheduler *scheduler,
@@ -267,8 +287,11 @@
 			 end->checkpoint);
 	note_outcome(scheduler, job, row, worker,
 		     zr_cell_task_step(job, task)->spec->estimate_ms, end->how);
-	if (end->how == ZR_RUN_DONE)
+	if (end->how == ZR_RUN_DONE) {
 		mark_finished(job, task);
+		zr_cell_finish_waiting(&scheduler->model, job,
+				       zr_cell_task_step(job, task));
+	}
 	zr_cell_run_over(scheduler, job, task, end_names[end->how]);
 }
 
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -37,6 +37,7 @@
 #include "fakes/fake_store.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/front.h"
+#include "zinniarack/log.h"
 
 #define LINE_MAX_BYTES 256
 #define WORDS_MAX 12
@@ -689,6 +690,9 @@
 		fprintf(stderr, "usage: run_cell SCRIPT\n");
 		return 2;
 	}
+	/* To see why: the log of all hosts goes to standard error. */
+	if (getenv("ZR_TRACE"))
+		zr_log_init("run_cell", ZR_LOG_INFO, ZR_LOG_TEXT);
 	set_up(&script);
 	while (fgets(line, sizeof(line), file))
 		run_line(&script, line);
