A fault soak of real processes

tests/soak: run.sh SEED [SECONDS] starts six hosts of a cell, callers that keep their connections, and a stand-in for the users' platform that checks what workers see; faults come from outside by signals, relays and the stand-in, in a series decided by the seed.

--- /dev/null
+++ b/tests/soak/platform.c
@@ -0,0 +1,176 @@
+#include <argp.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+#include "zinniarack/clock.h"
+#include "zinniarack/errors.h"
+
+#define TICK_MS 2
+#define MAX_CONNECTIONS 4096
+
+static struct {
+	const char *address;
+	int port;
+	int reach;
+	int workers;
+	unsigned int violations;
+} state = {.address = "127.0.0.1", .workers = 8};
+
+int64_t soak_now_ms(void)
+{
+	return zr_time_to_ms(zr_clock_now(zr_clock_system()));
+}
+
+void soak_violation(const char *format, ...)
+{
+	va_list args;
+
+	state.violations++;
+	printf("VIOLATION ");
+	va_start(args, format);
+	vprintf(format, args);
+	va_end(args);
+	printf(" at %" PRId64 "\n", soak_now_ms());
+}
+
+void soak_reply(struct zr_http_exchange *exchange, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	zr_http_reply(exchange, status, "application/json", text, strlen(text));
+	free(text);
+	json_decref(body);
+}
+
+static int number(struct zr_http_exchange *exchange, const char *name)
+{
+	const char *text = zr_http_query(exchange, name);
+
+	return text ? atoi(text) : 0;
+}
+
+/* GET /fault?kind=KIND with what the kind takes; any other path: the count. */
+static void serve_control(void *ctx, struct zr_http_exchange *exchange)
+{
+	char kind[32] = "";
+	int ms = number(exchange, "ms");
+	int much = number(exchange, "much");
+	const char *text = zr_http_query(exchange, "kind");
+
+	(void)ctx;
+	if (text)
+		snprintf(kind, sizeof(kind), "%s", text);
+	if (!strcmp(kind, "down"))
+		soak_store_down(ms, false);
+	else if (!strcmp(kind, "silent"))
+		soak_store_down(ms, true);
+	else if (!strcmp(kind, "slow"))
+		soak_store_slow(ms, much);
+	else if (!strcmp(kind, "lose"))
+		soak_store_lose((unsigned int)much);
+	else if (!strcmp(kind, "forget"))
+		soak_store_forget();
+	else if (!strcmp(kind, "restart"))
+		soak_workers_restart(much);
+	else if (!strcmp(kind, "late"))
+		soak_workers_late(ms, much);
+	soak_reply(exchange, 200,
+		   json_pack("{s:i}", "violations", (int)state.violations));
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	(void)timer;
+	soak_store_tick();
+	soak_workers_tick();
+}
+
+static void put_configuration(void)
+{
+	soak_store_put(
+		"op/config",
+		json_pack("{s:i, s:[{s:s, s:s, s:s, s:s, s:i, s:i, s:f, s:i, "
+			  "s:{s:i, s:i, s:i}}], s:[{s:s, s:i, s:[s]}], s:{}}",
+			  "version", 1, "routes", "name", "q", "hostname",
+			  "q.example", "prefix", "/q/", "service", "pool",
+			  "priority", 1, "attempts", 4, "stretch", 2.0,
+			  "latency_target_ms", 1000, "advice", "decision_ms", 5,
+			  "period_ms", 1, "validity_ms", 1500, "tenants",
+			  "name", "caller", "weight", 1000, "api_keys", "key-1",
+			  "limits"));
+}
+
+static error_t parse_option(int key, char *arg, struct argp_state *argp_state)
+{
+	(void)argp_state;
+	switch (key) {
+	case 'p':
+		state.port = atoi(arg);
+		return 0;
+	case 'r':
+		state.reach = atoi(arg);
+		return 0;
+	case 'w':
+		state.workers = atoi(arg);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static int listen_on(uv_loop_t *loop, int offset, zr_http_handler_fn handler)
+{
+	struct zr_http_server_options limits = ZR_HTTP_SERVER_OPTIONS_INIT;
+	struct zr_http_server *server;
+	char address[64];
+
+	limits.max_connections = MAX_CONNECTIONS;
+	limits.max_body_bytes = 8 << 20;
+	snprintf(address, sizeof(address), "%s:%d", state.address,
+		 state.port + offset);
+	return zr_http_server_new(&server, loop, address, &limits, handler,
+				  NULL);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{"port", 'p', "PORT", 0,
+		 "The store; the adviser, the control address and the workers "
+		 "follow",
+		 0},
+		{"reach", 'r', "PORT", 0, "Where hosts reach the first worker",
+		 0},
+		{"workers", 'w', "N", 0, "How many workers", 0},
+		{0},
+	};
+	static const struct argp argp = {
+		options, parse_option,
+		NULL,	 "Stands in for the users' platform in soaks.",
+		NULL,	 NULL,
+		NULL};
+	uv_loop_t *loop = uv_default_loop();
+	uv_timer_t timer;
+
+	signal(SIGPIPE, SIG_IGN);
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	put_configuration();
+	if (listen_on(loop, 0, soak_store_serve) < 0 ||
+	    listen_on(loop, 1, soak_adviser_serve) < 0 ||
+	    listen_on(loop, 2, serve_control) < 0 ||
+	    soak_workers_start(loop, state.address, state.port + 3,
+			       state.reach ? state.reach : state.port + 3,
+			       state.workers) < 0) {
+		fprintf(stderr, "%s\n", zr_error_last());
+		return 1;
+	}
+	uv_timer_init(loop, &timer);
+	uv_timer_start(&timer, on_tick, TICK_MS, TICK_MS);
+	return uv_run(loop, UV_RUN_DEFAULT);
+}
