--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -37,6 +37,7 @@
 #define AGAIN_PERCENT 5
 #define PERCENT 100
 #define TEXT_MAX 64
+#define MS_PER_S INT64_C(1000)
 
 enum job_state {
 	JOB_SUBMITTING,
@@ -301,14 +302,14 @@
 	struct job *job;
 
 	(void)timer;
-	while (since < state.seconds * 1000 && now_ms() >= state.next_job) {
+	while (since < state.seconds * MS_PER_S && now_ms() >= state.next_job) {
 		make_job();
-		state.next_job += 1000 / state.rate;
+		state.next_job += MS_PER_S / state.rate;
 	}
 	for (job = state.jobs; job; job = job->next)
 		act(job);
-	if (since >= state.seconds * 1000 &&
-	    (all_settled() || since >= state.seconds * 1000 + FINISH_MS))
+	if (since >= state.seconds * MS_PER_S &&
+	    (all_settled() || since >= state.seconds * MS_PER_S + FINISH_MS))
 		exit(report());
 }
 
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -188,6 +188,15 @@
 spawn platform "$build/soak-platform" --port "$base" \
 	--reach $(($base + 30)) --workers "$workers"
 start_worker_relay
+sleep 0.2
+for name in platform workers
+do
+	kill -0 "$(pid $name)" 2>/dev/null || {
+		echo "$name did not start; are its ports in use?"
+		cat "$work/$name.log"
+		exit 1
+	}
+done
 addresses=
 i=0
 while test $i -lt $hosts
