Gangs gather in one failure domain, and mend a member that never started

Ruled out: a lack of room to start again (gangs were placed again at once).

Change: a gang chooses a domain that could hold it twice, different gangs different ones, and gathers there first. A member whose start came to nothing is stopped where it was sent and joins the run of the others on another worker within 1.8 s, instead of all being stopped. A look may be sent beside one that waits. An order is given up after 400 ms.

--- a/src/libzinniarack/cell/ask.c
+++ b/src/libzinniarack/cell/ask.c
@@ -47,13 +47,15 @@
 
 /*
  * A worker that could be named, how many tasks it has room for, how many of
- * these fit without a stop, and whether another step gathers room there.
+ * these fit without a stop, whether a gang gathers room there, and whether it
+ * is in the home of the gang that asks.
  */
 struct candidate {
 	const struct zr_cell_worker *worker;
 	uint32_t slots;
 	uint32_t at_once;
 	bool kept;
+	bool home;
 };
 
 /* Answers */
@@ -179,6 +181,8 @@
 
 	if (x->kept != y->kept)
 		return x->kept ? 1 : -1;
+	if (x->home != y->home)
+		return x->home ? -1 : 1;
 	if (x_weight != y_weight)
 		return x_weight > y_weight ? -1 : 1;
 	return strcmp(x->worker->report.name, y->worker->report.name);
@@ -200,8 +204,8 @@
 			continue;
 		slots = zr_cell_spot_slots(try, spot);
 		if (slots)
-			out[count++] = (struct candidate){spot->worker, slots,
-							  slots, spot->kept};
+			out[count++] = (struct candidate){
+				spot->worker, slots, slots, spot->kept, false};
 	}
 	qsort(out, count, sizeof(*out), by_slots);
 	return count;
@@ -223,8 +227,8 @@
 			continue;
 		slots = zr_cell_spot_slots(try, spot);
 		if (slots && zr_cell_spot_suits(try, spot))
-			out[count++] = (struct candidate){spot->worker, slots,
-							  slots, spot->kept};
+			out[count++] = (struct candidate){
+				spot->worker, slots, slots, spot->kept, false};
 	}
 	qsort(out, count, sizeof(*out), by_slots);
 	return count;
@@ -420,8 +424,8 @@
 		if (!place->chosen)
 			continue;
 		ends |= !zr_cell_known_valid(place->known, then);
-		out[count++] = (struct candidate){place->spot->worker,
-						  place->chosen, 0, false};
+		out[count++] = (struct candidate){
+			place->spot->worker, place->chosen, 0, false, false};
 	}
 	return ends ? count : 0;
 }
@@ -443,6 +447,7 @@
 				zr_cell_spot_reach(plan, try, spot),
 				zr_cell_spot_soon(plan, try, spot),
 				spot->kept,
+				zr_cell_is_home(try, spot),
 			};
 	}
 	qsort(out, count, sizeof(*out), by_slots);
@@ -461,6 +466,7 @@
 	if (gathered->near)
 		count = find_chosen(candidates, plan, gathered);
 	if (!count && gathered->missing) {
+		zr_cell_choose_home(plan, try);
 		count = find_unknown(candidates, plan, try);
 		count = gang_wanted(plan, try, candidates, count,
 				    gathered->missing);
--- a/src/libzinniarack/cell/gather.c
+++ b/src/libzinniarack/cell/gather.c
@@ -24,6 +24,8 @@
 #define KNOWN_SPREAD 3
 #define KNOW_MORE_MS 1000
 #define IDLE_PART 3
+/* A gang gathers in a domain that could hold it this many times. */
+#define HOME_SPREAD 2
 /* A gang stops others after this part of the time until it is late. */
 #define PATIENCE_PART 8
 /* A task is not stopped again and again. */
@@ -106,6 +108,43 @@
 	return zr_cell_fits(&left, &try->need);
 }
 
+bool zr_cell_is_home(const struct zr_cell_try *try,
+		     const struct zr_cell_spot *spot)
+{
+	return try->step->home && spot->worker->domain == try->step->home;
+}
+
+/* Gangs begin at different domains: what others are about to take is unseen. */
+void zr_cell_choose_home(struct zr_cell_plan *plan,
+			 const struct zr_cell_try *try)
+{
+	uint32_t count = plan->scheduler->model.domain_count;
+	uint32_t wanted = HOME_SPREAD * try->step->spec->count;
+	uint32_t reach[ZR_CELL_DOMAINS_MAX + 1] = {0};
+	uint32_t best = 0;
+	uint32_t i;
+
+	for (i = 0; i < plan->spot_count; i++) {
+		struct zr_cell_spot *spot = &plan->spots[i];
+
+		if (zr_cell_spot_suits(try, spot))
+			reach[spot->worker->domain] +=
+				zr_cell_spot_reach(plan, try, spot);
+	}
+	for (i = 0; i < count; i++) {
+		uint32_t domain =
+			1 + (zr_handle_index(try->job->self) + i) % count;
+
+		if (reach[domain] >= wanted) {
+			best = domain;
+			break;
+		}
+		if (!best || reach[domain] > reach[best])
+			best = domain;
+	}
+	try->step->home = best;
+}
+
 static bool keeps(const struct zr_cell_plan *plan,
 		  const struct zr_cell_try *try,
 		  const struct zr_cell_worker *worker)
@@ -131,6 +170,7 @@
 			.known = &try->known[i],
 			.spot = spot,
 			.kept = keeps(plan, try, spot->worker),
+			.home = zr_cell_is_home(try, spot),
 			.soon = zr_cell_spot_soon(plan, try, spot),
 			.reach = zr_cell_spot_reach(plan, try, spot),
 		};
@@ -148,6 +188,8 @@
 
 	if (x->kept != y->kept)
 		return x->kept ? -1 : 1;
+	if (x->home != y->home)
+		return x->home ? -1 : 1;
 	if (x->soon != y->soon)
 		return x->soon > y->soon ? -1 : 1;
 	if (x->reach != y->reach)
@@ -164,6 +206,8 @@
 	uint32_t x_left = zr_cell_spot_left(x->spot).millicpus;
 	uint32_t y_left = zr_cell_spot_left(y->spot).millicpus;
 
+	if (x->home != y->home)
+		return x->home ? -1 : 1;
 	if (x_left != y_left)
 		return x_left > y_left ? -1 : 1;
 	return strcmp(x->spot->worker->report.name,
@@ -281,6 +325,28 @@
 	}
 }
 
+/* On how many workers a gang waits: those of its home, if they can hold it. */
+static uint32_t drained_places(const struct zr_cell_try *try,
+			       const struct zr_cell_gathered *gathered,
+			       uint32_t wanted)
+{
+	uint32_t held = 0;
+	uint32_t home = 0;
+	size_t i;
+
+	for (i = 0; i < gathered->count; i++) {
+		const struct zr_cell_place *place = &gathered->places[i];
+
+		if (!place->home)
+			continue;
+		home++;
+		held += zr_cell_fits(&place->spot->worker->report.capacity,
+				     &try->need);
+	}
+	return home && held >= HOME_SPREAD * wanted ? home
+						    : (uint32_t)gathered->count;
+}
+
 /*
  * Holds what comes free on many workers until all members fit. On few workers
  * that would take as long as their longest task.
@@ -290,6 +356,7 @@
 {
 	uint32_t wanted = try->step->spec->count * DRAIN_SPARE_PERCENT / 100;
 	uint64_t millicpus = (uint64_t)wanted * try->need.millicpus;
+	uint32_t places;
 	uint32_t each;
 	size_t i;
 
@@ -297,8 +364,8 @@
 	    (plan->draining &&
 	     (plan->draining + millicpus) * DRAINING_PART > plan->capacity))
 		return;
-	each = (wanted + (uint32_t)gathered->count - 1) /
-	       (uint32_t)gathered->count;
+	places = drained_places(try, gathered, wanted);
+	each = (wanted + places - 1) / places;
 	qsort(gathered->places, gathered->count, sizeof(*gathered->places),
 	      by_room);
 	for (i = 0; i < gathered->count && wanted; i++) {
--- a/src/libzinniarack/cell/looks.c
+++ b/src/libzinniarack/cell/looks.c
@@ -24,6 +24,7 @@
 	uint64_t reign;
 	zr_handle worker;
 	uint64_t sent;
+	bool beside; /* another look is open, and goes on */
 };
 
 void zr_cell_look_soon(struct zr_cell_scheduler *scheduler,
@@ -308,7 +309,10 @@
 	worker = zr_cell_worker(&scheduler->model, look->worker);
 	if (!worker)
 		goto out;
-	worker->looking = false;
+	if (look->beside && error < 0)
+		goto out;
+	if (!look->beside)
+		worker->looking = false;
 	if (error < 0) {
 		if (worker->state == ZR_WORKER_UP ||
 		    worker->state == ZR_WORKER_LEAVING)
@@ -340,12 +344,10 @@
 	free(look);
 }
 
-static void send_look(struct zr_cell_scheduler *scheduler,
-		      struct zr_cell_worker *worker)
+static struct look *new_look(struct zr_cell_scheduler *scheduler,
+			     const struct zr_cell_worker *worker)
 {
 	struct look *look = calloc(1, sizeof(*look));
-	unsigned int wait_ms = LOOK_WAIT_MS;
-	int64_t lease_until = -1;
 
 	if (!look)
 		abort();
@@ -353,11 +355,21 @@
 	look->reign = scheduler->reign;
 	look->worker = worker->self;
 	look->sent = ++scheduler->events;
+	scheduler->looks->value++;
+	scheduler->open_calls++;
+	return look;
+}
+
+static void send_look(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_worker *worker)
+{
+	struct look *look = new_look(scheduler, worker);
+	unsigned int wait_ms = LOOK_WAIT_MS;
+	int64_t lease_until = -1;
+
 	worker->look_sent_at = zr_cell_now(scheduler);
 	worker->looking = true;
 	worker->look_due = ZR_CELL_NEVER;
-	scheduler->looks->value++;
-	scheduler->open_calls++;
 	/* A silent worker's lease is left to end, so that its tasks can go on.
 	 */
 	if (worker->clock_ms >= 0 && worker->run_count &&
@@ -372,6 +384,24 @@
 				 wait_ms + LOOK_SLACK_MS, on_look, look);
 }
 
+void zr_cell_look_beside(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_worker *worker)
+{
+	struct look *look;
+
+	if (!worker->looking) {
+		zr_cell_look_soon(scheduler, worker, 0);
+		return;
+	}
+	if (!worker->orders.ops || !zr_cell_may_order(scheduler))
+		return;
+	look = new_look(scheduler, worker);
+	look->beside = true;
+	worker->orders.ops->look(worker->orders.impl, scheduler->token, -1,
+				 worker->confirmed, 0, LOOK_SLACK_MS, on_look,
+				 look);
+}
+
 void zr_cell_looks_due(struct zr_cell_scheduler *scheduler,
 		       struct zr_cell_worker *worker)
 {
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -97,6 +97,9 @@
  * @pass_index: place in @passes, counted from 1, by a worker's index
  * @pass_index_size: how many
  * @asking: questions to the adviser that are open
+ * @begun_at: of a gang, when all its members were placed last; 0: never
+ * @breaking: of a gang, all members of that run are being stopped
+ * @home: of a gang, the failure domain in which it gathers; 0: none yet
  * @prev: in the list of ready steps
  * @next: likewise
  * @listed: whether it is there
@@ -120,6 +123,9 @@
 	uint16_t *pass_index;
 	size_t pass_index_size;
 	uint32_t asking;
+	int64_t begun_at;
+	bool breaking;
+	uint32_t home;
 	struct zr_cell_step_row *prev;
 	struct zr_cell_step_row *next;
 	bool listed;
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -37,13 +37,34 @@
 		log_placed(plan, try, placed, names);
 }
 
+/* Members whose starts came to nothing start on other workers. */
+static void mend(struct zr_cell_plan *plan, const struct zr_cell_try *try)
+{
+	char names[ZR_CELL_NAMES_MAX];
+	uint32_t placed;
+
+	if (!zr_cell_gang_mends(plan->scheduler, try->job, try->step)) {
+		zr_cell_repair_gangs(plan->scheduler, try->job);
+		return;
+	}
+	placed = zr_cell_spots_mend(plan, try, names);
+	if (placed)
+		log_placed(plan, try, placed, names);
+	if (try->queue.advised && try->step->waiting)
+		zr_cell_ask(plan, try);
+}
+
 static void try_gang(struct zr_cell_plan *plan, const struct zr_cell_try *try)
 {
 	uint32_t count = try->step->spec->count;
 	struct zr_cell_gathered gathered;
 
 	/* Its members start together: all must wait. */
-	if (try->step->waiting < count || try->most < count)
+	if (try->step->waiting < count) {
+		mend(plan, try);
+		return;
+	}
+	if (try->most < count)
 		return;
 	if (zr_cell_spots_room(plan, try) >= count) {
 		place(plan, try, count);
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -127,6 +127,19 @@
 /** Longest list of workers in a log line, with the final NUL. */
 #define ZR_CELL_NAMES_MAX 200
 
+/**
+ * zr_cell_spots_mend() - place members of a gang whose starts came to nothing
+ * @plan: the pass
+ * @try: the gang, of which the other members are open
+ * @names: as for zr_cell_spots_place()
+ *
+ * They join the run that the others wait in, on other workers.
+ *
+ * Return: how many were placed.
+ */
+uint32_t zr_cell_spots_mend(struct zr_cell_plan *plan,
+			    const struct zr_cell_try *try,
+			    char names[ZR_CELL_NAMES_MAX]);
 /**
  * zr_cell_spots_place() - place up to @most waiting tasks
  * @plan: the pass
@@ -157,6 +170,7 @@
  * @soon: members that fit once open stops are done
  * @reach: members that fit if all that yields is stopped too
  * @kept: it was chosen in an earlier pass
+ * @home: it is in the gang's home
  * @chosen: members that it is to hold
  */
 struct zr_cell_place {
@@ -165,6 +179,7 @@
 	uint32_t soon;
 	uint32_t reach;
 	bool kept;
+	bool home;
 	uint32_t chosen;
 };
 
@@ -182,6 +197,18 @@
 	uint32_t missing;
 };
 
+/** zr_cell_is_home() - whether a spot is in the home of a gang */
+bool zr_cell_is_home(const struct zr_cell_try *try,
+		     const struct zr_cell_spot *spot);
+/**
+ * zr_cell_choose_home() - choose the failure domain in which a gang gathers
+ * @plan: the pass
+ * @try: the gang
+ *
+ * A gang in one domain is not broken when another one is cut off.
+ */
+void zr_cell_choose_home(struct zr_cell_plan *plan,
+			 const struct zr_cell_try *try);
 /** zr_cell_spot_soon() - how many tasks fit once open stops are done */
 uint32_t zr_cell_spot_soon(struct zr_cell_plan *plan,
 			   const struct zr_cell_try *try,
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -123,6 +123,10 @@
 void zr_cell_run_over(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_job *job, uint32_t task,
 		      const char *reason);
+/** zr_cell_gang_mends() - whether missing members can still join their run */
+bool zr_cell_gang_mends(const struct zr_cell_scheduler *scheduler,
+			const struct zr_cell_job *job,
+			const struct zr_cell_step_row *step);
 /** zr_cell_repair_gangs() - stop gangs that were found without a member */
 void zr_cell_repair_gangs(struct zr_cell_scheduler *scheduler,
 			  struct zr_cell_job *job);
@@ -155,6 +159,9 @@
 /** zr_cell_look_soon() - look at a worker within @after_ms */
 void zr_cell_look_soon(struct zr_cell_scheduler *scheduler,
 		       struct zr_cell_worker *worker, int64_t after_ms);
+/** zr_cell_look_beside() - look at once, also while a look waits for an end */
+void zr_cell_look_beside(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_worker *worker);
 /** zr_cell_looks_due() - send the look that is due, and give up the silent */
 void zr_cell_looks_due(struct zr_cell_scheduler *scheduler,
 		       struct zr_cell_worker *worker);
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -8,7 +8,7 @@
 #include "zinniarack/log.h"
 
 /* A worker answers an order in a few milliseconds; later it has gone silent. */
-#define ORDER_TIMEOUT_MS 600
+#define ORDER_TIMEOUT_MS 400
 /* A worker's clock may run this much slower than ours, in permille. */
 #define CLOCK_SLOW_PERMILLE 25
 #define PERMILLE 1000
@@ -19,6 +19,11 @@
 /* Failures in a row, each of another job, that make a worker suspect. */
 #define SUSPECT_FAILURES 2
 #define SUSPECT_REST_MS 5000
+/*
+ * A member of a gang may join its run so late. Workers give up a member that
+ * waits for others after three seconds; a start takes some of that.
+ */
+#define MEND_MS 1800
 
 /* An order that is open. */
 struct order {
@@ -145,15 +150,36 @@
 	zr_cell_stop_job(scheduler, job, "job_failed");
 }
 
+/* Members that were started wait for one that never was. */
+bool zr_cell_gang_mends(const struct zr_cell_scheduler *scheduler,
+			const struct zr_cell_job *job,
+			const struct zr_cell_step_row *step)
+{
+	uint32_t i;
+
+	if (!step->begun_at || step->breaking || zr_cell_job_over(job) ||
+	    zr_cell_now(scheduler) - step->begun_at > MEND_MS)
+		return false;
+	for (i = step->first; i < step->first + step->spec->count; i++) {
+		const struct zr_cell_task *task = &job->tasks[i];
+
+		if (task->state == ZR_TASK_WAITING &&
+		    (task->started_at || task->finished))
+			return false;
+	}
+	return true;
+}
+
 /* Members of a gang run only together: one that is away ends the others. */
 static void check_gang(struct zr_cell_scheduler *scheduler,
-		       struct zr_cell_job *job,
-		       const struct zr_cell_step_row *step)
+		       struct zr_cell_job *job, struct zr_cell_step_row *step)
 {
 	uint32_t i;
 
-	if (!is_gang(step) || !step->waiting || !step->open)
+	if (!is_gang(step) || !step->waiting || !step->open ||
+	    zr_cell_gang_mends(scheduler, job, step))
 		return;
+	step->breaking = true;
 	for (i = step->first; i < step->first + step->spec->count; i++)
 		zr_cell_stop_run(scheduler, job, i, "gang_broken");
 }
@@ -172,10 +198,13 @@
 		      const char *reason)
 {
 	struct zr_cell_task *row = &job->tasks[task];
-	const struct zr_cell_step_row *step = zr_cell_task_step(job, task);
+	struct zr_cell_step_row *step = zr_cell_task_step(job, task);
 	const struct zr_cell_worker *worker =
 		zr_cell_worker(&scheduler->model, row->worker);
 
+	/* A worker that was told to stop a run refuses its attempt for good. */
+	if (is_gang(step))
+		row->avoid = row->worker;
 	if (!row->finished || !worker)
 		zr_log_decision("run.over job=%s task=%" PRIu32
 				" attempt=%" PRIu32 " worker=%s reason=%s "
@@ -354,7 +383,7 @@
 	at.task->stop_sent = true;
 	if (at.task->settled == ZR_CELL_UNSETTLED)
 		at.task->settled = ++scheduler->events;
-	zr_cell_look_soon(scheduler, at.worker, 0);
+	zr_cell_look_beside(scheduler, at.worker);
 out:
 	free(order);
 }
@@ -581,7 +610,7 @@
 			" attempt=%" PRIu32 " worker=%s",
 			job->id, task, job->tasks[task].attempt,
 			worker->report.name);
-	zr_cell_look_soon(scheduler, worker, 0);
+	zr_cell_look_beside(scheduler, worker);
 }
 
 static void on_start(void *ctx, int error,
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -197,6 +197,9 @@
 		return best->slow;
 	if (spot->kept != best->kept && !zr_cell_step_is_gang(try->step))
 		return best->kept;
+	if (zr_cell_step_is_gang(try->step) &&
+	    zr_cell_is_home(try, spot) != zr_cell_is_home(try, best))
+		return zr_cell_is_home(try, spot);
 	if (rack[0]) {
 		bool near = !strcmp(spot->worker->report.rack, rack);
 		bool best_near = !strcmp(best->worker->report.rack, rack);
@@ -259,11 +262,27 @@
 			 used ? "," : "", name);
 }
 
+/* Returns whether there was a worker for the task. */
+static bool place_on_best(struct zr_cell_plan *plan,
+			  const struct zr_cell_try *try, uint32_t task,
+			  zr_handle avoid, uint32_t attempt,
+			  char names[ZR_CELL_NAMES_MAX])
+{
+	struct zr_cell_spot *spot = best_spot(plan, try, avoid);
+
+	if (!spot)
+		return false;
+	zr_cell_place(plan->scheduler, try->job, task, spot->worker, attempt);
+	take(spot, &try->need);
+	add_name(names, spot->worker->report.name);
+	return true;
+}
+
 uint32_t zr_cell_spots_place(struct zr_cell_plan *plan,
 			     const struct zr_cell_try *try, uint32_t most,
 			     char names[ZR_CELL_NAMES_MAX])
 {
-	const struct zr_cell_step_row *step = try->step;
+	struct zr_cell_step_row *step = try->step;
 	bool gang = zr_cell_step_is_gang(step);
 	uint32_t attempt = gang ? next_attempt(try, step->first) : 0;
 	uint32_t end = step->first + step->spec->count;
@@ -273,18 +292,39 @@
 	names[0] = '\0';
 	for (task = step->first; task < end && placed < most; task++) {
 		struct zr_cell_task *row = &try->job->tasks[task];
-		struct zr_cell_spot *spot;
 
 		if (row->state != ZR_TASK_WAITING)
 			continue;
-		spot = best_spot(plan, try, gang ? ZR_HANDLE_NONE : row->avoid);
-		if (!spot)
+		if (!place_on_best(plan, try, task,
+				   gang ? ZR_HANDLE_NONE : row->avoid,
+				   gang ? attempt : row->attempt + 1, names))
 			break;
-		zr_cell_place(plan->scheduler, try->job, task, spot->worker,
-			      gang ? attempt : row->attempt + 1);
-		take(spot, &try->need);
-		add_name(names, spot->worker->report.name);
 		placed++;
 	}
+	if (gang) {
+		step->begun_at = plan->now;
+		step->breaking = false;
+	}
+	return placed;
+}
+
+uint32_t zr_cell_spots_mend(struct zr_cell_plan *plan,
+			    const struct zr_cell_try *try,
+			    char names[ZR_CELL_NAMES_MAX])
+{
+	const struct zr_cell_step_row *step = try->step;
+	uint32_t end = step->first + step->spec->count;
+	uint32_t placed = 0;
+	uint32_t task;
+
+	names[0] = '\0';
+	for (task = step->first; task < end; task++) {
+		struct zr_cell_task *row = &try->job->tasks[task];
+
+		if (row->state == ZR_TASK_WAITING &&
+		    place_on_best(plan, try, task, row->avoid, row->attempt,
+				  names))
+			placed++;
+	}
 	return placed;
 }
