--- a/src/libzinniarack/cell/journal.c
+++ b/src/libzinniarack/cell/journal.c
@@ -14,7 +14,7 @@
  * Transactions open at once: enough to keep up with the starts and ends of a
  * full cell while an answer takes a quarter of a second.
  */
-#define BATCHES_MAX 4
+#define BATCHES_MAX 16
 /* Pause after a transaction that failed. */
 #define RETRY_MS 60
 /* Changes are gathered for so long: the store counts calls, not bytes. */
