Jobs that can no longer end in time make way for those that can

Tiers went by age alone: on a full cell the oldest came first, begun just before their time was over and finished after it.

Change: a job's tier goes by when it would end if it began now, by four fifths of the estimates of the steps that have not begun.

Test: test_cell_order, test_too_late_to_begin.

--- a/src/libzinniarack/cell/order.c
+++ b/src/libzinniarack/cell/order.c
@@ -14,6 +14,9 @@
 };
 
 #define LATE_FACTOR 3
+/* Estimates are rough: a job is only given up for late when it surely is. */
+#define REMAINING_PERCENT 80
+#define PERCENT 100
 #define PERMILLE 1000
 #define MS_PER_S 1000
 /* More than any clock reads, so that tiers and priorities do not mix. */
@@ -41,17 +44,32 @@
 	       job->latency_target_ms;
 }
 
+/* Of steps that have begun nothing is counted: how far they are varies. */
+static int64_t remaining_ms(const struct zr_cell_job *job)
+{
+	int64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->step_count; i++) {
+		const struct zr_cell_step_row *step = &job->steps[i];
+
+		/* Occurrences have times of their own. */
+		if (step->waiting == step->spec->count && !step->occurrence)
+			sum += step->spec->estimate_ms;
+	}
+	return sum * REMAINING_PERCENT / PERCENT;
+}
+
 static enum tier tier_of(const struct zr_cell_job *job, int64_t now)
 {
 	int64_t objective = zr_cell_order_objective_ms(job);
-	int64_t age = now - job->accepted_at;
+	int64_t end = now - job->accepted_at + remaining_ms(job);
 
-	if (age > LATE_FACTOR * objective)
+	if (end > LATE_FACTOR * objective)
 		return TIER_LOST;
 	if (job->excess)
 		return TIER_EXCESS;
-	/* What begins after its objective cannot end within it. */
-	return age > objective ? TIER_LATE : TIER_ON_TIME;
+	return end > objective ? TIER_LATE : TIER_ON_TIME;
 }
 
 int64_t zr_cell_order_class(const struct zr_cell_job *job, int64_t now)
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -45,6 +45,31 @@
 }
 END_TEST
 
+/*
+ * On a full cell jobs wait long: one that can no longer end in time makes way
+ * for a younger one that can, unless it has begun.
+ */
+START_TEST(test_too_late_to_begin)
+{
+	struct zr_cell_step_row waiting = {.spec = &step, .waiting = 1};
+	struct zr_cell_step_row begun = {.spec = &step, .open = 1};
+	struct zr_cell_job older = job_of(1, 100 * SECOND - 2000);
+	struct zr_cell_job younger = job_of(1, 100 * SECOND - 1000);
+	int64_t now = 100 * SECOND;
+
+	step.count = 1;
+	older.step_count = 1;
+	younger.step_count = 1;
+	younger.steps = &waiting;
+	older.steps = &waiting;
+	ck_assert(zr_cell_order_rank(&younger, now) <
+		  zr_cell_order_rank(&older, now));
+	older.steps = &begun;
+	ck_assert(zr_cell_order_rank(&older, now) <
+		  zr_cell_order_rank(&younger, now));
+}
+END_TEST
+
 START_TEST(test_urgent_queue_first)
 {
 	struct zr_cell_job urgent = job_of(0, 100 * SECOND);
@@ -95,6 +120,7 @@
 
 	tcase_add_test(tcase, test_objective);
 	tcase_add_test(tcase, test_backlog_after_a_burst);
+	tcase_add_test(tcase, test_too_late_to_begin);
 	tcase_add_test(tcase, test_urgent_queue_first);
 	tcase_add_test(tcase, test_hot_client);
 	tcase_add_test(tcase, test_excess_waits_behind);
