Starts that could not be sent when they were written are sent later

An owner that was paused for nearly its lease gets that answer before its renewal; it may order nothing then, the starts were skipped, and nothing tried again: the tasks stayed placed for ever.

Ruled out: the answers that the store had lost (written again 1 s later, as it should be), the planner (nothing waited).

Change: the starts are sent at the next tick at which orders may be sent.

Test: cell/paused_at_write (active for ever before).

--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -25,6 +25,7 @@
  * @events: counts answers of workers and looks sent, to tell which came first
  * @watch_revision: changes of accepted jobs are known up to it
  * @watch_failures: watches that failed since the last one that did not
+ * @starts_held: starts were kept by the journal while nothing may be ordered
  * @state_waits: callers who wait until the end of a job is written
  * @registry_asked_at: when it was last asked for
  * @registry_read_at: when the registry was last read with success
@@ -55,6 +56,7 @@
 	void *released_ctx;
 	bool releasing;
 	int64_t release_by;
+	bool starts_held;
 	struct zr_cell_state_wait *state_waits;
 	unsigned int open_calls;
 	bool freeing;
@@ -112,6 +114,8 @@
 /** zr_cell_start_written() - send the starts that the journal has kept */
 void zr_cell_start_written(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_job *job);
+/** zr_cell_start_held() - send those that could not be sent when written */
+void zr_cell_start_held(struct zr_cell_scheduler *scheduler);
 /** zr_cell_stop_run() - end a task's open run */
 void zr_cell_stop_run(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_job *job, uint32_t task,
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -694,8 +694,12 @@
 {
 	uint32_t i;
 
-	if (!job->tasks || !zr_cell_may_order(scheduler))
+	if (!job->tasks)
 		return;
+	if (!zr_cell_may_order(scheduler)) {
+		scheduler->starts_held = true;
+		return;
+	}
 	for (i = 0; i < job->task_count; i++) {
 		if (job->tasks[i].state == ZR_TASK_PLACED &&
 		    job->tasks[i].change <= job->written)
@@ -703,6 +707,18 @@
 	}
 }
 
+void zr_cell_start_held(struct zr_cell_scheduler *scheduler)
+{
+	struct zr_cell_job *job;
+	struct zr_cell_job *next;
+
+	if (!scheduler->starts_held || !zr_cell_may_order(scheduler))
+		return;
+	scheduler->starts_held = false;
+	HASH_ITER (hh, scheduler->model.job_by_id, job, next)
+		zr_cell_start_written(scheduler, job);
+}
+
 void zr_cell_place(struct zr_cell_scheduler *scheduler, struct zr_cell_job *job,
 		   uint32_t task, struct zr_cell_worker *worker,
 		   uint32_t attempt)
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -291,6 +291,7 @@
 	if (scheduler->phase != ZR_CELL_ACTIVE)
 		return;
 	zr_cell_states_due(scheduler);
+	zr_cell_start_held(scheduler);
 	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
 		worker_due(scheduler, worker);
 	if (now - scheduler->registry_asked_at >= REGISTRY_POLL_MS)
