--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -7,9 +7,10 @@
  * DOC: One pass over the steps whose turn has come
  *
  * plan.c orders the steps and tries them one after the other; spots.c knows
- * where there is room; gather.c makes room for all-at-once steps; ask.c asks
- * the adviser; order.c says which step is worth most. A pass sees the workers
- * as they were at its begin, less what it has placed itself.
+ * where there is room, reach.c where there could be; gather.c makes room for
+ * all-at-once steps; ask.c asks the adviser; domains.c knows which failure
+ * domains answer; order.c says which step is worth most. A pass sees the
+ * workers as they were at its begin, less what it has placed itself.
  */
 
 /**
@@ -162,6 +163,19 @@
 struct zr_resources zr_cell_left_of(const struct zr_resources *have,
 				    const struct zr_resources *held);
 
+/* reach.c */
+/** zr_cell_spot_soon() - how many tasks fit once open stops are done */
+uint32_t zr_cell_spot_soon(struct zr_cell_plan *plan,
+			   const struct zr_cell_try *try,
+			   struct zr_cell_spot *spot);
+/** zr_cell_spot_reach() - how many fit if all that yields is stopped too */
+uint32_t zr_cell_spot_reach(struct zr_cell_plan *plan,
+			    const struct zr_cell_try *try,
+			    struct zr_cell_spot *spot);
+/** zr_cell_spot_stop() - stop what yields there until @wanted members fit */
+void zr_cell_spot_stop(struct zr_cell_plan *plan, const struct zr_cell_try *try,
+		       struct zr_cell_spot *spot, uint32_t wanted);
+
 /* gather.c */
 /**
  * struct zr_cell_place - a worker where a gang may run
@@ -209,14 +223,6 @@
  */
 void zr_cell_choose_home(struct zr_cell_plan *plan,
 			 const struct zr_cell_try *try);
-/** zr_cell_spot_soon() - how many tasks fit once open stops are done */
-uint32_t zr_cell_spot_soon(struct zr_cell_plan *plan,
-			   const struct zr_cell_try *try,
-			   struct zr_cell_spot *spot);
-/** zr_cell_spot_reach() - how many fit if all that yields is stopped too */
-uint32_t zr_cell_spot_reach(struct zr_cell_plan *plan,
-			    const struct zr_cell_try *try,
-			    struct zr_cell_spot *spot);
 /**
  * zr_cell_gather() - make room for a gang and keep later steps off it
  * @out: the room; freed with zr_cell_gathered_clear()
