One function each: what a gang is, its next attempt, a checked settings file

No behaviour changes. runs.c had a twin of zr_cell_step_is_gang(); the next attempt asked in its loop for what its only caller had asked; both settings loaders read, checked and freed a file alike: zr_yaml_load_file_checked().

--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -118,18 +118,13 @@
 
 /* Ends of runs */
 
-static bool is_gang(const struct zr_cell_step_row *step)
-{
-	return step->spec->flags & ZR_STEP_GANG;
-}
-
 static uint32_t failures_of(const struct zr_cell_job *job,
 			    const struct zr_cell_step_row *step, uint32_t task)
 {
 	uint32_t sum = 0;
 	uint32_t i;
 
-	if (!is_gang(step))
+	if (!zr_cell_step_is_gang(step))
 		return job->tasks[task].failures;
 	for (i = 0; i < step->spec->count; i++)
 		sum += job->tasks[step->first + i].failures;
@@ -176,7 +171,7 @@
 {
 	uint32_t i;
 
-	if (!is_gang(step) || !step->waiting || !step->open ||
+	if (!zr_cell_step_is_gang(step) || !step->waiting || !step->open ||
 	    zr_cell_gang_mends(scheduler, job, step))
 		return;
 	step->breaking = true;
@@ -203,7 +198,7 @@
 		zr_cell_worker(&scheduler->model, row->worker);
 
 	/* A worker that was told to stop a run refuses its attempt for good. */
-	if (is_gang(step))
+	if (zr_cell_step_is_gang(step))
 		row->avoid = row->worker;
 	if (!row->finished || !worker)
 		zr_log_decision("run.over job=%s task=%" PRIu32
@@ -232,7 +227,7 @@
 	uint32_t i;
 
 	job->tasks[task].finished = true;
-	if (!is_gang(step))
+	if (!zr_cell_step_is_gang(step))
 		return;
 	for (i = step->first; i < step->first + step->spec->count; i++)
 		job->tasks[i].finished = true;
@@ -652,7 +647,7 @@
 	const char *best = job->tasks[task].checkpoint;
 	uint32_t i;
 
-	if (!is_gang(step))
+	if (!zr_cell_step_is_gang(step))
 		return best;
 	for (i = step->first; i < step->first + step->spec->count; i++) {
 		if (strcmp(job->tasks[i].checkpoint, best) > 0)
--- a/src/libzinniarack/cell/spots.c
+++ b/src/libzinniarack/cell/spots.c
@@ -190,15 +190,15 @@
 		   const struct zr_cell_spot *best)
 {
 	const char *rack = try->step->spec->rack;
+	bool gang = zr_cell_step_is_gang(try->step);
 
 	if (!best)
 		return true;
 	if (spot->slow != best->slow)
 		return best->slow;
-	if (spot->kept != best->kept && !zr_cell_step_is_gang(try->step))
+	if (!gang && spot->kept != best->kept)
 		return best->kept;
-	if (zr_cell_step_is_gang(try->step) &&
-	    zr_cell_is_home(try, spot) != zr_cell_is_home(try, best))
+	if (gang && zr_cell_is_home(try, spot) != zr_cell_is_home(try, best))
 		return zr_cell_is_home(try, spot);
 	if (rack[0]) {
 		bool near = !strcmp(spot->worker->report.rack, rack);
@@ -230,15 +230,13 @@
 }
 
 /* Members of a gang have one attempt, above all that they had. */
-static uint32_t next_attempt(const struct zr_cell_try *try, uint32_t task)
+static uint32_t next_gang_attempt(const struct zr_cell_try *try)
 {
 	const struct zr_cell_step_row *step = try->step;
-	uint32_t highest = try->job->tasks[task].attempt;
+	uint32_t highest = 0;
 	uint32_t i;
 
-	for (i = step->first;
-	     zr_cell_step_is_gang(step) && i < step->first + step->spec->count;
-	     i++) {
+	for (i = step->first; i < step->first + step->spec->count; i++) {
 		if (try->job->tasks[i].attempt > highest)
 			highest = try->job->tasks[i].attempt;
 	}
@@ -284,7 +282,7 @@
 {
 	struct zr_cell_step_row *step = try->step;
 	bool gang = zr_cell_step_is_gang(step);
-	uint32_t attempt = gang ? next_attempt(try, step->first) : 0;
+	uint32_t attempt = gang ? next_gang_attempt(try) : 0;
 	uint32_t end = step->first + step->spec->count;
 	uint32_t placed = 0;
 	uint32_t task;
--- a/src/libzinniarack/config/cell_settings.c
+++ b/src/libzinniarack/config/cell_settings.c
@@ -118,15 +118,9 @@
 {
 	struct zr_cell_settings *settings;
 	void *loaded = NULL;
-	size_t length;
-	char *text;
-	int error = zr_yaml_read_file(&text, &length, path);
+	int error = zr_yaml_load_file_checked(&loaded, path, &settings_schema,
+					      settings_rules);
 
-	if (error < 0)
-		return error;
-	error = zr_yaml_load_checked(&loaded, path, text, length,
-				     &settings_schema, settings_rules);
-	free(text);
 	if (error < 0)
 		return error;
 	settings = loaded;
--- a/src/libzinniarack/config/settings.c
+++ b/src/libzinniarack/config/settings.c
@@ -165,15 +165,9 @@
 int zr_settings_load(struct zr_settings **out, const char *path)
 {
 	void *loaded = NULL;
-	size_t length;
-	char *text;
-	int error = zr_yaml_read_file(&text, &length, path);
+	int error = zr_yaml_load_file_checked(
+		&loaded, path, &zr_settings_schema, zr_settings_rules);
 
-	if (error < 0)
-		return error;
-	error = zr_yaml_load_checked(&loaded, path, text, length,
-				     &zr_settings_schema, zr_settings_rules);
-	free(text);
 	if (error < 0)
 		return error;
 	*out = loaded;
--- a/src/libzinniarack/config/yaml.c
+++ b/src/libzinniarack/config/yaml.c
@@ -154,3 +154,18 @@
 	if (data)
 		cyaml_free(&config, schema, data, 0);
 }
+
+int zr_yaml_load_file_checked(void **out, const char *path,
+			      const cyaml_schema_value_t *schema,
+			      const struct zr_field_rule *rules)
+{
+	size_t length = 0;
+	char *text = NULL;
+	int error = zr_yaml_read_file(&text, &length, path);
+
+	if (error < 0)
+		return error;
+	error = zr_yaml_load_checked(out, path, text, length, schema, rules);
+	free(text);
+	return error;
+}
--- a/src/libzinniarack/config/yaml.h
+++ b/src/libzinniarack/config/yaml.h
@@ -53,6 +53,19 @@
 			 size_t length, const cyaml_schema_value_t *schema,
 			 const struct zr_field_rule *rules);
 
+/**
+ * zr_yaml_load_file_checked() - as zr_yaml_load_checked(), of a file
+ * @out: the loaded struct, to be freed with zr_yaml_free()
+ * @path: the file
+ * @schema: its schema
+ * @rules: rules of its fields
+ *
+ * Return: 0, ZR_E_INVALID, or an error of zr_yaml_read_file().
+ */
+int zr_yaml_load_file_checked(void **out, const char *path,
+			      const cyaml_schema_value_t *schema,
+			      const struct zr_field_rule *rules);
+
 /**
  * zr_yaml_read_file() - read a whole file
  * @out: its text, to be freed with free()
