cell: do not take a run for lost from a poll answered before its start

Cause: a run whose start was not answered was confirmed by a poll that listed it, and from then on any poll that did not list it made it lost, also one whose answer the worker had sent before the start and that arrived late on another connection. Change: a run that a poll lists can be taken for lost only by polls that are sent after that answer has arrived. Shown: tests/scripts/cell/poll_answer_late prints VIOLATION TWICE before the change and none after it.

--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -244,7 +244,8 @@
 	}
 	if (entry->state == ZR_TASK_UNCONFIRMED) {
 		zr_cell_task_event(entry, ZR_TASK_EVENT_CONFIRMED);
-		entry->visible_after = 0;
+		/* Polls in flight may have been answered before the start. */
+		entry->visible_after = ++scheduler->event_count;
 		entry->started_at = now;
 		entry->percent_at = now;
 	}
