cell: acknowledge no ends by the numbers of an earlier incarnation

Cause: a worker that restarts under its id numbers its ends from 1 again. Until the scheduler learnt of the restart, its polls acknowledged ends up to the last number of the former incarnation, so the new one forgot ends that had not been read, and the scheduler started those tasks again (AGAIN: a run after one that had ended as done). Change: a poll acknowledges ends only if a poll sent after the last failed request has been answered within the last second; a response whose clock is earlier than the one known when its request was sent counts as a failure and causes a poll at once. An acknowledgement is repeated until a poll that carries it has been answered.

--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -258,6 +258,12 @@
  *                before
  * @last_end_processed: number of the last ended run that was processed
  * @last_end_acked: number of the last ended run whose effects are persisted
+ * @last_end_told: highest acknowledgement in a poll that was answered
+ * @doubt_event: event number from which the worker may be another incarnation:
+ *               a request failed, or a response had an earlier clock
+ * @confirmed_event: event number of the latest poll that was answered by
+ *                   &struct zr_cell_worker_report.incarnation
+ * @confirmed_at: when that answer was received
  * @acks: changes to persist before @last_end_processed is confirmed
  * @ack_count: number of changes
  * @ack_alloc: allocated size of @acks
@@ -296,6 +302,10 @@
 	int64_t runs_expire_at;
 	int64_t last_end_processed;
 	int64_t last_end_acked;
+	int64_t last_end_told;
+	uint64_t doubt_event;
+	uint64_t confirmed_event;
+	int64_t confirmed_at;
 	struct zr_cell_ack *acks;
 	size_t ack_count;
 	size_t ack_alloc;
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -19,6 +19,8 @@
 #define FINAL_POLL_DELAY_MS 500
 /* Lease renewal interval while some received ends are not persisted. */
 #define LEASE_RENEWAL_MS 700
+/* A poll acknowledges ends only this long after the answer of another one. */
+#define CONFIRMED_MS 1000
 /* Maximum number of ends that a worker lists in one reply. */
 #define ENDS_MAX 500
 
@@ -27,10 +29,34 @@
 	struct zr_cell_scheduler *scheduler;
 	uint64_t term;
 	zr_handle worker;
-	uint64_t sent_event; /* event number of its sending */
+	uint64_t sent_event;	/* event number of its sending */
+	int64_t incarnation;	/* known when it was sent */
+	int64_t last_end_acked; /* acknowledgement that it carries */
 	bool extra; /* sent while a regular poll of the worker is in flight */
 };
 
+void zr_cell_worker_doubt(struct zr_cell_scheduler *scheduler,
+			  struct zr_cell_worker *worker)
+{
+	worker->doubt_event = ++scheduler->event_count;
+}
+
+/*
+ * Number up to which a poll may acknowledge ends. A worker that has restarted
+ * numbers its ends from 1 again, so nothing is acknowledged before the last
+ * known incarnation has answered.
+ */
+static int64_t safe_ack(const struct zr_cell_scheduler *scheduler,
+			const struct zr_cell_worker *worker)
+{
+	return worker->confirmed_event > worker->doubt_event &&
+			       zr_cell_now_ms(scheduler) -
+					       worker->confirmed_at <=
+				       CONFIRMED_MS
+		       ? worker->last_end_acked
+		       : 0;
+}
+
 void zr_cell_poll_soon(struct zr_cell_scheduler *scheduler,
 		       struct zr_cell_worker *worker, int64_t after_ms)
 {
@@ -115,6 +141,7 @@
 	worker->report.incarnation = incarnation;
 	worker->last_end_processed = 0;
 	worker->last_end_acked = 0;
+	worker->last_end_told = 0;
 	worker->ack_count = 0;
 	worker->clock_ms = -1;
 	worker->lease_expires_ms = 0;
@@ -292,10 +319,22 @@
 	}
 }
 
+static void confirm_worker(const struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker,
+			   const struct poll_call *call)
+{
+	if (call->sent_event > worker->confirmed_event)
+		worker->confirmed_event = call->sent_event;
+	worker->confirmed_at = zr_cell_now_ms(scheduler);
+	if (call->incarnation == worker->report.incarnation &&
+	    call->last_end_acked > worker->last_end_told)
+		worker->last_end_told = call->last_end_acked;
+}
+
 static void handle_poll_reply(struct zr_cell_scheduler *scheduler,
 			      struct zr_cell_worker *worker,
 			      const struct zr_cell_poll_reply *reply,
-			      uint64_t sent_event)
+			      const struct poll_call *call)
 {
 	size_t i;
 
@@ -306,6 +345,7 @@
 	if (reply->incarnation > worker->report.incarnation)
 		zr_cell_worker_restarted(scheduler, worker, reply->incarnation);
 	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
+	confirm_worker(scheduler, worker, call);
 	handle_ends(scheduler, worker, reply);
 	for (i = 0; i < reply->run_count; i++)
 		handle_listed_run(scheduler, worker, &reply->runs[i]);
@@ -314,7 +354,8 @@
 	 * instead of being lost.
 	 */
 	if (reply->end_count < ENDS_MAX)
-		handle_unlisted_runs(scheduler, worker, reply, sent_event);
+		handle_unlisted_runs(scheduler, worker, reply,
+				     call->sent_event);
 }
 
 /* Poll requests */
@@ -324,8 +365,7 @@
 {
 	if (worker->run_count)
 		zr_cell_poll_soon(scheduler, worker, 0);
-	else if (worker->last_end_acked < worker->last_end_processed ||
-		 worker->ack_count)
+	else if (worker->last_end_told < worker->last_end_processed)
 		zr_cell_poll_soon(scheduler, worker, FINAL_POLL_DELAY_MS);
 }
 
@@ -341,6 +381,8 @@
 	worker = zr_cell_worker(&scheduler->model, call->worker);
 	if (!worker)
 		goto out;
+	if (error < 0)
+		zr_cell_worker_doubt(scheduler, worker);
 	if (call->extra && error < 0)
 		goto out;
 	if (!call->extra)
@@ -368,7 +410,7 @@
 		       worker->report.name, reply->status);
 		zr_cell_poll_soon(scheduler, worker, POLL_RETRY_MS);
 	} else {
-		handle_poll_reply(scheduler, worker, reply, call->sent_event);
+		handle_poll_reply(scheduler, worker, reply, call);
 		zr_cell_journal_flush(scheduler->journal);
 		schedule_next_poll(scheduler, worker);
 	}
@@ -387,6 +429,8 @@
 	call->term = scheduler->term;
 	call->worker = worker->self;
 	call->sent_event = ++scheduler->event_count;
+	call->incarnation = worker->report.incarnation;
+	call->last_end_acked = safe_ack(scheduler, worker);
 	scheduler->polls->value++;
 	scheduler->pending_calls++;
 	return call;
@@ -418,9 +462,9 @@
 	    worker->ack_count)
 		wait_ms = 0;
 	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token,
-			       lease_expires_ms, worker->last_end_acked,
-			       wait_ms, wait_ms + POLL_TIMEOUT_MARGIN_MS,
-			       on_poll_reply, call);
+			       lease_expires_ms, call->last_end_acked, wait_ms,
+			       wait_ms + POLL_TIMEOUT_MARGIN_MS, on_poll_reply,
+			       call);
 }
 
 void zr_cell_poll_extra(struct zr_cell_scheduler *scheduler,
@@ -437,8 +481,8 @@
 	call = new_poll_call(scheduler, worker);
 	call->extra = true;
 	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token, -1,
-			       worker->last_end_acked, 0,
-			       POLL_TIMEOUT_MARGIN_MS, on_poll_reply, call);
+			       call->last_end_acked, 0, POLL_TIMEOUT_MARGIN_MS,
+			       on_poll_reply, call);
 }
 
 void zr_cell_polls_process(struct zr_cell_scheduler *scheduler,
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -37,6 +37,7 @@
 	zr_handle worker;
 	uint32_t task;
 	uint32_t attempt;
+	int64_t clock_ms; /* the worker's clock as known when it was sent */
 };
 
 /* Leases */
@@ -55,6 +56,25 @@
 	worker->clock_at = zr_cell_now_ms(scheduler);
 }
 
+/*
+ * Records a response to a start or a stop. The clock of an incarnation does not
+ * go back.
+ */
+static void record_response(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker,
+			    const struct worker_request *request,
+			    const struct zr_cell_request_reply *reply)
+{
+	bool restarted =
+		reply->clock_ms >= 0 && reply->clock_ms < request->clock_ms;
+
+	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
+	if (!restarted)
+		return;
+	zr_cell_worker_doubt(scheduler, worker);
+	zr_cell_poll_extra(scheduler, worker);
+}
+
 /*
  * Time on our clock by which @span_ms have certainly passed on the clock of a
  * worker since @from.
@@ -394,9 +414,10 @@
 	target.task->stop_sent = false;
 	if (error < 0) {
 		scheduler->unanswered->value++;
+		zr_cell_worker_doubt(scheduler, target.worker);
 		goto out;
 	}
-	zr_cell_worker_responded(scheduler, target.worker, reply->clock_ms);
+	record_response(scheduler, target.worker, request, reply);
 	if (reply->status != ZR_REQUEST_ACCEPTED) {
 		zr_log(ZR_LOG_WARN,
 		       "stop.refused job=%s task=%" PRIu32
@@ -453,6 +474,8 @@
 	request->task = task;
 	request->attempt = job->tasks[task].attempt;
 	request->worker = job->tasks[task].worker;
+	request->clock_ms =
+		zr_cell_worker(&scheduler->model, request->worker)->clock_ms;
 	scheduler->pending_calls++;
 	return request;
 }
@@ -629,6 +652,7 @@
 			       struct zr_cell_worker *worker, int error)
 {
 	scheduler->unanswered->value++;
+	zr_cell_worker_doubt(scheduler, worker);
 	back_off(scheduler, worker, FAILED_BACKOFF_MS, zr_error_name(error));
 	if (error == ZR_E_UNREACHABLE || error == ZR_E_FULL ||
 	    error == ZR_E_CANCELLED) {
@@ -657,7 +681,7 @@
 				   target.worker, error);
 		goto out;
 	}
-	zr_cell_worker_responded(scheduler, target.worker, reply->clock_ms);
+	record_response(scheduler, target.worker, request, reply);
 	if (reply->status == ZR_REQUEST_ACCEPTED)
 		handle_start_accepted(scheduler, target.job, request->task,
 				      target.worker);
--- /dev/null
+++ b/tests/fakes/cell_script.h
@@ -0,0 +1,73 @@
+#ifndef CELL_SCRIPT_H
+#define CELL_SCRIPT_H
+
+#include <stdio.h>
+
+/**
+ * DOC: Scripted cell
+ *
+ * Runs the lines of a script against the schedulers of one cell, which share a
+ * fake store, a fake adviser and fake workers. A line is a verb and its
+ * arguments:
+ *
+ *   host NAME                  start a scheduler process that competes for the
+ *                              cell; a NAME that was used before is a new
+ *                              process of that host
+ *   worker NAME MILLICPUS [DOMAIN]
+ *                              register a worker, in that failure domain
+ *   queue advised              from now on, tasks of the queue start only on
+ *                              workers that the adviser has permitted
+ *   limit MILLICPUS            set the upper limit of the client account
+ *   priority N                 set the priority of jobs submitted from now on
+ *   latency-target MS          set their latency target
+ *   submit HOST JOB STEP...    commit a job like an entry host, then notify
+ *                              all schedulers of it. STEP is
+ *                              [gang,|checkpoints,]COUNTxMILLICPUS:MS[@STEP]:
+ *                              MS is the run time of a task, fMS that of a task
+ *                              that fails, @STEP the index of the step that it
+ *                              depends on
+ *   cancel HOST JOB            commit a cancellation like an entry host
+ *   state HOST JOB             print the persisted state of a job
+ *   query HOST JOB             print the state that HOST's scheduler reports
+ *   waiting-jobs HOST          print the persisted number of waiting jobs
+ *   adviser-queries            print the number of queries sent to the adviser
+ *   owner                      print the host whose scheduler owns the cell
+ *   advance MS                 advance the fake clock
+ *   clock-resolution HOST MS   set the resolution of a host's monotonic clock
+ *   larger-host HOST           report a larger host in the cell to HOST
+ *   link FROM TO pass|hold|drop|duplicate|refuse
+ *                              set what happens to messages; `*` is any node;
+ *                              refuse: the sender gets an error at once
+ *   release FROM TO [reverse]  deliver the held messages, the last one first
+ *                              with reverse
+ *   pause NODE, resume NODE    suspend and continue a process
+ *   kill HOST                  end a scheduler process without a shutdown
+ *   stop HOST                  shut a scheduler down; prints when it has
+ *                              released the cell
+ *   restart WORKER             start a new incarnation of a worker
+ *   replace WORKER             start another worker at its address
+ *   stop-ms MS                 set the time from a stop until the run's end
+ *   hang WORKER                stop the progress of its tasks; the worker
+ *                              still responds
+ *
+ * Nodes are the hosts, the workers, "store" and "adviser". The fake workers
+ * print `VIOLATION` when a task runs twice at once or starts again after its
+ * end was confirmed, or when a worker is overloaded.
+ */
+
+struct cell_script;
+
+/** cell_script_new() - create a cell without hosts; it prints to @out */
+struct cell_script *cell_script_new(FILE *out);
+void cell_script_free(struct cell_script *script);
+
+/** cell_script_run() - run a line; exits the program if it is invalid */
+void cell_script_run(struct cell_script *script, const char *line);
+
+/** cell_script_violations() - number of violations printed so far */
+unsigned int cell_script_violations(const struct cell_script *script);
+
+/** cell_script_open_jobs() - number of accepted jobs that have not ended */
+unsigned int cell_script_open_jobs(const struct cell_script *script);
+
+#endif
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -20,6 +20,7 @@
 	uint32_t millicpus;
 	int64_t began_at;
 	int64_t ends_at;
+	int64_t stops_at; /* INT64_MAX: no stop was requested */
 	bool fails;
 };
 
@@ -75,6 +76,7 @@
 	struct done_task *done_tasks;
 	fake_pool_event_fn event;
 	void *ctx;
+	unsigned int stop_ms;
 	unsigned int violations;
 };
 
@@ -86,6 +88,7 @@
 
 struct call {
 	struct pool_worker *worker;
+	int64_t incarnation; /* that accepted the connection */
 	enum call_kind kind;
 	struct zr_cell_task_name task;
 	uint32_t attempt;
@@ -261,6 +264,7 @@
 	run = calloc(1, sizeof(*run));
 	run->task = call->task;
 	run->attempt = call->attempt;
+	run->stops_at = INT64_MAX;
 	parse_payload(run, call->payload, net_now(worker->pool));
 	worker->used_millicpus += run->millicpus;
 	if (worker->used_millicpus > worker->millicpus)
@@ -278,10 +282,16 @@
 	struct run *run = find_run(worker, &call->task);
 	struct ended_run *tombstone;
 
-	if (run && run->attempt <= call->attempt) {
+	if (run && run->attempt <= call->attempt && !worker->pool->stop_ms) {
 		end_run(worker, run, ZR_RUN_STOPPED);
 		return ZR_REQUEST_ACCEPTED;
 	}
+	if (run && run->attempt <= call->attempt) {
+		if (run->stops_at == INT64_MAX)
+			run->stops_at =
+				net_now(worker->pool) + worker->pool->stop_ms;
+		return ZR_REQUEST_ACCEPTED;
+	}
 	/* Prevents the start if it arrives after the stop. */
 	tombstone = calloc(1, sizeof(*tombstone));
 	tombstone->end.task = call->task;
@@ -413,8 +423,12 @@
 {
 	struct call *call = ctx;
 	struct pool_worker *worker = call->worker;
-	enum zr_request_status status = admit(worker, call);
+	enum zr_request_status status;
 
+	/* Its connection ended with the earlier incarnation. */
+	if (call->incarnation != worker->incarnation)
+		return;
+	status = admit(worker, call);
 	if (status == ZR_REQUEST_ACCEPTED && call->kind == CALL_START)
 		status = process_start(worker, call);
 	else if (status == ZR_REQUEST_ACCEPTED && call->kind == CALL_STOP)
@@ -472,6 +486,7 @@
 	struct call *call = calloc(1, sizeof(*call));
 
 	call->worker = client->worker;
+	call->incarnation = client->worker->incarnation;
 	call->kind = kind;
 	call->fencing_token = fencing_token;
 	call->ctx = ctx;
@@ -638,6 +653,11 @@
 	snprintf(worker->domain, sizeof(worker->domain), "%s", domain);
 }
 
+void fake_pool_set_stop_ms(struct fake_pool *pool, unsigned int stop_ms)
+{
+	pool->stop_ms = stop_ms;
+}
+
 void fake_pool_hang(struct fake_pool *pool, const char *name)
 {
 	find_worker(pool, name)->hung = true;
@@ -652,6 +672,8 @@
 	{
 		if (worker_now(worker) >= worker->lease_expires_at)
 			end_run(worker, run, ZR_RUN_LEASE_EXPIRED);
+		else if (net_now(worker->pool) >= run->stops_at)
+			end_run(worker, run, ZR_RUN_STOPPED);
 		else if (!worker->hung && net_now(worker->pool) >= run->ends_at)
 			end_run(worker, run,
 				run->fails ? ZR_RUN_FAILED : ZR_RUN_DONE);
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -48,6 +48,9 @@
 /** fake_pool_hang() - let a worker's runs make no more progress, nor end */
 void fake_pool_hang(struct fake_pool *pool, const char *name);
 
+/** fake_pool_set_stop_ms() - set the time from a stop until the run's end */
+void fake_pool_set_stop_ms(struct fake_pool *pool, unsigned int stop_ms);
+
 /** fake_pool_set_domain() - set a worker's failure domain */
 void fake_pool_set_domain(struct fake_pool *pool, const char *name,
 			  const char *domain);
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -638,6 +638,24 @@
 	return bytes;
 }
 
+unsigned int fake_store_count_keys(const struct fake_store *store,
+				   const char *prefix, const char *not_suffix)
+{
+	const struct value *value;
+	unsigned int count = 0;
+
+	for (value = store->values; value; value = value->hh.next) {
+		size_t length = strlen(value->key);
+		size_t suffix_length = strlen(not_suffix);
+
+		if (!strncmp(value->key, prefix, strlen(prefix)) &&
+		    (length < suffix_length ||
+		     strcmp(value->key + length - suffix_length, not_suffix)))
+			count++;
+	}
+	return count;
+}
+
 void fake_store_free(struct fake_store *store)
 {
 	struct value *value;
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -45,4 +45,8 @@
 unsigned long fake_store_size(const struct fake_store *store,
 			      const char *prefix);
 
+/** fake_store_count_keys() - count the keys with a prefix, without a suffix */
+unsigned int fake_store_count_keys(const struct fake_store *store,
+				   const char *prefix, const char *not_suffix);
+
 #endif
--- /dev/null
+++ b/tests/unit/test_cell_random.c
@@ -0,0 +1,320 @@
+#include <check.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/cell_script.h"
+#include "fakes/rng.h"
+
+/*
+ * Runs cells under random faults: messages that are held, reordered or
+ * dropped, hosts that are killed or paused, and workers that restart. A task
+ * must not run twice at once, nor again after its end was acknowledged, and no
+ * worker may be given more than its capacity. When the faults are over, every
+ * job must end.
+ *
+ * ZR_SEED=N runs seed N alone and writes its script, which run_cell replays, to
+ * standard output. ZR_SEEDS=N sets the number of seeds.
+ */
+
+/* The sanitizers slow a seed down about five times. */
+#ifdef __SANITIZE_ADDRESS__
+#define SEEDS 200
+#else
+#define SEEDS 1500
+#endif
+#define HOSTS 3
+#define WORKERS 5
+#define FAULTS_MAX 8
+#define JOBS_MAX 60
+#define ACTIONS 160
+#define PAUSE_MAX_MS 90
+#define FAULT_MAX_MS 2500
+/* Time in which all jobs end after the last fault: leases expire, then run. */
+#define QUIET_MS 40000
+#define LINE_MAX_BYTES 256
+
+/* A fault that is undone at @ends_at by the lines in @undo. */
+struct fault {
+	long ends_at;
+	char undo[2 * LINE_MAX_BYTES];
+};
+
+struct scenario {
+	struct rng rng;
+	struct cell_script *script;
+	FILE *lines; /* what was run; NULL: not kept */
+	long now;
+	struct fault faults[FAULTS_MAX];
+	size_t fault_count;
+	bool alive[HOSTS];
+	bool paused[HOSTS];
+	unsigned int job_count;
+};
+
+__attribute__((format(printf, 2, 3))) static void
+run_line(struct scenario *scenario, const char *fmt, ...)
+{
+	char line[LINE_MAX_BYTES];
+	va_list args;
+
+	va_start(args, fmt);
+	vsnprintf(line, sizeof(line), fmt, args);
+	va_end(args);
+	fprintf(scenario->lines, "%s\n", line);
+	cell_script_run(scenario->script, line);
+}
+
+static void run_lines(struct scenario *scenario, const char *lines)
+{
+	char copy[2 * LINE_MAX_BYTES];
+	char *next = copy;
+	char *line;
+
+	snprintf(copy, sizeof(copy), "%s", lines);
+	while ((line = strsep(&next, "\n"))) {
+		if (*line)
+			run_line(scenario, "%s", line);
+	}
+}
+
+static void advance(struct scenario *scenario, long ms)
+{
+	run_line(scenario, "advance %ld", ms);
+	scenario->now += ms;
+}
+
+static uint32_t below(struct scenario *scenario, uint32_t bound)
+{
+	return rng_below(&scenario->rng, bound);
+}
+
+static int pick_host(struct scenario *scenario)
+{
+	int first = (int)below(scenario, HOSTS);
+	int i;
+
+	for (i = 0; i < HOSTS; i++) {
+		int host = (first + i) % HOSTS;
+
+		if (scenario->alive[host] && !scenario->paused[host])
+			return host;
+	}
+	return -1;
+}
+
+/* Faults */
+
+static struct fault *add_fault(struct scenario *scenario)
+{
+	struct fault *fault;
+
+	if (scenario->fault_count == FAULTS_MAX)
+		return NULL;
+	fault = &scenario->faults[scenario->fault_count++];
+	fault->ends_at = scenario->now + 20 + below(scenario, FAULT_MAX_MS);
+	fault->undo[0] = '\0';
+	return fault;
+}
+
+/* Disturbs the link between a host and a worker or the store in a direction. */
+static void disturb_link(struct scenario *scenario)
+{
+	static const char *const modes[] = {"hold", "hold", "drop", "refuse"};
+	struct fault *fault = add_fault(scenario);
+	char host = (char)('a' + below(scenario, HOSTS));
+	char other[8] = "store";
+	char from[8];
+	char to[8];
+
+	if (!fault)
+		return;
+	if (rng_chance(&scenario->rng, 85))
+		snprintf(other, sizeof(other), "w%u", below(scenario, WORKERS));
+	snprintf(from, sizeof(from), "%c", host);
+	snprintf(to, sizeof(to), "%s", other);
+	if (rng_chance(&scenario->rng, 50)) {
+		snprintf(from, sizeof(from), "%s", other);
+		snprintf(to, sizeof(to), "%c", host);
+	}
+	run_line(scenario, "link %s %s %s", from, to,
+		 modes[below(scenario, sizeof(modes) / sizeof(*modes))]);
+	snprintf(fault->undo, sizeof(fault->undo),
+		 "link %s %s pass\nrelease %s %s%s", from, to, from, to,
+		 rng_chance(&scenario->rng, 50) ? " reverse" : "");
+}
+
+static void kill_host(struct scenario *scenario)
+{
+	int host = pick_host(scenario);
+	struct fault *fault = host < 0 ? NULL : add_fault(scenario);
+
+	if (!fault)
+		return;
+	scenario->alive[host] = false;
+	run_line(scenario, "kill %c", 'a' + host);
+	snprintf(fault->undo, sizeof(fault->undo), "host %c", 'a' + host);
+}
+
+static void pause_host(struct scenario *scenario)
+{
+	int host = pick_host(scenario);
+	struct fault *fault = host < 0 ? NULL : add_fault(scenario);
+
+	if (!fault)
+		return;
+	scenario->paused[host] = true;
+	run_line(scenario, "pause %c", 'a' + host);
+	snprintf(fault->undo, sizeof(fault->undo), "resume %c", 'a' + host);
+}
+
+static void end_fault(struct scenario *scenario, size_t index)
+{
+	struct fault fault = scenario->faults[index];
+
+	scenario->faults[index] = scenario->faults[--scenario->fault_count];
+	if (!strncmp(fault.undo, "host ", 5))
+		scenario->alive[fault.undo[5] - 'a'] = true;
+	if (!strncmp(fault.undo, "resume ", 7))
+		scenario->paused[fault.undo[7] - 'a'] = false;
+	run_lines(scenario, fault.undo);
+}
+
+static void end_due_faults(struct scenario *scenario, long now)
+{
+	size_t i = 0;
+
+	while (i < scenario->fault_count) {
+		if (scenario->faults[i].ends_at <= now)
+			end_fault(scenario, i);
+		else
+			i++;
+	}
+}
+
+/* Work */
+
+static void submit_job(struct scenario *scenario)
+{
+	static const char *const kinds[] = {"", "", "checkpoints,", "gang,"};
+	int host = pick_host(scenario);
+	uint32_t run_ms;
+
+	if (host < 0 || scenario->job_count == JOBS_MAX)
+		return;
+	run_ms = 20 +
+		 below(scenario, rng_chance(&scenario->rng, 30) ? 2500 : 300);
+	run_line(scenario, "submit %c j%u %s%ux%u:%s%u", 'a' + host,
+		 scenario->job_count++,
+		 kinds[below(scenario, sizeof(kinds) / sizeof(*kinds))],
+		 1 + below(scenario, 4), 300 + below(scenario, 1700),
+		 rng_chance(&scenario->rng, 8) ? "f" : "", run_ms);
+}
+
+static void cancel_job(struct scenario *scenario)
+{
+	int host = pick_host(scenario);
+
+	if (host >= 0 && scenario->job_count)
+		run_line(scenario, "cancel %c j%u", 'a' + host,
+			 below(scenario, scenario->job_count));
+}
+
+static void act(struct scenario *scenario)
+{
+	uint32_t choice = below(scenario, 100);
+
+	if (choice < 40)
+		submit_job(scenario);
+	else if (choice < 45)
+		cancel_job(scenario);
+	else if (choice < 90)
+		disturb_link(scenario);
+	else if (choice < 93)
+		kill_host(scenario);
+	else if (choice < 96)
+		pause_host(scenario);
+	else
+		run_line(scenario, "restart w%u", below(scenario, WORKERS));
+}
+
+static void start_cell(struct scenario *scenario)
+{
+	int i;
+
+	run_line(scenario, "stop-ms %u", below(scenario, 400));
+	for (i = 0; i < HOSTS; i++) {
+		scenario->alive[i] = true;
+		run_line(scenario, "host %c", 'a' + i);
+	}
+	advance(scenario, 50);
+	for (i = 0; i < WORKERS; i++)
+		run_line(scenario, "worker w%d %u d%d", i,
+			 2000 + 1000 * below(scenario, 3), i % 2);
+	advance(scenario, 700);
+}
+
+/* Returns 0 if no invariant was violated and all jobs have ended. */
+static unsigned int run_seed(uint64_t seed, FILE *lines)
+{
+	struct scenario scenario = {.rng = {seed}, .lines = lines};
+	FILE *out = fopen("/dev/null", "w");
+	unsigned int failures;
+	int i;
+
+	scenario.script = cell_script_new(out);
+	start_cell(&scenario);
+	for (i = 0; i < ACTIONS; i++) {
+		act(&scenario);
+		advance(&scenario, 1 + below(&scenario, PAUSE_MAX_MS));
+		end_due_faults(&scenario, scenario.now);
+	}
+	end_due_faults(&scenario, INT32_MAX);
+	advance(&scenario, QUIET_MS);
+	failures = cell_script_violations(scenario.script)
+			   ? 1
+			   : cell_script_open_jobs(scenario.script);
+	cell_script_free(scenario.script);
+	fclose(out);
+	return failures;
+}
+
+START_TEST(test_random_faults)
+{
+	const char *seed = getenv("ZR_SEED");
+	const char *seeds = getenv("ZR_SEEDS");
+	uint64_t count = seeds ? strtoull(seeds, NULL, 10) : SEEDS;
+	FILE *lines = seed ? stdout : fopen("/dev/null", "w");
+	uint64_t i;
+
+	if (seed)
+		ck_assert_uint_eq(run_seed(strtoull(seed, NULL, 10), lines), 0);
+	for (i = 1; !seed && i <= count; i++) {
+		unsigned int failures = run_seed(i, lines);
+
+		if (failures)
+			printf("seed %lu fails: %u\n", (unsigned long)i,
+			       failures);
+		ck_assert_uint_eq(failures, 0);
+	}
+	if (!seed)
+		fclose(lines);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("cell_random");
+	TCase *tcase = tcase_create("cell_random");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, 0);
+	tcase_add_test(tcase, test_random_faults);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
