cell: no limit on the hosts of a cell; hosts that left are removed

Cause: hosts and adviser proxies stood in tables of 64 entries, and the former were never removed. A fleet whose hosts are all replaced twice would have filled both tables. Change: both tables grow; a host is removed after eight reads without it, a proxy once its last query has ended. The size of a known host is updated. Tests: unit/test_cell_advice, a fleet of 797 hosts and 200 replacements.

--- a/src/libzinniarack/cell/advice.c
+++ b/src/libzinniarack/cell/advice.c
@@ -1,6 +1,7 @@
 #include "cell/advice.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define US_PER_MS 1000
@@ -33,25 +34,44 @@
 	size_t i;
 
 	for (i = 0; i < advice->count; i++) {
-		if (!strcmp(advice->proxies[i].proxy.name, name))
-			return &advice->proxies[i];
+		if (!strcmp(advice->proxies[i]->proxy.name, name))
+			return advice->proxies[i];
 	}
 	return NULL;
 }
 
-/* Does not reuse an entry with a pending query, which points to it. */
 static struct zr_cell_adviser_proxy_state *
 new_proxy(struct zr_cell_advice *advice)
 {
+	struct zr_cell_adviser_proxy_state *state = calloc(1, sizeof(*state));
+
+	if (advice->count == advice->alloc) {
+		advice->alloc = advice->alloc ? 2 * advice->alloc : 16;
+		advice->proxies =
+			realloc(advice->proxies,
+				advice->alloc * sizeof(*advice->proxies));
+	}
+	if (!state || !advice->proxies)
+		abort();
+	advice->proxies[advice->count++] = state;
+	return state;
+}
+
+/* Frees removed proxies, except those with a pending query. */
+static void free_removed(struct zr_cell_advice *advice)
+{
+	size_t kept = 0;
 	size_t i;
 
 	for (i = 0; i < advice->count; i++) {
-		if (advice->proxies[i].removed && !advice->proxies[i].busy)
-			return &advice->proxies[i];
+		struct zr_cell_adviser_proxy_state *state = advice->proxies[i];
+
+		if (state->removed && !state->busy)
+			free(state);
+		else
+			advice->proxies[kept++] = state;
 	}
-	if (advice->count == ZR_CELL_PROXIES_MAX)
-		return NULL;
-	return &advice->proxies[advice->count++];
+	advice->count = kept;
 }
 
 void zr_cell_advice_set_proxies(struct zr_cell_advice *advice,
@@ -62,18 +82,27 @@
 	size_t i;
 
 	for (i = 0; i < advice->count; i++)
-		advice->proxies[i].removed = true;
+		advice->proxies[i]->removed = true;
 	for (i = 0; i < count; i++) {
 		state = find_proxy(advice, proxies[i].name);
-		if (!state) {
+		if (!state)
 			state = new_proxy(advice);
-			if (!state)
-				return;
-			memset(state, 0, sizeof(*state));
-		}
 		state->proxy = proxies[i];
 		state->removed = false;
 	}
+	free_removed(advice);
+}
+
+void zr_cell_advice_clear(struct zr_cell_advice *advice)
+{
+	size_t i;
+
+	for (i = 0; i < advice->count; i++)
+		free(advice->proxies[i]);
+	free(advice->proxies);
+	advice->proxies = NULL;
+	advice->count = 0;
+	advice->alloc = 0;
 }
 
 /* Number of proxies that a query must leave idle. */
@@ -99,7 +128,7 @@
 	size_t i;
 
 	for (i = 0; i < advice->count; i++) {
-		struct zr_cell_adviser_proxy_state *state = &advice->proxies[i];
+		struct zr_cell_adviser_proxy_state *state = advice->proxies[i];
 
 		if (state->removed || now < state->backoff_until)
 			continue;
@@ -121,7 +150,7 @@
 
 	for (i = 0; i < advice->count; i++) {
 		const struct zr_cell_adviser_proxy_state *state =
-			&advice->proxies[i];
+			advice->proxies[i];
 
 		if (!state->removed && !state->busy &&
 		    now >= state->backoff_until)
--- a/src/libzinniarack/cell/advice.h
+++ b/src/libzinniarack/cell/advice.h
@@ -13,9 +13,6 @@
  * leave a few proxies idle for short ones.
  */
 
-/** Maximum number of proxies. */
-#define ZR_CELL_PROXIES_MAX 64
-
 /**
  * struct zr_cell_adviser_proxy_state - state of a proxy
  * @proxy: the proxy
@@ -47,8 +44,10 @@
 
 /**
  * struct zr_cell_advice - proxies and permit rates
- * @proxies: the proxies; removed entries are reused once they are idle
+ * @proxies: the proxies, allocated separately, because pending queries refer to
+ *           them; removed ones are freed once they are idle
  * @count: number of entries in @proxies
+ * @alloc: allocated length of @proxies
  * @permit_rates: permit rates of queues
  * @permit_rate_count: number of entries in @permit_rates
  * @queries: queries sent
@@ -56,8 +55,9 @@
  * @answer_ms: time until a query was answered or failed
  */
 struct zr_cell_advice {
-	struct zr_cell_adviser_proxy_state proxies[ZR_CELL_PROXIES_MAX];
+	struct zr_cell_adviser_proxy_state **proxies;
 	size_t count;
+	size_t alloc;
 	struct zr_cell_permit_rate permit_rates[ZR_CELL_PERMIT_RATES_MAX];
 	size_t permit_rate_count;
 	struct zr_metric *queries;
@@ -70,6 +70,9 @@
 				const struct zr_cell_adviser_proxy *proxies,
 				size_t count);
 
+/** zr_cell_advice_clear() - free the proxies; no query may be pending */
+void zr_cell_advice_clear(struct zr_cell_advice *advice);
+
 /** zr_cell_advice_query_ms() - duration expected for @count workers */
 uint32_t zr_cell_advice_query_ms(const struct zr_cell_queue *queue,
 				 size_t count);
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cell/advice.h"
 #include "cell/records.h"
 #include "net/rpc_client.h"
 #include "net/rpc_server.h"
@@ -31,13 +30,20 @@
 #define STANDBY_READ_TICKS 5
 #define MILLICPUS_PER_CPU 1000
 
-/* Another host. Entries are never removed, because calls in flight use them. */
+/*
+ * A peer is removed when this number of reads in a row did not find it. Until
+ * then its connection is kept, since registrations expire during an outage of
+ * the store and are back soon after it.
+ */
+#define ABSENT_READS_MAX 8
+
+/* Another host; allocated separately, because calls in flight refer to it. */
 struct peer {
 	char name[ZR_NAME_MAX];
 	char address[ZR_NAME_MAX];
 	struct zr_rpc_client *client;
 	uint32_t millicpus;
-	bool registered;
+	unsigned int absent_reads; /* 0: it is registered */
 };
 
 struct zr_cell_peers {
@@ -52,8 +58,9 @@
 	unsigned int ticks;
 	struct zr_timer *timer;
 	struct zr_rpc_server *server;
-	struct peer peers[ZR_CELL_PROXIES_MAX];
+	struct peer **peers;
 	size_t count;
+	size_t alloc;
 	int64_t lease;
 	bool registered;
 	bool request_in_flight;
@@ -236,9 +243,9 @@
 	size_t i;
 
 	for (i = 0; i < peers->count; i++) {
-		if (peers->peers[i].registered &&
-		    !strcmp(peers->peers[i].name, name))
-			return &peers->peers[i];
+		if (!peers->peers[i]->absent_reads &&
+		    !strcmp(peers->peers[i]->name, name))
+			return peers->peers[i];
 	}
 	return NULL;
 }
@@ -397,53 +404,97 @@
 	size_t i;
 
 	for (i = 0; i < peers->count; i++) {
-		if (!strcmp(peers->peers[i].name, name) &&
-		    !strcmp(peers->peers[i].address, address))
-			return &peers->peers[i];
+		if (!strcmp(peers->peers[i]->name, name) &&
+		    !strcmp(peers->peers[i]->address, address))
+			return peers->peers[i];
 	}
 	return NULL;
 }
 
-static void add_peer(struct zr_cell_peers *peers, const char *name,
-		     const char *address, uint32_t millicpus)
+static struct peer *new_peer(struct zr_cell_peers *peers, const char *name,
+			     const char *address)
 {
-	struct peer *peer = find_peer(peers, name, address);
+	struct peer *peer = calloc(1, sizeof(*peer));
 
-	if (peer) {
-		peer->registered = true;
-		return;
-	}
-	if (peers->count == ZR_CELL_PROXIES_MAX)
-		return;
-	peer = &peers->peers[peers->count];
+	if (!peer)
+		abort();
 	if (zr_rpc_client_new(&peer->client, peers->loop, address, ZX_CELL,
-			      ZX_CELL_V1) < 0)
-		return;
-	peers->count++;
+			      ZX_CELL_V1) < 0) {
+		zr_log(ZR_LOG_WARN, "host.bad_address host=%s address=%s", name,
+		       address);
+		free(peer);
+		return NULL;
+	}
 	snprintf(peer->name, sizeof(peer->name), "%s", name);
 	snprintf(peer->address, sizeof(peer->address), "%s", address);
+	if (peers->count == peers->alloc) {
+		peers->alloc = peers->alloc ? 2 * peers->alloc : 16;
+		peers->peers =
+			realloc(peers->peers, peers->alloc * sizeof(void *));
+		if (!peers->peers)
+			abort();
+	}
+	peers->peers[peers->count++] = peer;
+	return peer;
+}
+
+static void update_peer(struct zr_cell_peers *peers, const char *name,
+			const char *address, uint32_t millicpus)
+{
+	struct peer *peer = find_peer(peers, name, address);
+
+	if (!peer) {
+		peer = new_peer(peers, name, address);
+		if (!peer)
+			return;
+		zr_log(ZR_LOG_INFO,
+		       "host.found host=%s address=%s size=%" PRIu32, name,
+		       address, millicpus);
+	}
 	peer->millicpus = millicpus;
-	peer->registered = true;
-	zr_log(ZR_LOG_INFO, "host.found host=%s address=%s size=%" PRIu32, name,
-	       address, millicpus);
+	peer->absent_reads = 0;
+}
+
+/* To be called after report_proxies(), when the scheduler uses them no more. */
+static void remove_absent_peers(struct zr_cell_peers *peers)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < peers->count; i++) {
+		struct peer *peer = peers->peers[i];
+
+		if (peer->absent_reads < ABSENT_READS_MAX) {
+			peers->peers[kept++] = peer;
+			continue;
+		}
+		zr_log(ZR_LOG_INFO, "host.removed host=%s address=%s",
+		       peer->name, peer->address);
+		zr_rpc_client_free(peer->client);
+		free(peer);
+	}
+	peers->count = kept;
 }
 
 static void report_proxies(struct zr_cell_peers *peers)
 {
-	struct zr_cell_adviser_proxy proxies[ZR_CELL_PROXIES_MAX + 1];
+	struct zr_cell_adviser_proxy *proxies;
 	size_t count = 0;
 	size_t i;
 
 	if (!peers->platform->advise || !peers->active)
 		return;
+	proxies = calloc(peers->count + 1, sizeof(*proxies));
+	if (!proxies)
+		abort();
 	snprintf(proxies[0].name, sizeof(proxies[0].name), "%s", peers->name);
 	proxies[0].query = query_adviser;
 	proxies[0].ctx = peers;
 	count = 1;
 	for (i = 0; i < peers->count; i++) {
-		struct peer *peer = &peers->peers[i];
+		struct peer *peer = peers->peers[i];
 
-		if (!peer->registered)
+		if (peer->absent_reads)
 			continue;
 		memcpy(proxies[count].name, peer->name, ZR_NAME_MAX);
 		proxies[count].query = query_through_host;
@@ -451,6 +502,7 @@
 		count++;
 	}
 	peers->on_proxies_changed(peers->ctx, proxies, count);
+	free(proxies);
 }
 
 /* Parse a registration: address and size in millicpus, separated by a space. */
@@ -472,8 +524,8 @@
 	size_t i;
 
 	for (i = 0; i < peers->count; i++) {
-		if (peers->peers[i].registered &&
-		    peers->peers[i].millicpus > peers->millicpus)
+		if (!peers->peers[i]->absent_reads &&
+		    peers->peers[i]->millicpus > peers->millicpus)
 			return true;
 	}
 	return false;
@@ -491,16 +543,17 @@
 	if (error < 0)
 		return;
 	for (i = 0; i < peers->count; i++)
-		peers->peers[i].registered = false;
+		peers->peers[i]->absent_reads++;
 	for (i = 0; i < reply->count; i++) {
 		const struct zr_store_value *value = &reply->values[i];
 		const char *name = value->key + strlen(ZR_CELL_HOST_PREFIX);
 
 		if (value->data && strcmp(name, peers->name) &&
 		    parse_registration(address, &millicpus, value->data) == 0)
-			add_peer(peers, name, address, millicpus);
+			update_peer(peers, name, address, millicpus);
 	}
 	report_proxies(peers);
+	remove_absent_peers(peers);
 }
 
 static void on_tick(void *ctx)
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -454,13 +454,19 @@
 	scheduler->released_ctx = ctx;
 }
 
+static void free_scheduler(struct zr_cell_scheduler *scheduler)
+{
+	zr_cell_advice_clear(&scheduler->advice);
+	free(scheduler);
+}
+
 bool zr_cell_call_done(struct zr_cell_scheduler *scheduler)
 {
 	scheduler->pending_calls--;
 	if (!scheduler->freeing)
 		return true;
 	if (!scheduler->pending_calls)
-		free(scheduler);
+		free_scheduler(scheduler);
 	return false;
 }
 
@@ -483,5 +489,5 @@
 	scheduler->pending_calls++;
 	zr_cell_model_clear(&scheduler->model);
 	if (!--scheduler->pending_calls)
-		free(scheduler);
+		free_scheduler(scheduler);
 }
--- a/tests/unit/test_cell_advice.c
+++ b/tests/unit/test_cell_advice.c
@@ -18,6 +18,7 @@
 
 	for (i = 0; i < PROXIES; i++)
 		snprintf(proxies[i].name, ZR_NAME_MAX, "host-%d", i);
+	zr_cell_advice_clear(&advice);
 	advice = (struct zr_cell_advice){0};
 	zr_cell_advice_set_proxies(&advice, proxies, PROXIES);
 }
@@ -49,6 +50,7 @@
 {
 	struct zr_cell_adviser_proxy one = {.name = "host"};
 
+	zr_cell_advice_clear(&advice);
 	advice = (struct zr_cell_advice){0};
 	zr_cell_advice_set_proxies(&advice, &one, 1);
 	ck_assert_int_eq(query_until_refused(LONG_QUERY_MS), 1);
@@ -58,12 +60,57 @@
 START_TEST(test_proxy_backs_off_after_failure)
 {
 	add_proxies();
-	advice.proxies[0].backoff_until = 100;
+	advice.proxies[0]->backoff_until = 100;
 	ck_assert_int_eq(zr_cell_advice_idle_count(&advice, 50), PROXIES - 1);
 	ck_assert_int_eq(zr_cell_advice_idle_count(&advice, 100), PROXIES);
 }
 END_TEST
 
+/*
+ * Names the proxies @from to @from + @count - 1; on a large fleet all hosts are
+ * replaced in turn, each by one of another name.
+ */
+static void set_fleet(int from, int count)
+{
+	struct zr_cell_adviser_proxy *proxies =
+		calloc((size_t)count, sizeof(*proxies));
+	int i;
+
+	for (i = 0; i < count; i++)
+		snprintf(proxies[i].name, ZR_NAME_MAX, "host-%d", from + i);
+	zr_cell_advice_set_proxies(&advice, proxies, (size_t)count);
+	free(proxies);
+}
+
+/* Each host makes one call at a time, so all of them are needed in a burst. */
+START_TEST(test_all_hosts_of_a_large_fleet_are_used)
+{
+	zr_cell_advice_clear(&advice);
+	set_fleet(0, 797);
+	ck_assert_int_eq(query_until_refused(SHORT_QUERY_MS), 797);
+}
+END_TEST
+
+START_TEST(test_replaced_hosts_are_removed)
+{
+	struct zr_cell_adviser_proxy_state *busy;
+	int from;
+
+	zr_cell_advice_clear(&advice);
+	set_fleet(0, 97);
+	busy = zr_cell_advice_pick_proxy(&advice, 0, SHORT_QUERY_MS);
+	busy->busy = true;
+	for (from = 1; from <= 200; from++)
+		set_fleet(from, 97);
+	/* The one whose query is pending is removed when that has ended. */
+	ck_assert_int_eq(advice.count, 98);
+	busy->busy = false;
+	set_fleet(from, 97);
+	ck_assert_int_eq(advice.count, 97);
+	ck_assert_int_eq(zr_cell_advice_idle_count(&advice, 0), 97);
+}
+END_TEST
+
 START_TEST(test_permit_rate_follows_the_answers)
 {
 	int i;
@@ -92,6 +139,8 @@
 	tcase_add_test(tcase, test_long_queries_leave_proxies_idle);
 	tcase_add_test(tcase, test_single_proxy_takes_long_query);
 	tcase_add_test(tcase, test_proxy_backs_off_after_failure);
+	tcase_add_test(tcase, test_all_hosts_of_a_large_fleet_are_used);
+	tcase_add_test(tcase, test_replaced_hosts_are_removed);
 	tcase_add_test(tcase, test_permit_rate_follows_the_answers);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
