cell: reach the store through other hosts

Cause: a host that lost the store alone (node_cut, core_cut, platform_down of some hosts) refused its callers from 0.4 s on, left them without an answer for up to 2.9 s before, and, if it owned the cell, was succeeded after 1.1 s. Change: cell/relay.c wraps the store of a host. Calls that fail or are overdue go to another host by RPC (new procedure ZX_CELL_STORE), which makes them on its own connection, unless that is suspect too; then the call is made directly after all. A write whose outcome no path has told is unknown. Readiness still follows the host's own connection, and such a host campaigns later than others.

--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -19,6 +19,9 @@
 #define ZX_CELL_TASKS_MAX 65536
 #define ZX_CELL_LIST_MAX 4096
 #define ZX_CELL_RECORD_MAX 524288
+#define ZX_CELL_KEY_MAX 255
+#define ZX_CELL_VALUE_MAX 1048576
+#define ZX_CELL_RANGE_MAX 65536
 
 struct zx_cell_step {
 	u_int count;
@@ -152,6 +155,65 @@
 };
 typedef struct zx_cell_state_result zx_cell_state_result;
 
+struct zx_store_value {
+	char *key;
+	bool_t present;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+	quad_t revision;
+};
+typedef struct zx_store_value zx_store_value;
+
+struct zx_store_compare {
+	char *key;
+	quad_t revision;
+};
+typedef struct zx_store_compare zx_store_compare;
+
+struct zx_store_put {
+	char *key;
+	bool_t present;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+	quad_t lease;
+};
+typedef struct zx_store_put zx_store_put;
+
+struct zx_cell_store_args {
+	u_int kind;
+	u_int purpose;
+	char *key;
+	bool_t prefix;
+	quad_t number;
+	u_int wait_ms;
+	struct {
+		u_int compares_len;
+		zx_store_compare *compares_val;
+	} compares;
+	struct {
+		u_int puts_len;
+		zx_store_put *puts_val;
+	} puts;
+};
+typedef struct zx_cell_store_args zx_cell_store_args;
+
+struct zx_cell_store_result {
+	int error;
+	bool_t succeeded;
+	quad_t revision;
+	quad_t lease;
+	quad_t ttl_ms;
+	struct {
+		u_int values_len;
+		zx_store_value *values_val;
+	} values;
+};
+typedef struct zx_cell_store_result zx_cell_store_result;
+
 #define ZX_CELL 0x20005a03
 #define ZX_CELL_V1 1
 
@@ -165,6 +227,9 @@
 #define ZX_CELL_STATE 3
 extern  zx_cell_state_result * zx_cell_state_1(zx_cell_state_args , CLIENT *);
 extern  zx_cell_state_result * zx_cell_state_1_svc(zx_cell_state_args , struct svc_req *);
+#define ZX_CELL_STORE 4
+extern  zx_cell_store_result * zx_cell_store_1(zx_cell_store_args , CLIENT *);
+extern  zx_cell_store_result * zx_cell_store_1_svc(zx_cell_store_args , struct svc_req *);
 extern int zx_cell_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -177,6 +242,9 @@
 #define ZX_CELL_STATE 3
 extern  zx_cell_state_result * zx_cell_state_1();
 extern  zx_cell_state_result * zx_cell_state_1_svc();
+#define ZX_CELL_STORE 4
+extern  zx_cell_store_result * zx_cell_store_1();
+extern  zx_cell_store_result * zx_cell_store_1_svc();
 extern int zx_cell_1_freeresult ();
 #endif /* K&R C */
 
@@ -197,6 +265,11 @@
 extern  bool_t xdr_zx_cell_taken (XDR *, zx_cell_taken*);
 extern  bool_t xdr_zx_cell_state_args (XDR *, zx_cell_state_args*);
 extern  bool_t xdr_zx_cell_state_result (XDR *, zx_cell_state_result*);
+extern  bool_t xdr_zx_store_value (XDR *, zx_store_value*);
+extern  bool_t xdr_zx_store_compare (XDR *, zx_store_compare*);
+extern  bool_t xdr_zx_store_put (XDR *, zx_store_put*);
+extern  bool_t xdr_zx_cell_store_args (XDR *, zx_cell_store_args*);
+extern  bool_t xdr_zx_cell_store_result (XDR *, zx_cell_store_result*);
 
 #else /* K&R C */
 extern bool_t xdr_zx_cell_step ();
@@ -213,6 +286,11 @@
 extern bool_t xdr_zx_cell_taken ();
 extern bool_t xdr_zx_cell_state_args ();
 extern bool_t xdr_zx_cell_state_result ();
+extern bool_t xdr_zx_store_value ();
+extern bool_t xdr_zx_store_compare ();
+extern bool_t xdr_zx_store_put ();
+extern bool_t xdr_zx_cell_store_args ();
+extern bool_t xdr_zx_cell_store_result ();
 
 #endif /* K&R C */
 
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -9,6 +9,9 @@
 const ZX_CELL_TASKS_MAX = 65536;
 const ZX_CELL_LIST_MAX = 4096;
 const ZX_CELL_RECORD_MAX = 524288;
+const ZX_CELL_KEY_MAX = 255;
+const ZX_CELL_VALUE_MAX = 1048576;
+const ZX_CELL_RANGE_MAX = 65536;
 
 /* A step of a job: a number of tasks of the same size. */
 struct zx_cell_step {
@@ -141,10 +144,60 @@
 	unsigned int state;
 };
 
+/* A key of the store; present is false if it has been deleted. */
+struct zx_store_value {
+	string key<ZX_CELL_KEY_MAX>;
+	bool present;
+	opaque data<ZX_CELL_VALUE_MAX>;
+	hyper revision;
+};
+
+/* A condition of a transaction; revision 0: the key does not exist. */
+struct zx_store_compare {
+	string key<ZX_CELL_KEY_MAX>;
+	hyper revision;
+};
+
+/* A write of a transaction; a deletion if present is false. */
+struct zx_store_put {
+	string key<ZX_CELL_KEY_MAX>;
+	bool present;
+	opaque data<ZX_CELL_VALUE_MAX>;
+	hyper lease;
+};
+
+/*
+ * A call to the store on behalf of a host that does not reach it. kind is an
+ * enum zr_cell_relay_kind and purpose an enum zr_store_purpose.
+ */
+struct zx_cell_store_args {
+	unsigned int kind;
+	unsigned int purpose;
+	/* Key or prefix of a read, prefix of a watch. */
+	string key<ZX_CELL_KEY_MAX>;
+	bool prefix;
+	/* Duration of a new lease, id of a lease, or revision of a watch. */
+	hyper number;
+	unsigned int wait_ms;
+	zx_store_compare compares<ZX_CELL_LIST_MAX>;
+	zx_store_put puts<ZX_CELL_LIST_MAX>;
+};
+
+/* error is 0 or a negative error code of <zinniarack/errors.h>. */
+struct zx_cell_store_result {
+	int error;
+	bool succeeded;
+	hyper revision;
+	hyper lease;
+	hyper ttl_ms;
+	zx_store_value values<ZX_CELL_RANGE_MAX>;
+};
+
 program ZX_CELL {
 	version ZX_CELL_V1 {
 		zx_cell_advise_result ZX_CELL_ADVISE(zx_cell_advise_args) = 1;
 		zx_cell_taken ZX_CELL_NEWS(zx_cell_news) = 2;
 		zx_cell_state_result ZX_CELL_STATE(zx_cell_state_args) = 3;
+		zx_cell_store_result ZX_CELL_STORE(zx_cell_store_args) = 4;
 	} = 1;
 } = 0x20005a03;
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -447,3 +447,94 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_zx_store_value (XDR *xdrs, zx_store_value *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, ZX_CELL_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->present))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, ZX_CELL_VALUE_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_store_compare (XDR *xdrs, zx_store_compare *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, ZX_CELL_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_store_put (XDR *xdrs, zx_store_put *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, ZX_CELL_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->present))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, ZX_CELL_VALUE_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->lease))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_store_args (XDR *xdrs, zx_cell_store_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->purpose))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, ZX_CELL_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->prefix))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->compares.compares_val, (u_int *) &objp->compares.compares_len, ZX_CELL_LIST_MAX,
+		sizeof (zx_store_compare), (xdrproc_t) xdr_zx_store_compare))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->puts.puts_val, (u_int *) &objp->puts.puts_len, ZX_CELL_LIST_MAX,
+		sizeof (zx_store_put), (xdrproc_t) xdr_zx_store_put))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_store_result (XDR *xdrs, zx_cell_store_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->error))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->succeeded))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->lease))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->ttl_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->values.values_val, (u_int *) &objp->values.values_len, ZX_CELL_RANGE_MAX,
+		sizeof (zx_store_value), (xdrproc_t) xdr_zx_store_value))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -6,6 +6,7 @@
 #include "cell/config_poller.h"
 #include "cell/frontend.h"
 #include "cell/peers.h"
+#include "cell/relay.h"
 #include "cell/scheduler.h"
 #include "net/http_server.h"
 #include "net/metrics_page.h"
@@ -38,6 +39,11 @@
 	struct zr_cell_host_options options;
 	struct zr_cell_platform platform;
 	struct zr_timers timers;
+	struct zr_store direct_store;
+	/* Health of this host's own connection to the store. */
+	struct zr_store_health *direct_health;
+	struct zr_cell_relay *relay;
+	/* Health of its access to the store, also through other hosts. */
 	struct zr_store_health *health;
 	struct zr_cell_config_poller *config_poller;
 	struct zr_cell_acceptor *acceptor;
@@ -63,7 +69,8 @@
 	       zr_cell_config_poller_config(host->config_poller) &&
 	       zr_cell_config_poller_age_ms(host->config_poller) <
 		       READY_AGE_MAX_MS &&
-	       zr_store_health_suspect_ms(host->health) < READY_SUSPECT_MAX_MS;
+	       zr_store_health_suspect_ms(host->direct_health) <
+		       READY_SUSPECT_MAX_MS;
 }
 
 static void on_readiness(void *ctx, struct zr_http_exchange *exchange)
@@ -117,22 +124,53 @@
 	zr_cell_scheduler_query_state(host->scheduler, job, done, done_ctx);
 }
 
+static void on_store_call(void *ctx, const zx_cell_store_args *args,
+			  zr_cell_relay_done_fn done, void *done_ctx)
+{
+	struct zr_cell_host *host = ctx;
+
+	zr_cell_relay_serve(host->relay, args, done, done_ctx);
+}
+
 static void on_update(void *ctx)
 {
 	struct zr_cell_host *host = ctx;
 
 	zr_cell_peers_set_active(host->peers,
 				 zr_cell_scheduler_active(host->scheduler));
-	zr_cell_scheduler_set_larger_host(
-		host->scheduler, zr_cell_peers_has_larger(host->peers));
+	zr_cell_scheduler_set_better_host(
+		host->scheduler,
+		zr_cell_peers_has_larger(host->peers) ||
+			zr_store_health_suspect_ms(host->direct_health));
 }
 
 /* Start */
 
+/* Wraps the platform's store: its health, the relay, the health of both. */
+static int create_store(struct zr_cell_host *host)
+{
+	const struct zr_cell_host_options *options = &host->options;
+	struct zr_store relayed;
+	int error;
+
+	error = zr_store_health_new(&host->direct_health, &host->direct_store,
+				    &options->platform.store, options->clock);
+	if (!error)
+		error = zr_cell_relay_new(&host->relay, &relayed,
+					  &host->direct_store,
+					  host->direct_health, &host->timers,
+					  options->clock, options->metrics);
+	if (!error)
+		error = zr_store_health_new(&host->health,
+					    &host->platform.store, &relayed,
+					    options->clock);
+	return error;
+}
+
 static int create_store_clients(struct zr_cell_host *host)
 {
-	static const struct zr_cell_peers_events events = {on_job,
-							   on_state_query};
+	static const struct zr_cell_peers_events events = {
+		on_job, on_state_query, on_store_call};
 	const struct zr_cell_host_options *options = &host->options;
 	const struct zr_cell_settings *settings = options->settings;
 	const struct zr_cell_scheduler_options scheduler_options = {
@@ -219,10 +257,12 @@
 	host->options = *options;
 	host->platform = options->platform;
 	host->timers = zr_uv_timers_for_loop(options->loop);
-	error = zr_store_health_new(&host->health, &host->platform.store,
-				    &options->platform.store, options->clock);
+	error = create_store(host);
 	if (!error)
 		error = create_store_clients(host);
+	if (!error)
+		zr_cell_relay_set_sender(host->relay, zr_cell_peers_relay,
+					 host->peers);
 	if (!error)
 		error = create_frontend(host);
 	if (!error)
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -44,6 +44,7 @@
 	struct zr_rpc_client *client;
 	uint32_t millicpus;
 	unsigned int absent_reads; /* 0: it is registered */
+	unsigned int relay_failures;
 };
 
 struct zr_cell_peers {
@@ -93,6 +94,14 @@
 	.result_size = sizeof(zx_cell_state_result),
 };
 
+static const struct zr_rpc_procedure store_procedure = {
+	.number = ZX_CELL_STORE,
+	.args_codec = (xdrproc_t)xdr_zx_cell_store_args,
+	.result_codec = (xdrproc_t)xdr_zx_cell_store_result,
+	.args_size = sizeof(zx_cell_store_args),
+	.result_size = sizeof(zx_cell_store_result),
+};
+
 /* Registration */
 
 static void on_registered(void *ctx, int error,
@@ -237,6 +246,21 @@
 	peers->events.query_state(peers->ctx, args->job, on_local_state, call);
 }
 
+static void on_store_served(void *ctx, int error,
+			    const zx_cell_store_result *result)
+{
+	(void)error;
+	/* The codec does not change what it encodes. */
+	zr_rpc_reply(ctx, (void *)result);
+}
+
+static void serve_store(void *ctx, struct zr_rpc_call *call, void *data)
+{
+	struct zr_cell_peers *peers = ctx;
+
+	peers->events.serve_store(peers->ctx, data, on_store_served, call);
+}
+
 static struct peer *find_registered(struct zr_cell_peers *peers,
 				    const char *name)
 {
@@ -319,6 +343,77 @@
 			   STATE_TIMEOUT_MS, on_state_reply, query);
 }
 
+/* Calls to the store through another host */
+
+struct relayed_call {
+	struct zr_cell_peers *peers;
+	char host[ZR_NAME_MAX];
+	zr_cell_relay_done_fn done;
+	void *ctx;
+};
+
+/*
+ * Chooses the host with the fewest failures, and of these the one with most
+ * processors. The search begins at a place of its own for each host, so that
+ * hosts that lose the store together do not all choose the same one.
+ */
+static struct peer *choose_relay(const struct zr_cell_peers *peers)
+{
+	size_t first = 0;
+	struct peer *best = NULL;
+	const char *letter;
+	size_t i;
+
+	for (letter = peers->name; *letter; letter++)
+		first = first * 31 + (unsigned char)*letter;
+	for (i = 0; i < peers->count; i++) {
+		struct peer *peer = peers->peers[(first + i) % peers->count];
+
+		if (peer->absent_reads)
+			continue;
+		if (!best || peer->relay_failures < best->relay_failures ||
+		    (peer->relay_failures == best->relay_failures &&
+		     peer->millicpus > best->millicpus))
+			best = peer;
+	}
+	return best;
+}
+
+static void on_store_reply(void *ctx, int error, void *data)
+{
+	struct relayed_call *relayed = ctx;
+	const zx_cell_store_result *result = data;
+	struct peer *peer = find_registered(relayed->peers, relayed->host);
+
+	if (peer && (error < 0 || result->error == ZR_E_STORE_DOWN))
+		peer->relay_failures++;
+	relayed->done(relayed->ctx, error, result);
+	free(relayed);
+}
+
+bool zr_cell_peers_relay(void *ctx, const zx_cell_store_args *args,
+			 unsigned int timeout_ms, zr_cell_relay_done_fn done,
+			 void *done_ctx)
+{
+	struct zr_cell_peers *peers = ctx;
+	struct peer *peer = choose_relay(peers);
+	struct relayed_call *relayed;
+
+	if (!peer)
+		return false;
+	relayed = calloc(1, sizeof(*relayed));
+	if (!relayed)
+		abort();
+	relayed->peers = peers;
+	relayed->done = done;
+	relayed->ctx = done_ctx;
+	snprintf(relayed->host, sizeof(relayed->host), "%s", peer->name);
+	/* The codec does not change what it encodes. */
+	zr_rpc_client_call(peer->client, &store_procedure, (void *)args,
+			   timeout_ms, on_store_reply, relayed);
+	return true;
+}
+
 /* Adviser queries through another host */
 
 struct advise_query {
@@ -609,6 +704,7 @@
 		{&advise_procedure, serve_advise},
 		{&notify_procedure, serve_notification},
 		{&state_procedure, serve_state},
+		{&store_procedure, serve_store},
 		{NULL, NULL},
 	};
 	struct zr_cell_peers *peers = calloc(1, sizeof(*peers));
--- a/src/libzinniarack/cell/peers.h
+++ b/src/libzinniarack/cell/peers.h
@@ -3,6 +3,7 @@
 
 #include <uv.h>
 
+#include "cell/relay.h"
 #include "cell/scheduler.h"
 #include "zinniarack/cell.h"
 #include "zinniarack/timer.h"
@@ -14,7 +15,8 @@
  * and reads the registrations of the other hosts. The hosts send RPCs to the
  * host that owns the cell, to notify it of accepted jobs and to query job
  * states. The owner sends them its queries for the placement adviser, which
- * they forward: the adviser answers one query at a time from each host.
+ * they forward: the adviser answers one query at a time from each host. A host
+ * that does not reach the store sends its calls through another one.
  */
 
 struct zr_cell_peers;
@@ -24,12 +26,15 @@
  * @on_job: a job or, if @record is NULL, a cancellation has been persisted;
  *	returns the result of zr_cell_scheduler_notify_job()
  * @query_state: query the state of a job; calls @done once
+ * @serve_store: make a call to the store; calls @done once
  */
 struct zr_cell_peers_events {
 	bool (*on_job)(void *ctx, const char *job, const void *record,
 		       size_t length);
 	void (*query_state)(void *ctx, const char *job, zr_cell_state_fn done,
 			    void *done_ctx);
+	void (*serve_store)(void *ctx, const zx_cell_store_args *args,
+			    zr_cell_relay_done_fn done, void *done_ctx);
 };
 
 /**
@@ -89,6 +94,16 @@
 			       const char *job, zr_cell_state_fn done,
 			       void *ctx);
 
+/**
+ * zr_cell_peers_relay() - make a call to the store through another host
+ *
+ * A &zr_cell_relay_send_fn whose context is the struct zr_cell_peers. The same
+ * host is used again until a call through it fails.
+ */
+bool zr_cell_peers_relay(void *peers, const zx_cell_store_args *args,
+			 unsigned int timeout_ms, zr_cell_relay_done_fn done,
+			 void *done_ctx);
+
 /**
  * zr_cell_peers_set_active() - set whether this host owns the cell
  * @peers: the hosts
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -28,8 +28,8 @@
  * @config: configuration in use; NULL before the first one
  * @owner: competes for the ownership of the cell
  * @phase: current phase
- * @larger_host_present: a larger host is registered, so this one delays its
- *                       attempts to become the owner
+ * @better_host_present: another host suits better as the owner, so this one
+ *                       delays its attempts
  * @term: increases whenever a term begins or ends; answers to calls of an
  *        earlier value are ignored
  * @fencing_token: fencing token of the ownership
@@ -72,7 +72,7 @@
 	const struct zr_cell_config *config;
 	struct zr_owner *owner;
 	enum zr_cell_phase phase;
-	bool larger_host_present;
+	bool better_host_present;
 	uint64_t term;
 	uint64_t fencing_token;
 	uint64_t event_count;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -52,10 +52,10 @@
 	       zr_owner_lease_state(scheduler->owner) == ZR_OWNER_LEASE_VALID;
 }
 
-void zr_cell_scheduler_set_larger_host(struct zr_cell_scheduler *scheduler,
-				       bool larger_host_present)
+void zr_cell_scheduler_set_better_host(struct zr_cell_scheduler *scheduler,
+				       bool better_host_present)
 {
-	scheduler->larger_host_present = larger_host_present;
+	scheduler->better_host_present = better_host_present;
 }
 
 bool zr_cell_scheduler_active(const struct zr_cell_scheduler *scheduler)
@@ -253,7 +253,7 @@
 {
 	const struct zr_cell_scheduler *scheduler = ctx;
 
-	return scheduler->larger_host_present ? SMALL_HOST_DELAY_MS : 0;
+	return scheduler->better_host_present ? SMALL_HOST_DELAY_MS : 0;
 }
 
 static void on_ownership_lost(void *ctx)
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -98,13 +98,14 @@
 				   size_t count);
 
 /**
- * zr_cell_scheduler_set_larger_host() - set whether the cell has a larger host
+ * zr_cell_scheduler_set_better_host() - set whether another host suits better
  * @scheduler: the scheduler
- * @larger_host_present: a host with more processors is registered; this
- *	scheduler then waits before it campaigns for the cell
+ * @better_host_present: a host with more processors is registered, or this
+ *	host's own connection to the store is suspect; this scheduler then waits
+ *	before it campaigns for the cell
  */
-void zr_cell_scheduler_set_larger_host(struct zr_cell_scheduler *scheduler,
-				       bool larger_host_present);
+void zr_cell_scheduler_set_better_host(struct zr_cell_scheduler *scheduler,
+				       bool better_host_present);
 
 /**
  * zr_cell_scheduler_active() - whether the scheduler owns the cell and has
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -576,7 +576,7 @@
 
 static void do_larger_host(struct cell_script *script)
 {
-	zr_cell_scheduler_set_larger_host(
+	zr_cell_scheduler_set_better_host(
 		find_host(script, word(script, 1))->scheduler, true);
 }
 
