cell: watch the configuration; read it in full every 3 s only

Cause: each of 97 hosts read the whole configuration every 400 ms. Change: a watch with a wait of 1 s reports changes at once and confirms that there were none; the document is read every 3 s and when a watch has failed. A document that cannot be decoded confirms nothing. A host counts as ready up to 2 s after the last confirmation, since a slow store delays a watch. Tests: unit/test_config_poller (change at once, reads of an unchanged document, a watch that hangs, age without responses, a document that is not usable).

--- a/src/libzinniarack/cell/config_poller.c
+++ b/src/libzinniarack/cell/config_poller.c
@@ -2,15 +2,30 @@
 
 #include <inttypes.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
+/*
+ * A watch reports a change at once and, when its wait is over, that there was
+ * none. A configuration of many queues is large, so it is read only after a
+ * watch has failed and at FULL_READ_INTERVAL_MS.
+ */
+#define WATCH_WAIT_MS 1000
+#define FULL_READ_INTERVAL_MS 3000
+/* Time after the end of its wait when a watch counts as failed. */
+#define WATCH_OVERDUE_MS 200
+/* Clocks may run at different rates, so part of the wait is not counted. */
+#define WATCH_COUNTED_PERCENT 95
+#define PERCENT 100
 /*
  * A change must be applied within 2 s. A read on a connection that hangs takes
  * 1 s before a new connection is tried.
  */
 #define POLL_INTERVAL_MS 400
+/* Interval at which the watch is checked. */
+#define CHECK_INTERVAL_MS 200
 /* Maximum number of reads in flight. A hanging read must not delay others. */
 #define READS_IN_FLIGHT_MAX 3
 
@@ -23,14 +38,18 @@
 	struct zr_cell_config *config;
 	bool has_read;
 	bool store_reachable;
-	struct timespec last_read_sent_at;
+	struct timespec last_read_sent_at; /* or counted end of a watch */
+	struct timespec read_requested_at;
 	unsigned int reads_in_flight;
+	int64_t revision;   /* of the store, known to the last read or watch */
+	struct call *watch; /* in flight; NULL: none */
 	bool freeing;
 	struct zr_metric *version;
 	struct zr_metric *failures;
 };
 
-struct read_call {
+/* A read or a watch in flight. */
+struct call {
 	struct zr_cell_config_poller *poller;
 	struct timespec sent_at;
 };
@@ -62,19 +81,21 @@
 	zr_cell_config_free(previous);
 }
 
-static void decode_and_apply(struct zr_cell_config_poller *poller,
+/* Returns false if the value is not a usable configuration. */
+static bool decode_and_apply(struct zr_cell_config_poller *poller,
 			     const struct zr_store_value *value,
 			     int64_t read_ms)
 {
 	struct zr_cell_config *config;
 	int error = poller->platform->config_decode(&config, value);
 
-	if (!error)
+	if (!error) {
 		apply_config(poller, config, read_ms);
-	else
-		zr_log(ZR_LOG_ERROR,
-		       "config.unreadable revision=%" PRId64 " error=%s",
-		       value->mod_revision, zr_error_name(error));
+		return true;
+	}
+	zr_log(ZR_LOG_ERROR, "config.unreadable revision=%" PRId64 " error=%s",
+	       value->mod_revision, zr_error_name(error));
+	return false;
 }
 
 /* Return -1 before the first successful read. */
@@ -99,19 +120,45 @@
 		       logged_age_ms(poller));
 }
 
-static void on_read(void *ctx, int error, const struct zr_store_reply *reply)
+/* Ends a call. Returns NULL if the poller is being freed. */
+static struct zr_cell_config_poller *finish_call(struct call *call)
 {
-	struct read_call *call = ctx;
 	struct zr_cell_config_poller *poller = call->poller;
-	struct timespec sent_at = call->sent_at;
 
+	if (call == poller->watch)
+		poller->watch = NULL;
+	else
+		poller->reads_in_flight--;
 	free(call);
-	poller->reads_in_flight--;
-	if (poller->freeing) {
-		if (!poller->reads_in_flight)
-			free_poller(poller);
+	if (!poller->freeing)
+		return poller;
+	if (!poller->reads_in_flight && !poller->watch)
+		free_poller(poller);
+	return NULL;
+}
+
+/*
+ * Notes that the configuration in use was the newest one at @at. A document
+ * that is not usable confirms nothing: it may withdraw keys.
+ */
+static void confirm(struct zr_cell_config_poller *poller, struct timespec at)
+{
+	if (!poller->has_read || zr_time_cmp(at, poller->last_read_sent_at) > 0)
+		poller->last_read_sent_at = at;
+	poller->has_read = true;
+}
+
+static void watch(struct zr_cell_config_poller *poller);
+
+static void on_read(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	struct call *call = ctx;
+	struct timespec sent_at = call->sent_at;
+	struct zr_cell_config_poller *poller = finish_call(call);
+	bool usable = true;
+
+	if (!poller)
 		return;
-	}
 	/* Ignore the failure of a read sent before the last successful one. */
 	if (!error || !poller->has_read ||
 	    zr_time_cmp(sent_at, poller->last_read_sent_at) > 0)
@@ -119,30 +166,116 @@
 	if (error < 0)
 		return;
 	if (reply->count)
-		decode_and_apply(
+		usable = decode_and_apply(
 			poller, &reply->values[0],
 			zr_time_diff_ms(zr_clock_now(poller->clock), sent_at));
-	if (!poller->has_read ||
-	    zr_time_cmp(sent_at, poller->last_read_sent_at) > 0)
-		poller->last_read_sent_at = sent_at;
-	poller->has_read = true;
+	if (!usable)
+		return;
+	confirm(poller, sent_at);
+	if (reply->revision > poller->revision)
+		poller->revision = reply->revision;
+	if (!poller->watch)
+		watch(poller);
 }
 
-static void on_poll(void *ctx)
+/*
+ * The reply of a watch without changes was sent when its wait was over, so it
+ * confirms the configuration at that time.
+ */
+static struct timespec watch_confirmed_at(const struct call *call)
 {
-	struct zr_cell_config_poller *poller = ctx;
-	struct read_call *call;
+	int64_t waited_ms = zr_time_diff_ms(zr_clock_now(call->poller->clock),
+					    call->sent_at);
 
-	if (poller->reads_in_flight >= READS_IN_FLIGHT_MAX)
+	return waited_ms < WATCH_WAIT_MS
+		       ? call->sent_at
+		       : zr_time_add_ms(call->sent_at,
+					WATCH_WAIT_MS * WATCH_COUNTED_PERCENT /
+						PERCENT);
+}
+
+static void on_watch(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	struct call *call = ctx;
+	struct timespec sent_at = call->sent_at;
+	struct timespec confirmed_at = watch_confirmed_at(call);
+	struct zr_cell_config_poller *poller = finish_call(call);
+	bool usable = true;
+	size_t i;
+
+	if (!poller)
+		return;
+	if (error < 0) {
+		poller->revision = 0;
 		return;
-	call = calloc(1, sizeof(*call));
+	}
+	for (i = 0; i < reply->count; i++) {
+		if (!strcmp(reply->values[i].key,
+			    poller->platform->config_prefix) &&
+		    reply->values[i].data)
+			usable = decode_and_apply(
+				poller, &reply->values[i],
+				zr_time_diff_ms(zr_clock_now(poller->clock),
+						sent_at));
+	}
+	if (!usable) {
+		poller->revision = 0;
+		return;
+	}
+	confirm(poller, reply->count ? sent_at : confirmed_at);
+	if (reply->revision > poller->revision)
+		poller->revision = reply->revision;
+	watch(poller);
+}
+
+static struct call *new_call(struct zr_cell_config_poller *poller)
+{
+	struct call *call = calloc(1, sizeof(*call));
+
 	if (!call)
 		abort();
 	call->poller = poller;
 	call->sent_at = zr_clock_now(poller->clock);
+	return call;
+}
+
+static void watch(struct zr_cell_config_poller *poller)
+{
+	poller->watch = new_call(poller);
+	zr_store_watch(&poller->platform->store,
+		       poller->platform->config_prefix, poller->revision,
+		       WATCH_WAIT_MS, on_watch, poller->watch);
+}
+
+static void read_config(struct zr_cell_config_poller *poller)
+{
+	if (poller->reads_in_flight >= READS_IN_FLIGHT_MAX)
+		return;
 	poller->reads_in_flight++;
+	poller->read_requested_at = zr_clock_now(poller->clock);
 	zr_store_range(&poller->platform->store, ZR_STORE_CONFIG,
-		       poller->platform->config_prefix, false, on_read, call);
+		       poller->platform->config_prefix, false, on_read,
+		       new_call(poller));
+}
+
+/* Whether a watch is in flight that has not failed as far as is known. */
+static bool is_watching(const struct zr_cell_config_poller *poller)
+{
+	return poller->watch && poller->revision &&
+	       zr_time_diff_ms(zr_clock_now(poller->clock),
+			       poller->watch->sent_at) <
+		       WATCH_WAIT_MS + WATCH_OVERDUE_MS;
+}
+
+static void on_check(void *ctx)
+{
+	struct zr_cell_config_poller *poller = ctx;
+	int64_t since_read_ms = zr_time_diff_ms(zr_clock_now(poller->clock),
+						poller->read_requested_at);
+
+	if (since_read_ms >=
+	    (is_watching(poller) ? FULL_READ_INTERVAL_MS : POLL_INTERVAL_MS))
+		read_config(poller);
 }
 
 const struct zr_cell_config *
@@ -181,8 +314,8 @@
 	poller->failures = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_config_reads_failed_total", NULL,
 		"Reads of the configuration that failed");
-	poller->timer = zr_timer_new(timers, on_poll, poller);
-	zr_timer_start(poller->timer, 0, POLL_INTERVAL_MS);
+	poller->timer = zr_timer_new(timers, on_check, poller);
+	zr_timer_start(poller->timer, 0, CHECK_INTERVAL_MS);
 	*out = poller;
 	return 0;
 }
@@ -193,6 +326,6 @@
 		return;
 	zr_timer_free(poller->timer);
 	poller->freeing = true;
-	if (!poller->reads_in_flight)
+	if (!poller->reads_in_flight && !poller->watch)
 		free_poller(poller);
 }
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -19,7 +19,7 @@
 /* Interval at which on_update() passes state between scheduler and peers. */
 #define UPDATE_INTERVAL_MS 100
 /* Maximum age of the last read of the configuration for a ready host. */
-#define READY_AGE_MAX_MS 1300
+#define READY_AGE_MAX_MS 2000
 /*
  * A host is not ready when a failure of the connection to the store has been
  * suspected for longer than this.
--- /dev/null
+++ b/tests/unit/test_config_poller.c
@@ -0,0 +1,190 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/config_poller.h"
+#include "fakes/fake_store.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/metrics.h"
+
+#define KEY "op/config"
+
+static struct fake_net *net;
+static struct fake_store *fake;
+static struct fake_node *operator_node;
+static struct zr_cell_platform platform;
+static struct zr_store operator_store;
+static struct zr_metrics *metrics;
+static struct zr_cell_config_poller *poller;
+static unsigned int changes;
+
+/* A document is a version number; any other text is not usable. */
+static int decode(struct zr_cell_config **out,
+		  const struct zr_store_value *value)
+{
+	uint64_t version = strtoull(value->data, NULL, 10);
+	struct zr_cell_config *config;
+
+	if (!version)
+		return ZR_E_PROTOCOL;
+	config = calloc(1, sizeof(*config));
+	config->version = version;
+	*out = config;
+	return 0;
+}
+
+static void on_change(void *ctx, const struct zr_cell_config *config)
+{
+	(void)ctx;
+	(void)config;
+	changes++;
+}
+
+static void on_written(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	(void)ctx;
+	(void)reply;
+	ck_assert_int_eq(error, 0);
+}
+
+static void write_config(const char *text)
+{
+	const struct zr_store_put put = {KEY, text, strlen(text) + 1, 0};
+	const struct zr_store_txn txn = {NULL, 0, &put, 1};
+
+	zr_store_commit(&operator_store, ZR_STORE_OTHER, &txn, on_written,
+			NULL);
+}
+
+static void setup(void)
+{
+	struct fake_node *host;
+
+	net = fake_net_new();
+	fake = fake_store_new(net, "store");
+	host = fake_node_new(net, "host");
+	operator_node = fake_node_new(net, "operator");
+	fake_store_client(&operator_store, fake, operator_node);
+	fake_store_client(&platform.store, fake, host);
+	platform.config_prefix = KEY;
+	platform.config_decode = decode;
+	zr_metrics_new(&metrics);
+	changes = 0;
+	write_config("1");
+	fake_net_advance(net, 5);
+	ck_assert_int_eq(zr_cell_config_poller_new(
+				 &poller,
+				 fake_time_timers(fake_node_time(host)),
+				 fake_time_clock(fake_node_time(host)),
+				 &platform, metrics, on_change, NULL),
+			 0);
+	fake_net_advance(net, 50);
+}
+
+static void teardown(void)
+{
+	zr_cell_config_poller_free(poller);
+	zr_store_free(&platform.store);
+	zr_store_free(&operator_store);
+	fake_store_free(fake);
+	fake_net_free(net);
+	zr_metrics_free(metrics);
+}
+
+static unsigned long reads(void)
+{
+	return fake_store_counts(fake)->reads[ZR_STORE_CONFIG];
+}
+
+static uint64_t version(void)
+{
+	return zr_cell_config_poller_config(poller)->version;
+}
+
+static void check_age_stays_below(int64_t max_ms, unsigned int ms)
+{
+	for (; ms; ms--) {
+		fake_net_advance(net, 1);
+		ck_assert_int_lt(zr_cell_config_poller_age_ms(poller), max_ms);
+	}
+}
+
+START_TEST(test_change_is_applied_at_once)
+{
+	ck_assert_uint_eq(version(), 1);
+	fake_net_advance(net, 700);
+	write_config("2");
+	fake_net_advance(net, 10);
+	ck_assert_uint_eq(version(), 2);
+	ck_assert_uint_eq(changes, 2);
+}
+END_TEST
+
+/* A large configuration is not read again as long as it does not change. */
+START_TEST(test_unchanged_configuration_is_seldom_read)
+{
+	unsigned long before = reads();
+
+	check_age_stays_below(1200, 30000);
+	ck_assert_uint_le(reads() - before, 10);
+}
+END_TEST
+
+/* A watch that hangs must not hide a change for longer than two seconds. */
+START_TEST(test_hanging_watch_is_noticed)
+{
+	fake_net_advance(net, 100);
+	fake_net_set_link(net, "store", "host", FAKE_LINK_DROP);
+	fake_net_advance(net, 5);
+	write_config("2");
+	fake_net_advance(net, 900);
+	fake_net_set_link(net, "store", "host", FAKE_LINK_PASS);
+	fake_net_advance(net, 1000);
+	ck_assert_uint_eq(version(), 2);
+}
+END_TEST
+
+/* The age grows while the store does not respond, so that keys stop working. */
+START_TEST(test_age_grows_without_responses)
+{
+	fake_net_set_link(net, "store", "host", FAKE_LINK_DROP);
+	fake_net_advance(net, 5000);
+	ck_assert_int_ge(zr_cell_config_poller_age_ms(poller), 3900);
+}
+END_TEST
+
+/* A document that cannot be used may withdraw keys: it confirms none. */
+START_TEST(test_unusable_document_confirms_nothing)
+{
+	fake_net_advance(net, 100);
+	write_config("not a number");
+	fake_net_advance(net, 5000);
+	ck_assert_uint_eq(version(), 1);
+	ck_assert_int_ge(zr_cell_config_poller_age_ms(poller), 3900);
+	write_config("3");
+	fake_net_advance(net, 1000);
+	ck_assert_uint_eq(version(), 3);
+	ck_assert_int_lt(zr_cell_config_poller_age_ms(poller), 1200);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("config_poller");
+	TCase *tcase = tcase_create("all");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, test_change_is_applied_at_once);
+	tcase_add_test(tcase, test_unchanged_configuration_is_seldom_read);
+	tcase_add_test(tcase, test_hanging_watch_is_noticed);
+	tcase_add_test(tcase, test_age_grows_without_responses);
+	tcase_add_test(tcase, test_unusable_document_confirms_nothing);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
