platform: bound the tasks of a job; an undefined status proves nothing

Cause: a submission with repeats, or 64 steps of 4096 tasks, was accepted; the scheduler that loaded it ran out of memory, and so did each of its successors. A response of a worker with a status that the platform does not define (500, 504) counted as a refusal, so the run was started elsewhere although it may have begun.

--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -254,6 +254,27 @@
 }
 END_TEST
 
+/*
+ * All tasks of a job are in memory and in one record of the store, so a job
+ * must not have any number of them: it would take the scheduler down, and after
+ * it each successor that loads the job.
+ */
+START_TEST(test_submissions_with_too_many_tasks)
+{
+	ck_assert_int_eq(decode_spec("{\"task_spec\":\"x\",\"steps\":[{"
+				     "\"count\":4096}]}"),
+			 0);
+	ck_assert_int_eq(decode_spec("{\"task_spec\":\"x\",\"steps\":[{"
+				     "\"count\":4096},{\"count\":4096},{"
+				     "\"count\":4096},{\"count\":4096},{"
+				     "\"count\":1}]}"),
+			 ZR_E_INVALID);
+	ck_assert_int_eq(decode_spec("{\"task_spec\":\"x\",\"steps\":[{"
+				     "\"count\":2}],\"repeats\":4000000000}"),
+			 ZR_E_INVALID);
+}
+END_TEST
+
 START_TEST(test_job_ids)
 {
 	char id[ZR_NAME_MAX];
@@ -468,6 +489,13 @@
 		ck_assert_int_eq(received.error, 0);
 		ck_assert_int_eq(received.status, responses[i].status);
 	}
+	/* The worker may have started the run before it failed to say so. */
+	fake.status = 500;
+	start_run(&conn);
+	ck_assert_int_eq(received.error, ZR_E_OUTCOME_UNKNOWN);
+	fake.status = 504;
+	start_run(&conn);
+	ck_assert_int_eq(received.error, ZR_E_OUTCOME_UNKNOWN);
 	ck_assert_str_eq(fake.instance, "i-1");
 	ck_assert_str_eq(fake.request,
 			 "{\"task\":\"0123456789abcdef.1.2.17\",\"attempt\":3,"
@@ -566,6 +594,7 @@
 	tcase_add_test(decoding, test_configuration);
 	tcase_add_test(decoding, test_submission);
 	tcase_add_test(decoding, test_invalid_submissions);
+	tcase_add_test(decoding, test_submissions_with_too_many_tasks);
 	tcase_add_test(decoding, test_job_ids);
 	tcase_add_checked_fixture(calls, set_up, NULL);
 	tcase_add_test(calls, test_store_range_reads_all_pages);
