cell: read jobs, progress and registry at the same time after a takeover

Change: all three are sent at once; progress that arrives first is kept until the jobs are in the model. Only the owner writes progress, so the reads need not be of one revision.

--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -419,7 +419,6 @@
 	zr_log(ZR_LOG_INFO, "cell.active token=%" PRIu64 " jobs=%u open=%zu",
 	       scheduler->fencing_token, HASH_COUNT(scheduler->model.job_by_id),
 	       active_runs);
-	zr_cell_registry_read(scheduler);
 	zr_cell_watch_jobs(scheduler);
 	zr_cell_schedule_plan(scheduler);
 }
@@ -430,29 +429,7 @@
 	zr_timer_start(scheduler->rewatch, RETRY_DELAY_MS, 0);
 }
 
-static void on_progress_loaded(void *ctx, int error,
-			       const struct zr_store_reply *reply)
-{
-	struct zr_cell_scheduler *scheduler = finish_store_call(ctx);
-	struct zr_cell_job *job;
-	struct zr_cell_job *next;
-	size_t i;
-
-	if (!scheduler)
-		return;
-	if (error < 0) {
-		retry_load(scheduler, error);
-		return;
-	}
-	for (i = 0; i < reply->count; i++)
-		load_progress(scheduler, &reply->values[i]);
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
-		if (job->cancel_found)
-			zr_cell_job_cancel(scheduler, job);
-	}
-	become_active(scheduler);
-}
-
+/* Loads a job or a cancellation, which keys sort behind its job. */
 static void load_job(struct zr_cell_scheduler *scheduler,
 		     const struct zr_store_value *value)
 {
@@ -463,13 +440,80 @@
 	if (parse_job_key(id, &cancel, value->key, ZR_CELL_JOB_PREFIX) < 0)
 		return;
 	job = zr_cell_job_find(&scheduler->model, id);
-	/* Keys are sorted, so a job precedes its cancellation. */
 	if (cancel && job)
 		job->cancel_found = true;
 	else if (!cancel && !job)
 		add_job(scheduler, id, value->data, value->length);
 }
 
+/*
+ * The jobs and their progress are read at the same time. Only the owner writes
+ * progress, so the reads need not be of one revision. The progress is kept
+ * until the jobs are in the model.
+ */
+
+void zr_cell_loading_clear(struct zr_cell_loading *loading)
+{
+	size_t i;
+
+	for (i = 0; i < loading->progress_count; i++) {
+		free(loading->progress[i].key);
+		free(loading->progress[i].data);
+	}
+	free(loading->progress);
+	memset(loading, 0, sizeof(*loading));
+}
+
+static void keep_progress(struct zr_cell_loading *loading,
+			  const struct zr_store_reply *reply)
+{
+	size_t i;
+
+	loading->progress =
+		calloc(reply->count + 1, sizeof(*loading->progress));
+	if (!loading->progress)
+		abort();
+	for (i = 0; i < reply->count; i++) {
+		const struct zr_store_value *value = &reply->values[i];
+		struct zr_store_value *kept = &loading->progress[i];
+
+		*kept = *value;
+		kept->key = strdup(value->key);
+		kept->data = malloc(value->length + 1);
+		if (!kept->key || !kept->data)
+			abort();
+		if (value->length)
+			memcpy(kept->data, value->data, value->length);
+		loading->progress_count++;
+	}
+}
+
+/* Called after each of the two reads. */
+static void continue_loading(struct zr_cell_scheduler *scheduler, int error)
+{
+	struct zr_cell_loading *loading = &scheduler->loading;
+	struct zr_cell_job *job;
+	struct zr_cell_job *next;
+	size_t i;
+
+	if (error < 0)
+		loading->error = error;
+	if (--loading->pending)
+		return;
+	if (loading->error < 0) {
+		retry_load(scheduler, loading->error);
+		return;
+	}
+	for (i = 0; i < loading->progress_count; i++)
+		load_progress(scheduler, &loading->progress[i]);
+	zr_cell_loading_clear(loading);
+	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
+		if (job->cancel_found)
+			zr_cell_job_cancel(scheduler, job);
+	}
+	become_active(scheduler);
+}
+
 static void on_jobs_loaded(void *ctx, int error,
 			   const struct zr_store_reply *reply)
 {
@@ -478,23 +522,36 @@
 
 	if (!scheduler)
 		return;
-	if (error < 0) {
-		retry_load(scheduler, error);
-		return;
-	}
-	for (i = 0; i < reply->count; i++)
+	for (i = 0; !error && i < reply->count; i++)
 		load_job(scheduler, &reply->values[i]);
-	scheduler->watch_revision = reply->revision;
-	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
-		       ZR_CELL_PROGRESS_PREFIX, true, on_progress_loaded,
-		       new_store_call(scheduler));
+	if (!error)
+		scheduler->watch_revision = reply->revision;
+	continue_loading(scheduler, error);
+}
+
+static void on_progress_loaded(void *ctx, int error,
+			       const struct zr_store_reply *reply)
+{
+	struct zr_cell_scheduler *scheduler = finish_store_call(ctx);
+
+	if (!scheduler)
+		return;
+	if (!error)
+		keep_progress(&scheduler->loading, reply);
+	continue_loading(scheduler, error);
 }
 
 void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler)
 {
-	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
-		       ZR_CELL_JOB_PREFIX, true, on_jobs_loaded,
-		       new_store_call(scheduler));
+	const struct zr_store *store = &scheduler->options.platform->store;
+
+	zr_cell_loading_clear(&scheduler->loading);
+	scheduler->loading.pending = 2;
+	zr_store_range(store, ZR_STORE_RECOVERY, ZR_CELL_JOB_PREFIX, true,
+		       on_jobs_loaded, new_store_call(scheduler));
+	zr_store_range(store, ZR_STORE_RECOVERY, ZR_CELL_PROGRESS_PREFIX, true,
+		       on_progress_loaded, new_store_call(scheduler));
+	zr_cell_registry_read(scheduler);
 }
 
 void zr_cell_resume_watch(void *ctx)
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -22,6 +22,20 @@
 	ZR_CELL_ACTIVE,	 /* places tasks and sends requests to workers */
 };
 
+/**
+ * struct zr_cell_loading - state of the load of all jobs after a takeover
+ * @pending: number of reads without a reply
+ * @error: error of a read; 0: none
+ * @progress: progress records that have been read; copies
+ * @progress_count: number of records
+ */
+struct zr_cell_loading {
+	unsigned int pending;
+	int error;
+	struct zr_store_value *progress;
+	size_t progress_count;
+};
+
 /**
  * struct zr_cell_scheduler - the scheduler
  * @options: as passed to zr_cell_scheduler_new()
@@ -43,6 +57,7 @@
  * @plan_scheduled: @plan has been started
  * @watch_revision: store revision up to which accepted jobs are known
  * @watch_failures: number of consecutive watches that failed
+ * @loading: reads of the jobs and their progress, in ZR_CELL_LOADING
  * @registry_reading: a read of the worker registry is pending
  * @registry_requested_at: when the last read of the registry was sent
  * @registry_read_at: when the registry was last read successfully
@@ -89,6 +104,7 @@
 	bool plan_scheduled;
 	int64_t watch_revision;
 	uint32_t watch_failures;
+	struct zr_cell_loading loading;
 	bool registry_reading;
 	int64_t registry_requested_at;
 	int64_t registry_read_at;
@@ -143,6 +159,8 @@
 /* job_loader.c */
 /** zr_cell_load_jobs() - load all jobs from the store, then become active */
 void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler);
+/** zr_cell_loading_clear() - free what has been read */
+void zr_cell_loading_clear(struct zr_cell_loading *loading);
 /** zr_cell_watch_jobs() - watch the store for accepted jobs */
 void zr_cell_watch_jobs(struct zr_cell_scheduler *scheduler);
 /** zr_cell_resume_watch() - timer callback that restarts the watch */
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -163,7 +163,7 @@
 		       zr_error_name(error),
 		       (long long)(zr_cell_now_ms(scheduler) -
 				   scheduler->registry_read_at));
-	if (error < 0 || scheduler->phase != ZR_CELL_ACTIVE)
+	if (error < 0 || scheduler->phase == ZR_CELL_STANDBY)
 		return;
 	scheduler->registry_read_at = zr_cell_now_ms(scheduler);
 	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -457,6 +457,7 @@
 static void free_scheduler(struct zr_cell_scheduler *scheduler)
 {
 	zr_cell_advice_clear(&scheduler->advice);
+	zr_cell_loading_clear(&scheduler->loading);
 	free(scheduler);
 }
 
