cell: split no adviser query in a burst

Cause: a query of a wide gang was split into up to four, each of which takes the adviser's fixed time (490 ms on the large site) again. Change: queries are split only while at least half of the proxies are idle. Test: unit/test_cell_advice, test_queries_are_not_split_in_a_burst.

--- a/src/libzinniarack/cell/advice.c
+++ b/src/libzinniarack/cell/advice.c
@@ -14,6 +14,14 @@
 /* Number of proxies that long and medium queries leave idle. */
 #define LONG_QUERY_IDLE_MIN 3
 #define MEDIUM_QUERY_IDLE_MIN 1
+/*
+ * A long list of workers is split over several proxies: one chunk for every
+ * CHUNKS_MAX idle proxies, at most CHUNKS_MAX chunks, and at least CHUNK_MIN
+ * workers in each. Each chunk takes the adviser the fixed time of a query once
+ * more, so nothing is split unless half of the proxies are idle.
+ */
+#define CHUNK_MIN 24
+#define CHUNKS_MAX 4
 /* Permit rate assumed for a queue without answers, and the lower bound. */
 #define RATE_UNKNOWN 350
 #define RATE_MIN 80
@@ -159,6 +167,22 @@
 	return idle;
 }
 
+size_t zr_cell_advice_chunk_size(const struct zr_cell_advice *advice,
+				 int64_t now, size_t count)
+{
+	size_t idle = zr_cell_advice_idle_count(advice, now);
+	size_t chunks = 2 * idle < advice->count ? 1 : idle / CHUNKS_MAX;
+
+	if (chunks > CHUNKS_MAX)
+		chunks = CHUNKS_MAX;
+	if (chunks > count / CHUNK_MIN)
+		chunks = count / CHUNK_MIN;
+	if (!chunks)
+		chunks = 1;
+	count = (count + chunks - 1) / chunks;
+	return count < ZR_CELL_ADVISE_MAX ? count : ZR_CELL_ADVISE_MAX;
+}
+
 static const struct zr_cell_permit_rate *
 find_permit_rate(const struct zr_cell_advice *advice, const char *queue)
 {
--- a/src/libzinniarack/cell/advice.h
+++ b/src/libzinniarack/cell/advice.h
@@ -93,6 +93,17 @@
 size_t zr_cell_advice_idle_count(const struct zr_cell_advice *advice,
 				 int64_t now);
 
+/**
+ * zr_cell_advice_chunk_size() - number of workers to name in one query
+ * @advice: the proxies
+ * @now: the current time in milliseconds
+ * @count: number of workers that a step has to query about
+ *
+ * Return: @count, or less if it is faster to send several queries at once.
+ */
+size_t zr_cell_advice_chunk_size(const struct zr_cell_advice *advice,
+				 int64_t now, size_t count);
+
 /**
  * zr_cell_advice_record_answer() - update the permit rate of a queue
  * @advice: the permit rates
--- a/src/libzinniarack/cell/adviser_query.c
+++ b/src/libzinniarack/cell/adviser_query.c
@@ -33,13 +33,6 @@
 /* Delay until a step that found no workers to query about tries again. */
 #define NO_TARGETS_RETRY_MS 10
 #define PERMILLE 1000
-/*
- * A long list of workers is split over several proxies: one chunk for every
- * CHUNKS_MAX idle proxies, at most CHUNKS_MAX chunks, and at least CHUNK_MIN
- * workers in each.
- */
-#define CHUNK_MIN 24
-#define CHUNKS_MAX 4
 
 /* A pending query to the adviser. */
 struct query {
@@ -337,28 +330,13 @@
 			   on_advice, query);
 }
 
-static size_t chunk_size(const struct zr_cell_plan *plan, size_t count)
-{
-	size_t chunks =
-		zr_cell_advice_idle_count(&plan->scheduler->advice, plan->now) /
-		CHUNKS_MAX;
-
-	if (chunks > CHUNKS_MAX)
-		chunks = CHUNKS_MAX;
-	if (chunks > count / CHUNK_MIN)
-		chunks = count / CHUNK_MIN;
-	if (!chunks)
-		chunks = 1;
-	count = (count + chunks - 1) / chunks;
-	return count < ZR_CELL_ADVISE_MAX ? count : ZR_CELL_ADVISE_MAX;
-}
-
 /* Sends queries about targets, split over several proxies if that is faster. */
 static void send_queries(struct zr_cell_plan *plan,
 			 const struct zr_cell_plan_item *item,
 			 const struct query_target *targets, size_t count)
 {
-	size_t size = chunk_size(plan, count);
+	size_t size = zr_cell_advice_chunk_size(&plan->scheduler->advice,
+						plan->now, count);
 	size_t at;
 
 	for (at = 0; at < count; at += size) {
--- a/tests/unit/test_cell_advice.c
+++ b/tests/unit/test_cell_advice.c
@@ -91,6 +91,25 @@
 }
 END_TEST
 
+/*
+ * A burst of wide gangs keeps most proxies busy. A query that was split over
+ * four of them would then take the adviser's fixed time four times, and the
+ * other gangs would wait for as long.
+ */
+START_TEST(test_queries_are_not_split_in_a_burst)
+{
+	size_t i;
+
+	zr_cell_advice_clear(&advice);
+	set_fleet(0, 96);
+	ck_assert_int_eq(zr_cell_advice_chunk_size(&advice, 0, 96), 24);
+	ck_assert_int_eq(zr_cell_advice_chunk_size(&advice, 0, 20), 20);
+	for (i = 0; i < 49; i++)
+		advice.proxies[i]->busy = true;
+	ck_assert_int_eq(zr_cell_advice_chunk_size(&advice, 0, 96), 96);
+}
+END_TEST
+
 START_TEST(test_replaced_hosts_are_removed)
 {
 	struct zr_cell_adviser_proxy_state *busy;
@@ -140,6 +159,7 @@
 	tcase_add_test(tcase, test_single_proxy_takes_long_query);
 	tcase_add_test(tcase, test_proxy_backs_off_after_failure);
 	tcase_add_test(tcase, test_all_hosts_of_a_large_fleet_are_used);
+	tcase_add_test(tcase, test_queries_are_not_split_in_a_burst);
 	tcase_add_test(tcase, test_replaced_hosts_are_removed);
 	tcase_add_test(tcase, test_permit_rate_follows_the_answers);
 	suite_add_tcase(suite, tcase);
