cell: a host that has just started campaigns later

Cause: a small host lets larger ones campaign first, but after a restart of all hosts none knows the others yet, so any of them won. Change: for its first second a host campaigns 250 ms later and reads the registrations every 100 ms, so that hosts that started together know each other before a small one campaigns. A host that finds its own owner key succeeds itself at once, as before.

--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -138,6 +138,8 @@
 
 	zr_cell_peers_set_active(host->peers,
 				 zr_cell_scheduler_active(host->scheduler));
+	zr_cell_scheduler_set_settling(host->scheduler,
+				       zr_cell_peers_settling(host->peers));
 	zr_cell_scheduler_set_better_host(
 		host->scheduler,
 		zr_cell_peers_has_larger(host->peers) ||
@@ -260,6 +262,8 @@
 	error = create_store(host);
 	if (!error)
 		error = create_store_clients(host);
+	if (!error)
+		on_update(host);
 	if (!error)
 		zr_cell_relay_set_sender(host->relay, zr_cell_peers_relay,
 					 host->peers);
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -18,6 +18,12 @@
 #define LEASE_MS 3000
 /* Interval at which the lease is renewed, in milliseconds. */
 #define TICK_MS 800
+/*
+ * Interval and number of the ticks after the start, when hosts that started
+ * together learn of each other.
+ */
+#define SETTLING_TICK_MS 100
+#define SETTLING_TICKS 10
 /* Added to the adviser's timeout for the RPC to the host. */
 #define RPC_TIMEOUT_MARGIN_MS 100
 /*
@@ -57,6 +63,7 @@
 	struct zr_cell_peers_events events;
 	void *ctx;
 	unsigned int ticks;
+	unsigned int settling_ticks; /* that are left */
 	struct zr_timer *timer;
 	struct zr_rpc_server *server;
 	struct peer **peers;
@@ -626,6 +633,11 @@
 	return false;
 }
 
+bool zr_cell_peers_settling(const struct zr_cell_peers *peers)
+{
+	return peers->settling_ticks > 0;
+}
+
 static void on_registrations(void *ctx, int error,
 			     const struct zr_store_reply *reply)
 {
@@ -654,10 +666,13 @@
 static void on_tick(void *ctx)
 {
 	struct zr_cell_peers *peers = ctx;
+	bool settling = zr_cell_peers_settling(peers);
 
 	renew_registration(peers);
-	if (peers->read_in_flight ||
-	    (!peers->active && peers->ticks++ % STANDBY_READ_TICKS))
+	if (settling && !--peers->settling_ticks)
+		zr_timer_start(peers->timer, TICK_MS, TICK_MS);
+	if (peers->read_in_flight || (!peers->active && !settling &&
+				      peers->ticks++ % STANDBY_READ_TICKS))
 		return;
 	peers->read_in_flight = true;
 	zr_store_range(&peers->platform->store, ZR_STORE_OTHER,
@@ -727,7 +742,8 @@
 		return error;
 	}
 	peers->timer = zr_timer_new(timers, on_tick, peers);
-	zr_timer_start(peers->timer, 0, TICK_MS);
+	peers->settling_ticks = SETTLING_TICKS;
+	zr_timer_start(peers->timer, 0, SETTLING_TICK_MS);
 	*out = peers;
 	return 0;
 }
--- a/src/libzinniarack/cell/peers.h
+++ b/src/libzinniarack/cell/peers.h
@@ -115,6 +115,12 @@
 /** zr_cell_peers_has_larger() - whether any host has more processors */
 bool zr_cell_peers_has_larger(const struct zr_cell_peers *peers);
 
+/**
+ * zr_cell_peers_settling() - whether this host has just started, so that hosts
+ * that started with it may not be known yet
+ */
+bool zr_cell_peers_settling(const struct zr_cell_peers *peers);
+
 /**
  * zr_cell_peers_leave() - withdraw this host's registration and refuse to
  * forward queries to the adviser
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -44,6 +44,7 @@
  * @phase: current phase
  * @better_host_present: another host suits better as the owner, so this one
  *                       delays its attempts
+ * @settling: the other hosts are not known yet
  * @term: increases whenever a term begins or ends; answers to calls of an
  *        earlier value are ignored
  * @fencing_token: fencing token of the ownership
@@ -92,6 +93,7 @@
 	struct zr_owner *owner;
 	enum zr_cell_phase phase;
 	bool better_host_present;
+	bool settling;
 	uint64_t term;
 	uint64_t fencing_token;
 	uint64_t event_count;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -24,6 +24,11 @@
  * within milliseconds.
  */
 #define SMALL_HOST_DELAY_MS 350
+/*
+ * A host that has just started does not know yet whether others are larger.
+ * When all hosts restart together, they learn of each other within this time.
+ */
+#define SETTLING_DELAY_MS 250
 /*
  * Maximum time that a release waits for the journal. No tasks are placed
  * meanwhile.
@@ -57,6 +62,12 @@
 	scheduler->better_host_present = better_host_present;
 }
 
+void zr_cell_scheduler_set_settling(struct zr_cell_scheduler *scheduler,
+				    bool settling)
+{
+	scheduler->settling = settling;
+}
+
 bool zr_cell_scheduler_active(const struct zr_cell_scheduler *scheduler)
 {
 	return scheduler->phase == ZR_CELL_ACTIVE;
@@ -254,7 +265,8 @@
 {
 	const struct zr_cell_scheduler *scheduler = ctx;
 
-	return scheduler->better_host_present ? SMALL_HOST_DELAY_MS : 0;
+	return (scheduler->settling ? SETTLING_DELAY_MS : 0) +
+	       (scheduler->better_host_present ? SMALL_HOST_DELAY_MS : 0);
 }
 
 static void on_ownership_lost(void *ctx)
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -107,6 +107,16 @@
 void zr_cell_scheduler_set_better_host(struct zr_cell_scheduler *scheduler,
 				       bool better_host_present);
 
+/**
+ * zr_cell_scheduler_set_settling() - set whether the other hosts are unknown
+ *yet
+ * @scheduler: the scheduler
+ * @settling: this host has just started; it waits before it campaigns, so that
+ *	it knows by then whether another host suits better
+ */
+void zr_cell_scheduler_set_settling(struct zr_cell_scheduler *scheduler,
+				    bool settling);
+
 /**
  * zr_cell_scheduler_active() - whether the scheduler owns the cell and has
  * loaded its state
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -580,6 +580,13 @@
 		find_host(script, word(script, 1))->scheduler, true);
 }
 
+static void do_settling(struct cell_script *script)
+{
+	zr_cell_scheduler_set_settling(
+		find_host(script, word(script, 1))->scheduler,
+		!strcmp(word(script, 2), "yes"));
+}
+
 static void do_owner(struct cell_script *script)
 {
 	size_t i;
@@ -637,6 +644,7 @@
 	{"hang", do_hang},
 	{"stop-ms", do_stop_ms},
 	{"larger-host", do_larger_host},
+	{"settling", do_settling},
 	{"owner", do_owner},
 	{"restart", do_restart},
 	{"replace", do_replace},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -35,6 +35,7 @@
  *   advance MS                 advance the fake clock
  *   clock-resolution HOST MS   set the resolution of a host's monotonic clock
  *   larger-host HOST           report a larger host in the cell to HOST
+ *   settling HOST yes|no       report to HOST that it has just started
  *   link FROM TO pass|hold|drop|duplicate|refuse
  *                              set what happens to messages; `*` is any node;
  *                              refuse: the sender gets an error at once
