cell: a relayed write without a readable reply has an unknown outcome

Cause: an error of the RPC other than "unknown", such as a reply that cannot be decoded, counted as if the other host had done nothing. If this host's own connection then turned the write away, a job that was in the store was refused as one that never runs. Change: only a call that was not sent is known to have had no effect. The log names only the first of a series of failed relays.

--- a/src/libzinniarack/cell/relay.c
+++ b/src/libzinniarack/cell/relay.c
@@ -31,6 +31,7 @@
 	struct zr_timer *timer;
 	bool timer_armed;
 	bool relaying; /* calls are relayed, for the log */
+	bool failing;  /* the last relayed call failed, for the log */
 	struct timespec paused_until;
 	struct timespec probed_at;
 	struct call *calls;   /* without a final result */
@@ -300,10 +301,11 @@
 	struct timespec now = zr_clock_now(relay->clock);
 
 	relay->failed->value++;
-	if (zr_time_cmp(now, relay->paused_until) >= 0)
+	relay->paused_until = zr_time_add_ms(now, PAUSE_MS);
+	if (!relay->failing)
 		zr_log(ZR_LOG_WARN, "store.relay_failed error=%s pause_ms=%d",
 		       zr_error_name(error), PAUSE_MS);
-	relay->paused_until = zr_time_add_ms(now, PAUSE_MS);
+	relay->failing = true;
 }
 
 static void on_relayed(void *ctx, int error, const zx_cell_store_result *result)
@@ -313,11 +315,15 @@
 
 	call->relay_pending = false;
 	if (!error && is_definite(result->error)) {
+		relay->failing = false;
 		finish_with_result(call, result);
 		return;
 	}
 	if (!error)
 		error = result->error;
+	else if (error != ZR_E_UNREACHABLE)
+		/* A reply that cannot be decoded does not tell the outcome. */
+		error = ZR_E_OUTCOME_UNKNOWN;
 	/* The store is down for the other host too, or no host is reachable. */
 	if (error == ZR_E_STORE_DOWN || call->attempts == ATTEMPTS_MAX)
 		pause_relaying(relay, error);
--- a/tests/runners/run_relay.c
+++ b/tests/runners/run_relay.c
@@ -13,6 +13,7 @@
  *   link FROM TO pass|hold|drop|refuse
  *                        set what happens to messages; `*` is any node
  *   release FROM TO      deliver the held messages
+ *   garble HOST          let the replies of a host to others be unreadable
  *   pause NODE, resume NODE
  *                        suspend and continue a process
  *   store                print how many calls the store has served
@@ -39,6 +40,7 @@
 	struct zr_store_health *health;
 	struct zr_cell_relay *relay;
 	struct zr_metrics *metrics;
+	bool garbled; /* its replies cannot be decoded */
 };
 
 struct script {
@@ -145,6 +147,10 @@
 			   NULL);
 		return;
 	}
+	if (call->server->garbled) {
+		call->done(call->ctx, ZR_E_PROTOCOL, NULL);
+		return;
+	}
 	decode(&reply, (xdrproc_t)xdr_zx_cell_store_result, call->result,
 	       call->result_length);
 	call->done(call->ctx, 0, &reply);
@@ -340,6 +346,11 @@
 	fake_node_pause(fake_node_find(script->net, word(script, 1)), false);
 }
 
+static void do_garble(struct script *script)
+{
+	find_host(script, word(script, 1))->garbled = true;
+}
+
 static void do_store(struct script *script)
 {
 	const struct fake_store_counts *counts =
@@ -358,7 +369,7 @@
 	{"grant", do_grant},	 {"renew", do_renew},	  {"watch", do_watch},
 	{"load", do_load},	 {"advance", do_advance}, {"link", do_link},
 	{"release", do_release}, {"pause", do_pause},	  {"resume", do_resume},
-	{"store", do_store},
+	{"store", do_store},	 {"garble", do_garble},
 };
 
 static void run_line(struct script *script, char *line)
