cell: a read of the registry brings back no worker that has left

Cause: since the registry is watched, a read in full can overlap with the watch. If the watch reported a worker's departure first, the answer of the read, which still listed it, registered it again until the next full read. Change: an entry of an unknown worker is applied only if no later revision is known. Test: scripts/cell/worker_left_during_read; a task was started on the worker that had left before the change, none is after it.

--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -107,10 +107,11 @@
 
 /*
  * Applies an entry unless a later change of it is known: reads and watches may
- * overtake each other.
+ * overtake each other. @revision is that of the reply. If a later one is known,
+ * a worker that is not may have left in between.
  */
 static void apply_entry(struct zr_cell_scheduler *scheduler,
-			const struct zr_store_value *value)
+			const struct zr_store_value *value, int64_t revision)
 {
 	const struct zr_cell_platform *platform = scheduler->options.platform;
 	const char *name = value->key + strlen(platform->worker_prefix);
@@ -118,7 +119,8 @@
 		zr_cell_worker_find(&scheduler->model, name);
 	struct zr_cell_worker_report report;
 
-	if (worker && value->mod_revision < worker->registry_revision)
+	if (worker ? value->mod_revision < worker->registry_revision
+		   : revision < scheduler->registry_revision)
 		return;
 	if (!value->data || platform->worker_decode(&report, value) < 0) {
 		if (!worker)
@@ -169,7 +171,7 @@
 	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
 		worker->in_current_read = false;
 	for (i = 0; i < reply->count; i++)
-		apply_entry(scheduler, &reply->values[i]);
+		apply_entry(scheduler, &reply->values[i], reply->revision);
 	unregister_missing(scheduler, reply->revision);
 	remove_unregistered(scheduler);
 	if (reply->revision > scheduler->registry_revision)
@@ -217,7 +219,7 @@
 		return;
 	}
 	for (i = 0; i < reply->count; i++)
-		apply_entry(scheduler, &reply->values[i]);
+		apply_entry(scheduler, &reply->values[i], reply->revision);
 	if (reply->count) {
 		remove_unregistered(scheduler);
 		zr_cell_schedule_plan(scheduler);
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -312,6 +312,14 @@
 	commit_value(script, &script->hosts[0], key, "1", 1);
 }
 
+static void do_unregister(struct cell_script *script)
+{
+	char key[ZR_CELL_KEY_MAX];
+
+	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
+	commit_value(script, find_host(script, word(script, 2)), key, NULL, 0);
+}
+
 static void do_priority(struct cell_script *script)
 {
 	script->priority = (uint32_t)atoi(word(script, 1));
@@ -648,6 +656,7 @@
 	{"owner", do_owner},
 	{"restart", do_restart},
 	{"replace", do_replace},
+	{"unregister", do_unregister},
 	{"priority", do_priority},
 	{"latency-target", do_latency_target},
 	{"adviser-queries", do_adviser_queries},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -15,6 +15,7 @@
  *                              process of that host
  *   worker NAME MILLICPUS [DOMAIN]
  *                              register a worker, in that failure domain
+ *   unregister NAME HOST       remove a worker's registration through HOST
  *   queue advised              from now on, tasks of the queue start only on
  *                              workers that the adviser has permitted
  *   limit MILLICPUS            set the upper limit of the client account
