--- a/src/libzinniarack/cell/advice.c
+++ b/src/libzinniarack/cell/advice.c
@@ -55,9 +55,8 @@
 
 	if (advice->count == advice->alloc) {
 		advice->alloc = advice->alloc ? 2 * advice->alloc : 16;
-		advice->proxies =
-			realloc(advice->proxies,
-				advice->alloc * sizeof(*advice->proxies));
+		advice->proxies = realloc(advice->proxies,
+					  advice->alloc * sizeof(void *));
 	}
 	if (!state || !advice->proxies)
 		abort();
--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -484,8 +484,8 @@
 			abort();
 		if (value->length)
 			memcpy(kept->data, value->data, value->length);
-		loading->progress_count++;
 	}
+	loading->progress_count = reply->count;
 }
 
 /* Called after each of the two reads. */
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -260,9 +260,9 @@
  *                before
  * @last_end_processed: number of the last ended run that was processed
  * @last_end_acked: number of the last ended run whose effects are persisted
- * @last_end_told: highest acknowledgement in a poll that was answered
- * @doubt_event: event number from which the worker may be another incarnation:
- *               a request failed, or a response had an earlier clock
+ * @last_ack_delivered: highest acknowledgement in a poll that was answered
+ * @unconfirmed_event: event number of the last request that failed, or response
+ *                     with an earlier clock, as after a restart
  * @confirmed_event: event number of the latest poll that was answered by
  *                   &struct zr_cell_worker_report.incarnation
  * @confirmed_at: when that answer was received
@@ -305,8 +305,8 @@
 	int64_t runs_expire_at;
 	int64_t last_end_processed;
 	int64_t last_end_acked;
-	int64_t last_end_told;
-	uint64_t doubt_event;
+	int64_t last_ack_delivered;
+	uint64_t unconfirmed_event;
 	uint64_t confirmed_event;
 	int64_t confirmed_at;
 	struct zr_cell_ack *acks;
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -35,10 +35,10 @@
 	bool extra; /* sent while a regular poll of the worker is in flight */
 };
 
-void zr_cell_worker_doubt(struct zr_cell_scheduler *scheduler,
-			  struct zr_cell_worker *worker)
+void zr_cell_worker_set_unconfirmed(struct zr_cell_scheduler *scheduler,
+				    struct zr_cell_worker *worker)
 {
-	worker->doubt_event = ++scheduler->event_count;
+	worker->unconfirmed_event = ++scheduler->event_count;
 }
 
 /*
@@ -49,7 +49,7 @@
 static int64_t safe_ack(const struct zr_cell_scheduler *scheduler,
 			const struct zr_cell_worker *worker)
 {
-	return worker->confirmed_event > worker->doubt_event &&
+	return worker->confirmed_event > worker->unconfirmed_event &&
 			       zr_cell_now_ms(scheduler) -
 					       worker->confirmed_at <=
 				       CONFIRMED_MS
@@ -141,7 +141,7 @@
 	worker->report.incarnation = incarnation;
 	worker->last_end_processed = 0;
 	worker->last_end_acked = 0;
-	worker->last_end_told = 0;
+	worker->last_ack_delivered = 0;
 	worker->ack_count = 0;
 	worker->clock_ms = -1;
 	worker->lease_expires_ms = 0;
@@ -327,8 +327,8 @@
 		worker->confirmed_event = call->sent_event;
 	worker->confirmed_at = zr_cell_now_ms(scheduler);
 	if (call->incarnation == worker->report.incarnation &&
-	    call->last_end_acked > worker->last_end_told)
-		worker->last_end_told = call->last_end_acked;
+	    call->last_end_acked > worker->last_ack_delivered)
+		worker->last_ack_delivered = call->last_end_acked;
 }
 
 static void handle_poll_reply(struct zr_cell_scheduler *scheduler,
@@ -365,7 +365,7 @@
 {
 	if (worker->run_count)
 		zr_cell_poll_soon(scheduler, worker, 0);
-	else if (worker->last_end_told < worker->last_end_processed)
+	else if (worker->last_ack_delivered < worker->last_end_processed)
 		zr_cell_poll_soon(scheduler, worker, FINAL_POLL_DELAY_MS);
 }
 
@@ -382,7 +382,7 @@
 	if (!worker)
 		goto out;
 	if (error < 0)
-		zr_cell_worker_doubt(scheduler, worker);
+		zr_cell_worker_set_unconfirmed(scheduler, worker);
 	if (call->extra && error < 0)
 		goto out;
 	if (!call->extra)
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -282,13 +282,13 @@
 
 /* polls.c */
 /**
- * zr_cell_worker_doubt() - note that the worker may have restarted
+ * zr_cell_worker_set_unconfirmed() - note that the worker may have restarted
  *
  * Polls acknowledge no ends until one has been answered, since the numbers may
  * be those of ends that a later incarnation has not reported yet.
  */
-void zr_cell_worker_doubt(struct zr_cell_scheduler *scheduler,
-			  struct zr_cell_worker *worker);
+void zr_cell_worker_set_unconfirmed(struct zr_cell_scheduler *scheduler,
+				    struct zr_cell_worker *worker);
 /** zr_cell_poll_soon() - send a poll to a worker within @after_ms */
 void zr_cell_poll_soon(struct zr_cell_scheduler *scheduler,
 		       struct zr_cell_worker *worker, int64_t after_ms);
--- a/src/libzinniarack/cell/relay.c
+++ b/src/libzinniarack/cell/relay.c
@@ -34,9 +34,9 @@
 	bool failing;  /* the last relayed call failed, for the log */
 	struct timespec paused_until;
 	struct timespec probed_at;
-	struct call *calls;   /* without a final result */
-	unsigned int open;    /* callbacks to come or in progress */
-	unsigned int checked; /* calls in @calls that are not watches */
+	struct call *calls;	    /* without a final result */
+	unsigned int open;	    /* callbacks to come or in progress */
+	unsigned int checked_count; /* calls that are not watches */
 	bool freeing;
 	struct zr_metric *relayed;
 	struct zr_metric *failed;
@@ -209,7 +209,7 @@
 	if (!call->finished) {
 		call->finished = true;
 		DL_DELETE(call->relay->calls, call);
-		call->relay->checked -= !is_watch(call);
+		call->relay->checked_count -= !is_watch(call);
 		call->done(call->ctx, error, reply);
 	}
 	release_call(call);
@@ -391,7 +391,7 @@
 
 static void arm_timer(struct zr_cell_relay *relay)
 {
-	if (relay->timer_armed || !relay->checked)
+	if (relay->timer_armed || !relay->checked_count)
 		return;
 	relay->timer_armed = true;
 	zr_timer_start(relay->timer, CHECK_INTERVAL_MS, 0);
@@ -429,7 +429,7 @@
 	call->done = done;
 	call->ctx = ctx;
 	relay->open++;
-	relay->checked += !is_watch(call);
+	relay->checked_count += !is_watch(call);
 	DL_APPEND(relay->calls, call);
 	return call;
 }
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -71,7 +71,7 @@
 	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
 	if (!restarted)
 		return;
-	zr_cell_worker_doubt(scheduler, worker);
+	zr_cell_worker_set_unconfirmed(scheduler, worker);
 	zr_cell_poll_extra(scheduler, worker);
 }
 
@@ -414,7 +414,7 @@
 	target.task->stop_sent = false;
 	if (error < 0) {
 		scheduler->unanswered->value++;
-		zr_cell_worker_doubt(scheduler, target.worker);
+		zr_cell_worker_set_unconfirmed(scheduler, target.worker);
 		goto out;
 	}
 	record_response(scheduler, target.worker, request, reply);
@@ -652,7 +652,7 @@
 			       struct zr_cell_worker *worker, int error)
 {
 	scheduler->unanswered->value++;
-	zr_cell_worker_doubt(scheduler, worker);
+	zr_cell_worker_set_unconfirmed(scheduler, worker);
 	back_off(scheduler, worker, FAILED_BACKOFF_MS, zr_error_name(error));
 	if (error == ZR_E_UNREACHABLE || error == ZR_E_FULL ||
 	    error == ZR_E_CANCELLED) {
