--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -282,12 +282,10 @@
 	struct run *run = find_run(worker, &call->task);
 	struct ended_run *tombstone;
 
-	if (run && run->attempt <= call->attempt && !worker->pool->stop_ms) {
-		end_run(worker, run, ZR_RUN_STOPPED);
-		return ZR_REQUEST_ACCEPTED;
-	}
 	if (run && run->attempt <= call->attempt) {
-		if (run->stops_at == INT64_MAX)
+		if (!worker->pool->stop_ms)
+			end_run(worker, run, ZR_RUN_STOPPED);
+		else if (run->stops_at == INT64_MAX)
 			run->stops_at =
 				net_now(worker->pool) + worker->pool->stop_ms;
 		return ZR_REQUEST_ACCEPTED;
