--- /dev/null
+++ b/tests/unit/test_config_thin_link.c
@@ -0,0 +1,326 @@
+#include <check.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include <utstring.h>
+
+#include "base64.h"
+#include "cell/config_poller.h"
+#include "fakes/thin_link.h"
+#include "net/http_server.h"
+#include "net/uv_timers.h"
+#include "platform.h"
+#include "store/health.h"
+#include "zinniarack/errors.h"
+
+#define KEY PF_CONFIG_PREFIX
+/* The largest value that the platform's store takes, in bytes. */
+#define VALUE_BYTES_MAX 1048576
+/* Link of the smallest hosts of the users' sites: 10 Mbit/s. */
+#define LINK_BYTES_PER_S 1250000
+/* Time within which a change of the configuration is in force. */
+#define APPLY_MS_MAX 3000
+/* Hosts refuse calls when the configuration was confirmed longer ago. */
+#define AGE_MS_MAX 3500
+#define TICK_MS 10
+
+/* A watch that waits for a change, or for the end of its wait. */
+struct watch {
+	struct watch *prev;
+	struct watch *next;
+	struct zr_http_exchange *exchange;
+	uint64_t due_at;
+};
+
+/* Fake store that holds a single key, the configuration. */
+static struct {
+	UT_string document;
+	int64_t revision;
+	struct watch *watches;
+	unsigned int documents_sent;
+} fake;
+
+static uv_loop_t *loop;
+static struct zr_http_server *server;
+static struct thin_link *thin_link;
+static struct zr_metrics *metrics;
+static struct zr_cell_platform platform;
+static struct zr_store direct;
+static struct zr_store_health *health;
+static struct zr_cell_config_poller *poller;
+static uv_timer_t ticker;
+
+/* The store */
+
+/* Writes a configuration of nearly @bytes bytes. */
+static void write_config(uint64_t version, size_t bytes)
+{
+	unsigned int route;
+
+	utstring_clear(&fake.document);
+	utstring_printf(&fake.document, "{\"version\":%" PRIu64 ",\"routes\":[",
+			version);
+	for (route = 0; utstring_len(&fake.document) + 400 < bytes; route++)
+		utstring_printf(&fake.document,
+				"%s{\"name\":\"r-%u\",\"hostname\":\"h%u."
+				"example\",\"prefix\":\"/p%u/\",\"service\":"
+				"\"booth-jobs\",\"priority\":1,\"attempts\":4,"
+				"\"stretch\":1.5,\"latency_target_ms\":250}",
+				route ? "," : "", route, route, route);
+	utstring_printf(&fake.document, "],\"tenants\":[]}");
+	fake.revision++;
+}
+
+/* Sends @format with the item, the revision of the store put twice. */
+static void reply_item(struct zr_http_exchange *exchange, int status,
+		       const char *begin, const char *end)
+{
+	char *value = zr_base64_encode(utstring_body(&fake.document),
+				       utstring_len(&fake.document));
+	UT_string body;
+
+	utstring_init(&body);
+	utstring_printf(&body,
+			"%s{\"key\":\"" KEY "\",\"value\":\"%s\","
+			"\"revision\":%" PRId64 ",\"created\":1,\"lease\":0,"
+			"\"store_revision\":%" PRId64 "}%s",
+			begin, value, fake.revision, fake.revision, end);
+	zr_http_reply(exchange, status, "application/json",
+		      utstring_body(&body), utstring_len(&body));
+	fake.documents_sent++;
+	utstring_done(&body);
+	free(value);
+}
+
+static void reply_empty(struct zr_http_exchange *exchange)
+{
+	char body[128];
+	int length = snprintf(body, sizeof(body),
+			      "{\"events\":[],\"store_revision\":%" PRId64
+			      ",\"revision\":%" PRId64 "}",
+			      fake.revision, fake.revision);
+
+	zr_http_reply(exchange, 200, "application/json", body, (size_t)length);
+}
+
+static void reply_events(struct zr_http_exchange *exchange)
+{
+	char end[64];
+
+	snprintf(end, sizeof(end), "],\"store_revision\":%" PRId64 "}",
+		 fake.revision);
+	reply_item(exchange, 200, "{\"events\":[", end);
+}
+
+static void drop_watch(void *ctx)
+{
+	struct watch *watch = ctx;
+
+	DL_DELETE(fake.watches, watch);
+	free(watch);
+}
+
+static void reply_watches(bool changed)
+{
+	struct watch *watch;
+	struct watch *next;
+
+	DL_FOREACH_SAFE(fake.watches, watch, next)
+	{
+		struct zr_http_exchange *exchange = watch->exchange;
+
+		if (!changed && uv_now(loop) < watch->due_at)
+			continue;
+		drop_watch(watch);
+		if (changed)
+			reply_events(exchange);
+		else
+			reply_empty(exchange);
+	}
+}
+
+static int64_t query_number(struct zr_http_exchange *exchange, const char *name)
+{
+	const char *text = zr_http_get_query_param(exchange, name);
+
+	return text ? strtoll(text, NULL, 10) : 0;
+}
+
+static void serve_watch(struct zr_http_exchange *exchange)
+{
+	struct watch *watch;
+
+	if (query_number(exchange, "after") < fake.revision) {
+		reply_events(exchange);
+		return;
+	}
+	watch = calloc(1, sizeof(*watch));
+	watch->exchange = exchange;
+	watch->due_at =
+		uv_now(loop) + (uint64_t)query_number(exchange, "wait_ms");
+	DL_APPEND(fake.watches, watch);
+	zr_http_set_on_disconnect(exchange, drop_watch, watch);
+}
+
+/* A transaction that compares the revision of the key and writes nothing. */
+static void serve_compare(struct zr_http_exchange *exchange)
+{
+	size_t length;
+	const void *body = zr_http_get_body(exchange, &length);
+	json_t *request = pf_json_parse(body, length);
+	json_t *compare =
+		json_array_get(json_object_get(request, "expected_rev"), 0);
+	int64_t expected = pf_json_get_int64(compare, "revision", 0);
+
+	ck_assert_uint_eq(json_array_size(json_object_get(request, "puts")), 0);
+	json_decref(request);
+	if (expected == fake.revision)
+		reply_empty(exchange);
+	else
+		reply_item(exchange, 412, "{\"items\":[", "]}");
+}
+
+static void on_call(void *ctx, struct zr_http_exchange *exchange)
+{
+	const char *path = zr_http_get_path(exchange);
+
+	(void)ctx;
+	if (!strcmp(path, "/-/kv-watch"))
+		serve_watch(exchange);
+	else if (!strcmp(path, "/-/kv-txn"))
+		serve_compare(exchange);
+	else
+		reply_item(exchange, 200, "", "");
+}
+
+/* The test */
+
+static void on_change(void *ctx, const struct zr_cell_config *config)
+{
+	(void)ctx;
+	(void)config;
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	(void)timer;
+	reply_watches(false);
+}
+
+static void setup(void)
+{
+	const char *base = getenv("ZR_PORT");
+	int port = (base ? atoi(base) : 27000) + 910;
+	struct zr_timers timers;
+	char store_address[32];
+	char link_address[32];
+
+	loop = uv_loop_new();
+	timers = zr_uv_timers_for_loop(loop);
+	zr_metrics_new(&metrics);
+	memset(&fake, 0, sizeof(fake));
+	utstring_init(&fake.document);
+	write_config(1, 1000);
+	snprintf(store_address, sizeof(store_address), "127.0.0.1:%d", port);
+	snprintf(link_address, sizeof(link_address), "127.0.0.1:%d", port + 1);
+	ck_assert_int_eq(zr_http_server_new(&server, loop, store_address, NULL,
+					    on_call, NULL),
+			 0);
+	thin_link = thin_link_new(loop, link_address, store_address,
+				  LINK_BYTES_PER_S);
+	ck_assert_ptr_nonnull(thin_link);
+	ck_assert_int_eq(pf_store_new(&direct, loop, link_address, metrics), 0);
+	ck_assert_int_eq(zr_store_health_new(&health, &platform.store, &direct,
+					     zr_clock_boottime()),
+			 0);
+	platform.config_prefix = KEY;
+	platform.config_decode = pf_config_decode;
+	ck_assert_int_eq(
+		zr_cell_config_poller_new(&poller, &timers, zr_clock_boottime(),
+					  &platform, metrics, on_change, NULL),
+		0);
+	uv_timer_init(loop, &ticker);
+	uv_timer_start(&ticker, on_tick, TICK_MS, TICK_MS);
+}
+
+static void teardown(void)
+{
+	uv_close((uv_handle_t *)&ticker, NULL);
+	zr_cell_config_poller_free(poller);
+	zr_store_free(&platform.store);
+	thin_link_free(thin_link);
+	zr_http_server_free(server);
+	uv_run(loop, UV_RUN_NOWAIT);
+	utstring_done(&fake.document);
+	zr_metrics_free(metrics);
+}
+
+static uint64_t version(void)
+{
+	const struct zr_cell_config *config =
+		zr_cell_config_poller_config(poller);
+
+	return config ? config->version : 0;
+}
+
+/* Runs for @ms; the configuration must stay confirmed all the while. */
+static void run(uint64_t ms)
+{
+	uint64_t end = uv_now(loop) + ms;
+
+	while (uv_now(loop) < end) {
+		uv_run(loop, UV_RUN_ONCE);
+		if (version())
+			ck_assert_int_lt(zr_cell_config_poller_age_ms(poller),
+					 AGE_MS_MAX);
+	}
+}
+
+static void change_config(uint64_t new_version, size_t bytes)
+{
+	write_config(new_version, bytes);
+	reply_watches(true);
+	run(APPLY_MS_MAX);
+	ck_assert_uint_eq(version(), new_version);
+}
+
+/*
+ * A host whose link needs longer for the configuration than a call to the store
+ * may take gave up each read and never confirmed it again.
+ */
+START_TEST(test_largest_configuration_over_a_thin_link)
+{
+	run(500);
+	ck_assert_uint_eq(version(), 1);
+	change_config(2, VALUE_BYTES_MAX);
+	change_config(3, VALUE_BYTES_MAX);
+	run(3000);
+}
+END_TEST
+
+static Suite *suite(void)
+{
+	Suite *suite = suite_create("config_thin_link");
+	TCase *tcase = tcase_create("config_thin_link");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, test_largest_configuration_over_a_thin_link);
+	suite_add_tcase(suite, tcase);
+	return suite;
+}
+
+int main(void)
+{
+	SRunner *runner = srunner_create(suite());
+	int failed;
+
+	signal(SIGPIPE, SIG_IGN);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
