tests: raw_accept() runs the loop while it waits

Cause: the listening socket blocked, so raw_accept() waited in accept4() without running the loop, and for ever. A test whose connection is opened only by the loop hung until Check's timeout instead of failing. Change: the socket does not block, as raw_tcp.h says.

--- a/tests/fakes/raw_tcp.c
+++ b/tests/fakes/raw_tcp.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,7 +36,9 @@
 	int fd = new_socket();
 
 	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	/* raw_accept() must not block, since it runs the loop meanwhile. */
 	if (bind(fd, (struct sockaddr *)&at, sizeof(at)) || listen(fd, 64) ||
+	    fcntl(fd, F_SETFL, O_NONBLOCK) ||
 	    getsockname(fd, (struct sockaddr *)&at, &length))
 		abort_with_errno("listen");
 	snprintf(address, size, "127.0.0.1:%u", ntohs(at.sin_port));
