store: whether a response is arriving in parts

Cause: nothing tells a thin own link that is busy with a response from a store that is away. Change: zr_store_receiving(), an optional operation of adapters. The platform's store answers it over the HTTP clients of calls and of watches; a range counts between its pages, too. The rate limit, the health and the relay pass it on; nothing uses it yet.

--- a/src/libzinniarack/cell/relay.c
+++ b/src/libzinniarack/cell/relay.c
@@ -537,6 +537,13 @@
 	start_call(call);
 }
 
+static bool relay_receiving(void *impl)
+{
+	const struct zr_cell_relay *relay = impl;
+
+	return zr_store_receiving(&relay->direct);
+}
+
 static void relay_free(void *impl)
 {
 	struct zr_cell_relay *relay = impl;
@@ -558,6 +565,7 @@
 	.lease_renew = relay_lease_renew,
 	.lease_revoke = relay_lease_revoke,
 	.watch = relay_watch,
+	.receiving = relay_receiving,
 	.free = relay_free,
 };
 
--- a/src/libzinniarack/net/http_client.c
+++ b/src/libzinniarack/net/http_client.c
@@ -37,6 +37,7 @@
 	UT_string message;
 	unsigned int silence_ms;
 	uint64_t ends_at_ms; /* end of the whole call, if silence_ms is set */
+	uint64_t received_at_ms; /* last bytes of the response */
 	bool idempotent;
 	bool sent;
 	bool resent;
@@ -257,6 +258,7 @@
 	struct zr_http_request *request = connection->request;
 	bool surplus;
 
+	request->received_at_ms = uv_now(request->client->loop);
 	switch (zr_http_response_reader_read(&request->reader, bytes, length,
 					     &surplus)) {
 	case ZR_HTTP_READ_INCOMPLETE:
@@ -446,6 +448,23 @@
 	close_idle_connections(client, max_connections);
 }
 
+bool zr_http_client_receiving(const struct zr_http_client *client,
+			      unsigned int within_ms)
+{
+	uint64_t now_ms = uv_now(client->loop);
+	const struct connection *connection;
+
+	DL_FOREACH(client->connections, connection)
+	{
+		const struct zr_http_request *request = connection->request;
+
+		if (request && request->reader.started &&
+		    now_ms - request->received_at_ms <= within_ms)
+			return true;
+	}
+	return false;
+}
+
 /* Requests */
 
 static void on_deadline(uv_timer_t *timer)
--- a/src/libzinniarack/net/http_client.h
+++ b/src/libzinniarack/net/http_client.h
@@ -178,6 +178,17 @@
 void zr_http_client_set_max_connections(struct zr_http_client *client,
 					unsigned int max_connections);
 
+/**
+ * zr_http_client_receiving() - whether a response is arriving in parts
+ * @client: the client
+ * @within_ms: longest time since its last bytes, in milliseconds
+ *
+ * Return: whether a response has begun, is not complete, and its last bytes
+ * came within this time.
+ */
+bool zr_http_client_receiving(const struct zr_http_client *client,
+			      unsigned int within_ms);
+
 /**
  * zr_http_request_cancel() - cancel a request without calling its callback
  * @request: the request; its connection, if it has one, is closed
--- a/src/libzinniarack/store/health.c
+++ b/src/libzinniarack/store/health.c
@@ -156,6 +156,13 @@
 		       ctx);
 }
 
+static bool health_receiving(void *impl)
+{
+	const struct zr_store_health *health = impl;
+
+	return zr_store_receiving(&health->inner);
+}
+
 static void health_free(void *impl)
 {
 	struct zr_store_health *health = impl;
@@ -175,6 +182,7 @@
 	.lease_renew = health_lease_renew,
 	.lease_revoke = health_lease_revoke,
 	.watch = health_watch,
+	.receiving = health_receiving,
 	.free = health_free,
 };
 
--- a/src/libzinniarack/store/rate_limit.c
+++ b/src/libzinniarack/store/rate_limit.c
@@ -337,6 +337,13 @@
 	zr_store_lease_revoke(&limit->inner, lease, done, ctx);
 }
 
+static bool limit_receiving(void *impl)
+{
+	const struct rate_limit *limit = impl;
+
+	return zr_store_receiving(&limit->inner);
+}
+
 static void limit_free(void *impl)
 {
 	struct rate_limit *limit = impl;
@@ -357,6 +364,7 @@
 	.lease_grant = limit_lease_grant,
 	.lease_renew = limit_lease_renew,
 	.lease_revoke = limit_lease_revoke,
+	.receiving = limit_receiving,
 	.free = limit_free,
 };
 
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -265,6 +265,82 @@
 }
 END_TEST
 
+/* Whether a response is arriving */
+
+static void wait_receiving(void)
+{
+	int i;
+
+	for (i = 0; i < 1000 && !zr_store_receiving(&store); i++)
+		run_for(1);
+	ck_assert(zr_store_receiving(&store));
+}
+
+/*
+ * A busy link must be told from a store that is away: responses arrive over it,
+ * and a store that has begun a response and stopped is away.
+ */
+START_TEST(test_receiving_while_a_response_arrives)
+{
+	const char *body = ITEM("op/config", "eA==");
+	int fd;
+	int i;
+
+	ck_assert(!zr_store_receiving(&store));
+	zr_store_range(&store, ZR_STORE_CONFIG, "op/config", false, on_done,
+		       NULL);
+	fd = accept_request("GET /-/kv-key?key=op/config ");
+	run_for(PART_MS);
+	ck_assert(!zr_store_receiving(&store));
+	send_head(fd, 200, strlen(body));
+	for (i = 0; i < PARTS; i++) {
+		raw_send(fd, body + i, 1);
+		wait_receiving();
+		run_for(100);
+	}
+	run_for(600);
+	ck_assert(!zr_store_receiving(&store));
+	raw_send(fd, body + i, strlen(body + i));
+	ck_assert(raw_run(&loop, &result.done));
+	ck_assert(!zr_store_receiving(&store));
+	close(fd);
+}
+END_TEST
+
+START_TEST(test_receiving_while_a_watch_arrives)
+{
+	int fd;
+
+	zr_store_watch(&store, "a/", 5, 30000, on_done, NULL);
+	fd = accept_request("GET /-/kv-watch?prefix=a/&after=5&");
+	ck_assert(!zr_store_receiving(&store));
+	send_head(fd, 200, 100);
+	wait_receiving();
+	zr_store_free(&store);
+	ck_assert(!zr_store_receiving(&store));
+	close(fd);
+}
+END_TEST
+
+/* A range is one read: it is arriving between two of its pages, too. */
+START_TEST(test_receiving_between_pages)
+{
+	int fd;
+
+	zr_store_range(&store, ZR_STORE_OTHER, "a/", true, on_done, NULL);
+	fd = accept_request("GET /-/kv-range?prefix=a/ ");
+	respond(fd, PAGE(ITEM("a/1", "eA=="), "true"));
+	wait_receiving();
+	run_for(600);
+	ck_assert(!zr_store_receiving(&store));
+	respond(fd, PAGE(ITEM("a/2", "eQ=="), "false"));
+	ck_assert(raw_run(&loop, &result.done));
+	ck_assert_int_eq(result.count, 2);
+	ck_assert(!zr_store_receiving(&store));
+	close(fd);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform_store");
@@ -283,6 +359,9 @@
 	tcase_add_test(tests, test_page_that_is_cut_off_is_read_again);
 	tcase_add_test(tests, test_page_is_read_again_a_few_times_only);
 	tcase_add_test(tests, test_store_is_freed_between_pages);
+	tcase_add_test(tests, test_receiving_while_a_response_arrives);
+	tcase_add_test(tests, test_receiving_while_a_watch_arrives);
+	tcase_add_test(tests, test_receiving_between_pages);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
