store/health: a busy own link is not a store that is away

Cause: a call counted as overdue after 150 ms although a response of a megabyte was arriving over the host's own thin link. The relay then sent the same calls through other hosts, and their replies shared that link. Change: no call is overdue while the wrapped store is receiving; so the relay sends none of the waiting calls to other hosts. Response times over SAMPLE_MAX_MS, the timeout of a call without a response, count as this long: a transfer of 8 s would otherwise let the next silent store pass for 4 s. Calls that fail make the connection suspect as before.

--- a/src/libzinniarack/cell/relay.h
+++ b/src/libzinniarack/cell/relay.h
@@ -15,7 +15,9 @@
  * suspect, calls are sent to another host, which makes them on its connection;
  * calls that are already waiting for a response are sent there as well. So a
  * host that has lost the store, but not the other hosts, goes on accepting jobs
- * and keeps the ownership of the cell.
+ * and keeps the ownership of the cell. Calls that wait because a large response
+ * occupies the host's own link are not sent to other hosts: their copies would
+ * share that link.
  *
  * A call may therefore be carried out twice. That is harmless for the calls of
  * a cell: reads and renewals can be repeated, transactions are conditional on
--- a/src/libzinniarack/store/health.c
+++ b/src/libzinniarack/store/health.c
@@ -13,6 +13,11 @@
 #define OVERDUE_MIN_MS 150
 /* A new sample has a weight of 1/8, as in TCP's round-trip estimate. */
 #define SMOOTHING_DIVISOR 8
+/*
+ * A longer response time counts as this long: it is the time of a transfer, and
+ * the next failure must not be noticed later for it.
+ */
+#define SAMPLE_MAX_MS 1000
 
 struct zr_store_health {
 	struct zr_store inner;
@@ -53,6 +58,7 @@
 			  const struct call *call, int error)
 {
 	bool failed = error == ZR_E_STORE_DOWN || error == ZR_E_OUTCOME_UNKNOWN;
+	int64_t sample_ms = age_ms(health, call->sent_at);
 
 	if (error == ZR_E_CANCELLED || is_superseded(health, call))
 		return;
@@ -64,9 +70,10 @@
 	}
 	health->responded_sent_at = call->sent_at;
 	health->failing = false;
+	if (sample_ms > SAMPLE_MAX_MS)
+		sample_ms = SAMPLE_MAX_MS;
 	health->smoothed_ms +=
-		((double)age_ms(health, call->sent_at) - health->smoothed_ms) /
-		SMOOTHING_DIVISOR;
+		((double)sample_ms - health->smoothed_ms) / SMOOTHING_DIVISOR;
 }
 
 static void on_done(void *ctx, int error, const struct zr_store_reply *reply)
@@ -192,6 +199,9 @@
 	const struct call *call = health->open;
 	int64_t open_ms;
 
+	/* The own link is busy with a response: the store is not away. */
+	if (zr_store_receiving(&health->inner))
+		return 0;
 	/*
 	 * A call without a response says nothing about the connection if a
 	 * later call got one.
--- a/src/libzinniarack/store/health.h
+++ b/src/libzinniarack/store/health.h
@@ -35,7 +35,9 @@
  * @health: the measurement
  *
  * The connection is suspect while calls fail, or while the oldest open call has
- * waited several times longer than the recent response times.
+ * waited several times longer than the recent response times. No call counts
+ * as waiting while a response is arriving in parts (zr_store_receiving()): the
+ * host's own link is busy then, and the store is not away.
  *
  * Return: milliseconds since the first call that failed or the oldest overdue
  * call was sent; 0 while the connection is not suspect.
