rpc_client: a large reply may arrive slowly

Cause: a call that is relayed to another host may bring a reply of over a megabyte. Its timeout, 500 ms, cut the reply off on a thin link; so did the timeout of any other call on the connection, which closes the connection. Change: zr_rpc_procedure.silence_ms: a call of such a procedure goes on after its timeout while a reply is arriving over its connection, at most transfer_max_ms, and ends when no byte arrives for silence_ms. A short call that waits behind such a reply ends at its timeout and leaves the connection open. Procedures without the field are as before; none has it yet.

--- a/src/libzinniarack/net/rpc_client.c
+++ b/src/libzinniarack/net/rpc_client.c
@@ -10,6 +10,9 @@
 #include "net/rpc_stream.h"
 #include "zinniarack/errors.h"
 
+/* A reply whose last bytes came within this time is arriving. */
+#define RECEIVING_WITHIN_MS 500
+
 struct call {
 	struct call *prev;
 	struct call *next;
@@ -19,6 +22,7 @@
 	char *args;
 	u_int args_length;
 	bool sent;
+	uint64_t ends_at_ms; /* end of a call that goes on after its timeout */
 	/* error found by zr_rpc_client_call(), reported after it returns */
 	int immediate_error;
 	zr_rpc_done_fn done;
@@ -238,6 +242,48 @@
 		zr_rpc_stream_close(client->stream);
 }
 
+static void on_deadline(uv_timer_t *timer);
+
+/*
+ * Lets a call go on after its timeout while a reply is arriving, which may be
+ * one that its own reply waits for. Returns false if the call must end.
+ */
+static bool extend_call(struct call *call)
+{
+	struct zr_rpc_client *client = call->client;
+	uint64_t now_ms = uv_now(client->loop);
+	uint64_t silence_ms = call->procedure->silence_ms;
+	int64_t age_ms = -1;
+	uint64_t wait_ms;
+
+	if (call->sent && client->stream)
+		age_ms = zr_rpc_stream_receiving_ms(client->stream);
+	if (age_ms < 0 || (uint64_t)age_ms >= silence_ms ||
+	    now_ms >= call->ends_at_ms)
+		return false;
+	wait_ms = silence_ms - (uint64_t)age_ms;
+	if (wait_ms > call->ends_at_ms - now_ms)
+		wait_ms = call->ends_at_ms - now_ms;
+	uv_timer_start(&call->timer, on_deadline, wait_ms, 0);
+	return true;
+}
+
+/* Whether the connection is bringing a reply that an open call waits for. */
+static bool is_receiving(const struct zr_rpc_client *client)
+{
+	int64_t age_ms = zr_rpc_stream_receiving_ms(client->stream);
+	const struct call *call;
+
+	if (age_ms < 0 || age_ms > RECEIVING_WITHIN_MS)
+		return false;
+	DL_FOREACH(client->calls, call)
+	{
+		if (call->sent && call->procedure->silence_ms)
+			return true;
+	}
+	return false;
+}
+
 static void on_deadline(uv_timer_t *timer)
 {
 	struct call *call = timer->data;
@@ -247,12 +293,16 @@
 		finish_call(call, call->immediate_error, NULL);
 		return;
 	}
+	if (extend_call(call))
+		return;
 	/*
 	 * The peer may have become unreachable without closing the connection,
 	 * so close it here; the next call opens a new one. Close it before
-	 * finish_call(), whose callback may make a call.
+	 * finish_call(), whose callback may make a call. A short call that
+	 * waits behind a large reply does not close it.
 	 */
-	if (client->stream) {
+	if (client->stream &&
+	    (call->procedure->silence_ms || !is_receiving(client))) {
 		client->can_send = false;
 		zr_rpc_stream_close(client->stream);
 	}
@@ -289,6 +339,8 @@
 	call->done = done;
 	call->ctx = ctx;
 	call->immediate_error = encode_call_args(call, args);
+	call->ends_at_ms =
+		uv_now(client->loop) + timeout_ms + procedure->transfer_max_ms;
 	if (client->freeing)
 		call->immediate_error = ZR_E_CANCELLED;
 	uv_timer_init(client->loop, &call->timer);
--- a/src/libzinniarack/net/rpc_client.h
+++ b/src/libzinniarack/net/rpc_client.h
@@ -23,6 +23,11 @@
  * @result_codec: XDR routine that encodes and decodes the result
  * @args_size: size in bytes of the struct that holds the arguments
  * @result_size: size in bytes of the struct that holds the result
+ * @silence_ms: for replies that may be large: if not 0, a call goes on after
+ *	its timeout while a reply is arriving over the connection, and ends when
+ *	none of its bytes arrives for this time
+ * @transfer_max_ms: if @silence_ms is set, the longest time that a call goes on
+ *	after its timeout
  */
 struct zr_rpc_procedure {
 	rpcproc_t number;
@@ -30,6 +35,8 @@
 	xdrproc_t result_codec;
 	size_t args_size;
 	size_t result_size;
+	unsigned int silence_ms;
+	unsigned int transfer_max_ms;
 };
 
 /**
@@ -66,8 +73,9 @@
  * @client: the client
  * @procedure: the procedure
  * @args: the arguments, encoded before this function returns
- * @timeout_ms: timeout of the whole call; when it expires, the connection is
- *	closed as well
+ * @timeout_ms: timeout of the whole call, unless @procedure has a silence_ms;
+ *	when it expires, the connection is closed as well, unless it is bringing
+ *	a large reply to another call
  * @done: called once, never before this function returns
  * @ctx: passed to @done
  */
--- a/src/libzinniarack/net/rpc_stream.c
+++ b/src/libzinniarack/net/rpc_stream.c
@@ -22,6 +22,7 @@
 	char *received;
 	size_t received_length;
 	size_t received_alloc;
+	uint64_t received_at_ms;
 };
 
 struct pending_write {
@@ -145,6 +146,7 @@
 
 	if (!nread || stream->closing)
 		return;
+	stream->received_at_ms = uv_now(tcp->loop);
 	if (nread < 0 || append_bytes(stream, buf->base, (size_t)nread) < 0 ||
 	    deliver_records(stream) < 0)
 		zr_rpc_stream_close(stream);
@@ -155,6 +157,13 @@
 	uv_read_start((uv_stream_t *)&stream->tcp, on_alloc, on_read);
 }
 
+int64_t zr_rpc_stream_receiving_ms(const struct zr_rpc_stream *stream)
+{
+	if (stream->closing || !stream->received_length)
+		return -1;
+	return (int64_t)(uv_now(stream->tcp.loop) - stream->received_at_ms);
+}
+
 static void on_write_done(uv_write_t *write, int status)
 {
 	struct pending_write *pending = (struct pending_write *)write;
--- a/src/libzinniarack/net/rpc_stream.h
+++ b/src/libzinniarack/net/rpc_stream.h
@@ -54,6 +54,15 @@
 /** zr_rpc_stream_start_reading() - start reading from a connected stream */
 void zr_rpc_stream_start_reading(struct zr_rpc_stream *stream);
 
+/**
+ * zr_rpc_stream_receiving_ms() - time since the last bytes of a record that is
+ * not complete yet
+ * @stream: the stream
+ *
+ * Return: the time in milliseconds, or -1 if no record is arriving.
+ */
+int64_t zr_rpc_stream_receiving_ms(const struct zr_rpc_stream *stream);
+
 /**
  * zr_rpc_stream_send() - send one RPC message
  * @stream: the stream
