Fakes: links with a bandwidth, and a load over a thin one

Change: a link of the fake network may have a bandwidth, shared evenly by the responses of the fake store that travel over it in one direction. While parts of a response arrive its timeout starts again, as the platform's adapter is to count silence. zr_store_receiving() tells whether a response is arriving in parts; an adapter that cannot tell has none. The scripted cell has the verbs bandwidth and jobs.

--- a/include/zinniarack/store.h
+++ b/include/zinniarack/store.h
@@ -135,6 +135,8 @@
  *	start with @prefix; NULL if the adapter does not support it.
  *	ZR_E_NOT_FOUND if the store has discarded the changes since that
  *	revision, so that the caller must read the keys again
+ * @receiving: whether a response is arriving in parts; NULL if the adapter
+ *	cannot tell
  * @free: end open calls with ZR_E_CANCELLED and free the adapter
  */
 struct zr_store_ops {
@@ -152,6 +154,7 @@
 			     void *ctx);
 	void (*watch)(void *impl, const char *prefix, int64_t after_revision,
 		      unsigned int wait_ms, zr_store_done_fn done, void *ctx);
+	bool (*receiving)(void *impl);
 	void (*free)(void *impl);
 };
 
@@ -193,6 +196,14 @@
 		    int64_t after_revision, unsigned int wait_ms,
 		    zr_store_done_fn done, void *ctx);
 
+/**
+ * zr_store_receiving() - whether a response is arriving in parts
+ * @store: the store
+ *
+ * Return: false if none is, or if the adapter cannot tell.
+ */
+bool zr_store_receiving(const struct zr_store *store);
+
 /** zr_store_free() - free the adapter; does nothing on a zeroed store */
 void zr_store_free(struct zr_store *store);
 
--- a/src/libzinniarack/store/store.c
+++ b/src/libzinniarack/store/store.c
@@ -41,6 +41,11 @@
 			  ctx);
 }
 
+bool zr_store_receiving(const struct zr_store *store)
+{
+	return store->ops->receiving && store->ops->receiving(store->impl);
+}
+
 void zr_store_free(struct zr_store *store)
 {
 	if (store->ops)
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -422,6 +422,25 @@
 		free(steps[i].depends_on);
 }
 
+static void do_jobs(struct cell_script *script)
+{
+	char *const prefix = script->words[2];
+	const int count = atoi(word(script, 3));
+	char name[ZR_NAME_MAX];
+	int i;
+
+	for (i = 4; i < script->word_count; i++)
+		script->words[i - 1] = script->words[i];
+	script->word_count--;
+	for (i = 0; i < count; i++) {
+		snprintf(name, sizeof(name), "%s%d", prefix, i);
+		script->words[2] = name;
+		do_submit(script);
+		fake_net_advance(script->net, 1);
+		fake_pool_tick(script->pool);
+	}
+}
+
 static void do_cancel(struct cell_script *script)
 {
 	char key[ZR_CELL_KEY_MAX];
@@ -535,6 +554,13 @@
 			  link_endpoint(word(script, 2)), (enum fake_link)mode);
 }
 
+static void do_bandwidth(struct cell_script *script)
+{
+	fake_net_set_bandwidth(script->net, link_endpoint(word(script, 1)),
+			       link_endpoint(word(script, 2)),
+			       strtoul(word(script, 3), NULL, 10));
+}
+
 static void do_release(struct cell_script *script)
 {
 	fake_net_release(script->net, link_endpoint(word(script, 1)),
@@ -644,6 +670,8 @@
 	{"advance", do_advance},
 	{"clock-resolution", do_clock_resolution},
 	{"link", do_link},
+	{"bandwidth", do_bandwidth},
+	{"jobs", do_jobs},
 	{"release", do_release},
 	{"pause", do_pause},
 	{"resume", do_resume},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -40,6 +40,11 @@
  *   link FROM TO pass|hold|drop|duplicate|refuse
  *                              set what happens to messages; `*` is any node;
  *                              refuse: the sender gets an error at once
+ *   bandwidth FROM TO BYTES    limit the bytes per second that the store's
+ *                              responses take on a link
+ *   jobs HOST PREFIX COUNT STEP...
+ *                              submit COUNT jobs, PREFIX0 and so on, one each
+ *                              millisecond
  *   release FROM TO [reverse]  deliver the held messages, the last one first
  *                              with reverse
  *   pause NODE, resume NODE    suspend and continue a process
--- a/tests/fakes/fake_net.c
+++ b/tests/fakes/fake_net.c
@@ -8,6 +8,7 @@
 #define NODE_NAME_MAX 64
 #define LATENCY_MS 1
 #define RATE_UNIT 1000000
+#define MS_PER_S 1000
 
 struct fake_node {
 	struct fake_node *next;
@@ -28,6 +29,19 @@
 	enum fake_link mode;
 };
 
+/*
+ * A limit of the bytes that matching links carry together. @credit is what can
+ * be sent now, in thousandths of a byte.
+ */
+struct bandwidth_rule {
+	struct bandwidth_rule *next;
+	char from[NODE_NAME_MAX];
+	char to[NODE_NAME_MAX];
+	unsigned long bytes_per_s;
+	unsigned long credit;
+	unsigned long users; /* messages that share it in this millisecond */
+};
+
 struct fake_call {
 	struct fake_call *prev;
 	struct fake_call *next;
@@ -36,6 +50,7 @@
 	const struct fake_call_ops *ops;
 	void *ctx;
 	struct zr_timer *timeout;
+	unsigned int timeout_ms;
 	bool finished;
 	unsigned int refs; /* messages, users, and 1 until it is finished */
 };
@@ -48,12 +63,15 @@
 	bool refused; /* tells the caller that the request was not sent */
 	bool held;
 	long due_at;
+	unsigned long bytes_left; /* that have not arrived */
+	bool begun;		  /* a part has arrived */
 };
 
 struct fake_net {
 	long now_ms;
 	struct fake_node *nodes;
 	struct link_rule *rules;
+	struct bandwidth_rule *bandwidths;
 	struct message *messages;
 	struct fake_call *calls;
 };
@@ -100,6 +118,33 @@
 	LL_PREPEND(net->rules, rule);
 }
 
+void fake_net_set_bandwidth(struct fake_net *net, const char *from,
+			    const char *to, unsigned long bytes_per_s)
+{
+	struct bandwidth_rule *rule = allocate(sizeof(*rule));
+
+	snprintf(rule->from, sizeof(rule->from), "%s", from ? from : "");
+	snprintf(rule->to, sizeof(rule->to), "%s", to ? to : "");
+	rule->bytes_per_s = bytes_per_s;
+	/* Of all rules that match, the latest one applies. */
+	LL_PREPEND(net->bandwidths, rule);
+}
+
+/* The limit that applies to a link; NULL: none. */
+static struct bandwidth_rule *find_bandwidth(const struct fake_net *net,
+					     const char *from, const char *to)
+{
+	struct bandwidth_rule *rule;
+
+	LL_FOREACH(net->bandwidths, rule)
+	{
+		if (rule_matches(rule->from, from) &&
+		    rule_matches(rule->to, to))
+			return rule->bytes_per_s ? rule : NULL;
+	}
+	return NULL;
+}
+
 static const struct fake_node *sender(const struct message *message)
 {
 	return message->reply ? message->call->server : message->call->client;
@@ -164,7 +209,7 @@
 }
 
 static void add_message(struct fake_call *call, bool reply, bool refused,
-			bool held)
+			bool held, unsigned long bytes)
 {
 	struct message *message = allocate(sizeof(*message));
 	struct fake_net *net = call->client->net;
@@ -174,11 +219,13 @@
 	message->refused = refused;
 	message->held = held;
 	message->due_at = net->now_ms + LATENCY_MS;
+	message->bytes_left = bytes;
 	call->refs++;
 	DL_APPEND(net->messages, message);
 }
 
-static void send_message(struct fake_call *call, bool reply)
+static void send_message(struct fake_call *call, bool reply,
+			 unsigned long bytes)
 {
 	const struct fake_node *from = reply ? call->server : call->client;
 	const struct fake_node *to = reply ? call->client : call->server;
@@ -187,20 +234,20 @@
 		return;
 	switch (link_mode(from->net, from->name, to->name)) {
 	case FAKE_LINK_PASS:
-		add_message(call, reply, false, false);
+		add_message(call, reply, false, false, bytes);
 		break;
 	case FAKE_LINK_HOLD:
-		add_message(call, reply, false, true);
+		add_message(call, reply, false, true, bytes);
 		break;
 	case FAKE_LINK_DROP:
 		break;
 	case FAKE_LINK_DUPLICATE:
-		add_message(call, reply, false, false);
-		add_message(call, reply, false, false);
+		add_message(call, reply, false, false, bytes);
+		add_message(call, reply, false, false, bytes);
 		break;
 	case FAKE_LINK_REFUSE:
 		if (!reply)
-			add_message(call, true, true, false);
+			add_message(call, true, true, false, 0);
 		break;
 	}
 }
@@ -218,14 +265,20 @@
 	call->refs = 1;
 	call->timeout =
 		zr_timer_new(fake_time_timers(client->time), on_timeout, call);
+	call->timeout_ms = timeout_ms;
 	zr_timer_start(call->timeout, timeout_ms, 0);
 	DL_APPEND(client->net->calls, call);
-	send_message(call, false);
+	send_message(call, false, 0);
 }
 
 void fake_call_reply(struct fake_call *call)
 {
-	send_message(call, true);
+	send_message(call, true, 0);
+}
+
+void fake_call_reply_bytes(struct fake_call *call, unsigned long bytes)
+{
+	send_message(call, true, bytes);
 }
 
 void fake_call_ref(struct fake_call *call)
@@ -270,6 +323,85 @@
 	free(message);
 }
 
+/* Limited bandwidth */
+
+/*
+ * The limit that a message is waiting for; NULL: none. A caller that has given
+ * up has closed the connection.
+ */
+static struct bandwidth_rule *limit_of(const struct fake_net *net,
+				       const struct message *message)
+{
+	if (!message->bytes_left || message->held || message->call->finished ||
+	    message->due_at > net->now_ms || receiver(message)->paused)
+		return NULL;
+	return find_bandwidth(net, sender(message)->name,
+			      receiver(message)->name);
+}
+
+static bool link_passes(const struct fake_net *net,
+			const struct message *message)
+{
+	return link_mode(net, sender(message)->name, receiver(message)->name) ==
+	       FAKE_LINK_PASS;
+}
+
+static void receive_part(struct message *message, unsigned long bytes)
+{
+	struct fake_call *call = message->call;
+
+	if (!bytes)
+		return;
+	message->begun = true;
+	message->bytes_left -=
+		bytes < message->bytes_left ? bytes : message->bytes_left;
+	if (!call->finished)
+		zr_timer_start(call->timeout, call->timeout_ms, 0);
+}
+
+/* Carries a millisecond's bytes, in even shares for the messages of a limit. */
+static void carry_parts(struct fake_net *net)
+{
+	struct bandwidth_rule *rule;
+	struct message *message;
+
+	LL_FOREACH(net->bandwidths, rule)
+	{
+		rule->users = 0;
+		rule->credit = rule->credit % MS_PER_S + rule->bytes_per_s;
+	}
+	DL_FOREACH(net->messages, message)
+	{
+		rule = limit_of(net, message);
+		if (rule && link_passes(net, message))
+			rule->users++;
+	}
+	DL_FOREACH(net->messages, message)
+	{
+		rule = limit_of(net, message);
+		if (rule && link_passes(net, message))
+			receive_part(message,
+				     rule->credit / MS_PER_S / rule->users);
+	}
+}
+
+bool fake_net_receiving(const struct fake_node *client,
+			const struct fake_node *server)
+{
+	const struct message *message;
+
+	DL_FOREACH(client->net->messages, message)
+	{
+		if (message->call->client == client &&
+		    message->call->server == server &&
+		    !message->call->finished && message->begun &&
+		    limit_of(client->net, message) &&
+		    link_passes(client->net, message))
+			return true;
+	}
+	return false;
+}
+
 static struct message *next_due(const struct fake_net *net)
 {
 	struct message *message;
@@ -277,7 +409,7 @@
 	DL_FOREACH(net->messages, message)
 	{
 		if (!message->held && !receiver(message)->paused &&
-		    message->due_at <= net->now_ms)
+		    message->due_at <= net->now_ms && !limit_of(net, message))
 			return message;
 	}
 	return NULL;
@@ -386,6 +518,7 @@
 
 	for (; ms; ms--) {
 		net->now_ms++;
+		carry_parts(net);
 		deliver_due(net);
 		LL_FOREACH(net->nodes, node)
 		{
@@ -408,6 +541,8 @@
 {
 	struct link_rule *rule;
 	struct link_rule *next_rule;
+	struct bandwidth_rule *bandwidth;
+	struct bandwidth_rule *next_bandwidth;
 	struct fake_node *node;
 	struct fake_node *next_node;
 
@@ -419,6 +554,10 @@
 	{
 		free(rule);
 	}
+	LL_FOREACH_SAFE(net->bandwidths, bandwidth, next_bandwidth)
+	{
+		free(bandwidth);
+	}
 	LL_FOREACH_SAFE(net->nodes, node, next_node)
 	{
 		fake_time_free(node->time);
--- a/tests/fakes/fake_net.h
+++ b/tests/fakes/fake_net.h
@@ -13,7 +13,8 @@
  * request and a reply, and each of these messages takes a millisecond. The test
  * may hold, drop, duplicate or refuse the messages of a link, which is a pair
  * of a sender and a receiver. A call without a reply ends at its timeout, and
- * its request may still arrive later.
+ * its request may still arrive later. On a link with a limited bandwidth,
+ * replies arrive in parts; the timeout then counts from the last part.
  */
 
 struct fake_net;
@@ -56,6 +57,28 @@
 void fake_net_set_link(struct fake_net *net, const char *from, const char *to,
 		       enum fake_link mode);
 
+/**
+ * fake_net_set_bandwidth() - limit what a link carries
+ * @net: the network
+ * @from: name of the sender; NULL: any node
+ * @to: name of the receiver; NULL: any node
+ * @bytes_per_s: bytes per second, shared evenly by all replies on the matching
+ *	links that fake_call_reply_bytes() has sent; 0: no limit
+ */
+void fake_net_set_bandwidth(struct fake_net *net, const char *from,
+			    const char *to, unsigned long bytes_per_s);
+
+/**
+ * fake_net_receiving() - whether parts of a reply are arriving
+ * @client: node that made the call
+ * @server: node that replies
+ *
+ * Return: whether a part has arrived that does not end the reply, and more can
+ * arrive: the link passes messages.
+ */
+bool fake_net_receiving(const struct fake_node *client,
+			const struct fake_node *server);
+
 /**
  * fake_net_release() - deliver the held messages of a link
  * @net: the network
@@ -115,6 +138,13 @@
 /** fake_call_reply() - send the reply, from @serve or later */
 void fake_call_reply(struct fake_call *call);
 
+/**
+ * fake_call_reply_bytes() - send a reply of a given size
+ * @call: the call
+ * @bytes: size, which only counts on a link with a limited bandwidth
+ */
+void fake_call_reply_bytes(struct fake_call *call, unsigned long bytes);
+
 /** fake_call_ref() - keep a call so that the server can reply after @serve */
 void fake_call_ref(struct fake_call *call);
 
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -339,6 +339,17 @@
 	call->reply.revision = call->store->revision;
 }
 
+/* Size of a reply to a range or a watch; other replies are small. */
+static unsigned long reply_bytes(const struct call *call)
+{
+	unsigned long bytes = 0;
+	size_t i;
+
+	for (i = 0; i < call->reply.count; i++)
+		bytes += strlen(call->values[i].key) + call->values[i].length;
+	return bytes;
+}
+
 static void answer_watches(struct fake_store *store)
 {
 	struct pending_watch **link = &store->pending_watches;
@@ -355,7 +366,8 @@
 			continue;
 		}
 		*link = watch->next;
-		fake_call_reply(watch->net_call);
+		fake_call_reply_bytes(watch->net_call,
+				      reply_bytes(watch->call));
 		fake_call_unref(watch->net_call);
 		free(watch);
 	}
@@ -414,7 +426,7 @@
 		call->served = true;
 		serve_call(call);
 	}
-	fake_call_reply(net_call);
+	fake_call_reply_bytes(net_call, reply_bytes(call));
 	answer_watches(call->store);
 }
 
@@ -564,6 +576,13 @@
 	send_call(impl, call);
 }
 
+static bool store_receiving(void *impl)
+{
+	const struct client *client = impl;
+
+	return fake_net_receiving(client->node, client->store->node);
+}
+
 static void store_free(void *impl)
 {
 	struct client *client = impl;
@@ -579,6 +598,7 @@
 	.lease_renew = store_renew,
 	.lease_revoke = store_revoke,
 	.watch = store_watch,
+	.receiving = store_receiving,
 	.free = store_free,
 };
 
