cell: a load keeps the reads that succeeded

On a thin link each attempt carried all bytes again.

Change: what one read has brought is kept when the other fails. Only the owner writes progress or deletes a job, so within its term the reads need not be of one revision; the watch begins at the revision of the jobs. After a failure the reads are made one after the other, the registry with the last. The first attempt is as before, so a takeover takes no longer. The log says what was read (cell.load_read: count, bytes, took_ms), cell.active how long it took, and a counter has the bytes.

--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -26,10 +26,14 @@
 #define PREVIOUS_LEASE_MARGIN_MS 300
 #define PERMILLE 1000
 
-/* A store call in flight, with the ownership term in which it was sent. */
+/*
+ * A store call in flight, with the ownership term and the time in which it was
+ * sent.
+ */
 struct store_call {
 	struct zr_cell_scheduler *scheduler;
 	uint64_t term;
+	int64_t sent_at;
 };
 
 static struct store_call *new_store_call(struct zr_cell_scheduler *scheduler)
@@ -40,6 +44,7 @@
 		abort();
 	store_call->scheduler = scheduler;
 	store_call->term = scheduler->term;
+	store_call->sent_at = zr_cell_now_ms(scheduler);
 	scheduler->pending_calls++;
 	return store_call;
 }
@@ -290,6 +295,8 @@
 
 /* Loading of the persisted state after a takeover */
 
+static void read_next(struct zr_cell_scheduler *scheduler);
+
 static void restore_task(struct zr_cell_scheduler *scheduler,
 			 struct zr_cell_job *job, uint32_t index,
 			 const zx_cell_task *record)
@@ -416,16 +423,25 @@
 		zr_cell_stop_incomplete_gangs(scheduler, job);
 	}
 	scheduler->phase = ZR_CELL_ACTIVE;
-	zr_log(ZR_LOG_INFO, "cell.active token=%" PRIu64 " jobs=%u open=%zu",
+	zr_log(ZR_LOG_INFO,
+	       "cell.active token=%" PRIu64
+	       " jobs=%u open=%zu took_ms=%" PRId64,
 	       scheduler->fencing_token, HASH_COUNT(scheduler->model.job_by_id),
-	       active_runs);
+	       active_runs,
+	       zr_cell_now_ms(scheduler) - scheduler->loading.began_at);
 	zr_cell_watch_jobs(scheduler);
 	zr_cell_schedule_plan(scheduler);
 }
 
 static void retry_load(struct zr_cell_scheduler *scheduler, int error)
 {
-	zr_log(ZR_LOG_WARN, "cell.load_failed error=%s", zr_error_name(error));
+	const struct zr_cell_loading *loading = &scheduler->loading;
+
+	zr_log(ZR_LOG_WARN,
+	       "cell.load_failed error=%s jobs_read=%d progress_read=%d "
+	       "age_ms=%" PRId64,
+	       zr_error_name(error), loading->jobs_read, loading->progress_read,
+	       zr_cell_now_ms(scheduler) - loading->began_at);
 	zr_timer_start(scheduler->rewatch, RETRY_DELAY_MS, 0);
 }
 
@@ -447,9 +463,11 @@
 }
 
 /*
- * The jobs and their progress are read at the same time. Only the owner writes
- * progress, so the reads need not be of one revision. The progress is kept
- * until the jobs are in the model.
+ * The jobs and their progress are read at the same time. Nothing but the owner
+ * writes progress or deletes a job, so within its term the reads need not be of
+ * one revision: what one has brought is kept when the other fails. A job that
+ * was accepted since its read is found by the watch. The progress is kept until
+ * the jobs are in the model.
  */
 
 void zr_cell_loading_clear(struct zr_cell_loading *loading)
@@ -488,69 +506,130 @@
 	loading->progress_count = reply->count;
 }
 
-/* Called after each of the two reads. */
-static void continue_loading(struct zr_cell_scheduler *scheduler, int error)
+static void finish_loading(struct zr_cell_scheduler *scheduler)
 {
 	struct zr_cell_loading *loading = &scheduler->loading;
 	struct zr_cell_job *job;
 	struct zr_cell_job *next;
 	size_t i;
 
-	if (error < 0)
-		loading->error = error;
-	if (--loading->pending)
-		return;
-	if (loading->error < 0) {
-		retry_load(scheduler, loading->error);
-		return;
-	}
 	for (i = 0; i < loading->progress_count; i++)
 		load_progress(scheduler, &loading->progress[i]);
-	zr_cell_loading_clear(loading);
 	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
 		if (job->cancel_found)
 			zr_cell_job_cancel(scheduler, job);
 	}
 	become_active(scheduler);
+	zr_cell_loading_clear(loading);
+}
+
+/*
+ * After a failure the reads are made one after the other, because they may have
+ * failed for sharing a thin link.
+ */
+static void continue_loading(struct zr_cell_scheduler *scheduler, int error)
+{
+	struct zr_cell_loading *loading = &scheduler->loading;
+
+	if (error < 0)
+		loading->error = error;
+	if (--loading->pending)
+		return;
+	if (loading->error < 0)
+		retry_load(scheduler, loading->error);
+	else if (loading->jobs_read && loading->progress_read)
+		finish_loading(scheduler);
+	else
+		read_next(scheduler);
+}
+
+static void note_read(struct zr_cell_scheduler *scheduler, const char *what,
+		      int64_t sent_at, const struct zr_store_reply *reply)
+{
+	size_t bytes = 0;
+	size_t i;
+
+	for (i = 0; i < reply->count; i++)
+		bytes += strlen(reply->values[i].key) + reply->values[i].length;
+	scheduler->loaded_bytes->value += (int64_t)bytes;
+	zr_log(ZR_LOG_INFO,
+	       "cell.load_read what=%s count=%zu bytes=%zu revision=%" PRId64
+	       " took_ms=%" PRId64,
+	       what, reply->count, bytes, reply->revision,
+	       zr_cell_now_ms(scheduler) - sent_at);
 }
 
 static void on_jobs_loaded(void *ctx, int error,
 			   const struct zr_store_reply *reply)
 {
+	int64_t sent_at = ((struct store_call *)ctx)->sent_at;
 	struct zr_cell_scheduler *scheduler = finish_store_call(ctx);
 	size_t i;
 
 	if (!scheduler)
 		return;
-	for (i = 0; !error && i < reply->count; i++)
-		load_job(scheduler, &reply->values[i]);
-	if (!error)
+	if (!error) {
+		note_read(scheduler, "jobs", sent_at, reply);
+		for (i = 0; i < reply->count; i++)
+			load_job(scheduler, &reply->values[i]);
 		scheduler->watch_revision = reply->revision;
+		scheduler->loading.jobs_read = true;
+	}
 	continue_loading(scheduler, error);
 }
 
 static void on_progress_loaded(void *ctx, int error,
 			       const struct zr_store_reply *reply)
 {
+	int64_t sent_at = ((struct store_call *)ctx)->sent_at;
 	struct zr_cell_scheduler *scheduler = finish_store_call(ctx);
 
 	if (!scheduler)
 		return;
-	if (!error)
+	if (!error) {
+		note_read(scheduler, "progress", sent_at, reply);
 		keep_progress(&scheduler->loading, reply);
+		scheduler->loading.progress_read = true;
+	}
 	continue_loading(scheduler, error);
 }
 
-void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler)
+static void read_jobs(struct zr_cell_scheduler *scheduler)
 {
-	const struct zr_store *store = &scheduler->options.platform->store;
+	scheduler->loading.pending++;
+	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
+		       ZR_CELL_JOB_PREFIX, true, on_jobs_loaded,
+		       new_store_call(scheduler));
+}
 
+static void read_progress(struct zr_cell_scheduler *scheduler)
+{
+	scheduler->loading.pending++;
+	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
+		       ZR_CELL_PROGRESS_PREFIX, true, on_progress_loaded,
+		       new_store_call(scheduler));
+}
+
+/* The registry, which is smaller, is read along with the last. */
+static void read_next(struct zr_cell_scheduler *scheduler)
+{
+	const struct zr_cell_loading *loading = &scheduler->loading;
+	bool is_last = loading->jobs_read || loading->progress_read;
+
+	if (!loading->jobs_read)
+		read_jobs(scheduler);
+	else
+		read_progress(scheduler);
+	if (is_last && !scheduler->registry_revision)
+		zr_cell_registry_read(scheduler);
+}
+
+void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler)
+{
 	zr_cell_loading_clear(&scheduler->loading);
-	scheduler->loading.pending = 2;
-	zr_store_range(store, ZR_STORE_RECOVERY, ZR_CELL_JOB_PREFIX, true,
-		       on_jobs_loaded, new_store_call(scheduler));
-	zr_store_range(store, ZR_STORE_RECOVERY, ZR_CELL_PROGRESS_PREFIX, true,
-		       on_progress_loaded, new_store_call(scheduler));
+	scheduler->loading.began_at = zr_cell_now_ms(scheduler);
+	read_jobs(scheduler);
+	read_progress(scheduler);
 	zr_cell_registry_read(scheduler);
 }
 
@@ -558,8 +637,10 @@
 {
 	struct zr_cell_scheduler *scheduler = ctx;
 
-	if (scheduler->phase == ZR_CELL_LOADING)
-		zr_cell_load_jobs(scheduler);
-	else if (scheduler->phase == ZR_CELL_ACTIVE)
+	if (scheduler->phase == ZR_CELL_LOADING) {
+		scheduler->loading.error = 0;
+		read_next(scheduler);
+	} else if (scheduler->phase == ZR_CELL_ACTIVE) {
 		zr_cell_watch_jobs(scheduler);
+	}
 }
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -24,14 +24,20 @@
 
 /**
  * struct zr_cell_loading - state of the load of all jobs after a takeover
+ * @began_at: when the term began
  * @pending: number of reads without a reply
- * @error: error of a read; 0: none
+ * @error: error of a read since the last attempt began; 0: none
+ * @jobs_read: the jobs have been read and are in the model
+ * @progress_read: their progress has been read
  * @progress: progress records that have been read; copies
  * @progress_count: number of records
  */
 struct zr_cell_loading {
+	int64_t began_at;
 	unsigned int pending;
 	int error;
+	bool jobs_read;
+	bool progress_read;
 	struct zr_store_value *progress;
 	size_t progress_count;
 };
@@ -83,6 +89,7 @@
  * @polls: polls sent
  * @lost: runs that were lost with their worker or did not start
  * @takeovers: times the ownership was won
+ * @loaded_bytes: bytes of jobs and progress read after takeovers
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
@@ -128,6 +135,7 @@
 	struct zr_metric *polls;
 	struct zr_metric *lost;
 	struct zr_metric *takeovers;
+	struct zr_metric *loaded_bytes;
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -349,6 +349,9 @@
 	scheduler->takeovers = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_take_overs_total", NULL,
 		"Times this host took the cell over");
+	scheduler->loaded_bytes = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_load_bytes_total", NULL,
+		"Bytes of jobs and their progress read after take-overs");
 	scheduler->advice.queries = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_advice_total", "outcome=\"asked\"",
 		"Questions to the adviser");
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -527,6 +527,12 @@
 		       on_waiting_jobs, script);
 }
 
+static void do_recovery_reads(struct cell_script *script)
+{
+	print(script, "recovery reads: %lu",
+	      fake_store_counts(script->store)->reads[ZR_STORE_RECOVERY]);
+}
+
 static void do_advance(struct cell_script *script)
 {
 	int left_ms = atoi(word(script, 1));
@@ -667,6 +673,7 @@
 	{"cancel", do_cancel},
 	{"state", do_state},
 	{"waiting-jobs", do_waiting_jobs},
+	{"recovery-reads", do_recovery_reads},
 	{"advance", do_advance},
 	{"clock-resolution", do_clock_resolution},
 	{"link", do_link},
