cell: an owner that cannot load the jobs gives the cell back

Change: an owner has LOAD_TIMEOUT_MS from the start of its term, a quarter of the users' recovery target of 12 s. Then it deletes its key (zr_owner_give_back) and goes on competing, with a campaign delay of 1 s that doubles with each load that fails and that a successful one resets, so that any other host comes first. The key lead/unused counts such terms in a row: each doubles the time of the next owner, so that a load that is slow on every host succeeds in the end, and many small hosts don't each try with the short time. A term lost during the load counts as failed too, and its own key is not replaced before it has expired.

Nothing but an active owner writes progress or deletes a job, so what a host has read, and a read still in flight, stay good for its next term as long as all terms in between were unused. Without that, the read that had been given up shared the thin link with the next.

--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -18,6 +18,11 @@
  * so the watch only has to deliver those whose notification was lost.
  */
 #define WATCH_PAUSE_MS 250
+/*
+ * Time for which the reads of a load that did not end are kept, for the next
+ * term. Other hosts may own the cell in between without becoming active.
+ */
+#define READS_KEPT_MS 60000
 /*
  * Margins added to the maximum duration of a lease that the previous owner may
  * have granted, because the worker's clock may be slower than ours.
@@ -26,14 +31,10 @@
 #define PREVIOUS_LEASE_MARGIN_MS 300
 #define PERMILLE 1000
 
-/*
- * A store call in flight, with the ownership term and the time in which it was
- * sent.
- */
+/* A store call in flight, with the ownership term in which it was sent. */
 struct store_call {
 	struct zr_cell_scheduler *scheduler;
 	uint64_t term;
-	int64_t sent_at;
 };
 
 static struct store_call *new_store_call(struct zr_cell_scheduler *scheduler)
@@ -44,7 +45,6 @@
 		abort();
 	store_call->scheduler = scheduler;
 	store_call->term = scheduler->term;
-	store_call->sent_at = zr_cell_now_ms(scheduler);
 	scheduler->pending_calls++;
 	return store_call;
 }
@@ -423,12 +423,15 @@
 		zr_cell_stop_incomplete_gangs(scheduler, job);
 	}
 	scheduler->phase = ZR_CELL_ACTIVE;
+	scheduler->failed_loads = 0;
 	zr_log(ZR_LOG_INFO,
 	       "cell.active token=%" PRIu64
 	       " jobs=%u open=%zu took_ms=%" PRId64,
 	       scheduler->fencing_token, HASH_COUNT(scheduler->model.job_by_id),
 	       active_runs,
 	       zr_cell_now_ms(scheduler) - scheduler->loading.began_at);
+	if (!scheduler->registry_revision)
+		zr_cell_registry_read(scheduler);
 	zr_cell_watch_jobs(scheduler);
 	zr_cell_schedule_plan(scheduler);
 }
@@ -440,7 +443,7 @@
 	zr_log(ZR_LOG_WARN,
 	       "cell.load_failed error=%s jobs_read=%d progress_read=%d "
 	       "age_ms=%" PRId64,
-	       zr_error_name(error), loading->jobs_read, loading->progress_read,
+	       zr_error_name(error), loading->jobs.done, loading->progress.done,
 	       zr_cell_now_ms(scheduler) - loading->began_at);
 	zr_timer_start(scheduler->rewatch, RETRY_DELAY_MS, 0);
 }
@@ -463,37 +466,43 @@
 }
 
 /*
- * The jobs and their progress are read at the same time. Nothing but the owner
- * writes progress or deletes a job, so within its term the reads need not be of
- * one revision: what one has brought is kept when the other fails. A job that
- * was accepted since its read is found by the watch. The progress is kept until
- * the jobs are in the model.
+ * The jobs and their progress are read at the same time. Nothing but an active
+ * owner writes progress or deletes a job, so the reads need not be of one
+ * revision: what one has brought is kept when the other fails, and also when
+ * the term ends before the load, until another owner has been active. A job
+ * that was accepted since its read is found by the watch.
  */
 
-void zr_cell_loading_clear(struct zr_cell_loading *loading)
+static void clear_read(struct zr_cell_load_read *read)
 {
 	size_t i;
 
-	for (i = 0; i < loading->progress_count; i++) {
-		free(loading->progress[i].key);
-		free(loading->progress[i].data);
+	for (i = 0; i < read->count; i++) {
+		free(read->values[i].key);
+		free(read->values[i].data);
 	}
-	free(loading->progress);
-	memset(loading, 0, sizeof(*loading));
+	free(read->values);
+	memset(read, 0, sizeof(*read));
+}
+
+void zr_cell_loading_clear(struct zr_cell_loading *loading)
+{
+	loading->generation++;
+	clear_read(&loading->jobs);
+	clear_read(&loading->progress);
 }
 
-static void keep_progress(struct zr_cell_loading *loading,
-			  const struct zr_store_reply *reply)
+static void keep_values(struct zr_cell_load_read *read,
+			const struct zr_store_reply *reply)
 {
 	size_t i;
 
-	loading->progress =
-		calloc(reply->count + 1, sizeof(*loading->progress));
-	if (!loading->progress)
+	read->values = calloc(reply->count + 1, sizeof(*read->values));
+	if (!read->values)
 		abort();
 	for (i = 0; i < reply->count; i++) {
 		const struct zr_store_value *value = &reply->values[i];
-		struct zr_store_value *kept = &loading->progress[i];
+		struct zr_store_value *kept = &read->values[i];
 
 		*kept = *value;
 		kept->key = strdup(value->key);
@@ -503,7 +512,9 @@
 		if (value->length)
 			memcpy(kept->data, value->data, value->length);
 	}
-	loading->progress_count = reply->count;
+	read->count = reply->count;
+	read->revision = reply->revision;
+	read->done = true;
 }
 
 static void finish_loading(struct zr_cell_scheduler *scheduler)
@@ -513,39 +524,47 @@
 	struct zr_cell_job *next;
 	size_t i;
 
-	for (i = 0; i < loading->progress_count; i++)
-		load_progress(scheduler, &loading->progress[i]);
+	for (i = 0; i < loading->jobs.count; i++)
+		load_job(scheduler, &loading->jobs.values[i]);
+	for (i = 0; i < loading->progress.count; i++)
+		load_progress(scheduler, &loading->progress.values[i]);
 	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
 		if (job->cancel_found)
 			zr_cell_job_cancel(scheduler, job);
 	}
-	become_active(scheduler);
+	scheduler->watch_revision = loading->jobs.revision;
 	zr_cell_loading_clear(loading);
+	loading->epoch = 0;
+	become_active(scheduler);
 }
 
-/*
- * After a failure the reads are made one after the other, because they may have
- * failed for sharing a thin link.
- */
-static void continue_loading(struct zr_cell_scheduler *scheduler, int error)
+/* Called when no read is pending any more. */
+static void continue_loading(struct zr_cell_scheduler *scheduler)
 {
 	struct zr_cell_loading *loading = &scheduler->loading;
 
-	if (error < 0)
-		loading->error = error;
-	if (--loading->pending)
+	if (loading->jobs.pending || loading->progress.pending)
 		return;
 	if (loading->error < 0)
 		retry_load(scheduler, loading->error);
-	else if (loading->jobs_read && loading->progress_read)
+	else if (loading->jobs.done && loading->progress.done)
 		finish_loading(scheduler);
 	else
 		read_next(scheduler);
 }
 
-static void note_read(struct zr_cell_scheduler *scheduler, const char *what,
-		      int64_t sent_at, const struct zr_store_reply *reply)
+/* One of the two reads in flight. */
+struct load_call {
+	struct zr_cell_scheduler *scheduler;
+	struct zr_cell_load_read *read;
+	uint64_t generation;
+	int64_t sent_at;
+};
+
+static void note_read(const struct load_call *call,
+		      const struct zr_store_reply *reply)
 {
+	struct zr_cell_scheduler *scheduler = call->scheduler;
 	size_t bytes = 0;
 	size_t i;
 
@@ -555,68 +574,75 @@
 	zr_log(ZR_LOG_INFO,
 	       "cell.load_read what=%s count=%zu bytes=%zu revision=%" PRId64
 	       " took_ms=%" PRId64,
-	       what, reply->count, bytes, reply->revision,
-	       zr_cell_now_ms(scheduler) - sent_at);
+	       call->read == &scheduler->loading.jobs ? "jobs" : "progress",
+	       reply->count, bytes, reply->revision,
+	       zr_cell_now_ms(scheduler) - call->sent_at);
 }
 
-static void on_jobs_loaded(void *ctx, int error,
-			   const struct zr_store_reply *reply)
+static void on_load_read(void *ctx, int error,
+			 const struct zr_store_reply *reply)
 {
-	int64_t sent_at = ((struct store_call *)ctx)->sent_at;
-	struct zr_cell_scheduler *scheduler = finish_store_call(ctx);
-	size_t i;
+	struct load_call call = *(struct load_call *)ctx;
+	struct zr_cell_scheduler *scheduler = call.scheduler;
 
-	if (!scheduler)
+	free(ctx);
+	if (!zr_cell_call_done(scheduler))
 		return;
-	if (!error) {
-		note_read(scheduler, "jobs", sent_at, reply);
-		for (i = 0; i < reply->count; i++)
-			load_job(scheduler, &reply->values[i]);
-		scheduler->watch_revision = reply->revision;
-		scheduler->loading.jobs_read = true;
-	}
-	continue_loading(scheduler, error);
+	if (!error)
+		note_read(&call, reply);
+	if (call.generation != scheduler->loading.generation)
+		return;
+	call.read->pending = false;
+	if (error < 0)
+		scheduler->loading.error = error;
+	else
+		keep_values(call.read, reply);
+	if (scheduler->phase == ZR_CELL_LOADING)
+		continue_loading(scheduler);
 }
 
-static void on_progress_loaded(void *ctx, int error,
-			       const struct zr_store_reply *reply)
+static void send_read(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_load_read *read, const char *prefix)
 {
-	int64_t sent_at = ((struct store_call *)ctx)->sent_at;
-	struct zr_cell_scheduler *scheduler = finish_store_call(ctx);
+	struct load_call *call;
 
-	if (!scheduler)
+	if (read->pending || read->done)
 		return;
-	if (!error) {
-		note_read(scheduler, "progress", sent_at, reply);
-		keep_progress(&scheduler->loading, reply);
-		scheduler->loading.progress_read = true;
-	}
-	continue_loading(scheduler, error);
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		abort();
+	call->scheduler = scheduler;
+	call->read = read;
+	call->generation = scheduler->loading.generation;
+	call->sent_at = zr_cell_now_ms(scheduler);
+	read->pending = true;
+	scheduler->pending_calls++;
+	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
+		       prefix, true, on_load_read, call);
 }
 
 static void read_jobs(struct zr_cell_scheduler *scheduler)
 {
-	scheduler->loading.pending++;
-	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
-		       ZR_CELL_JOB_PREFIX, true, on_jobs_loaded,
-		       new_store_call(scheduler));
+	send_read(scheduler, &scheduler->loading.jobs, ZR_CELL_JOB_PREFIX);
 }
 
 static void read_progress(struct zr_cell_scheduler *scheduler)
 {
-	scheduler->loading.pending++;
-	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
-		       ZR_CELL_PROGRESS_PREFIX, true, on_progress_loaded,
-		       new_store_call(scheduler));
+	send_read(scheduler, &scheduler->loading.progress,
+		  ZR_CELL_PROGRESS_PREFIX);
 }
 
-/* The registry, which is smaller, is read along with the last. */
+/*
+ * After a failure the reads are made one after the other, because they may have
+ * failed for sharing a thin link. The registry, which is smaller, is read along
+ * with the last.
+ */
 static void read_next(struct zr_cell_scheduler *scheduler)
 {
 	const struct zr_cell_loading *loading = &scheduler->loading;
-	bool is_last = loading->jobs_read || loading->progress_read;
+	bool is_last = loading->jobs.done || loading->progress.done;
 
-	if (!loading->jobs_read)
+	if (!loading->jobs.done)
 		read_jobs(scheduler);
 	else
 		read_progress(scheduler);
@@ -624,15 +650,76 @@
 		zr_cell_registry_read(scheduler);
 }
 
-void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler)
+/*
+ * Whether no owner has been active since the reads began: all terms since the
+ * last own one were given back unused.
+ */
+static bool reads_are_valid(const struct zr_cell_loading *loading,
+			    const struct zr_owner_term *term)
+{
+	return loading->epoch && loading->epoch < term->epoch &&
+	       term->epoch - 1 - loading->epoch <= term->unused_terms;
+}
+
+void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler,
+		       const struct zr_owner_term *term,
+		       unsigned int timeout_ms)
 {
-	zr_cell_loading_clear(&scheduler->loading);
-	scheduler->loading.began_at = zr_cell_now_ms(scheduler);
+	struct zr_cell_loading *loading = &scheduler->loading;
+
+	loading->began_at = zr_cell_now_ms(scheduler);
+	loading->deadline_at = loading->began_at + timeout_ms;
+	loading->error = 0;
+	if (reads_are_valid(loading, term)) {
+		loading->epoch = term->epoch;
+		continue_loading(scheduler);
+		return;
+	}
+	zr_cell_loading_clear(loading);
+	loading->epoch = term->epoch;
 	read_jobs(scheduler);
 	read_progress(scheduler);
 	zr_cell_registry_read(scheduler);
 }
 
+void zr_cell_load_lost(struct zr_cell_scheduler *scheduler)
+{
+	scheduler->failed_loads++;
+	scheduler->loading.kept_until =
+		zr_cell_now_ms(scheduler) + READS_KEPT_MS;
+	/* It must not replace its own key before others could campaign. */
+	zr_owner_give_back(scheduler->owner);
+}
+
+/* An owner that cannot load the state leaves the cell to a host that can. */
+static void give_up_load(struct zr_cell_scheduler *scheduler)
+{
+	const struct zr_cell_loading *loading = &scheduler->loading;
+
+	zr_log(ZR_LOG_WARN,
+	       "cell.load_given_up jobs_read=%d progress_read=%d "
+	       "age_ms=%" PRId64 " failed_before=%u",
+	       loading->jobs.done, loading->progress.done,
+	       zr_cell_now_ms(scheduler) - loading->began_at,
+	       scheduler->failed_loads);
+	scheduler->load_timeouts->value++;
+	zr_owner_give_back(scheduler->owner);
+}
+
+void zr_cell_load_process(struct zr_cell_scheduler *scheduler)
+{
+	struct zr_cell_loading *loading = &scheduler->loading;
+	int64_t now = zr_cell_now_ms(scheduler);
+
+	if (scheduler->phase == ZR_CELL_LOADING) {
+		if (now >= loading->deadline_at && !scheduler->releasing)
+			give_up_load(scheduler);
+	} else if (loading->epoch && now >= loading->kept_until) {
+		zr_cell_loading_clear(loading);
+		loading->epoch = 0;
+	}
+}
+
 void zr_cell_resume_watch(void *ctx)
 {
 	struct zr_cell_scheduler *scheduler = ctx;
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -22,24 +22,43 @@
 	ZR_CELL_ACTIVE,	 /* places tasks and sends requests to workers */
 };
 
+/**
+ * struct zr_cell_load_read - a read of the load after a takeover
+ * @pending: it has been sent and has no reply
+ * @done: it has succeeded
+ * @revision: revision of the store that was read
+ * @values: what was read, copies
+ * @count: number of @values
+ */
+struct zr_cell_load_read {
+	bool pending;
+	bool done;
+	int64_t revision;
+	struct zr_store_value *values;
+	size_t count;
+};
+
 /**
  * struct zr_cell_loading - state of the load of all jobs after a takeover
- * @began_at: when the term began
- * @pending: number of reads without a reply
+ * @epoch: epoch of this host's last term since the reads began; 0: none
+ * @generation: increases when the reads begin anew; replies to those of an
+ *	earlier value are ignored
+ * @began_at: when the current term began
+ * @deadline_at: when the cell is given back unless the load has ended
+ * @kept_until: when the reads are discarded, if the term has been lost
  * @error: error of a read since the last attempt began; 0: none
- * @jobs_read: the jobs have been read and are in the model
- * @progress_read: their progress has been read
- * @progress: progress records that have been read; copies
- * @progress_count: number of records
+ * @jobs: read of the jobs
+ * @progress: read of their progress
  */
 struct zr_cell_loading {
+	uint64_t epoch;
+	uint64_t generation;
 	int64_t began_at;
-	unsigned int pending;
+	int64_t deadline_at;
+	int64_t kept_until;
 	int error;
-	bool jobs_read;
-	bool progress_read;
-	struct zr_store_value *progress;
-	size_t progress_count;
+	struct zr_cell_load_read jobs;
+	struct zr_cell_load_read progress;
 };
 
 /**
@@ -64,6 +83,7 @@
  * @plan_scheduled: @plan has been started
  * @watch_revision: store revision up to which accepted jobs are known
  * @watch_failures: number of consecutive watches that failed
+ * @failed_loads: number of own terms in a row that ended before the load did
  * @loading: reads of the jobs and their progress, in ZR_CELL_LOADING
  * @registry_reading: a read of the worker registry is pending
  * @registry_requested_at: when the last read of the registry was sent
@@ -89,6 +109,7 @@
  * @polls: polls sent
  * @lost: runs that were lost with their worker or did not start
  * @takeovers: times the ownership was won
+ * @load_timeouts: times the cell was given back because the load took too long
  * @loaded_bytes: bytes of jobs and progress read after takeovers
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
@@ -113,6 +134,7 @@
 	bool plan_scheduled;
 	int64_t watch_revision;
 	uint32_t watch_failures;
+	unsigned int failed_loads;
 	struct zr_cell_loading loading;
 	bool registry_reading;
 	int64_t registry_requested_at;
@@ -135,6 +157,7 @@
 	struct zr_metric *polls;
 	struct zr_metric *lost;
 	struct zr_metric *takeovers;
+	struct zr_metric *load_timeouts;
 	struct zr_metric *loaded_bytes;
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
@@ -167,9 +190,21 @@
 bool zr_cell_call_done(struct zr_cell_scheduler *scheduler);
 
 /* job_loader.c */
-/** zr_cell_load_jobs() - load all jobs from the store, then become active */
-void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler);
-/** zr_cell_loading_clear() - free what has been read */
+/**
+ * zr_cell_load_jobs() - load all jobs from the store, then become active
+ * @scheduler: the scheduler
+ * @term: the term of ownership that has just begun
+ * @timeout_ms: time after which the load has failed, in milliseconds
+ */
+void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler,
+		       const struct zr_owner_term *term,
+		       unsigned int timeout_ms);
+/** zr_cell_load_process() - note that a load takes too long; discard old ones
+ */
+void zr_cell_load_process(struct zr_cell_scheduler *scheduler);
+/** zr_cell_load_lost() - the term has ended before the load did */
+void zr_cell_load_lost(struct zr_cell_scheduler *scheduler);
+/** zr_cell_loading_clear() - free what has been read and ignore open reads */
 void zr_cell_loading_clear(struct zr_cell_loading *loading);
 /** zr_cell_watch_jobs() - watch the store for accepted jobs */
 void zr_cell_watch_jobs(struct zr_cell_scheduler *scheduler);
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -29,6 +29,26 @@
  * When all hosts restart together, they learn of each other within this time.
  */
 #define SETTLING_DELAY_MS 250
+/*
+ * The users want the cell to work again this long after the loss of its owner
+ * at the latest.
+ */
+#define RECOVERY_TARGET_MS 12000
+/*
+ * Time that a new owner has to load the state, before it gives the cell back to
+ * a host that can. Expired lease, a failed load, another campaign and a load
+ * that succeeds have to fit into the recovery target. Each failed load doubles
+ * the time of the next, so that a load that takes longer on any host succeeds
+ * too.
+ */
+#define LOAD_TIMEOUT_MS (RECOVERY_TARGET_MS / 4)
+#define LOAD_TIMEOUT_DOUBLINGS_MAX 6
+/*
+ * Delay of the campaigns of a host whose last load failed, in which each other
+ * host can take the cell; doubled by each further failed load.
+ */
+#define LOAD_BACKOFF_MS 1000
+#define LOAD_BACKOFF_DOUBLINGS_MAX 2
 /*
  * Maximum time that a release waits for the journal. No tasks are placed
  * meanwhile.
@@ -238,6 +258,30 @@
 		abort();
 }
 
+static unsigned int min_uint(unsigned int a, unsigned int b)
+{
+	return a < b ? a : b;
+}
+
+/* Failed loads of other hosts count as well: each of them would try in turn. */
+static unsigned int load_timeout_ms(const struct zr_cell_scheduler *scheduler,
+				    const struct zr_owner_term *term)
+{
+	unsigned int failed = scheduler->failed_loads > term->unused_terms
+				      ? scheduler->failed_loads
+				      : term->unused_terms;
+
+	return LOAD_TIMEOUT_MS << min_uint(failed, LOAD_TIMEOUT_DOUBLINGS_MAX);
+}
+
+static unsigned int load_backoff_ms(const struct zr_cell_scheduler *scheduler)
+{
+	if (!scheduler->failed_loads)
+		return 0;
+	return LOAD_BACKOFF_MS << min_uint(scheduler->failed_loads - 1,
+					   LOAD_BACKOFF_DOUBLINGS_MAX);
+}
+
 static void on_gained(void *ctx, const struct zr_owner_term *term)
 {
 	struct zr_cell_scheduler *scheduler = ctx;
@@ -251,13 +295,15 @@
 	scheduler->takeovers->value++;
 	zr_cell_journal_open(scheduler->journal, zr_owner_key(scheduler->owner),
 			     term->owner_revision);
-	zr_cell_load_jobs(scheduler);
+	zr_cell_load_jobs(scheduler, term, load_timeout_ms(scheduler, term));
 }
 
 static void on_lost(void *ctx)
 {
 	struct zr_cell_scheduler *scheduler = ctx;
 
+	if (scheduler->phase == ZR_CELL_LOADING)
+		zr_cell_load_lost(scheduler);
 	end_term(scheduler);
 }
 
@@ -266,7 +312,8 @@
 	const struct zr_cell_scheduler *scheduler = ctx;
 
 	return (scheduler->settling ? SETTLING_DELAY_MS : 0) +
-	       (scheduler->better_host_present ? SMALL_HOST_DELAY_MS : 0);
+	       (scheduler->better_host_present ? SMALL_HOST_DELAY_MS : 0) +
+	       load_backoff_ms(scheduler);
 }
 
 static void on_ownership_lost(void *ctx)
@@ -309,6 +356,7 @@
 
 	if (scheduler->releasing)
 		try_release(scheduler);
+	zr_cell_load_process(scheduler);
 	if (scheduler->phase != ZR_CELL_ACTIVE)
 		return;
 	zr_cell_state_queries_process(scheduler);
@@ -349,6 +397,10 @@
 	scheduler->takeovers = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_take_overs_total", NULL,
 		"Times this host took the cell over");
+	scheduler->load_timeouts = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_load_given_up_total", NULL,
+		"Times this host gave the cell back because the load took too "
+		"long");
 	scheduler->loaded_bytes = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_load_bytes_total", NULL,
 		"Bytes of jobs and their progress read after take-overs");
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -22,13 +22,16 @@
 #define CLOCK_RATE_MARGIN_MS 100
 #define KEY_MAX (ZR_NAME_MAX + 32)
 #define EPOCH_TEXT_MAX 24
+#define UNUSED_TEXT_MAX 48
 
 /**
  * struct zr_owner - this process's part in the election
- * @prefix: prefix of the three keys below
+ * @prefix: prefix of the four keys below
  * @owner_key: names the owner; attached to its lease
  * @epoch_key: epoch of the last term
  * @released_key: last epoch whose owner released the domain
+ * @unused_key: last epoch whose owner gave the domain back unused, and the
+ *	number of such terms in a row
  * @holder: owner at the last read, or ""
  * @leftover_revision: revision of an owner key left by an earlier process of
  *	this host, 0 if there is none; a campaign replaces that key
@@ -47,7 +50,12 @@
  *	own term
  * @epoch_revision: revision of @epoch_key, which a campaign compares
  * @released_epoch: value of @released_key
+ * @unused_terms: number of consecutive terms, up to that of @epoch, whose
+ *	owners gave the domain back unused; does not count the own term
  * @owner_revision: revision of @owner_key as written by this process
+ * @given_back_revision: @owner_revision of the last term given back unused; the
+ *	key with this revision is not replaced
+ * @given_back_lease: lease of that term
  * @release_done: @done of zr_owner_release(); called with @release_ctx
  */
 struct zr_owner {
@@ -60,6 +68,7 @@
 	char owner_key[KEY_MAX];
 	char epoch_key[KEY_MAX];
 	char released_key[KEY_MAX];
+	char unused_key[KEY_MAX];
 	char holder[ZR_NAME_MAX];
 	int64_t leftover_revision;
 	struct zr_owner_events events;
@@ -79,7 +88,10 @@
 	uint64_t epoch;
 	int64_t epoch_revision;
 	uint64_t released_epoch;
+	unsigned int unused_terms;
 	int64_t owner_revision;
+	int64_t given_back_revision;
+	int64_t given_back_lease;
 	void (*release_done)(void *ctx);
 	void *release_ctx;
 };
@@ -167,6 +179,7 @@
 		return;
 	}
 	term.handed_over = owner->released_epoch == owner->epoch;
+	term.unused_terms = owner->unused_terms;
 	term.epoch = ++owner->epoch;
 	term.owner_revision = reply->revision;
 	apply_event(owner, ZR_OWNERSHIP_EVENT_WON);
@@ -229,6 +242,7 @@
 			    const struct zr_store_value *value)
 {
 	return owner->options.single_instance &&
+	       value->mod_revision != owner->given_back_revision &&
 	       value->length == strlen(owner->name) &&
 	       !memcmp(value->data, owner->name, value->length);
 }
@@ -279,9 +293,25 @@
 	return true;
 }
 
+/* The number of unused terms, if the last of them had the epoch @epoch. */
+static unsigned int parse_unused(const struct zr_store_value *value,
+				 uint64_t epoch)
+{
+	char text[UNUSED_TEXT_MAX];
+	uint64_t last = 0;
+	unsigned int terms = 0;
+
+	snprintf(text, sizeof(text), "%.*s", (int)value->length,
+		 (const char *)value->data);
+	if (sscanf(text, "%" SCNu64 " %u", &last, &terms) != 2 || last != epoch)
+		return 0;
+	return terms;
+}
+
 static void on_keys(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct zr_owner *owner = ctx;
+	const struct zr_store_value *unused = NULL;
 	bool has_owner = false;
 	size_t i;
 
@@ -308,8 +338,11 @@
 			owner->epoch_revision = value->mod_revision;
 		} else if (!strcmp(value->key, owner->released_key)) {
 			owner->released_epoch = strtoull(value->data, NULL, 10);
+		} else if (!strcmp(value->key, owner->unused_key)) {
+			unused = value;
 		}
 	}
+	owner->unused_terms = unused ? parse_unused(unused, owner->epoch) : 0;
 	if (has_owner) {
 		owner->vacant = false;
 		watch(owner);
@@ -424,6 +457,8 @@
 	snprintf(owner->epoch_key, KEY_MAX, "zr/domain/%s/lead/epoch", domain);
 	snprintf(owner->released_key, KEY_MAX, "zr/domain/%s/lead/released",
 		 domain);
+	snprintf(owner->unused_key, KEY_MAX, "zr/domain/%s/lead/unused",
+		 domain);
 	owner->timer = zr_timer_new(timers, on_tick, owner);
 	start_timer(owner, 0);
 	*out = owner;
@@ -450,6 +485,57 @@
 	step_down(owner, "another_owner");
 }
 
+/* Giving back */
+
+static void on_given_back_revoked(void *ctx, int error,
+				  const struct zr_store_reply *reply)
+{
+	(void)error;
+	(void)reply;
+	/* If this failed, the lease expires. */
+	call_ended(ctx);
+}
+
+static void on_given_back(void *ctx, int error,
+			  const struct zr_store_reply *reply)
+{
+	struct zr_owner *owner = ctx;
+
+	if (!call_ended(owner) || error == ZR_E_CANCELLED)
+		return;
+	if (error < 0 || !reply->succeeded)
+		zr_log(ZR_LOG_WARN,
+		       "domain.give_back_failed domain=%s error=%s",
+		       owner->domain,
+		       error < 0 ? zr_error_name(error) : "another_owner");
+	owner->open_calls++;
+	zr_store_lease_revoke(owner->store, owner->given_back_lease,
+			      on_given_back_revoked, owner);
+}
+
+void zr_owner_give_back(struct zr_owner *owner)
+{
+	char unused[UNUSED_TEXT_MAX];
+	int length = snprintf(unused, sizeof(unused), "%" PRIu64 " %u",
+			      owner->epoch, owner->unused_terms + 1);
+	const struct zr_store_compare compare = {owner->owner_key,
+						 owner->owner_revision};
+	const struct zr_store_put puts[] = {
+		{owner->owner_key, NULL, 0, 0},
+		{owner->unused_key, unused, (size_t)length, 0},
+	};
+	const struct zr_store_txn txn = {&compare, 1, puts, 2};
+
+	owner->given_back_revision = owner->owner_revision;
+	if (owner->state != ZR_OWNERSHIP_OWNING)
+		return;
+	owner->given_back_lease = owner->lease;
+	step_down(owner, "not_loaded");
+	owner->open_calls++;
+	zr_store_commit(owner->store, ZR_STORE_LEASE, &txn, on_given_back,
+			owner);
+}
+
 /* Release */
 
 static void on_revoked(void *ctx, int error, const struct zr_store_reply *reply)
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -45,11 +45,14 @@
  *	that must fail after the term compare the key with it
  * @handed_over: whether the previous owner released the domain, and so sends
  *	nothing more to workers
+ * @unused_terms: number of terms directly before this one that ended with
+ *	zr_owner_give_back(), by any host
  */
 struct zr_owner_term {
 	uint64_t epoch;
 	int64_t owner_revision;
 	bool handed_over;
+	unsigned int unused_terms;
 };
 
 /**
@@ -144,6 +147,18 @@
 /** zr_owner_step_down() - step down because another owner was detected */
 void zr_owner_step_down(struct zr_owner *owner);
 
+/**
+ * zr_owner_give_back() - give up a domain that was never put to use
+ * @owner: the object
+ *
+ * For an owner that could not load the domain's state: it deletes the owner key
+ * and goes on competing, after its campaign delay. It counts the unused term in
+ * the store, for &struct zr_owner_term.unused_terms. If the term has just been
+ * lost, only makes sure that its key is not replaced without waiting for its
+ * lease to expire.
+ */
+void zr_owner_give_back(struct zr_owner *owner);
+
 /**
  * zr_owner_release() - hand the domain over and stop competing
  * @owner: the object
