cell: hosts rank each other by sizes that outlast a lapse

Cause: a small host delayed its campaign while a larger one was registered. The delay was the same for all smaller hosts, and shorter than the spread with which hosts notice that the store is back.

Change: a host remembers the sizes of the others until they have been absent from the registrations for a minute in which these could be read (cell/peer_sizes). The delay is 350 ms, and as much again for each time that the largest host has twice the own size, up to 1,200 ms: with the lease of 1,200 ms a lone small host still takes over within the callers' timeout of 3 s. A host that has just started counts the reads that succeeded, not the ticks, until the others are known.

--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -140,10 +140,12 @@
 				 zr_cell_scheduler_active(host->scheduler));
 	zr_cell_scheduler_set_settling(host->scheduler,
 				       zr_cell_peers_settling(host->peers));
-	zr_cell_scheduler_set_better_host(
+	zr_cell_scheduler_set_sizes(host->scheduler,
+				    zr_cell_peers_own_size(host->peers),
+				    zr_cell_peers_largest(host->peers));
+	zr_cell_scheduler_set_suspect(
 		host->scheduler,
-		zr_cell_peers_has_larger(host->peers) ||
-			zr_store_health_suspect_ms(host->direct_health));
+		zr_store_health_suspect_ms(host->direct_health) > 0);
 }
 
 /* Start */
@@ -199,9 +201,9 @@
 	if (!error)
 		error = zr_cell_peers_new(
 			&host->peers, options->loop, &host->timers,
-			&host->platform, settings->name, settings->listen.peers,
-			settings->processors, on_proxies_changed, &events,
-			host);
+			options->clock, &host->platform, settings->name,
+			settings->listen.peers, settings->processors,
+			on_proxies_changed, &events, host);
 	return error;
 }
 
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/peer_sizes.h"
 #include "cell/records.h"
 #include "net/rpc_client.h"
 #include "net/rpc_server.h"
@@ -19,11 +20,11 @@
 /* Interval at which the lease is renewed, in milliseconds. */
 #define TICK_MS 800
 /*
- * Interval and number of the ticks after the start, when hosts that started
- * together learn of each other.
+ * Interval of the ticks and number of the reads after the start, when hosts
+ * that started together learn of each other.
  */
 #define SETTLING_TICK_MS 100
-#define SETTLING_TICKS 10
+#define SETTLING_READS 10
 /* Added to the adviser's timeout for the RPC to the host. */
 #define RPC_TIMEOUT_MARGIN_MS 100
 /*
@@ -55,6 +56,7 @@
 
 struct zr_cell_peers {
 	uv_loop_t *loop;
+	const struct zr_clock *clock;
 	const struct zr_cell_platform *platform;
 	char name[ZR_NAME_MAX];
 	char address[ZR_NAME_MAX];
@@ -63,9 +65,10 @@
 	struct zr_cell_peers_events events;
 	void *ctx;
 	unsigned int ticks;
-	unsigned int settling_ticks; /* that are left */
+	unsigned int settling_reads; /* that are left */
 	struct zr_timer *timer;
 	struct zr_rpc_server *server;
+	struct zr_cell_peer_sizes sizes;
 	struct peer **peers;
 	size_t count;
 	size_t alloc;
@@ -621,21 +624,26 @@
 	return 0;
 }
 
-bool zr_cell_peers_has_larger(const struct zr_cell_peers *peers)
+uint32_t zr_cell_peers_own_size(const struct zr_cell_peers *peers)
 {
-	size_t i;
+	return peers->millicpus;
+}
 
-	for (i = 0; i < peers->count; i++) {
-		if (!peers->peers[i]->absent_reads &&
-		    peers->peers[i]->millicpus > peers->millicpus)
-			return true;
-	}
-	return false;
+uint32_t zr_cell_peers_largest(const struct zr_cell_peers *peers)
+{
+	return zr_cell_peer_sizes_largest(&peers->sizes);
 }
 
 bool zr_cell_peers_settling(const struct zr_cell_peers *peers)
 {
-	return peers->settling_ticks > 0;
+	return peers->settling_reads > 0;
+}
+
+/* Hosts that started together are known after some reads. */
+static void settle(struct zr_cell_peers *peers)
+{
+	if (peers->settling_reads && !--peers->settling_reads)
+		zr_timer_start(peers->timer, TICK_MS, TICK_MS);
 }
 
 static void on_registrations(void *ctx, int error,
@@ -651,14 +659,20 @@
 		return;
 	for (i = 0; i < peers->count; i++)
 		peers->peers[i]->absent_reads++;
+	zr_cell_peer_sizes_begin(&peers->sizes);
 	for (i = 0; i < reply->count; i++) {
 		const struct zr_store_value *value = &reply->values[i];
 		const char *name = value->key + strlen(ZR_CELL_HOST_PREFIX);
 
-		if (value->data && strcmp(name, peers->name) &&
-		    parse_registration(address, &millicpus, value->data) == 0)
-			update_peer(peers, name, address, millicpus);
+		if (!value->data || !strcmp(name, peers->name) ||
+		    parse_registration(address, &millicpus, value->data) < 0)
+			continue;
+		update_peer(peers, name, address, millicpus);
+		zr_cell_peer_sizes_add(&peers->sizes, name, millicpus);
 	}
+	zr_cell_peer_sizes_end(&peers->sizes,
+			       zr_time_to_ms(zr_clock_now(peers->clock)));
+	settle(peers);
 	report_proxies(peers);
 	remove_absent_peers(peers);
 }
@@ -669,8 +683,6 @@
 	bool settling = zr_cell_peers_settling(peers);
 
 	renew_registration(peers);
-	if (settling && !--peers->settling_ticks)
-		zr_timer_start(peers->timer, TICK_MS, TICK_MS);
 	if (peers->read_in_flight || (!peers->active && !settling &&
 				      peers->ticks++ % STANDBY_READ_TICKS))
 		return;
@@ -710,6 +722,7 @@
 
 int zr_cell_peers_new(struct zr_cell_peers **out, uv_loop_t *loop,
 		      const struct zr_timers *timers,
+		      const struct zr_clock *clock,
 		      const struct zr_cell_platform *platform, const char *name,
 		      const char *address, double processors,
 		      zr_cell_adviser_proxies_fn on_proxies_changed,
@@ -728,6 +741,7 @@
 	if (!peers)
 		return ZR_E_NOMEM;
 	peers->loop = loop;
+	peers->clock = clock;
 	peers->platform = platform;
 	peers->on_proxies_changed = on_proxies_changed;
 	peers->events = *events;
@@ -742,7 +756,7 @@
 		return error;
 	}
 	peers->timer = zr_timer_new(timers, on_tick, peers);
-	peers->settling_ticks = SETTLING_TICKS;
+	peers->settling_reads = SETTLING_READS;
 	zr_timer_start(peers->timer, 0, SETTLING_TICK_MS);
 	*out = peers;
 	return 0;
--- a/src/libzinniarack/cell/peers.h
+++ b/src/libzinniarack/cell/peers.h
@@ -52,6 +52,7 @@
  * @out: the hosts; lives until the process exits
  * @loop: event loop
  * @timers: timer factory
+ * @clock: a clock that keeps running while the host is suspended
  * @platform: callbacks into the platform; must outlive @out
  * @name: name of this host
  * @address: address to serve RPCs on
@@ -65,6 +66,7 @@
  */
 int zr_cell_peers_new(struct zr_cell_peers **out, uv_loop_t *loop,
 		      const struct zr_timers *timers,
+		      const struct zr_clock *clock,
 		      const struct zr_cell_platform *platform, const char *name,
 		      const char *address, double processors,
 		      zr_cell_adviser_proxies_fn on_proxies_changed,
@@ -112,12 +114,22 @@
  */
 void zr_cell_peers_set_active(struct zr_cell_peers *peers, bool active);
 
-/** zr_cell_peers_has_larger() - whether any host has more processors */
-bool zr_cell_peers_has_larger(const struct zr_cell_peers *peers);
+/** zr_cell_peers_own_size() - processors of this host, in thousandths */
+uint32_t zr_cell_peers_own_size(const struct zr_cell_peers *peers);
+
+/**
+ * zr_cell_peers_largest() - processors of the largest other host, in
+ * thousandths
+ *
+ * Hosts whose registrations have expired count for some time; see
+ * zr_cell_peer_sizes_end().
+ */
+uint32_t zr_cell_peers_largest(const struct zr_cell_peers *peers);
 
 /**
  * zr_cell_peers_settling() - whether this host has just started, so that hosts
- * that started with it may not be known yet
+ * that started with it may not be known yet; ends some reads of the
+ * registrations later
  */
 bool zr_cell_peers_settling(const struct zr_cell_peers *peers);
 
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -67,8 +67,9 @@
  * @config: configuration in use; NULL before the first one
  * @owner: competes for the ownership of the cell
  * @phase: current phase
- * @better_host_present: another host suits better as the owner, so this one
- *                       delays its attempts
+ * @own_size: processors of this host, in thousandths
+ * @largest_size: those of the largest other host; 0: none is known
+ * @suspect: this host's own connection to the store is suspect
  * @settling: the other hosts are not known yet
  * @term: increases whenever a term begins or ends; answers to calls of an
  *        earlier value are ignored
@@ -120,7 +121,9 @@
 	const struct zr_cell_config *config;
 	struct zr_owner *owner;
 	enum zr_cell_phase phase;
-	bool better_host_present;
+	uint32_t own_size;
+	uint32_t largest_size;
+	bool suspect;
 	bool settling;
 	uint64_t term;
 	uint64_t fencing_token;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -20,10 +20,20 @@
 #define OWNER_POLL_MS 400
 /*
  * The scheduler of a large cell needs a large host, so smaller hosts delay
- * their campaign by this time. The watch reports a vacant cell to all hosts
- * within milliseconds.
+ * their campaign by this time, and by as much again for each time that the
+ * largest host has twice their size. The watch reports a vacant cell to all
+ * hosts within milliseconds; when the store returns, they find it vacant within
+ * OWNER_POLL_MS and the timeout of a call.
  */
 #define SMALL_HOST_DELAY_MS 350
+/*
+ * Longest delay: what the lease leaves of the callers' timeout, but for the
+ * time of the load.
+ */
+#define CALLER_TIMEOUT_MS 3000
+#define LOAD_RESERVE_MS 600
+#define SMALL_HOST_DELAY_MAX_MS \
+	(CALLER_TIMEOUT_MS - OWNER_LEASE_MS - LOAD_RESERVE_MS)
 /*
  * A host that has just started does not know yet whether others are larger.
  * When all hosts restart together, they learn of each other within this time.
@@ -76,10 +86,17 @@
 	       zr_owner_lease_state(scheduler->owner) == ZR_OWNER_LEASE_VALID;
 }
 
-void zr_cell_scheduler_set_better_host(struct zr_cell_scheduler *scheduler,
-				       bool better_host_present)
+void zr_cell_scheduler_set_sizes(struct zr_cell_scheduler *scheduler,
+				 uint32_t own, uint32_t largest)
+{
+	scheduler->own_size = own;
+	scheduler->largest_size = largest;
+}
+
+void zr_cell_scheduler_set_suspect(struct zr_cell_scheduler *scheduler,
+				   bool suspect)
 {
-	scheduler->better_host_present = better_host_present;
+	scheduler->suspect = suspect;
 }
 
 void zr_cell_scheduler_set_settling(struct zr_cell_scheduler *scheduler,
@@ -307,13 +324,30 @@
 	end_term(scheduler);
 }
 
+static unsigned int
+small_host_delay_ms(const struct zr_cell_scheduler *scheduler)
+{
+	unsigned int delay_ms = 0;
+	uint64_t size = scheduler->own_size ? scheduler->own_size : 1;
+
+	if (scheduler->suspect)
+		delay_ms = SMALL_HOST_DELAY_MS;
+	if (size >= scheduler->largest_size)
+		return delay_ms;
+	for (delay_ms = SMALL_HOST_DELAY_MS;
+	     2 * size <= scheduler->largest_size &&
+	     delay_ms < SMALL_HOST_DELAY_MAX_MS;
+	     size *= 2)
+		delay_ms += SMALL_HOST_DELAY_MS;
+	return min_uint(delay_ms, SMALL_HOST_DELAY_MAX_MS);
+}
+
 static unsigned int campaign_delay_ms(void *ctx)
 {
 	const struct zr_cell_scheduler *scheduler = ctx;
 
 	return (scheduler->settling ? SETTLING_DELAY_MS : 0) +
-	       (scheduler->better_host_present ? SMALL_HOST_DELAY_MS : 0) +
-	       load_backoff_ms(scheduler);
+	       small_host_delay_ms(scheduler) + load_backoff_ms(scheduler);
 }
 
 static void on_ownership_lost(void *ctx)
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -98,14 +98,21 @@
 				   size_t count);
 
 /**
- * zr_cell_scheduler_set_better_host() - set whether another host suits better
+ * zr_cell_scheduler_set_sizes() - set the rank of this host
  * @scheduler: the scheduler
- * @better_host_present: a host with more processors is registered, or this
- *	host's own connection to the store is suspect; this scheduler then waits
- *	before it campaigns for the cell
+ * @own: this host's processors, in thousandths
+ * @largest: those of the largest other host; if they are more, this scheduler
+ *	waits before it campaigns for the cell, the longer the smaller it is
  */
-void zr_cell_scheduler_set_better_host(struct zr_cell_scheduler *scheduler,
-				       bool better_host_present);
+void zr_cell_scheduler_set_sizes(struct zr_cell_scheduler *scheduler,
+				 uint32_t own, uint32_t largest);
+
+/**
+ * zr_cell_scheduler_set_suspect() - set whether this host's own connection to
+ * the store is suspect, so that others suit better as the owner
+ */
+void zr_cell_scheduler_set_suspect(struct zr_cell_scheduler *scheduler,
+				   bool suspect);
 
 /**
  * zr_cell_scheduler_set_settling() - set whether the other hosts are unknown
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -614,10 +614,12 @@
 	zr_cell_scheduler_release(host->scheduler, on_released, host);
 }
 
-static void do_larger_host(struct cell_script *script)
+static void do_size(struct cell_script *script)
 {
-	zr_cell_scheduler_set_better_host(
-		find_host(script, word(script, 1))->scheduler, true);
+	zr_cell_scheduler_set_sizes(
+		find_host(script, word(script, 1))->scheduler,
+		(uint32_t)atoi(word(script, 2)),
+		(uint32_t)atoi(word(script, 3)));
 }
 
 static void do_settling(struct cell_script *script)
@@ -686,7 +688,7 @@
 	{"stop", do_stop},
 	{"hang", do_hang},
 	{"stop-ms", do_stop_ms},
-	{"larger-host", do_larger_host},
+	{"size", do_size},
 	{"settling", do_settling},
 	{"owner", do_owner},
 	{"restart", do_restart},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -37,7 +37,9 @@
  *   owner                      print the host whose scheduler owns the cell
  *   advance MS                 advance the fake clock
  *   clock-resolution HOST MS   set the resolution of a host's monotonic clock
- *   larger-host HOST           report a larger host in the cell to HOST
+ *   size HOST MILLICPUS LARGEST
+ *                              tell HOST its size, and that of the largest
+ *                              other host that it has seen
  *   settling HOST yes|no       report to HOST that it has just started
  *   link FROM TO pass|hold|drop|duplicate|refuse
  *                              set what happens to messages; `*` is any node;
