cell: numbers of waiting jobs are refused rather than told too low

And an owner whose read of the jobs was old when the load ended published numbers without what had been accepted since.

Change: a frontend tells numbers that were written in the term of the present owner, and for two seconds more those that it has told before; after that, 503 counts_outdated (cell/counts; the owner key's revision tells the terms apart). An owner whose read of the jobs is over a second old publishes nothing until its watch has delivered the rest.

--- a/src/libzinniarack/cell/frontend.c
+++ b/src/libzinniarack/cell/frontend.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/counts.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
 
@@ -33,9 +34,7 @@
 
 struct zr_cell_frontend {
 	struct zr_cell_frontend_options options;
-	zx_cell_counts counts;
-	bool counts_known;
-	struct timespec counts_at;
+	struct zr_cell_known_counts counts;
 	struct zr_metric *outcomes[OUTCOME_COUNTERS];
 	struct zr_histogram *accept_ms;
 };
@@ -394,17 +393,20 @@
 
 /* Counts of waiting jobs */
 
+static int64_t now_ms(const struct zr_cell_frontend *frontend)
+{
+	return zr_time_to_ms(zr_clock_now(frontend->options.clock));
+}
+
 static void respond_count(struct request *request)
 {
-	const zx_cell_counts *counts = &request->frontend->counts;
-	struct zr_call_result result = {.outcome = ZR_CALL_OK,
-					.has_count = true};
-	u_int i;
+	struct zr_call_result result = {
+		.outcome = ZR_CALL_OK,
+		.has_count = true,
+		.count = zr_cell_known_counts_get(&request->frontend->counts,
+						  request->queue),
+	};
 
-	for (i = 0; i < counts->queues.queues_len; i++) {
-		if (!strcmp(counts->queues.queues_val[i].queue, request->queue))
-			result.count = counts->queues.queues_val[i].jobs;
-	}
 	respond(request, &result);
 }
 
@@ -412,29 +414,26 @@
 {
 	struct request *request = ctx;
 	struct zr_cell_frontend *frontend = request->frontend;
-	zx_cell_counts counts = {0};
+	int64_t term_revision =
+		zr_cell_scheduler_holder_revision(frontend->options.scheduler);
 
-	if (error < 0) {
+	if (error < 0)
 		respond_with(request, ZR_CALL_REFUSED, "store_down");
-		return;
-	}
-	if (reply->count &&
-	    !zr_cell_decode(&counts, (xdrproc_t)xdr_zx_cell_counts,
-			    reply->values[0].data, reply->values[0].length)) {
-		xdr_free((xdrproc_t)xdr_zx_cell_counts, &frontend->counts);
-		frontend->counts = counts;
-		frontend->counts_known = true;
-		frontend->counts_at = zr_clock_now(frontend->options.clock);
-	}
-	respond_count(request);
+	else if (zr_cell_known_counts_update(&frontend->counts,
+					     reply->count ? &reply->values[0]
+							  : NULL,
+					     term_revision, now_ms(frontend)))
+		respond_count(request);
+	else
+		respond_with(request, ZR_CALL_REFUSED, "counts_outdated");
 }
 
 static void read_count(struct request *request)
 {
 	struct zr_cell_frontend *frontend = request->frontend;
 
-	if (frontend->counts_known &&
-	    zr_time_diff_ms(request->started_at, frontend->counts_at) <
+	if (frontend->counts.known &&
+	    now_ms(frontend) - frontend->counts.confirmed_at <
 		    COUNTS_AGE_MAX_MS) {
 		respond_count(request);
 		return;
@@ -585,6 +584,6 @@
 {
 	if (!frontend)
 		return;
-	xdr_free((xdrproc_t)xdr_zx_cell_counts, &frontend->counts);
+	zr_cell_known_counts_clear(&frontend->counts);
 	free(frontend);
 }
--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -23,6 +23,11 @@
  * term. Other hosts may own the cell in between without becoming active.
  */
 #define READS_KEPT_MS 60000
+/*
+ * Age of the read of the jobs at the end of the load up to which the numbers of
+ * waiting jobs are published before the watch has delivered the rest.
+ */
+#define JOBS_AGE_MAX_MS 1000
 /*
  * Margins added to the maximum duration of a lease that the previous owner may
  * have granted, because the worker's clock may be slower than ours.
@@ -243,6 +248,7 @@
 	if (!error) {
 		handle_accepted_keys(scheduler, reply);
 		scheduler->watch_revision = reply->revision;
+		scheduler->jobs_outdated = false;
 		zr_log(ZR_LOG_INFO, "watch.resync revision=%" PRId64,
 		       reply->revision);
 	}
@@ -273,6 +279,7 @@
 		return;
 	}
 	handle_accepted_keys(scheduler, reply);
+	scheduler->jobs_outdated = false;
 	if (reply->revision > scheduler->watch_revision)
 		scheduler->watch_revision = reply->revision;
 	zr_timer_start(scheduler->rewatch, WATCH_PAUSE_MS, 0);
@@ -533,6 +540,9 @@
 			zr_cell_job_cancel(scheduler, job);
 	}
 	scheduler->watch_revision = loading->jobs.revision;
+	scheduler->jobs_outdated =
+		zr_cell_now_ms(scheduler) - loading->jobs.sent_at >
+		JOBS_AGE_MAX_MS;
 	zr_cell_loading_clear(loading);
 	loading->epoch = 0;
 	become_active(scheduler);
@@ -616,6 +626,7 @@
 	call->generation = scheduler->loading.generation;
 	call->sent_at = zr_cell_now_ms(scheduler);
 	read->pending = true;
+	read->sent_at = call->sent_at;
 	scheduler->pending_calls++;
 	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
 		       prefix, true, on_load_read, call);
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -26,6 +26,7 @@
  * struct zr_cell_load_read - a read of the load after a takeover
  * @pending: it has been sent and has no reply
  * @done: it has succeeded
+ * @sent_at: when it was sent
  * @revision: revision of the store that was read
  * @values: what was read, copies
  * @count: number of @values
@@ -33,6 +34,7 @@
 struct zr_cell_load_read {
 	bool pending;
 	bool done;
+	int64_t sent_at;
 	int64_t revision;
 	struct zr_store_value *values;
 	size_t count;
@@ -93,6 +95,8 @@
  * @registry_watched_at: when the last watch was sent
  * @registry_revision: store revision up to which the registry is known; 0: it
  *                     has to be read before it can be watched
+ * @jobs_outdated: jobs may have been accepted long before the load ended that
+ * the watch has not delivered yet, so the numbers would be too low
  * @counts_published_at: when the numbers of waiting jobs were last published
  * @released: called once the cell has been released
  * @released_ctx: passed to @released
@@ -145,6 +149,7 @@
 	bool registry_watching;
 	int64_t registry_watched_at;
 	int64_t registry_revision;
+	bool jobs_outdated;
 	int64_t counts_published_at;
 	void (*released)(void *ctx);
 	void *released_ctx;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -400,7 +400,8 @@
 	zr_cell_registry_process(scheduler);
 	if (now - scheduler->counts_published_at >= COUNTS_INTERVAL_MS) {
 		scheduler->counts_published_at = now;
-		publish_counts(scheduler);
+		if (!scheduler->jobs_outdated)
+			publish_counts(scheduler);
 		log_load(scheduler, now);
 		remove_expired_jobs(scheduler);
 	}
@@ -535,6 +536,12 @@
 	return zr_owner_holder(scheduler->owner);
 }
 
+int64_t
+zr_cell_scheduler_holder_revision(const struct zr_cell_scheduler *scheduler)
+{
+	return zr_owner_holder_revision(scheduler->owner);
+}
+
 void zr_cell_scheduler_set_proxies(struct zr_cell_scheduler *scheduler,
 				   const struct zr_cell_adviser_proxy *proxies,
 				   size_t count)
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -133,6 +133,13 @@
 /** zr_cell_scheduler_holder() - name of the owning host, "" if unknown */
 const char *zr_cell_scheduler_holder(const struct zr_cell_scheduler *scheduler);
 
+/**
+ * zr_cell_scheduler_holder_revision() - store revision at which the term of the
+ * owning host began, 0 if the cell has no owner as far as this host knows
+ */
+int64_t
+zr_cell_scheduler_holder_revision(const struct zr_cell_scheduler *scheduler);
+
 /**
  * zr_cell_scheduler_notify_job() - process a job or a cancellation that a host
  * has written to the store
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -33,6 +33,7 @@
  * @unused_key: last epoch whose owner gave the domain back unused, and the
  *	number of such terms in a row
  * @holder: owner at the last read, or ""
+ * @holder_revision: revision of @owner_key as @holder wrote it; 0: no owner
  * @leftover_revision: revision of an owner key left by an earlier process of
  *	this host, 0 if there is none; a campaign replaces that key
  * @open_calls: number of store calls in flight, including the watch and
@@ -70,6 +71,7 @@
 	char released_key[KEY_MAX];
 	char unused_key[KEY_MAX];
 	char holder[ZR_NAME_MAX];
+	int64_t holder_revision;
 	int64_t leftover_revision;
 	struct zr_owner_events events;
 	void *ctx;
@@ -186,6 +188,7 @@
 	owner->vacant = false;
 	owner->owner_revision = term.owner_revision;
 	snprintf(owner->holder, sizeof(owner->holder), "%s", owner->name);
+	owner->holder_revision = owner->owner_revision;
 	start_timer(owner, owner->options.renew_ms);
 	zr_log(ZR_LOG_INFO,
 	       "domain.gained domain=%s epoch=%" PRIu64
@@ -321,6 +324,7 @@
 	owner->watch_revision = reply->revision;
 	owner->leftover_revision = 0;
 	owner->holder[0] = '\0';
+	owner->holder_revision = 0;
 	owner->epoch = 0;
 	owner->epoch_revision = 0;
 	owner->released_epoch = 0;
@@ -331,6 +335,7 @@
 			has_owner = !is_own_leftover(owner, value);
 			snprintf(owner->holder, sizeof(owner->holder), "%.*s",
 				 (int)value->length, (const char *)value->data);
+			owner->holder_revision = value->mod_revision;
 			if (!has_owner)
 				owner->leftover_revision = value->mod_revision;
 		} else if (!strcmp(value->key, owner->epoch_key)) {
@@ -475,6 +480,11 @@
 	return owner->holder;
 }
 
+int64_t zr_owner_holder_revision(const struct zr_owner *owner)
+{
+	return owner->holder_revision;
+}
+
 const char *zr_owner_key(const struct zr_owner *owner)
 {
 	return owner->owner_key;
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -141,6 +141,14 @@
  */
 const char *zr_owner_holder(const struct zr_owner *owner);
 
+/**
+ * zr_owner_holder_revision() - store revision at which the holder's term began
+ * @owner: the object
+ *
+ * Return: the revision, or 0 if the domain had no owner at the last read.
+ */
+int64_t zr_owner_holder_revision(const struct zr_owner *owner);
+
 /** zr_owner_key() - store key of the owner, for comparison in transactions */
 const char *zr_owner_key(const struct zr_owner *owner);
 
