--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -22,18 +22,45 @@
 	ZR_CELL_ACTIVE,	 /* places tasks and sends requests to workers */
 };
 
+/**
+ * struct zr_cell_load_read - a read of the load after a takeover
+ * @pending: it has been sent and has no reply
+ * @done: it has succeeded
+ * @sent_at: when it was sent
+ * @revision: revision of the store that was read
+ * @values: what was read, copies
+ * @count: number of @values
+ */
+struct zr_cell_load_read {
+	bool pending;
+	bool done;
+	int64_t sent_at;
+	int64_t revision;
+	struct zr_store_value *values;
+	size_t count;
+};
+
 /**
  * struct zr_cell_loading - state of the load of all jobs after a takeover
- * @pending: number of reads without a reply
- * @error: error of a read; 0: none
- * @progress: progress records that have been read; copies
- * @progress_count: number of records
+ * @epoch: epoch of this host's last term since the reads began; 0: none
+ * @generation: increases when the reads begin anew; replies to those of an
+ *	earlier value are ignored
+ * @began_at: when the current term began
+ * @deadline_at: when the cell is given back unless the load has ended
+ * @kept_until: when the reads are discarded, if the term has been lost
+ * @error: error of a read since the last attempt began; 0: none
+ * @jobs: read of the jobs
+ * @progress: read of their progress
  */
 struct zr_cell_loading {
-	unsigned int pending;
+	uint64_t epoch;
+	uint64_t generation;
+	int64_t began_at;
+	int64_t deadline_at;
+	int64_t kept_until;
 	int error;
-	struct zr_store_value *progress;
-	size_t progress_count;
+	struct zr_cell_load_read jobs;
+	struct zr_cell_load_read progress;
 };
 
 /**
@@ -42,8 +69,9 @@
  * @config: configuration in use; NULL before the first one
  * @owner: competes for the ownership of the cell
  * @phase: current phase
- * @better_host_present: another host suits better as the owner, so this one
- *                       delays its attempts
+ * @own_size: processors of this host, in thousandths
+ * @largest_size: those of the largest other host; 0: none is known
+ * @suspect: this host's own connection to the store is suspect
  * @settling: the other hosts are not known yet
  * @term: increases whenever a term begins or ends; answers to calls of an
  *        earlier value are ignored
@@ -58,6 +86,7 @@
  * @plan_scheduled: @plan has been started
  * @watch_revision: store revision up to which accepted jobs are known
  * @watch_failures: number of consecutive watches that failed
+ * @failed_loads: number of own terms in a row that ended before the load did
  * @loading: reads of the jobs and their progress, in ZR_CELL_LOADING
  * @registry_reading: a read of the worker registry is pending
  * @registry_requested_at: when the last read of the registry was sent
@@ -66,6 +95,8 @@
  * @registry_watched_at: when the last watch was sent
  * @registry_revision: store revision up to which the registry is known; 0: it
  *                     has to be read before it can be watched
+ * @jobs_outdated: jobs may have been accepted long before the load ended that
+ * the watch has not delivered yet, so the numbers would be too low
  * @counts_published_at: when the numbers of waiting jobs were last published
  * @released: called once the cell has been released
  * @released_ctx: passed to @released
@@ -83,6 +114,8 @@
  * @polls: polls sent
  * @lost: runs that were lost with their worker or did not start
  * @takeovers: times the ownership was won
+ * @load_timeouts: times the cell was given back because the load took too long
+ * @loaded_bytes: bytes of jobs and progress read after takeovers
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
@@ -92,7 +125,9 @@
 	const struct zr_cell_config *config;
 	struct zr_owner *owner;
 	enum zr_cell_phase phase;
-	bool better_host_present;
+	uint32_t own_size;
+	uint32_t largest_size;
+	bool suspect;
 	bool settling;
 	uint64_t term;
 	uint64_t fencing_token;
@@ -106,6 +141,7 @@
 	bool plan_scheduled;
 	int64_t watch_revision;
 	uint32_t watch_failures;
+	unsigned int failed_loads;
 	struct zr_cell_loading loading;
 	bool registry_reading;
 	int64_t registry_requested_at;
@@ -113,6 +149,7 @@
 	bool registry_watching;
 	int64_t registry_watched_at;
 	int64_t registry_revision;
+	bool jobs_outdated;
 	int64_t counts_published_at;
 	void (*released)(void *ctx);
 	void *released_ctx;
@@ -128,6 +165,8 @@
 	struct zr_metric *polls;
 	struct zr_metric *lost;
 	struct zr_metric *takeovers;
+	struct zr_metric *load_timeouts;
+	struct zr_metric *loaded_bytes;
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
@@ -159,9 +198,21 @@
 bool zr_cell_call_done(struct zr_cell_scheduler *scheduler);
 
 /* job_loader.c */
-/** zr_cell_load_jobs() - load all jobs from the store, then become active */
-void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler);
-/** zr_cell_loading_clear() - free what has been read */
+/**
+ * zr_cell_load_jobs() - load all jobs from the store, then become active
+ * @scheduler: the scheduler
+ * @term: the term of ownership that has just begun
+ * @timeout_ms: time after which the load has failed, in milliseconds
+ */
+void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler,
+		       const struct zr_owner_term *term,
+		       unsigned int timeout_ms);
+/** zr_cell_load_process() - note that a load takes too long; discard old ones
+ */
+void zr_cell_load_process(struct zr_cell_scheduler *scheduler);
+/** zr_cell_load_lost() - the term has ended before the load did */
+void zr_cell_load_lost(struct zr_cell_scheduler *scheduler);
+/** zr_cell_loading_clear() - free what has been read and ignore open reads */
 void zr_cell_loading_clear(struct zr_cell_loading *loading);
 /** zr_cell_watch_jobs() - watch the store for accepted jobs */
 void zr_cell_watch_jobs(struct zr_cell_scheduler *scheduler);
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -20,15 +20,45 @@
 #define OWNER_POLL_MS 400
 /*
  * The scheduler of a large cell needs a large host, so smaller hosts delay
- * their campaign by this time. The watch reports a vacant cell to all hosts
- * within milliseconds.
+ * their campaign by this time, and by as much again for each time that the
+ * largest host has twice their size. The watch reports a vacant cell to all
+ * hosts within milliseconds; when the store returns, they find it vacant within
+ * OWNER_POLL_MS and the timeout of a call.
  */
 #define SMALL_HOST_DELAY_MS 350
+/*
+ * Longest delay: what the lease leaves of the callers' timeout, but for the
+ * time of the load.
+ */
+#define CALLER_TIMEOUT_MS 3000
+#define LOAD_RESERVE_MS 600
+#define SMALL_HOST_DELAY_MAX_MS \
+	(CALLER_TIMEOUT_MS - OWNER_LEASE_MS - LOAD_RESERVE_MS)
 /*
  * A host that has just started does not know yet whether others are larger.
  * When all hosts restart together, they learn of each other within this time.
  */
 #define SETTLING_DELAY_MS 250
+/*
+ * The users want the cell to work again this long after the loss of its owner
+ * at the latest.
+ */
+#define RECOVERY_TARGET_MS 12000
+/*
+ * Time that a new owner has to load the state, before it gives the cell back to
+ * a host that can. Expired lease, a failed load, another campaign and a load
+ * that succeeds have to fit into the recovery target. Each failed load doubles
+ * the time of the next, so that a load that takes longer on any host succeeds
+ * too.
+ */
+#define LOAD_TIMEOUT_MS (RECOVERY_TARGET_MS / 4)
+#define LOAD_TIMEOUT_DOUBLINGS_MAX 6
+/*
+ * Delay of the campaigns of a host whose last load failed, in which each other
+ * host can take the cell; doubled by each further failed load.
+ */
+#define LOAD_BACKOFF_MS 1000
+#define LOAD_BACKOFF_DOUBLINGS_MAX 2
 /*
  * Maximum time that a release waits for the journal. No tasks are placed
  * meanwhile.
@@ -56,10 +86,23 @@
 	       zr_owner_lease_state(scheduler->owner) == ZR_OWNER_LEASE_VALID;
 }
 
-void zr_cell_scheduler_set_better_host(struct zr_cell_scheduler *scheduler,
-				       bool better_host_present)
+void zr_cell_scheduler_set_sizes(struct zr_cell_scheduler *scheduler,
+				 uint32_t own, uint32_t largest)
 {
-	scheduler->better_host_present = better_host_present;
+	if (scheduler->own_size == own && scheduler->largest_size == largest)
+		return;
+	scheduler->own_size = own;
+	scheduler->largest_size = largest;
+	zr_owner_reconsider(scheduler->owner);
+}
+
+void zr_cell_scheduler_set_suspect(struct zr_cell_scheduler *scheduler,
+				   bool suspect)
+{
+	if (scheduler->suspect == suspect)
+		return;
+	scheduler->suspect = suspect;
+	zr_owner_reconsider(scheduler->owner);
 }
 
 void zr_cell_scheduler_set_settling(struct zr_cell_scheduler *scheduler,
@@ -238,6 +281,30 @@
 		abort();
 }
 
+static unsigned int min_uint(unsigned int a, unsigned int b)
+{
+	return a < b ? a : b;
+}
+
+/* Failed loads of other hosts count as well: each of them would try in turn. */
+static unsigned int load_timeout_ms(const struct zr_cell_scheduler *scheduler,
+				    const struct zr_owner_term *term)
+{
+	unsigned int failed = scheduler->failed_loads > term->unused_terms
+				      ? scheduler->failed_loads
+				      : term->unused_terms;
+
+	return LOAD_TIMEOUT_MS << min_uint(failed, LOAD_TIMEOUT_DOUBLINGS_MAX);
+}
+
+static unsigned int load_backoff_ms(const struct zr_cell_scheduler *scheduler)
+{
+	if (!scheduler->failed_loads)
+		return 0;
+	return LOAD_BACKOFF_MS << min_uint(scheduler->failed_loads - 1,
+					   LOAD_BACKOFF_DOUBLINGS_MAX);
+}
+
 static void on_gained(void *ctx, const struct zr_owner_term *term)
 {
 	struct zr_cell_scheduler *scheduler = ctx;
@@ -251,22 +318,42 @@
 	scheduler->takeovers->value++;
 	zr_cell_journal_open(scheduler->journal, zr_owner_key(scheduler->owner),
 			     term->owner_revision);
-	zr_cell_load_jobs(scheduler);
+	zr_cell_load_jobs(scheduler, term, load_timeout_ms(scheduler, term));
 }
 
 static void on_lost(void *ctx)
 {
 	struct zr_cell_scheduler *scheduler = ctx;
 
+	if (scheduler->phase == ZR_CELL_LOADING)
+		zr_cell_load_lost(scheduler);
 	end_term(scheduler);
 }
 
+static unsigned int
+small_host_delay_ms(const struct zr_cell_scheduler *scheduler)
+{
+	unsigned int delay_ms = 0;
+	uint64_t size = scheduler->own_size ? scheduler->own_size : 1;
+
+	if (scheduler->suspect)
+		delay_ms = SMALL_HOST_DELAY_MS;
+	if (size >= scheduler->largest_size)
+		return delay_ms;
+	for (delay_ms = SMALL_HOST_DELAY_MS;
+	     2 * size <= scheduler->largest_size &&
+	     delay_ms < SMALL_HOST_DELAY_MAX_MS;
+	     size *= 2)
+		delay_ms += SMALL_HOST_DELAY_MS;
+	return min_uint(delay_ms, SMALL_HOST_DELAY_MAX_MS);
+}
+
 static unsigned int campaign_delay_ms(void *ctx)
 {
 	const struct zr_cell_scheduler *scheduler = ctx;
 
 	return (scheduler->settling ? SETTLING_DELAY_MS : 0) +
-	       (scheduler->better_host_present ? SMALL_HOST_DELAY_MS : 0);
+	       small_host_delay_ms(scheduler) + load_backoff_ms(scheduler);
 }
 
 static void on_ownership_lost(void *ctx)
@@ -309,6 +396,7 @@
 
 	if (scheduler->releasing)
 		try_release(scheduler);
+	zr_cell_load_process(scheduler);
 	if (scheduler->phase != ZR_CELL_ACTIVE)
 		return;
 	zr_cell_state_queries_process(scheduler);
@@ -318,7 +406,8 @@
 	zr_cell_registry_process(scheduler);
 	if (now - scheduler->counts_published_at >= COUNTS_INTERVAL_MS) {
 		scheduler->counts_published_at = now;
-		publish_counts(scheduler);
+		if (!scheduler->jobs_outdated)
+			publish_counts(scheduler);
 		log_load(scheduler, now);
 		remove_expired_jobs(scheduler);
 	}
@@ -349,6 +438,13 @@
 	scheduler->takeovers = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_take_overs_total", NULL,
 		"Times this host took the cell over");
+	scheduler->load_timeouts = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_load_given_up_total", NULL,
+		"Times this host gave the cell back because the load took too "
+		"long");
+	scheduler->loaded_bytes = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_load_bytes_total", NULL,
+		"Bytes of jobs and their progress read after take-overs");
 	scheduler->advice.queries = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_advice_total", "outcome=\"asked\"",
 		"Questions to the adviser");
@@ -446,6 +542,12 @@
 	return zr_owner_holder(scheduler->owner);
 }
 
+int64_t
+zr_cell_scheduler_holder_revision(const struct zr_cell_scheduler *scheduler)
+{
+	return zr_owner_holder_revision(scheduler->owner);
+}
+
 void zr_cell_scheduler_set_proxies(struct zr_cell_scheduler *scheduler,
 				   const struct zr_cell_adviser_proxy *proxies,
 				   size_t count)
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -422,6 +422,25 @@
 		free(steps[i].depends_on);
 }
 
+static void do_jobs(struct cell_script *script)
+{
+	char *const prefix = script->words[2];
+	const int count = atoi(word(script, 3));
+	char name[ZR_NAME_MAX];
+	int i;
+
+	for (i = 4; i < script->word_count; i++)
+		script->words[i - 1] = script->words[i];
+	script->word_count--;
+	for (i = 0; i < count; i++) {
+		snprintf(name, sizeof(name), "%s%d", prefix, i);
+		script->words[2] = name;
+		do_submit(script);
+		fake_net_advance(script->net, 1);
+		fake_pool_tick(script->pool);
+	}
+}
+
 static void do_cancel(struct cell_script *script)
 {
 	char key[ZR_CELL_KEY_MAX];
@@ -508,6 +527,12 @@
 		       on_waiting_jobs, script);
 }
 
+static void do_recovery_reads(struct cell_script *script)
+{
+	print(script, "recovery reads: %lu",
+	      fake_store_counts(script->store)->reads[ZR_STORE_RECOVERY]);
+}
+
 static void do_advance(struct cell_script *script)
 {
 	int left_ms = atoi(word(script, 1));
@@ -535,6 +560,13 @@
 			  link_endpoint(word(script, 2)), (enum fake_link)mode);
 }
 
+static void do_bandwidth(struct cell_script *script)
+{
+	fake_net_set_bandwidth(script->net, link_endpoint(word(script, 1)),
+			       link_endpoint(word(script, 2)),
+			       strtoul(word(script, 3), NULL, 10));
+}
+
 static void do_release(struct cell_script *script)
 {
 	fake_net_release(script->net, link_endpoint(word(script, 1)),
@@ -582,10 +614,19 @@
 	zr_cell_scheduler_release(host->scheduler, on_released, host);
 }
 
-static void do_larger_host(struct cell_script *script)
+static void do_size(struct cell_script *script)
 {
-	zr_cell_scheduler_set_better_host(
-		find_host(script, word(script, 1))->scheduler, true);
+	zr_cell_scheduler_set_sizes(
+		find_host(script, word(script, 1))->scheduler,
+		(uint32_t)atoi(word(script, 2)),
+		(uint32_t)atoi(word(script, 3)));
+}
+
+static void do_suspect(struct cell_script *script)
+{
+	zr_cell_scheduler_set_suspect(
+		find_host(script, word(script, 1))->scheduler,
+		!strcmp(word(script, 2), "yes"));
 }
 
 static void do_settling(struct cell_script *script)
@@ -641,9 +682,12 @@
 	{"cancel", do_cancel},
 	{"state", do_state},
 	{"waiting-jobs", do_waiting_jobs},
+	{"recovery-reads", do_recovery_reads},
 	{"advance", do_advance},
 	{"clock-resolution", do_clock_resolution},
 	{"link", do_link},
+	{"bandwidth", do_bandwidth},
+	{"jobs", do_jobs},
 	{"release", do_release},
 	{"pause", do_pause},
 	{"resume", do_resume},
@@ -651,7 +695,8 @@
 	{"stop", do_stop},
 	{"hang", do_hang},
 	{"stop-ms", do_stop_ms},
-	{"larger-host", do_larger_host},
+	{"size", do_size},
+	{"suspect", do_suspect},
 	{"settling", do_settling},
 	{"owner", do_owner},
 	{"restart", do_restart},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -31,15 +31,26 @@
  *   state HOST JOB             print the persisted state of a job
  *   query HOST JOB             print the state that HOST's scheduler reports
  *   waiting-jobs HOST          print the persisted number of waiting jobs
+ *   recovery-reads             print the number of reads that owners have made
+ *                              to load jobs and their progress
  *   adviser-queries            print the number of queries sent to the adviser
  *   owner                      print the host whose scheduler owns the cell
  *   advance MS                 advance the fake clock
  *   clock-resolution HOST MS   set the resolution of a host's monotonic clock
- *   larger-host HOST           report a larger host in the cell to HOST
+ *   size HOST MILLICPUS LARGEST
+ *                              tell HOST its size, and that of the largest
+ *                              other host that it has seen
+ *   suspect HOST yes|no        report to HOST that its connection to the store
+ *                              is suspect
  *   settling HOST yes|no       report to HOST that it has just started
  *   link FROM TO pass|hold|drop|duplicate|refuse
  *                              set what happens to messages; `*` is any node;
  *                              refuse: the sender gets an error at once
+ *   bandwidth FROM TO BYTES    limit the bytes per second that the store's
+ *                              responses take on a link
+ *   jobs HOST PREFIX COUNT STEP...
+ *                              submit COUNT jobs, PREFIX0 and so on, one each
+ *                              millisecond
  *   release FROM TO [reverse]  deliver the held messages, the last one first
  *                              with reverse
  *   pause NODE, resume NODE    suspend and continue a process
