platform: bytes from the store by purpose, and a line for a read cut off

Cause: while the links of 38 hosts were full, no counter told what filled them, and a read that its timeout cut off left no line; it looked like a store that is away. Change: zinniarack_store_bytes_total{purpose=...}, "watch" for watches, also counts responses that were cut off; store.read_cut_off with purpose, bytes, time and error when a read or a watch fails after part of its response has arrived, at most one line a second.

--- a/src/libzinniarack/net/http_client.c
+++ b/src/libzinniarack/net/http_client.c
@@ -38,6 +38,7 @@
 	unsigned int silence_ms;
 	uint64_t ends_at_ms; /* end of the whole call, if silence_ms is set */
 	uint64_t received_at_ms; /* last bytes of the response */
+	int64_t *received;	 /* counts its bytes; or NULL */
 	bool idempotent;
 	bool sent;
 	bool resent;
@@ -259,6 +260,8 @@
 	bool surplus;
 
 	request->received_at_ms = uv_now(request->client->loop);
+	if (request->received)
+		*request->received += (int64_t)length;
 	switch (zr_http_response_reader_read(&request->reader, bytes, length,
 					     &surplus)) {
 	case ZR_HTTP_READ_INCOMPLETE:
@@ -516,6 +519,7 @@
 	request->client = client;
 	request->idempotent = call->idempotent;
 	request->silence_ms = call->silence_ms;
+	request->received = call->received;
 	request->ends_at_ms = uv_now(client->loop) + call->max_ms;
 	if (call->request_id)
 		snprintf(request->expected_id, sizeof(request->expected_id),
--- a/src/libzinniarack/net/http_client.h
+++ b/src/libzinniarack/net/http_client.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 #include <uv.h>
 
 #include "zinniarack/clock.h"
@@ -62,6 +63,8 @@
  *	arrives, and fails when no byte of it arrives for this time
  * @max_ms: if @silence_ms is set, timeout of the whole call, from
  *	zr_http_client_call() on
+ * @received: increased by the bytes of the response as they arrive, also if the
+ *	call fails, until its callback is called; NULL if not needed
  * @idempotent: whether the request may be sent again, once, if the server
  *	closes a reused connection before it sends any byte of the response
  */
@@ -77,6 +80,7 @@
 	unsigned int timeout_ms;
 	unsigned int silence_ms;
 	unsigned int max_ms;
+	int64_t *received;
 	bool idempotent;
 };
 
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -13,6 +13,7 @@
 #include "net/address.h"
 #include "platform.h"
 #include "zinniarack/errors.h"
+#include "zinniarack/log.h"
 
 #define NS_PER_MS 1000000ULL
 #define POLL_INTERVAL_US 200
@@ -341,6 +342,124 @@
 }
 END_TEST
 
+/* Metrics and log */
+
+static int64_t bytes_from_store(const char *purpose)
+{
+	char labels[TEXT_MAX];
+
+	snprintf(labels, sizeof(labels), "purpose=\"%s\"", purpose);
+	return zr_metrics_get_or_add_counter(
+		       metrics, "zinniarack_store_bytes_total", labels, "")
+		->value;
+}
+
+static size_t count_lines(FILE *file, const char *event, char *out, size_t size)
+{
+	char line[TEXT_MAX];
+	size_t count = 0;
+
+	rewind(file);
+	while (fgets(line, sizeof(line), file)) {
+		if (!strstr(line, event))
+			continue;
+		count++;
+		snprintf(out, size, "%s", line);
+	}
+	return count;
+}
+
+/* The monitoring could not tell what had filled the link. */
+START_TEST(test_received_bytes_are_counted_by_purpose)
+{
+	const char *body = ITEM("op/config", "eA==");
+	int fd;
+
+	zr_store_range(&store, ZR_STORE_CONFIG, "op/config", false, on_done,
+		       NULL);
+	fd = accept_request("GET /-/kv-key?key=op/config ");
+	send_head(fd, 200, strlen(body));
+	raw_send(fd, body, strlen(body));
+	ck_assert(raw_run(&loop, &result.done));
+	ck_assert_int_gt(bytes_from_store("config"), (int64_t)strlen(body));
+	ck_assert_int_lt(bytes_from_store("config"), TEXT_MAX);
+	ck_assert_int_eq(bytes_from_store("accept"), 0);
+	result.done = false;
+	zr_store_watch(&store, "a/", 5, 30000, on_done, NULL);
+	close(fd);
+	fd = accept_request("GET /-/kv-watch?prefix=a/&after=5&");
+	raw_send(fd, "HTTP/1.1 200", 12);
+	run_for(PART_MS);
+	close(fd);
+	ck_assert(raw_run(&loop, &result.done));
+	ck_assert_int_eq(bytes_from_store("watch"), 12);
+}
+END_TEST
+
+static void read_and_cut_off(const char *key)
+{
+	char request[TEXT_MAX];
+
+	result.done = false;
+	snprintf(request, sizeof(request), "GET /-/kv-key?key=%s ", key);
+	zr_store_range(&store, ZR_STORE_CONFIG, key, false, on_done, NULL);
+	cut_off(accept_request(request));
+	ck_assert(raw_run(&loop, &result.done));
+	ck_assert_int_eq(result.error, ZR_E_STORE_DOWN);
+}
+
+/*
+ * A read that failed on the way left no line, so that a slow own link could not
+ * be told from a store that is away.
+ */
+START_TEST(test_read_that_is_cut_off_is_logged)
+{
+	FILE *log = tmpfile();
+	int saved = dup(STDERR_FILENO);
+	char line[TEXT_MAX] = "";
+	size_t first;
+	size_t second;
+	size_t third;
+	uint64_t begun;
+	uint64_t seconds;
+	int fd;
+
+	fflush(stderr);
+	dup2(fileno(log), STDERR_FILENO);
+	zr_log_init("test", ZR_LOG_WARN, ZR_LOG_TEXT);
+	/* Without any bytes of the response there is no line. */
+	zr_store_range(&store, ZR_STORE_CONFIG, "a", false, on_done, NULL);
+	fd = accept_request("GET /-/kv-key?key=a ");
+	close(fd);
+	ck_assert(raw_run(&loop, &result.done));
+	fflush(stderr);
+	first = count_lines(log, "store.read_cut_off", line, sizeof(line));
+	begun = uv_hrtime();
+	read_and_cut_off("b");
+	read_and_cut_off("c");
+	/* Not more than one line a second. */
+	seconds = (uv_hrtime() - begun) / (1000 * NS_PER_MS);
+	fflush(stderr);
+	second = count_lines(log, "store.read_cut_off", line, sizeof(line));
+	run_for(1000);
+	read_and_cut_off("d");
+	fflush(stderr);
+	third = count_lines(log, "store.read_cut_off", line, sizeof(line));
+	zr_log_close();
+	dup2(saved, STDERR_FILENO);
+	close(saved);
+	fclose(log);
+	ck_assert_uint_eq(first, 0);
+	ck_assert_uint_ge(second, 1);
+	ck_assert_uint_le(second, 1 + seconds);
+	ck_assert_uint_eq(third, second + 1);
+	ck_assert_msg(strstr(line, "store.read_cut_off purpose=config "
+				   "bytes=54 took_ms="),
+		      "%s", line);
+	ck_assert_msg(strstr(line, " error=outcome_unknown"), "%s", line);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform_store");
@@ -362,6 +481,8 @@
 	tcase_add_test(tests, test_receiving_while_a_response_arrives);
 	tcase_add_test(tests, test_receiving_while_a_watch_arrives);
 	tcase_add_test(tests, test_receiving_between_pages);
+	tcase_add_test(tests, test_received_bytes_are_counted_by_purpose);
+	tcase_add_test(tests, test_read_that_is_cut_off_is_logged);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
