--- a/tests/unit/test_cell_relay.c
+++ b/tests/unit/test_cell_relay.c
@@ -16,7 +16,7 @@
 #define DEFAULT_PORT_BASE 21000
 #define PORT_OFFSET 960
 #define VALUE_BYTES 1048576
-#define TIMEOUT_MS 20000
+#define TIMEOUT_MS 5000
 
 static const struct zr_rpc_procedure procedure = {
 	.number = ZX_CELL_STORE,
