standin-relay: a link with little bandwidth

The relay could silence connections or cut them, but not limit them. Without the option it works as before.

--- a/tests/standins/relay.c
+++ b/tests/standins/relay.c
@@ -6,6 +6,9 @@
  *	SIGUSR1  makes the open connections silent for good; new ones work
  *	SIGUSR2  also accepts new connections, which are silent from the start
  *	SIGHUP   lets new connections work again; silent ones stay silent
+ *
+ * With --mbps, all connections together carry that much in each direction: the
+ * relay is then a link with little bandwidth, which the connections share.
  */
 #include <argp.h>
 #include <signal.h>
@@ -21,6 +24,17 @@
 
 #define MAPPINGS_MAX 64
 #define CHUNK_BYTES 65536
+/* Connections of a limited link take turns after this many bytes. */
+#define LIMITED_CHUNK_BYTES 8192
+/*
+ * What a link with data to carry may catch up, since timers are late by up to a
+ * millisecond.
+ */
+#define CATCH_UP_US 5000
+#define US_PER_MS 1000
+#define NS_PER_US 1000
+#define BITS_PER_BYTE 8
+#define HANDLES_PER_CONNECTION 4
 
 /* An address that the relay listens on, and where it forwards to. */
 struct mapping {
@@ -29,17 +43,25 @@
 	uv_tcp_t listener;
 };
 
-/* One side of a connection; data that it receives goes to @other. */
+/**
+ * struct endpoint - one side of a connection
+ * @other: where the data that it receives goes
+ * @timer: fires when the link has carried @held
+ * @held: data on a limited link; nothing more is read meanwhile
+ */
 struct endpoint {
 	uv_tcp_t tcp;
 	struct connection *connection;
 	struct endpoint *other;
+	uv_timer_t timer;
+	char held[LIMITED_CHUNK_BYTES];
+	size_t held_length;
 };
 
 /**
  * struct connection - an accepted connection and the one to its target
  * @is_silent: whether its data is dropped
- * @open_handles: number of its two endpoints that aren't closed yet
+ * @open_handles: number of its handles that aren't closed yet
  */
 struct connection {
 	struct connection *prev;
@@ -60,9 +82,12 @@
 static struct mapping mappings[MAPPINGS_MAX];
 static size_t mapping_count;
 static struct connection *connections;
-static bool is_cut; /* SIGUSR2 is in effect: new connections are silent */
+static bool is_cut;	  /* SIGUSR2 is in effect: new connections are silent */
+static unsigned int mbps; /* bandwidth of the link; 0: unlimited */
+/* When the link has carried what it was given, to and from the clients. */
+static uint64_t free_at_us[2];
 
-static void on_endpoint_closed(uv_handle_t *handle)
+static void on_handle_closed(uv_handle_t *handle)
 {
 	struct connection *connection = handle->data;
 
@@ -77,8 +102,10 @@
 	if (connection->is_closing)
 		return;
 	connection->is_closing = true;
-	uv_close((uv_handle_t *)&connection->client.tcp, on_endpoint_closed);
-	uv_close((uv_handle_t *)&connection->server.tcp, on_endpoint_closed);
+	uv_close((uv_handle_t *)&connection->client.tcp, on_handle_closed);
+	uv_close((uv_handle_t *)&connection->server.tcp, on_handle_closed);
+	uv_close((uv_handle_t *)&connection->client.timer, on_handle_closed);
+	uv_close((uv_handle_t *)&connection->server.timer, on_handle_closed);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested_size, uv_buf_t *buf)
@@ -87,7 +114,7 @@
 
 	(void)handle;
 	(void)suggested_size;
-	*buf = uv_buf_init(chunk, sizeof(chunk));
+	*buf = uv_buf_init(chunk, mbps ? LIMITED_CHUNK_BYTES : CHUNK_BYTES);
 }
 
 static void on_written(uv_write_t *write, int status)
@@ -124,6 +151,40 @@
 	return &connection->server;
 }
 
+static void on_read(uv_stream_t *stream, ssize_t length_read,
+		    const uv_buf_t *buf);
+
+static void on_carried(uv_timer_t *timer)
+{
+	struct connection *connection = timer->data;
+	struct endpoint *from = timer == &connection->client.timer
+					? &connection->client
+					: &connection->server;
+
+	if (connection->is_silent)
+		return;
+	forward(from->other, from->held, from->held_length);
+	uv_read_start((uv_stream_t *)&from->tcp, on_alloc, on_read);
+}
+
+/* Forwards data when the link has carried it and all that came before. */
+static void carry(struct endpoint *from, const char *bytes, size_t length)
+{
+	uint64_t now_us = uv_hrtime() / NS_PER_US;
+	uint64_t *free_at = &free_at_us[from == &from->connection->client];
+
+	if (*free_at < now_us - CATCH_UP_US)
+		*free_at = now_us - CATCH_UP_US;
+	*free_at += length * BITS_PER_BYTE / mbps;
+	memcpy(from->held, bytes, length);
+	from->held_length = length;
+	uv_read_stop((uv_stream_t *)&from->tcp);
+	uv_update_time(from->timer.loop);
+	uv_timer_start(&from->timer, on_carried,
+		       *free_at > now_us ? (*free_at - now_us) / US_PER_MS : 0,
+		       0);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t length_read,
 		    const uv_buf_t *buf)
 {
@@ -135,6 +196,8 @@
 		return;
 	if (length_read < 0)
 		close_connection(connection);
+	else if (length_read > 0 && mbps)
+		carry(from, buf->base, (size_t)length_read);
 	else if (length_read > 0)
 		forward(from->other, buf->base, (size_t)length_read);
 }
@@ -153,6 +216,17 @@
 		      on_read);
 }
 
+static void init_endpoint(struct endpoint *endpoint, struct endpoint *other,
+			  struct connection *connection, uv_loop_t *loop)
+{
+	endpoint->connection = connection;
+	endpoint->other = other;
+	uv_tcp_init(loop, &endpoint->tcp);
+	endpoint->tcp.data = connection;
+	uv_timer_init(loop, &endpoint->timer);
+	endpoint->timer.data = connection;
+}
+
 static void on_accept(uv_stream_t *listener, int status)
 {
 	struct mapping *mapping = listener->data;
@@ -163,14 +237,12 @@
 	connection = calloc(1, sizeof(*connection));
 	if (!connection)
 		abort();
-	connection->open_handles = 2;
+	connection->open_handles = HANDLES_PER_CONNECTION;
 	connection->is_silent = is_cut;
-	connection->client.other = &connection->server;
-	connection->server.other = &connection->client;
-	uv_tcp_init(listener->loop, &connection->client.tcp);
-	uv_tcp_init(listener->loop, &connection->server.tcp);
-	connection->client.tcp.data = connection;
-	connection->server.tcp.data = connection;
+	init_endpoint(&connection->client, &connection->server, connection,
+		      listener->loop);
+	init_endpoint(&connection->server, &connection->client, connection,
+		      listener->loop);
 	connection->connect.data = connection;
 	DL_APPEND(connections, connection);
 	if (uv_accept(listener, (uv_stream_t *)&connection->client.tcp)) {
@@ -217,6 +289,10 @@
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
 {
+	if (key == 'b') {
+		mbps = (unsigned int)strtoul(arg, NULL, 10);
+		return 0;
+	}
 	if (key != ARGP_KEY_ARG)
 		return ARGP_ERR_UNKNOWN;
 	if (add_mapping(arg) < 0)
@@ -227,7 +303,13 @@
 int main(int argc, char **argv)
 {
 	static const int signal_numbers[] = {SIGUSR1, SIGUSR2, SIGHUP};
-	static const struct argp argp = {NULL,
+	static const struct argp_option options[] = {
+		{"mbps", 'b', "N", 0,
+		 "Megabits per second in each direction, by default unlimited",
+		 0},
+		{0},
+	};
+	static const struct argp argp = {options,
 					 parse_option,
 					 "LISTEN=TARGET...",
 					 "Stand-in for the network in tests.",
