soak: hosts with links of 10 Mbit/s while the configuration grows

The soak had neither links with little bandwidth nor a configuration that grows.

With ZR_MBPS set, run.sh limits the links of four of six hosts to the store; the platform lets the configuration grow to 4,800 routes (1.4 MB as the store sends it), and with an even seed the hosts with wide links are down around every second growth. soak-prober asks every host as a client for the last route that was added and checks that it serves with it within config_apply (3 s at 10 Mbit/s or more, in proportion below) plus 1 s, and not less often later on (CONFIG). What the soak checked before is still checked. run.sh removes the folder of a run only after its processes have ended, as it finds the hosts that a fault restarts by their files there.

--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -18,6 +18,7 @@
 	int port;
 	int advertised_port;
 	int workers;
+	int added_routes;
 	unsigned int violations;
 } state = {.address = "127.0.0.1", .workers = 8};
 
@@ -54,10 +55,41 @@
 	return text ? atoi(text) : 0;
 }
 
+static json_t *make_route(const char *name, const char *prefix)
+{
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:f, s:i, "
+			 "s:{s:i, s:i, s:i}}",
+			 "name", name, "hostname", "q.example", "prefix",
+			 prefix, "service", "pool", "priority", 1, "attempts",
+			 4, "stretch", 2.0, "latency_target_ms", 1000, "advice",
+			 "decision_ms", 5, "period_ms", 1, "validity_ms", 1500);
+}
+
+/* Writes a new version of the configuration with the route and @added more. */
+static void put_configuration(int added)
+{
+	static int version;
+	json_t *routes = json_array();
+	char prefix[32];
+	int i;
+
+	state.added_routes = added;
+	json_array_append_new(routes, make_route("q", "/q/"));
+	for (i = 0; i < added; i++) {
+		snprintf(prefix, sizeof(prefix), "/added/%d/", i);
+		json_array_append_new(routes, make_route(prefix, prefix));
+	}
+	soak_store_put("op/config",
+		       json_pack("{s:i, s:o, s:[{s:s, s:i, s:[s]}], s:{}}",
+				 "version", ++version, "routes", routes,
+				 "tenants", "name", "caller", "weight", 1000,
+				 "api_keys", "key-1", "limits"));
+}
+
 /*
  * `GET /fault?kind=KIND&ms=MS&much=N` injects a fault. The answer, also to any
- * other path, is the number of violations so far. Kinds, with the parameters
- * that they use:
+ * other path, has the number of violations so far and of the routes that were
+ * added to the configuration. Kinds, with the parameters that they use:
  *
  *	down MS		the store answers 503
  *	silent MS	the store doesn't answer
@@ -66,6 +98,7 @@
  *	forget		the store drops the event history
  *	restart N	worker N crashes and restarts
  *	late MS N	the workers process N % of starts and stops late
+ *	grow N		the configuration grows to N routes more than at first
  */
 static void serve_control(void *ctx, struct zr_http_exchange *exchange)
 {
@@ -91,8 +124,11 @@
 		soak_workers_restart(amount);
 	else if (!strcmp(kind, "late"))
 		soak_workers_delay_requests(ms, amount);
+	else if (!strcmp(kind, "grow"))
+		put_configuration(amount);
 	soak_reply(exchange, 200,
-		   json_pack("{s:i}", "violations", (int)state.violations));
+		   json_pack("{s:i, s:i}", "violations", (int)state.violations,
+			     "routes", state.added_routes));
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -102,21 +138,6 @@
 	soak_workers_tick();
 }
 
-static void put_configuration(void)
-{
-	soak_store_put(
-		"op/config",
-		json_pack("{s:i, s:[{s:s, s:s, s:s, s:s, s:i, s:i, s:f, s:i, "
-			  "s:{s:i, s:i, s:i}}], s:[{s:s, s:i, s:[s]}], s:{}}",
-			  "version", 1, "routes", "name", "q", "hostname",
-			  "q.example", "prefix", "/q/", "service", "pool",
-			  "priority", 1, "attempts", 4, "stretch", 2.0,
-			  "latency_target_ms", 1000, "advice", "decision_ms", 5,
-			  "period_ms", 1, "validity_ms", 1500, "tenants",
-			  "name", "caller", "weight", 1000, "api_keys", "key-1",
-			  "limits"));
-}
-
 static error_t parse_option(int key, char *arg, struct argp_state *argp_state)
 {
 	(void)argp_state;
@@ -172,7 +193,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
-	put_configuration();
+	put_configuration(0);
 	if (listen_on(loop, 0, soak_store_serve) < 0 ||
 	    listen_on(loop, 1, soak_adviser_serve) < 0 ||
 	    listen_on(loop, 2, serve_control) < 0 ||
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -3,7 +3,10 @@
 # platform, and clients with persistent connections. A random series of faults,
 # which the seed determines, is injected from outside. Connections to the store
 # and to the workers go through relays, which can silence them or cut them off;
-# a restart of a relay resets its connections. Relays never delay data.
+# a restart of a relay resets its connections. Relays don't delay data, unless
+# ZR_MBPS is set: then the links to the store of all hosts but the first two
+# have that bandwidth in Mbit/s, the configuration grows to 1.4 MB, and the
+# faults are those of generate_growth.
 #
 # usage: run.sh SEED [SECONDS [FOLDER]]; logs stay in FOLDER when it fails.
 set -eu
@@ -15,8 +18,14 @@
 base_port=$((${ZR_PORT:-27000} + 600))
 hosts=6
 workers=8
+mbps=${ZR_MBPS:-0}
+wide_hosts=2
+# Bound of soak-prober for a host with a limited link, in s.
+apply_s=4
+test "$mbps" -eq 0 || test "$mbps" -ge 10 || apply_s=$((1 + 30 / $mbps))
 mkdir -p "$work"
 pids=
+remove_work=
 
 # spawn NAME COMMAND...: start a process; its output goes to NAME.log and its id
 # to NAME.pid
@@ -34,12 +43,14 @@
 }
 
 kill_all () {
-	for process in $pids
+	# Of a host that a background process has started, only the file tells.
+	for process in $pids $(cat "$work"/host*.pid 2>/dev/null)
 	do
 		kill -CONT "$process" 2>/dev/null || :
 		kill -KILL "$process" 2>/dev/null || :
 	done
 	wait 2>/dev/null || :
+	test -z "$remove_work" || rm -rf "$work"
 }
 trap kill_all EXIT
 trap "exit 2" INT TERM
@@ -78,7 +89,10 @@
 
 # start_relay HOST: relay from a host to the store
 start_relay () {
-	spawn "relay$1" "$build/standin-relay" "$(port $((50 + $1)))=$(port 0)"
+	limit=0
+	test "$1" -lt $wide_hosts || limit=$mbps
+	spawn "relay$1" "$build/standin-relay" --mbps "$limit" \
+		"$(port $((50 + $1)))=$(port 0)"
 }
 
 # start_worker_relay: one relay from all hosts to all workers
@@ -121,6 +135,39 @@
 	}'
 }
 
+# generate_growth: print the faults of a run with limited links, as
+# generate_faults does. The configuration grows to half of its size, to its
+# full size, and then by one route each time. With an even seed, all hosts with
+# a wide link are down around every second growth. Other hosts are down now and
+# then, and workers restart or are late.
+generate_growth () {
+	awk -v seed="$seed" -v seconds="$seconds" -v hosts="$hosts" \
+		-v wide="$wide_hosts" -v apply="$apply_s" 'BEGIN {
+		srand(seed)
+		routes = 2400
+		for (at = 1 + rand(); at < seconds - 1; at += apply + 1 + rand() * 2) {
+			printf "%.2f grow %d 0\n", at, routes
+			routes = routes < 4800 ? 4800 : routes + 1
+			if (seed % 2 == 0 && ++growths % 2 == 0)
+				printf "%.2f stop_wide 0 %d\n", at - 1 + rand() * 2,
+					apply + 1
+		}
+		n = split("stop restart late", kinds, " ")
+		for (at = 2 + rand() * 4; at < seconds - 1; at += 3 + rand() * 4)
+			printf "%.2f %s %d %.2f\n", at, kinds[1 + int(rand() * n)],
+				wide + int(rand() * (hosts - wide)), 1 + rand() * 2
+	}' | sort -n
+}
+
+# stop_host HOST DURATION_S: kill a host that runs, and start it again later
+stop_host () {
+	test ! -e "$work/stopped$1" || return 0
+	: >"$work/stopped$1"
+	signal "host$1" KILL
+	(sleep "$2"; start_host "$1"; rm "$work/stopped$1") &
+	pids="$pids $!"
+}
+
 # inject KIND NUMBER DURATION_S: start a fault; a background process ends it.
 inject () {
 	host=$(($2 % $hosts))
@@ -183,6 +230,20 @@
 	late)
 		fault "kind=late&ms=$ms&much=$(($2 % 60 + 10))"
 		;;
+	grow)
+		fault "kind=grow&much=$2"
+		;;
+	stop)
+		stop_host "$2" "$3"
+		;;
+	stop_wide)
+		i=0
+		while test $i -lt $wide_hosts
+		do
+			stop_host $i "$3"
+			i=$(($i + 1))
+		done
+		;;
 	all)
 		i=0
 		while test $i -lt $hosts
@@ -232,7 +293,18 @@
 caller=$!
 pids="$pids $caller"
 
-generate_faults >"$work/faults"
+prober=
+if test "$mbps" -gt 0
+then
+	"$build/soak-prober" --hosts "$addresses" --control "$(port 2)" \
+		--mbps "$mbps" --wide "$wide_hosts" \
+		--seconds $(($seconds + $apply_s + 1)) >"$work/prober.log" 2>&1 &
+	prober=$!
+	pids="$pids $prober"
+	generate_growth >"$work/faults"
+else
+	generate_faults >"$work/faults"
+fi
 started_ns=$(date +%s%N)
 while read -r at_s kind number duration_s
 do
@@ -246,18 +318,20 @@
 
 status=0
 wait "$caller" || status=1
+test -z "$prober" || wait "$prober" || status=1
 grep '^refused' "$work/caller.log" | while read -r _ id
 do
 	! grep -q "began $id" "$work/platform.log" ||
 		echo "VIOLATION REFUSED $id was refused and started"
 done >"$work/refused"
 grep -h VIOLATION "$work/platform.log" "$work/caller.log" "$work/refused" \
-	>"$work/violations" && status=1
+	${prober:+"$work/prober.log"} >"$work/violations" && status=1
 echo "seed $seed: $(tail -n 1 "$work/caller.log")"
+test -z "$prober" || echo "seed $seed: $(tail -n 1 "$work/prober.log")"
 if test "$status" -ne 0
 then
 	head -n 20 "$work/violations"
 	echo "seed $seed failed; logs are in $work"
 	exit 1
 fi
-test -n "${3:-}" || rm -rf "$work"
+test -n "${3:-}" || remove_work=yes
