cell: calls through another host may take a thin link's time

Seen: scripts of relay and cell, test_cell_relay (1 MiB through another host) and test_cell_process pass. No test goes through peers.c with a slow reply.

--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -33,6 +33,12 @@
  */
 #define NOTIFY_TIMEOUT_MS 400
 #define STATE_TIMEOUT_MS 250
+/*
+ * A reply to a call to the store may bring a configuration over a thin link:
+ * time without a byte of it, and time for all of it, in milliseconds.
+ */
+#define STORE_SILENCE_MS 500
+#define STORE_TRANSFER_MAX_MS 10000
 /* Ticks between reads of the registrations on a host that is not the owner. */
 #define STANDBY_READ_TICKS 5
 #define MILLICPUS_PER_CPU 1000
@@ -110,6 +116,8 @@
 	.result_codec = (xdrproc_t)xdr_zx_cell_store_result,
 	.args_size = sizeof(zx_cell_store_args),
 	.result_size = sizeof(zx_cell_store_result),
+	.silence_ms = STORE_SILENCE_MS,
+	.transfer_max_ms = STORE_TRANSFER_MAX_MS,
 };
 
 /* Registration */
