cell: a host campaigns as soon as its connection is no longer suspect

Cause: the campaign delay was read once, when a host found the cell without an owner.

Change: when the sizes or the suspicion change, the scheduler tells the owner module (zr_owner_reconsider), which waits for the rest of the new delay.

Measured: cell/suspect_ends: before, no owner 200 ms after the cell became free; now the large host. Scripts of cell, relay and domain (75), test_cell_random and test_cell_acceptor pass with both builds; the times of the other scripts are unchanged.

--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -89,14 +89,20 @@
 void zr_cell_scheduler_set_sizes(struct zr_cell_scheduler *scheduler,
 				 uint32_t own, uint32_t largest)
 {
+	if (scheduler->own_size == own && scheduler->largest_size == largest)
+		return;
 	scheduler->own_size = own;
 	scheduler->largest_size = largest;
+	zr_owner_reconsider(scheduler->owner);
 }
 
 void zr_cell_scheduler_set_suspect(struct zr_cell_scheduler *scheduler,
 				   bool suspect)
 {
+	if (scheduler->suspect == suspect)
+		return;
 	scheduler->suspect = suspect;
+	zr_owner_reconsider(scheduler->owner);
 }
 
 void zr_cell_scheduler_set_settling(struct zr_cell_scheduler *scheduler,
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -311,6 +311,13 @@
 	return terms;
 }
 
+void zr_owner_reconsider(struct zr_owner *owner)
+{
+	if (owner->state == ZR_OWNERSHIP_STANDBY && owner->vacant &&
+	    !owner->open_calls && !delay_campaign(owner))
+		start_timer(owner, 0);
+}
+
 static void on_keys(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct zr_owner *owner = ctx;
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -155,6 +155,15 @@
 /** zr_owner_step_down() - step down because another owner was detected */
 void zr_owner_step_down(struct zr_owner *owner);
 
+/**
+ * zr_owner_reconsider() - the campaign delay may have changed
+ * @owner: the object
+ *
+ * If the domain has no owner and this process waits before it competes for it,
+ * it waits for the rest of the new delay.
+ */
+void zr_owner_reconsider(struct zr_owner *owner);
+
 /**
  * zr_owner_give_back() - give up a domain that was never put to use
  * @owner: the object
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -622,6 +622,13 @@
 		(uint32_t)atoi(word(script, 3)));
 }
 
+static void do_suspect(struct cell_script *script)
+{
+	zr_cell_scheduler_set_suspect(
+		find_host(script, word(script, 1))->scheduler,
+		!strcmp(word(script, 2), "yes"));
+}
+
 static void do_settling(struct cell_script *script)
 {
 	zr_cell_scheduler_set_settling(
@@ -689,6 +696,7 @@
 	{"hang", do_hang},
 	{"stop-ms", do_stop_ms},
 	{"size", do_size},
+	{"suspect", do_suspect},
 	{"settling", do_settling},
 	{"owner", do_owner},
 	{"restart", do_restart},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -40,6 +40,8 @@
  *   size HOST MILLICPUS LARGEST
  *                              tell HOST its size, and that of the largest
  *                              other host that it has seen
+ *   suspect HOST yes|no        report to HOST that its connection to the store
+ *                              is suspect
  *   settling HOST yes|no       report to HOST that it has just started
  *   link FROM TO pass|hold|drop|duplicate|refuse
  *                              set what happens to messages; `*` is any node;
