cell: the largest host goes on with a load that makes progress

Cause: an owner gave the cell back when its time for the load was over, also when the next owner was no better and had to read everything again.

Change: a host that knows of no larger one keeps the cell while the responses of the store go on arriving (zr_store_receiving), for the recovery target of 12 s. With an adapter or a wrapper that cannot tell, the time is as before.

--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -674,12 +674,13 @@
 
 void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler,
 		       const struct zr_owner_term *term,
-		       unsigned int timeout_ms)
+		       unsigned int timeout_ms, unsigned int extended_ms)
 {
 	struct zr_cell_loading *loading = &scheduler->loading;
 
 	loading->began_at = zr_cell_now_ms(scheduler);
 	loading->deadline_at = loading->began_at + timeout_ms;
+	loading->extended_until = loading->began_at + extended_ms;
 	loading->error = 0;
 	if (reads_are_valid(loading, term)) {
 		loading->epoch = term->epoch;
@@ -717,13 +718,25 @@
 	zr_owner_give_back(scheduler->owner);
 }
 
+static bool load_is_overdue(const struct zr_cell_scheduler *scheduler,
+			    int64_t now)
+{
+	const struct zr_cell_loading *loading = &scheduler->loading;
+
+	if (now < loading->deadline_at || scheduler->releasing)
+		return false;
+	return now >= loading->extended_until ||
+	       scheduler->largest_size > scheduler->own_size ||
+	       !zr_store_receiving(&scheduler->options.platform->store);
+}
+
 void zr_cell_load_process(struct zr_cell_scheduler *scheduler)
 {
 	struct zr_cell_loading *loading = &scheduler->loading;
 	int64_t now = zr_cell_now_ms(scheduler);
 
 	if (scheduler->phase == ZR_CELL_LOADING) {
-		if (now >= loading->deadline_at && !scheduler->releasing)
+		if (load_is_overdue(scheduler, now))
 			give_up_load(scheduler);
 	} else if (loading->epoch && now >= loading->kept_until) {
 		zr_cell_loading_clear(loading);
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -47,6 +47,8 @@
  *	earlier value are ignored
  * @began_at: when the current term began
  * @deadline_at: when the cell is given back unless the load has ended
+ * @extended_until: until when it is kept after that, if no other host is larger
+ *	and the store's responses go on arriving
  * @kept_until: when the reads are discarded, if the term has been lost
  * @error: error of a read since the last attempt began; 0: none
  * @jobs: read of the jobs
@@ -57,6 +59,7 @@
 	uint64_t generation;
 	int64_t began_at;
 	int64_t deadline_at;
+	int64_t extended_until;
 	int64_t kept_until;
 	int error;
 	struct zr_cell_load_read jobs;
@@ -203,10 +206,11 @@
  * @scheduler: the scheduler
  * @term: the term of ownership that has just begun
  * @timeout_ms: time after which the load has failed, in milliseconds
+ * @extended_ms: the same for a load that goes on, if no other host is larger
  */
 void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler,
 		       const struct zr_owner_term *term,
-		       unsigned int timeout_ms);
+		       unsigned int timeout_ms, unsigned int extended_ms);
 /** zr_cell_load_process() - note that a load takes too long; discard old ones
  */
 void zr_cell_load_process(struct zr_cell_scheduler *scheduler);
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -318,7 +318,8 @@
 	scheduler->takeovers->value++;
 	zr_cell_journal_open(scheduler->journal, zr_owner_key(scheduler->owner),
 			     term->owner_revision);
-	zr_cell_load_jobs(scheduler, term, load_timeout_ms(scheduler, term));
+	zr_cell_load_jobs(scheduler, term, load_timeout_ms(scheduler, term),
+			  RECOVERY_TARGET_MS);
 }
 
 static void on_lost(void *ctx)
