cell: hosts that wait to campaign tell the new owner's numbers

Cause: a host that finds the cell without an owner does not watch it during its campaign delay, so it did not know of the next owner for up to 1.2 s, took its numbers of waiting jobs for outdated and refused the calls.

Change: what has been written after the read that showed no owner is the next owner's (zr_owner_holder_revision).

Measured: cell/counts_after_takeover: before, "unknown" 700 ms after the next owner was active, now its number; two seconds after an owner is gone, unknown as before. Scripts of cell, relay and domain (77), test_cell_random and test_cell_acceptor pass with both builds.

--- a/src/libzinniarack/cell/counts.h
+++ b/src/libzinniarack/cell/counts.h
@@ -32,8 +32,8 @@
  * zr_cell_known_counts_update() - apply a read of the numbers
  * @counts: the numbers that are known
  * @value: what was read; NULL: the store has none
- * @term_revision: store revision at which the owner's term began, as far as
- *	this host knows; 0: there is no owner
+ * @term_revision: store revision up to which a former owner may have written,
+ *as far as this host knows; 0: unknown
  * @now: monotonic time in milliseconds
  *
  * Return: whether the numbers may be told. Those of an earlier term may for a
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -134,8 +134,9 @@
 const char *zr_cell_scheduler_holder(const struct zr_cell_scheduler *scheduler);
 
 /**
- * zr_cell_scheduler_holder_revision() - store revision at which the term of the
- * owning host began, 0 if the cell has no owner as far as this host knows
+ * zr_cell_scheduler_holder_revision() - store revision that tells what the
+ * owning host has written from what a former one has; see
+ * zr_owner_holder_revision()
  */
 int64_t
 zr_cell_scheduler_holder_revision(const struct zr_cell_scheduler *scheduler);
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -33,7 +33,8 @@
  * @unused_key: last epoch whose owner gave the domain back unused, and the
  *	number of such terms in a row
  * @holder: owner at the last read, or ""
- * @holder_revision: revision of @owner_key as @holder wrote it; 0: no owner
+ * @holder_revision: revision of @owner_key as @holder wrote it; if there is no
+ *	owner, that of the read which showed it; 0: not read yet
  * @leftover_revision: revision of an owner key left by an earlier process of
  *	this host, 0 if there is none; a campaign replaces that key
  * @open_calls: number of store calls in flight, including the watch and
@@ -331,7 +332,7 @@
 	owner->watch_revision = reply->revision;
 	owner->leftover_revision = 0;
 	owner->holder[0] = '\0';
-	owner->holder_revision = 0;
+	owner->holder_revision = reply->revision;
 	owner->epoch = 0;
 	owner->epoch_revision = 0;
 	owner->released_epoch = 0;
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -142,10 +142,11 @@
 const char *zr_owner_holder(const struct zr_owner *owner);
 
 /**
- * zr_owner_holder_revision() - store revision at which the holder's term began
+ * zr_owner_holder_revision() - bound for what the present owner has written
  * @owner: the object
  *
- * Return: the revision, or 0 if the domain had no owner at the last read.
+ * Return: a store revision: what a former owner has written is not newer, and
+ * what the holder writes is. 0 if the keys have not been read yet.
  */
 int64_t zr_owner_holder_revision(const struct zr_owner *owner);
 
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/counts.h"
 #include "cell/records.h"
 #include "cell/scheduler.h"
 #include "fakes/fake_pool.h"
@@ -27,6 +28,7 @@
 	struct zr_cell_platform platform;
 	struct zr_cell_scheduler *scheduler;
 	struct zr_metrics *metrics;
+	struct zr_cell_known_counts counts;
 	char name[ZR_NAME_MAX];
 };
 
@@ -520,6 +522,32 @@
 	xdr_free((xdrproc_t)xdr_zx_cell_counts, &counts);
 }
 
+static void on_told_jobs(void *ctx, int error,
+			 const struct zr_store_reply *reply)
+{
+	struct host *host = ctx;
+	const struct zr_clock *clock =
+		fake_time_clock(fake_node_time(host->node));
+
+	if (!error &&
+	    zr_cell_known_counts_update(
+		    &host->counts, reply->count ? &reply->values[0] : NULL,
+		    zr_cell_scheduler_holder_revision(host->scheduler),
+		    zr_time_to_ms(zr_clock_now(clock))))
+		print(host->script, "%s tells: %u", host->name,
+		      zr_cell_known_counts_get(&host->counts, "q"));
+	else
+		print(host->script, "%s tells: unknown", host->name);
+}
+
+static void do_told_jobs(struct cell_script *script)
+{
+	struct host *host = find_host(script, word(script, 1));
+
+	zr_store_range(&host->platform.store, ZR_STORE_OTHER,
+		       ZR_CELL_COUNTS_KEY, false, on_told_jobs, host);
+}
+
 static void do_waiting_jobs(struct cell_script *script)
 {
 	zr_store_range(&find_host(script, word(script, 1))->platform.store,
@@ -589,6 +617,7 @@
 	zr_cell_scheduler_free(host->scheduler);
 	zr_store_free(&host->platform.store);
 	zr_metrics_free(host->metrics);
+	zr_cell_known_counts_clear(&host->counts);
 	host->scheduler = NULL;
 }
 
@@ -682,6 +711,7 @@
 	{"cancel", do_cancel},
 	{"state", do_state},
 	{"waiting-jobs", do_waiting_jobs},
+	{"told-jobs", do_told_jobs},
 	{"recovery-reads", do_recovery_reads},
 	{"advance", do_advance},
 	{"clock-resolution", do_clock_resolution},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -31,6 +31,7 @@
  *   state HOST JOB             print the persisted state of a job
  *   query HOST JOB             print the state that HOST's scheduler reports
  *   waiting-jobs HOST          print the persisted number of waiting jobs
+ *   told-jobs HOST             print the number that HOST's frontend would tell
  *   recovery-reads             print the number of reads that owners have made
  *                              to load jobs and their progress
  *   adviser-queries            print the number of queries sent to the adviser
