cell: checks of the configuration do not wait for another transfer's end

Cause: no check was sent while a response was arriving; the response may be another one, such as the jobs that a new owner loads, and may take long. Change: while one is arriving, the interval of the checks is 2 s. Why: a changed configuration of the largest size takes 1.2 s on the thinnest link of the sites, so it is not sent twice, and keys are confirmed in time.

--- a/src/libzinniarack/cell/config_poller.c
+++ b/src/libzinniarack/cell/config_poller.c
@@ -27,6 +27,11 @@
  * tried.
  */
 #define POLL_INTERVAL_MS 400
+/*
+ * The same while a response is arriving. A changed configuration may be on its
+ * way, and a check would bring it a second time, over the same link.
+ */
+#define RECEIVING_INTERVAL_MS 2000
 #define TICK_MS 200
 /* Maximum number of checks in flight. A hanging one must not delay others. */
 #define CHECKS_IN_FLIGHT_MAX 3
@@ -320,25 +325,21 @@
 		       WATCH_WAIT_MS + WATCH_OVERDUE_MS;
 }
 
-/*
- * Whether a changed configuration may be on its way. A check would bring it a
- * second time, over the same link.
- */
-static bool is_receiving(const struct zr_cell_config_poller *poller)
+static int64_t check_interval_ms(const struct zr_cell_config_poller *poller)
 {
-	return (poller->watch || poller->checks_in_flight) &&
-	       zr_store_receiving(&poller->platform->store);
+	if (is_watching(poller))
+		return CHECK_INTERVAL_MS;
+	return zr_store_receiving(&poller->platform->store)
+		       ? RECEIVING_INTERVAL_MS
+		       : POLL_INTERVAL_MS;
 }
 
 static void on_tick(void *ctx)
 {
 	struct zr_cell_config_poller *poller = ctx;
-	int64_t since_check_ms = zr_time_diff_ms(zr_clock_now(poller->clock),
-						 poller->check_sent_at);
 
-	if (since_check_ms >= (is_watching(poller) ? CHECK_INTERVAL_MS
-						   : POLL_INTERVAL_MS) &&
-	    !is_receiving(poller))
+	if (zr_time_diff_ms(zr_clock_now(poller->clock),
+			    poller->check_sent_at) >= check_interval_ms(poller))
 		check(poller);
 }
 
--- a/tests/unit/test_config_poller.c
+++ b/tests/unit/test_config_poller.c
@@ -159,6 +159,38 @@
 }
 END_TEST
 
+static void watch_nothing(void *impl, const char *prefix,
+			  int64_t after_revision, unsigned int wait_ms,
+			  zr_store_done_fn done, void *ctx)
+{
+	(void)prefix;
+	fake_store_ops->watch(impl, "other/", after_revision, 60 * wait_ms,
+			      done, ctx);
+}
+
+static bool always_receiving(void *impl)
+{
+	(void)impl;
+	return true;
+}
+
+/*
+ * A response that arrives for long may be another one than the configuration:
+ * checks must not wait for its end.
+ */
+START_TEST(test_checks_during_another_transfer)
+{
+	struct zr_store_ops ops = *platform.store.ops;
+
+	fake_store_ops = platform.store.ops;
+	ops.watch = watch_nothing;
+	ops.receiving = always_receiving;
+	platform.store.ops = &ops;
+	check_age_stays_below(3500, 15000);
+	platform.store.ops = fake_store_ops;
+}
+END_TEST
+
 /* Without a configuration there is none, and it is read when there is one. */
 START_TEST(test_deleted_configuration)
 {
@@ -224,6 +256,7 @@
 	tcase_add_test(tcase, test_change_is_applied_at_once);
 	tcase_add_test(tcase, test_unchanged_configuration_is_not_read_again);
 	tcase_add_test(tcase, test_change_missed_by_watch);
+	tcase_add_test(tcase, test_checks_during_another_transfer);
 	tcase_add_test(tcase, test_deleted_configuration);
 	tcase_add_test(tcase, test_hanging_watch_is_noticed);
 	tcase_add_test(tcase, test_age_grows_without_responses);
