store/health: a stall of this process is not the store's silence

Change: host and relay note that one of their timers fired 200 ms late or more; the time until then does not count as waiting. Stalls of 500 ms are logged as host.stalled. A store that sends nothing is suspect as soon as before, counted from the resumption. Seen: test_own_stall_is_not_the_stores_silence failed without the change in health.c (suspect at once after 3 s without running) and passes; scripts of relay, cell, domain and route pass.

--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -18,6 +18,8 @@
 
 /* Interval at which on_update() passes state between scheduler and peers. */
 #define UPDATE_INTERVAL_MS 100
+/* Stalls of this process of at least this time are logged. */
+#define STALL_LOGGED_MS 500
 /* Maximum age of the last read of the configuration for a ready host. */
 #define READY_AGE_MAX_MS 2000
 /*
@@ -54,6 +56,7 @@
 	struct zr_http_server *readiness_server;
 	struct zr_http_server *metrics_server;
 	struct zr_timer *update_timer;
+	struct timespec update_due_at;
 	struct zr_timer *stop_timer;
 	bool stopping;
 	bool released;
@@ -132,10 +135,26 @@
 	zr_cell_relay_serve(host->relay, args, done, done_ctx);
 }
 
+/* After a stall of this process, the store's responses are still to be read. */
+static void check_stall(struct zr_cell_host *host)
+{
+	struct timespec now = zr_clock_now(host->options.clock);
+	int64_t late_ms = zr_time_diff_ms(now, host->update_due_at);
+
+	host->update_due_at = zr_time_add_ms(now, UPDATE_INTERVAL_MS);
+	if (!zr_store_health_is_stall(late_ms))
+		return;
+	zr_store_health_resumed(host->direct_health);
+	zr_store_health_resumed(host->health);
+	if (late_ms >= STALL_LOGGED_MS)
+		zr_log(ZR_LOG_INFO, "host.stalled late_ms=%" PRId64, late_ms);
+}
+
 static void on_update(void *ctx)
 {
 	struct zr_cell_host *host = ctx;
 
+	check_stall(host);
 	zr_cell_peers_set_active(host->peers,
 				 zr_cell_scheduler_active(host->scheduler));
 	zr_cell_scheduler_set_settling(host->scheduler,
@@ -264,6 +283,7 @@
 	error = create_store(host);
 	if (!error)
 		error = create_store_clients(host);
+	host->update_due_at = zr_clock_now(options->clock);
 	if (!error)
 		on_update(host);
 	if (!error)
--- a/src/libzinniarack/cell/relay.c
+++ b/src/libzinniarack/cell/relay.c
@@ -24,12 +24,13 @@
 
 struct zr_cell_relay {
 	struct zr_store direct;
-	const struct zr_store_health *health;
+	struct zr_store_health *health;
 	const struct zr_clock *clock;
 	zr_cell_relay_send_fn send;
 	void *send_ctx;
 	struct zr_timer *timer;
 	bool timer_armed;
+	struct timespec timer_due_at;
 	bool relaying; /* calls are relayed, for the log */
 	bool failing;  /* the last relayed call failed, for the log */
 	struct timespec paused_until;
@@ -394,6 +395,8 @@
 	if (relay->timer_armed || !relay->checked_count)
 		return;
 	relay->timer_armed = true;
+	relay->timer_due_at =
+		zr_time_add_ms(zr_clock_now(relay->clock), CHECK_INTERVAL_MS);
 	zr_timer_start(relay->timer, CHECK_INTERVAL_MS, 0);
 }
 
@@ -401,10 +404,14 @@
 static void on_check(void *ctx)
 {
 	struct zr_cell_relay *relay = ctx;
+	int64_t late_ms = zr_time_diff_ms(zr_clock_now(relay->clock),
+					  relay->timer_due_at);
 	struct call *call;
 	struct call *next;
 
 	relay->timer_armed = false;
+	if (zr_store_health_is_stall(late_ms))
+		zr_store_health_resumed(relay->health);
 	arm_timer(relay);
 	if (!is_suspect(relay))
 		return;
@@ -654,7 +661,7 @@
 
 int zr_cell_relay_new(struct zr_cell_relay **out, struct zr_store *out_store,
 		      const struct zr_store *direct,
-		      const struct zr_store_health *health,
+		      struct zr_store_health *health,
 		      const struct zr_timers *timers,
 		      const struct zr_clock *clock, struct zr_metrics *metrics)
 {
--- a/src/libzinniarack/cell/relay.h
+++ b/src/libzinniarack/cell/relay.h
@@ -76,7 +76,7 @@
  */
 int zr_cell_relay_new(struct zr_cell_relay **out, struct zr_store *out_store,
 		      const struct zr_store *direct,
-		      const struct zr_store_health *health,
+		      struct zr_store_health *health,
 		      const struct zr_timers *timers,
 		      const struct zr_clock *clock, struct zr_metrics *metrics);
 
--- a/src/libzinniarack/store/health.c
+++ b/src/libzinniarack/store/health.c
@@ -11,6 +11,11 @@
  */
 #define OVERDUE_FACTOR 4
 #define OVERDUE_MIN_MS 150
+/*
+ * A timer that fires so much later shows that the process did not run. With a
+ * processor quota, pauses of up to 100 ms are normal.
+ */
+#define STALL_MIN_MS 200
 /* A new sample has a weight of 1/8, as in TCP's round-trip estimate. */
 #define SMOOTHING_DIVISOR 8
 /*
@@ -26,6 +31,7 @@
 	double smoothed_ms; /* response time */
 	/* When the latest call that got a response was sent. */
 	struct timespec responded_sent_at;
+	struct timespec resumed_at;
 	bool failing;
 	struct timespec failing_since;
 	unsigned int open_count; /* callbacks to come or in progress */
@@ -193,6 +199,16 @@
 	.free = health_free,
 };
 
+/* The time for which this process could have read the response. */
+static int64_t waited_ms(const struct zr_store_health *health,
+			 const struct call *call)
+{
+	int64_t since_resumed_ms = age_ms(health, health->resumed_at);
+	int64_t open_ms = age_ms(health, call->sent_at);
+
+	return open_ms < since_resumed_ms ? open_ms : since_resumed_ms;
+}
+
 static int64_t overdue_ms(const struct zr_store_health *health)
 {
 	int64_t limit_ms = (int64_t)(health->smoothed_ms * OVERDUE_FACTOR);
@@ -208,7 +224,7 @@
 	 */
 	while (call && is_superseded(health, call))
 		call = call->next;
-	open_ms = call ? age_ms(health, call->sent_at) : 0;
+	open_ms = call ? waited_ms(health, call) : 0;
 	return open_ms > limit_ms && open_ms > OVERDUE_MIN_MS ? open_ms : 0;
 }
 
@@ -223,6 +239,16 @@
 	return waiting_ms > failing_ms ? waiting_ms : failing_ms;
 }
 
+void zr_store_health_resumed(struct zr_store_health *health)
+{
+	health->resumed_at = zr_clock_now(health->clock);
+}
+
+bool zr_store_health_is_stall(int64_t late_ms)
+{
+	return late_ms >= STALL_MIN_MS;
+}
+
 int zr_store_health_new(struct zr_store_health **out,
 			struct zr_store *out_store,
 			const struct zr_store *inner,
--- a/src/libzinniarack/store/health.h
+++ b/src/libzinniarack/store/health.h
@@ -44,4 +44,20 @@
  */
 int64_t zr_store_health_suspect_ms(const struct zr_store_health *health);
 
+/**
+ * zr_store_health_resumed() - note that this process has not run for a while
+ * @health: the measurement
+ *
+ * It was suspended or busy, and responses may be waiting to be read. The time
+ * until now does not count as waiting.
+ */
+void zr_store_health_resumed(struct zr_store_health *health);
+
+/**
+ * zr_store_health_is_stall() - whether a timer fired so late that responses may
+ * be waiting to be read
+ * @late_ms: time since the timer was due, in milliseconds
+ */
+bool zr_store_health_is_stall(int64_t late_ms);
+
 #endif
--- a/tests/unit/test_store_health.c
+++ b/tests/unit/test_store_health.c
@@ -224,6 +224,26 @@
 }
 END_TEST
 
+/*
+ * A process that was suspended or busy took the store for lost, although the
+ * responses were waiting to be read.
+ */
+START_TEST(test_own_stall_is_not_the_stores_silence)
+{
+	read_keys(8, 20);
+	read_key();
+	pass(100);
+	fake_time_jump(fake, 3000);
+	pass(50);
+	ck_assert_int_eq(zr_store_health_suspect_ms(health), 0);
+	ck_assert_int_eq(sent_to_others, 0);
+	/* Nothing was waiting. */
+	pass(200);
+	ck_assert_int_gt(zr_store_health_suspect_ms(health), 0);
+	ck_assert_int_gt(sent_to_others, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("store_health");
@@ -241,6 +261,7 @@
 		       test_silent_store_is_suspect_after_a_long_transfer);
 	tcase_add_test(tests,
 		       test_failing_calls_are_suspect_while_a_response_arrives);
+	tcase_add_test(tests, test_own_stall_is_not_the_stores_silence);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
