cell: a poll acknowledges no ends while a start is unanswered

Cause: a worker restarts under its id and numbers its ends from 1 again. Polls acknowledged ends by the numbers of the last incarnation that had answered within 1 s. A start that was sent in that second may have reached the next incarnation, run and ended; until its answer had timed out (400 ms), a poll acknowledged that end unseen.

Change: nothing is acknowledged while a run on the worker has a start that is not confirmed. An end that the owner does not know can only be of such a run.

Not covered: a poll that is itself held back on its way to a worker that restarts meanwhile.

--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -41,18 +41,38 @@
 	worker->unconfirmed_event = ++scheduler->event_count;
 }
 
+/* Whether a start has been sent of which it is not known where it arrived. */
+static bool has_unconfirmed_start(const struct zr_cell_scheduler *scheduler,
+				  const struct zr_cell_worker *worker)
+{
+	size_t i;
+
+	for (i = 0; i < worker->run_count; i++) {
+		struct zr_cell_ref ref = worker->runs[i];
+		const struct zr_cell_task *entry =
+			&zr_cell_job(&scheduler->model, ref.job)
+				 ->tasks[ref.task];
+
+		if (entry->state != ZR_TASK_PLACED && !entry->started_at)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Number up to which a poll may acknowledge ends. A worker that has restarted
  * numbers its ends from 1 again, so nothing is acknowledged before the last
- * known incarnation has answered.
+ * known incarnation has answered, nor while a later one may have received a
+ * start, whose end it may have numbered.
  */
 static int64_t safe_ack(const struct zr_cell_scheduler *scheduler,
 			const struct zr_cell_worker *worker)
 {
-	return worker->confirmed_event > worker->unconfirmed_event &&
-			       zr_cell_now_ms(scheduler) -
-					       worker->confirmed_at <=
-				       CONFIRMED_MS
+	bool confirmed = worker->confirmed_event > worker->unconfirmed_event &&
+			 zr_cell_now_ms(scheduler) - worker->confirmed_at <=
+				 CONFIRMED_MS;
+
+	return confirmed && !has_unconfirmed_start(scheduler, worker)
 		       ? worker->last_end_acked
 		       : 0;
 }
