--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -14,8 +14,11 @@
  * worker may be given more than its capacity. When the faults are over, every
  * job must end.
  *
- * ZR_SEED=N runs seed N alone and writes its script, which run_cell replays, to
- * standard output. ZR_SEEDS=N sets the number of seeds.
+ * Each seed runs without and with thin links, over which the store's responses
+ * take long.
+ *
+ * ZR_SEED=N runs seed N alone and writes its scripts, which run_cell replays,
+ * to standard output. ZR_SEEDS=N sets the number of seeds.
  */
 
 /* The sanitizers slow a seed down about five times. */
@@ -31,6 +34,10 @@
 #define ACTIONS 160
 #define PAUSE_MAX_MS 90
 #define FAULT_MAX_MS 2500
+/* Bandwidth of a thin link, and what is added to the duration of the fault. */
+#define THIN_MIN_BYTES_PER_S 300
+#define THIN_MAX_BYTES_PER_S 6000
+#define THIN_MAX_MS 8000
 /* Time in which all jobs end after the last fault: leases expire, then run. */
 #define QUIET_MS 40000
 #define LINE_MAX_BYTES 256
@@ -50,6 +57,7 @@
 	size_t fault_count;
 	bool alive[HOSTS];
 	bool paused[HOSTS];
+	bool has_thin_links;
 	unsigned int job_count;
 };
 
@@ -145,6 +153,21 @@
 		 rng_chance(&scenario->rng, 50) ? " reverse" : "");
 }
 
+/* Makes the store's responses to a host take long. */
+static void limit_bandwidth(struct scenario *scenario)
+{
+	struct fault *fault = add_fault(scenario);
+	char host = (char)('a' + below(scenario, HOSTS));
+
+	if (!fault)
+		return;
+	fault->ends_at += below(scenario, THIN_MAX_MS);
+	run_line(scenario, "bandwidth store %c %u", host,
+		 THIN_MIN_BYTES_PER_S + below(scenario, THIN_MAX_BYTES_PER_S));
+	snprintf(fault->undo, sizeof(fault->undo), "bandwidth store %c 0",
+		 host);
+}
+
 static void kill_host(struct scenario *scenario)
 {
 	int host = pick_host(scenario);
@@ -229,6 +252,8 @@
 		submit_job(scenario);
 	else if (choice < 45)
 		cancel_job(scenario);
+	else if (choice < 90 && choice >= 87 && scenario->has_thin_links)
+		limit_bandwidth(scenario);
 	else if (choice < 90)
 		disturb_link(scenario);
 	else if (choice < 93)
@@ -256,9 +281,11 @@
 }
 
 /* Returns 0 if no invariant was violated and all jobs have ended. */
-static unsigned int run_seed(uint64_t seed, FILE *lines)
+static unsigned int run_seed(uint64_t seed, bool has_thin_links, FILE *lines)
 {
-	struct scenario scenario = {.rng = {seed}, .lines = lines};
+	struct scenario scenario = {.rng = {seed},
+				    .lines = lines,
+				    .has_thin_links = has_thin_links};
 	FILE *out = fopen("/dev/null", "w");
 	unsigned int failures;
 	int i;
@@ -280,7 +307,7 @@
 	return failures;
 }
 
-START_TEST(test_random_faults)
+static void run_seeds(bool has_thin_links)
 {
 	const char *seed = getenv("ZR_SEED");
 	const char *seeds = getenv("ZR_SEEDS");
@@ -289,18 +316,31 @@
 	uint64_t i;
 
 	if (seed)
-		ck_assert_uint_eq(run_seed(strtoull(seed, NULL, 10), lines), 0);
+		ck_assert_uint_eq(run_seed(strtoull(seed, NULL, 10),
+					   has_thin_links, lines),
+				  0);
 	for (i = 1; !seed && i <= count; i++) {
-		unsigned int failures = run_seed(i, lines);
+		unsigned int failures = run_seed(i, has_thin_links, lines);
 
 		if (failures)
-			printf("seed %lu fails: %u\n", (unsigned long)i,
-			       failures);
+			printf("seed %lu fails: %u, thin links: %d\n",
+			       (unsigned long)i, failures, has_thin_links);
 		ck_assert_uint_eq(failures, 0);
 	}
 	if (!seed)
 		fclose(lines);
 }
+
+START_TEST(test_random_faults)
+{
+	run_seeds(false);
+}
+END_TEST
+
+START_TEST(test_random_faults_and_thin_links)
+{
+	run_seeds(true);
+}
 END_TEST
 
 int main(void)
@@ -312,6 +352,7 @@
 
 	tcase_set_timeout(tcase, 0);
 	tcase_add_test(tcase, test_random_faults);
+	tcase_add_test(tcase, test_random_faults_and_thin_links);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
