cell: an owner that cannot load keeps the cell for the recovery target at most

Cause (found by the reviewer): each failed load doubled the time of the next, up to 192 s, so an owner whose load made no progress could keep the cell for minutes. Change: the time is doubled up to the recovery target of 12 s. Reads in flight and those that ended are kept for the next own term, so a longer load still ends.

--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -48,11 +48,11 @@
  * Time that a new owner has to load the state, before it gives the cell back to
  * a host that can. Expired lease, a failed load, another campaign and a load
  * that succeeds have to fit into the recovery target. Each failed load doubles
- * the time of the next, so that a load that takes longer on any host succeeds
- * too.
+ * the time of the next, up to that target, so that a load that takes longer on
+ * any host succeeds too.
  */
 #define LOAD_TIMEOUT_MS (RECOVERY_TARGET_MS / 4)
-#define LOAD_TIMEOUT_DOUBLINGS_MAX 6
+#define LOAD_TIMEOUT_DOUBLINGS_MAX 2
 /*
  * Delay of the campaigns of a host whose last load failed, in which each other
  * host can take the cell; doubled by each further failed load.
