cell: loads that failed long ago are forgotten

Cause (found by the reviewer): the number of own failed loads was reset only by a load that succeeded, so a host that had failed once delayed its campaigns and was given more time for loads for as long as it lived. Change: it is reset when the reads of that load are discarded, after a minute. Seen: load_failures_forgotten, 300 s after one failed load the smaller host won before, the larger one wins now.

--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -741,6 +741,7 @@
 	} else if (loading->epoch && now >= loading->kept_until) {
 		zr_cell_loading_clear(loading);
 		loading->epoch = 0;
+		scheduler->failed_loads = 0;
 	}
 }
 
