net: a large response body grows by doubling

Cause: the body's buffer grew by each part that arrived, about a thousand reallocations for a configuration of 1 MB. Change: the capacity is doubled. No figure was taken; test_http_client and test_platform_store pass.

--- a/src/libzinniarack/net/http_response.c
+++ b/src/libzinniarack/net/http_response.c
@@ -37,6 +37,15 @@
 	return 0;
 }
 
+/* Doubles the capacity, since a large body arrives in thousands of parts. */
+static void reserve(UT_string *body, size_t length)
+{
+	size_t used = utstring_len(body);
+
+	if (body->n - used <= length)
+		utstring_reserve(body, used > length ? used : length);
+}
+
 static int on_body(http_parser *parser, const char *bytes, size_t length)
 {
 	struct zr_http_response_reader *reader = parser->data;
@@ -45,6 +54,7 @@
 		reader->too_large = true;
 		return 1;
 	}
+	reserve(&reader->body, length);
 	utstring_bincpy(&reader->body, bytes, length);
 	return 0;
 }
