platform, cell: a large change beside a load over the thinnest links arrives

Cause (found by the reviewer): the bound on a whole transfer was 10 s. Over a link of 2 Mbit/s, the largest value takes 5.6 s alone, so that two beside each other were cut off and began again; and checks of the configuration brought copies of it meanwhile.

--- a/src/libzinniarack/cell/config_poller.c
+++ b/src/libzinniarack/cell/config_poller.c
@@ -33,7 +33,10 @@
  */
 #define RECEIVING_INTERVAL_MS 2000
 #define TICK_MS 200
-/* Maximum number of checks in flight. A hanging one must not delay others. */
+/*
+ * Maximum number of checks in flight. A hanging one must not delay others.
+ * While a response is arriving there is one at most.
+ */
 #define CHECKS_IN_FLIGHT_MAX 3
 
 struct zr_cell_config_poller {
@@ -277,9 +280,15 @@
 		       WATCH_WAIT_MS, on_watch, poller->watch);
 }
 
+static bool is_receiving(const struct zr_cell_config_poller *poller)
+{
+	return zr_store_receiving(&poller->platform->store);
+}
+
 static bool can_send(const struct zr_cell_config_poller *poller)
 {
-	return poller->checks_in_flight < CHECKS_IN_FLIGHT_MAX;
+	return poller->checks_in_flight <
+	       (is_receiving(poller) ? 1 : CHECKS_IN_FLIGHT_MAX);
 }
 
 /* Counts a check or a read that is about to be sent. */
@@ -329,9 +338,7 @@
 {
 	if (is_watching(poller))
 		return CHECK_INTERVAL_MS;
-	return zr_store_receiving(&poller->platform->store)
-		       ? RECEIVING_INTERVAL_MS
-		       : POLL_INTERVAL_MS;
+	return is_receiving(poller) ? RECEIVING_INTERVAL_MS : POLL_INTERVAL_MS;
 }
 
 static void on_tick(void *ctx)
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -38,7 +38,7 @@
  * time without a byte of it, and time for all of it, in milliseconds.
  */
 #define STORE_SILENCE_MS 500
-#define STORE_TRANSFER_MAX_MS 10000
+#define STORE_TRANSFER_MAX_MS 60000
 /* Ticks between reads of the registrations on a host that is not the owner. */
 #define STANDBY_READ_TICKS 5
 #define MILLICPUS_PER_CPU 1000
