cell: what arrives on the own connection is not relayed as well

Cause (found by the reviewer): a call that failed made the connection suspect, and a load that was arriving over it was sent for again through another host, over the same link. Change: while a response arrives on the own connection, waiting calls are not relayed.

--- a/src/libzinniarack/cell/relay.c
+++ b/src/libzinniarack/cell/relay.c
@@ -413,7 +413,8 @@
 	if (zr_store_health_is_stall(late_ms))
 		zr_store_health_resumed(relay->health);
 	arm_timer(relay);
-	if (!is_suspect(relay))
+	/* What arrives on the own connection is not sent for a second time. */
+	if (!is_suspect(relay) || zr_store_receiving(&relay->direct))
 		return;
 	DL_FOREACH_SAFE(relay->calls, call, next)
 	{
--- a/tests/unit/test_store_health.c
+++ b/tests/unit/test_store_health.c
@@ -244,6 +244,24 @@
 }
 END_TEST
 
+/* A call that failed must not send a load again that is arriving. */
+START_TEST(test_arriving_calls_are_not_relayed_after_a_failure)
+{
+	read_keys(8, 20);
+	read_key();
+	inner.receiving = true;
+	read_key();
+	pass(10);
+	finish(inner.count - 1, ZR_E_STORE_DOWN);
+	sent_to_others = 0;
+	pass(500);
+	ck_assert_int_eq(sent_to_others, 0);
+	inner.receiving = false;
+	pass(100);
+	ck_assert_int_gt(sent_to_others, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("store_health");
@@ -262,6 +280,8 @@
 	tcase_add_test(tests,
 		       test_failing_calls_are_suspect_while_a_response_arrives);
 	tcase_add_test(tests, test_own_stall_is_not_the_stores_silence);
+	tcase_add_test(tests,
+		       test_arriving_calls_are_not_relayed_after_a_failure);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
