cell: a reply that lists a deleted configuration is not followed by checks

Cause (found by the reviewer): a failed comparison that lists the missing key without a value counted as a change, after which a check comes at once. Change: it is read again, as if the key were not listed.

--- a/src/libzinniarack/cell/config_poller.c
+++ b/src/libzinniarack/cell/config_poller.c
@@ -202,7 +202,44 @@
 		watch(poller);
 }
 
-/* Called after a check or a read. */
+static bool has_config(const struct zr_cell_config_poller *poller,
+		       const struct zr_store_reply *reply)
+{
+	size_t i;
+
+	for (i = 0; i < reply->count; i++) {
+		if (!strcmp(reply->values[i].key,
+			    poller->platform->config_prefix) &&
+		    reply->values[i].data)
+			return true;
+	}
+	return false;
+}
+
+static void apply_reply(struct zr_cell_config_poller *poller, int error,
+			const struct zr_store_reply *reply,
+			struct timespec sent_at)
+{
+	/* Ignore the failure of a call sent before the last successful one. */
+	if (!error || !poller->has_read ||
+	    zr_time_cmp(sent_at, poller->confirmed_at) > 0)
+		update_reachable(poller, error);
+	if (error < 0 || !apply_values(poller, reply, sent_at))
+		return;
+	confirm(poller, sent_at);
+	follow(poller, reply);
+}
+
+static void on_read(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	struct call *call = ctx;
+	struct timespec sent_at = call->sent_at;
+	struct zr_cell_config_poller *poller = finish_call(call);
+
+	if (poller)
+		apply_reply(poller, error, reply, sent_at);
+}
+
 static void on_checked(void *ctx, int error, const struct zr_store_reply *reply)
 {
 	struct call *call = ctx;
@@ -211,21 +248,11 @@
 
 	if (!poller)
 		return;
-	/* Ignore the failure of a call sent before the last successful one. */
-	if (!error || !poller->has_read ||
-	    zr_time_cmp(sent_at, poller->confirmed_at) > 0)
-		update_reachable(poller, error);
-	if (error < 0)
-		return;
 	/* The configuration has been deleted, or the reply leaves it out. */
-	if (!reply->succeeded && !reply->count) {
+	if (!error && !reply->succeeded && !has_config(poller, reply))
 		read_config(poller);
-		return;
-	}
-	if (!apply_values(poller, reply, sent_at))
-		return;
-	confirm(poller, sent_at);
-	follow(poller, reply);
+	else
+		apply_reply(poller, error, reply, sent_at);
 }
 
 /*
@@ -304,7 +331,7 @@
 	if (!can_send(poller))
 		return;
 	zr_store_range(&poller->platform->store, ZR_STORE_CONFIG,
-		       poller->platform->config_prefix, false, on_checked,
+		       poller->platform->config_prefix, false, on_read,
 		       new_check(poller));
 }
 
--- a/tests/unit/test_config_poller.c
+++ b/tests/unit/test_config_poller.c
@@ -245,6 +245,41 @@
 }
 END_TEST
 
+static unsigned int checks;
+
+/* Reports a key that does not exist any more, without a value. */
+static void report_missing_key(void *impl, enum zr_store_purpose purpose,
+			       const struct zr_store_txn *txn,
+			       zr_store_done_fn done, void *ctx)
+{
+	const struct zr_store_value value = {.key = KEY};
+	const struct zr_store_reply reply = {.values = &value, .count = 1};
+
+	(void)impl;
+	(void)purpose;
+	(void)txn;
+	ck_assert_uint_lt(++checks, 100);
+	done(ctx, 0, &reply);
+}
+
+/* A reply that lists the deleted key must not be followed by checks at once. */
+START_TEST(test_reply_with_a_missing_key)
+{
+	const struct zr_store_put put = {KEY, NULL, 0, 0};
+	const struct zr_store_txn txn = {NULL, 0, &put, 1};
+	struct zr_store_ops ops = *platform.store.ops;
+
+	checks = 0;
+	zr_store_commit(&operator_store, ZR_STORE_OTHER, &txn, on_written,
+			NULL);
+	fake_store_ops = platform.store.ops;
+	ops.commit = report_missing_key;
+	platform.store.ops = &ops;
+	check_age_stays_below(3500, 10000);
+	platform.store.ops = fake_store_ops;
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("config_poller");
@@ -258,6 +293,7 @@
 	tcase_add_test(tcase, test_change_missed_by_watch);
 	tcase_add_test(tcase, test_checks_during_another_transfer);
 	tcase_add_test(tcase, test_deleted_configuration);
+	tcase_add_test(tcase, test_reply_with_a_missing_key);
 	tcase_add_test(tcase, test_hanging_watch_is_noticed);
 	tcase_add_test(tcase, test_age_grows_without_responses);
 	tcase_add_test(tcase, test_unusable_document_confirms_nothing);
