cell: a small owner hands the cell over to a much larger host

Cause: the ranks of the hosts count only while the cell is free. Before, such an owner could not load the jobs and gave the cell up, or kept it without use; now that it can load them it is active, but cannot do the work.

Each hand-over doubles the delay of the next, so that a cell that nobody takes does not go to and fro.

Seen: handed_to_larger_host, the small host keeps the cell before (owner small at 6.6 s), the large one has it now, its running task goes on.

--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -162,6 +162,8 @@
 	zr_cell_scheduler_set_sizes(host->scheduler,
 				    zr_cell_peers_own_size(host->peers),
 				    zr_cell_peers_largest(host->peers));
+	zr_cell_scheduler_set_successor(
+		host->scheduler, zr_cell_peers_largest_registered(host->peers));
 	zr_cell_scheduler_set_suspect(
 		host->scheduler,
 		zr_store_health_suspect_ms(host->direct_health) > 0);
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -642,6 +642,20 @@
 	return zr_cell_peer_sizes_largest(&peers->sizes);
 }
 
+uint32_t zr_cell_peers_largest_registered(const struct zr_cell_peers *peers)
+{
+	uint32_t largest = 0;
+	size_t i;
+
+	for (i = 0; i < peers->count; i++) {
+		const struct peer *peer = peers->peers[i];
+
+		if (!peer->absent_reads && peer->millicpus > largest)
+			largest = peer->millicpus;
+	}
+	return largest;
+}
+
 bool zr_cell_peers_settling(const struct zr_cell_peers *peers)
 {
 	return peers->settling_reads > 0;
--- a/src/libzinniarack/cell/peers.h
+++ b/src/libzinniarack/cell/peers.h
@@ -126,6 +126,12 @@
  */
 uint32_t zr_cell_peers_largest(const struct zr_cell_peers *peers);
 
+/**
+ * zr_cell_peers_largest_registered() - processors of the largest other host
+ * that is registered now, in thousandths; 0: none is
+ */
+uint32_t zr_cell_peers_largest_registered(const struct zr_cell_peers *peers);
+
 /**
  * zr_cell_peers_settling() - whether this host has just started, so that hosts
  * that started with it may not be known yet; ends some reads of the
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -162,7 +162,8 @@
 
 	scheduler->plan_scheduled = false;
 	if (scheduler->phase != ZR_CELL_ACTIVE || !scheduler->config ||
-	    scheduler->releasing || !zr_cell_is_owner(scheduler))
+	    scheduler->releasing || scheduler->hand_over_deadline_at ||
+	    !zr_cell_is_owner(scheduler))
 		return;
 	zr_cell_candidates_collect(&plan);
 	rank_steps(&plan);
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -90,6 +90,12 @@
  * @watch_revision: store revision up to which accepted jobs are known
  * @watch_failures: number of consecutive watches that failed
  * @failed_loads: number of own terms in a row that ended before the load did
+ * @successor_size: processors of the largest other host that is registered, in
+ *	thousandths
+ * @successor_since: when this active owner found a much larger host; 0: none
+ * @hand_overs: number of times that the cell was handed over to a larger host
+ * @hand_over_deadline_at: when the cell is handed over at the latest, after the
+ *	journal is idle; 0: it is not
  * @loading: reads of the jobs and their progress, in ZR_CELL_LOADING
  * @registry_reading: a read of the worker registry is pending
  * @registry_requested_at: when the last read of the registry was sent
@@ -145,6 +151,10 @@
 	int64_t watch_revision;
 	uint32_t watch_failures;
 	unsigned int failed_loads;
+	uint32_t successor_size;
+	int64_t successor_since;
+	unsigned int hand_overs;
+	int64_t hand_over_deadline_at;
 	struct zr_cell_loading loading;
 	bool registry_reading;
 	int64_t registry_requested_at;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -64,6 +64,13 @@
  * meanwhile.
  */
 #define RELEASE_TIMEOUT_MS 250
+/*
+ * Time for which a much larger host has been registered before the cell is
+ * handed over to it: the registration of one that has failed expires in this
+ * time. Doubled by each hand-over of this host.
+ */
+#define HAND_OVER_DELAY_MS 3000
+#define HAND_OVER_DOUBLINGS_MAX 4
 /* Delay of a planning pass after a change, to cover several changes at once. */
 #define PLAN_DELAY_MS 1
 #define COUNTS_INTERVAL_MS 600
@@ -96,6 +103,12 @@
 	zr_owner_reconsider(scheduler->owner);
 }
 
+void zr_cell_scheduler_set_successor(struct zr_cell_scheduler *scheduler,
+				     uint32_t largest)
+{
+	scheduler->successor_size = largest;
+}
+
 void zr_cell_scheduler_set_suspect(struct zr_cell_scheduler *scheduler,
 				   bool suspect)
 {
@@ -272,6 +285,8 @@
 static void end_term(struct zr_cell_scheduler *scheduler)
 {
 	scheduler->term++;
+	scheduler->successor_since = 0;
+	scheduler->hand_over_deadline_at = 0;
 	scheduler->phase = ZR_CELL_STANDBY;
 	zr_cell_state_queries_abort(scheduler);
 	zr_cell_journal_close(scheduler->journal);
@@ -388,6 +403,41 @@
 			 scheduler->released_ctx);
 }
 
+/*
+ * Whether a much larger host has been registered for some time, so that it is
+ * likely to take the cell. If it did not, the next attempt waits longer.
+ */
+static bool successor_waits(struct zr_cell_scheduler *scheduler, int64_t now)
+{
+	if (!scheduler->successor_size ||
+	    scheduler->successor_size < 2 * scheduler->own_size) {
+		scheduler->successor_since = 0;
+		return false;
+	}
+	if (!scheduler->successor_since)
+		scheduler->successor_since = now;
+	return now - scheduler->successor_since >=
+	       (int64_t)HAND_OVER_DELAY_MS << min_uint(scheduler->hand_overs,
+						       HAND_OVER_DOUBLINGS_MAX);
+}
+
+/* An owner hands the cell over to a host that can do more of the work. */
+static void process_hand_over(struct zr_cell_scheduler *scheduler, int64_t now)
+{
+	if (!scheduler->hand_over_deadline_at) {
+		if (!successor_waits(scheduler, now))
+			return;
+		zr_log(ZR_LOG_INFO, "cell.handing_over size=%u successor=%u",
+		       scheduler->own_size, scheduler->successor_size);
+		scheduler->hand_over_deadline_at = now + RELEASE_TIMEOUT_MS;
+	}
+	if (!zr_cell_journal_idle(scheduler->journal) &&
+	    now < scheduler->hand_over_deadline_at)
+		return;
+	scheduler->hand_overs++;
+	zr_owner_hand_over(scheduler->owner);
+}
+
 static void on_tick(void *ctx)
 {
 	struct zr_cell_scheduler *scheduler = ctx;
@@ -398,6 +448,8 @@
 	if (scheduler->releasing)
 		try_release(scheduler);
 	zr_cell_load_process(scheduler);
+	if (scheduler->phase == ZR_CELL_ACTIVE && !scheduler->releasing)
+		process_hand_over(scheduler, now);
 	if (scheduler->phase != ZR_CELL_ACTIVE)
 		return;
 	zr_cell_state_queries_process(scheduler);
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -107,6 +107,16 @@
 void zr_cell_scheduler_set_sizes(struct zr_cell_scheduler *scheduler,
 				 uint32_t own, uint32_t largest);
 
+/**
+ * zr_cell_scheduler_set_successor() - set which host could own the cell instead
+ * @scheduler: the scheduler
+ * @largest: processors of the largest other host that is registered now, in
+ *	thousandths; if they are twice this host's for some time, an owner hands
+ *	the cell over
+ */
+void zr_cell_scheduler_set_successor(struct zr_cell_scheduler *scheduler,
+				     uint32_t largest);
+
 /**
  * zr_cell_scheduler_set_suspect() - set whether this host's own connection to
  * the store is suspect, so that others suit better as the owner
--- a/src/libzinniarack/domain/owner.c
+++ b/src/libzinniarack/domain/owner.c
@@ -531,16 +531,15 @@
 			      on_given_back_revoked, owner);
 }
 
-void zr_owner_give_back(struct zr_owner *owner)
+/* Deletes the owner key and writes @key, then goes on competing. */
+static void give_back(struct zr_owner *owner, const char *key, const char *text,
+		      const char *reason)
 {
-	char unused[UNUSED_TEXT_MAX];
-	int length = snprintf(unused, sizeof(unused), "%" PRIu64 " %u",
-			      owner->epoch, owner->unused_terms + 1);
 	const struct zr_store_compare compare = {owner->owner_key,
 						 owner->owner_revision};
 	const struct zr_store_put puts[] = {
 		{owner->owner_key, NULL, 0, 0},
-		{owner->unused_key, unused, (size_t)length, 0},
+		{key, text, strlen(text), 0},
 	};
 	const struct zr_store_txn txn = {&compare, 1, puts, 2};
 
@@ -548,12 +547,29 @@
 	if (owner->state != ZR_OWNERSHIP_OWNING)
 		return;
 	owner->given_back_lease = owner->lease;
-	step_down(owner, "not_loaded");
+	step_down(owner, reason);
 	owner->open_calls++;
 	zr_store_commit(owner->store, ZR_STORE_LEASE, &txn, on_given_back,
 			owner);
 }
 
+void zr_owner_give_back(struct zr_owner *owner)
+{
+	char unused[UNUSED_TEXT_MAX];
+
+	snprintf(unused, sizeof(unused), "%" PRIu64 " %u", owner->epoch,
+		 owner->unused_terms + 1);
+	give_back(owner, owner->unused_key, unused, "not_loaded");
+}
+
+void zr_owner_hand_over(struct zr_owner *owner)
+{
+	char epoch[EPOCH_TEXT_MAX];
+
+	snprintf(epoch, sizeof(epoch), "%" PRIu64, owner->epoch);
+	give_back(owner, owner->released_key, epoch, "handed_over");
+}
+
 /* Release */
 
 static void on_revoked(void *ctx, int error, const struct zr_store_reply *reply)
--- a/src/libzinniarack/domain/owner.h
+++ b/src/libzinniarack/domain/owner.h
@@ -177,6 +177,15 @@
  */
 void zr_owner_give_back(struct zr_owner *owner);
 
+/**
+ * zr_owner_hand_over() - leave the domain to a host that suits better
+ * @owner: the object
+ *
+ * Deletes the owner key and records the release, as zr_owner_release() does,
+ * but goes on competing, after its campaign delay.
+ */
+void zr_owner_hand_over(struct zr_owner *owner);
+
 /**
  * zr_owner_release() - hand the domain over and stop competing
  * @owner: the object
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -651,6 +651,13 @@
 		(uint32_t)atoi(word(script, 3)));
 }
 
+static void do_successor(struct cell_script *script)
+{
+	zr_cell_scheduler_set_successor(
+		find_host(script, word(script, 1))->scheduler,
+		(uint32_t)atoi(word(script, 2)));
+}
+
 static void do_suspect(struct cell_script *script)
 {
 	zr_cell_scheduler_set_suspect(
@@ -726,6 +733,7 @@
 	{"hang", do_hang},
 	{"stop-ms", do_stop_ms},
 	{"size", do_size},
+	{"successor", do_successor},
 	{"suspect", do_suspect},
 	{"settling", do_settling},
 	{"owner", do_owner},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -39,6 +39,8 @@
  *   advance MS                 advance the fake clock
  *   clock-resolution HOST MS   set the resolution of a host's monotonic clock
  *   size HOST MILLICPUS LARGEST
+ *   successor HOST MILLICPUS   set the size of the largest other host that is
+ *                              registered
  *                              tell HOST its size, and that of the largest
  *                              other host that it has seen
  *   suspect HOST yes|no        report to HOST that its connection to the store
