--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -104,8 +104,8 @@
  * @registry_watched_at: when the last watch was sent
  * @registry_revision: store revision up to which the registry is known; 0: it
  *                     has to be read before it can be watched
- * @jobs_outdated: jobs may have been accepted long before the load ended that
- * the watch has not delivered yet, so the numbers would be too low
+ * @jobs_outdated: the read of the jobs is old, and the watch has not delivered
+ *	what was accepted since, so that the numbers of waiting jobs are too low
  * @counts_published_at: when the numbers of waiting jobs were last published
  * @released: called once the cell has been released
  * @released_ctx: passed to @released
@@ -221,8 +221,7 @@
 void zr_cell_load_jobs(struct zr_cell_scheduler *scheduler,
 		       const struct zr_owner_term *term,
 		       unsigned int timeout_ms, unsigned int extended_ms);
-/** zr_cell_load_process() - note that a load takes too long; discard old ones
- */
+/** zr_cell_load_process() - end a load that takes too long, free old reads */
 void zr_cell_load_process(struct zr_cell_scheduler *scheduler);
 /** zr_cell_load_lost() - the term has ended before the load did */
 void zr_cell_load_lost(struct zr_cell_scheduler *scheduler);
