--- a/tests/unit/test_config_thin_link.c
+++ b/tests/unit/test_config_thin_link.c
@@ -228,7 +228,7 @@
 	int i;
 
 	utstring_init(&body);
-	utstring_reserve(&body, 2 * VALUE_BYTES_MAX);
+	utstring_reserve(&body, (size_t)2 * VALUE_BYTES_MAX);
 	utstring_printf(&body, "{\"key\":\"" LOAD_KEY "\",\"value\":\"");
 	for (i = 0; i < VALUE_BYTES_MAX / 64; i++)
 		utstring_printf(&body, "%064d", 0);
