--- a/src/libzinniarack/cell/config_poller.c
+++ b/src/libzinniarack/cell/config_poller.c
@@ -112,6 +112,14 @@
 	return true;
 }
 
+/* Other keys may begin with the prefix, and a deleted one has no value. */
+static bool is_config(const struct zr_cell_config_poller *poller,
+		      const struct zr_store_value *value)
+{
+	return !strcmp(value->key, poller->platform->config_prefix) &&
+	       value->data;
+}
+
 /* Returns false if the reply has a configuration that is not usable. */
 static bool apply_values(struct zr_cell_config_poller *poller,
 			 const struct zr_store_reply *reply,
@@ -122,9 +130,7 @@
 	size_t i;
 
 	for (i = 0; i < reply->count; i++) {
-		if (!strcmp(reply->values[i].key,
-			    poller->platform->config_prefix) &&
-		    reply->values[i].data)
+		if (is_config(poller, &reply->values[i]))
 			usable = decode_and_apply(poller, &reply->values[i],
 						  read_ms);
 	}
@@ -208,9 +214,7 @@
 	size_t i;
 
 	for (i = 0; i < reply->count; i++) {
-		if (!strcmp(reply->values[i].key,
-			    poller->platform->config_prefix) &&
-		    reply->values[i].data)
+		if (is_config(poller, &reply->values[i]))
 			return true;
 	}
 	return false;
