cell: log crashed workers with their runs, and count them

The log could not tell which runs had been on a worker when it crashed, nor which of them had only just started. worker.crashed gives the number of runs, of those that had not been seen running for 250 ms, and the time for which the worker had been silent; zinniarack_cell_worker_crashes_total counts them. No decision changes.

--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -101,6 +101,7 @@
 	snprintf(worker->report.name, sizeof(worker->report.name), "%s", name);
 	worker->clock_ms = -1;
 	worker->poll_due_at = ZR_CELL_NEVER;
+	worker->silent_since = ZR_CELL_NEVER;
 	worker->state = zr_chart_initial(zr_charts()->worker);
 	worker->self = add_entry(model->workers, worker);
 	HASH_ADD_STR(model->worker_by_name, report.name, worker);
@@ -504,6 +505,7 @@
 	entry->worker = worker->self;
 	entry->visible_after = ZR_CELL_START_PENDING;
 	entry->stop_sent = false;
+	entry->sent_at = 0;
 	entry->percent = 0;
 	step->waiting--;
 	step->active_tasks++;
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -46,6 +46,7 @@
  * @visible_after: value of the scheduler's event counter; if a poll sent later
  *                 does not list the run, the run is lost. ZR_CELL_START_PENDING
  *                 while a start may still be in flight
+ * @sent_at: when its start was sent; 0 if an earlier scheduler sent it
  * @started_at: when its start was confirmed; 0 if it was not
  * @stop_sent: a stop has been sent and has not failed
  * @finished: a run of the task, or of another member of its gang, has succeeded
@@ -61,6 +62,7 @@
 	zr_handle worker;
 	uint64_t change;
 	uint64_t visible_after;
+	int64_t sent_at;
 	int64_t started_at;
 	bool stop_sent;
 	bool finished;
@@ -255,6 +257,9 @@
  * @run_alloc: allocated size of @runs
  * @clock_ms: its clock in its last response; -1: not known
  * @clock_at: when that was received
+ * @responded_at: when it last responded to a request
+ * @silent_since: when the first request after that failed; ZR_CELL_NEVER: none
+ *                has failed
  * @lease_expires_ms: end of its latest lease, on its own clock
  * @runs_expire_at: when its runs have certainly ended if it does not respond
  *                before
@@ -301,6 +306,8 @@
 	size_t run_alloc;
 	int64_t clock_ms;
 	int64_t clock_at;
+	int64_t responded_at;
+	int64_t silent_since;
 	int64_t lease_expires_ms;
 	int64_t runs_expire_at;
 	int64_t last_end_processed;
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -39,6 +39,8 @@
 				    struct zr_cell_worker *worker)
 {
 	worker->unconfirmed_event = ++scheduler->event_count;
+	if (worker->silent_since == ZR_CELL_NEVER)
+		worker->silent_since = zr_cell_now_ms(scheduler);
 }
 
 /* Whether a start has been sent of which it is not known where it arrived. */
@@ -158,6 +160,7 @@
 	zr_log_decision("worker.restarted worker=%s incarnation=%" PRId64
 			" runs=%zu",
 			worker->report.name, incarnation, worker->run_count);
+	zr_cell_worker_crashed(scheduler, worker, "restarted");
 	worker->report.incarnation = incarnation;
 	worker->last_end_processed = 0;
 	worker->last_end_acked = 0;
@@ -424,6 +427,8 @@
 	} else if (reply->status == ZR_REQUEST_WRONG_WORKER) {
 		/* Another worker uses the address, so this one is gone. */
 		worker->registered = false;
+		if (!worker->report.leaving)
+			zr_cell_worker_crashed(scheduler, worker, "replaced");
 		lose_runs(scheduler, worker, "worker_replaced");
 	} else if (reply->status != ZR_REQUEST_ACCEPTED) {
 		zr_log(ZR_LOG_WARN, "poll.refused worker=%s refusal=%d",
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -122,6 +122,7 @@
  * @unanswered: start and stop requests without a response
  * @polls: polls sent
  * @lost: runs that were lost with their worker or did not start
+ * @crashes: workers that crashed, by what their responses show
  * @takeovers: times the ownership was won
  * @load_timeouts: times the cell was given back because the load took too long
  * @loaded_bytes: bytes of jobs and progress read after takeovers
@@ -177,6 +178,7 @@
 	struct zr_metric *unanswered;
 	struct zr_metric *polls;
 	struct zr_metric *lost;
+	struct zr_metric *crashes;
 	struct zr_metric *takeovers;
 	struct zr_metric *load_timeouts;
 	struct zr_metric *loaded_bytes;
@@ -344,6 +346,16 @@
 void zr_cell_worker_responded(struct zr_cell_scheduler *scheduler,
 			      struct zr_cell_worker *worker, int64_t clock_ms);
 
+/* crashes.c */
+/**
+ * zr_cell_worker_crashed() - record that a worker crashed
+ * @scheduler: the scheduler
+ * @worker: the worker, whose runs have not been ended yet
+ * @reason: how that became known, for the log
+ */
+void zr_cell_worker_crashed(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker, const char *reason);
+
 /* polls.c */
 /**
  * zr_cell_worker_set_unconfirmed() - note that the worker may have restarted
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -49,6 +49,8 @@
 		      worker->report.leaving ? ZR_WORKER_EVENT_RESPONDED_LEAVING
 					     : ZR_WORKER_EVENT_RESPONDED);
 	worker->failed_polls = 0;
+	worker->responded_at = zr_cell_now_ms(scheduler);
+	worker->silent_since = ZR_CELL_NEVER;
 	zr_cell_domain_responded(&scheduler->model, worker);
 	if (clock_ms < 0)
 		return;
@@ -67,10 +69,13 @@
 {
 	bool restarted =
 		reply->clock_ms >= 0 && reply->clock_ms < request->clock_ms;
+	int64_t responded_at = worker->responded_at;
 
 	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
 	if (!restarted)
 		return;
+	/* The incarnation that crashed has not responded. */
+	worker->responded_at = responded_at;
 	zr_cell_worker_set_unconfirmed(scheduler, worker);
 	zr_cell_poll_extra(scheduler, worker);
 }
@@ -741,6 +746,7 @@
 	}
 	start.lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	scheduler->starts->value++;
+	entry->sent_at = zr_cell_now_ms(scheduler);
 	zr_cell_task_event(entry, ZR_TASK_EVENT_SENT);
 	zr_cell_domain_start_sent(&scheduler->model, worker,
 				  zr_cell_now_ms(scheduler));
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -488,6 +488,9 @@
 	scheduler->lost = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_runs_lost_total", NULL,
 		"Runs that were lost with their worker or never began");
+	scheduler->crashes = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_worker_crashes_total", NULL,
+		"Workers that crashed while they had runs or were known");
 	scheduler->takeovers = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_take_overs_total", NULL,
 		"Times this host took the cell over");
