cell: an answer of another worker does not count for a crashed one

A start or a stop that another worker answers (it uses the address now) made the crashed worker responsive again: its failed polls were forgotten, it could be offered to tasks until the next poll, and the log said that it had been heard a moment before it crashed.

--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -71,6 +71,11 @@
 		reply->clock_ms >= 0 && reply->clock_ms < request->clock_ms;
 	int64_t responded_at = worker->responded_at;
 
+	/* Another worker has responded, which uses the address now. */
+	if (reply->status == ZR_REQUEST_WRONG_WORKER) {
+		zr_cell_domain_responded(&scheduler->model, worker);
+		return;
+	}
 	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
 	if (!restarted)
 		return;
