tests: tasks that crash their workers, and capacity that shrinks (red)

The simulated workers crash under a task, refuse connections and come back, and change their capacity while they run; they report BUDGET and count it for LIMIT. No decision of the scheduler changes.

--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -46,6 +46,7 @@
 	uint32_t priority;
 	uint32_t latency_target_ms;
 	unsigned int adviser_queries;
+	bool hides_runs;
 	char line[LINE_MAX_BYTES];
 	char *words[WORDS_MAX];
 	int word_count;
@@ -70,7 +71,8 @@
 {
 	struct cell_script *script = ctx;
 
-	print(script, "%s", text);
+	if (!script->hides_runs || !strncmp(text, "VIOLATION", 9))
+		print(script, "%s", text);
 }
 
 static const char *word(const struct cell_script *script, int index)
@@ -368,6 +370,7 @@
 	const char *need = strchr(text, 'x');
 	const char *colon = strchr(text, ':');
 	const char *dependency = strchr(text, '@');
+	char kind[2] = "";
 
 	if (!strncmp(text, "gang,", 5)) {
 		step->flags = ZR_STEP_GANG;
@@ -378,16 +381,18 @@
 	}
 	step->count = (uint32_t)atoi(text);
 	step->need.millicpus = (uint32_t)atoi(need + 1);
-	step->estimate_ms =
-		(uint32_t)atoi(colon[1] == 'f' ? colon + 2 : colon + 1);
+	if (colon[1] == 'f' || colon[1] == 'x')
+		kind[0] = *++colon;
+	if (kind[0] == 'x' && step->flags & ZR_STEP_GANG)
+		kind[0] = 'X';
+	step->estimate_ms = (uint32_t)atoi(colon + 1);
 	step->depends_on = calloc(1, sizeof(*step->depends_on));
 	if (dependency) {
 		step->depends_on[0] = (uint32_t)atoi(dependency + 1);
 		step->depends_on_count = 1;
 	}
 	snprintf(payload + strlen(payload), LINE_MAX_BYTES - strlen(payload),
-		 "%s%s%d:%u", *payload ? "," : "", colon[1] == 'f' ? "f" : "",
-		 atoi(colon[1] == 'f' ? colon + 2 : colon + 1),
+		 "%s%s%u:%u", *payload ? "," : "", kind, step->estimate_ms,
 		 step->need.millicpus);
 }
 
@@ -701,6 +706,40 @@
 			      (unsigned int)atoi(word(script, 1)));
 }
 
+static void do_crashes(struct cell_script *script)
+{
+	fake_pool_set_crashes(script->pool, (unsigned int)atoi(word(script, 1)),
+			      (unsigned int)atoi(word(script, 2)),
+			      !strcmp(word(script, 3), "replaced"));
+}
+
+static void do_hide_runs(struct cell_script *script)
+{
+	script->hides_runs = true;
+}
+
+static void do_crashed_workers(struct cell_script *script)
+{
+	print(script, "crashed workers: %u",
+	      fake_pool_crash_count(script->pool));
+}
+
+static void do_shrink_grace(struct cell_script *script)
+{
+	fake_pool_set_shrink_grace_ms(script->pool,
+				      (unsigned int)atoi(word(script, 1)));
+}
+
+static void do_capacity(struct cell_script *script)
+{
+	char key[ZR_CELL_KEY_MAX];
+
+	fake_pool_set_capacity(script->pool, word(script, 2),
+			       (uint32_t)atoi(word(script, 3)));
+	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 2));
+	commit_value(script, find_host(script, word(script, 1)), key, "1", 1);
+}
+
 static void do_replace(struct cell_script *script)
 {
 	fake_pool_replace(script->pool, word(script, 1));
@@ -739,6 +778,11 @@
 	{"owner", do_owner},
 	{"restart", do_restart},
 	{"replace", do_replace},
+	{"crashes", do_crashes},
+	{"capacity", do_capacity},
+	{"shrink-grace", do_shrink_grace},
+	{"hide-runs", do_hide_runs},
+	{"crashed-workers", do_crashed_workers},
 	{"unregister", do_unregister},
 	{"priority", do_priority},
 	{"latency-target", do_latency_target},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -25,15 +25,14 @@
  *                              all schedulers of it. STEP is
  *                              [gang,|checkpoints,]COUNTxMILLICPUS:MS[@STEP]:
  *                              MS is the run time of a task, fMS that of a task
- *                              that fails, @STEP the index of the step that it
- *                              depends on
- *   cancel HOST JOB            commit a cancellation like an entry host
- *   state HOST JOB             print the persisted state of a job
- *   query HOST JOB             print the state that HOST's scheduler reports
- *   waiting-jobs HOST          print the persisted number of waiting jobs
- *   told-jobs HOST             print the number that HOST's frontend would tell
- *   recovery-reads             print the number of reads that owners have made
- *                              to load jobs and their progress
+ *                              that fails, xMS that of the tasks of a step
+ * whose first one crashes its workers, @STEP the index of the step that it
+ * depends on cancel HOST JOB            commit a cancellation like an entry
+ * host state HOST JOB             print the persisted state of a job query HOST
+ * JOB             print the state that HOST's scheduler reports waiting-jobs
+ * HOST          print the persisted number of waiting jobs told-jobs HOST print
+ * the number that HOST's frontend would tell recovery-reads             print
+ * the number of reads that owners have made to load jobs and their progress
  *   adviser-queries            print the number of queries sent to the adviser
  *   owner                      print the host whose scheduler owns the cell
  *   advance MS                 advance the fake clock
@@ -62,6 +61,17 @@
  *                              released the cell
  *   restart WORKER             start a new incarnation of a worker
  *   replace WORKER             start another worker at its address
+ *   crashes AFTER DOWN restarted|replaced
+ *                              set after how many milliseconds a task crashes
+ *                              its worker, for how long this is down, and
+ *                              whether another worker uses its address then
+ *   crashed-workers            print how many workers tasks have crashed
+ *   hide-runs                  print violations, but no begins and ends of runs
+ *   capacity HOST WORKER MILLICPUS
+ *                              change the capacity of a worker; it registers
+ *                              the change through HOST
+ *   shrink-grace MS            set for how long a start need not fit a capacity
+ *                              that has decreased
  *   stop-ms MS                 set the time from a stop until the run's end
  *   hang WORKER                stop the progress of its tasks; the worker
  *                              still responds
--- a/tests/fakes/fake_net.c
+++ b/tests/fakes/fake_net.c
@@ -304,6 +304,23 @@
 	}
 }
 
+void fake_calls_reset(struct fake_node *server)
+{
+	struct fake_call *call;
+	struct fake_call *next;
+
+	DL_FOREACH_SAFE(server->net->calls, call, next)
+	{
+		if (call->server == server)
+			finish(call, FAKE_TIMED_OUT);
+	}
+}
+
+void fake_call_refuse(struct fake_call *call)
+{
+	finish(call, FAKE_REFUSED);
+}
+
 static void process_message(struct message *message)
 {
 	struct fake_call *call = message->call;
--- a/tests/fakes/fake_net.h
+++ b/tests/fakes/fake_net.h
@@ -135,6 +135,12 @@
  */
 void fake_calls_cancel(struct fake_node *client, struct fake_node *server);
 
+/** fake_calls_reset() - end the pending calls to a server without a reply */
+void fake_calls_reset(struct fake_node *server);
+
+/** fake_call_refuse() - end a call as refused, from @serve */
+void fake_call_refuse(struct fake_call *call);
+
 /** fake_call_reply() - send the reply, from @serve or later */
 void fake_call_reply(struct fake_call *call);
 
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -11,6 +11,13 @@
 
 #define TEXT_MAX 256
 #define LEASE_MAX_MS 6000
+/*
+ * A task that crashes its workers may be started this often after as many
+ * workers have crashed while they ran it.
+ */
+#define CRASH_BUDGET 3
+#define CRASH_AFTER_MS 10
+#define CRASH_DOWN_MS 3000
 
 struct run {
 	struct run *prev;
@@ -20,8 +27,10 @@
 	uint32_t millicpus;
 	int64_t began_at;
 	int64_t ends_at;
-	int64_t stops_at; /* INT64_MAX: no stop was requested */
+	int64_t stops_at;   /* INT64_MAX: no stop was requested */
+	int64_t crashes_at; /* INT64_MAX: it does not crash the worker */
 	bool fails;
+	bool breaks_gang;
 };
 
 /*
@@ -50,12 +59,15 @@
 	struct fake_node *node;
 	char name[ZR_NAME_MAX];
 	uint32_t millicpus;
+	uint32_t max_millicpus; /* maximum while a decrease is recent */
+	int64_t shrinks_at;	/* when @max_millicpus ends */
 	uint32_t used_millicpus;
 	int64_t incarnation;
 	int64_t started_at;
 	uint64_t fencing_token;
 	int64_t lease_expires_at; /* by the worker's clock */
 	int64_t last_end_number;
+	int64_t down_until;
 	bool replaced;
 	bool hung;
 	struct run *runs;
@@ -70,10 +82,24 @@
 	bool acked;
 };
 
+/* A task that crashes its workers. */
+struct crashed_task {
+	struct crashed_task *next;
+	struct zr_cell_task_name task;
+	unsigned int crashes;
+	unsigned int later_starts; /* after CRASH_BUDGET crashes */
+};
+
 struct fake_pool {
 	struct fake_net *net;
 	struct pool_worker *workers;
 	struct done_task *done_tasks;
+	struct crashed_task *crashed_tasks;
+	unsigned int crash_after_ms;
+	unsigned int crash_down_ms;
+	bool crash_replaces;
+	unsigned int crash_count;
+	unsigned int shrink_grace_ms;
 	fake_pool_event_fn event;
 	void *ctx;
 	unsigned int stop_ms;
@@ -179,6 +205,42 @@
 	return NULL;
 }
 
+static struct crashed_task *
+find_crashed_task(const struct fake_pool *pool,
+		  const struct zr_cell_task_name *task)
+{
+	struct crashed_task *crashed;
+
+	LL_FOREACH(pool->crashed_tasks, crashed)
+	{
+		if (same_task(&crashed->task, task))
+			return crashed;
+	}
+	return NULL;
+}
+
+/* Counts a crash of the worker for the tasks there that crash workers. */
+static void count_crash(const struct pool_worker *worker)
+{
+	struct fake_pool *pool = worker->pool;
+	const struct run *run;
+
+	DL_FOREACH(worker->runs, run)
+	{
+		struct crashed_task *crashed =
+			find_crashed_task(pool, &run->task);
+
+		if (run->crashes_at == INT64_MAX)
+			continue;
+		if (!crashed) {
+			crashed = calloc(1, sizeof(*crashed));
+			crashed->task = run->task;
+			LL_PREPEND(pool->crashed_tasks, crashed);
+		}
+		crashed->crashes++;
+	}
+}
+
 static const char *const outcome_names[] = {
 	[ZR_RUN_DONE] = "done",		 [ZR_RUN_FAILED] = "failed",
 	[ZR_RUN_STOPPED] = "stopped",	 [ZR_RUN_LEASE_EXPIRED] = "expired",
@@ -214,8 +276,12 @@
 			const struct zr_cell_task_name *task)
 {
 	const struct done_task *done = find_done_task(worker->pool, task);
+	struct crashed_task *crashed = find_crashed_task(worker->pool, task);
 	const struct pool_worker *other;
 
+	if (crashed && crashed->crashes >= CRASH_BUDGET &&
+	    ++crashed->later_starts == CRASH_BUDGET)
+		violation(worker->pool, "BUDGET", task, worker->name);
 	LL_FOREACH(worker->pool->workers, other)
 	{
 		if (find_run(other, task))
@@ -225,8 +291,9 @@
 		violation(worker->pool, "AGAIN", task, worker->name);
 }
 
-/* Parses the payload's entry `[f]MS:MILLICPUS` for the step of a run. */
-static void parse_payload(struct run *run, const char *payload, int64_t now)
+/* Parses the payload's entry `[f|x|X]MS:MILLICPUS` for the step of a run. */
+static void parse_payload(struct run *run, const struct fake_pool *pool,
+			  const char *payload, int64_t now)
 {
 	const char *entry = payload;
 	uint32_t step;
@@ -236,7 +303,11 @@
 		entry = entry ? entry + 1 : NULL;
 	}
 	run->fails = entry && *entry == 'f';
-	if (run->fails)
+	run->crashes_at = INT64_MAX;
+	run->breaks_gang = entry && *entry == 'X';
+	if (entry && (*entry == 'x' || *entry == 'X') && !run->task.index)
+		run->crashes_at = now + pool->crash_after_ms;
+	if (entry && strchr("fxX", *entry))
 		entry++;
 	run->began_at = now;
 	run->ends_at = now + (entry ? atoi(entry) : 0);
@@ -244,6 +315,13 @@
 	run->millicpus = entry ? (uint32_t)atoi(entry + 1) : 0;
 }
 
+static uint32_t max_capacity(const struct pool_worker *worker)
+{
+	return net_now(worker->pool) < worker->shrinks_at
+		       ? worker->max_millicpus
+		       : worker->millicpus;
+}
+
 static enum zr_request_status process_start(struct pool_worker *worker,
 					    const struct call *call)
 {
@@ -265,9 +343,9 @@
 	run->task = call->task;
 	run->attempt = call->attempt;
 	run->stops_at = INT64_MAX;
-	parse_payload(run, call->payload, net_now(worker->pool));
+	parse_payload(run, worker->pool, call->payload, net_now(worker->pool));
 	worker->used_millicpus += run->millicpus;
-	if (worker->used_millicpus > worker->millicpus)
+	if (worker->used_millicpus > max_capacity(worker))
 		violation(worker->pool, "LIMIT", &run->task, worker->name);
 	DL_APPEND(worker->runs, run);
 	report_event(worker->pool, "%s %s.%u.%u.%u run %u begun", worker->name,
@@ -423,6 +501,10 @@
 	struct pool_worker *worker = call->worker;
 	enum zr_request_status status;
 
+	if (net_now(worker->pool) < worker->down_until) {
+		fake_call_refuse(net_call);
+		return;
+	}
 	/* Its connection ended with the earlier incarnation. */
 	if (call->incarnation != worker->incarnation)
 		return;
@@ -643,6 +725,65 @@
 	find_worker(pool, name)->replaced = true;
 }
 
+/* Ends the members on other workers of a gang that is breaking. */
+static void break_gang(struct fake_pool *pool, struct zr_cell_task_name gang)
+{
+	struct pool_worker *worker;
+	struct run *run;
+	struct run *next;
+
+	LL_FOREACH(pool->workers, worker)
+	{
+		DL_FOREACH_SAFE(worker->runs, run, next)
+		{
+			gang.index = run->task.index;
+			if (same_task(&run->task, &gang))
+				end_run(worker, run, ZR_RUN_GANG_BROKEN);
+		}
+	}
+}
+
+static void crash_worker(struct pool_worker *worker, const struct run *cause)
+{
+	struct fake_pool *pool = worker->pool;
+	struct zr_cell_task_name task = cause->task;
+	bool breaks_gang = cause->breaks_gang;
+
+	pool->crash_count++;
+	report_event(pool, "%s crashed", worker->name);
+	count_crash(worker);
+	fake_pool_restart(pool, worker->name);
+	if (breaks_gang)
+		break_gang(pool, task);
+	fake_calls_reset(worker->node);
+	worker->down_until = net_now(pool) + pool->crash_down_ms;
+	worker->replaced = pool->crash_replaces;
+}
+
+void fake_pool_set_crashes(struct fake_pool *pool, unsigned int after_ms,
+			   unsigned int down_ms, bool replaces)
+{
+	pool->crash_after_ms = after_ms;
+	pool->crash_down_ms = down_ms;
+	pool->crash_replaces = replaces;
+}
+
+void fake_pool_set_shrink_grace_ms(struct fake_pool *pool, unsigned int ms)
+{
+	pool->shrink_grace_ms = ms;
+}
+
+void fake_pool_set_capacity(struct fake_pool *pool, const char *name,
+			    uint32_t millicpus)
+{
+	struct pool_worker *worker = find_worker(pool, name);
+	uint32_t max = max_capacity(worker);
+
+	worker->max_millicpus = max > millicpus ? max : millicpus;
+	worker->shrinks_at = net_now(pool) + pool->shrink_grace_ms;
+	worker->millicpus = millicpus;
+}
+
 void fake_pool_set_domain(struct fake_pool *pool, const char *name,
 			  const char *domain)
 {
@@ -666,6 +807,13 @@
 	struct run *run;
 	struct run *next;
 
+	DL_FOREACH(worker->runs, run)
+	{
+		if (net_now(worker->pool) < run->crashes_at)
+			continue;
+		crash_worker(worker, run);
+		break;
+	}
 	DL_FOREACH_SAFE(worker->runs, run, next)
 	{
 		if (worker_now(worker) >= worker->lease_expires_at)
@@ -709,6 +857,11 @@
 	return 0;
 }
 
+unsigned int fake_pool_crash_count(const struct fake_pool *pool)
+{
+	return pool->crash_count;
+}
+
 unsigned int fake_pool_violations(const struct fake_pool *pool)
 {
 	return pool->violations;
@@ -724,6 +877,8 @@
 	pool->net = net;
 	pool->event = event;
 	pool->ctx = ctx;
+	pool->crash_after_ms = CRASH_AFTER_MS;
+	pool->crash_down_ms = CRASH_DOWN_MS;
 	return pool;
 }
 
@@ -746,9 +901,14 @@
 
 void fake_pool_free(struct fake_pool *pool)
 {
+	struct crashed_task *crashed;
 	struct done_task *done;
 	struct pool_worker *worker;
 
+	while ((crashed = pool->crashed_tasks)) {
+		pool->crashed_tasks = crashed->next;
+		free(crashed);
+	}
 	while ((worker = pool->workers)) {
 		pool->workers = worker->next;
 		free_worker(worker);
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -13,11 +13,17 @@
  *
  * The payload of a job has an entry `MS:MILLICPUS` for each step, separated by
  * commas. A run of a task takes that many milliseconds of time and thousandths
- * of a processor. An entry `fMS:MILLICPUS` makes the run fail at its end.
+ * of a processor. A letter before MS changes what the tasks do:
+ *
+ * - `f`: their runs fail at the end.
+ * - `x`: the first task of the step crashes each worker that starts it.
+ * - `X`: the same, and the crash ends the other members of its gang.
  *
  * The pool reports a violation if a task runs twice concurrently (TWICE), if it
- * starts again after a poll has acknowledged its successful end (AGAIN), or if
- * the runs of a worker use more than its capacity (LIMIT).
+ * starts again after a poll has acknowledged its successful end (AGAIN), if the
+ * runs of a worker use more than its capacity (LIMIT), or if a task that
+ * crashes its workers is started three times more after three workers have
+ * crashed while they ran it (BUDGET).
  */
 
 struct fake_pool;
@@ -45,6 +51,32 @@
  */
 void fake_pool_replace(struct fake_pool *pool, const char *name);
 
+/**
+ * fake_pool_set_crashes() - set how tasks crash their workers
+ * @pool: the pool
+ * @after_ms: time from the start of the task to the crash
+ * @down_ms: time for which the worker then refuses connections
+ * @replaces: whether another worker uses its address afterwards, instead of a
+ *	new incarnation
+ */
+void fake_pool_set_crashes(struct fake_pool *pool, unsigned int after_ms,
+			   unsigned int down_ms, bool replaces);
+
+/**
+ * fake_pool_set_shrink_grace_ms() - set for how long starts need not fit a
+ * capacity that has decreased, since schedulers have to learn of it; 0 at first
+ */
+void fake_pool_set_shrink_grace_ms(struct fake_pool *pool, unsigned int ms);
+
+/**
+ * fake_pool_set_capacity() - change the capacity of a running worker
+ * @pool: the pool
+ * @name: the worker
+ * @millicpus: in thousandths of a processor
+ */
+void fake_pool_set_capacity(struct fake_pool *pool, const char *name,
+			    uint32_t millicpus);
+
 /** fake_pool_hang() - let a worker's runs make no more progress, nor end */
 void fake_pool_hang(struct fake_pool *pool, const char *name);
 
@@ -73,6 +105,9 @@
 int fake_pool_open(struct fake_pool *pool, struct fake_node *client,
 		   struct zr_cell_worker_conn *out, const char *worker);
 
+/** fake_pool_crash_count() - number of workers that tasks have crashed */
+unsigned int fake_pool_crash_count(const struct fake_pool *pool);
+
 /** fake_pool_violations() - number of violations so far */
 unsigned int fake_pool_violations(const struct fake_pool *pool);
 
