cell: count crashes of workers, run suspects apart, give a task up

Cause: only ends that a worker reports as failed counted against a task. A run that was lost with its worker was placed again without a limit, anywhere.

Change: when a worker is known to have crashed, each of its runs is charged. A run that had been running for less than 250 ms when the worker last responded makes its task a suspect. The job fails when a worker crashes under a task that runs apart and has crashed a worker before (crashes.c, isolation.c). Crashes that are not certain (an answer was missing, the lease ran out) need three; a task beside others needs more.

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -100,6 +100,11 @@
 		abort();
 	HASH_ITER (hh, model->worker_by_name, worker, next) {
 		worker->candidate_index = 0;
+		if (!worker->isolated_runs &&
+		    plan->now >= worker->isolation_until)
+			worker->isolation_job = ZR_HANDLE_NONE;
+		plan->draining_count +=
+			worker->isolation_job && !worker->isolated_runs;
 		if (accepts_tasks(worker, plan->now) &&
 		    !zr_cell_domain_unresponsive(model, worker, plan->now))
 			add_candidate(plan, worker);
@@ -112,6 +117,8 @@
 	const struct zr_cell_worker *worker = candidate->worker;
 	const char *label = item->step->spec->label;
 
+	if (worker->isolation_job && worker->isolation_job != item->job->self)
+		return false;
 	return zr_cell_fit_count(&worker->report.capacity, &item->need) &&
 	       !strcmp(worker->report.pool, item->queue.pool) &&
 	       (!label[0] || has_label(worker, label));
@@ -260,6 +267,33 @@
 	return best;
 }
 
+/* For a suspect, few runs of other jobs come before all else. */
+static struct zr_cell_candidate *
+best_candidate_for_suspect(const struct zr_cell_plan *plan,
+			   const struct zr_cell_plan_item *item)
+{
+	uint32_t others_max = zr_cell_isolation_others_max(plan, item);
+	struct zr_cell_candidate *best = NULL;
+	size_t i;
+
+	for (i = 0; i < item->eligible_count; i++) {
+		struct zr_cell_candidate *candidate =
+			item->eligible[i].candidate;
+		const struct zr_cell_worker *worker = candidate->worker;
+
+		if (!zr_cell_isolation_allows(item, worker, others_max) ||
+		    !zr_cell_eligible_is_valid(&item->eligible[i], plan->now) ||
+		    !zr_cell_candidate_slots(item, candidate))
+			continue;
+		if (!best ||
+		    zr_cell_isolation_prefers(item, worker, best->worker) ||
+		    (!zr_cell_isolation_prefers(item, best->worker, worker) &&
+		     is_better(item, candidate, best)))
+			best = candidate;
+	}
+	return best;
+}
+
 /* Returns the next attempt number, which is the same for all members. */
 static uint32_t next_gang_attempt(const struct zr_cell_plan_item *item)
 {
@@ -299,11 +333,15 @@
 			  zr_handle avoided_worker, uint32_t attempt,
 			  char names[ZR_CELL_NAMES_MAX])
 {
+	bool suspect = item->job->tasks[task].suspicion != ZR_SUSPECT_NOT;
 	struct zr_cell_candidate *candidate =
-		best_candidate(plan, item, avoided_worker);
+		suspect ? best_candidate_for_suspect(plan, item)
+			: best_candidate(plan, item, avoided_worker);
 
 	if (!candidate)
 		return false;
+	if (suspect)
+		item->step->isolation_wanted_since = 0;
 	zr_cell_place_task(plan->scheduler, item->job, task, candidate->worker,
 			   attempt);
 	subtract_free(candidate, &item->need);
@@ -311,31 +349,50 @@
 	return true;
 }
 
-uint32_t zr_cell_place_tasks(struct zr_cell_plan *plan,
-			     const struct zr_cell_plan_item *item,
-			     uint32_t max_tasks, char names[ZR_CELL_NAMES_MAX])
+/* Places waiting tasks that are suspects, or those that are not. */
+static uint32_t place_waiting(struct zr_cell_plan *plan,
+			      const struct zr_cell_plan_item *item,
+			      bool suspects, uint32_t gang_attempt,
+			      uint32_t max_tasks, char names[ZR_CELL_NAMES_MAX])
 {
-	struct zr_cell_step_state *step = item->step;
-	bool gang = zr_cell_step_is_gang(step);
-	uint32_t attempt = gang ? next_gang_attempt(item) : 0;
+	const struct zr_cell_step_state *step = item->step;
 	uint32_t end = step->first_task + step->spec->count;
 	uint32_t placed = 0;
 	uint32_t task;
 
-	names[0] = '\0';
 	for (task = step->first_task; task < end && placed < max_tasks;
 	     task++) {
 		struct zr_cell_task *entry = &item->job->tasks[task];
 
-		if (entry->state != ZR_TASK_WAITING)
+		if (entry->state != ZR_TASK_WAITING ||
+		    (entry->suspicion != ZR_SUSPECT_NOT) != suspects)
 			continue;
 		if (!place_on_best(plan, item, task,
-				   gang ? ZR_HANDLE_NONE
-					: entry->avoided_worker,
-				   gang ? attempt : entry->attempt + 1, names))
+				   gang_attempt ? ZR_HANDLE_NONE
+						: entry->avoided_worker,
+				   gang_attempt ? gang_attempt
+						: entry->attempt + 1,
+				   names))
 			break;
 		placed++;
 	}
+	return placed;
+}
+
+uint32_t zr_cell_place_tasks(struct zr_cell_plan *plan,
+			     const struct zr_cell_plan_item *item,
+			     uint32_t max_tasks, char names[ZR_CELL_NAMES_MAX])
+{
+	struct zr_cell_step_state *step = item->step;
+	bool gang = zr_cell_step_is_gang(step);
+	uint32_t attempt = gang ? next_gang_attempt(item) : 0;
+	uint32_t placed;
+
+	names[0] = '\0';
+	/* Others of the same job may join a suspect. */
+	placed = place_waiting(plan, item, true, attempt, max_tasks, names);
+	placed += place_waiting(plan, item, false, attempt, max_tasks - placed,
+				names);
 	if (gang) {
 		step->gang_placed_at = plan->now;
 		step->gang_stopping = false;
--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -4,10 +4,18 @@
 #include "zinniarack/log.h"
 
 /*
- * A task can crash each worker that starts it. When a worker crashes, this
- * finds the runs that may have caused it. A worker that does not respond may
- * also be cut off or stopped, so a crash is known only when the worker is back
- * without its runs, or another one uses its address.
+ * A task can crash each worker that starts it, and with the worker the runs of
+ * other jobs end. When a worker crashes, this finds the runs that may have
+ * caused it and counts the crash for them. Those that had only just started are
+ * suspects: they run apart next, on a worker without runs of other jobs, so
+ * that a second crash shows which job is the cause and costs no other job a
+ * run. A job is given up when a worker crashes under a task that runs apart and
+ * has crashed another worker before.
+ *
+ * A worker that does not respond may also be cut off or stopped, so a crash is
+ * known only when the worker is back without its runs, or another one uses its
+ * address. If that never happens, the runs end with their lease; this counts
+ * too, but not as certain.
  */
 
 /*
@@ -15,10 +23,24 @@
  * crashed the worker by its start.
  */
 #define SETTLED_MS 250
+/*
+ * If a worker stops responding this soon after it confirmed a start, the run
+ * has not ended before. Less than the timeout of a request, so that only a
+ * connection that breaks is noticed in time.
+ */
+#define CERTAIN_MS 300
+/* Numbers of crashes at which a task that runs apart is given up. */
+#define APART_CERTAIN_CRASHES 2
+#define APART_CRASHES 3
+/* The same for a task that runs beside other jobs. */
+#define SHARED_CERTAIN_CRASHES 3
+#define SHARED_CRASHES 5
+/* Number of crashes after which a task is a suspect in any case. */
+#define SUSPECT_CRASHES 2
 
 /* When the worker stopped responding, or now if that was not noticed. */
-static int64_t crashed_before(const struct zr_cell_scheduler *scheduler,
-			      const struct zr_cell_worker *worker)
+static int64_t last_possible_start(const struct zr_cell_scheduler *scheduler,
+				   const struct zr_cell_worker *worker)
 {
 	int64_t now = zr_cell_now_ms(scheduler);
 
@@ -27,9 +49,9 @@
 
 /* Whether the start was sent while the worker responded. */
 static bool may_have_started(const struct zr_cell_task *entry,
-			     int64_t crashed_at)
+			     int64_t silent_since)
 {
-	return entry->state != ZR_TASK_PLACED && entry->sent_at <= crashed_at;
+	return entry->state != ZR_TASK_PLACED && entry->sent_at <= silent_since;
 }
 
 /* The age of a run of an earlier scheduler is not known, so it is not fresh. */
@@ -41,28 +63,168 @@
 	return worker->responded_at - entry->started_at < SETTLED_MS;
 }
 
-void zr_cell_worker_crashed(struct zr_cell_scheduler *scheduler,
-			    struct zr_cell_worker *worker, const char *reason)
+static bool is_certain(const struct zr_cell_task *entry, int64_t silent_since)
 {
-	int64_t crashed_at = crashed_before(scheduler, worker);
+	return entry->started_at &&
+	       silent_since - entry->started_at <= CERTAIN_MS;
+}
+
+/* Whether all runs that may have started are of the same job. */
+static bool has_one_job(const struct zr_cell_model *model,
+			const struct zr_cell_worker *worker,
+			int64_t silent_since)
+{
+	zr_handle job = ZR_HANDLE_NONE;
+	size_t i;
+
+	for (i = 0; i < worker->run_count; i++) {
+		struct zr_cell_ref ref = worker->runs[i];
+
+		if (!may_have_started(
+			    &zr_cell_job(model, ref.job)->tasks[ref.task],
+			    silent_since))
+			continue;
+		if (job && job != ref.job)
+			return false;
+		job = ref.job;
+	}
+	return true;
+}
+
+/* Notes for each run what the crash says about it; returns how many are fresh.
+ */
+static size_t note_evidence(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker, bool known)
+{
+	struct zr_cell_model *model = &scheduler->model;
+	int64_t silent_since = last_possible_start(scheduler, worker);
+	uint32_t apart =
+		has_one_job(model, worker, silent_since) ? ZR_CRASH_APART : 0;
 	size_t fresh = 0;
-	size_t runs = 0;
 	size_t i;
 
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
-		const struct zr_cell_task *entry =
-			&zr_cell_job(&scheduler->model, ref.job)
-				 ->tasks[ref.task];
+		struct zr_cell_task *entry =
+			&zr_cell_job(model, ref.job)->tasks[ref.task];
+		uint32_t evidence = ZR_CRASH_COUNTED | apart;
 
-		if (!may_have_started(entry, crashed_at))
+		if (entry->crash_evidence ||
+		    !may_have_started(entry, silent_since))
+			continue;
+		if (is_fresh(entry, worker)) {
+			fresh++;
+			if (known)
+				evidence |= ZR_CRASH_SUSPECT;
+		} else if (!known) {
 			continue;
-		runs++;
-		fresh += is_fresh(entry, worker);
+		}
+		if (known && is_certain(entry, silent_since))
+			evidence |= ZR_CRASH_CERTAIN;
+		entry->crash_evidence = evidence;
 	}
+	return fresh;
+}
+
+void zr_cell_worker_crashed(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker, const char *reason)
+{
+	size_t fresh = note_evidence(scheduler, worker, true);
+
 	scheduler->crashes->value++;
 	zr_log_decision("worker.crashed worker=%s reason=%s runs=%zu "
 			"fresh=%zu silent_ms=%" PRId64,
-			worker->report.name, reason, runs, fresh,
-			zr_cell_now_ms(scheduler) - crashed_at);
+			worker->report.name, reason, worker->run_count, fresh,
+			zr_cell_now_ms(scheduler) -
+				last_possible_start(scheduler, worker));
+}
+
+void zr_cell_worker_lost(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_worker *worker)
+{
+	note_evidence(scheduler, worker, false);
+}
+
+static bool is_given_up(const struct zr_cell_task *entry, bool apart)
+{
+	if (apart && (entry->certain_crashes >= APART_CERTAIN_CRASHES ||
+		      entry->crashes >= APART_CRASHES))
+		return true;
+	return entry->certain_crashes >= SHARED_CERTAIN_CRASHES ||
+	       entry->crashes >= SHARED_CRASHES;
+}
+
+bool zr_cell_crash_charge(const struct zr_cell_job *job,
+			  struct zr_cell_task *entry)
+{
+	uint32_t evidence = entry->crash_evidence;
+	bool given_up;
+
+	if (!evidence)
+		return false;
+	entry->crash_evidence = 0;
+	entry->crashes++;
+	if (evidence & ZR_CRASH_CERTAIN)
+		entry->certain_crashes++;
+	if (evidence & ZR_CRASH_SUSPECT)
+		entry->suspicion = ZR_SUSPECT_AT_START;
+	else if (entry->crashes >= SUSPECT_CRASHES)
+		entry->suspicion = ZR_SUSPECT_ALWAYS;
+	given_up = is_given_up(entry, evidence & ZR_CRASH_APART);
+	zr_log_decision("task.crashed_worker job=%s task=%td attempt=%" PRIu32
+			" crashes=%" PRIu32 " certain=%" PRIu32
+			" apart=%d suspicion=%d given_up=%d",
+			job->id, entry - job->tasks, entry->attempt,
+			entry->crashes, entry->certain_crashes,
+			(evidence & ZR_CRASH_APART) != 0, entry->suspicion,
+			given_up);
+	return given_up;
+}
+
+/* Whether a run that may crash its worker by its start has not done so. */
+static bool is_settled(const struct zr_cell_task *entry, int64_t now)
+{
+	return entry->isolated && entry->started_at &&
+	       entry->suspicion == ZR_SUSPECT_AT_START &&
+	       now - entry->started_at >= SETTLED_MS;
+}
+
+void zr_cell_crash_run_seen(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker,
+			    struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_task *entry = &job->tasks[task];
+
+	entry->crash_evidence = 0;
+	if (!is_settled(entry, zr_cell_now_ms(scheduler)))
+		return;
+	entry->suspicion = ZR_SUSPECT_NOT;
+	zr_cell_worker_end_isolation(worker, entry);
+	zr_log_decision("task.cleared job=%s task=%" PRIu32 " worker=%s",
+			job->id, task, worker->report.name);
+	zr_cell_schedule_plan(scheduler);
+}
+
+void zr_cell_crash_process(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker)
+{
+	int64_t now = zr_cell_now_ms(scheduler);
+	bool has_settled = false;
+	size_t i;
+
+	if (!worker->isolated_runs)
+		return;
+	for (i = 0; i < worker->run_count; i++) {
+		struct zr_cell_ref ref = worker->runs[i];
+		struct zr_cell_task *entry =
+			&zr_cell_job(&scheduler->model, ref.job)
+				 ->tasks[ref.task];
+
+		if (entry->settle_polled || !is_settled(entry, now))
+			continue;
+		entry->settle_polled = true;
+		has_settled = true;
+	}
+	if (has_settled)
+		zr_cell_poll_extra(scheduler, worker);
 }
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -492,6 +492,25 @@
 	}
 }
 
+static void begin_isolation(struct zr_cell_worker *worker, zr_handle job,
+			    struct zr_cell_task *task)
+{
+	task->isolated = true;
+	task->settle_polled = false;
+	worker->isolated_runs++;
+	worker->isolation_job = job;
+}
+
+void zr_cell_worker_end_isolation(struct zr_cell_worker *worker,
+				  struct zr_cell_task *task)
+{
+	if (!task->isolated)
+		return;
+	task->isolated = false;
+	if (!--worker->isolated_runs)
+		worker->isolation_job = ZR_HANDLE_NONE;
+}
+
 void zr_cell_task_begin_run(struct zr_cell_model *model,
 			    struct zr_cell_job *job, uint32_t task,
 			    struct zr_cell_worker *worker,
@@ -506,6 +525,7 @@
 	entry->visible_after = ZR_CELL_START_PENDING;
 	entry->stop_sent = false;
 	entry->sent_at = 0;
+	entry->crash_evidence = 0;
 	entry->percent = 0;
 	step->waiting--;
 	step->active_tasks++;
@@ -514,6 +534,8 @@
 		job->state = ZR_CELL_JOB_ACTIVE;
 	charge(model, job, step->spec, worker, 1);
 	add_run(worker, job->self, task);
+	if (entry->suspicion)
+		begin_isolation(worker, job->self, entry);
 }
 
 void zr_cell_task_end_run(struct zr_cell_model *model, struct zr_cell_job *job,
@@ -531,6 +553,7 @@
 		job->active_tasks--;
 		charge(model, job, step->spec, worker, -1);
 		remove_run(worker, job->self, task);
+		zr_cell_worker_end_isolation(worker, entry);
 	} else {
 		step->waiting--;
 	}
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -30,6 +30,26 @@
 /** &struct zr_cell_task.visible_after while a start may still be in flight. */
 #define ZR_CELL_START_PENDING UINT64_MAX
 
+/**
+ * enum zr_suspicion - whether a task is suspected to crash its workers
+ * @ZR_SUSPECT_NOT: it is not
+ * @ZR_SUSPECT_AT_START: a worker crashed soon after a start of it
+ * @ZR_SUSPECT_ALWAYS: workers crashed while it was running
+ */
+enum zr_suspicion {
+	ZR_SUSPECT_NOT,
+	ZR_SUSPECT_AT_START,
+	ZR_SUSPECT_ALWAYS,
+};
+
+/** Flags of &struct zr_cell_task.crash_evidence. */
+enum zr_crash_evidence {
+	ZR_CRASH_COUNTED = 1, /* its worker crashed, or was lost, under it */
+	ZR_CRASH_SUSPECT = 2, /* its start may have been the cause */
+	ZR_CRASH_CERTAIN = 4, /* it was running when the worker crashed */
+	ZR_CRASH_APART = 8,   /* no other job had a run on the worker */
+};
+
 /** struct zr_cell_ref - a task: its job and its index in the job's tasks */
 struct zr_cell_ref {
 	zr_handle job;
@@ -41,6 +61,13 @@
  * @state: &enum zr_task_state
  * @attempt: number of its latest run
  * @failures: number of runs that failed
+ * @crashes: number of workers that crashed, or were lost, under its runs
+ * @certain_crashes: number of those that are certain to have crashed under one
+ * @suspicion: &enum zr_suspicion; if set, its next run is isolated
+ * @isolated: no other job may have a run on the worker of its active run
+ * @settle_polled: a poll was sent that ends the isolation of its active run
+ * @crash_evidence: flags of &enum zr_crash_evidence about its active run; 0:
+ *                  none
  * @worker: worker of its active run; ZR_HANDLE_NONE without one
  * @change: value of &struct zr_cell_job.change for its placement
  * @visible_after: value of the scheduler's event counter; if a poll sent later
@@ -59,6 +86,12 @@
 	int state;
 	uint32_t attempt;
 	uint32_t failures;
+	uint32_t crashes;
+	uint32_t certain_crashes;
+	enum zr_suspicion suspicion;
+	bool isolated;
+	bool settle_polled;
+	uint32_t crash_evidence;
 	zr_handle worker;
 	uint64_t change;
 	uint64_t visible_after;
@@ -111,6 +144,8 @@
  * @gang_stopping: of a gang, all members of that run are being stopped
  * @gang_domain: of a gang, number of the failure domain in which it reserves
  *               capacity; 0: none chosen
+ * @isolation_wanted_since: when a suspect of it first found no worker of its
+ *                          own; 0: none waits for one
  * @prev: previous step in the list of ready steps
  * @next: next step in that list
  * @in_ready_list: it is in that list
@@ -137,6 +172,7 @@
 	int64_t gang_placed_at;
 	bool gang_stopping;
 	uint32_t gang_domain;
+	int64_t isolation_wanted_since;
 	struct zr_cell_step_state *prev;
 	struct zr_cell_step_state *next;
 	bool in_ready_list;
@@ -286,6 +322,10 @@
  * @reserved_for_job: job of the gang that reserves capacity there
  * @reserved_for_step: step number of that gang
  * @reserved_until: when the reservation expires unless it is renewed
+ * @isolation_job: the only job that may place tasks there; ZR_HANDLE_NONE: any
+ *                 job may
+ * @isolated_runs: number of its runs that are isolated
+ * @isolation_until: when @isolation_job ends, without isolated runs
  * @domain: number of its failure domain, counted from 1; 0: not known
  * @candidate_index: its position in &struct zr_cell_plan.candidates, counted
  *                   from 1; 0: none
@@ -331,6 +371,9 @@
 	zr_handle reserved_for_job;
 	uint32_t reserved_for_step;
 	int64_t reserved_until;
+	zr_handle isolation_job;
+	uint32_t isolated_runs;
+	int64_t isolation_until;
 	uint32_t domain;
 	size_t candidate_index;
 	UT_hash_handle hh;
@@ -486,6 +529,13 @@
  */
 void zr_cell_task_end_run(struct zr_cell_model *model, struct zr_cell_job *job,
 			  uint32_t task, enum zr_task_event event);
+/**
+ * zr_cell_worker_end_isolation() - let other jobs join an isolated run
+ * @worker: worker of the run
+ * @task: the task
+ */
+void zr_cell_worker_end_isolation(struct zr_cell_worker *worker,
+				  struct zr_cell_task *task);
 /**
  * zr_cell_task_event() - change the state of a task whose run stays active
  * @task: the task
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -64,6 +64,8 @@
 		       const struct zr_cell_plan_item *item)
 {
 	uint32_t count = item->step->spec->count;
+	uint32_t suspects = zr_cell_isolation_suspects(item);
+	bool isolated = zr_cell_isolation_ready(plan, item, suspects);
 	struct zr_cell_gang_capacity capacity;
 
 	/* The gang has a run already, but these members are not part of it. */
@@ -73,7 +75,9 @@
 	}
 	if (item->max_tasks < count)
 		return;
-	if (zr_cell_plan_item_slots(plan, item) >= count) {
+	if (!isolated)
+		zr_cell_isolation_wait(plan, item);
+	if (isolated && zr_cell_plan_item_slots(plan, item) >= count) {
 		place_and_log(plan, item, count);
 		return;
 	}
@@ -91,6 +95,8 @@
 				    const struct zr_cell_plan_item *item)
 {
 	place_and_log(plan, item, item->max_tasks);
+	if (zr_cell_isolation_suspects(item))
+		zr_cell_isolation_wait(plan, item);
 	if (item->queue.advised && item->step->waiting)
 		zr_cell_query_adviser(plan, item);
 }
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -16,7 +16,8 @@
  * plan.c runs the pass; priority.c ranks the jobs; candidates.c collects the
  * candidate workers and chooses among them; gang.c reserves capacity for gangs;
  * preempt.c computes what stops and preemption would free; adviser_query.c
- * queries the placement adviser and permissions.c stores its answers; domains.c
+ * queries the placement adviser and permissions.c stores its answers;
+ * isolation.c finds workers for tasks that may crash them; domains.c
  * detects failure domains that do not respond; slowdown.c detects slow workers
  * and stalled runs.
  */
@@ -64,6 +65,7 @@
  * @candidate_count: number of candidates
  * @waiting_gangs_millicpus: processors reserved for gangs that wait for running
  *                           tasks to end
+ * @draining_count: number of workers that are drained for suspects
  * @capacity_millicpus: processors of all candidates, free or not
  * @eligible: buffer for &struct zr_cell_plan_item.eligible, large enough for
  *            all candidates
@@ -74,6 +76,7 @@
 	struct zr_cell_candidate *candidates;
 	size_t candidate_count;
 	uint64_t waiting_gangs_millicpus;
+	size_t draining_count;
 	uint64_t capacity_millicpus;
 	struct zr_cell_eligible *eligible;
 };
@@ -154,7 +157,8 @@
  * @item: the step
  * @candidate: the worker
  *
- * Checks capacity, pool and label, neither free resources nor permissions.
+ * Checks capacity, pool, label and whether the worker is kept for another job,
+ * neither free resources nor permissions.
  */
 bool zr_cell_candidate_matches(const struct zr_cell_plan_item *item,
 			       const struct zr_cell_candidate *candidate);
@@ -321,6 +325,48 @@
 			  const struct zr_cell_plan_item *item);
 void zr_cell_gang_capacity_clear(struct zr_cell_gang_capacity *capacity);
 
+/* isolation.c */
+/**
+ * zr_cell_isolation_suspects() - number of suspects of a step that wait
+ * @item: the step
+ */
+uint32_t zr_cell_isolation_suspects(const struct zr_cell_plan_item *item);
+/**
+ * zr_cell_isolation_others_max() - how many runs of other jobs may be on the
+ * worker of a suspect
+ * @plan: the pass
+ * @item: the step
+ *
+ * Return: 0, or UINT32_MAX once the step has waited too long for a worker.
+ */
+uint32_t zr_cell_isolation_others_max(const struct zr_cell_plan *plan,
+				      const struct zr_cell_plan_item *item);
+/** zr_cell_isolation_allows() - whether a suspect may run on a worker */
+bool zr_cell_isolation_allows(const struct zr_cell_plan_item *item,
+			      const struct zr_cell_worker *worker,
+			      uint32_t others_max);
+/** zr_cell_isolation_prefers() - whether @worker has fewer runs of other jobs
+ */
+bool zr_cell_isolation_prefers(const struct zr_cell_plan_item *item,
+			       const struct zr_cell_worker *worker,
+			       const struct zr_cell_worker *best);
+/**
+ * zr_cell_isolation_ready() - whether all suspects of a gang could start now
+ * @plan: the pass
+ * @item: the gang
+ * @suspects: their number
+ */
+bool zr_cell_isolation_ready(const struct zr_cell_plan *plan,
+			     const struct zr_cell_plan_item *item,
+			     uint32_t suspects);
+/**
+ * zr_cell_isolation_wait() - drain a worker for the suspects of a step
+ * @plan: the pass
+ * @item: the step, some suspects of which could not be placed
+ */
+void zr_cell_isolation_wait(struct zr_cell_plan *plan,
+			    const struct zr_cell_plan_item *item);
+
 /* slowdown.c */
 /**
  * zr_cell_slowdown_add_run() - record the run time of a successful run
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -284,6 +284,7 @@
 		return;
 	}
 	entry = &job->tasks[task];
+	zr_cell_crash_run_seen(scheduler, worker, job, task);
 	job->has_started = true;
 	if (run->checkpoint[0])
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
@@ -521,6 +522,7 @@
 	    count_sent_runs(scheduler, worker)) {
 		zr_log_decision("worker.lease_expired worker=%s runs=%zu",
 				worker->report.name, worker->run_count);
+		zr_cell_worker_lost(scheduler, worker);
 		lose_runs(scheduler, worker, "lease_over");
 	}
 	if (worker->poll_in_flight || now < worker->poll_due_at ||
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -355,6 +355,36 @@
  */
 void zr_cell_worker_crashed(struct zr_cell_scheduler *scheduler,
 			    struct zr_cell_worker *worker, const char *reason);
+/**
+ * zr_cell_worker_lost() - record that the runs of a silent worker have expired
+ *
+ * It may have crashed. Called before the runs are ended.
+ */
+void zr_cell_worker_lost(struct zr_cell_scheduler *scheduler,
+			 struct zr_cell_worker *worker);
+/**
+ * zr_cell_crash_charge() - count the crash under a run that has ended
+ * @job: its job
+ * @task: its task
+ *
+ * Return: whether the task is given up, so that its job fails.
+ */
+bool zr_cell_crash_charge(const struct zr_cell_job *job,
+			  struct zr_cell_task *task);
+/**
+ * zr_cell_crash_run_seen() - record that a worker has listed an active run
+ *
+ * Ends the suspicion of a task whose start has not crashed the worker.
+ */
+void zr_cell_crash_run_seen(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker,
+			    struct zr_cell_job *job, uint32_t task);
+/**
+ * zr_cell_crash_process() - poll a worker whose isolated runs have lasted long
+ * enough for their suspicion to end
+ */
+void zr_cell_crash_process(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker);
 
 /* polls.c */
 /**
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -186,8 +186,10 @@
 	job->state = ZR_CELL_JOB_FAILED;
 	job->ended_at = zr_cell_wall_ms(scheduler);
 	zr_log_decision("job.failed job=%s queue=%s task=%" PRIu32
-			" attempts=%" PRIu32,
-			job->id, job->queue, task, job->attempts);
+			" failures=%" PRIu32 " attempts=%" PRIu32
+			" crashes=%" PRIu32,
+			job->id, job->queue, task, job->tasks[task].failures,
+			job->attempts, job->tasks[task].crashes);
 	zr_cell_job_mark_dirty(&scheduler->model, job);
 	zr_cell_stop_job(scheduler, job, "job_failed");
 }
@@ -251,6 +253,7 @@
 	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
 	const struct zr_cell_worker *worker =
 		zr_cell_worker(&scheduler->model, entry->worker);
+	bool given_up = zr_cell_crash_charge(job, entry);
 
 	/*
 	 * A worker that has stopped a run never accepts the same attempt again.
@@ -269,7 +272,9 @@
 					     : ZR_TASK_EVENT_GONE);
 	zr_cell_job_mark_dirty(&scheduler->model, job);
 	if (!(step->spec->flags & ZR_STEP_LONG_RUNNING) &&
-	    failures_of(job, step, task) >= job->attempts && !entry->finished)
+	    failures_of(job, step, task) >= job->attempts)
+		given_up = true;
+	if (given_up && !entry->finished)
 		fail_job(scheduler, job, task);
 	stop_if_incomplete(scheduler, job, step);
 	zr_cell_job_update(&scheduler->model, job, zr_cell_now_ms(scheduler),
@@ -371,6 +376,8 @@
 			handle_late_success(scheduler, job, task);
 		return;
 	}
+	/* It has ended before its worker can have crashed. */
+	entry->crash_evidence = 0;
 	if (end->checkpoint[0])
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
 			 end->checkpoint);
@@ -582,6 +589,7 @@
 			  const char *reason)
 {
 	scheduler->refused->value++;
+	job->tasks[task].crash_evidence = 0;
 	zr_cell_run_ended(scheduler, job, task, reason);
 }
 
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -386,6 +386,7 @@
 {
 	zr_cell_polls_process(scheduler, worker);
 	zr_cell_stops_resend(scheduler, worker);
+	zr_cell_crash_process(scheduler, worker);
 }
 
 /*
