cell: keep the counts of crashed workers when the cell's owner changes

Cause: crashes and suspicion were known to the owner alone, so that a new one began to count from nothing and placed suspects beside others again.

Change: the progress record of a job ends with the counts of its tasks, if there are any. A record without them is the same as before, and the version before reads one with them (test_cell_records).

--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -83,6 +83,28 @@
 };
 typedef struct zx_cell_progress zx_cell_progress;
 
+struct zx_cell_crashes {
+	u_int task;
+	u_int crashes;
+	u_int certain_crashes;
+	u_int suspicion;
+};
+typedef struct zx_cell_crashes zx_cell_crashes;
+
+struct zx_cell_crash_list {
+	struct {
+		u_int tasks_len;
+		zx_cell_crashes *tasks_val;
+	} tasks;
+};
+typedef struct zx_cell_crash_list zx_cell_crash_list;
+
+struct zx_cell_stored_progress {
+	zx_cell_progress progress;
+	zx_cell_crash_list crashes;
+};
+typedef struct zx_cell_stored_progress zx_cell_stored_progress;
+
 struct zx_cell_count {
 	char *queue;
 	u_int jobs;
@@ -255,6 +277,9 @@
 extern  bool_t xdr_zx_cell_job (XDR *, zx_cell_job*);
 extern  bool_t xdr_zx_cell_task (XDR *, zx_cell_task*);
 extern  bool_t xdr_zx_cell_progress (XDR *, zx_cell_progress*);
+extern  bool_t xdr_zx_cell_crashes (XDR *, zx_cell_crashes*);
+extern  bool_t xdr_zx_cell_crash_list (XDR *, zx_cell_crash_list*);
+extern  bool_t xdr_zx_cell_stored_progress (XDR *, zx_cell_stored_progress*);
 extern  bool_t xdr_zx_cell_count (XDR *, zx_cell_count*);
 extern  bool_t xdr_zx_cell_counts (XDR *, zx_cell_counts*);
 extern  bool_t xdr_zx_cell_worker_name (XDR *, zx_cell_worker_name*);
@@ -276,6 +301,9 @@
 extern bool_t xdr_zx_cell_job ();
 extern bool_t xdr_zx_cell_task ();
 extern bool_t xdr_zx_cell_progress ();
+extern bool_t xdr_zx_cell_crashes ();
+extern bool_t xdr_zx_cell_crash_list ();
+extern bool_t xdr_zx_cell_stored_progress ();
 extern bool_t xdr_zx_cell_count ();
 extern bool_t xdr_zx_cell_counts ();
 extern bool_t xdr_zx_cell_worker_name ();
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -84,6 +84,24 @@
 	zx_cell_task tasks<ZX_CELL_TASKS_MAX>;
 };
 
+/* A task under whose runs workers crashed; suspicion as in the scheduler. */
+struct zx_cell_crashes {
+	unsigned int task;
+	unsigned int crashes;
+	unsigned int certain_crashes;
+	unsigned int suspicion;
+};
+
+struct zx_cell_crash_list {
+	zx_cell_crashes tasks<ZX_CELL_TASKS_MAX>;
+};
+
+/* A progress record as it is stored; it ends after progress if none crashed. */
+struct zx_cell_stored_progress {
+	zx_cell_progress progress;
+	zx_cell_crash_list crashes;
+};
+
 struct zx_cell_count {
 	string queue<ZX_CELL_NAME_MAX>;
 	unsigned int jobs;
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -325,6 +325,84 @@
 	return TRUE;
 }
 
+bool_t
+xdr_zx_cell_crashes (XDR *xdrs, zx_cell_crashes *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->task))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->certain_crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suspicion))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->task);
+			IXDR_PUT_U_LONG(buf, objp->crashes);
+			IXDR_PUT_U_LONG(buf, objp->certain_crashes);
+			IXDR_PUT_U_LONG(buf, objp->suspicion);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->task))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->certain_crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suspicion))
+				 return FALSE;
+		} else {
+			objp->task = IXDR_GET_U_LONG(buf);
+			objp->crashes = IXDR_GET_U_LONG(buf);
+			objp->certain_crashes = IXDR_GET_U_LONG(buf);
+			objp->suspicion = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->certain_crashes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suspicion))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_crash_list (XDR *xdrs, zx_cell_crash_list *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ZX_CELL_TASKS_MAX,
+		sizeof (zx_cell_crashes), (xdrproc_t) xdr_zx_cell_crashes))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_stored_progress (XDR *xdrs, zx_cell_stored_progress *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_zx_cell_progress (xdrs, &objp->progress))
+		 return FALSE;
+	 if (!xdr_zx_cell_crash_list (xdrs, &objp->crashes))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_cell_count (XDR *xdrs, zx_cell_count *objp)
 {
--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -358,11 +358,37 @@
 	}
 }
 
+/* Before the runs are restored, which are isolated if their task is a suspect.
+ */
+static void restore_crashes(struct zr_cell_job *job,
+			    const zx_cell_stored_progress *record)
+{
+	u_int i;
+
+	for (i = 0; i < record->crashes.tasks.tasks_len; i++) {
+		const zx_cell_crashes *entry =
+			&record->crashes.tasks.tasks_val[i];
+		struct zr_cell_task *task;
+
+		if (entry->task >= job->task_count)
+			continue;
+		task = &job->tasks[entry->task];
+		task->crashes = entry->crashes;
+		task->certain_crashes = entry->certain_crashes;
+		task->suspicion = entry->suspicion <= ZR_SUSPECT_ALWAYS
+					  ? entry->suspicion
+					  : ZR_SUSPECT_ALWAYS;
+	}
+}
+
 static void restore_job(struct zr_cell_scheduler *scheduler,
-			struct zr_cell_job *job, const zx_cell_progress *record)
+			struct zr_cell_job *job,
+			const zx_cell_stored_progress *stored)
 {
+	const zx_cell_progress *record = &stored->progress;
 	uint32_t i;
 
+	restore_crashes(job, stored);
 	job->ended_at = record->ended_ms;
 	for (i = 0; i < job->task_count && i < record->tasks.tasks_len; i++)
 		restore_task(scheduler, job, i, &record->tasks.tasks_val[i]);
@@ -391,7 +417,7 @@
 static void load_progress(struct zr_cell_scheduler *scheduler,
 			  const struct zr_store_value *value)
 {
-	zx_cell_progress record = {0};
+	zx_cell_stored_progress record = {0};
 	struct zr_cell_job *job;
 	char id[ZR_NAME_MAX];
 	bool cancel;
@@ -400,18 +426,17 @@
 		    0 ||
 	    cancel)
 		return;
-	if (zr_cell_decode(&record, (xdrproc_t)xdr_zx_cell_progress,
-			   value->data, value->length) < 0) {
+	if (zr_cell_decode_progress(&record, value->data, value->length) < 0) {
 		zr_log(ZR_LOG_ERROR, "progress.unreadable job=%s bytes=%zu", id,
 		       value->length);
 		return;
 	}
 	job = zr_cell_job_find(&scheduler->model, id);
 	if (!job)
-		job = add_ended_job(scheduler, id, &record);
+		job = add_ended_job(scheduler, id, &record.progress);
 	restore_job(scheduler, job, &record);
 	job->revision = value->mod_revision;
-	xdr_free((xdrproc_t)xdr_zx_cell_progress, &record);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &record);
 }
 
 static void become_active(struct zr_cell_scheduler *scheduler)
--- a/src/libzinniarack/cell/journal.c
+++ b/src/libzinniarack/cell/journal.c
@@ -144,22 +144,62 @@
 	}
 }
 
+static bool has_crashes(const struct zr_cell_task *task)
+{
+	return task->crashes && task->state != ZR_TASK_DONE;
+}
+
+static void encode_crashes(const struct zr_cell_job *job,
+			   zx_cell_stored_progress *out)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->task_count; i++)
+		count += has_crashes(&job->tasks[i]);
+	if (!count)
+		return;
+
+	out->crashes.tasks.tasks_val =
+		calloc(count, sizeof(*out->crashes.tasks.tasks_val));
+	if (!out->crashes.tasks.tasks_val)
+		abort();
+	for (i = 0; i < job->task_count; i++) {
+		const struct zr_cell_task *task = &job->tasks[i];
+
+		if (!has_crashes(task))
+			continue;
+		out->crashes.tasks.tasks_val[out->crashes.tasks.tasks_len++] =
+			(zx_cell_crashes){i, task->crashes,
+					  task->certain_crashes,
+					  task->suspicion};
+	}
+}
+
 static int encode_progress(struct zr_cell_buffer *out,
 			   struct zr_cell_journal *journal,
 			   const struct zr_cell_job *job)
 {
-	zx_cell_progress record = {
-		.state = job->state,
-		.client = zr_cell_client(journal->model, job->client)->name,
-		.queue = (char *)job->queue,
-		.ended_ms = job->ended_at,
+	zx_cell_stored_progress record = {
+		.progress =
+			{
+				.state = job->state,
+				.client = zr_cell_client(journal->model,
+							 job->client)
+						  ->name,
+				.queue = (char *)job->queue,
+				.ended_ms = job->ended_at,
+			},
 	};
 	int error;
 
-	if (!has_finished(job))
-		encode_tasks(journal, job, &record);
-	error = zr_cell_encode(out, (xdrproc_t)xdr_zx_cell_progress, &record);
-	free(record.tasks.tasks_val);
+	if (!has_finished(job)) {
+		encode_tasks(journal, job, &record.progress);
+		encode_crashes(job, &record);
+	}
+	error = zr_cell_encode_progress(out, &record);
+	free(record.progress.tasks.tasks_val);
+	free(record.crashes.tasks.tasks_val);
 	return error;
 }
 
--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -41,6 +41,32 @@
 	return ZR_E_PROTOCOL;
 }
 
+int zr_cell_encode_progress(struct zr_cell_buffer *out,
+			    zx_cell_stored_progress *record)
+{
+	if (!record->crashes.tasks.tasks_len)
+		return zr_cell_encode(out, (xdrproc_t)xdr_zx_cell_progress,
+				      &record->progress);
+	return zr_cell_encode(out, (xdrproc_t)xdr_zx_cell_stored_progress,
+			      record);
+}
+
+int zr_cell_decode_progress(zx_cell_stored_progress *out, const void *data,
+			    size_t length)
+{
+	XDR xdr;
+
+	if (!data || length > RECORD_BYTES_MAX)
+		return ZR_E_PROTOCOL;
+	xdrmem_create(&xdr, (char *)data, (u_int)length, XDR_DECODE);
+	if (xdr_zx_cell_progress(&xdr, &out->progress) &&
+	    (xdr_getpos(&xdr) == length ||
+	     xdr_zx_cell_crash_list(&xdr, &out->crashes)))
+		return 0;
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, out);
+	return ZR_E_PROTOCOL;
+}
+
 static void encode_step(zx_cell_step *out, const struct zr_cell_step_spec *step)
 {
 	out->count = step->count;
--- a/src/libzinniarack/cell/records.h
+++ b/src/libzinniarack/cell/records.h
@@ -58,6 +58,27 @@
 int zr_cell_decode(void *record, xdrproc_t codec, const void *data,
 		   size_t length);
 
+/**
+ * zr_cell_encode_progress() - encode the progress record of a job
+ * @out: the encoding; its data is to be freed with free()
+ * @record: the record
+ *
+ * Return: 0, or ZR_E_TOO_LARGE.
+ */
+int zr_cell_encode_progress(struct zr_cell_buffer *out,
+			    zx_cell_stored_progress *record);
+
+/**
+ * zr_cell_decode_progress() - decode the progress record of a job
+ * @out: zeroed by the caller; to be freed with xdr_free()
+ * @data: the encoding
+ * @length: size of @data in bytes
+ *
+ * Return: 0, or ZR_E_PROTOCOL with nothing to free.
+ */
+int zr_cell_decode_progress(zx_cell_stored_progress *out, const void *data,
+			    size_t length);
+
 /**
  * zr_cell_record_from_spec() - fill a record from a job specification
  * @out: the record; only the fields of the specification are set, and its
--- /dev/null
+++ b/tests/unit/test_cell_records.c
@@ -0,0 +1,132 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/records.h"
+#include "zinniarack/errors.h"
+
+static zx_cell_task tasks[] = {
+	{.attempt = 3, .worker = "w1", .checkpoint = ""},
+	{.attempt = 1, .done = TRUE, .worker = "", .checkpoint = "c"},
+};
+
+static zx_cell_crashes crashes[] = {{0, 2, 1, 1}};
+
+static zx_cell_stored_progress new_record(void)
+{
+	return (zx_cell_stored_progress){
+		.progress = {.state = 1,
+			     .client = "client",
+			     .queue = "queue",
+			     .tasks = {2, tasks}},
+	};
+}
+
+static void check_progress(const zx_cell_progress *progress)
+{
+	ck_assert_uint_eq(progress->state, 1);
+	ck_assert_str_eq(progress->client, "client");
+	ck_assert_uint_eq(progress->tasks.tasks_len, 2);
+	ck_assert_uint_eq(progress->tasks.tasks_val[0].attempt, 3);
+	ck_assert(progress->tasks.tasks_val[1].done);
+}
+
+/*
+ * Rolling update: a record without crashes is byte for byte one of the version
+ * before, which is read as a record without crashes.
+ */
+START_TEST(test_no_crashes)
+{
+	zx_cell_stored_progress record = new_record();
+	zx_cell_stored_progress decoded = {0};
+	struct zr_cell_buffer bytes;
+	struct zr_cell_buffer plain;
+
+	ck_assert_int_eq(zr_cell_encode_progress(&bytes, &record), 0);
+	ck_assert_int_eq(zr_cell_encode(&plain, (xdrproc_t)xdr_zx_cell_progress,
+					&record.progress),
+			 0);
+	ck_assert_uint_eq(bytes.length, plain.length);
+	ck_assert_mem_eq(bytes.data, plain.data, plain.length);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, plain.data, plain.length), 0);
+	check_progress(&decoded.progress);
+	ck_assert_uint_eq(decoded.crashes.tasks.tasks_len, 0);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	free(bytes.data);
+	free(plain.data);
+}
+END_TEST
+
+/* Rolling update: the version before reads a record with crashes. */
+START_TEST(test_crashes)
+{
+	zx_cell_stored_progress record = new_record();
+	zx_cell_stored_progress decoded = {0};
+	zx_cell_progress plain = {0};
+	struct zr_cell_buffer bytes;
+
+	record.crashes.tasks.tasks_len = 1;
+	record.crashes.tasks.tasks_val = crashes;
+	ck_assert_int_eq(zr_cell_encode_progress(&bytes, &record), 0);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, bytes.data, bytes.length), 0);
+	check_progress(&decoded.progress);
+	ck_assert_uint_eq(decoded.crashes.tasks.tasks_len, 1);
+	ck_assert_uint_eq(decoded.crashes.tasks.tasks_val[0].crashes, 2);
+	ck_assert_uint_eq(decoded.crashes.tasks.tasks_val[0].certain_crashes,
+			  1);
+	ck_assert_int_eq(zr_cell_decode(&plain, (xdrproc_t)xdr_zx_cell_progress,
+					bytes.data, bytes.length),
+			 0);
+	check_progress(&plain);
+	xdr_free((xdrproc_t)xdr_zx_cell_progress, &plain);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	free(bytes.data);
+}
+END_TEST
+
+/* A record that was cut off at any place is refused, and nothing leaks. */
+START_TEST(test_cut_off)
+{
+	zx_cell_stored_progress record = new_record();
+	zx_cell_stored_progress decoded;
+	struct zr_cell_buffer bytes;
+	struct zr_cell_buffer plain;
+	size_t length;
+
+	record.crashes.tasks.tasks_len = 1;
+	record.crashes.tasks.tasks_val = crashes;
+	ck_assert_int_eq(zr_cell_encode_progress(&bytes, &record), 0);
+	ck_assert_int_eq(zr_cell_encode(&plain, (xdrproc_t)xdr_zx_cell_progress,
+					&record.progress),
+			 0);
+	for (length = 0; length < bytes.length; length++) {
+		if (length == plain.length)
+			continue;
+		memset(&decoded, 0, sizeof(decoded));
+		ck_assert_int_eq(
+			zr_cell_decode_progress(&decoded, bytes.data, length),
+			ZR_E_PROTOCOL);
+	}
+	free(bytes.data);
+	free(plain.data);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("cell_records");
+	TCase *tcase = tcase_create("cell_records");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_no_crashes);
+	tcase_add_test(tcase, test_crashes);
+	tcase_add_test(tcase, test_cut_off);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
