cell: send no start that a shrunk capacity no longer holds

Cause: a task is placed by the capacity known then, and its start is sent once the store holds the placement. If the worker's capacity shrinks in between, the start brings it over (LIMIT).

Change: before a start is sent, the runs of its worker, those being stopped included, have to fit the capacity known now; otherwise the task is placed anew.

--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -148,6 +148,15 @@
 	return free_resources;
 }
 
+bool zr_cell_worker_overcommitted(const struct zr_cell_worker *worker)
+{
+	const struct zr_resources *capacity = &worker->report.capacity;
+
+	return worker->used_millicpus > capacity->millicpus ||
+	       worker->used_memory_mb > capacity->memory_mb ||
+	       worker->used_accelerators > capacity->accelerators;
+}
+
 /* Client accounts */
 
 zr_handle zr_cell_client_get_or_add(struct zr_cell_model *model,
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -545,6 +545,13 @@
  */
 int zr_cell_task_event(struct zr_cell_task *task, enum zr_task_event event);
 
+/**
+ * zr_cell_worker_overcommitted() - whether the runs need more than the capacity
+ *
+ * The capacity of a worker may shrink while it has runs.
+ */
+bool zr_cell_worker_overcommitted(const struct zr_cell_worker *worker);
+
 /** zr_cell_worker_unresponsive() - whether a worker's latest poll failed */
 bool zr_cell_worker_unresponsive(const struct zr_cell_worker *worker);
 /**
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -757,6 +757,11 @@
 		abandon_start(scheduler, job, task, "worker_leaves");
 		return;
 	}
+	/* Its capacity has shrunk since the task was placed. */
+	if (zr_cell_worker_overcommitted(worker)) {
+		abandon_start(scheduler, job, task, "capacity_shrunk");
+		return;
+	}
 	start.lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	scheduler->starts->value++;
 	entry->sent_at = zr_cell_now_ms(scheduler);
