--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -10,12 +10,13 @@
 /*
  * Runs cells under random faults: messages that are held, reordered or
  * dropped, hosts that are killed or paused, and workers that restart. A task
- * must not run twice at once, nor again after its end was acknowledged, and no
- * worker may be given more than its capacity. When the faults are over, every
- * job must end.
+ * must not run twice at once, nor again after its end was acknowledged, no
+ * worker may be given more than its capacity, and a task that crashes its
+ * workers must be given up. When the faults are over, every job must end.
  *
  * Each seed runs without and with thin links, over which the store's responses
- * take long.
+ * take long, and with tasks that crash their workers and workers whose capacity
+ * changes.
  *
  * ZR_SEED=N runs seed N alone and writes its scripts, which run_cell replays,
  * to standard output. ZR_SEEDS=N sets the number of seeds.
@@ -40,8 +41,18 @@
 #define THIN_MAX_MS 8000
 /* Time in which all jobs end after the last fault: leases expire, then run. */
 #define QUIET_MS 40000
+/* Time after which starts have to fit a capacity that has shrunk. */
+#define SHRINK_GRACE_MS 5000
+#define CRASH_DOWN_MAX_MS 4000
 #define LINE_MAX_BYTES 256
 
+/* The kinds of trouble that a seed has beside those of all seeds. */
+enum extras {
+	EXTRA_NONE,
+	EXTRA_THIN_LINKS,
+	EXTRA_CRASHES,
+};
+
 /* A fault that is undone at @ends_at by the lines in @undo. */
 struct fault {
 	long ends_at;
@@ -57,7 +68,7 @@
 	size_t fault_count;
 	bool alive[HOSTS];
 	bool paused[HOSTS];
-	bool has_thin_links;
+	enum extras extras;
 	unsigned int job_count;
 };
 
@@ -218,6 +229,16 @@
 
 /* Work */
 
+static const char *pick_outcome(struct scenario *scenario)
+{
+	if (rng_chance(&scenario->rng, 8))
+		return "f";
+	return scenario->extras == EXTRA_CRASHES &&
+			       rng_chance(&scenario->rng, 8)
+		       ? "x"
+		       : "";
+}
+
 static void submit_job(struct scenario *scenario)
 {
 	static const char *const kinds[] = {"", "", "checkpoints,", "gang,"};
@@ -232,7 +253,17 @@
 		 scenario->job_count++,
 		 kinds[below(scenario, sizeof(kinds) / sizeof(*kinds))],
 		 1 + below(scenario, 4), 300 + below(scenario, 1700),
-		 rng_chance(&scenario->rng, 8) ? "f" : "", run_ms);
+		 pick_outcome(scenario), run_ms);
+}
+
+static void change_capacity(struct scenario *scenario)
+{
+	int host = pick_host(scenario);
+
+	if (host >= 0)
+		run_line(scenario, "capacity %c w%u %u", 'a' + host,
+			 below(scenario, WORKERS),
+			 2000 + 500 * below(scenario, 5));
 }
 
 static void cancel_job(struct scenario *scenario)
@@ -252,8 +283,12 @@
 		submit_job(scenario);
 	else if (choice < 45)
 		cancel_job(scenario);
-	else if (choice < 90 && choice >= 87 && scenario->has_thin_links)
+	else if (choice < 90 && choice >= 87 &&
+		 scenario->extras == EXTRA_THIN_LINKS)
 		limit_bandwidth(scenario);
+	else if (choice < 90 && choice >= 84 &&
+		 scenario->extras == EXTRA_CRASHES)
+		change_capacity(scenario);
 	else if (choice < 90)
 		disturb_link(scenario);
 	else if (choice < 93)
@@ -269,6 +304,12 @@
 	int i;
 
 	run_line(scenario, "stop-ms %u", below(scenario, 400));
+	if (scenario->extras == EXTRA_CRASHES) {
+		run_line(scenario, "crashes %u %u restarted",
+			 1 + below(scenario, 100),
+			 below(scenario, CRASH_DOWN_MAX_MS));
+		run_line(scenario, "shrink-grace %u", SHRINK_GRACE_MS);
+	}
 	for (i = 0; i < HOSTS; i++) {
 		scenario->alive[i] = true;
 		run_line(scenario, "host %c", 'a' + i);
@@ -281,11 +322,10 @@
 }
 
 /* Returns 0 if no invariant was violated and all jobs have ended. */
-static unsigned int run_seed(uint64_t seed, bool has_thin_links, FILE *lines)
+static unsigned int run_seed(uint64_t seed, enum extras extras, FILE *lines)
 {
-	struct scenario scenario = {.rng = {seed},
-				    .lines = lines,
-				    .has_thin_links = has_thin_links};
+	struct scenario scenario = {
+		.rng = {seed}, .lines = lines, .extras = extras};
 	FILE *out = fopen("/dev/null", "w");
 	unsigned int failures;
 	int i;
@@ -307,7 +347,7 @@
 	return failures;
 }
 
-static void run_seeds(bool has_thin_links)
+static void run_seeds(enum extras extras)
 {
 	const char *seed = getenv("ZR_SEED");
 	const char *seeds = getenv("ZR_SEEDS");
@@ -316,15 +356,14 @@
 	uint64_t i;
 
 	if (seed)
-		ck_assert_uint_eq(run_seed(strtoull(seed, NULL, 10),
-					   has_thin_links, lines),
-				  0);
+		ck_assert_uint_eq(
+			run_seed(strtoull(seed, NULL, 10), extras, lines), 0);
 	for (i = 1; !seed && i <= count; i++) {
-		unsigned int failures = run_seed(i, has_thin_links, lines);
+		unsigned int failures = run_seed(i, extras, lines);
 
 		if (failures)
-			printf("seed %lu fails: %u, thin links: %d\n",
-			       (unsigned long)i, failures, has_thin_links);
+			printf("seed %lu fails: %u, extras: %d\n",
+			       (unsigned long)i, failures, (int)extras);
 		ck_assert_uint_eq(failures, 0);
 	}
 	if (!seed)
@@ -333,13 +372,19 @@
 
 START_TEST(test_random_faults)
 {
-	run_seeds(false);
+	run_seeds(EXTRA_NONE);
 }
 END_TEST
 
 START_TEST(test_random_faults_and_thin_links)
 {
-	run_seeds(true);
+	run_seeds(EXTRA_THIN_LINKS);
+}
+END_TEST
+
+START_TEST(test_random_faults_and_crashes)
+{
+	run_seeds(EXTRA_CRASHES);
 }
 END_TEST
 
@@ -353,6 +398,7 @@
 	tcase_set_timeout(tcase, 0);
 	tcase_add_test(tcase, test_random_faults);
 	tcase_add_test(tcase, test_random_faults_and_thin_links);
+	tcase_add_test(tcase, test_random_faults_and_crashes);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
