tests: a job that has failed must have had a reason to

The simulated cells check at the end that each job that is shown as failed had as many failed runs as its attempts allow, over all its tasks, or a task under which two workers crashed.

--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -19,6 +19,7 @@
 #define STEPS_MAX 8
 #define WORKER_PREFIX "workers/"
 #define TIMEOUT_MS 1000
+#define ATTEMPTS 2
 
 struct host {
 	struct cell_script *script;
@@ -406,7 +407,7 @@
 		.queue = "q",
 		.client = "c",
 		.pool = "pool",
-		.attempts = 2,
+		.attempts = ATTEMPTS,
 		.priority = script->priority,
 		.latency_target_ms = script->latency_target_ms,
 	};
@@ -827,7 +828,7 @@
 	decoder_pool = script->pool;
 	strcpy(script->queue.name, "q");
 	strcpy(script->queue.pool, "pool");
-	script->queue.attempts = 2;
+	script->queue.attempts = ATTEMPTS;
 	strcpy(script->client.name, "c");
 	script->config = (struct zr_cell_config){
 		.version = 1,
@@ -844,6 +845,27 @@
 	return fake_pool_violations(script->pool);
 }
 
+static void check_ended_job(void *ctx, const char *key, const void *data,
+			    size_t length)
+{
+	struct cell_script *script = ctx;
+	zx_cell_stored_progress record = {0};
+
+	if (zr_cell_decode_progress(&record, data, length) < 0)
+		abort();
+	if (record.progress.state == ZR_CELL_JOB_FAILED)
+		fake_pool_check_failed(script->pool,
+				       key + strlen(ZR_CELL_PROGRESS_PREFIX),
+				       ATTEMPTS);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &record);
+}
+
+void cell_script_check_jobs(struct cell_script *script)
+{
+	fake_store_for_each(script->store, ZR_CELL_PROGRESS_PREFIX,
+			    check_ended_job, script);
+}
+
 unsigned int cell_script_open_jobs(const struct cell_script *script)
 {
 	return fake_store_count_keys(script->store, ZR_CELL_JOB_PREFIX,
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -90,6 +90,10 @@
 /** cell_script_run() - run a line; exits the program if it is invalid */
 void cell_script_run(struct cell_script *script, const char *line);
 
+/** cell_script_check_jobs() - check that the jobs that failed had a reason to
+ */
+void cell_script_check_jobs(struct cell_script *script);
+
 /** cell_script_violations() - number of violations printed so far */
 unsigned int cell_script_violations(const struct cell_script *script);
 
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -16,6 +16,8 @@
  * workers have crashed while they ran it.
  */
 #define CRASH_BUDGET 3
+/* Number of workers that have to crash under a task before its job may fail. */
+#define CRASHES_TO_FAIL 2
 #define CRASH_AFTER_MS 10
 #define CRASH_DOWN_MS 3000
 
@@ -82,11 +84,13 @@
 	bool acked;
 };
 
-/* A task that crashes its workers. */
-struct crashed_task {
-	struct crashed_task *next;
+/* A task under whose runs workers ended, or a run of which failed. */
+struct troubled_task {
+	struct troubled_task *next;
 	struct zr_cell_task_name task;
-	unsigned int crashes;
+	bool crashes_workers;
+	unsigned int crashes; /* by the task or by anything else */
+	unsigned int failures;
 	unsigned int later_starts; /* after CRASH_BUDGET crashes */
 };
 
@@ -94,7 +98,7 @@
 	struct fake_net *net;
 	struct pool_worker *workers;
 	struct done_task *done_tasks;
-	struct crashed_task *crashed_tasks;
+	struct troubled_task *troubled_tasks;
 	unsigned int crash_after_ms;
 	unsigned int crash_down_ms;
 	bool crash_replaces;
@@ -205,39 +209,45 @@
 	return NULL;
 }
 
-static struct crashed_task *
-find_crashed_task(const struct fake_pool *pool,
-		  const struct zr_cell_task_name *task)
+static struct troubled_task *
+find_troubled_task(const struct fake_pool *pool,
+		   const struct zr_cell_task_name *task)
 {
-	struct crashed_task *crashed;
+	struct troubled_task *troubled;
 
-	LL_FOREACH(pool->crashed_tasks, crashed)
+	LL_FOREACH(pool->troubled_tasks, troubled)
 	{
-		if (same_task(&crashed->task, task))
-			return crashed;
+		if (same_task(&troubled->task, task))
+			return troubled;
 	}
 	return NULL;
 }
 
-/* Counts a crash of the worker for the tasks there that crash workers. */
+static struct troubled_task *troubled_task(struct fake_pool *pool,
+					   const struct zr_cell_task_name *task)
+{
+	struct troubled_task *troubled = find_troubled_task(pool, task);
+
+	if (troubled)
+		return troubled;
+	troubled = calloc(1, sizeof(*troubled));
+	troubled->task = *task;
+	LL_PREPEND(pool->troubled_tasks, troubled);
+	return troubled;
+}
+
+/* Counts the crash of a worker for the tasks that run there. */
 static void count_crash(const struct pool_worker *worker)
 {
-	struct fake_pool *pool = worker->pool;
 	const struct run *run;
 
 	DL_FOREACH(worker->runs, run)
 	{
-		struct crashed_task *crashed =
-			find_crashed_task(pool, &run->task);
+		struct troubled_task *troubled =
+			troubled_task(worker->pool, &run->task);
 
-		if (run->crashes_at == INT64_MAX)
-			continue;
-		if (!crashed) {
-			crashed = calloc(1, sizeof(*crashed));
-			crashed->task = run->task;
-			LL_PREPEND(pool->crashed_tasks, crashed);
-		}
-		crashed->crashes++;
+		troubled->crashes++;
+		troubled->crashes_workers |= run->crashes_at != INT64_MAX;
 	}
 }
 
@@ -261,6 +271,8 @@
 	ended->end.attempt = run->attempt;
 	ended->end.outcome = outcome;
 	DL_APPEND(worker->ended_runs, ended);
+	if (outcome == ZR_RUN_FAILED)
+		troubled_task(worker->pool, &run->task)->failures++;
 	if (outcome == ZR_RUN_DONE &&
 	    !find_done_task(worker->pool, &run->task)) {
 		done = calloc(1, sizeof(*done));
@@ -276,11 +288,12 @@
 			const struct zr_cell_task_name *task)
 {
 	const struct done_task *done = find_done_task(worker->pool, task);
-	struct crashed_task *crashed = find_crashed_task(worker->pool, task);
+	struct troubled_task *troubled = find_troubled_task(worker->pool, task);
 	const struct pool_worker *other;
 
-	if (crashed && crashed->crashes >= CRASH_BUDGET &&
-	    ++crashed->later_starts == CRASH_BUDGET)
+	if (troubled && troubled->crashes_workers &&
+	    troubled->crashes >= CRASH_BUDGET &&
+	    ++troubled->later_starts == CRASH_BUDGET)
 		violation(worker->pool, "BUDGET", task, worker->name);
 	LL_FOREACH(worker->pool->workers, other)
 	{
@@ -697,6 +710,7 @@
 	struct ended_run *ended;
 	struct ended_run *next_ended;
 
+	count_crash(worker);
 	DL_FOREACH_SAFE(worker->runs, run, next_run)
 	{
 		report_event(pool, "%s %s.%u.%u.%u run %u gone", name,
@@ -751,7 +765,6 @@
 
 	pool->crash_count++;
 	report_event(pool, "%s crashed", worker->name);
-	count_crash(worker);
 	fake_pool_restart(pool, worker->name);
 	if (breaks_gang)
 		break_gang(pool, task);
@@ -857,6 +870,27 @@
 	return 0;
 }
 
+void fake_pool_check_failed(struct fake_pool *pool, const char *job,
+			    unsigned int attempts)
+{
+	const struct troubled_task *troubled;
+	struct zr_cell_task_name name = {0};
+	unsigned int failures = 0;
+
+	LL_FOREACH(pool->troubled_tasks, troubled)
+	{
+		if (strcmp(troubled->task.job, job))
+			continue;
+		if (troubled->crashes >= CRASHES_TO_FAIL)
+			return;
+		failures += troubled->failures;
+	}
+	if (failures >= attempts)
+		return;
+	snprintf(name.job, sizeof(name.job), "%s", job);
+	violation(pool, "FAILED", &name, "-");
+}
+
 unsigned int fake_pool_crash_count(const struct fake_pool *pool)
 {
 	return pool->crash_count;
@@ -901,13 +935,13 @@
 
 void fake_pool_free(struct fake_pool *pool)
 {
-	struct crashed_task *crashed;
+	struct troubled_task *troubled;
 	struct done_task *done;
 	struct pool_worker *worker;
 
-	while ((crashed = pool->crashed_tasks)) {
-		pool->crashed_tasks = crashed->next;
-		free(crashed);
+	while ((troubled = pool->troubled_tasks)) {
+		pool->troubled_tasks = troubled->next;
+		free(troubled);
 	}
 	while ((worker = pool->workers)) {
 		pool->workers = worker->next;
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -105,6 +105,18 @@
 int fake_pool_open(struct fake_pool *pool, struct fake_node *client,
 		   struct zr_cell_worker_conn *out, const char *worker);
 
+/**
+ * fake_pool_check_failed() - check that a job that has failed had a reason to
+ * @pool: the pool
+ * @job: id of the job
+ * @attempts: number of failed runs that fail it
+ *
+ * Reports a violation (FAILED) unless that many runs of its tasks have failed,
+ * or two workers have crashed under one of them.
+ */
+void fake_pool_check_failed(struct fake_pool *pool, const char *job,
+			    unsigned int attempts);
+
 /** fake_pool_crash_count() - number of workers that tasks have crashed */
 unsigned int fake_pool_crash_count(const struct fake_pool *pool);
 
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -662,6 +662,19 @@
 	return bytes;
 }
 
+void fake_store_for_each(const struct fake_store *store, const char *prefix,
+			 void (*each)(void *ctx, const char *key,
+				      const void *data, size_t length),
+			 void *ctx)
+{
+	const struct value *value;
+
+	for (value = store->values; value; value = value->hh.next) {
+		if (!strncmp(value->key, prefix, strlen(prefix)))
+			each(ctx, value->key, value->data, value->length);
+	}
+}
+
 unsigned int fake_store_count_keys(const struct fake_store *store,
 				   const char *prefix, const char *not_suffix)
 {
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -49,4 +49,10 @@
 unsigned int fake_store_count_keys(const struct fake_store *store,
 				   const char *prefix, const char *not_suffix);
 
+/** fake_store_for_each() - call @each for each key with a prefix */
+void fake_store_for_each(const struct fake_store *store, const char *prefix,
+			 void (*each)(void *ctx, const char *key,
+				      const void *data, size_t length),
+			 void *ctx);
+
 #endif
--- a/tests/runners/run_cell.c
+++ b/tests/runners/run_cell.c
@@ -24,6 +24,7 @@
 	while (fgets(line, sizeof(line), file))
 		cell_script_run(script, line);
 	fclose(file);
+	cell_script_check_jobs(script);
 	printf("violations: %u\n", cell_script_violations(script));
 	cell_script_free(script);
 	return 0;
--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -339,6 +339,7 @@
 	}
 	end_due_faults(&scenario, INT32_MAX);
 	advance(&scenario, QUIET_MS);
+	cell_script_check_jobs(scenario.script);
 	failures = cell_script_violations(scenario.script)
 			   ? 1
 			   : cell_script_open_jobs(scenario.script);
