cell: a run that was seen running for 100 ms has not crashed its worker by its start

On a full cell a worker takes runs of many jobs within 250 ms, and each of them became a suspect that needs a worker of its own. With 100 ms fewer do, and a suspect's worker is free again sooner. A task that crashes its worker later than that is found by its number of crashes.

--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -22,7 +22,7 @@
  * A run that was running for this long when its worker last responded has not
  * crashed the worker by its start.
  */
-#define SETTLED_MS 250
+#define SETTLED_MS 100
 /*
  * If a worker stops responding this soon after it confirmed a start, the run
  * has not ended before. Less than the timeout of a request, so that only a
