--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -97,6 +97,7 @@
  *	lose N		the store applies N transactions without an answer
  *	forget		the store drops the event history
  *	restart N	worker N crashes and restarts
+ *	capacity N	worker N % 100 gets N / 100 millicpus
  *	late MS N	the workers process N % of starts and stops late
  *	grow N		the configuration grows to N routes more than at first
  */
@@ -122,6 +123,8 @@
 		soak_store_compact();
 	else if (!strcmp(kind, "restart"))
 		soak_workers_restart(amount);
+	else if (!strcmp(kind, "capacity"))
+		soak_workers_set_capacity(amount % 100, (uint32_t)amount / 100);
 	else if (!strcmp(kind, "late"))
 		soak_workers_delay_requests(ms, amount);
 	else if (!strcmp(kind, "grow"))
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,8 +16,11 @@
  *
  * - a task doesn't run on two workers at once, nor start again after its end
  *   was acknowledged (TWICE);
- * - the tasks on a worker don't exceed its capacity (LIMIT);
- * - only tasks of jobs that are in the store are started (UNASKED).
+ * - a start doesn't bring a worker over its capacity, which may change while it
+ *   runs (LIMIT);
+ * - only tasks of jobs that are in the store are started (UNASKED);
+ * - a task that crashes its workers isn't started three times more after three
+ *   of them have crashed (BUDGET).
  *
  * `GET /fault?...` on the control address injects faults, see platform.c.
  *
@@ -69,6 +72,8 @@
 		       int advertised_port, int count);
 /** soak_workers_tick() - process everything that is due on the workers */
 void soak_workers_tick(void);
+/** soak_workers_set_capacity() - change the processors of a running worker */
+void soak_workers_set_capacity(int index, uint32_t millicpus);
 /** soak_workers_restart() - crash a worker and restart it under its name */
 void soak_workers_restart(int index);
 /**
