cell: a start without an answer blocks its worker only if others answer theirs

Change: the share of starts without an answer is smoothed for each worker and for the cell (unanswered.c). Unless the worker's share is much higher, its pause ends when it answers a poll, which is asked for at once.

--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -315,6 +315,8 @@
  * @failed_polls: number of consecutive polls that failed
  * @poll_due_at: when the next poll is due; ZR_CELL_NEVER: none
  * @backoff_until: time until which no tasks are placed there
+ * @backoff_unanswered: that is because of a start without an answer
+ * @unanswered: share of its starts that were not answered, smoothed
  * @last_failed_job: job that failed there last; reset by a successful run
  * @failures: number of consecutive failures, each of another job than the last
  * @slowdown: ratio of run times to their estimates, smoothed; 0: not known
@@ -364,6 +366,8 @@
 	uint32_t failed_polls;
 	int64_t poll_due_at;
 	int64_t backoff_until;
+	bool backoff_unanswered;
+	double unanswered;
 	zr_handle last_failed_job;
 	uint32_t failures;
 	double slowdown;
@@ -404,6 +408,8 @@
  * @dirty: jobs with changes to commit
  * @slowdown: ratio of run times to their estimates on all workers, smoothed;
  *            0: not known
+ * @unanswered: share of the starts on all workers that were not answered,
+ *              smoothed
  * @domains: failure domains of the workers
  * @domain_count: number of failure domains
  */
@@ -416,6 +422,7 @@
 	struct zr_cell_step_state *ready;
 	struct zr_cell_job *dirty;
 	double slowdown;
+	double unanswered;
 	struct zr_cell_domain domains[ZR_CELL_DOMAINS_MAX];
 	uint32_t domain_count;
 };
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -19,7 +19,8 @@
  * queries the placement adviser and permissions.c stores its answers;
  * isolation.c finds workers for tasks that may crash them; domains.c
  * detects failure domains that do not respond; slowdown.c detects slow workers
- * and stalled runs.
+ * and stalled runs; unanswered.c detects workers that leave starts without an
+ * answer.
  */
 
 /**
@@ -401,6 +402,17 @@
 /** zr_cell_slowdown_is_stalled() - whether a run has stopped making progress */
 bool zr_cell_slowdown_is_stalled(const struct zr_cell_task *task, int64_t now);
 
+/* unanswered.c */
+/** zr_cell_unanswered_add_start() - record whether a start was answered */
+void zr_cell_unanswered_add_start(struct zr_cell_model *model,
+				  struct zr_cell_worker *worker, bool answered);
+/**
+ * zr_cell_unanswered_is_worse() - whether a worker leaves more starts without
+ * an answer than the others do
+ */
+bool zr_cell_unanswered_is_worse(const struct zr_cell_model *model,
+				 const struct zr_cell_worker *worker);
+
 /* domains.c */
 /**
  * zr_cell_domain_get_or_add() - find a failure domain; add it if it is new
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -135,6 +135,7 @@
 	if (until <= worker->backoff_until)
 		return;
 	worker->backoff_until = until;
+	worker->backoff_unanswered = false;
 	zr_log_decision("worker.backoff worker=%s ms=%" PRId64 " reason=%s",
 			worker->report.name, ms, reason);
 }
@@ -670,8 +671,11 @@
 			       struct zr_cell_worker *worker, int error)
 {
 	scheduler->unanswered->value++;
+	zr_cell_unanswered_add_start(&scheduler->model, worker, false);
 	zr_cell_worker_set_unconfirmed(scheduler, worker);
 	back_off(scheduler, worker, FAILED_BACKOFF_MS, zr_error_name(error));
+	worker->backoff_unanswered =
+		!zr_cell_unanswered_is_worse(&scheduler->model, worker);
 	if (error == ZR_E_UNREACHABLE || error == ZR_E_FULL ||
 	    error == ZR_E_CANCELLED) {
 		abandon_start(scheduler, job, task, zr_error_name(error));
@@ -699,6 +703,7 @@
 				   target.worker, error);
 		goto out;
 	}
+	zr_cell_unanswered_add_start(&scheduler->model, target.worker, true);
 	record_response(scheduler, target.worker, request, reply);
 	if (reply->status == ZR_REQUEST_ACCEPTED)
 		handle_start_accepted(scheduler, target.job, request->task,
