cell: names of the isolation of suspects; no search for suspects in other jobs

A value that was 0 or the maximum becomes a predicate, and a job without suspects is not searched for them in each pass.

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -272,7 +272,7 @@
 best_candidate_for_suspect(const struct zr_cell_plan *plan,
 			   const struct zr_cell_plan_item *item)
 {
-	uint32_t others_max = zr_cell_isolation_others_max(plan, item);
+	bool required = zr_cell_isolation_required(plan, item);
 	struct zr_cell_candidate *best = NULL;
 	size_t i;
 
@@ -281,7 +281,7 @@
 			item->eligible[i].candidate;
 		const struct zr_cell_worker *worker = candidate->worker;
 
-		if (!zr_cell_isolation_allows(item, worker, others_max) ||
+		if (!zr_cell_isolation_allows(item, worker, required) ||
 		    !zr_cell_eligible_is_valid(&item->eligible[i], plan->now) ||
 		    !zr_cell_candidate_slots(item, candidate))
 			continue;
@@ -386,11 +386,13 @@
 	struct zr_cell_step_state *step = item->step;
 	bool gang = zr_cell_step_is_gang(step);
 	uint32_t attempt = gang ? next_gang_attempt(item) : 0;
-	uint32_t placed;
+	uint32_t placed = 0;
 
 	names[0] = '\0';
-	/* Others of the same job may join a suspect. */
-	placed = place_waiting(plan, item, true, attempt, max_tasks, names);
+	/* Suspects come first: others of the same job may join them. */
+	if (item->job->has_suspects)
+		placed = place_waiting(plan, item, true, attempt, max_tasks,
+				       names);
 	placed += place_waiting(plan, item, false, attempt, max_tasks - placed,
 				names);
 	if (gang) {
--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -38,9 +38,9 @@
 /* Number of crashes after which a task is a suspect in any case. */
 #define SUSPECT_CRASHES 2
 
-/* When the worker stopped responding, or now if that was not noticed. */
-static int64_t last_possible_start(const struct zr_cell_scheduler *scheduler,
-				   const struct zr_cell_worker *worker)
+/* When the worker stopped responding; now if no request has failed. */
+static int64_t silence_began_at(const struct zr_cell_scheduler *scheduler,
+				const struct zr_cell_worker *worker)
 {
 	int64_t now = zr_cell_now_ms(scheduler);
 
@@ -91,13 +91,12 @@
 	return true;
 }
 
-/* Notes for each run what the crash says about it; returns how many are fresh.
- */
+/* Notes what a crash says about each run. Returns how many runs are fresh. */
 static size_t note_evidence(struct zr_cell_scheduler *scheduler,
 			    struct zr_cell_worker *worker, bool known)
 {
 	struct zr_cell_model *model = &scheduler->model;
-	int64_t silent_since = last_possible_start(scheduler, worker);
+	int64_t silent_since = silence_began_at(scheduler, worker);
 	uint32_t apart =
 		has_one_job(model, worker, silent_since) ? ZR_CRASH_APART : 0;
 	size_t fresh = 0;
@@ -136,7 +135,7 @@
 			"fresh=%zu silent_ms=%" PRId64,
 			worker->report.name, reason, worker->run_count, fresh,
 			zr_cell_now_ms(scheduler) -
-				last_possible_start(scheduler, worker));
+				silence_began_at(scheduler, worker));
 }
 
 void zr_cell_worker_lost(struct zr_cell_scheduler *scheduler,
@@ -154,8 +153,7 @@
 	       entry->crashes >= SHARED_CRASHES;
 }
 
-bool zr_cell_crash_charge(const struct zr_cell_job *job,
-			  struct zr_cell_task *entry)
+bool zr_cell_crash_charge(struct zr_cell_job *job, struct zr_cell_task *entry)
 {
 	uint32_t evidence = entry->crash_evidence;
 	bool given_up;
@@ -170,6 +168,7 @@
 		entry->suspicion = ZR_SUSPECT_AT_START;
 	else if (entry->crashes >= SUSPECT_CRASHES)
 		entry->suspicion = ZR_SUSPECT_ALWAYS;
+	job->has_suspects |= entry->suspicion != ZR_SUSPECT_NOT;
 	given_up = is_given_up(entry, evidence & ZR_CRASH_APART);
 	zr_log_decision("task.crashed_worker job=%s task=%td attempt=%" PRIu32
 			" crashes=%" PRIu32 " certain=%" PRIu32
--- a/src/libzinniarack/cell/isolation.c
+++ b/src/libzinniarack/cell/isolation.c
@@ -25,20 +25,19 @@
 	return count;
 }
 
-uint32_t zr_cell_isolation_others_max(const struct zr_cell_plan *plan,
-				      const struct zr_cell_plan_item *item)
+bool zr_cell_isolation_required(const struct zr_cell_plan *plan,
+				const struct zr_cell_plan_item *item)
 {
 	int64_t since = item->step->isolation_wanted_since;
 
-	return since && plan->now - since >= APART_WAIT_MS ? UINT32_MAX : 0;
+	return !since || plan->now - since < APART_WAIT_MS;
 }
 
 bool zr_cell_isolation_allows(const struct zr_cell_plan_item *item,
 			      const struct zr_cell_worker *worker,
-			      uint32_t others_max)
+			      bool required)
 {
-	return others_max == UINT32_MAX ||
-	       count_others(item, worker) <= others_max;
+	return !required || !count_others(item, worker);
 }
 
 bool zr_cell_isolation_prefers(const struct zr_cell_plan_item *item,
@@ -54,6 +53,8 @@
 	uint32_t count = 0;
 	uint32_t i;
 
+	if (!item->job->has_suspects)
+		return 0;
 	for (i = step->first_task; i < step->first_task + step->spec->count;
 	     i++) {
 		const struct zr_cell_task *task = &item->job->tasks[i];
@@ -67,7 +68,7 @@
 			     const struct zr_cell_plan_item *item,
 			     uint32_t suspects)
 {
-	uint32_t others_max = zr_cell_isolation_others_max(plan, item);
+	bool required = zr_cell_isolation_required(plan, item);
 	uint32_t slots = 0;
 	size_t i;
 
@@ -76,8 +77,7 @@
 			item->eligible[i].candidate;
 
 		if (zr_cell_eligible_is_valid(&item->eligible[i], plan->now) &&
-		    zr_cell_isolation_allows(item, candidate->worker,
-					     others_max))
+		    zr_cell_isolation_allows(item, candidate->worker, required))
 			slots += zr_cell_candidate_slots(item, candidate);
 	}
 	return slots >= suspects;
--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -358,8 +358,7 @@
 	}
 }
 
-/* Before the runs are restored, which are isolated if their task is a suspect.
- */
+/* Called before the runs are restored: those of suspects are isolated. */
 static void restore_crashes(struct zr_cell_job *job,
 			    const zx_cell_stored_progress *record)
 {
@@ -378,6 +377,7 @@
 		task->suspicion = entry->suspicion <= ZR_SUSPECT_ALWAYS
 					  ? entry->suspicion
 					  : ZR_SUSPECT_ALWAYS;
+		job->has_suspects |= task->suspicion != ZR_SUSPECT_NOT;
 	}
 }
 
--- a/src/libzinniarack/cell/journal.c
+++ b/src/libzinniarack/cell/journal.c
@@ -159,7 +159,6 @@
 		count += has_crashes(&job->tasks[i]);
 	if (!count)
 		return;
-
 	out->crashes.tasks.tasks_val =
 		calloc(count, sizeof(*out->crashes.tasks.tasks_val));
 	if (!out->crashes.tasks.tasks_val)
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -203,6 +203,7 @@
  * @has_started: a worker has started a task of it, as far as is known
  * @cancel_found: loading found a cancellation in the store
  * @end_logged: its end has been logged
+ * @has_suspects: a task of it is, or was, suspected to crash its workers
  * @active_tasks: number of tasks with an active run
  * @ended_at: when it ended, in milliseconds since 1970
  * @change: number of the latest change
@@ -235,6 +236,7 @@
 	bool has_started;
 	bool cancel_found;
 	bool end_logged;
+	bool has_suspects;
 	uint32_t active_tasks;
 	int64_t ended_at;
 	uint64_t change;
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -333,19 +333,18 @@
  */
 uint32_t zr_cell_isolation_suspects(const struct zr_cell_plan_item *item);
 /**
- * zr_cell_isolation_others_max() - how many runs of other jobs may be on the
- * worker of a suspect
+ * zr_cell_isolation_required() - whether suspects of a step must run apart
  * @plan: the pass
  * @item: the step
  *
- * Return: 0, or UINT32_MAX once the step has waited too long for a worker.
+ * Return: false once the step has waited too long for a worker of its own.
  */
-uint32_t zr_cell_isolation_others_max(const struct zr_cell_plan *plan,
-				      const struct zr_cell_plan_item *item);
+bool zr_cell_isolation_required(const struct zr_cell_plan *plan,
+				const struct zr_cell_plan_item *item);
 /** zr_cell_isolation_allows() - whether a suspect may run on a worker */
 bool zr_cell_isolation_allows(const struct zr_cell_plan_item *item,
 			      const struct zr_cell_worker *worker,
-			      uint32_t others_max);
+			      bool required);
 /** zr_cell_isolation_prefers() - whether @worker has fewer runs of other jobs
  */
 bool zr_cell_isolation_prefers(const struct zr_cell_plan_item *item,
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -369,8 +369,7 @@
  *
  * Return: whether the task is given up, so that its job fails.
  */
-bool zr_cell_crash_charge(const struct zr_cell_job *job,
-			  struct zr_cell_task *task);
+bool zr_cell_crash_charge(struct zr_cell_job *job, struct zr_cell_task *task);
 /**
  * zr_cell_crash_run_seen() - record that a worker has listed an active run
  *
