cell: an unanswered start no longer ends the pause of a failing worker

Found by reading: the pause after an unanswered start and the one after failures, 5 s, were one field. If a start was unanswered during the latter, the next poll ended it. They are two fields now.

cell/unanswered_start_on_suspect: the next job was placed on the failing worker at once before; it waits until the 5 s are over now.

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -68,6 +68,7 @@
 	return worker->registered && !worker->report.leaving &&
 	       worker->conn.ops && worker->clock_ms >= 0 &&
 	       now >= worker->backoff_until &&
+	       now >= worker->unanswered_until &&
 	       !zr_cell_worker_unresponsive(worker);
 }
 
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -317,7 +317,7 @@
  * @failed_polls: number of consecutive polls that failed
  * @poll_due_at: when the next poll is due; ZR_CELL_NEVER: none
  * @backoff_until: time until which no tasks are placed there
- * @backoff_unanswered: that is because of a start without an answer
+ * @unanswered_until: the same because of a start that was not answered
  * @unanswered: share of its starts that were not answered, smoothed
  * @last_failed_job: job that failed there last; reset by a successful run
  * @failures: number of consecutive failures, each of another job than the last
@@ -368,7 +368,7 @@
 	uint32_t failed_polls;
 	int64_t poll_due_at;
 	int64_t backoff_until;
-	bool backoff_unanswered;
+	int64_t unanswered_until;
 	double unanswered;
 	zr_handle last_failed_job;
 	uint32_t failures;
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -370,9 +370,9 @@
 		zr_cell_worker_restarted(scheduler, worker, reply->incarnation);
 	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
 	confirm_worker(scheduler, worker, call);
-	if (worker->backoff_unanswered && worker->backoff_until) {
-		worker->backoff_unanswered = false;
-		worker->backoff_until = 0;
+	if (worker->unanswered_until &&
+	    !zr_cell_unanswered_is_worse(&scheduler->model, worker)) {
+		worker->unanswered_until = 0;
 		zr_cell_schedule_plan(scheduler);
 	}
 	handle_ends(scheduler, worker, reply);
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -135,7 +135,6 @@
 	if (until <= worker->backoff_until)
 		return;
 	worker->backoff_until = until;
-	worker->backoff_unanswered = false;
 	zr_log_decision("worker.backoff worker=%s ms=%" PRId64 " reason=%s",
 			worker->report.name, ms, reason);
 }
@@ -673,9 +672,8 @@
 	scheduler->unanswered->value++;
 	zr_cell_unanswered_add_start(&scheduler->model, worker, false);
 	zr_cell_worker_set_unconfirmed(scheduler, worker);
-	back_off(scheduler, worker, FAILED_BACKOFF_MS, zr_error_name(error));
-	worker->backoff_unanswered =
-		!zr_cell_unanswered_is_worse(&scheduler->model, worker);
+	worker->unanswered_until =
+		zr_cell_now_ms(scheduler) + FAILED_BACKOFF_MS;
 	if (error == ZR_E_UNREACHABLE || error == ZR_E_FULL ||
 	    error == ZR_E_CANCELLED) {
 		abandon_start(scheduler, job, task, zr_error_name(error));
@@ -683,9 +681,9 @@
 	}
 	zr_cell_task_event(&job->tasks[task], ZR_TASK_EVENT_UNANSWERED);
 	zr_log_decision("start.unanswered job=%s task=%" PRIu32
-			" attempt=%" PRIu32 " worker=%s",
+			" attempt=%" PRIu32 " worker=%s error=%s",
 			job->id, task, job->tasks[task].attempt,
-			worker->report.name);
+			worker->report.name, zr_error_name(error));
 	zr_cell_poll_extra(scheduler, worker);
 }
 
