--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -15,7 +15,8 @@
  * A worker that does not respond may also be cut off or stopped, so a crash is
  * known only when the worker is back without its runs, or another one uses its
  * address. If that never happens, the runs end with their lease; this counts
- * too, but not as certain.
+ * too, but not as certain. A run whose start was not confirmed is not charged,
+ * since it may never have been there.
  */
 
 /*
@@ -29,12 +30,14 @@
  * connection that breaks is noticed in time.
  */
 #define CERTAIN_MS 300
-/* Numbers of crashes at which a task that runs apart is given up. */
-#define APART_CERTAIN_CRASHES 2
-#define APART_CRASHES 3
-/* The same for a task that runs beside other jobs. */
-#define SHARED_CERTAIN_CRASHES 3
-#define SHARED_CRASHES 5
+/*
+ * A task is given up at CERTAIN_CRASHES if it runs apart. If fewer are certain,
+ * or if it runs beside other jobs, this takes more crashes; without both, more
+ * still.
+ */
+#define CERTAIN_CRASHES 2
+#define UNCERTAIN_CRASHES 3
+#define SHARED_UNCERTAIN_CRASHES 5
 /* Number of crashes after which a task is a suspect in any case. */
 #define SUSPECT_CRASHES 2
 
@@ -106,11 +109,14 @@
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_task *entry =
 			&zr_cell_job(model, ref.job)->tasks[ref.task];
-		uint32_t evidence = ZR_CRASH_COUNTED | apart;
+		uint32_t evidence = apart;
 
 		if (entry->crash_evidence ||
 		    !may_have_started(entry, silent_since))
 			continue;
+		/* A start that was not answered may not have arrived. */
+		if (entry->started_at)
+			evidence |= ZR_CRASH_COUNTED;
 		if (is_fresh(entry, worker)) {
 			fresh++;
 			if (known)
@@ -146,11 +152,13 @@
 
 static bool is_given_up(const struct zr_cell_task *entry, bool apart)
 {
-	if (apart && (entry->certain_crashes >= APART_CERTAIN_CRASHES ||
-		      entry->crashes >= APART_CRASHES))
+	bool certain = entry->certain_crashes >= CERTAIN_CRASHES;
+
+	if (apart && certain)
 		return true;
-	return entry->certain_crashes >= SHARED_CERTAIN_CRASHES ||
-	       entry->crashes >= SHARED_CRASHES;
+	if (apart || certain)
+		return entry->crashes >= UNCERTAIN_CRASHES;
+	return entry->crashes >= SHARED_UNCERTAIN_CRASHES;
 }
 
 bool zr_cell_crash_charge(struct zr_cell_job *job, struct zr_cell_task *entry)
@@ -161,7 +169,8 @@
 	if (!evidence)
 		return false;
 	entry->crash_evidence = 0;
-	entry->crashes++;
+	if (evidence & ZR_CRASH_COUNTED)
+		entry->crashes++;
 	if (evidence & ZR_CRASH_CERTAIN)
 		entry->certain_crashes++;
 	if (evidence & ZR_CRASH_SUSPECT)
@@ -169,7 +178,8 @@
 	else if (entry->crashes >= SUSPECT_CRASHES)
 		entry->suspicion = ZR_SUSPECT_ALWAYS;
 	job->has_suspects |= entry->suspicion != ZR_SUSPECT_NOT;
-	given_up = is_given_up(entry, evidence & ZR_CRASH_APART);
+	given_up = evidence & ZR_CRASH_COUNTED &&
+		   is_given_up(entry, evidence & ZR_CRASH_APART);
 	zr_log_decision("task.crashed_worker job=%s task=%td attempt=%" PRIu32
 			" crashes=%" PRIu32 " certain=%" PRIu32
 			" apart=%d suspicion=%d given_up=%d",
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -70,6 +70,7 @@
 	bool restarted =
 		reply->clock_ms >= 0 && reply->clock_ms < request->clock_ms;
 	int64_t responded_at = worker->responded_at;
+	int64_t silent_since = worker->silent_since;
 
 	/* Another worker has responded, which uses the address now. */
 	if (reply->status == ZR_REQUEST_WRONG_WORKER) {
@@ -81,6 +82,7 @@
 		return;
 	/* The incarnation that crashed has not responded. */
 	worker->responded_at = responded_at;
+	worker->silent_since = silent_since;
 	zr_cell_worker_set_unconfirmed(scheduler, worker);
 	zr_cell_poll_extra(scheduler, worker);
 }
