cell: a crash is clear evidence if no other job had only just started a run there

A suspect that found no worker of its own within 2 s ran beside others, and a second certain crash under it did not count as one under a task that runs apart, although nobody else may join its worker.

The runs that had been seen running no longer matter for a run that had only just started.

--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -72,20 +72,24 @@
 	       silent_since - entry->started_at <= CERTAIN_MS;
 }
 
-/* Whether all runs that may have started are of the same job. */
+/*
+ * Whether all runs that may have started are of the same job; with @fresh, all
+ * of them that are fresh.
+ */
 static bool has_one_job(const struct zr_cell_model *model,
 			const struct zr_cell_worker *worker,
-			int64_t silent_since)
+			int64_t silent_since, bool fresh)
 {
 	zr_handle job = ZR_HANDLE_NONE;
 	size_t i;
 
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
+		const struct zr_cell_task *entry =
+			&zr_cell_job(model, ref.job)->tasks[ref.task];
 
-		if (!may_have_started(
-			    &zr_cell_job(model, ref.job)->tasks[ref.task],
-			    silent_since))
+		if (!may_have_started(entry, silent_since) ||
+		    (fresh && !is_fresh(entry, worker)))
 			continue;
 		if (job && job != ref.job)
 			return false;
@@ -100,8 +104,8 @@
 {
 	struct zr_cell_model *model = &scheduler->model;
 	int64_t silent_since = silence_began_at(scheduler, worker);
-	uint32_t apart =
-		has_one_job(model, worker, silent_since) ? ZR_CRASH_APART : 0;
+	bool apart = has_one_job(model, worker, silent_since, false);
+	bool fresh_apart = has_one_job(model, worker, silent_since, true);
 	size_t fresh = 0;
 	size_t i;
 
@@ -109,7 +113,7 @@
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_task *entry =
 			&zr_cell_job(model, ref.job)->tasks[ref.task];
-		uint32_t evidence = apart;
+		uint32_t evidence = 0;
 
 		if (entry->crash_evidence ||
 		    !may_have_started(entry, silent_since))
@@ -121,9 +125,13 @@
 			fresh++;
 			if (known)
 				evidence |= ZR_CRASH_SUSPECT;
+			if (fresh_apart)
+				evidence |= ZR_CRASH_APART;
 		} else if (!known) {
 			continue;
 		}
+		if (apart)
+			evidence |= ZR_CRASH_APART;
 		if (known && is_certain(entry, silent_since))
 			evidence |= ZR_CRASH_CERTAIN;
 		entry->crash_evidence = evidence;
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -47,7 +47,7 @@
 	ZR_CRASH_COUNTED = 1, /* its worker crashed, or was lost, under it */
 	ZR_CRASH_SUSPECT = 2, /* its start may have been the cause */
 	ZR_CRASH_CERTAIN = 4, /* it was running when the worker crashed */
-	ZR_CRASH_APART = 8,   /* no other job had a run on the worker */
+	ZR_CRASH_APART = 8, /* no other job had a run, or a fresh one, there */
 };
 
 /** struct zr_cell_ref - a task: its job and its index in the job's tasks */
