--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -67,9 +67,9 @@
  *                              whether another worker uses its address then
  *   crashed-workers            print how many workers tasks have crashed
  *   hide-runs                  print violations, but no begins and ends of runs
- *   capacity HOST WORKER MILLICPUS
- *                              change the capacity of a worker; it registers
- *                              the change through HOST
+ *   capacity WORKER MILLICPUS
+ *                              change the capacity of a worker, which registers
+ *                              the change
  *   shrink-grace MS            set for how long a start need not fit a capacity
  *                              that has decreased
  *   stop-ms MS                 set the time from a stop until the run's end
