cell, tests: one look-up in note_evidence(), the list of verbs of cell_script.h

The formatter had run the verbs from cancel on together, and size and successor had each other's text.

--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -120,8 +120,8 @@
 
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
-		struct zr_cell_task *entry =
-			&zr_cell_job(model, ref.job)->tasks[ref.task];
+		struct zr_cell_job *job = zr_cell_job(model, ref.job);
+		struct zr_cell_task *entry = &job->tasks[ref.task];
 		uint32_t evidence = 0;
 
 		if (entry->crash_evidence ||
@@ -141,8 +141,7 @@
 		}
 		if (apart)
 			evidence |= ZR_CRASH_APART;
-		if (known && is_certain(zr_cell_job(model, ref.job), ref.task,
-					silent_since))
+		if (known && is_certain(job, ref.task, silent_since))
 			evidence |= ZR_CRASH_CERTAIN;
 		entry->crash_evidence = evidence;
 	}
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -26,22 +26,24 @@
  *                              [gang,|checkpoints,]COUNTxMILLICPUS:MS[@STEP]:
  *                              MS is the run time of a task, fMS that of a task
  *                              that fails, xMS that of the tasks of a step
- * whose first one crashes its workers, @STEP the index of the step that it
- * depends on cancel HOST JOB            commit a cancellation like an entry
- * host state HOST JOB             print the persisted state of a job query HOST
- * JOB             print the state that HOST's scheduler reports waiting-jobs
- * HOST          print the persisted number of waiting jobs told-jobs HOST print
- * the number that HOST's frontend would tell recovery-reads             print
- * the number of reads that owners have made to load jobs and their progress
+ *                              whose first one crashes its workers, @STEP the
+ *                              index of the step that it depends on
+ *   cancel HOST JOB            commit a cancellation like an entry host
+ *   state HOST JOB             print the persisted state of a job
+ *   query HOST JOB             print the state that HOST's scheduler reports
+ *   waiting-jobs HOST          print the persisted number of waiting jobs
+ *   told-jobs HOST             print the number that HOST's frontend would tell
+ *   recovery-reads             print the number of reads that owners have made
+ *                              to load jobs and their progress
  *   adviser-queries            print the number of queries sent to the adviser
  *   owner                      print the host whose scheduler owns the cell
  *   advance MS                 advance the fake clock
  *   clock-resolution HOST MS   set the resolution of a host's monotonic clock
  *   size HOST MILLICPUS LARGEST
- *   successor HOST MILLICPUS   set the size of the largest other host that is
- *                              registered
  *                              tell HOST its size, and that of the largest
  *                              other host that it has seen
+ *   successor HOST MILLICPUS   set the size of the largest other host that is
+ *                              registered
  *   suspect HOST yes|no        report to HOST that its connection to the store
  *                              is suspect
  *   settling HOST yes|no       report to HOST that it has just started
@@ -90,8 +92,7 @@
 /** cell_script_run() - run a line; exits the program if it is invalid */
 void cell_script_run(struct cell_script *script, const char *line);
 
-/** cell_script_check_jobs() - check that the jobs that failed had a reason to
- */
+/** cell_script_check_jobs() - check that each failed job had a reason */
 void cell_script_check_jobs(struct cell_script *script);
 
 /** cell_script_violations() - number of violations printed so far */
