cell: nothing is started in a failure domain that is evacuated

Operators had no way to keep tasks off the workers of one failure domain.

The owner reads and watches the keys of evacuation requests if the setting evacuation_ms is not 0.

The fake pool reports EVAC for a start that a host sends later than 5,000 ms after the request, without any allowance for a host that is cut off.

--- a/include/zinniarack/cell.h
+++ b/include/zinniarack/cell.h
@@ -414,6 +414,9 @@
  * @worker_conn_open: open a connection to a worker
  * @advise: query the adviser for the workers that a step may run on
  * @ctx: passed to the functions
+ * @evacuation_prefix: prefix of the keys with which operators request the
+ *                     evacuation of a failure domain; NULL: there are none
+ * @evacuation_decode: decode such a key into the name of the domain
  */
 struct zr_cell_platform {
 	struct zr_store store;
@@ -430,6 +433,9 @@
 		       unsigned int timeout_ms, zr_cell_advise_fn done,
 		       void *done_ctx);
 	void *ctx;
+	const char *evacuation_prefix;
+	int (*evacuation_decode)(char out[ZR_NAME_MAX],
+				 const struct zr_store_value *value);
 };
 
 #endif
--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -33,6 +33,8 @@
  *	configuration is older, because it may have withdrawn the caller's key
  * @leave_ms: timeout of a graceful shutdown
  * @log: level and format of the log
+ * @evacuation_ms: time after which no task may start in a failure domain whose
+ *	evacuation operators have requested; 0: such requests are not read
  */
 struct zr_cell_settings {
 	char *name;
@@ -56,6 +58,7 @@
 		enum zr_log_level level;
 		enum zr_log_format format;
 	} log;
+	uint32_t evacuation_ms;
 };
 
 /**
--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -63,9 +63,11 @@
 	return false;
 }
 
-static bool accepts_tasks(const struct zr_cell_worker *worker, int64_t now)
+static bool accepts_tasks(const struct zr_cell_scheduler *scheduler,
+			  const struct zr_cell_worker *worker, int64_t now)
 {
-	return worker->registered && !worker->report.leaving &&
+	return zr_cell_evacuations_allow(scheduler, worker, now) &&
+	       worker->registered && !worker->report.leaving &&
 	       worker->conn.ops && worker->clock_ms >= 0 &&
 	       now >= worker->backoff_until &&
 	       now >= worker->unanswered_until &&
@@ -106,7 +108,7 @@
 			worker->isolation_job = ZR_HANDLE_NONE;
 		plan->draining_count +=
 			worker->isolation_job && !worker->isolated_runs;
-		if (accepts_tasks(worker, plan->now) &&
+		if (accepts_tasks(plan->scheduler, worker, plan->now) &&
 		    !zr_cell_domain_unresponsive(model, worker, plan->now))
 			add_candidate(plan, worker);
 	}
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -203,7 +203,7 @@
 		.clock = options->clock,
 		.platform = &host->platform,
 		.limits = {settings->lease_ms, settings->lease_max_ms,
-			   settings->keep_ended_ms},
+			   settings->keep_ended_ms, settings->evacuation_ms},
 		.host = settings->name,
 		.cell = settings->cell,
 		.metrics = options->metrics,
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -66,6 +66,66 @@
 	struct zr_cell_load_read progress;
 };
 
+/**
+ * struct zr_cell_evacuation - request to evacuate a failure domain
+ * @domain: name of the domain
+ * @requested: the request is in the store; it has been withdrawn otherwise
+ * @revision: store revision of the change that was last applied
+ * @in_current_read: it is in the copy of the requests that is being processed
+ * @announced: the runs in the domain have been counted, and placements there
+ *	taken back
+ * @starts_settled: no start sent before the request is without an answer
+ * @drained: the domain has had no runs since the request
+ * @known_at: when this owner learned of the request
+ * @withdrawn_at: when it learned of the withdrawal
+ */
+struct zr_cell_evacuation {
+	char domain[ZR_NAME_MAX];
+	bool requested;
+	int64_t revision;
+	bool in_current_read;
+	bool announced;
+	bool starts_settled;
+	bool drained;
+	int64_t known_at;
+	int64_t withdrawn_at;
+	UT_hash_handle hh;
+};
+
+/**
+ * struct zr_cell_evacuations - what the owner knows of the evacuation requests
+ * @by_domain: the requests, also withdrawn ones
+ * @revision: store revision up to which the requests are known; 0: they have to
+ *	be read before they can be watched
+ * @confirmed_at: time up to which no other request had been made
+ * @confirmed: @confirmed_at is set
+ * @reading: a read is pending
+ * @read_sent_at: when the last read was sent
+ * @watching: a watch is pending
+ * @none_left_logged: that no domain is left for tasks has been logged
+ * @unknown_logged: that nothing is started, because the requests are not known,
+ *	has been logged
+ * @checked_at: when the runs in evacuated domains were last counted
+ * @runs: runs in domains that are being evacuated
+ * @start_age_ms: age of the oldest start without an answer in such a domain
+ * @taken_back: placements taken back before their start was sent
+ */
+struct zr_cell_evacuations {
+	struct zr_cell_evacuation *by_domain;
+	int64_t revision;
+	int64_t confirmed_at;
+	bool confirmed;
+	bool reading;
+	int64_t read_sent_at;
+	bool watching;
+	bool none_left_logged;
+	bool unknown_logged;
+	int64_t checked_at;
+	struct zr_metric *runs;
+	struct zr_metric *start_age_ms;
+	struct zr_metric *taken_back;
+};
+
 /**
  * struct zr_cell_scheduler - the scheduler
  * @options: as passed to zr_cell_scheduler_new()
@@ -129,6 +189,7 @@
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
+ * @evacuations: requests to evacuate failure domains
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -185,6 +246,7 @@
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
+	struct zr_cell_evacuations evacuations;
 };
 
 /* scheduler.c */
@@ -240,6 +302,42 @@
 /** zr_cell_registry_process() - read or watch the registry, as is due */
 void zr_cell_registry_process(struct zr_cell_scheduler *scheduler);
 
+/* evacuations.c */
+/** zr_cell_evacuations_register_metrics() - register the metrics */
+void zr_cell_evacuations_register_metrics(struct zr_cell_scheduler *scheduler,
+					  struct zr_metrics *metrics);
+/**
+ * zr_cell_evacuations_clear() - forget the requests
+ *
+ * Called when a term begins or ends; replies of earlier terms are ignored.
+ */
+void zr_cell_evacuations_clear(struct zr_cell_scheduler *scheduler);
+/**
+ * zr_cell_evacuations_process() - read or watch the requests, as is due, and
+ * count what is left in the domains
+ */
+void zr_cell_evacuations_process(struct zr_cell_scheduler *scheduler);
+/**
+ * zr_cell_evacuations_known() - whether the requests are known well enough to
+ * start tasks
+ *
+ * Return: true if requests are not read at all, or if the last confirmation of
+ * what is known is recent.
+ */
+bool zr_cell_evacuations_known(const struct zr_cell_scheduler *scheduler);
+/**
+ * zr_cell_evacuations_allow() - whether tasks may start on a worker
+ * @scheduler: the scheduler
+ * @worker: the worker
+ * @now: the current time in milliseconds
+ *
+ * Return: false if the requests are not known, if the worker's domain is being
+ * evacuated, or if the worker does not return yet after an evacuation.
+ */
+bool zr_cell_evacuations_allow(const struct zr_cell_scheduler *scheduler,
+			       const struct zr_cell_worker *worker,
+			       int64_t now);
+
 /* job_state.c */
 /**
  * zr_cell_state_queries_job_persisted() - answer callers waiting for the end
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -762,6 +762,11 @@
 		abandon_start(scheduler, job, task, "worker_leaves");
 		return;
 	}
+	if (!zr_cell_evacuations_allow(scheduler, worker,
+				       zr_cell_now_ms(scheduler))) {
+		abandon_start(scheduler, job, task, "evacuation");
+		return;
+	}
 	/* Its capacity has shrunk since the task was placed. */
 	if (zr_cell_worker_overcommitted(worker)) {
 		abandon_start(scheduler, job, task, "capacity_shrunk");
@@ -784,7 +789,8 @@
 
 	if (!job->tasks)
 		return;
-	if (!zr_cell_is_owner(scheduler)) {
+	if (!zr_cell_is_owner(scheduler) ||
+	    !zr_cell_evacuations_known(scheduler)) {
 		scheduler->starts_deferred = true;
 		return;
 	}
@@ -800,7 +806,8 @@
 	struct zr_cell_job *job;
 	struct zr_cell_job *next;
 
-	if (!scheduler->starts_deferred || !zr_cell_is_owner(scheduler))
+	if (!scheduler->starts_deferred || !zr_cell_is_owner(scheduler) ||
+	    !zr_cell_evacuations_known(scheduler))
 		return;
 	scheduler->starts_deferred = false;
 	HASH_ITER (hh, scheduler->model.job_by_id, job, next)
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -285,6 +285,7 @@
 static void end_term(struct zr_cell_scheduler *scheduler)
 {
 	scheduler->term++;
+	zr_cell_evacuations_clear(scheduler);
 	scheduler->successor_since = 0;
 	scheduler->hand_over_deadline_at = 0;
 	scheduler->phase = ZR_CELL_STANDBY;
@@ -333,6 +334,8 @@
 	scheduler->takeovers->value++;
 	zr_cell_journal_open(scheduler->journal, zr_owner_key(scheduler->owner),
 			     term->owner_revision);
+	zr_cell_evacuations_clear(scheduler);
+	zr_cell_evacuations_process(scheduler);
 	zr_cell_load_jobs(scheduler, term, load_timeout_ms(scheduler, term),
 			  RECOVERY_TARGET_MS);
 }
@@ -449,6 +452,7 @@
 	if (scheduler->releasing)
 		try_release(scheduler);
 	zr_cell_load_process(scheduler);
+	zr_cell_evacuations_process(scheduler);
 	if (scheduler->phase == ZR_CELL_ACTIVE && !scheduler->releasing)
 		process_hand_over(scheduler, now);
 	if (scheduler->phase != ZR_CELL_ACTIVE)
@@ -520,6 +524,7 @@
 	scheduler->visible_ms = zr_metrics_get_or_add_histogram(
 		metrics, "zinniarack_cell_job_ms", NULL,
 		"Time from a job's acceptance until its end could be read");
+	zr_cell_evacuations_register_metrics(scheduler, metrics);
 }
 
 int zr_cell_scheduler_new(struct zr_cell_scheduler **out,
@@ -652,6 +657,7 @@
 	zr_owner_free(scheduler->owner);
 	zr_cell_journal_free(scheduler->journal);
 	zr_cell_state_queries_abort(scheduler);
+	zr_cell_evacuations_clear(scheduler);
 	scheduler->freeing = true;
 	scheduler->term++;
 	/*
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -26,11 +26,14 @@
  * @lease_max_ms: maximum duration of a run lease, including those that other
  *	schedulers granted
  * @keep_ended_ms: retention of the state of ended jobs
+ * @evacuation_ms: time after which no task may start in a failure domain whose
+ *	evacuation was requested; 0: requests are not read
  */
 struct zr_cell_limits {
 	unsigned int lease_ms;
 	unsigned int lease_max_ms;
 	unsigned int keep_ended_ms;
+	unsigned int evacuation_ms;
 };
 
 /**
--- a/src/libzinniarack/config/cell_settings.c
+++ b/src/libzinniarack/config/cell_settings.c
@@ -65,6 +65,7 @@
 	NUMBER_FIELD(leave_ms),
 	CYAML_FIELD_MAPPING("log", CYAML_FLAG_OPTIONAL, struct zr_cell_settings,
 			    log, log_fields),
+	NUMBER_FIELD(evacuation_ms),
 	CYAML_FIELD_END,
 };
 
@@ -108,6 +109,7 @@
 	RANGE("leave_ms", 100, 600000, "5000"),
 	ANY("log.level", "error"),
 	ANY("log.format", "text"),
+	RANGE("evacuation_ms", 0, 600000, "0"),
 	{NULL, ZR_RULE_ANY, 0, 0, NULL, NULL},
 };
 
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -18,6 +18,7 @@
 #define HOSTS_MAX 64
 #define STEPS_MAX 8
 #define WORKER_PREFIX "workers/"
+#define EVACUATION_PREFIX "evacuate/"
 #define TIMEOUT_MS 1000
 #define ATTEMPTS 2
 
@@ -47,6 +48,7 @@
 	struct zr_cell_config config;
 	uint32_t priority;
 	uint32_t latency_target_ms;
+	unsigned int evacuation_ms;
 	unsigned int adviser_queries;
 	bool hides_runs;
 	char line[LINE_MAX_BYTES];
@@ -104,6 +106,14 @@
 				value->key + strlen(WORKER_PREFIX), out);
 }
 
+static int decode_evacuation(char out[ZR_NAME_MAX],
+			     const struct zr_store_value *value)
+{
+	snprintf(out, ZR_NAME_MAX, "%s",
+		 value->key + strlen(EVACUATION_PREFIX));
+	return 0;
+}
+
 static int open_worker_conn(void *ctx, struct zr_cell_worker_conn *out,
 			    const char *address, const char *worker)
 {
@@ -209,7 +219,8 @@
 		.platform = &host->platform,
 		.limits = {.lease_ms = 5500,
 			   .lease_max_ms = 6000,
-			   .keep_ended_ms = 130000},
+			   .keep_ended_ms = 130000,
+			   .evacuation_ms = script->evacuation_ms},
 		.cell = "main",
 	};
 
@@ -224,6 +235,8 @@
 		.worker_conn_open = open_worker_conn,
 		.advise = query_adviser,
 		.ctx = host,
+		.evacuation_prefix = EVACUATION_PREFIX,
+		.evacuation_decode = decode_evacuation,
 	};
 	fake_store_client(&host->platform.store, script->store, host->node);
 	options.timers = fake_time_timers(fake_node_time(host->node));
@@ -744,6 +757,69 @@
 	commit_value(script, &script->registrar, key, "1", 1);
 }
 
+static void do_evacuation_ms(struct cell_script *script)
+{
+	script->evacuation_ms = (unsigned int)atoi(word(script, 1));
+}
+
+/* A request of the operator to evacuate a failure domain. */
+struct evacuation_request {
+	struct cell_script *script;
+	char domain[ZR_NAME_MAX];
+};
+
+static void on_evacuation_requested(void *ctx, int error,
+				    const struct zr_store_reply *reply)
+{
+	struct evacuation_request *request = ctx;
+
+	on_committed(request->script, error, reply);
+	if (!error)
+		fake_pool_set_evacuated(request->script->pool, request->domain,
+					true);
+	free(request);
+}
+
+static void do_evacuate(struct cell_script *script)
+{
+	struct evacuation_request *request = calloc(1, sizeof(*request));
+	char key[ZR_CELL_KEY_MAX];
+	const struct zr_store_put write = {key, "", 0, 0};
+	const struct zr_store_txn txn = {NULL, 0, &write, 1};
+
+	request->script = script;
+	snprintf(request->domain, sizeof(request->domain), "%s",
+		 word(script, 1));
+	snprintf(key, sizeof(key), EVACUATION_PREFIX "%s", word(script, 1));
+	zr_store_commit(&script->registrar, ZR_STORE_OTHER, &txn,
+			on_evacuation_requested, request);
+}
+
+/* From its sending on, the withdrawal may be known to the hosts. */
+static void do_restore(struct cell_script *script)
+{
+	char key[ZR_CELL_KEY_MAX];
+
+	fake_pool_set_evacuated(script->pool, word(script, 1), false);
+	snprintf(key, sizeof(key), EVACUATION_PREFIX "%s", word(script, 1));
+	commit_value(script, &script->registrar, key, NULL, 0);
+}
+
+static void do_lose_history(struct cell_script *script)
+{
+	fake_store_lose_history(script->store);
+}
+
+static void do_metric(struct cell_script *script)
+{
+	const struct host *host = find_host(script, word(script, 1));
+	const struct zr_metric *metric = zr_metrics_get_or_add_counter(
+		host->metrics, word(script, 2), NULL, "");
+
+	print(script, "%s %s: %ld", host->name, word(script, 2),
+	      (long)metric->value);
+}
+
 static void do_replace(struct cell_script *script)
 {
 	fake_pool_replace(script->pool, word(script, 1));
@@ -792,6 +868,11 @@
 	{"latency-target", do_latency_target},
 	{"adviser-queries", do_adviser_queries},
 	{"query", do_query},
+	{"evacuation-ms", do_evacuation_ms},
+	{"evacuate", do_evacuate},
+	{"restore", do_restore},
+	{"lose-history", do_lose_history},
+	{"metric", do_metric},
 };
 
 void cell_script_run(struct cell_script *script, const char *line)
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -75,6 +75,13 @@
  *   shrink-grace MS            set for how long a start need not fit a capacity
  *                              that has decreased
  *   stop-ms MS                 set the time from a stop until the run's end
+ *   evacuation-ms MS           set the setting of the hosts started from now
+ *                              on; 0 at first
+ *   evacuate DOMAIN            request the evacuation of a failure domain, over
+ *                              a connection of the operator to the store
+ *   restore DOMAIN             withdraw the request
+ *   lose-history               make the store forget its history of changes
+ *   metric HOST NAME           print a metric of a host
  *   hang WORKER                stop the progress of its tasks; the worker
  *                              still responds
  *
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -16,6 +16,8 @@
  * workers have crashed while they ran it.
  */
 #define CRASH_BUDGET 3
+/* Time after the request to evacuate a domain from which no start is sent. */
+#define EVACUATE_MS 5000
 /* Number of workers that have to crash under a task before its job may fail. */
 #define CRASHES_TO_FAIL 2
 #define CRASH_AFTER_MS 10
@@ -94,11 +96,19 @@
 	unsigned int later_starts; /* after CRASH_BUDGET crashes */
 };
 
+/* A failure domain that is to be evacuated; @since: INT64_MAX if it is not. */
+struct evacuation {
+	struct evacuation *next;
+	char domain[ZR_NAME_MAX];
+	int64_t since;
+};
+
 struct fake_pool {
 	struct fake_net *net;
 	struct pool_worker *workers;
 	struct done_task *done_tasks;
 	struct troubled_task *troubled_tasks;
+	struct evacuation *evacuations;
 	unsigned int crash_after_ms;
 	unsigned int crash_down_ms;
 	bool crash_replaces;
@@ -120,6 +130,7 @@
 	struct pool_worker *worker;
 	int64_t incarnation; /* that accepted the connection */
 	enum call_kind kind;
+	int64_t sent_at;
 	struct zr_cell_task_name task;
 	uint32_t attempt;
 	char payload[TEXT_MAX];
@@ -335,6 +346,22 @@
 		       : worker->millicpus;
 }
 
+/* When a start was sent counts, not when it arrives. */
+static void check_evacuation(struct pool_worker *worker,
+			     const struct call *call)
+{
+	const struct evacuation *evacuation;
+
+	LL_FOREACH(worker->pool->evacuations, evacuation)
+	{
+		if (!strcmp(evacuation->domain, worker->domain) &&
+		    evacuation->since != INT64_MAX &&
+		    call->sent_at > evacuation->since + EVACUATE_MS)
+			violation(worker->pool, "EVAC", &call->task,
+				  worker->name);
+	}
+}
+
 static enum zr_request_status process_start(struct pool_worker *worker,
 					    const struct call *call)
 {
@@ -352,6 +379,7 @@
 			return ZR_REQUEST_SUPERSEDED;
 	}
 	check_start(worker, &call->task);
+	check_evacuation(worker, call);
 	run = calloc(1, sizeof(*run));
 	run->task = call->task;
 	run->attempt = call->attempt;
@@ -581,6 +609,7 @@
 	call->worker = client->worker;
 	call->incarnation = client->worker->incarnation;
 	call->kind = kind;
+	call->sent_at = net_now(client->worker->pool);
 	call->fencing_token = fencing_token;
 	call->ctx = ctx;
 	return call;
@@ -805,6 +834,29 @@
 	snprintf(worker->domain, sizeof(worker->domain), "%s", domain);
 }
 
+void fake_pool_set_evacuated(struct fake_pool *pool, const char *domain,
+			     bool evacuated)
+{
+	struct evacuation *evacuation;
+
+	LL_FOREACH(pool->evacuations, evacuation)
+	{
+		if (!strcmp(evacuation->domain, domain))
+			break;
+	}
+	if (!evacuation) {
+		evacuation = calloc(1, sizeof(*evacuation));
+		snprintf(evacuation->domain, sizeof(evacuation->domain), "%s",
+			 domain);
+		evacuation->since = INT64_MAX;
+		LL_PREPEND(pool->evacuations, evacuation);
+	}
+	if (!evacuated)
+		evacuation->since = INT64_MAX;
+	else if (evacuation->since == INT64_MAX)
+		evacuation->since = net_now(pool);
+}
+
 void fake_pool_set_stop_ms(struct fake_pool *pool, unsigned int stop_ms)
 {
 	pool->stop_ms = stop_ms;
@@ -937,6 +989,7 @@
 {
 	struct troubled_task *troubled;
 	struct done_task *done;
+	struct evacuation *evacuation;
 	struct pool_worker *worker;
 
 	while ((troubled = pool->troubled_tasks)) {
@@ -947,6 +1000,10 @@
 		pool->workers = worker->next;
 		free_worker(worker);
 	}
+	while ((evacuation = pool->evacuations)) {
+		pool->evacuations = evacuation->next;
+		free(evacuation);
+	}
 	while ((done = pool->done_tasks)) {
 		pool->done_tasks = done->next;
 		free(done);
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -21,9 +21,10 @@
  *
  * The pool reports a violation if a task runs twice concurrently (TWICE), if it
  * starts again after a poll has acknowledged its successful end (AGAIN), if the
- * runs of a worker use more than its capacity (LIMIT), or if a task that
- * crashes its workers is started three times more after three workers have
- * crashed while they ran it (BUDGET).
+ * runs of a worker use more than its capacity (LIMIT), if a task that crashes
+ * its workers is started three times more after three workers have crashed
+ * while they ran it (BUDGET), or if a host sends a start to an evacuated domain
+ * later than 5,000 ms after the request (EVAC).
  */
 
 struct fake_pool;
@@ -87,6 +88,15 @@
 void fake_pool_set_domain(struct fake_pool *pool, const char *name,
 			  const char *domain);
 
+/**
+ * fake_pool_set_evacuated() - set whether a failure domain is to be evacuated
+ * @pool: the pool
+ * @domain: name of the domain
+ * @evacuated: the request has just been confirmed, or is being withdrawn
+ */
+void fake_pool_set_evacuated(struct fake_pool *pool, const char *domain,
+			     bool evacuated);
+
 /** fake_pool_tick() - end due runs and answer polls; call every millisecond */
 void fake_pool_tick(struct fake_pool *pool);
 
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -31,6 +31,7 @@
 	struct value *values;
 	struct lease *leases;
 	int64_t revision;
+	int64_t compacted_revision; /* the history begins after this one */
 	int64_t next_lease;
 	struct pending_watch *pending_watches;
 	struct tombstone *tombstones;
@@ -357,10 +358,12 @@
 	while (*link) {
 		struct pending_watch *watch = *link;
 
-		if (watch->checked_revision != store->revision)
+		if (watch->call->after_revision < store->compacted_revision)
+			watch->call->error = ZR_E_NOT_FOUND;
+		else if (watch->checked_revision != store->revision)
 			reply_changes(watch->call);
 		watch->checked_revision = store->revision;
-		if (!watch->call->reply.count &&
+		if (!watch->call->error && !watch->call->reply.count &&
 		    now_ms(store) < watch->expires_at) {
 			link = &watch->next;
 			continue;
@@ -649,6 +652,24 @@
 	return &store->counts;
 }
 
+static void free_tombstones(struct fake_store *store)
+{
+	struct tombstone *tombstone;
+
+	while ((tombstone = store->tombstones)) {
+		store->tombstones = tombstone->next;
+		free(tombstone->key);
+		free(tombstone);
+	}
+}
+
+void fake_store_lose_history(struct fake_store *store)
+{
+	store->compacted_revision = store->revision;
+	free_tombstones(store);
+	answer_watches(store);
+}
+
 unsigned long fake_store_size(const struct fake_store *store,
 			      const char *prefix)
 {
@@ -700,13 +721,7 @@
 	struct lease *lease;
 	struct lease *next_lease;
 
-	while (store->tombstones) {
-		struct tombstone *tombstone = store->tombstones;
-
-		store->tombstones = tombstone->next;
-		free(tombstone->key);
-		free(tombstone);
-	}
+	free_tombstones(store);
 	while (store->pending_watches) {
 		struct pending_watch *watch = store->pending_watches;
 
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -41,6 +41,14 @@
 const struct fake_store_counts *
 fake_store_counts(const struct fake_store *store);
 
+/**
+ * fake_store_lose_history() - discard the history of changes
+ *
+ * Watches from an earlier revision than the current one fail with
+ * ZR_E_NOT_FOUND.
+ */
+void fake_store_lose_history(struct fake_store *store);
+
 /** fake_store_size() - bytes of all values whose keys have a prefix */
 unsigned long fake_store_size(const struct fake_store *store,
 			      const char *prefix);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -172,6 +172,23 @@
 }
 END_TEST
 
+/* The value has no meaning, and a key without a domain is not a request. */
+START_TEST(test_evacuation_keys)
+{
+	struct zr_store_value value = make_value("op/evacuate/north", "");
+	char key[sizeof(PF_EVACUATION_PREFIX) + ZR_NAME_MAX];
+	char domain[ZR_NAME_MAX];
+
+	ck_assert_int_eq(pf_evacuation_decode(domain, &value), 0);
+	ck_assert_str_eq(domain, "north");
+	value.key = strcpy(key, PF_EVACUATION_PREFIX);
+	ck_assert_int_eq(pf_evacuation_decode(domain, &value), ZR_E_PROTOCOL);
+	memset(key + strlen(key), 'n', ZR_NAME_MAX);
+	key[sizeof(key) - 1] = '\0';
+	ck_assert_int_eq(pf_evacuation_decode(domain, &value), ZR_E_PROTOCOL);
+}
+END_TEST
+
 /* Configuration */
 
 START_TEST(test_configuration)
@@ -591,6 +608,7 @@
 
 	tcase_add_test(decoding, test_registry_entry);
 	tcase_add_test(decoding, test_invalid_registry_entries);
+	tcase_add_test(decoding, test_evacuation_keys);
 	tcase_add_test(decoding, test_configuration);
 	tcase_add_test(decoding, test_submission);
 	tcase_add_test(decoding, test_invalid_submissions);
