tests: random cells with evacuations

A fourth series requests and withdraws evacuations while owners die, links are disturbed, the store is lost to all hosts or loses its history, and checks that no host starts a task in an evacuated domain later than 5,000 ms after the request, and that all jobs end.

--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -15,11 +15,14 @@
  * workers must be given up. When the faults are over, every job must end.
  *
  * Each seed runs without and with thin links, over which the store's responses
- * take long, and with tasks that crash their workers and workers whose capacity
- * changes.
+ * take long, with tasks that crash their workers and workers whose capacity
+ * changes, and with failure domains that are evacuated while the store is lost
+ * to all hosts or loses its history. No host may start a task in such a domain
+ * later than 5,000 ms after the request.
  *
  * ZR_SEED=N runs seed N alone and writes its scripts, which run_cell replays,
- * to standard output. ZR_SEEDS=N sets the number of seeds.
+ * to standard output. ZR_SEEDS=N sets the number of seeds. With
+ * CK_RUN_CASE=evacuations only the last kind is run.
  */
 
 /* The sanitizers slow a seed down about five times. */
@@ -39,11 +42,20 @@
 #define THIN_MIN_BYTES_PER_S 300
 #define THIN_MAX_BYTES_PER_S 6000
 #define THIN_MAX_MS 8000
+/*
+ * Maximum time between actions, and what is added to the duration of a fault,
+ * so that evacuations last longer than the time after which nothing may start.
+ */
+#define EVACUATION_PAUSE_MAX_MS 250
+#define EVACUATION_MAX_MS 12000
 /* Time in which all jobs end after the last fault: leases expire, then run. */
 #define QUIET_MS 40000
 /* Time after which starts have to fit a capacity that has shrunk. */
 #define SHRINK_GRACE_MS 5000
 #define CRASH_DOWN_MAX_MS 4000
+/* Time after the request to evacuate a domain when nothing may start there. */
+#define EVACUATE_MS 5000
+#define DOMAINS 2
 #define LINE_MAX_BYTES 256
 
 /* The kinds of trouble that a seed has beside those of all seeds. */
@@ -51,6 +63,7 @@
 	EXTRA_NONE,
 	EXTRA_THIN_LINKS,
 	EXTRA_CRASHES,
+	EXTRA_EVACUATIONS,
 };
 
 /* A fault that is undone at @ends_at by the lines in @undo. */
@@ -179,6 +192,50 @@
 		 host);
 }
 
+static void evacuate(struct scenario *scenario)
+{
+	struct fault *fault = add_fault(scenario);
+	uint32_t domain = below(scenario, DOMAINS);
+
+	if (!fault)
+		return;
+	fault->ends_at += below(scenario, EVACUATION_MAX_MS);
+	run_line(scenario, "evacuate d%u", domain);
+	snprintf(fault->undo, sizeof(fault->undo), "restore d%u", domain);
+}
+
+/* Cuts all hosts off the store, but not the operator. */
+static void lose_store(struct scenario *scenario)
+{
+	struct fault *fault = add_fault(scenario);
+	bool hold = rng_chance(&scenario->rng, 50);
+	size_t length = 0;
+	int i;
+
+	if (!fault)
+		return;
+	for (i = 0; i < HOSTS; i++) {
+		run_line(scenario, "link %c store %s", 'a' + i,
+			 hold ? "hold" : "refuse");
+		length += (size_t)snprintf(
+			fault->undo + length, sizeof(fault->undo) - length,
+			"link %c store pass\nrelease %c store\n", 'a' + i,
+			'a' + i);
+	}
+}
+
+static void disturb_evacuation(struct scenario *scenario)
+{
+	uint32_t choice = below(scenario, 100);
+
+	if (choice < 60)
+		evacuate(scenario);
+	else if (choice < 85)
+		lose_store(scenario);
+	else
+		run_line(scenario, "lose-history");
+}
+
 static void kill_host(struct scenario *scenario)
 {
 	int host = pick_host(scenario);
@@ -285,6 +342,9 @@
 	else if (choice < 90 && choice >= 84 &&
 		 scenario->extras == EXTRA_CRASHES)
 		change_capacity(scenario);
+	else if (choice < 90 && choice >= 82 &&
+		 scenario->extras == EXTRA_EVACUATIONS)
+		disturb_evacuation(scenario);
 	else if (choice < 90)
 		disturb_link(scenario);
 	else if (choice < 93)
@@ -306,6 +366,8 @@
 			 below(scenario, CRASH_DOWN_MAX_MS));
 		run_line(scenario, "shrink-grace %u", SHRINK_GRACE_MS);
 	}
+	if (scenario->extras == EXTRA_EVACUATIONS)
+		run_line(scenario, "evacuation-ms %u", EVACUATE_MS);
 	for (i = 0; i < HOSTS; i++) {
 		scenario->alive[i] = true;
 		run_line(scenario, "host %c", 'a' + i);
@@ -313,7 +375,7 @@
 	advance(scenario, 50);
 	for (i = 0; i < WORKERS; i++)
 		run_line(scenario, "worker w%d %u d%d", i,
-			 2000 + 1000 * below(scenario, 3), i % 2);
+			 2000 + 1000 * below(scenario, 3), i % DOMAINS);
 	advance(scenario, 700);
 }
 
@@ -323,6 +385,9 @@
 	struct scenario scenario = {
 		.rng = {seed}, .lines = lines, .extras = extras};
 	FILE *out = fopen("/dev/null", "w");
+	uint32_t pause_max_ms = extras == EXTRA_EVACUATIONS
+					? EVACUATION_PAUSE_MAX_MS
+					: PAUSE_MAX_MS;
 	unsigned int failures;
 	int i;
 
@@ -330,7 +395,7 @@
 	start_cell(&scenario);
 	for (i = 0; i < ACTIONS; i++) {
 		act(&scenario);
-		advance(&scenario, 1 + below(&scenario, PAUSE_MAX_MS));
+		advance(&scenario, 1 + below(&scenario, pause_max_ms));
 		end_due_faults(&scenario, scenario.now);
 	}
 	end_due_faults(&scenario, INT32_MAX);
@@ -403,18 +468,28 @@
 }
 END_TEST
 
+START_TEST(test_random_faults_and_evacuations)
+{
+	run_seeds(EXTRA_EVACUATIONS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cell_random");
 	TCase *tcase = tcase_create("cell_random");
+	TCase *evacuations = tcase_create("evacuations");
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
 	tcase_set_timeout(tcase, 0);
+	tcase_set_timeout(evacuations, 0);
 	tcase_add_test(tcase, test_random_faults);
 	tcase_add_test(tcase, test_random_faults_and_thin_links);
 	tcase_add_test(tcase, test_random_faults_and_crashes);
+	tcase_add_test(evacuations, test_random_faults_and_evacuations);
 	suite_add_tcase(suite, tcase);
+	suite_add_tcase(suite, evacuations);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
