cell: runs in an evacuated domain resume elsewhere from their checkpoints

Nothing was done about the work that runs in an evacuated domain.

Each decision is logged; metrics count what is left, stopped and started again.

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -52,10 +52,13 @@
 					  &candidate->reserved);
 }
 
-static bool has_label(const struct zr_cell_worker *worker, const char *label)
+bool zr_cell_worker_has_label(const struct zr_cell_worker *worker,
+			      const char *label)
 {
 	const char *each = worker->report.labels;
 
+	if (!label[0])
+		return true;
 	for (; *each; each += strlen(each) + 1) {
 		if (!strcmp(each, label))
 			return true;
@@ -63,15 +66,17 @@
 	return false;
 }
 
-static bool accepts_tasks(const struct zr_cell_scheduler *scheduler,
-			  const struct zr_cell_worker *worker, int64_t now)
+bool zr_cell_worker_accepts_tasks(struct zr_cell_scheduler *scheduler,
+				  const struct zr_cell_worker *worker,
+				  int64_t now)
 {
 	return zr_cell_evacuations_allow(scheduler, worker, now) &&
 	       worker->registered && !worker->report.leaving &&
 	       worker->conn.ops && worker->clock_ms >= 0 &&
 	       now >= worker->backoff_until &&
 	       now >= worker->unanswered_until &&
-	       !zr_cell_worker_unresponsive(worker);
+	       !zr_cell_worker_unresponsive(worker) &&
+	       !zr_cell_domain_unresponsive(&scheduler->model, worker, now);
 }
 
 static void add_candidate(struct zr_cell_plan *plan,
@@ -108,8 +113,8 @@
 			worker->isolation_job = ZR_HANDLE_NONE;
 		plan->draining_count +=
 			worker->isolation_job && !worker->isolated_runs;
-		if (accepts_tasks(plan->scheduler, worker, plan->now) &&
-		    !zr_cell_domain_unresponsive(model, worker, plan->now))
+		if (zr_cell_worker_accepts_tasks(plan->scheduler, worker,
+						 plan->now))
 			add_candidate(plan, worker);
 	}
 }
@@ -124,7 +129,7 @@
 		return false;
 	return zr_cell_fit_count(&worker->report.capacity, &item->need) &&
 	       !strcmp(worker->report.pool, item->queue.pool) &&
-	       (!label[0] || has_label(worker, label));
+	       zr_cell_worker_has_label(worker, label);
 }
 
 /* Number of tasks of the step that are on a worker. */
--- a/src/libzinniarack/cell/evacuations.c
+++ b/src/libzinniarack/cell/evacuations.c
@@ -83,6 +83,16 @@
 		       known_max_ms(scheduler);
 }
 
+bool zr_cell_evacuations_requested(const struct zr_cell_scheduler *scheduler,
+				   const struct zr_cell_worker *worker)
+{
+	const struct zr_cell_evacuation *entry;
+
+	HASH_FIND_STR(scheduler->evacuations.by_domain, worker->report.domain,
+		      entry);
+	return entry && entry->requested;
+}
+
 bool zr_cell_evacuations_allow(const struct zr_cell_scheduler *scheduler,
 			       const struct zr_cell_worker *worker, int64_t now)
 {
@@ -559,6 +569,7 @@
 		check_domain(scheduler, entry, now);
 	}
 	check_none_left(scheduler, now);
+	zr_cell_evacuations_move(scheduler);
 }
 
 void zr_cell_evacuations_process(struct zr_cell_scheduler *scheduler)
@@ -591,4 +602,10 @@
 	evacuations->taken_back = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_evacuation_taken_back_total", NULL,
 		"Placements taken back before their start was sent");
+	evacuations->stopped = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_evacuation_stopped_total", NULL,
+		"Runs stopped so that they resume in another domain");
+	evacuations->moved = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_evacuation_moved_total", NULL,
+		"Those of them that have been started again");
 }
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -81,6 +81,9 @@
  * @percent: progress last reported by the worker
  * @percent_at: when @percent last changed
  * @checkpoint: checkpoint to resume from, or ""
+ * @evacuating: its run was stopped so that it resumes in another domain
+ * @evacuation_logged: decision about its active run in an evacuated domain that
+ *                     was last logged; 0: none
  */
 struct zr_cell_task {
 	int state;
@@ -103,6 +106,8 @@
 	uint32_t percent;
 	int64_t percent_at;
 	char checkpoint[ZR_CELL_TICKET_MAX];
+	bool evacuating;
+	uint8_t evacuation_logged;
 };
 
 /**
@@ -150,6 +155,8 @@
  * @next: next step in that list
  * @in_ready_list: it is in that list
  * @rank: position in that list, computed before each pass; the lowest is first
+ * @evacuation_pass: number of the last decision about evacuated domains that
+ *                   has considered it, if it is a gang
  */
 struct zr_cell_step_state {
 	const struct zr_cell_step_spec *spec;
@@ -177,6 +184,7 @@
 	struct zr_cell_step_state *next;
 	bool in_ready_list;
 	int64_t rank;
+	uint64_t evacuation_pass;
 };
 
 /**
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -150,6 +150,13 @@
 /* candidates.c */
 /** zr_cell_candidates_collect() - fill in @plan->candidates */
 void zr_cell_candidates_collect(struct zr_cell_plan *plan);
+/** zr_cell_worker_accepts_tasks() - whether a worker can be a candidate */
+bool zr_cell_worker_accepts_tasks(struct zr_cell_scheduler *scheduler,
+				  const struct zr_cell_worker *worker,
+				  int64_t now);
+/** zr_cell_worker_has_label() - whether a worker has a label; true for "" */
+bool zr_cell_worker_has_label(const struct zr_cell_worker *worker,
+			      const char *label);
 /** zr_cell_candidate_slots() - number of tasks that a worker could start now */
 uint32_t zr_cell_candidate_slots(const struct zr_cell_plan_item *item,
 				 const struct zr_cell_candidate *candidate);
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -109,6 +109,10 @@
  * @runs: runs in domains that are being evacuated
  * @start_age_ms: age of the oldest start without an answer in such a domain
  * @taken_back: placements taken back before their start was sent
+ * @decided_at: when it was last decided what is moved
+ * @pass: number of that decision
+ * @stopped: runs stopped so that they resume in another domain
+ * @moved: those of them that have been started again
  */
 struct zr_cell_evacuations {
 	struct zr_cell_evacuation *by_domain;
@@ -124,6 +128,10 @@
 	struct zr_metric *runs;
 	struct zr_metric *start_age_ms;
 	struct zr_metric *taken_back;
+	int64_t decided_at;
+	uint64_t pass;
+	struct zr_metric *stopped;
+	struct zr_metric *moved;
 };
 
 /**
@@ -338,6 +346,17 @@
 			       const struct zr_cell_worker *worker,
 			       int64_t now);
 
+/** zr_cell_evacuations_requested() - whether a worker's domain is evacuated */
+bool zr_cell_evacuations_requested(const struct zr_cell_scheduler *scheduler,
+				   const struct zr_cell_worker *worker);
+
+/* evacuation_moves.c */
+/**
+ * zr_cell_evacuations_move() - decide what happens to the runs in evacuated
+ * domains, and stop those that are moved
+ */
+void zr_cell_evacuations_move(struct zr_cell_scheduler *scheduler);
+
 /* job_state.c */
 /**
  * zr_cell_state_queries_job_persisted() - answer callers waiting for the end
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -661,6 +661,8 @@
 	zr_cell_task_event(entry, ZR_TASK_EVENT_CONFIRMED);
 	entry->started_at = now;
 	entry->percent_at = now;
+	scheduler->evacuations.moved->value += entry->evacuating;
+	entry->evacuating = false;
 	if (step->ready_at != ZR_CELL_NEVER)
 		zr_histogram_observe(scheduler->wait_ms,
 				     (double)(now - step->ready_at));
@@ -826,4 +828,5 @@
 	zr_cell_job_mark_dirty(&scheduler->model, job);
 	entry->change = job->change;
 	entry->started_at = 0;
+	entry->evacuation_logged = 0;
 }
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -380,23 +380,37 @@
 	configure(script);
 }
 
+/* Parses the words before the size of a step, and returns what follows. */
+static const char *parse_kind(struct zr_cell_step_spec *step, const char *text)
+{
+	for (; *text > '9'; text = strchr(text, ',') + 1) {
+		if (!strncmp(text, "gang,", 5)) {
+			step->flags |= ZR_STEP_GANG;
+		} else if (!strncmp(text, "checkpoints,", 12)) {
+			step->flags |= ZR_STEP_CHECKPOINTS;
+		} else if (!strncmp(text, "service=", 8)) {
+			step->flags |= ZR_STEP_LONG_RUNNING;
+			step->unavailable_max = (uint32_t)atoi(text + 8);
+		} else {
+			fprintf(stderr, "run_cell: unknown kind '%s'\n", text);
+			exit(2);
+		}
+	}
+	return text;
+}
+
 /* Parses a step and appends the run time of its tasks to the payload. */
 static void parse_step(struct zr_cell_step_spec *step, char *payload,
 		       const char *text)
 {
-	const char *need = strchr(text, 'x');
+	const char *need;
 	const char *colon = strchr(text, ':');
 	const char *dependency = strchr(text, '@');
 	char kind[2] = "";
 
-	if (!strncmp(text, "gang,", 5)) {
-		step->flags = ZR_STEP_GANG;
-		text += 5;
-	} else if (!strncmp(text, "checkpoints,", 12)) {
-		step->flags = ZR_STEP_CHECKPOINTS;
-		text += 12;
-	}
+	text = parse_kind(step, text);
 	step->count = (uint32_t)atoi(text);
+	need = strchr(text, 'x');
 	step->need.millicpus = (uint32_t)atoi(need + 1);
 	if (colon[1] == 'f' || colon[1] == 'x')
 		kind[0] = *++colon;
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -23,7 +23,9 @@
  *   latency-target MS          set their latency target
  *   submit HOST JOB STEP...    commit a job like an entry host, then notify
  *                              all schedulers of it. STEP is
- *                              [gang,|checkpoints,]COUNTxMILLICPUS:MS[@STEP]:
+ *                              [KIND,...]COUNTxMILLICPUS:MS[@STEP]. KIND is
+ *                              gang, checkpoints, or service=N: it is
+ *                              long-running, and N tasks may be unavailable.
  *                              MS is the run time of a task, fMS that of a task
  *                              that fails, xMS that of the tasks of a step
  *                              whose first one crashes its workers, @STEP the
