--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -661,6 +661,8 @@
 	zr_cell_task_event(entry, ZR_TASK_EVENT_CONFIRMED);
 	entry->started_at = now;
 	entry->percent_at = now;
+	scheduler->evacuations.moved->value += entry->evacuating;
+	entry->evacuating = false;
 	if (step->ready_at != ZR_CELL_NEVER)
 		zr_histogram_observe(scheduler->wait_ms,
 				     (double)(now - step->ready_at));
@@ -762,6 +764,11 @@
 		abandon_start(scheduler, job, task, "worker_leaves");
 		return;
 	}
+	if (!zr_cell_evacuations_allow(scheduler, worker,
+				       zr_cell_now_ms(scheduler))) {
+		abandon_start(scheduler, job, task, "evacuation");
+		return;
+	}
 	/* Its capacity has shrunk since the task was placed. */
 	if (zr_cell_worker_overcommitted(worker)) {
 		abandon_start(scheduler, job, task, "capacity_shrunk");
@@ -784,7 +791,8 @@
 
 	if (!job->tasks)
 		return;
-	if (!zr_cell_is_owner(scheduler)) {
+	if (!zr_cell_is_owner(scheduler) ||
+	    !zr_cell_evacuations_known(scheduler)) {
 		scheduler->starts_deferred = true;
 		return;
 	}
@@ -800,7 +808,8 @@
 	struct zr_cell_job *job;
 	struct zr_cell_job *next;
 
-	if (!scheduler->starts_deferred || !zr_cell_is_owner(scheduler))
+	if (!scheduler->starts_deferred || !zr_cell_is_owner(scheduler) ||
+	    !zr_cell_evacuations_known(scheduler))
 		return;
 	scheduler->starts_deferred = false;
 	HASH_ITER (hh, scheduler->model.job_by_id, job, next)
@@ -819,4 +828,5 @@
 	zr_cell_job_mark_dirty(&scheduler->model, job);
 	entry->change = job->change;
 	entry->started_at = 0;
+	entry->evacuation_logged = 0;
 }
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -23,7 +23,9 @@
  *   latency-target MS          set their latency target
  *   submit HOST JOB STEP...    commit a job like an entry host, then notify
  *                              all schedulers of it. STEP is
- *                              [gang,|checkpoints,]COUNTxMILLICPUS:MS[@STEP]:
+ *                              [KIND,...]COUNTxMILLICPUS:MS[@STEP]. KIND is
+ *                              gang, checkpoints, or service=N: it is
+ *                              long-running, and N tasks may be unavailable.
  *                              MS is the run time of a task, fMS that of a task
  *                              that fails, xMS that of the tasks of a step
  *                              whose first one crashes its workers, @STEP the
@@ -75,6 +77,13 @@
  *   shrink-grace MS            set for how long a start need not fit a capacity
  *                              that has decreased
  *   stop-ms MS                 set the time from a stop until the run's end
+ *   evacuation-ms MS           set the setting of the hosts started from now
+ *                              on; 0 at first
+ *   evacuate DOMAIN            request the evacuation of a failure domain, over
+ *                              a connection of the operator to the store
+ *   restore DOMAIN             withdraw the request
+ *   lose-history               make the store forget its history of changes
+ *   metric HOST NAME           print a metric of a host
  *   hang WORKER                stop the progress of its tasks; the worker
  *                              still responds
  *
