cell: past use of client accounts enters the order of waiting work

Shares hold over seconds, but an account may use far more over hours. The scheduler now keeps a decayed total of the core-seconds of each client account. The jobs of an account above its share rank, within their tier and priority, as if they had been accepted later, by at most their objective.

The use of a run is charged in the write that persists its end, and a record of the sums names the charges that it includes, so that a takeover neither loses nor repeats any. Off without the section past_use in the settings; records are then byte for byte as before.

--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -33,6 +33,9 @@
  *	configuration is older, because it may have withdrawn the caller's key
  * @leave_ms: timeout of a graceful shutdown
  * @log: level and format of the log
+ * @past_use: half-life of the past use of client accounts in seconds, and the
+ *	weight of its effect on the order of waiting work in percent; a member
+ *	of 0: past use is off
  */
 struct zr_cell_settings {
 	char *name;
@@ -56,6 +59,10 @@
 		enum zr_log_level level;
 		enum zr_log_format format;
 	} log;
+	struct {
+		uint32_t half_life_s;
+		uint32_t weight_percent;
+	} past_use;
 };
 
 /**
--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -22,6 +22,8 @@
 #define ZX_CELL_KEY_MAX 255
 #define ZX_CELL_VALUE_MAX 1048576
 #define ZX_CELL_RANGE_MAX 65536
+#define ZX_CELL_CHARGES_MAX 4
+#define ZX_CELL_KEPT_CLIENTS_MAX 32
 
 struct zx_cell_step {
 	u_int count;
@@ -99,12 +101,51 @@
 };
 typedef struct zx_cell_crash_list zx_cell_crash_list;
 
+struct zx_cell_use_charge {
+	quad_t generation;
+	quad_t core_ms;
+	u_int runs;
+};
+typedef struct zx_cell_use_charge zx_cell_use_charge;
+
+struct zx_cell_job_use {
+	struct {
+		u_int charges_len;
+		zx_cell_use_charge *charges_val;
+	} charges;
+	quad_t placed_ms;
+	struct {
+		u_int placed_after_ms_len;
+		u_int *placed_after_ms_val;
+	} placed_after_ms;
+};
+typedef struct zx_cell_job_use zx_cell_job_use;
+
 struct zx_cell_stored_progress {
 	zx_cell_progress progress;
 	zx_cell_crash_list crashes;
+	zx_cell_job_use use;
 };
 typedef struct zx_cell_stored_progress zx_cell_stored_progress;
 
+struct zx_cell_client_use {
+	char *client;
+	quad_t core_ms;
+};
+typedef struct zx_cell_client_use zx_cell_client_use;
+
+struct zx_cell_past_use {
+	quad_t at_ms;
+	quad_t generation;
+	quad_t runs;
+	quad_t rest_core_ms;
+	struct {
+		u_int clients_len;
+		zx_cell_client_use *clients_val;
+	} clients;
+};
+typedef struct zx_cell_past_use zx_cell_past_use;
+
 struct zx_cell_count {
 	char *queue;
 	u_int jobs;
@@ -279,7 +320,11 @@
 extern  bool_t xdr_zx_cell_progress (XDR *, zx_cell_progress*);
 extern  bool_t xdr_zx_cell_crashes (XDR *, zx_cell_crashes*);
 extern  bool_t xdr_zx_cell_crash_list (XDR *, zx_cell_crash_list*);
+extern  bool_t xdr_zx_cell_use_charge (XDR *, zx_cell_use_charge*);
+extern  bool_t xdr_zx_cell_job_use (XDR *, zx_cell_job_use*);
 extern  bool_t xdr_zx_cell_stored_progress (XDR *, zx_cell_stored_progress*);
+extern  bool_t xdr_zx_cell_client_use (XDR *, zx_cell_client_use*);
+extern  bool_t xdr_zx_cell_past_use (XDR *, zx_cell_past_use*);
 extern  bool_t xdr_zx_cell_count (XDR *, zx_cell_count*);
 extern  bool_t xdr_zx_cell_counts (XDR *, zx_cell_counts*);
 extern  bool_t xdr_zx_cell_worker_name (XDR *, zx_cell_worker_name*);
@@ -303,7 +348,11 @@
 extern bool_t xdr_zx_cell_progress ();
 extern bool_t xdr_zx_cell_crashes ();
 extern bool_t xdr_zx_cell_crash_list ();
+extern bool_t xdr_zx_cell_use_charge ();
+extern bool_t xdr_zx_cell_job_use ();
 extern bool_t xdr_zx_cell_stored_progress ();
+extern bool_t xdr_zx_cell_client_use ();
+extern bool_t xdr_zx_cell_past_use ();
 extern bool_t xdr_zx_cell_count ();
 extern bool_t xdr_zx_cell_counts ();
 extern bool_t xdr_zx_cell_worker_name ();
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -12,6 +12,8 @@
 const ZX_CELL_KEY_MAX = 255;
 const ZX_CELL_VALUE_MAX = 1048576;
 const ZX_CELL_RANGE_MAX = 65536;
+const ZX_CELL_CHARGES_MAX = 4;
+const ZX_CELL_KEPT_CLIENTS_MAX = 32;
 
 /* A step of a job: a number of tasks of the same size. */
 struct zx_cell_step {
@@ -96,10 +98,52 @@
 	zx_cell_crashes tasks<ZX_CELL_TASKS_MAX>;
 };
 
-/* A progress record as it is stored; it ends after progress if none crashed. */
+/* Use of runs of a job that have ended, by the record of use that counts it. */
+struct zx_cell_use_charge {
+	hyper generation;
+	hyper core_ms;
+	unsigned int runs;
+};
+
+/*
+ * What a job has used, as far as the record of use may not include it, and
+ * since when its active runs have been placed.
+ */
+struct zx_cell_job_use {
+	zx_cell_use_charge charges<ZX_CELL_CHARGES_MAX>;
+	/* Milliseconds since 1970; the earliest placement of an active run. */
+	hyper placed_ms;
+	/*
+	 * Time from placed_ms to the placement of each active run, in the order
+	 * of the tasks; empty if all are 0.
+	 */
+	unsigned int placed_after_ms<ZX_CELL_TASKS_MAX>;
+};
+
+/*
+ * A progress record as it is stored. It ends after the last member that has a
+ * content, and after progress if no other has.
+ */
 struct zx_cell_stored_progress {
 	zx_cell_progress progress;
 	zx_cell_crash_list crashes;
+	zx_cell_job_use use;
+};
+
+struct zx_cell_client_use {
+	string client<ZX_CELL_NAME_MAX>;
+	hyper core_ms;
+};
+
+/* Past use of the client accounts, decayed to at_ms (since 1970). */
+struct zx_cell_past_use {
+	hyper at_ms;
+	/* All charges of this and earlier generations are included. */
+	hyper generation;
+	/* Number of runs included, not decayed. */
+	hyper runs;
+	hyper rest_core_ms;
+	zx_cell_client_use clients<ZX_CELL_KEPT_CLIENTS_MAX>;
 };
 
 struct zx_cell_count {
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -391,6 +391,36 @@
 	return TRUE;
 }
 
+bool_t
+xdr_zx_cell_use_charge (XDR *xdrs, zx_cell_use_charge *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->core_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->runs))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_job_use (XDR *xdrs, zx_cell_job_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->charges.charges_val, (u_int *) &objp->charges.charges_len, ZX_CELL_CHARGES_MAX,
+		sizeof (zx_cell_use_charge), (xdrproc_t) xdr_zx_cell_use_charge))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->placed_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->placed_after_ms.placed_after_ms_val, (u_int *) &objp->placed_after_ms.placed_after_ms_len, ZX_CELL_TASKS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_cell_stored_progress (XDR *xdrs, zx_cell_stored_progress *objp)
 {
@@ -400,6 +430,39 @@
 		 return FALSE;
 	 if (!xdr_zx_cell_crash_list (xdrs, &objp->crashes))
 		 return FALSE;
+	 if (!xdr_zx_cell_job_use (xdrs, &objp->use))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_client_use (XDR *xdrs, zx_cell_client_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->client, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->core_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_past_use (XDR *xdrs, zx_cell_past_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->at_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->runs))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->rest_core_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->clients.clients_val, (u_int *) &objp->clients.clients_len, ZX_CELL_KEPT_CLIENTS_MAX,
+		sizeof (zx_cell_client_use), (xdrproc_t) xdr_zx_cell_client_use))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -207,6 +207,8 @@
 		.host = settings->name,
 		.cell = settings->cell,
 		.metrics = options->metrics,
+		.past_use = {settings->past_use.half_life_s,
+			     settings->past_use.weight_percent},
 	};
 	int error;
 
--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -422,7 +422,8 @@
 	char id[ZR_NAME_MAX];
 	bool cancel;
 
-	if (parse_job_key(id, &cancel, value->key, ZR_CELL_PROGRESS_PREFIX) <
+	if (!strcmp(value->key, ZR_CELL_PAST_USE_KEY) ||
+	    parse_job_key(id, &cancel, value->key, ZR_CELL_PROGRESS_PREFIX) <
 		    0 ||
 	    cancel)
 		return;
@@ -435,6 +436,7 @@
 	if (!job)
 		job = add_ended_job(scheduler, id, &record.progress);
 	restore_job(scheduler, job, &record);
+	zr_cell_past_use_load_job(scheduler, job, &record);
 	job->revision = value->mod_revision;
 	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &record);
 }
@@ -456,6 +458,8 @@
 	}
 	scheduler->phase = ZR_CELL_ACTIVE;
 	scheduler->failed_loads = 0;
+	/* The first planning pass needs the order that past use entails. */
+	zr_cell_past_use_process(scheduler, zr_cell_now_ms(scheduler));
 	zr_log(ZR_LOG_INFO,
 	       "cell.active token=%" PRIu64
 	       " jobs=%u open=%zu took_ms=%" PRId64,
@@ -558,8 +562,11 @@
 
 	for (i = 0; i < loading->jobs.count; i++)
 		load_job(scheduler, &loading->jobs.values[i]);
+	zr_cell_past_use_begin_load(scheduler, loading->progress.values,
+				    loading->progress.count);
 	for (i = 0; i < loading->progress.count; i++)
 		load_progress(scheduler, &loading->progress.values[i]);
+	zr_cell_past_use_end_load(scheduler);
 	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
 		if (job->cancel_found)
 			zr_cell_job_cancel(scheduler, job);
--- a/src/libzinniarack/cell/journal.c
+++ b/src/libzinniarack/cell/journal.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "cell/past_use_record.h"
 #include "cell/records.h"
 #include "zinniarack/errors.h"
 #include "zinniarack/log.h"
@@ -43,6 +44,7 @@
 	uint64_t generation;
 	struct batch_job jobs[BATCH_JOBS_MAX];
 	size_t job_count;
+	bool has_past_use;
 };
 
 /* A transaction under construction, with its keys and values. */
@@ -53,7 +55,8 @@
 	size_t compare_count;
 	struct zr_store_put puts[ZR_CELL_TXN_ENTRIES_MAX];
 	size_t put_count;
-	struct zr_cell_buffer bytes[BATCH_JOBS_MAX + 1];
+	/* Progress records, the counts and the record of past use. */
+	struct zr_cell_buffer bytes[BATCH_JOBS_MAX + 2];
 	size_t byte_count;
 };
 
@@ -71,6 +74,9 @@
 	uint64_t generation; /* number of times the journal was opened */
 	unsigned int batches_in_flight;
 	struct zr_cell_buffer counts;
+	struct zr_cell_buffer past_use; /* kept until it is persisted */
+	bool past_use_in_flight;
+	int64_t past_use_revision;
 	char deletions[DELETIONS_MAX][ZR_NAME_MAX];
 	size_t deletion_count;
 	bool freeing;
@@ -196,9 +202,11 @@
 		encode_tasks(journal, job, &record.progress);
 		encode_crashes(job, &record);
 	}
+	zr_cell_use_encode(&record.use, journal->model, job, journal->clock);
 	error = zr_cell_encode_progress(out, &record);
 	free(record.progress.tasks.tasks_val);
 	free(record.crashes.tasks.tasks_val);
+	zr_cell_use_clear(&record.use);
 	return error;
 }
 
@@ -250,6 +258,13 @@
 {
 	size_t i;
 
+	if (batch->has_past_use) {
+		free(journal->past_use.data);
+		journal->past_use.data = NULL;
+		journal->past_use_in_flight = false;
+		journal->past_use_revision = revision;
+		journal->events.past_use_persisted(journal->ctx);
+	}
 	for (i = 0; i < batch->job_count; i++) {
 		struct zr_cell_job *job =
 			zr_cell_job(journal->model, batch->jobs[i].job);
@@ -270,6 +285,8 @@
 {
 	size_t i;
 
+	if (batch->has_past_use)
+		journal->past_use_in_flight = false;
 	for (i = 0; i < batch->job_count; i++) {
 		struct zr_cell_job *job =
 			zr_cell_job(journal->model, batch->jobs[i].job);
@@ -302,13 +319,17 @@
 			    struct batch *batch,
 			    const struct zr_store_reply *reply)
 {
+	const struct zr_store_value *value;
 	char key[ZR_CELL_KEY_MAX];
 	size_t i;
 
+	if (batch->has_past_use) {
+		value = find_key(reply, ZR_CELL_PAST_USE_KEY);
+		journal->past_use_revision = value ? value->mod_revision : 0;
+	}
 	for (i = 0; i < batch->job_count; i++) {
 		struct zr_cell_job *job =
 			zr_cell_job(journal->model, batch->jobs[i].job);
-		const struct zr_store_value *value;
 
 		if (!job)
 			continue;
@@ -340,6 +361,7 @@
 {
 	zr_timer_free(journal->timer);
 	free(journal->counts.data);
+	free(journal->past_use.data);
 	free(journal);
 }
 
@@ -397,6 +419,22 @@
 	}
 }
 
+/*
+ * The record has a condition of its own: an earlier write without a response
+ * may still be applied and must not replace it.
+ */
+static void add_past_use(struct zr_cell_journal *journal,
+			 struct txn_builder *builder, struct batch *batch)
+{
+	if (!journal->past_use.data || journal->past_use_in_flight ||
+	    entry_count(builder) + 2 > ZR_CELL_TXN_ENTRIES_MAX)
+		return;
+	add_compare(builder, ZR_CELL_PAST_USE_KEY, journal->past_use_revision);
+	add_put(builder, ZR_CELL_PAST_USE_KEY, &journal->past_use);
+	journal->past_use_in_flight = true;
+	batch->has_past_use = true;
+}
+
 static void add_counts_and_deletions(struct zr_cell_journal *journal,
 				     struct txn_builder *builder)
 {
@@ -425,6 +463,7 @@
 		abort();
 	add_compare(&builder, journal->owner_key, journal->owner_revision);
 	add_jobs(journal, &builder, batch);
+	add_past_use(journal, &builder, batch);
 	add_counts_and_deletions(journal, &builder);
 	if (!builder.put_count) {
 		free(batch);
@@ -445,6 +484,7 @@
 static bool has_pending_changes(const struct zr_cell_journal *journal)
 {
 	return journal->model->dirty || journal->counts.data ||
+	       (journal->past_use.data && !journal->past_use_in_flight) ||
 	       journal->deletion_count;
 }
 
@@ -489,6 +529,19 @@
 	journal->counts = counts;
 }
 
+void zr_cell_journal_set_past_use(struct zr_cell_journal *journal,
+				  struct zr_cell_buffer record)
+{
+	free(journal->past_use.data);
+	journal->past_use = record;
+}
+
+void zr_cell_journal_set_past_use_revision(struct zr_cell_journal *journal,
+					   int64_t revision)
+{
+	journal->past_use_revision = revision;
+}
+
 void zr_cell_journal_remove(struct zr_cell_journal *journal, const char *id)
 {
 	if (journal->deletion_count < DELETIONS_MAX)
@@ -502,6 +555,11 @@
 	journal->owner_key = owner_key;
 	journal->owner_revision = owner_revision;
 	journal->generation++;
+	/* What an earlier term has not written, the next owner counts anew. */
+	free(journal->past_use.data);
+	journal->past_use.data = NULL;
+	journal->past_use_in_flight = false;
+	journal->past_use_revision = 0;
 }
 
 void zr_cell_journal_close(struct zr_cell_journal *journal)
--- a/src/libzinniarack/cell/journal.h
+++ b/src/libzinniarack/cell/journal.h
@@ -27,10 +27,12 @@
  * @persisted: the store holds the job's changes up to
  *	&struct zr_cell_job.persisted_change
  * @ownership_lost: a transaction failed because another scheduler owns the cell
+ * @past_use_persisted: the store holds the record of past use that was set last
  */
 struct zr_cell_journal_events {
 	void (*persisted)(void *ctx, struct zr_cell_job *job);
 	void (*ownership_lost)(void *ctx);
+	void (*past_use_persisted)(void *ctx);
 };
 
 /**
@@ -87,6 +89,25 @@
 void zr_cell_journal_set_counts(struct zr_cell_journal *journal,
 				struct zr_cell_buffer counts);
 
+/**
+ * zr_cell_journal_set_past_use() - write the record of past use
+ * @journal: the journal
+ * @record: encoded zx_cell_past_use record; ownership passes to the journal
+ *
+ * Not to be called again before &struct
+ * zr_cell_journal_events.past_use_persisted. The record is part of a
+ * transaction that writes progress records, if there are any.
+ */
+void zr_cell_journal_set_past_use(struct zr_cell_journal *journal,
+				  struct zr_cell_buffer record);
+
+/**
+ * zr_cell_journal_set_past_use_revision() - set the revision of the record of
+ * past use in the store, as loaded; 0: there is none
+ */
+void zr_cell_journal_set_past_use_revision(struct zr_cell_journal *journal,
+					   int64_t revision);
+
 /**
  * zr_cell_journal_remove() - delete the progress record of an ended job
  * @journal: the journal
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -81,6 +81,8 @@
  * @percent: progress last reported by the worker
  * @percent_at: when @percent last changed
  * @checkpoint: checkpoint to resume from, or ""
+ * @placed_at: when its active run was placed; 0: there is none, it has been
+ *             charged, or past use is off
  */
 struct zr_cell_task {
 	int state;
@@ -103,6 +105,7 @@
 	uint32_t percent;
 	int64_t percent_at;
 	char checkpoint[ZR_CELL_TICKET_MAX];
+	int64_t placed_at;
 };
 
 /**
@@ -179,6 +182,22 @@
 	int64_t rank;
 };
 
+/**
+ * struct zr_cell_use_charge - use of runs of a job that have ended
+ * @generation: generation of the record of past use that includes it
+ * @core_ms: core-milliseconds
+ * @runs: number of runs
+ * @change: number of the change of the job that persists it
+ * @pending: that change is not persisted yet
+ */
+struct zr_cell_use_charge {
+	uint64_t generation;
+	int64_t core_ms;
+	uint32_t runs;
+	uint64_t change;
+	bool pending;
+};
+
 /**
  * struct zr_cell_job - a job
  * @id: its id
@@ -213,6 +232,8 @@
  * @dirty: it is in the list of jobs with changes to commit
  * @prev: previous job in that list
  * @next: next job in that list
+ * @use: charges of two generations, by the last bit of the generation; the
+ *       record of past use may not include them yet
  */
 struct zr_cell_job {
 	char id[ZR_NAME_MAX];
@@ -246,6 +267,7 @@
 	bool dirty;
 	struct zr_cell_job *prev;
 	struct zr_cell_job *next;
+	struct zr_cell_use_charge use[2];
 	UT_hash_handle hh;
 };
 
@@ -259,6 +281,8 @@
  * @weight: its share when the cell is full, in jobs per second; 0: any rate
  * @credit: token bucket of its job rate, in thousandths of a job
  * @credit_updated_at: acceptance time up to which @credit has been refilled
+ * @past_use_permille: how far its past use delays its jobs; 0: not at all
+ * @waiting_steps: number of ready steps when past use was last judged
  */
 struct zr_cell_client_state {
 	char name[ZR_NAME_MAX];
@@ -269,6 +293,8 @@
 	uint32_t weight;
 	int64_t credit;
 	int64_t credit_updated_at;
+	uint32_t past_use_permille;
+	uint32_t waiting_steps;
 };
 
 /** struct zr_cell_ack - change to persist before ended runs are confirmed */
@@ -399,6 +425,24 @@
 	int64_t unanswered_since;
 };
 
+/**
+ * struct zr_cell_use_marks - which charges the record of past use includes
+ * @enabled: past use is recorded
+ * @generation: generation of charges made now; the term's fencing token in the
+ *              high bits, so that a later owner's generations are higher
+ * @closing: generation whose record is to be persisted next; 0: none
+ * @persisted: generation of the record in the store
+ * @pending: number of jobs with charges that are not persisted yet, by the last
+ *           bit of the generation
+ */
+struct zr_cell_use_marks {
+	bool enabled;
+	uint64_t generation;
+	uint64_t closing;
+	uint64_t persisted;
+	uint32_t pending[2];
+};
+
 /**
  * struct zr_cell_model - jobs, workers and client accounts of a cell
  * @jobs: &struct zr_cell_job pointers by handle
@@ -414,6 +458,7 @@
  *              smoothed
  * @domains: failure domains of the workers
  * @domain_count: number of failure domains
+ * @use: what the record of past use includes
  */
 struct zr_cell_model {
 	struct zr_table *jobs;
@@ -427,6 +472,7 @@
 	double unanswered;
 	struct zr_cell_domain domains[ZR_CELL_DOMAINS_MAX];
 	uint32_t domain_count;
+	struct zr_cell_use_marks use;
 };
 
 int zr_cell_model_init(struct zr_cell_model *model);
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -153,8 +153,12 @@
 
 	DL_FOREACH(model->ready, step)
 	{
+		const struct zr_cell_job *job = zr_cell_job(model, step->job);
+
 		step->rank = zr_cell_priority_rank(
-			zr_cell_job(model, step->job), plan->now);
+			job,
+			zr_cell_client(model, job->client)->past_use_permille,
+			plan->now);
 	}
 	DL_SORT(model->ready, by_rank);
 }
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -116,11 +116,15 @@
 /**
  * zr_cell_priority_rank() - rank of a job's steps; the lowest is placed first
  * @job: the job
+ * @past_use_permille: &struct zr_cell_client_state.past_use_permille of its
+ *	client account
  * @now: the current time in milliseconds
  *
- * Return: the class of the job, and within a class its time of acceptance.
+ * Return: the class of the job, and within a class its time of acceptance plus
+ * the delay that the past use of its client account entails.
  */
-int64_t zr_cell_priority_rank(const struct zr_cell_job *job, int64_t now);
+int64_t zr_cell_priority_rank(const struct zr_cell_job *job,
+			      uint32_t past_use_permille, int64_t now);
 /**
  * zr_cell_priority_class() - preemption class of a job
  * @job: the job
--- a/src/libzinniarack/cell/priority.c
+++ b/src/libzinniarack/cell/priority.c
@@ -1,4 +1,5 @@
 #include "cell/plan.h"
+#include "cell/policy/past_use.h"
 
 /*
  * A job has its full value until its objective, a fifth of it until three times
@@ -95,10 +96,16 @@
 	       priority;
 }
 
-int64_t zr_cell_priority_rank(const struct zr_cell_job *job, int64_t now)
+int64_t zr_cell_priority_rank(const struct zr_cell_job *job,
+			      uint32_t past_use_permille, int64_t now)
 {
-	return (zr_cell_priority_class(job, now) << PRIORITY_SHIFT) +
-	       job->accepted_at;
+	int64_t rank = (zr_cell_priority_class(job, now) << PRIORITY_SHIFT) +
+		       job->accepted_at;
+
+	if (past_use_permille)
+		rank += zr_past_use_delay_ms(
+			past_use_permille, zr_cell_priority_objective_ms(job));
+	return rank;
 }
 
 bool zr_cell_priority_charge(struct zr_cell_client_state *client,
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -4,6 +4,7 @@
 #include "cell/advice.h"
 #include "cell/journal.h"
 #include "cell/model.h"
+#include "cell/policy/past_use.h"
 #include "cell/scheduler.h"
 #include "domain/owner.h"
 
@@ -66,6 +67,29 @@
 	struct zr_cell_load_read progress;
 };
 
+/**
+ * struct zr_cell_past_use - past use of the client accounts; see past_use.c
+ * @totals: all charges of this term and what was loaded, also those that are
+ *	not persisted yet
+ * @runs: number of runs charged, not decayed
+ * @charged: there are charges of the current generation
+ * @closed_at: when the last generation was closed
+ * @snapshot: record of the closing generation, until the journal has it
+ * @judged_at: when the accounts were last judged
+ * @logged_at: when accounts that wait were last logged
+ * @runs_gauge: gauge of @runs
+ */
+struct zr_cell_past_use {
+	struct zr_past_use totals;
+	int64_t runs;
+	bool charged;
+	int64_t closed_at;
+	struct zr_cell_buffer snapshot;
+	int64_t judged_at;
+	int64_t logged_at;
+	struct zr_metric *runs_gauge;
+};
+
 /**
  * struct zr_cell_scheduler - the scheduler
  * @options: as passed to zr_cell_scheduler_new()
@@ -129,6 +153,7 @@
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
+ * @past_use: past use of the client accounts
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -185,6 +210,7 @@
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
+	struct zr_cell_past_use past_use;
 };
 
 /* scheduler.c */
@@ -385,6 +411,46 @@
 void zr_cell_crash_process(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_worker *worker);
 
+/* past_use.c */
+/**
+ * zr_cell_past_use_begin_load() - load the record of past use
+ * @scheduler: the scheduler
+ * @values: what a read of ZR_CELL_PROGRESS_PREFIX has returned
+ * @count: number of @values
+ */
+void zr_cell_past_use_begin_load(struct zr_cell_scheduler *scheduler,
+				 const struct zr_store_value *values,
+				 size_t count);
+/** zr_cell_past_use_load_job() - add what a loaded progress record charges */
+void zr_cell_past_use_load_job(struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_job *job,
+			       const zx_cell_stored_progress *record);
+/** zr_cell_past_use_end_load() - all progress records have been loaded */
+void zr_cell_past_use_end_load(struct zr_cell_scheduler *scheduler);
+/**
+ * zr_cell_past_use_charge() - charge the active run of a task, which ends
+ *
+ * Does nothing if it has been charged. The caller must have made sure that the
+ * run has existed.
+ */
+void zr_cell_past_use_charge(struct zr_cell_scheduler *scheduler,
+			     struct zr_cell_job *job, uint32_t task);
+/** zr_cell_past_use_job_persisted() - note which charges are persisted */
+void zr_cell_past_use_job_persisted(struct zr_cell_scheduler *scheduler,
+				    struct zr_cell_job *job);
+/**
+ * zr_cell_past_use_has_charges() - whether the progress record of a job holds
+ * charges that the record of past use may not include
+ */
+bool zr_cell_past_use_has_charges(const struct zr_cell_scheduler *scheduler,
+				  const struct zr_cell_job *job);
+/** zr_cell_past_use_record_persisted() - the record of past use is persisted */
+void zr_cell_past_use_record_persisted(struct zr_cell_scheduler *scheduler);
+/** zr_cell_past_use_process() - judge the accounts and write the record */
+void zr_cell_past_use_process(struct zr_cell_scheduler *scheduler, int64_t now);
+/** zr_cell_past_use_end_term() - forget the use */
+void zr_cell_past_use_end_term(struct zr_cell_scheduler *scheduler);
+
 /* polls.c */
 /**
  * zr_cell_worker_set_unconfirmed() - note that the worker may have restarted
--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -41,30 +41,77 @@
 	return ZR_E_PROTOCOL;
 }
 
+/* A part of a stored progress record. */
+struct section {
+	xdrproc_t codec;
+	void *value;
+	bool present;
+};
+
+#define PROGRESS_SECTIONS 3
+
+/* The sections of a progress record in the order of the encoding. */
+static void list_sections(struct section out[PROGRESS_SECTIONS],
+			  zx_cell_stored_progress *record)
+{
+	out[0] = (struct section){(xdrproc_t)xdr_zx_cell_progress,
+				  &record->progress, true};
+	out[1] = (struct section){(xdrproc_t)xdr_zx_cell_crash_list,
+				  &record->crashes,
+				  record->crashes.tasks.tasks_len != 0};
+	out[2] = (struct section){(xdrproc_t)xdr_zx_cell_job_use, &record->use,
+				  record->use.charges.charges_len ||
+					  record->use.placed_ms};
+}
+
 int zr_cell_encode_progress(struct zr_cell_buffer *out,
 			    zx_cell_stored_progress *record)
 {
-	if (!record->crashes.tasks.tasks_len)
-		return zr_cell_encode(out, (xdrproc_t)xdr_zx_cell_progress,
-				      &record->progress);
-	return zr_cell_encode(out, (xdrproc_t)xdr_zx_cell_stored_progress,
-			      record);
+	struct section sections[PROGRESS_SECTIONS];
+	size_t count = PROGRESS_SECTIONS;
+	unsigned long size = 0;
+	size_t i;
+	XDR xdr;
+
+	list_sections(sections, record);
+	while (!sections[count - 1].present)
+		count--;
+	for (i = 0; i < count; i++)
+		size += xdr_sizeof(sections[i].codec, sections[i].value);
+	if (size > RECORD_BYTES_MAX)
+		return ZR_E_TOO_LARGE;
+	out->data = malloc(size);
+	if (!out->data)
+		abort();
+	out->length = size;
+	xdrmem_create(&xdr, out->data, (u_int)size, XDR_ENCODE);
+	for (i = 0; i < count; i++) {
+		if (!sections[i].codec(&xdr, sections[i].value)) {
+			free(out->data);
+			return ZR_E_TOO_LARGE;
+		}
+	}
+	return 0;
 }
 
 int zr_cell_decode_progress(zx_cell_stored_progress *out, const void *data,
 			    size_t length)
 {
+	struct section sections[PROGRESS_SECTIONS];
+	size_t i = 0;
 	XDR xdr;
 
 	if (!data || length > RECORD_BYTES_MAX)
 		return ZR_E_PROTOCOL;
+	list_sections(sections, out);
 	xdrmem_create(&xdr, (char *)data, (u_int)length, XDR_DECODE);
-	if (xdr_zx_cell_progress(&xdr, &out->progress) &&
-	    (xdr_getpos(&xdr) == length ||
-	     xdr_zx_cell_crash_list(&xdr, &out->crashes)))
-		return 0;
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, out);
-	return ZR_E_PROTOCOL;
+	do {
+		if (!sections[i].codec(&xdr, sections[i].value)) {
+			xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, out);
+			return ZR_E_PROTOCOL;
+		}
+	} while (++i < PROGRESS_SECTIONS && xdr_getpos(&xdr) != length);
+	return 0;
 }
 
 static void encode_step(zx_cell_step *out, const struct zr_cell_step_spec *step)
--- a/src/libzinniarack/cell/records.h
+++ b/src/libzinniarack/cell/records.h
@@ -11,6 +11,9 @@
  *   deleted when the job has ended and no task has an unfinished run
  * - zr/cell/in/JOB.cancel: present if the job's caller has cancelled it
  * - zr/cell/at/JOB: progress of a job; written by the active scheduler
+ * - zr/cell/at//past_use: past use of the client accounts; under the prefix of
+ *   the progress records, so that one read returns both as of one revision. Job
+ *   ids have no slash
  * - zr/cell/counts: number of waiting jobs of each queue
  * - zr/cell/host/NAME: RPC address and size of a live host, under a lease
  *
@@ -22,6 +25,7 @@
 #define ZR_CELL_PROGRESS_PREFIX "zr/cell/at/"
 #define ZR_CELL_HOST_PREFIX "zr/cell/host/"
 #define ZR_CELL_COUNTS_KEY "zr/cell/counts"
+#define ZR_CELL_PAST_USE_KEY ZR_CELL_PROGRESS_PREFIX "/past_use"
 #define ZR_CELL_CANCEL_SUFFIX ".cancel"
 /** Maximum size of a key in bytes, including the terminating NUL. */
 #define ZR_CELL_KEY_MAX (ZR_NAME_MAX + 32)
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -257,6 +257,10 @@
 		zr_cell_worker(&scheduler->model, entry->worker);
 	bool given_up = zr_cell_crash_charge(job, entry);
 
+	/* A run of which nothing shows that it began is not charged. */
+	if (entry->started_at)
+		zr_cell_past_use_charge(scheduler, job, task);
+	entry->placed_at = 0;
 	/*
 	 * A worker that has stopped a run never accepts the same attempt again.
 	 */
@@ -380,6 +384,7 @@
 	}
 	/* It has ended before its worker can have crashed. */
 	entry->crash_evidence = 0;
+	zr_cell_past_use_charge(scheduler, job, task);
 	if (end->checkpoint[0])
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
 			 end->checkpoint);
@@ -819,4 +824,6 @@
 	zr_cell_job_mark_dirty(&scheduler->model, job);
 	entry->change = job->change;
 	entry->started_at = 0;
+	if (scheduler->model.use.enabled)
+		entry->placed_at = zr_cell_now_ms(scheduler);
 }
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -252,6 +252,7 @@
 	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
 		if (!zr_cell_job_has_ended(job) || job->active_tasks ||
 		    job->dirty || job->pending_change ||
+		    zr_cell_past_use_has_charges(scheduler, job) ||
 		    job->ended_at > expired_before)
 			continue;
 		zr_cell_journal_remove(scheduler->journal, job->id);
@@ -263,6 +264,7 @@
 {
 	struct zr_cell_scheduler *scheduler = ctx;
 
+	zr_cell_past_use_job_persisted(scheduler, job);
 	zr_cell_starts_send_persisted(scheduler, job);
 	if (zr_cell_job_has_ended(job) && !job->end_logged &&
 	    job->persisted_change == job->change) {
@@ -280,6 +282,11 @@
 	zr_cell_acks_process(scheduler);
 }
 
+static void on_past_use_persisted(void *ctx)
+{
+	zr_cell_past_use_record_persisted(ctx);
+}
+
 /* Ownership */
 
 static void end_term(struct zr_cell_scheduler *scheduler)
@@ -291,6 +298,7 @@
 	zr_cell_state_queries_abort(scheduler);
 	zr_cell_journal_close(scheduler->journal);
 	zr_timer_stop(scheduler->rewatch);
+	zr_cell_past_use_end_term(scheduler);
 	zr_cell_model_clear(&scheduler->model);
 	if (zr_cell_model_init(&scheduler->model) < 0)
 		abort();
@@ -465,6 +473,7 @@
 		log_load(scheduler, now);
 		remove_expired_jobs(scheduler);
 	}
+	zr_cell_past_use_process(scheduler, now);
 	zr_cell_schedule_plan(scheduler);
 	zr_cell_journal_flush(scheduler->journal);
 }
@@ -520,6 +529,9 @@
 	scheduler->visible_ms = zr_metrics_get_or_add_histogram(
 		metrics, "zinniarack_cell_job_ms", NULL,
 		"Time from a job's acceptance until its end could be read");
+	scheduler->past_use.runs_gauge = zr_metrics_get_or_add_gauge(
+		metrics, "zinniarack_cell_past_use_runs", NULL,
+		"Runs charged to the past use of client accounts");
 }
 
 int zr_cell_scheduler_new(struct zr_cell_scheduler **out,
@@ -528,7 +540,7 @@
 	static const struct zr_owner_events owner_events = {on_gained, on_lost,
 							    campaign_delay_ms};
 	static const struct zr_cell_journal_events journal_events = {
-		on_persisted, on_ownership_lost};
+		on_persisted, on_ownership_lost, on_past_use_persisted};
 	static const struct zr_owner_options owner_options = {
 		.version = ZR_OWNER_OPTIONS_VERSION,
 		.lease_ms = OWNER_LEASE_MS,
@@ -628,6 +640,8 @@
 static void free_scheduler(struct zr_cell_scheduler *scheduler)
 {
 	zr_cell_advice_clear(&scheduler->advice);
+	zr_past_use_clear(&scheduler->past_use.totals);
+	free(scheduler->past_use.snapshot.data);
 	zr_cell_loading_clear(&scheduler->loading);
 	free(scheduler);
 }
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -58,6 +58,8 @@
  * @host: name of this host
  * @cell: name of the cell
  * @metrics: registry for the scheduler's metrics
+ * @past_use: half-life of past use in seconds, and the weight of its effect on
+ *	the order of waiting work in percent; a member of 0: past use is off
  */
 struct zr_cell_scheduler_options {
 	const struct zr_timers *timers;
@@ -67,6 +69,10 @@
 	const char *host;
 	const char *cell;
 	struct zr_metrics *metrics;
+	struct {
+		unsigned int half_life_s;
+		unsigned int weight_percent;
+	} past_use;
 };
 
 /**
--- a/src/libzinniarack/config/cell_settings.c
+++ b/src/libzinniarack/config/cell_settings.c
@@ -42,6 +42,17 @@
 			 format, zr_log_formats, ZR_LOG_FORMATS),
 	CYAML_FIELD_END};
 
+#define PAST_USE_FIELD(member)                                                 \
+	CYAML_FIELD_UINT(#member, CYAML_FLAG_OPTIONAL,                         \
+			 __typeof__(((struct zr_cell_settings *)0)->past_use), \
+			 member)
+
+static const cyaml_schema_field_t past_use_fields[] = {
+	PAST_USE_FIELD(half_life_s),
+	PAST_USE_FIELD(weight_percent),
+	CYAML_FIELD_END,
+};
+
 #define NUMBER_FIELD(member)                           \
 	CYAML_FIELD_UINT(#member, CYAML_FLAG_OPTIONAL, \
 			 struct zr_cell_settings, member)
@@ -65,6 +76,8 @@
 	NUMBER_FIELD(leave_ms),
 	CYAML_FIELD_MAPPING("log", CYAML_FLAG_OPTIONAL, struct zr_cell_settings,
 			    log, log_fields),
+	CYAML_FIELD_MAPPING("past_use", CYAML_FLAG_OPTIONAL,
+			    struct zr_cell_settings, past_use, past_use_fields),
 	CYAML_FIELD_END,
 };
 
@@ -108,6 +121,8 @@
 	RANGE("leave_ms", 100, 600000, "5000"),
 	ANY("log.level", "error"),
 	ANY("log.format", "text"),
+	{"past_use.half_life_s", ZR_RULE_RANGE, 1, 31536000, "s", "off"},
+	{"past_use.weight_percent", ZR_RULE_RANGE, 0, 100, "%", "off"},
 	{NULL, ZR_RULE_ANY, 0, 0, NULL, NULL},
 };
 
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -49,6 +49,10 @@
 	uint32_t latency_target_ms;
 	unsigned int adviser_queries;
 	bool hides_runs;
+	unsigned int begun_runs;
+	char job_client[ZR_NAME_MAX];
+	unsigned int half_life_s;
+	unsigned int weight_percent;
 	char line[LINE_MAX_BYTES];
 	char *words[WORDS_MAX];
 	int word_count;
@@ -73,6 +77,7 @@
 {
 	struct cell_script *script = ctx;
 
+	script->begun_runs += strstr(text, " begun") != NULL;
 	if (!script->hides_runs || !strncmp(text, "VIOLATION", 9))
 		print(script, "%s", text);
 }
@@ -211,6 +216,7 @@
 			   .lease_max_ms = 6000,
 			   .keep_ended_ms = 130000},
 		.cell = "main",
+		.past_use = {script->half_life_s, script->weight_percent},
 	};
 
 	/* A name that was used before is a new process of that host. */
@@ -408,7 +414,7 @@
 	struct zr_cell_job_spec spec = {.payload = payload, .steps = steps};
 	zx_cell_job record = {
 		.queue = "q",
-		.client = "c",
+		.client = script->job_client,
 		.pool = "pool",
 		.attempts = ATTEMPTS,
 		.priority = script->priority,
@@ -564,6 +570,96 @@
 		       on_waiting_jobs, script);
 }
 
+static void do_client(struct cell_script *script)
+{
+	snprintf(script->job_client, sizeof(script->job_client), "%s",
+		 word(script, 1));
+}
+
+static void do_past_use(struct cell_script *script)
+{
+	script->half_life_s = (unsigned int)atoi(word(script, 1));
+	script->weight_percent = (unsigned int)atoi(word(script, 2));
+}
+
+/* The past use that an owner would load. */
+struct stored_use {
+	zx_cell_past_use record;
+	long runs;
+	long core_ms;
+};
+
+static void add_job_use(void *ctx, const char *key, const void *data,
+			size_t length)
+{
+	zx_cell_stored_progress progress = {0};
+	struct stored_use *use = ctx;
+	u_int i;
+
+	if (!strcmp(key, ZR_CELL_PAST_USE_KEY) ||
+	    zr_cell_decode_progress(&progress, data, length) < 0)
+		return;
+	for (i = 0; i < progress.use.charges.charges_len; i++) {
+		const zx_cell_use_charge *charge =
+			&progress.use.charges.charges_val[i];
+
+		if (charge->generation <= use->record.generation)
+			continue;
+		use->runs += charge->runs;
+		use->core_ms += charge->core_ms;
+	}
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &progress);
+}
+
+static void read_use_record(void *ctx, const char *key, const void *data,
+			    size_t length)
+{
+	struct stored_use *use = ctx;
+
+	(void)key;
+	zr_cell_decode(&use->record, (xdrproc_t)xdr_zx_cell_past_use, data,
+		       length);
+}
+
+/* @out->record is to be freed with xdr_free(). */
+static void read_use(const struct cell_script *script, struct stored_use *out)
+{
+	u_int i;
+
+	fake_store_for_each(script->store, ZR_CELL_PAST_USE_KEY,
+			    read_use_record, out);
+	out->runs = out->record.runs;
+	for (i = 0; i < out->record.clients.clients_len; i++)
+		out->core_ms += out->record.clients.clients_val[i].core_ms;
+	fake_store_for_each(script->store, ZR_CELL_PROGRESS_PREFIX, add_job_use,
+			    out);
+}
+
+unsigned int cell_script_used_runs(const struct cell_script *script)
+{
+	struct stored_use use = {0};
+
+	read_use(script, &use);
+	xdr_free((xdrproc_t)xdr_zx_cell_past_use, &use.record);
+	return (unsigned int)use.runs;
+}
+
+unsigned int cell_script_begun_runs(const struct cell_script *script)
+{
+	return script->begun_runs;
+}
+
+static void do_used(struct cell_script *script)
+{
+	struct stored_use use = {0};
+
+	read_use(script, &use);
+	print(script, "used: %ld runs, %.1f core-seconds, %u accounts",
+	      use.runs, (double)use.core_ms / 1000,
+	      use.record.clients.clients_len);
+	xdr_free((xdrproc_t)xdr_zx_cell_past_use, &use.record);
+}
+
 static void do_recovery_reads(struct cell_script *script)
 {
 	print(script, "recovery reads: %lu",
@@ -792,6 +888,9 @@
 	{"latency-target", do_latency_target},
 	{"adviser-queries", do_adviser_queries},
 	{"query", do_query},
+	{"client", do_client},
+	{"past-use", do_past_use},
+	{"used", do_used},
 };
 
 void cell_script_run(struct cell_script *script, const char *line)
@@ -835,6 +934,7 @@
 	strcpy(script->queue.pool, "pool");
 	script->queue.attempts = ATTEMPTS;
 	strcpy(script->client.name, "c");
+	strcpy(script->job_client, "c");
 	script->config = (struct zr_cell_config){
 		.version = 1,
 		.queues = &script->queue,
@@ -856,6 +956,8 @@
 	struct cell_script *script = ctx;
 	zx_cell_stored_progress record = {0};
 
+	if (!strcmp(key, ZR_CELL_PAST_USE_KEY))
+		return;
 	if (zr_cell_decode_progress(&record, data, length) < 0)
 		abort();
 	if (record.progress.state == ZR_CELL_JOB_FAILED)
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -21,6 +21,11 @@
  *   limit MILLICPUS            set the upper limit of the client account
  *   priority N                 set the priority of jobs submitted from now on
  *   latency-target MS          set their latency target
+ *   client NAME                set the client account of jobs submitted from
+ *                              now on
+ *   past-use HALF_LIFE_S WEIGHT_PERCENT
+ *                              set the past use of hosts started from now on
+ *   used                       print the past use that an owner would load now
  *   submit HOST JOB STEP...    commit a job like an entry host, then notify
  *                              all schedulers of it. STEP is
  *                              [gang,|checkpoints,]COUNTxMILLICPUS:MS[@STEP]:
@@ -98,6 +103,15 @@
 /** cell_script_violations() - number of violations printed so far */
 unsigned int cell_script_violations(const struct cell_script *script);
 
+/** cell_script_begun_runs() - number of runs that have begun on workers */
+unsigned int cell_script_begun_runs(const struct cell_script *script);
+
+/**
+ * cell_script_used_runs() - number of runs in the past use that an owner would
+ * load now
+ */
+unsigned int cell_script_used_runs(const struct cell_script *script);
+
 /** cell_script_open_jobs() - number of accepted jobs that have not ended */
 unsigned int cell_script_open_jobs(const struct cell_script *script);
 
--- a/tests/unit/test_cell_priority.c
+++ b/tests/unit/test_cell_priority.c
@@ -40,10 +40,10 @@
 	struct zr_cell_job worthless = make_job(0, 100 * SECOND_MS - 9000);
 	int64_t now = 100 * SECOND_MS;
 
-	ck_assert(zr_cell_priority_rank(&fresh, now) <
-		  zr_cell_priority_rank(&late, now));
-	ck_assert(zr_cell_priority_rank(&late, now) <
-		  zr_cell_priority_rank(&worthless, now));
+	ck_assert(zr_cell_priority_rank(&fresh, 0, now) <
+		  zr_cell_priority_rank(&late, 0, now));
+	ck_assert(zr_cell_priority_rank(&late, 0, now) <
+		  zr_cell_priority_rank(&worthless, 0, now));
 }
 END_TEST
 
@@ -64,11 +64,11 @@
 	younger.step_count = 1;
 	younger.steps = &waiting;
 	older.steps = &waiting;
-	ck_assert(zr_cell_priority_rank(&younger, now) <
-		  zr_cell_priority_rank(&older, now));
+	ck_assert(zr_cell_priority_rank(&younger, 0, now) <
+		  zr_cell_priority_rank(&older, 0, now));
 	older.steps = &begun;
-	ck_assert(zr_cell_priority_rank(&older, now) <
-		  zr_cell_priority_rank(&younger, now));
+	ck_assert(zr_cell_priority_rank(&older, 0, now) <
+		  zr_cell_priority_rank(&younger, 0, now));
 }
 END_TEST
 
@@ -77,8 +77,8 @@
 	struct zr_cell_job urgent = make_job(0, 100 * SECOND_MS);
 	struct zr_cell_job older = make_job(1, 100 * SECOND_MS - 2000);
 
-	ck_assert(zr_cell_priority_rank(&urgent, 100 * SECOND_MS) <
-		  zr_cell_priority_rank(&older, 100 * SECOND_MS));
+	ck_assert(zr_cell_priority_rank(&urgent, 0, 100 * SECOND_MS) <
+		  zr_cell_priority_rank(&older, 0, 100 * SECOND_MS));
 }
 END_TEST
 
@@ -110,8 +110,8 @@
 	struct zr_cell_job late = make_job(2, 100 * SECOND_MS - 4000);
 
 	above_rate.over_share = true;
-	ck_assert(zr_cell_priority_rank(&late, 100 * SECOND_MS) <
-		  zr_cell_priority_rank(&above_rate, 100 * SECOND_MS));
+	ck_assert(zr_cell_priority_rank(&late, 0, 100 * SECOND_MS) <
+		  zr_cell_priority_rank(&above_rate, 0, 100 * SECOND_MS));
 }
 END_TEST
 
--- a/tests/unit/test_cell_records.c
+++ b/tests/unit/test_cell_records.c
@@ -86,6 +86,49 @@
 }
 END_TEST
 
+/*
+ * Rolling update: the version before reads a record with use, whose size grows
+ * by little: by 20 bytes if all active runs were placed at once, else by 4 more
+ * for each run, and by 20 for a charge.
+ */
+START_TEST(test_use)
+{
+	zx_cell_use_charge charge = {7, 1234, 2};
+	u_int after_ms[20] = {0, 5};
+	zx_cell_stored_progress record = new_record();
+	zx_cell_stored_progress decoded = {0};
+	zx_cell_progress plain = {0};
+	struct zr_cell_buffer without;
+	struct zr_cell_buffer bytes;
+
+	ck_assert_int_eq(zr_cell_encode_progress(&without, &record), 0);
+	record.use.placed_ms = 1000;
+	ck_assert_int_eq(zr_cell_encode_progress(&bytes, &record), 0);
+	ck_assert_uint_eq(bytes.length, without.length + 20);
+	free(bytes.data);
+	record.use.placed_after_ms.placed_after_ms_len = 20;
+	record.use.placed_after_ms.placed_after_ms_val = after_ms;
+	record.use.charges.charges_len = 1;
+	record.use.charges.charges_val = &charge;
+	ck_assert_int_eq(zr_cell_encode_progress(&bytes, &record), 0);
+	ck_assert_uint_eq(bytes.length, without.length + 20 + 80 + 20);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, bytes.data, bytes.length), 0);
+	check_progress(&decoded.progress);
+	ck_assert_int_eq(decoded.use.charges.charges_val[0].core_ms, 1234);
+	ck_assert_uint_eq(decoded.use.placed_after_ms.placed_after_ms_val[1],
+			  5);
+	ck_assert_int_eq(zr_cell_decode(&plain, (xdrproc_t)xdr_zx_cell_progress,
+					bytes.data, bytes.length),
+			 0);
+	check_progress(&plain);
+	xdr_free((xdrproc_t)xdr_zx_cell_progress, &plain);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	free(bytes.data);
+	free(without.data);
+}
+END_TEST
+
 /* A record that was cut off at any place is refused, and nothing leaks. */
 START_TEST(test_cut_off)
 {
@@ -123,6 +166,7 @@
 
 	tcase_add_test(tcase, test_no_crashes);
 	tcase_add_test(tcase, test_crashes);
+	tcase_add_test(tcase, test_use);
 	tcase_add_test(tcase, test_cut_off);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
