--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -35,6 +35,9 @@
  * @log: level and format of the log
  * @evacuation_ms: time after which no task may start in a failure domain whose
  *	evacuation operators have requested; 0: such requests are not read
+ * @past_use: half-life of the past use of client accounts in seconds, and the
+ *	weight of its effect on the order of waiting work in percent; a member
+ *	of 0: past use is off
  */
 struct zr_cell_settings {
 	char *name;
@@ -59,6 +62,10 @@
 		enum zr_log_format format;
 	} log;
 	uint32_t evacuation_ms;
+	struct {
+		uint32_t half_life_s;
+		uint32_t weight_percent;
+	} past_use;
 };
 
 /**
