--- a/src/libzinniarack/sched/profile.c
+++ b/src/libzinniarack/sched/profile.c
@@ -28,8 +28,8 @@
  * assumed to use at least the minimum of the reports.
  */
 #define REPORTERS_MIN 8
-/* Percentile of processor use and of run times that is used as estimate. */
-#define QUANTILE_PERCENT 95
+/* Quantile of processor use and of run times that is used as estimate. */
+#define QUANTILE_PERMILLE 950
 /* Margin added to estimates, in per cent. */
 #define MARGIN_PERCENT 10
 /* Upper bound of an estimate, as a multiple of the declared size. */
@@ -38,68 +38,9 @@
 #define RUNS_MAX 1024
 /* Number of profiles above which the oldest that no job uses is evicted. */
 #define PROFILES_MAX 8192
-/* Histogram buckets per power of two. */
-#define BUCKETS_PER_OCTAVE 4
 /* Size of a key: team, separator and job name, with the final NUL. */
 #define KEY_MAX (2 * ZR_NAME_MAX)
 
-static unsigned int bucket_of(uint64_t value)
-{
-	unsigned int octave;
-	unsigned int bucket;
-
-	if (value < BUCKETS_PER_OCTAVE)
-		return (unsigned int)value;
-	octave = 63 - (unsigned int)__builtin_clzll(value);
-	bucket = (octave - 1) * BUCKETS_PER_OCTAVE +
-		 (unsigned int)(value >> (octave - 2) &
-				(BUCKETS_PER_OCTAVE - 1));
-	return bucket < ZR_SCHED_HISTOGRAM_BUCKETS
-		       ? bucket
-		       : ZR_SCHED_HISTOGRAM_BUCKETS - 1;
-}
-
-/* Returns the highest value of a bucket. */
-static uint64_t bucket_max(unsigned int bucket)
-{
-	unsigned int octave = bucket / BUCKETS_PER_OCTAVE + 1;
-
-	if (bucket < BUCKETS_PER_OCTAVE)
-		return bucket;
-	return ((uint64_t)(BUCKETS_PER_OCTAVE + bucket % BUCKETS_PER_OCTAVE + 1)
-		<< (octave - 2)) -
-	       1;
-}
-
-static void add_value(struct zr_sched_histogram *histogram, uint64_t value)
-{
-	unsigned int i;
-
-	if (histogram->total >= RUNS_MAX) {
-		histogram->total = 0;
-		for (i = 0; i < ZR_SCHED_HISTOGRAM_BUCKETS; i++) {
-			histogram->counts[i] /= 2;
-			histogram->total += histogram->counts[i];
-		}
-	}
-	histogram->counts[bucket_of(value)]++;
-	histogram->total++;
-}
-
-static uint64_t estimate_quantile(const struct zr_sched_histogram *histogram)
-{
-	uint64_t cumulative_count = 0;
-	unsigned int i;
-
-	for (i = 0; i < ZR_SCHED_HISTOGRAM_BUCKETS; i++) {
-		cumulative_count += histogram->counts[i];
-		if (cumulative_count * 100 >=
-		    (uint64_t)histogram->total * QUANTILE_PERCENT)
-			break;
-	}
-	return bucket_max(i);
-}
-
 static uint32_t with_margin(uint64_t value)
 {
 	value += value * MARGIN_PERCENT / 100;
@@ -216,17 +157,20 @@
 			      const struct zr_resources *peak,
 			      const struct zr_resources *given, int64_t run_ms)
 {
-	add_value(&profile->run_ms_histogram,
-		  run_ms > 0 ? (uint64_t)run_ms : 0);
+	zr_value_histogram_add(&profile->run_ms_histogram,
+			       run_ms > 0 ? (uint64_t)run_ms : 0, RUNS_MAX);
 	if (peak->millicpus && peak->memory_mb)
-		add_value(&profile->millicpus_histogram,
-			  usage_to_record(peak->millicpus, given->millicpus));
+		zr_value_histogram_add(
+			&profile->millicpus_histogram,
+			usage_to_record(peak->millicpus, given->millicpus),
+			RUNS_MAX);
 	if (profile->run_ms_histogram.total >= RUNS_MIN)
-		profile->estimated_run_ms =
-			(int64_t)estimate_quantile(&profile->run_ms_histogram);
+		profile->estimated_run_ms = (int64_t)zr_value_histogram_upper(
+			&profile->run_ms_histogram, QUANTILE_PERMILLE);
 	if (profile->millicpus_histogram.total >= RUNS_MIN)
 		profile->estimated_millicpus = with_margin(
-			estimate_quantile(&profile->millicpus_histogram));
+			zr_value_histogram_upper(&profile->millicpus_histogram,
+						 QUANTILE_PERMILLE));
 }
 
 /* Estimates */
--- a/src/libzinniarack/sched/types.h
+++ b/src/libzinniarack/sched/types.h
@@ -5,6 +5,7 @@
 
 #include "zinniarack/errors.h"
 #include "zinniarack/sched.h"
+#include "zinniarack/value_histogram.h"
 
 /**
  * DOC: Types of the scheduler core
@@ -53,8 +54,6 @@
 #define ZR_SCHED_ACCELERATOR_GROUPS 5
 /** Maximum number of different worker capacities. */
 #define ZR_SCHED_SHAPES_MAX 64
-/** Number of buckets of a histogram. */
-#define ZR_SCHED_HISTOGRAM_BUCKETS 112
 
 /**
  * struct zr_sched_name - an interned string
@@ -68,16 +67,6 @@
 	char text[];
 };
 
-/**
- * struct zr_sched_histogram - a histogram with logarithmic buckets
- * @counts: number of values by bucket
- * @total: sum of @counts
- */
-struct zr_sched_histogram {
-	uint16_t counts[ZR_SCHED_HISTOGRAM_BUCKETS];
-	uint32_t total;
-};
-
 /**
  * struct zr_sched_profile - usage and run times of a team's jobs of one name
  * @hh: hash table linkage, by @key
@@ -102,8 +91,8 @@
 	uint32_t peak_memory_mb;
 	struct zr_resources min_reported;
 	uint32_t reported_tasks;
-	struct zr_sched_histogram millicpus_histogram;
-	struct zr_sched_histogram run_ms_histogram;
+	struct zr_value_histogram millicpus_histogram;
+	struct zr_value_histogram run_ms_histogram;
 	uint32_t estimated_millicpus;
 	int64_t estimated_run_ms;
 	const char *name;
