cell: placement by expected finish

Candidates are ordered by free capacity, so on a pool of speeds 0.6, 1.0 and 1.6 urgent tasks and gangs end up on slow workers. With worker_speed.enabled, run times and speeds are learned from the workers' replies. Urgent steps and those with successors get the fastest workers; other steps the slowest workers on which they end in time, so that fast ones stay free. Gangs get workers of one band of speed, and the adviser is asked about workers of suitable speed first. Workers that are far from the data lose what that costs their class. Among workers of one band, those with fewer free processors still come first, and nothing waits for a fast worker. Without the setting all is as before: the expected output of the existing cell scripts is unchanged.

--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -33,6 +33,8 @@
  *	configuration is older, because it may have withdrawn the caller's key
  * @leave_ms: timeout of a graceful shutdown
  * @log: level and format of the log
+ * @worker_speed: whether speeds of workers are learned and tasks placed where
+ *	they are expected to finish in time
  */
 struct zr_cell_settings {
 	char *name;
@@ -56,6 +58,9 @@
 		enum zr_log_level level;
 		enum zr_log_format format;
 	} log;
+	struct {
+		bool enabled;
+	} worker_speed;
 };
 
 /**
--- a/src/libzinniarack/cell/adviser_query.c
+++ b/src/libzinniarack/cell/adviser_query.c
@@ -50,14 +50,16 @@
 /*
  * A worker that a query may name. @slots is the number of slots that it has or
  * can get, @without_preemption the part of them that needs no preemption,
- * @gang_reserved whether a gang has reserved capacity there, and
- * @in_gang_domain whether it is in the domain of the gang that queries.
+ * @gang_reserved whether a gang has reserved capacity there, @order how its
+ * speed suits the step, the lowest being the best, and @in_gang_domain whether
+ * it is in the domain of the gang that queries.
  */
 struct query_target {
 	const struct zr_cell_worker *worker;
 	uint32_t slots;
 	uint32_t without_preemption;
 	bool gang_reserved;
+	int order;
 	bool in_gang_domain;
 };
 
@@ -172,7 +174,10 @@
 
 /* Queries */
 
-/* Slots that need no preemption count twice: they stop no other task. */
+/*
+ * A permit decides where a step can run, so workers of suitable speed come
+ * first. Slots that need no preemption count twice: they stop no other task.
+ */
 static int by_slots(const void *a, const void *b)
 {
 	const struct query_target *x = a;
@@ -182,6 +187,8 @@
 
 	if (x->gang_reserved != y->gang_reserved)
 		return x->gang_reserved ? 1 : -1;
+	if (x->order != y->order)
+		return x->order < y->order ? -1 : 1;
 	if (x->in_gang_domain != y->in_gang_domain)
 		return x->in_gang_domain ? -1 : 1;
 	if (x_weight != y_weight)
@@ -207,8 +214,12 @@
 		slots = zr_cell_candidate_slots(item, candidate);
 		if (slots)
 			out[count++] = (struct query_target){
-				candidate->worker, slots, slots,
-				candidate->gang_reserved, false};
+				candidate->worker,
+				slots,
+				slots,
+				candidate->gang_reserved,
+				zr_cell_speed_order(item, candidate),
+				false};
 	}
 	qsort(out, count, sizeof(*out), by_slots);
 	return count;
@@ -233,8 +244,12 @@
 		slots = zr_cell_candidate_slots(item, candidate);
 		if (slots && zr_cell_candidate_matches(item, candidate))
 			out[count++] = (struct query_target){
-				candidate->worker, slots, slots,
-				candidate->gang_reserved, false};
+				candidate->worker,
+				slots,
+				slots,
+				candidate->gang_reserved,
+				zr_cell_speed_order(item, candidate),
+				false};
 	}
 	qsort(out, count, sizeof(*out), by_slots);
 	return count;
@@ -430,8 +445,11 @@
 		expires |=
 			!zr_cell_eligible_is_valid(entry->eligible, start_at);
 		out[count++] = (struct query_target){entry->candidate->worker,
-						     entry->reserved_members, 0,
-						     false, false};
+						     entry->reserved_members,
+						     0,
+						     false,
+						     0,
+						     false};
 	}
 	return expires ? count : 0;
 }
@@ -460,6 +478,7 @@
 				zr_cell_candidate_slots_after_stops(plan, item,
 								    candidate),
 				candidate->gang_reserved,
+				zr_cell_speed_shortfall(item, candidate),
 				zr_cell_in_gang_domain(item, candidate),
 			};
 	}
--- a/src/libzinniarack/cell/gang.c
+++ b/src/libzinniarack/cell/gang.c
@@ -50,6 +50,88 @@
 	       candidate->worker->domain == item->step->gang_domain;
 }
 
+void zr_cell_gang_choose_band(struct zr_cell_plan *plan,
+			      struct zr_cell_plan_item *item, bool preempting)
+{
+	uint32_t slots[ZR_SPEED_BANDS] = {0};
+	size_t i;
+
+	if (!item->by_speed)
+		return;
+	for (i = 0; i < item->eligible_count; i++) {
+		struct zr_cell_candidate *candidate =
+			item->eligible[i].candidate;
+		uint32_t *sum =
+			&slots[zr_cell_speed_item_band(item, candidate) -
+			       ZR_SPEED_BAND_MIN];
+
+		if (preempting)
+			*sum += zr_cell_candidate_slots_after_preemption(
+				plan, item, candidate);
+		else if (zr_cell_eligible_is_valid(&item->eligible[i],
+						   plan->now))
+			*sum += zr_cell_candidate_slots(item, candidate);
+	}
+	item->wanted_band = zr_speed_gang_band(slots, item->step->spec->count,
+					       item->needed_band);
+}
+
+/* Slots of a gang by failure domain, on workers of some number of bands. */
+struct domain_slots {
+	uint32_t by_band[ZR_SPEED_BANDS][ZR_CELL_DOMAINS_MAX + 1];
+	uint32_t sum[ZR_CELL_DOMAINS_MAX + 1];
+};
+
+static void count_slots(struct domain_slots *out, struct zr_cell_plan *plan,
+			const struct zr_cell_plan_item *item)
+{
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	for (i = 0; i < plan->candidate_count; i++) {
+		struct zr_cell_candidate *candidate = &plan->candidates[i];
+		uint32_t domain = candidate->worker->domain;
+		int band = zr_cell_speed_item_band(item, candidate);
+
+		if (zr_cell_candidate_matches(item, candidate))
+			out->by_band[band - ZR_SPEED_BAND_MIN][domain] +=
+				zr_cell_candidate_slots_after_preemption(
+					plan, item, candidate);
+	}
+}
+
+/* Adds the slots of a band to the sums; returns the highest sum. */
+static uint32_t add_band(struct domain_slots *slots, int band, uint32_t count)
+{
+	uint32_t highest = 0;
+	uint32_t i;
+
+	for (i = 1; i <= count; i++) {
+		slots->sum[i] += slots->by_band[band - ZR_SPEED_BAND_MIN][i];
+		if (slots->sum[i] > highest)
+			highest = slots->sum[i];
+	}
+	return highest;
+}
+
+/*
+ * Sums the slots of the workers that are fast enough, and of slower ones until
+ * a domain has @wanted.
+ */
+static void sum_slots(struct domain_slots *slots,
+		      const struct zr_cell_plan_item *item, uint32_t count,
+		      uint32_t wanted)
+{
+	int needed = item->by_speed ? item->needed_band : ZR_SPEED_BAND_MIN;
+	uint32_t highest = 0;
+	int band;
+
+	for (band = ZR_SPEED_BAND_MAX;
+	     band >= needed || (band >= ZR_SPEED_BAND_MIN && highest < wanted);
+	     band--)
+		highest = add_band(slots, band, count);
+}
+
 /*
  * Takes the first domain that fits the gang DOMAIN_COPIES times, or else the
  * one with the most slots. The search starts at a different domain for each
@@ -60,27 +142,21 @@
 {
 	uint32_t count = plan->scheduler->model.domain_count;
 	uint32_t wanted = DOMAIN_COPIES * item->step->spec->count;
-	uint32_t slots[ZR_CELL_DOMAINS_MAX + 1] = {0};
+	struct domain_slots slots;
 	uint32_t best = 0;
 	uint32_t i;
 
-	for (i = 0; i < plan->candidate_count; i++) {
-		struct zr_cell_candidate *candidate = &plan->candidates[i];
-
-		if (zr_cell_candidate_matches(item, candidate))
-			slots[candidate->worker->domain] +=
-				zr_cell_candidate_slots_after_preemption(
-					plan, item, candidate);
-	}
+	count_slots(&slots, plan, item);
+	sum_slots(&slots, item, count, wanted);
 	for (i = 0; i < count; i++) {
 		uint32_t domain =
 			1 + (zr_handle_index(item->job->self) + i) % count;
 
-		if (slots[domain] >= wanted) {
+		if (slots.sum[domain] >= wanted) {
 			best = domain;
 			break;
 		}
-		if (!best || slots[domain] > slots[best])
+		if (!best || slots.sum[domain] > slots.sum[best])
 			best = domain;
 	}
 	item->step->gang_domain = best;
@@ -115,6 +191,7 @@
 			.candidate = candidate,
 			.already_reserved =
 				is_reserved_for(plan, item, candidate->worker),
+			.shortfall = zr_cell_speed_shortfall(item, candidate),
 			.in_gang_domain =
 				zr_cell_in_gang_domain(item, candidate),
 			.slots_after_stops =
@@ -129,9 +206,9 @@
 
 /*
  * Workers reserved in an earlier pass come first: with other workers, the tasks
- * preempted so far would have been stopped for nothing. Then those of the
- * gang's domain, then those with the most slots after stops, then those with
- * the most slots after preemption.
+ * preempted so far would have been stopped for nothing. Then those that are
+ * fast enough, then those of the gang's domain, then those with the most slots
+ * after stops, then those with the most slots after preemption.
  */
 static int by_slots_after_stops(const void *a, const void *b)
 {
@@ -140,6 +217,8 @@
 
 	if (x->already_reserved != y->already_reserved)
 		return x->already_reserved ? -1 : 1;
+	if (x->shortfall != y->shortfall)
+		return x->shortfall < y->shortfall ? -1 : 1;
 	if (x->in_gang_domain != y->in_gang_domain)
 		return x->in_gang_domain ? -1 : 1;
 	if (x->slots_after_stops != y->slots_after_stops)
@@ -159,6 +238,8 @@
 	uint32_t x_free = zr_cell_candidate_free(x->candidate).millicpus;
 	uint32_t y_free = zr_cell_candidate_free(y->candidate).millicpus;
 
+	if (x->shortfall != y->shortfall)
+		return x->shortfall < y->shortfall ? -1 : 1;
 	if (x->in_gang_domain != y->in_gang_domain)
 		return x->in_gang_domain ? -1 : 1;
 	if (x_free != y_free)
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -207,6 +207,7 @@
 		.host = settings->name,
 		.cell = settings->cell,
 		.metrics = options->metrics,
+		.worker_speed = settings->worker_speed.enabled,
 	};
 	int error;
 
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -536,6 +536,7 @@
 	entry->sent_at = 0;
 	entry->crash_evidence = 0;
 	entry->percent = 0;
+	entry->whole_run = false;
 	step->waiting--;
 	step->active_tasks++;
 	job->active_tasks++;
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "policy/worker_speed.h"
 #include "zinniarack/cell.h"
 #include "zinniarack/charts.h"
 #include "zinniarack/frontend.h"
@@ -81,6 +82,9 @@
  * @percent: progress last reported by the worker
  * @percent_at: when @percent last changed
  * @checkpoint: checkpoint to resume from, or ""
+ * @progress: progress of its active run, from which speeds are learned
+ * @whole_run: its active run began without a checkpoint, and @started_at is
+ *             when; not known of runs that an earlier scheduler started
  */
 struct zr_cell_task {
 	int state;
@@ -103,6 +107,8 @@
 	uint32_t percent;
 	int64_t percent_at;
 	char checkpoint[ZR_CELL_TICKET_MAX];
+	struct zr_speed_progress progress;
+	bool whole_run;
 };
 
 /**
@@ -150,6 +156,7 @@
  * @next: next step in that list
  * @in_ready_list: it is in that list
  * @rank: position in that list, computed before each pass; the lowest is first
+ * @speed_class: number of its class of run times; 0: not looked up, or none
  */
 struct zr_cell_step_state {
 	const struct zr_cell_step_spec *spec;
@@ -177,6 +184,7 @@
 	struct zr_cell_step_state *next;
 	bool in_ready_list;
 	int64_t rank;
+	uint32_t speed_class;
 };
 
 /**
@@ -333,6 +341,9 @@
  * @domain: number of its failure domain, counted from 1; 0: not known
  * @candidate_index: its position in &struct zr_cell_plan.candidates, counted
  *                   from 1; 0: none
+ * @speed: its learned speed
+ * @logged_band: band of its speed that was logged last
+ * @logged_faulty: whether it was logged as faulty
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -382,6 +393,9 @@
 	int64_t isolation_until;
 	uint32_t domain;
 	size_t candidate_index;
+	struct zr_worker_speed speed;
+	int logged_band;
+	bool logged_faulty;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -61,7 +61,7 @@
 }
 
 static void place_gang(struct zr_cell_plan *plan,
-		       const struct zr_cell_plan_item *item)
+		       struct zr_cell_plan_item *item)
 {
 	uint32_t count = item->step->spec->count;
 	uint32_t suspects = zr_cell_isolation_suspects(item);
@@ -78,6 +78,7 @@
 	if (!isolated)
 		zr_cell_isolation_wait(plan, item);
 	if (isolated && zr_cell_plan_item_slots(plan, item) >= count) {
+		zr_cell_gang_choose_band(plan, item, false);
 		place_and_log(plan, item, count);
 		return;
 	}
@@ -85,6 +86,7 @@
 	 * Slots that are free now have to be free when the adviser answers, so
 	 * reserve them.
 	 */
+	zr_cell_gang_choose_band(plan, item, true);
 	zr_cell_gang_reserve(&capacity, plan, item);
 	if (item->queue.advised)
 		zr_cell_query_adviser_for_gang(plan, item, &capacity);
@@ -132,6 +134,7 @@
 	if (!item.max_tasks)
 		return;
 	find_queue(&item, plan->scheduler->config);
+	zr_cell_speed_set_item(plan, &item);
 	zr_cell_plan_item_find_eligible(plan, &item);
 	if (zr_cell_step_is_gang(step))
 		place_gang(plan, &item);
@@ -162,7 +165,8 @@
 void zr_cell_plan(struct zr_cell_scheduler *scheduler)
 {
 	struct zr_cell_plan plan = {.scheduler = scheduler,
-				    .now = zr_cell_now_ms(scheduler)};
+				    .now = zr_cell_now_ms(scheduler),
+				    .fastest_band = ZR_SPEED_BAND_MIN};
 	struct zr_cell_step_state *step;
 	struct zr_cell_step_state *next;
 
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -17,10 +17,10 @@
  * candidate workers and chooses among them; gang.c reserves capacity for gangs;
  * preempt.c computes what stops and preemption would free; adviser_query.c
  * queries the placement adviser and permissions.c stores its answers;
- * isolation.c finds workers for tasks that may crash them; domains.c
- * detects failure domains that do not respond; slowdown.c detects slow workers
- * and stalled runs; unanswered.c detects workers that leave starts without an
- * answer.
+ * speeds.c computes the order of workers by expected finish; isolation.c finds
+ * workers for tasks that may crash them; domains.c detects failure domains that
+ * do not respond; slowdown.c detects slow workers and stalled runs;
+ * unanswered.c detects workers that leave starts without an answer.
  */
 
 /**
@@ -36,6 +36,7 @@
  *                    -1: they are not valid
  * @slow: runs take much longer here than on other workers
  * @gang_reserved: a gang has reserved capacity here in an earlier pass
+ * @speed_band: band of its speed, see policy/worker_speed.h
  */
 struct zr_cell_candidate {
 	struct zr_cell_worker *worker;
@@ -46,6 +47,7 @@
 	int64_t preemption_class;
 	bool slow;
 	bool gang_reserved;
+	int speed_band;
 };
 
 /**
@@ -70,6 +72,7 @@
  * @capacity_millicpus: processors of all candidates, free or not
  * @eligible: buffer for &struct zr_cell_plan_item.eligible, large enough for
  *            all candidates
+ * @fastest_band: highest @speed_band of the candidates
  */
 struct zr_cell_plan {
 	struct zr_cell_scheduler *scheduler;
@@ -80,6 +83,7 @@
 	size_t draining_count;
 	uint64_t capacity_millicpus;
 	struct zr_cell_eligible *eligible;
+	int fastest_band;
 };
 
 /**
@@ -93,6 +97,10 @@
  * @eligible: candidates that meet the step's requirements and, if the queue
  *            needs the adviser's permission, have been permitted
  * @eligible_count: number of entries in @eligible
+ * @by_speed: workers are chosen by expected finish
+ * @needed_band: lowest band of speed on which the step ends in time
+ * @wanted_band: the same, for a gang as far as the eligible workers allow
+ * @far_bands: number of bands that a worker loses which is far from the data
  */
 struct zr_cell_plan_item {
 	struct zr_cell_job *job;
@@ -102,6 +110,10 @@
 	uint32_t max_tasks;
 	struct zr_cell_eligible *eligible;
 	size_t eligible_count;
+	bool by_speed;
+	int needed_band;
+	int wanted_band;
+	int far_bands;
 };
 
 /**
@@ -267,6 +279,7 @@
  * @slots_after_stops: members that fit once sent stops have taken effect
  * @slots_after_preemption: members that fit once all tasks that the gang can
  *                          preempt have been stopped too
+ * @shortfall: number of bands of speed by which it is too slow
  * @already_reserved: the gang has reserved capacity here in an earlier pass
  * @in_gang_domain: it is in the failure domain chosen for the gang
  * @reserved_members: number of members for which this pass reserves capacity
@@ -276,6 +289,7 @@
 	struct zr_cell_candidate *candidate;
 	uint32_t slots_after_stops;
 	uint32_t slots_after_preemption;
+	int shortfall;
 	bool already_reserved;
 	bool in_gang_domain;
 	uint32_t reserved_members;
@@ -297,6 +311,14 @@
 	uint32_t missing_slots;
 };
 
+/**
+ * zr_cell_gang_choose_band() - choose the band of the slowest worker of a gang
+ * @plan: the pass
+ * @item: the gang; its @wanted_band is set
+ * @preempting: count what stops and preemption would free, not what is free
+ */
+void zr_cell_gang_choose_band(struct zr_cell_plan *plan,
+			      struct zr_cell_plan_item *item, bool preempting);
 /** zr_cell_in_gang_domain() - whether a worker is in the gang's domain */
 bool zr_cell_in_gang_domain(const struct zr_cell_plan_item *item,
 			    const struct zr_cell_candidate *candidate);
@@ -367,6 +389,32 @@
 void zr_cell_isolation_wait(struct zr_cell_plan *plan,
 			    const struct zr_cell_plan_item *item);
 
+/* speeds.c */
+/** zr_cell_speed_set_candidate() - set whether a worker is slow, and its band
+ */
+void zr_cell_speed_set_candidate(struct zr_cell_plan *plan,
+				 struct zr_cell_candidate *candidate);
+/** zr_cell_speed_set_item() - set what a step needs of its workers' speed */
+void zr_cell_speed_set_item(struct zr_cell_plan *plan,
+			    struct zr_cell_plan_item *item);
+/** zr_cell_speed_item_band() - band of a worker, with its distance to the data
+ */
+int zr_cell_speed_item_band(const struct zr_cell_plan_item *item,
+			    const struct zr_cell_candidate *candidate);
+/**
+ * zr_cell_speed_order() - order in which a step should get workers
+ *
+ * Return: the lowest comes first; the same for all unless the step is placed by
+ * expected finish.
+ */
+int zr_cell_speed_order(const struct zr_cell_plan_item *item,
+			const struct zr_cell_candidate *candidate);
+/**
+ * zr_cell_speed_shortfall() - number of bands by which a worker is too slow
+ */
+int zr_cell_speed_shortfall(const struct zr_cell_plan_item *item,
+			    const struct zr_cell_candidate *candidate);
+
 /* slowdown.c */
 /**
  * zr_cell_slowdown_add_run() - record the run time of a successful run
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -169,6 +169,7 @@
 	worker->clock_ms = -1;
 	worker->lease_expires_ms = 0;
 	worker->failures = 0;
+	zr_cell_speed_worker_changed(scheduler, worker);
 	stop_unanswered_starts(scheduler, worker);
 }
 
@@ -258,9 +259,12 @@
 	if (step->flags &
 	    (ZR_STEP_GANG | ZR_STEP_LONG_RUNNING | ZR_STEP_BEST_EFFORT))
 		return;
-	zr_cell_slowdown_add_progress(
-		&scheduler->model, worker, step->estimate_ms,
-		now - entry->started_at, entry->percent, now);
+	if (scheduler->options.worker_speed)
+		zr_cell_speed_run_listed(scheduler, worker, job, task);
+	else
+		zr_cell_slowdown_add_progress(
+			&scheduler->model, worker, step->estimate_ms,
+			now - entry->started_at, entry->percent, now);
 	if (!zr_cell_slowdown_is_stalled(entry, now))
 		return;
 	entry->avoided_worker = worker->self;
@@ -299,6 +303,8 @@
 		entry->visible_after = ++scheduler->event_count;
 		entry->started_at = now;
 		entry->percent_at = now;
+		entry->whole_run = false;
+		zr_cell_speed_run_started(scheduler, entry, run->percent);
 	}
 	if (zr_cell_job_has_ended(job) || entry->finished)
 		zr_cell_stop_run(scheduler, job, task, "job_over");
@@ -378,6 +384,7 @@
 	handle_ends(scheduler, worker, reply);
 	for (i = 0; i < reply->run_count; i++)
 		handle_listed_run(scheduler, worker, &reply->runs[i]);
+	zr_cell_speed_poll_done(scheduler, worker);
 	/*
 	 * If the list of ends is full, a run that is not listed may have ended
 	 * instead of being lost.
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -129,6 +129,7 @@
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
+ * @speeds: learned run times and speeds; kept after a term, for the next one
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -185,6 +186,7 @@
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
+	struct zr_speed_table speeds;
 };
 
 /* scheduler.c */
@@ -413,4 +415,25 @@
 			      struct zr_cell_worker *worker,
 			      int64_t incarnation);
 
+/* speeds.c */
+/** zr_cell_speed_worker_changed() - take over a worker's kind and incarnation
+ */
+void zr_cell_speed_worker_changed(struct zr_cell_scheduler *scheduler,
+				  struct zr_cell_worker *worker);
+/** zr_cell_speed_run_started() - a run has been confirmed; @percent: progress
+ */
+void zr_cell_speed_run_started(const struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_task *task, uint32_t percent);
+/** zr_cell_speed_run_done() - learn from a run that has succeeded */
+void zr_cell_speed_run_done(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker,
+			    struct zr_cell_job *job, uint32_t task);
+/** zr_cell_speed_run_listed() - learn from the progress of an active run */
+void zr_cell_speed_run_listed(struct zr_cell_scheduler *scheduler,
+			      struct zr_cell_worker *worker,
+			      struct zr_cell_job *job, uint32_t task);
+/** zr_cell_speed_poll_done() - judge a worker by the reply just processed */
+void zr_cell_speed_poll_done(struct zr_cell_scheduler *scheduler,
+			     struct zr_cell_worker *worker);
+
 #endif
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -69,6 +69,7 @@
 			worker->run_count);
 	worker->report = *report;
 	worker->report.incarnation = incarnation;
+	zr_cell_speed_worker_changed(scheduler, worker);
 	worker->domain =
 		zr_cell_domain_get_or_add(&scheduler->model, report->domain);
 	worker->registered = true;
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -340,10 +340,11 @@
 }
 
 static void record_outcome(struct zr_cell_scheduler *scheduler,
-			   struct zr_cell_job *job, struct zr_cell_task *entry,
-			   struct zr_cell_worker *worker, uint32_t estimate_ms,
+			   struct zr_cell_job *job, uint32_t task,
+			   struct zr_cell_worker *worker,
 			   enum zr_run_outcome outcome)
 {
+	struct zr_cell_task *entry = &job->tasks[task];
 	int64_t now = zr_cell_now_ms(scheduler);
 
 	if (outcome == ZR_RUN_DONE) {
@@ -352,8 +353,13 @@
 			return;
 		zr_histogram_observe(scheduler->run_ms,
 				     (double)(now - entry->started_at));
-		zr_cell_slowdown_add_run(&scheduler->model, worker, estimate_ms,
-					 now - entry->started_at, now);
+		if (scheduler->options.worker_speed)
+			zr_cell_speed_run_done(scheduler, worker, job, task);
+		else
+			zr_cell_slowdown_add_run(
+				&scheduler->model, worker,
+				zr_cell_task_step(job, task)->spec->estimate_ms,
+				now - entry->started_at, now);
 	} else if (outcome == ZR_RUN_FAILED) {
 		entry->failures++;
 		entry->avoided_worker = worker->self;
@@ -383,9 +389,7 @@
 	if (end->checkpoint[0])
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
 			 end->checkpoint);
-	record_outcome(scheduler, job, entry, worker,
-		       zr_cell_task_step(job, task)->spec->estimate_ms,
-		       end->outcome);
+	record_outcome(scheduler, job, task, worker, end->outcome);
 	if (end->outcome == ZR_RUN_DONE) {
 		mark_finished(job, task);
 		zr_cell_gang_finish_waiting(&scheduler->model, job,
@@ -661,6 +665,7 @@
 	zr_cell_task_event(entry, ZR_TASK_EVENT_CONFIRMED);
 	entry->started_at = now;
 	entry->percent_at = now;
+	zr_cell_speed_run_started(scheduler, entry, 0);
 	if (step->ready_at != ZR_CELL_NEVER)
 		zr_histogram_observe(scheduler->wait_ms,
 				     (double)(now - step->ready_at));
@@ -770,6 +775,7 @@
 	start.lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	scheduler->starts->value++;
 	entry->sent_at = zr_cell_now_ms(scheduler);
+	entry->whole_run = !start.checkpoint[0];
 	zr_cell_task_event(entry, ZR_TASK_EVENT_SENT);
 	zr_cell_domain_start_sent(&scheduler->model, worker,
 				  zr_cell_now_ms(scheduler));
--- /dev/null
+++ b/src/libzinniarack/cell/speeds.c
@@ -0,0 +1,239 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "cell/plan.h"
+#include "zinniarack/log.h"
+
+/*
+ * Connects the cell with policy/worker_speed.h: what a run tells about its
+ * worker, and in which order the workers suit a step.
+ */
+
+/* A late job has a fifth of its value until this multiple of its objective. */
+#define WORTHLESS_FACTOR 3
+
+/* The kind of a worker is its first label that is not its rack. */
+static const char *kind_of(const struct zr_cell_worker *worker)
+{
+	const char *label = worker->report.labels;
+
+	while (*label && !strcmp(label, worker->report.rack))
+		label += strlen(label) + 1;
+	return label;
+}
+
+void zr_cell_speed_worker_changed(struct zr_cell_scheduler *scheduler,
+				  struct zr_cell_worker *worker)
+{
+	if (scheduler->options.worker_speed)
+		zr_speed_worker_set(&scheduler->speeds, &worker->speed,
+				    kind_of(worker),
+				    worker->report.incarnation);
+}
+
+static uint32_t class_of(struct zr_cell_scheduler *scheduler,
+			 const struct zr_cell_job *job,
+			 struct zr_cell_step_state *step)
+{
+	if (!step->speed_class)
+		step->speed_class = zr_speed_class_get_or_add(
+			&scheduler->speeds, job->queue,
+			step->spec->estimate_ms);
+	return step->speed_class;
+}
+
+static bool is_far(const struct zr_cell_step_state *step,
+		   const struct zr_cell_worker *worker)
+{
+	const char *rack = step->spec->rack;
+
+	return rack[0] && strcmp(rack, worker->report.rack) != 0;
+}
+
+static struct zr_speed_task speed_task(struct zr_cell_scheduler *scheduler,
+				       const struct zr_cell_worker *worker,
+				       const struct zr_cell_job *job,
+				       uint32_t task)
+{
+	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
+
+	return (struct zr_speed_task){
+		.class = class_of(scheduler, job, step),
+		.place = is_far(step, worker) ? ZR_SPEED_FAR : ZR_SPEED_NEAR,
+		.estimate_ms = step->spec->estimate_ms,
+	};
+}
+
+/* Learning */
+
+static void log_change(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_worker *worker)
+{
+	int64_t now = zr_cell_now_ms(scheduler);
+	bool faulty = zr_speed_is_faulty(&worker->speed, now);
+	int band = zr_speed_band(&scheduler->speeds, &worker->speed, now);
+
+	if (faulty == worker->logged_faulty && band == worker->logged_band)
+		return;
+	worker->logged_faulty = faulty;
+	worker->logged_band = band;
+	zr_log_decision(
+		"worker.speed worker=%s kind=%s permille=%" PRIu32
+		" band=%d faulty=%d runs=%zu",
+		worker->report.name, kind_of(worker),
+		zr_speed_permille(&scheduler->speeds, &worker->speed, now),
+		band, faulty, worker->run_count);
+}
+
+void zr_cell_speed_run_started(const struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_task *task, uint32_t percent)
+{
+	task->progress = (struct zr_speed_progress){
+		.at = zr_cell_now_ms(scheduler), .percent = (uint8_t)percent};
+}
+
+void zr_cell_speed_run_done(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker,
+			    struct zr_cell_job *job, uint32_t task)
+{
+	const struct zr_cell_task *entry = &job->tasks[task];
+	struct zr_speed_run run = {
+		.task = speed_task(scheduler, worker, job, task),
+		.run_ms = zr_cell_now_ms(scheduler) - entry->started_at,
+		.gang = zr_cell_step_is_gang(zr_cell_task_step(job, task)),
+	};
+
+	if (entry->whole_run)
+		zr_speed_add_run(&scheduler->speeds, &worker->speed, &run,
+				 zr_cell_now_ms(scheduler));
+}
+
+void zr_cell_speed_run_listed(struct zr_cell_scheduler *scheduler,
+			      struct zr_cell_worker *worker,
+			      struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_task *entry = &job->tasks[task];
+	struct zr_speed_task of = speed_task(scheduler, worker, job, task);
+
+	if (entry->percent < 100)
+		zr_speed_observe(&scheduler->speeds, &worker->speed,
+				 &entry->progress, &of, entry->percent,
+				 zr_cell_now_ms(scheduler));
+}
+
+void zr_cell_speed_poll_done(struct zr_cell_scheduler *scheduler,
+			     struct zr_cell_worker *worker)
+{
+	if (!scheduler->options.worker_speed)
+		return;
+	zr_speed_judge(&worker->speed, zr_cell_now_ms(scheduler));
+	log_change(scheduler, worker);
+}
+
+/* Placement */
+
+void zr_cell_speed_set_candidate(struct zr_cell_plan *plan,
+				 struct zr_cell_candidate *candidate)
+{
+	const struct zr_cell_scheduler *scheduler = plan->scheduler;
+	const struct zr_cell_worker *worker = candidate->worker;
+
+	if (!scheduler->options.worker_speed) {
+		candidate->slow = zr_cell_slowdown_is_slow(&scheduler->model,
+							   worker, plan->now);
+		return;
+	}
+	candidate->slow = zr_speed_is_faulty(&worker->speed, plan->now);
+	candidate->speed_band =
+		zr_speed_band(&scheduler->speeds, &worker->speed, plan->now);
+	if (candidate->speed_band > plan->fastest_band)
+		plan->fastest_band = candidate->speed_band;
+}
+
+/* Whether later steps of the job have to wait for this one. */
+static bool has_successors(const struct zr_cell_job *job,
+			   const struct zr_cell_step_state *step)
+{
+	const struct zr_cell_job_spec *spec = &job->spec;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = step->number + 1; i < spec->step_count; i++) {
+		for (j = 0; j < spec->steps[i].depends_on_count; j++) {
+			if (spec->steps[i].depends_on[j] == step->number)
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Time until the job loses value, of which a late job has some left. */
+static int64_t left_ms(const struct zr_cell_job *job, int64_t now)
+{
+	int64_t objective = zr_cell_priority_objective_ms(job);
+	int64_t age = now - job->accepted_at;
+
+	return (age < objective ? objective : WORTHLESS_FACTOR * objective) -
+	       age;
+}
+
+void zr_cell_speed_set_item(struct zr_cell_plan *plan,
+			    struct zr_cell_plan_item *item)
+{
+	struct zr_cell_scheduler *scheduler = plan->scheduler;
+	const struct zr_cell_step_spec *spec = item->step->spec;
+	struct zr_speed_need need = {
+		.urgent = !item->job->priority ||
+			  has_successors(item->job, item->step)};
+	uint32_t class;
+
+	if (!scheduler->options.worker_speed || !spec->estimate_ms ||
+	    spec->flags & (ZR_STEP_LONG_RUNNING | ZR_STEP_BEST_EFFORT))
+		return;
+	class = class_of(scheduler, item->job, item->step);
+	item->by_speed = true;
+	if (spec->rack[0])
+		item->far_bands = zr_speed_far_bands(&scheduler->speeds, class);
+	if (!need.urgent) {
+		need.left_ms = left_ms(item->job, plan->now);
+		need.usual_ms =
+			zr_speed_usual_ms(&scheduler->speeds, class,
+					  ZR_SPEED_NEAR, spec->estimate_ms);
+		need.longest_ms =
+			zr_speed_longest_ms(&scheduler->speeds, class,
+					    spec->estimate_ms, spec->count);
+	}
+	item->needed_band = zr_speed_wanted_band(&need, plan->fastest_band);
+	item->wanted_band = item->needed_band;
+}
+
+int zr_cell_speed_item_band(const struct zr_cell_plan_item *item,
+			    const struct zr_cell_candidate *candidate)
+{
+	int band = candidate->speed_band;
+
+	if (item->far_bands && is_far(item->step, candidate->worker))
+		band -= item->far_bands;
+	return band < ZR_SPEED_BAND_MIN ? ZR_SPEED_BAND_MIN : band;
+}
+
+int zr_cell_speed_order(const struct zr_cell_plan_item *item,
+			const struct zr_cell_candidate *candidate)
+{
+	if (!item->by_speed)
+		return 0;
+	return zr_speed_order(zr_cell_speed_item_band(item, candidate),
+			      is_far(item->step, candidate->worker),
+			      item->wanted_band);
+}
+
+int zr_cell_speed_shortfall(const struct zr_cell_plan_item *item,
+			    const struct zr_cell_candidate *candidate)
+{
+	int band;
+
+	if (!item->by_speed)
+		return 0;
+	band = zr_cell_speed_item_band(item, candidate);
+	return band < item->wanted_band ? item->wanted_band - band : 0;
+}
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -49,6 +49,7 @@
 	uint32_t latency_target_ms;
 	unsigned int adviser_queries;
 	bool hides_runs;
+	bool worker_speed;
 	char line[LINE_MAX_BYTES];
 	char *words[WORDS_MAX];
 	int word_count;
@@ -233,6 +234,7 @@
 	options.clock = &host->clock;
 	options.host = host->name;
 	options.metrics = host->metrics;
+	options.worker_speed = script->worker_speed;
 	if (zr_cell_scheduler_new(&host->scheduler, &options) < 0)
 		abort();
 	snprintf(proxy.name, sizeof(proxy.name), "%s", host->name);
@@ -385,7 +387,7 @@
 	}
 	step->count = (uint32_t)atoi(text);
 	step->need.millicpus = (uint32_t)atoi(need + 1);
-	if (colon[1] == 'f' || colon[1] == 'x')
+	if (colon[1] == 'f' || colon[1] == 't' || colon[1] == 'x')
 		kind[0] = *++colon;
 	if (kind[0] == 'x' && step->flags & ZR_STEP_GANG)
 		kind[0] = 'X';
@@ -744,6 +746,28 @@
 	commit_value(script, &script->registrar, key, "1", 1);
 }
 
+static void do_worker_speed(struct cell_script *script)
+{
+	script->worker_speed = !strcmp(word(script, 1), "on");
+}
+
+static void do_speed(struct cell_script *script)
+{
+	char key[ZR_CELL_KEY_MAX];
+
+	fake_pool_set_speed(script->pool, word(script, 1),
+			    (uint32_t)atoi(word(script, 2)), word(script, 3));
+	if (!word(script, 3)[0])
+		return;
+	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
+	commit_value(script, &script->registrar, key, "1", 1);
+}
+
+static void do_save_checkpoints(struct cell_script *script)
+{
+	fake_pool_save_checkpoints(script->pool);
+}
+
 static void do_replace(struct cell_script *script)
 {
 	fake_pool_replace(script->pool, word(script, 1));
@@ -792,6 +816,9 @@
 	{"latency-target", do_latency_target},
 	{"adviser-queries", do_adviser_queries},
 	{"query", do_query},
+	{"worker-speed", do_worker_speed},
+	{"speed", do_speed},
+	{"save-checkpoints", do_save_checkpoints},
 };
 
 void cell_script_run(struct cell_script *script, const char *line)
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -25,7 +25,9 @@
  *                              all schedulers of it. STEP is
  *                              [gang,|checkpoints,]COUNTxMILLICPUS:MS[@STEP]:
  *                              MS is the run time of a task, fMS that of a task
- *                              that fails, xMS that of the tasks of a step
+ *                              that fails, tMS that of the tasks of a step
+ *                              whose first one takes seven times as long, xMS
+ *                              that of the tasks of a step
  *                              whose first one crashes its workers, @STEP the
  *                              index of the step that it depends on
  *   cancel HOST JOB            commit a cancellation like an entry host
@@ -75,6 +77,12 @@
  *   shrink-grace MS            set for how long a start need not fit a capacity
  *                              that has decreased
  *   stop-ms MS                 set the time from a stop until the run's end
+ *   worker-speed on|off        set whether hosts started from now on place
+ *                              tasks by expected finish
+ *   speed WORKER PERMILLE [KIND]
+ *                              set the speed of a worker, also for active
+ *                              runs, and its kind
+ *   save-checkpoints           let runs save a checkpoint at each tenth
  *   hang WORKER                stop the progress of its tasks; the worker
  *                              still responds
  *
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -20,6 +20,9 @@
 #define CRASHES_TO_FAIL 2
 #define CRASH_AFTER_MS 10
 #define CRASH_DOWN_MS 3000
+/* A task in the tail takes as many times as long as the others. */
+#define TAIL_FACTOR 7
+#define CHECKPOINT_PERCENT 10
 
 struct run {
 	struct run *prev;
@@ -27,12 +30,14 @@
 	struct zr_cell_task_name task;
 	uint32_t attempt;
 	uint32_t millicpus;
-	int64_t began_at;
 	int64_t ends_at;
 	int64_t stops_at;   /* INT64_MAX: no stop was requested */
 	int64_t crashes_at; /* INT64_MAX: it does not crash the worker */
 	bool fails;
 	bool breaks_gang;
+	double total_ms; /* run time at speed 1 */
+	double done;	 /* part of it that was done at @done_at */
+	int64_t done_at;
 };
 
 /*
@@ -75,6 +80,8 @@
 	struct run *runs;
 	struct ended_run *ended_runs;
 	struct pending_poll *pending_polls;
+	uint32_t speed_permille;
+	char kind[ZR_NAME_MAX];
 };
 
 /* A task that has succeeded; @acked: a poll has acknowledged its end. */
@@ -108,6 +115,7 @@
 	void *ctx;
 	unsigned int stop_ms;
 	unsigned int violations;
+	bool saves_checkpoints;
 };
 
 enum call_kind {
@@ -127,6 +135,7 @@
 	uint64_t fencing_token;
 	int64_t last_end_acked;
 	unsigned int wait_ms;
+	char checkpoint[ZR_CELL_TICKET_MAX];
 	struct zr_cell_request_reply request_reply;
 	struct zr_cell_poll_reply poll_reply;
 	struct zr_cell_run *runs;
@@ -304,7 +313,41 @@
 		violation(worker->pool, "AGAIN", task, worker->name);
 }
 
-/* Parses the payload's entry `[f|x|X]MS:MILLICPUS` for the step of a run. */
+static double speed_of(const struct pool_worker *worker)
+{
+	return worker->speed_permille / 1000.0;
+}
+
+/* Part of a run that is done. */
+static double done_part(const struct pool_worker *worker, const struct run *run)
+{
+	double ms = (double)(net_now(worker->pool) - run->done_at);
+
+	return run->total_ms > 0
+		       ? run->done + ms * speed_of(worker) / run->total_ms
+		       : 0;
+}
+
+/* Sets the end of a run, from what is done now and the worker's speed. */
+static void set_end(const struct pool_worker *worker, struct run *run,
+		    double done)
+{
+	run->done = done;
+	run->done_at = net_now(worker->pool);
+	run->ends_at =
+		run->done_at +
+		(int64_t)((1 - done) * run->total_ms / speed_of(worker) + 0.5);
+}
+
+/* A checkpoint is the percentage that had been done. */
+static void resume_run(const struct pool_worker *worker, struct run *run,
+		       const char *checkpoint)
+{
+	set_end(worker, run,
+		checkpoint[0] == 'p' ? atoi(checkpoint + 1) / 100.0 : 0);
+}
+
+/* Parses the payload's entry `[f|t|x|X]MS:MILLICPUS` for the step of a run. */
 static void parse_payload(struct run *run, const struct fake_pool *pool,
 			  const char *payload, int64_t now)
 {
@@ -320,10 +363,12 @@
 	run->breaks_gang = entry && *entry == 'X';
 	if (entry && (*entry == 'x' || *entry == 'X') && !run->task.index)
 		run->crashes_at = now + pool->crash_after_ms;
-	if (entry && strchr("fxX", *entry))
+	run->total_ms = 1;
+	if (entry && *entry == 't' && !run->task.index)
+		run->total_ms = TAIL_FACTOR;
+	if (entry && strchr("ftxX", *entry))
 		entry++;
-	run->began_at = now;
-	run->ends_at = now + (entry ? atoi(entry) : 0);
+	run->total_ms *= entry ? atoi(entry) : 0;
 	entry = entry ? strchr(entry, ':') : NULL;
 	run->millicpus = entry ? (uint32_t)atoi(entry + 1) : 0;
 }
@@ -357,6 +402,7 @@
 	run->attempt = call->attempt;
 	run->stops_at = INT64_MAX;
 	parse_payload(run, worker->pool, call->payload, net_now(worker->pool));
+	resume_run(worker, run, call->checkpoint);
 	worker->used_millicpus += run->millicpus;
 	if (worker->used_millicpus > max_capacity(worker))
 		violation(worker->pool, "LIMIT", &run->task, worker->name);
@@ -408,10 +454,7 @@
 static uint32_t percent_of(const struct pool_worker *worker,
 			   const struct run *run)
 {
-	int64_t elapsed_ms = net_now(worker->pool) - run->began_at;
-	int64_t total_ms = run->ends_at - run->began_at;
-
-	return total_ms > 0 ? (uint32_t)(elapsed_ms * 100 / total_ms) : 0;
+	return (uint32_t)(done_part(worker, run) * 100 + 1e-6);
 }
 
 static void fill_poll_reply(const struct pool_worker *worker, struct call *call)
@@ -431,6 +474,12 @@
 		out->task = run->task;
 		out->attempt = run->attempt;
 		out->percent = worker->hung ? 0 : percent_of(worker, run);
+		if (worker->pool->saves_checkpoints &&
+		    out->percent >= CHECKPOINT_PERCENT)
+			snprintf(out->checkpoint, sizeof(out->checkpoint),
+				 "p%02u",
+				 out->percent / CHECKPOINT_PERCENT *
+					 CHECKPOINT_PERCENT);
 	}
 	DL_COUNT(worker->ended_runs, ended, count);
 	call->ends = calloc(count + 1, sizeof(*call->ends));
@@ -603,6 +652,8 @@
 	call->task = start->task;
 	call->attempt = start->attempt;
 	snprintf(call->payload, sizeof(call->payload), "%s", start->payload);
+	snprintf(call->checkpoint, sizeof(call->checkpoint), "%s",
+		 start->checkpoint);
 	call->lease_expires_at = start->lease_expires_ms;
 	call->request_done = done;
 	send_call(impl, call, timeout_ms);
@@ -697,6 +748,7 @@
 	worker->pool = pool;
 	worker->node = fake_node_new(pool->net, name);
 	worker->millicpus = millicpus;
+	worker->speed_permille = 1000;
 	worker->incarnation = 1;
 	worker->started_at = net_now(pool);
 	LL_APPEND(pool->workers, worker);
@@ -810,6 +862,26 @@
 	pool->stop_ms = stop_ms;
 }
 
+void fake_pool_set_speed(struct fake_pool *pool, const char *name,
+			 uint32_t permille, const char *kind)
+{
+	struct pool_worker *worker = find_worker(pool, name);
+	struct run *run;
+
+	DL_FOREACH(worker->runs, run)
+	run->done = done_part(worker, run);
+	worker->speed_permille = permille;
+	DL_FOREACH(worker->runs, run)
+	set_end(worker, run, run->done);
+	if (kind[0])
+		snprintf(worker->kind, sizeof(worker->kind), "%s", kind);
+}
+
+void fake_pool_save_checkpoints(struct fake_pool *pool)
+{
+	pool->saves_checkpoints = true;
+}
+
 void fake_pool_hang(struct fake_pool *pool, const char *name)
 {
 	find_worker(pool, name)->hung = true;
@@ -867,6 +939,7 @@
 	out->capacity.memory_mb = worker->millicpus;
 	out->incarnation = worker->incarnation;
 	out->clock_ms = worker_now(worker);
+	snprintf(out->labels, sizeof(out->labels) - 1, "%s", worker->kind);
 	return 0;
 }
 
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -16,6 +16,7 @@
  * of a processor. A letter before MS changes what the tasks do:
  *
  * - `f`: their runs fail at the end.
+ * - `t`: the first task of the step takes seven times as long.
  * - `x`: the first task of the step crashes each worker that starts it.
  * - `X`: the same, and the crash ends the other members of its gang.
  *
@@ -77,6 +78,20 @@
 void fake_pool_set_capacity(struct fake_pool *pool, const char *name,
 			    uint32_t millicpus);
 
+/**
+ * fake_pool_set_speed() - set the speed of a worker, also for active runs
+ * @pool: the pool
+ * @name: the worker
+ * @permille: its speed, in thousandths
+ * @kind: label for its kind; "": as it is
+ */
+void fake_pool_set_speed(struct fake_pool *pool, const char *name,
+			 uint32_t permille, const char *kind);
+
+/** fake_pool_save_checkpoints() - save one at each tenth of a run from now on
+ */
+void fake_pool_save_checkpoints(struct fake_pool *pool);
+
 /** fake_pool_hang() - let a worker's runs make no more progress, nor end */
 void fake_pool_hang(struct fake_pool *pool, const char *name);
 
--- a/tests/unit/test_worker_speed.c
+++ b/tests/unit/test_worker_speed.c
@@ -118,10 +118,10 @@
 	 */
 	ck_assert_uint_lt(
 		zr_speed_longest_ms(&table, batch, BATCH_ESTIMATE_MS, 3),
-		2 * BATCH_MS);
+		UINTMAX_C(2) * BATCH_MS);
 	ck_assert_uint_gt(
 		zr_speed_longest_ms(&table, batch, BATCH_ESTIMATE_MS, 25),
-		4 * BATCH_MS);
+		UINTMAX_C(4) * BATCH_MS);
 }
 END_TEST
 
