cell: cause of slow runs, and moves by checkpoint

A run far beyond the usual time of its class stays where it is, unless it makes no progress at all. Now each slow run is logged once with its cause: tail, if other runs of the worker are not affected, or worker. After each planning pass, slow runs of steps with checkpoints are moved if the rest ends well before elsewhere by the learned times: a task in the tail only to faster workers. A task is moved only in its first attempt, which is persisted, so once at most.

--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -537,6 +537,7 @@
 	entry->crash_evidence = 0;
 	entry->percent = 0;
 	entry->whole_run = false;
+	entry->slow_logged = false;
 	step->waiting--;
 	step->active_tasks++;
 	job->active_tasks++;
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -85,6 +85,8 @@
  * @progress: progress of its active run, from which speeds are learned
  * @whole_run: its active run began without a checkpoint, and @started_at is
  *             when; not known of runs that an earlier scheduler started
+ * @saved_percent: progress when @checkpoint last changed, or a little more
+ * @slow_logged: its active run has been logged as slow
  */
 struct zr_cell_task {
 	int state;
@@ -109,6 +111,8 @@
 	char checkpoint[ZR_CELL_TICKET_MAX];
 	struct zr_speed_progress progress;
 	bool whole_run;
+	uint8_t saved_percent;
+	bool slow_logged;
 };
 
 /**
@@ -157,6 +161,7 @@
  * @in_ready_list: it is in that list
  * @rank: position in that list, computed before each pass; the lowest is first
  * @speed_class: number of its class of run times; 0: not looked up, or none
+ * @has_moved: a task of it was slow and has been moved to a faster worker
  */
 struct zr_cell_step_state {
 	const struct zr_cell_step_spec *spec;
@@ -185,6 +190,7 @@
 	bool in_ready_list;
 	int64_t rank;
 	uint32_t speed_class;
+	bool has_moved;
 };
 
 /**
--- /dev/null
+++ b/src/libzinniarack/cell/moves.c
@@ -0,0 +1,173 @@
+#include <inttypes.h>
+
+#include "cell/plan.h"
+#include "zinniarack/log.h"
+
+/*
+ * Moves slow runs to other workers. A pass does so after it has placed all that
+ * it can, so that moves use only what is left. The start of the task elsewhere
+ * is an ordinary placement, once the run here has ended.
+ */
+
+/* A move starts again on the other worker: stop, journal write and start. */
+#define RESTART_MS (ZR_CELL_STOP_MS + 50)
+/* Time of a query to the adviser, which takes 0.4 to 0.8 s on small hosts. */
+#define QUERY_MS 600
+/*
+ * What the other workers have to offer: slots on workers where the task may
+ * run, or workers about which the adviser has not been queried, each worth a
+ * third, since it permits about a quarter. One slot is not enough, as another
+ * task may take it before the run here has ended.
+ */
+#define SLOT_WORTH 3
+#define UNKNOWN_WORTH 1
+#define WORTH_MIN 6
+/* Runs that are moved in one pass, so that they do not compete for a slot. */
+#define MOVES_MAX 4
+
+/* Whether the rules allow to move a run, and it has not been moved before. */
+static bool is_movable(const struct zr_cell_job *job, uint32_t task)
+{
+	const struct zr_cell_task *entry = &job->tasks[task];
+	uint32_t flags = zr_cell_task_step(job, task)->spec->flags;
+
+	/* The attempt is persisted, so the rule outlasts the owner. */
+	return entry->state == ZR_TASK_RUNNING && !entry->finished &&
+	       entry->attempt == 1 && (flags & ZR_STEP_CHECKPOINTS) &&
+	       !(flags &
+		 (ZR_STEP_GANG | ZR_STEP_LONG_RUNNING | ZR_STEP_BEST_EFFORT)) &&
+	       !zr_cell_job_has_ended(job);
+}
+
+/* What a worker has to offer; 0 if the task cannot run there. */
+static uint32_t worth_of(const struct zr_cell_plan_item *item,
+			 const struct zr_cell_candidate *candidate)
+{
+	const struct zr_cell_permission *permission;
+	uint32_t slots;
+
+	if (candidate->slow || !zr_cell_candidate_matches(item, candidate))
+		return 0;
+	slots = zr_cell_candidate_slots(item, candidate);
+	if (!slots || !item->queue.advised)
+		return slots * SLOT_WORTH;
+	permission =
+		zr_cell_permission_find(item->step, candidate->worker->self);
+	if (!permission)
+		return UNKNOWN_WORTH;
+	return permission->permitted ? slots * SLOT_WORTH : 0;
+}
+
+/* Finds the highest band with enough to offer; false if there is none. */
+static bool find_band(int *out, const struct zr_cell_plan *plan,
+		      const struct zr_cell_plan_item *item, zr_handle worker)
+{
+	uint32_t worth[ZR_SPEED_BANDS] = {0};
+	uint32_t sum = 0;
+	size_t i;
+	int band;
+
+	for (i = 0; i < plan->candidate_count; i++) {
+		const struct zr_cell_candidate *candidate =
+			&plan->candidates[i];
+
+		if (candidate->worker->self == worker)
+			continue;
+		band = zr_cell_speed_item_band(item, candidate);
+		worth[band - ZR_SPEED_BAND_MIN] += worth_of(item, candidate);
+	}
+	for (band = ZR_SPEED_BAND_MAX; band > ZR_SPEED_BAND_MIN; band--) {
+		sum += worth[band - ZR_SPEED_BAND_MIN];
+		if (sum >= WORTH_MIN)
+			break;
+	}
+	*out = band;
+	return sum >= WORTH_MIN;
+}
+
+static struct zr_speed_move describe(const struct zr_cell_plan *plan,
+				     const struct zr_cell_plan_item *item,
+				     const struct zr_cell_worker *worker,
+				     uint32_t task, int band)
+{
+	const struct zr_speed_table *speeds = &plan->scheduler->speeds;
+	const struct zr_cell_task *entry = &item->job->tasks[task];
+	uint32_t estimate_ms = item->step->spec->estimate_ms;
+	uint32_t class = item->step->speed_class;
+
+	return (struct zr_speed_move){
+		.cause = zr_speed_cause_of(speeds, &worker->speed,
+					   &entry->progress, plan->now),
+		.here_log2 = entry->progress.log2,
+		.worker_log2 =
+			zr_speed_worker_log2(speeds, &worker->speed, plan->now),
+		.there_log2 = zr_speed_band_log2(band),
+		.usual_here_ms = zr_speed_usual_ms(
+			speeds, class, zr_cell_speed_place(item->step, worker),
+			estimate_ms),
+		.usual_there_ms = zr_speed_usual_ms(speeds, class,
+						    ZR_SPEED_NEAR, estimate_ms),
+		.percent = entry->percent,
+		.saved_percent =
+			entry->checkpoint[0] ? entry->saved_percent : 0,
+		.cost_ms = RESTART_MS + (item->queue.advised ? QUERY_MS : 0),
+	};
+}
+
+static void move_run(struct zr_cell_plan *plan,
+		     const struct zr_cell_plan_item *item, uint32_t task,
+		     const struct zr_speed_move *move, int band)
+{
+	struct zr_cell_scheduler *scheduler = plan->scheduler;
+	struct zr_cell_task *entry = &item->job->tasks[task];
+	bool tail = move->cause == ZR_SPEED_CAUSE_TAIL;
+
+	zr_log_decision(
+		"run.move job=%s task=%" PRIu32 " worker=%s cause=%s "
+		"percent=%" PRIu32 " saved=%" PRIu32 " band=%d "
+		"rest_ms=%" PRId64 " elsewhere_ms=%" PRId64,
+		item->job->id, task,
+		zr_cell_worker(&scheduler->model, entry->worker)->report.name,
+		tail ? "tail" : "worker", move->percent, move->saved_percent,
+		band, zr_speed_rest_here_ms(move),
+		zr_speed_rest_there_ms(move));
+	scheduler->moved[move->cause]->value++;
+	item->step->has_moved = true;
+	entry->avoided_worker = entry->worker;
+	zr_cell_stop_run(scheduler, item->job, task,
+			 tail ? "moved_tail" : "moved_slow_worker");
+}
+
+static bool consider(struct zr_cell_plan *plan, struct zr_cell_ref ref)
+{
+	struct zr_cell_model *model = &plan->scheduler->model;
+	struct zr_cell_job *job = zr_cell_job(model, ref.job);
+	struct zr_cell_plan_item item;
+	struct zr_cell_worker *worker;
+	struct zr_speed_move move;
+	int band;
+
+	if (!job || !job->tasks || !is_movable(job, ref.task))
+		return false;
+	worker = zr_cell_worker(model, job->tasks[ref.task].worker);
+	zr_cell_plan_item_set(plan, &item, zr_cell_task_step(job, ref.task));
+	if (!worker || !find_band(&band, plan, &item, worker->self))
+		return false;
+	move = describe(plan, &item, worker, ref.task, band);
+	if (!zr_speed_should_move(&move))
+		return false;
+	move_run(plan, &item, ref.task, &move, band);
+	return true;
+}
+
+void zr_cell_moves_plan(struct zr_cell_plan *plan)
+{
+	struct zr_cell_scheduler *scheduler = plan->scheduler;
+	size_t count = scheduler->slow_run_count;
+	uint32_t moves = 0;
+	size_t i;
+
+	scheduler->slow_run_count = 0;
+	for (i = 0; i < count && moves < MOVES_MAX; i++)
+		moves += consider(plan, scheduler->slow_runs[i]);
+}
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -117,24 +117,35 @@
 			 item->job->pool);
 }
 
-static void place_step(struct zr_cell_plan *plan,
-		       struct zr_cell_step_state *step)
+void zr_cell_plan_item_set(struct zr_cell_plan *plan,
+			   struct zr_cell_plan_item *item,
+			   struct zr_cell_step_state *step)
 {
-	struct zr_cell_model *model = &plan->scheduler->model;
-	struct zr_cell_plan_item item = {
-		.job = zr_cell_job(model, step->job),
+	*item = (struct zr_cell_plan_item){
+		.job = zr_cell_job(&plan->scheduler->model, step->job),
 		.step = step,
 		.need = zr_cell_need(step->spec),
 	};
+	find_queue(item, plan->scheduler->config);
+	zr_cell_speed_set_item(plan, item);
+}
+
+static void place_step(struct zr_cell_plan *plan,
+		       struct zr_cell_step_state *step)
+{
+	struct zr_cell_model *model = &plan->scheduler->model;
+	const struct zr_cell_job *job = zr_cell_job(model, step->job);
+	struct zr_cell_plan_item item;
+	uint32_t max_tasks;
 
 	if (plan->now < step->ready_at || !step->waiting)
 		return;
-	item.max_tasks = zr_cell_client_remaining_tasks(
-		zr_cell_client(model, item.job->client), &step->spec->need);
-	if (!item.max_tasks)
+	max_tasks = zr_cell_client_remaining_tasks(
+		zr_cell_client(model, job->client), &step->spec->need);
+	if (!max_tasks)
 		return;
-	find_queue(&item, plan->scheduler->config);
-	zr_cell_speed_set_item(plan, &item);
+	zr_cell_plan_item_set(plan, &item, step);
+	item.max_tasks = max_tasks;
 	zr_cell_plan_item_find_eligible(plan, &item);
 	if (zr_cell_step_is_gang(step))
 		place_gang(plan, &item);
@@ -182,6 +193,7 @@
 		place_step(&plan, step);
 		zr_cell_step_unlist_placed(&scheduler->model, step);
 	}
+	zr_cell_moves_plan(&plan);
 	free(plan.candidates);
 	free(plan.eligible);
 	zr_cell_journal_flush(scheduler->journal);
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -17,7 +17,8 @@
  * candidate workers and chooses among them; gang.c reserves capacity for gangs;
  * preempt.c computes what stops and preemption would free; adviser_query.c
  * queries the placement adviser and permissions.c stores its answers;
- * speeds.c computes the order of workers by expected finish; isolation.c finds
+ * speeds.c computes the order of workers by expected finish and moves.c moves
+ * slow runs; isolation.c finds
  * workers for tasks that may crash them; domains.c detects failure domains that
  * do not respond; slowdown.c detects slow workers and stalled runs;
  * unanswered.c detects workers that leave starts without an answer.
@@ -175,6 +176,10 @@
  */
 bool zr_cell_candidate_matches(const struct zr_cell_plan_item *item,
 			       const struct zr_cell_candidate *candidate);
+/** zr_cell_plan_item_set() - fill in a step, without eligible workers */
+void zr_cell_plan_item_set(struct zr_cell_plan *plan,
+			   struct zr_cell_plan_item *item,
+			   struct zr_cell_step_state *step);
 /** zr_cell_plan_item_find_eligible() - fill in @item->eligible */
 void zr_cell_plan_item_find_eligible(struct zr_cell_plan *plan,
 				     struct zr_cell_plan_item *item);
@@ -409,12 +414,19 @@
  */
 int zr_cell_speed_order(const struct zr_cell_plan_item *item,
 			const struct zr_cell_candidate *candidate);
+/** zr_cell_speed_place() - where a worker is, relative to the data of a step */
+enum zr_speed_place zr_cell_speed_place(const struct zr_cell_step_state *step,
+					const struct zr_cell_worker *worker);
 /**
  * zr_cell_speed_shortfall() - number of bands by which a worker is too slow
  */
 int zr_cell_speed_shortfall(const struct zr_cell_plan_item *item,
 			    const struct zr_cell_candidate *candidate);
 
+/* moves.c */
+/** zr_cell_moves_plan() - move slow runs that would end sooner elsewhere */
+void zr_cell_moves_plan(struct zr_cell_plan *plan);
+
 /* slowdown.c */
 /**
  * zr_cell_slowdown_add_run() - record the run time of a successful run
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -290,9 +290,11 @@
 	entry = &job->tasks[task];
 	zr_cell_crash_run_seen(scheduler, worker, job, task);
 	job->has_started = true;
-	if (run->checkpoint[0])
+	if (run->checkpoint[0] && strcmp(entry->checkpoint, run->checkpoint)) {
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
 			 run->checkpoint);
+		entry->saved_percent = (uint8_t)run->percent;
+	}
 	if (run->percent != entry->percent) {
 		entry->percent = run->percent;
 		entry->percent_at = now;
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -15,6 +15,10 @@
  * defined in cell/model.h.
  */
 
+/** Maximum number of slow runs that a pass considers; a poll lists them again.
+ */
+#define ZR_CELL_SLOW_RUNS_MAX 32
+
 /** enum zr_cell_phase - phase of a scheduler */
 enum zr_cell_phase {
 	ZR_CELL_STANDBY, /* does not own the cell */
@@ -130,6 +134,9 @@
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
  * @speeds: learned run times and speeds; kept after a term, for the next one
+ * @slow_runs: slow runs that the next pass may move to other workers
+ * @slow_run_count: number of @slow_runs
+ * @moved: runs moved, by &enum zr_speed_cause
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -187,6 +194,9 @@
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
 	struct zr_speed_table speeds;
+	struct zr_cell_ref slow_runs[ZR_CELL_SLOW_RUNS_MAX];
+	size_t slow_run_count;
+	struct zr_metric *moved[ZR_SPEED_CAUSE_WORKER + 1];
 };
 
 /* scheduler.c */
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -520,6 +520,12 @@
 	scheduler->visible_ms = zr_metrics_get_or_add_histogram(
 		metrics, "zinniarack_cell_job_ms", NULL,
 		"Time from a job's acceptance until its end could be read");
+	scheduler->moved[ZR_SPEED_CAUSE_TAIL] = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_runs_moved_total", "cause=\"tail\"",
+		"Slow runs that were moved to a faster worker");
+	scheduler->moved[ZR_SPEED_CAUSE_WORKER] = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_runs_moved_total", "cause=\"worker\"",
+		"Slow runs that were moved to a faster worker");
 }
 
 int zr_cell_scheduler_new(struct zr_cell_scheduler **out,
--- a/src/libzinniarack/cell/speeds.c
+++ b/src/libzinniarack/cell/speeds.c
@@ -50,6 +50,12 @@
 	return rack[0] && strcmp(rack, worker->report.rack) != 0;
 }
 
+enum zr_speed_place zr_cell_speed_place(const struct zr_cell_step_state *step,
+					const struct zr_cell_worker *worker)
+{
+	return is_far(step, worker) ? ZR_SPEED_FAR : ZR_SPEED_NEAR;
+}
+
 static struct zr_speed_task speed_task(struct zr_cell_scheduler *scheduler,
 				       const struct zr_cell_worker *worker,
 				       const struct zr_cell_job *job,
@@ -59,7 +65,7 @@
 
 	return (struct zr_speed_task){
 		.class = class_of(scheduler, job, step),
-		.place = is_far(step, worker) ? ZR_SPEED_FAR : ZR_SPEED_NEAR,
+		.place = zr_cell_speed_place(step, worker),
 		.estimate_ms = step->spec->estimate_ms,
 	};
 }
@@ -121,13 +127,46 @@
 				 zr_cell_now_ms(scheduler));
 }
 
+/* Logs a run once that is slow, and lists it for the next pass. */
+static void check_run(struct zr_cell_scheduler *scheduler,
+		      const struct zr_cell_worker *worker,
+		      struct zr_cell_ref ref)
+{
+	struct zr_cell_job *job = zr_cell_job(&scheduler->model, ref.job);
+	struct zr_cell_task *entry = &job->tasks[ref.task];
+	int64_t now = zr_cell_now_ms(scheduler);
+	enum zr_speed_cause cause;
+
+	if (entry->state != ZR_TASK_RUNNING)
+		return;
+	cause = zr_speed_cause_of(&scheduler->speeds, &worker->speed,
+				  &entry->progress, now);
+	if (cause == ZR_SPEED_CAUSE_NONE)
+		return;
+	if (!entry->slow_logged)
+		zr_log_decision(
+			"run.slow job=%s task=%" PRIu32 " attempt=%" PRIu32
+			" worker=%s cause=%s percent=%" PRIu32
+			" run_ms=%" PRId64,
+			job->id, ref.task, entry->attempt, worker->report.name,
+			cause == ZR_SPEED_CAUSE_TAIL ? "tail" : "worker",
+			entry->percent, now - entry->started_at);
+	entry->slow_logged = true;
+	if (scheduler->slow_run_count < ZR_CELL_SLOW_RUNS_MAX)
+		scheduler->slow_runs[scheduler->slow_run_count++] = ref;
+}
+
 void zr_cell_speed_poll_done(struct zr_cell_scheduler *scheduler,
 			     struct zr_cell_worker *worker)
 {
+	size_t i;
+
 	if (!scheduler->options.worker_speed)
 		return;
 	zr_speed_judge(&worker->speed, zr_cell_now_ms(scheduler));
 	log_change(scheduler, worker);
+	for (i = 0; i < worker->run_count; i++)
+		check_run(scheduler, worker, worker->runs[i]);
 }
 
 /* Placement */
@@ -183,7 +222,7 @@
 	struct zr_cell_scheduler *scheduler = plan->scheduler;
 	const struct zr_cell_step_spec *spec = item->step->spec;
 	struct zr_speed_need need = {
-		.urgent = !item->job->priority ||
+		.urgent = !item->job->priority || item->step->has_moved ||
 			  has_successors(item->job, item->step)};
 	uint32_t class;
 
--- a/src/libzinniarack/policy/worker_speed.c
+++ b/src/libzinniarack/policy/worker_speed.c
@@ -62,6 +62,10 @@
  */
 #define INTERVAL_MIN_MS 300
 #define INTERVAL_PERCENT 10
+/* Part of the time here that a move to another worker may take. */
+#define MOVE_PERCENT 70
+/* Faults last 6.5 s; this is about what is left when one has been noticed. */
+#define FAULT_REST_MS 5000
 #define LOG2_MAX 5.0F
 /* Part of the time left that the usual run time may take. */
 #define TIME_PERCENT 75
@@ -438,6 +442,61 @@
 	speed->slowed_runs = 0;
 }
 
+/* Moves */
+
+enum zr_speed_cause zr_speed_cause_of(const struct zr_speed_table *table,
+				      const struct zr_worker_speed *speed,
+				      const struct zr_speed_progress *progress,
+				      int64_t now)
+{
+	if (!progress->measured || !is_slow(table, speed, progress->log2, now))
+		return ZR_SPEED_CAUSE_NONE;
+	return zr_speed_is_faulty(speed, now) ? ZR_SPEED_CAUSE_WORKER
+					      : ZR_SPEED_CAUSE_TAIL;
+}
+
+int64_t zr_speed_rest_here_ms(const struct zr_speed_move *move)
+{
+	double left = (double)move->usual_here_ms * (PERCENT - move->percent) /
+		      PERCENT;
+	double ms = left * exp2f(-move->here_log2);
+
+	if (move->cause != ZR_SPEED_CAUSE_WORKER || ms <= FAULT_REST_MS)
+		return (int64_t)ms;
+	left -= FAULT_REST_MS * exp2f(move->here_log2);
+	return (int64_t)(FAULT_REST_MS + left * exp2f(-move->worker_log2));
+}
+
+int64_t zr_speed_rest_there_ms(const struct zr_speed_move *move)
+{
+	double left = (double)move->usual_there_ms *
+		      (PERCENT - move->saved_percent) / PERCENT;
+	float log2 = move->there_log2;
+
+	/* A task in the tail is as much slower than usual there as here. */
+	if (move->cause == ZR_SPEED_CAUSE_TAIL)
+		log2 += move->here_log2 - move->worker_log2;
+	return (int64_t)(move->cost_ms + left * exp2f(-log2));
+}
+
+bool zr_speed_should_move(const struct zr_speed_move *move)
+{
+	return move->cause != ZR_SPEED_CAUSE_NONE &&
+	       zr_speed_rest_there_ms(move) * PERCENT <
+		       zr_speed_rest_here_ms(move) * MOVE_PERCENT;
+}
+
+float zr_speed_worker_log2(const struct zr_speed_table *table,
+			   const struct zr_worker_speed *speed, int64_t now)
+{
+	return normal_log2(table, speed, now);
+}
+
+float zr_speed_band_log2(int band)
+{
+	return BAND_WIDTH * (float)band;
+}
+
 /* Placement */
 
 /* Whether a step ends in time on a band; @ms is its time at speed 1. */
--- a/src/libzinniarack/policy/worker_speed.h
+++ b/src/libzinniarack/policy/worker_speed.h
@@ -275,6 +275,66 @@
 /** zr_speed_far_bands() - number of bands that a far place costs a class */
 int zr_speed_far_bands(const struct zr_speed_table *table, uint32_t class);
 
+/**
+ * enum zr_speed_cause - why a run is slow
+ * @ZR_SPEED_CAUSE_NONE: it is not, or that is not known
+ * @ZR_SPEED_CAUSE_TAIL: the task takes long wherever it runs; other runs of its
+ *	worker are not affected
+ * @ZR_SPEED_CAUSE_WORKER: the worker is faulty
+ */
+enum zr_speed_cause {
+	ZR_SPEED_CAUSE_NONE,
+	ZR_SPEED_CAUSE_TAIL,
+	ZR_SPEED_CAUSE_WORKER,
+};
+
+/** zr_speed_cause_of() - determine why an active run of a worker is slow */
+enum zr_speed_cause zr_speed_cause_of(const struct zr_speed_table *table,
+				      const struct zr_worker_speed *speed,
+				      const struct zr_speed_progress *progress,
+				      int64_t now);
+
+/**
+ * struct zr_speed_move - a slow run that could go on on another worker
+ * @cause: why it is slow
+ * @here_log2: logarithm of its speed
+ * @worker_log2: that of its worker when it is not faulty
+ * @there_log2: that of the other worker
+ * @usual_here_ms: usual run time of the task at speed 1, at the place of each
+ * @usual_there_ms: as above
+ * @percent: its progress
+ * @saved_percent: progress of its last checkpoint
+ * @cost_ms: time until it runs again
+ */
+struct zr_speed_move {
+	enum zr_speed_cause cause;
+	float here_log2;
+	float worker_log2;
+	float there_log2;
+	uint32_t usual_here_ms;
+	uint32_t usual_there_ms;
+	uint32_t percent;
+	uint32_t saved_percent;
+	uint32_t cost_ms;
+};
+
+/**
+ * zr_speed_rest_here_ms() - time until a run ends if it stays
+ *
+ * A faulty worker is assumed to recover after some seconds.
+ */
+int64_t zr_speed_rest_here_ms(const struct zr_speed_move *move);
+/** zr_speed_rest_there_ms() - time until the task ends if it is moved */
+int64_t zr_speed_rest_there_ms(const struct zr_speed_move *move);
+/** zr_speed_should_move() - whether the task ends well before if it is moved */
+bool zr_speed_should_move(const struct zr_speed_move *move);
+
+/** zr_speed_worker_log2() - speed of a worker when it is not faulty */
+float zr_speed_worker_log2(const struct zr_speed_table *table,
+			   const struct zr_worker_speed *speed, int64_t now);
+/** zr_speed_band_log2() - speed in the middle of a band */
+float zr_speed_band_log2(int band);
+
 /**
  * struct zr_speed_need - what a step needs of its workers' speed
  * @usual_ms: usual run time of its tasks at speed 1
--- a/tests/unit/test_worker_speed.c
+++ b/tests/unit/test_worker_speed.c
@@ -212,6 +212,41 @@
 	ck_assert(!zr_speed_is_faulty(&speeds[1], now));
 	now = observe(active, 3, 1, two_tails, now, 500);
 	ck_assert(!zr_speed_is_faulty(&speeds[1], now));
+	ck_assert_int_eq(zr_speed_cause_of(&table, &speeds[1], &active[0], now),
+			 ZR_SPEED_CAUSE_TAIL);
+	ck_assert_int_eq(zr_speed_cause_of(&table, &speeds[1], &active[2], now),
+			 ZR_SPEED_CAUSE_NONE);
+}
+END_TEST
+
+/*
+ * Guards against moves that gain nothing: of a tail to a worker that is no
+ * faster, of a run that is nearly done, and of one whose checkpoint is old.
+ */
+START_TEST(test_moves_only_where_the_rest_ends_sooner)
+{
+	/* Of 2.5 s, 40 percent are done, at a seventh of the usual speed. */
+	struct zr_speed_move move = {
+		.cause = ZR_SPEED_CAUSE_TAIL,
+		.here_log2 = -2.81F,
+		.usual_here_ms = BATCH_MS,
+		.usual_there_ms = BATCH_MS,
+		.percent = 40,
+		.saved_percent = 40,
+		.cost_ms = 500,
+	};
+
+	ck_assert(!zr_speed_should_move(&move));
+	move.there_log2 = 0.7F;
+	ck_assert(zr_speed_should_move(&move));
+	move.saved_percent = 0;
+	ck_assert(!zr_speed_should_move(&move));
+	/* On a faulty worker, the task has its usual speed elsewhere. */
+	move.cause = ZR_SPEED_CAUSE_WORKER;
+	move.there_log2 = 0;
+	ck_assert(zr_speed_should_move(&move));
+	move.percent = 95;
+	ck_assert(!zr_speed_should_move(&move));
 }
 END_TEST
 
@@ -269,6 +304,7 @@
 	tcase_add_test(tcase, test_new_worker_has_the_speed_of_its_kind);
 	tcase_add_test(tcase, test_worker_that_turns_slow_is_faulty);
 	tcase_add_test(tcase, test_tails_are_no_fault_of_the_worker);
+	tcase_add_test(tcase, test_moves_only_where_the_rest_ends_sooner);
 	tcase_add_test(tcase, test_bands_by_time_left);
 	tcase_add_test(tcase, test_gang_gets_workers_of_one_band);
 	suite_add_tcase(suite, tcase);
