--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -38,6 +38,8 @@
  * @past_use: half-life of the past use of client accounts in seconds, and the
  *	weight of its effect on the order of waiting work in percent; a member
  *	of 0: past use is off
+ * @worker_speed: whether speeds of workers are learned and tasks placed where
+ *	they are expected to finish in time
  */
 struct zr_cell_settings {
 	char *name;
@@ -66,6 +68,9 @@
 		uint32_t half_life_s;
 		uint32_t weight_percent;
 	} past_use;
+	struct {
+		bool enabled;
+	} worker_speed;
 };
 
 /**
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -209,6 +209,7 @@
 		.metrics = options->metrics,
 		.past_use = {settings->past_use.half_life_s,
 			     settings->past_use.weight_percent},
+		.worker_speed = settings->worker_speed.enabled,
 	};
 	int error;
 
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "policy/worker_speed.h"
 #include "zinniarack/cell.h"
 #include "zinniarack/charts.h"
 #include "zinniarack/frontend.h"
@@ -86,6 +87,11 @@
  *                     was last logged; 0: none
  * @placed_at: when its active run was placed; 0: there is none, it has been
  *             charged, or past use is off
+ * @progress: progress of its active run, from which speeds are learned
+ * @whole_run: its active run began without a checkpoint, and @started_at is
+ *             when; not known of runs that an earlier scheduler started
+ * @saved_percent: progress when @checkpoint last changed, or a little more
+ * @slow_logged: its active run has been logged as slow
  */
 struct zr_cell_task {
 	int state;
@@ -111,6 +117,10 @@
 	bool evacuating;
 	uint8_t evacuation_logged;
 	int64_t placed_at;
+	struct zr_speed_progress progress;
+	bool whole_run;
+	uint8_t saved_percent;
+	bool slow_logged;
 };
 
 /**
@@ -160,6 +170,8 @@
  * @rank: position in that list, computed before each pass; the lowest is first
  * @evacuation_pass: number of the last decision about evacuated domains that
  *                   has considered it, if it is a gang
+ * @speed_class: number of its class of run times; 0: not looked up, or none
+ * @has_moved: a task of it was slow and has been moved to a faster worker
  */
 struct zr_cell_step_state {
 	const struct zr_cell_step_spec *spec;
@@ -188,6 +200,8 @@
 	bool in_ready_list;
 	int64_t rank;
 	uint64_t evacuation_pass;
+	uint32_t speed_class;
+	bool has_moved;
 };
 
 /**
@@ -367,6 +381,9 @@
  * @domain: number of its failure domain, counted from 1; 0: not known
  * @candidate_index: its position in &struct zr_cell_plan.candidates, counted
  *                   from 1; 0: none
+ * @speed: its learned speed
+ * @logged_band: band of its speed that was logged last
+ * @logged_faulty: whether it was logged as faulty
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -416,6 +433,9 @@
 	int64_t isolation_until;
 	uint32_t domain;
 	size_t candidate_index;
+	struct zr_worker_speed speed;
+	int logged_band;
+	bool logged_faulty;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -16,6 +16,10 @@
  * defined in cell/model.h.
  */
 
+/** Maximum number of slow runs that a pass considers; a poll lists them again.
+ */
+#define ZR_CELL_SLOW_RUNS_MAX 32
+
 /** enum zr_cell_phase - phase of a scheduler */
 enum zr_cell_phase {
 	ZR_CELL_STANDBY, /* does not own the cell */
@@ -223,6 +227,10 @@
  * @visible_ms: time from the acceptance of a job until its end is persisted
  * @evacuations: requests to evacuate failure domains
  * @past_use: past use of the client accounts
+ * @speeds: learned run times and speeds; kept after a term, for the next one
+ * @slow_runs: slow runs that the next pass may move to other workers
+ * @slow_run_count: number of @slow_runs
+ * @moved: runs moved, by &enum zr_speed_cause
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -281,6 +289,10 @@
 	struct zr_histogram *visible_ms;
 	struct zr_cell_evacuations evacuations;
 	struct zr_cell_past_use past_use;
+	struct zr_speed_table speeds;
+	struct zr_cell_ref slow_runs[ZR_CELL_SLOW_RUNS_MAX];
+	size_t slow_run_count;
+	struct zr_metric *moved[ZR_SPEED_CAUSE_WORKER + 1];
 };
 
 /* scheduler.c */
@@ -596,4 +608,25 @@
 			      struct zr_cell_worker *worker,
 			      int64_t incarnation);
 
+/* speeds.c */
+/** zr_cell_speed_worker_changed() - take over a worker's kind and incarnation
+ */
+void zr_cell_speed_worker_changed(struct zr_cell_scheduler *scheduler,
+				  struct zr_cell_worker *worker);
+/** zr_cell_speed_run_started() - a run has been confirmed; @percent: progress
+ */
+void zr_cell_speed_run_started(const struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_task *task, uint32_t percent);
+/** zr_cell_speed_run_done() - learn from a run that has succeeded */
+void zr_cell_speed_run_done(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker,
+			    struct zr_cell_job *job, uint32_t task);
+/** zr_cell_speed_run_listed() - learn from the progress of an active run */
+void zr_cell_speed_run_listed(struct zr_cell_scheduler *scheduler,
+			      struct zr_cell_worker *worker,
+			      struct zr_cell_job *job, uint32_t task);
+/** zr_cell_speed_poll_done() - judge a worker by the reply just processed */
+void zr_cell_speed_poll_done(struct zr_cell_scheduler *scheduler,
+			     struct zr_cell_worker *worker);
+
 #endif
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -537,6 +537,12 @@
 	scheduler->past_use.runs_gauge = zr_metrics_get_or_add_gauge(
 		metrics, "zinniarack_cell_past_use_runs", NULL,
 		"Runs charged to the past use of client accounts");
+	scheduler->moved[ZR_SPEED_CAUSE_TAIL] = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_runs_moved_total", "cause=\"tail\"",
+		"Slow runs that were moved to a faster worker");
+	scheduler->moved[ZR_SPEED_CAUSE_WORKER] = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_runs_moved_total", "cause=\"worker\"",
+		"Slow runs that were moved to a faster worker");
 }
 
 int zr_cell_scheduler_new(struct zr_cell_scheduler **out,
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -63,6 +63,7 @@
  * @metrics: registry for the scheduler's metrics
  * @past_use: half-life of past use in seconds, and the weight of its effect on
  *	the order of waiting work in percent; a member of 0: past use is off
+ * @worker_speed: learn speeds of workers and place tasks by expected finish
  */
 struct zr_cell_scheduler_options {
 	const struct zr_timers *timers;
@@ -76,6 +77,7 @@
 		unsigned int half_life_s;
 		unsigned int weight_percent;
 	} past_use;
+	bool worker_speed;
 };
 
 /**
--- a/src/libzinniarack/config/cell_settings.c
+++ b/src/libzinniarack/config/cell_settings.c
@@ -52,6 +52,12 @@
 	PAST_USE_FIELD(weight_percent),
 	CYAML_FIELD_END,
 };
+static const cyaml_schema_field_t worker_speed_fields[] = {
+	CYAML_FIELD_BOOL(
+		"enabled", CYAML_FLAG_OPTIONAL,
+		__typeof__(((struct zr_cell_settings *)0)->worker_speed),
+		enabled),
+	CYAML_FIELD_END};
 
 #define NUMBER_FIELD(member)                           \
 	CYAML_FIELD_UINT(#member, CYAML_FLAG_OPTIONAL, \
@@ -79,6 +85,9 @@
 	NUMBER_FIELD(evacuation_ms),
 	CYAML_FIELD_MAPPING("past_use", CYAML_FLAG_OPTIONAL,
 			    struct zr_cell_settings, past_use, past_use_fields),
+	CYAML_FIELD_MAPPING("worker_speed", CYAML_FLAG_OPTIONAL,
+			    struct zr_cell_settings, worker_speed,
+			    worker_speed_fields),
 	CYAML_FIELD_END,
 };
 
@@ -125,6 +134,7 @@
 	RANGE("evacuation_ms", 0, 600000, "0"),
 	{"past_use.half_life_s", ZR_RULE_RANGE, 1, 31536000, "s", "off"},
 	{"past_use.weight_percent", ZR_RULE_RANGE, 0, 100, "%", "off"},
+	ANY("worker_speed.enabled", "false"),
 	{NULL, ZR_RULE_ANY, 0, 0, NULL, NULL},
 };
 
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -32,7 +32,9 @@
  *                              gang, checkpoints, or service=N: it is
  *                              long-running, and N tasks may be unavailable.
  *                              MS is the run time of a task, fMS that of a task
- *                              that fails, xMS that of the tasks of a step
+ *                              that fails, tMS that of the tasks of a step
+ *                              whose first one takes seven times as long, xMS
+ *                              that of the tasks of a step
  *                              whose first one crashes its workers, @STEP the
  *                              index of the step that it depends on
  *   cancel HOST JOB            commit a cancellation like an entry host
@@ -89,6 +91,12 @@
  *   restore DOMAIN             withdraw the request
  *   lose-history               make the store forget its history of changes
  *   metric HOST NAME           print a metric of a host
+ *   worker-speed on|off        set whether hosts started from now on place
+ *                              tasks by expected finish
+ *   speed WORKER PERMILLE [KIND]
+ *                              set the speed of a worker, also for active
+ *                              runs, and its kind
+ *   save-checkpoints           let runs save a checkpoint at each tenth
  *   hang WORKER                stop the progress of its tasks; the worker
  *                              still responds
  *
