--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -101,6 +101,18 @@
 };
 typedef struct zx_cell_crash_list zx_cell_crash_list;
 
+struct zx_cell_run_list {
+	struct {
+		u_int incarnations_len;
+		u_int *incarnations_val;
+	} incarnations;
+	struct {
+		u_int possible_crashes_len;
+		u_int *possible_crashes_val;
+	} possible_crashes;
+};
+typedef struct zx_cell_run_list zx_cell_run_list;
+
 struct zx_cell_use_charge {
 	quad_t generation;
 	quad_t core_ms;
@@ -124,6 +136,7 @@
 struct zx_cell_stored_progress {
 	zx_cell_progress progress;
 	zx_cell_crash_list crashes;
+	zx_cell_run_list runs;
 	zx_cell_job_use use;
 };
 typedef struct zx_cell_stored_progress zx_cell_stored_progress;
@@ -320,6 +333,7 @@
 extern  bool_t xdr_zx_cell_progress (XDR *, zx_cell_progress*);
 extern  bool_t xdr_zx_cell_crashes (XDR *, zx_cell_crashes*);
 extern  bool_t xdr_zx_cell_crash_list (XDR *, zx_cell_crash_list*);
+extern  bool_t xdr_zx_cell_run_list (XDR *, zx_cell_run_list*);
 extern  bool_t xdr_zx_cell_use_charge (XDR *, zx_cell_use_charge*);
 extern  bool_t xdr_zx_cell_job_use (XDR *, zx_cell_job_use*);
 extern  bool_t xdr_zx_cell_stored_progress (XDR *, zx_cell_stored_progress*);
@@ -348,6 +362,7 @@
 extern bool_t xdr_zx_cell_progress ();
 extern bool_t xdr_zx_cell_crashes ();
 extern bool_t xdr_zx_cell_crash_list ();
+extern bool_t xdr_zx_cell_run_list ();
 extern bool_t xdr_zx_cell_use_charge ();
 extern bool_t xdr_zx_cell_job_use ();
 extern bool_t xdr_zx_cell_stored_progress ();
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -98,6 +98,17 @@
 	zx_cell_crashes tasks<ZX_CELL_TASKS_MAX>;
 };
 
+/* What a later owner needs to tell whether a worker restarted during a run. */
+struct zx_cell_run_list {
+	/*
+	 * Incarnation of the worker of each task with an open run, in the order
+	 * of the tasks: the low 32 bits; 0: not known.
+	 */
+	unsigned int incarnations<ZX_CELL_TASKS_MAX>;
+	/* For each entry of the crash list, the number of possible crashes. */
+	unsigned int possible_crashes<ZX_CELL_TASKS_MAX>;
+};
+
 /* Use of runs of a job that have ended, by the record of use that counts it. */
 struct zx_cell_use_charge {
 	hyper generation;
@@ -127,6 +138,7 @@
 struct zx_cell_stored_progress {
 	zx_cell_progress progress;
 	zx_cell_crash_list crashes;
+	zx_cell_run_list runs;
 	zx_cell_job_use use;
 };
 
--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -48,7 +48,7 @@
 	bool present;
 };
 
-#define PROGRESS_SECTIONS 3
+#define PROGRESS_SECTIONS 4
 
 /* The sections of a progress record in the order of the encoding. */
 static void list_sections(struct section out[PROGRESS_SECTIONS],
@@ -59,7 +59,11 @@
 	out[1] = (struct section){(xdrproc_t)xdr_zx_cell_crash_list,
 				  &record->crashes,
 				  record->crashes.tasks.tasks_len != 0};
-	out[2] = (struct section){(xdrproc_t)xdr_zx_cell_job_use, &record->use,
+	out[2] = (struct section){
+		(xdrproc_t)xdr_zx_cell_run_list, &record->runs,
+		record->runs.incarnations.incarnations_len ||
+			record->runs.possible_crashes.possible_crashes_len};
+	out[3] = (struct section){(xdrproc_t)xdr_zx_cell_job_use, &record->use,
 				  record->use.charges.charges_len ||
 					  record->use.placed_ms};
 }
