soak: evacuations of one of two zones

The stand-in's workers are in two zones, and a series of its own requests the evacuation of one of them for a while and withdraws it. A worker reports EVAC if the lease of a start shows that it was sent later than 5 s after the request.

--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -98,6 +98,8 @@
  *	forget		the store drops the event history
  *	restart N	worker N crashes and restarts
  *	capacity N	worker N % 100 gets N / 100 millicpus
+ *	evacuate N	operators request the evacuation of worker N's zone
+ *	restore N	they withdraw the request
  *	late MS N	the workers process N % of starts and stops late
  *	grow N		the configuration grows to N routes more than at first
  */
@@ -125,6 +127,8 @@
 		soak_workers_restart(amount);
 	else if (!strcmp(kind, "capacity"))
 		soak_workers_set_capacity(amount % 100, (uint32_t)amount / 100);
+	else if (!strcmp(kind, "evacuate") || !strcmp(kind, "restore"))
+		soak_workers_evacuate(amount, !strcmp(kind, "evacuate"));
 	else if (!strcmp(kind, "late"))
 		soak_workers_delay_requests(ms, amount);
 	else if (!strcmp(kind, "grow"))
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -77,6 +77,7 @@
 	  metrics: $(port $((103 + 10 * $1)))
 	processors: 0.5
 	lease_max_ms: 6000
+	evacuation_ms: 5000
 	log:
 	  level: info
 	EOT
@@ -136,6 +137,17 @@
 	}'
 }
 
+# generate_evacuations: the same for evacuations of zones, which have a series of
+# random numbers of their own
+generate_evacuations () {
+	awk -v seed="$(($seed + 1000000))" -v seconds="$seconds" 'BEGIN {
+		srand(seed)
+		for (at = 1 + rand() * 4; at < seconds - 1; at += 2 + rand() * 8)
+			printf "%.2f evacuate %d %.2f\n", at, int(rand() * 1000),
+				1 + rand() * 9
+	}'
+}
+
 # generate_growth: print the faults of a run with limited links, as
 # generate_faults does. The configuration grows to half of its size, to its
 # full size, and then by one route each time. With an even seed, all hosts with
@@ -234,6 +246,10 @@
 		(sleep "$(awk -v s="$3" 'BEGIN { print 5 + s }')"
 		fault "kind=capacity&much=$((400000 + $2 % $workers))") &
 		;;
+	evacuate)
+		fault "kind=evacuate&much=$2"
+		(sleep "$3"; fault "kind=restore&much=$2") &
+		;;
 	late)
 		fault "kind=late&ms=$ms&much=$(($2 % 60 + 10))"
 		;;
@@ -310,7 +326,10 @@
 	pids="$pids $prober"
 	generate_growth >"$work/faults"
 else
-	generate_faults >"$work/faults"
+	{
+		generate_faults
+		generate_evacuations
+	} | sort -n >"$work/faults"
 fi
 started_ns=$(date +%s%N)
 while read -r at_s kind number duration_s
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -20,7 +20,9 @@
  *   runs (LIMIT);
  * - only tasks of jobs that are in the store are started (UNASKED);
  * - a task that crashes its workers isn't started three times more after three
- *   of them have crashed (BUDGET).
+ *   of them have crashed (BUDGET);
+ * - a host doesn't send a start to an evacuated zone later than 5 s after the
+ *   request (EVAC).
  *
  * `GET /fault?...` on the control address injects faults, see platform.c.
  *
@@ -74,6 +76,12 @@
 void soak_workers_tick(void);
 /** soak_workers_set_capacity() - change the processors of a running worker */
 void soak_workers_set_capacity(int index, uint32_t millicpus);
+/**
+ * soak_workers_evacuate() - request the evacuation of a zone, or withdraw it
+ * @index: a worker of the zone
+ * @evacuated: whether it is requested
+ */
+void soak_workers_evacuate(int index, bool evacuated);
 /** soak_workers_restart() - crash a worker and restart it under its name */
 void soak_workers_restart(int index);
 /**
--- a/tests/soak/workers.c
+++ b/tests/soak/workers.c
@@ -41,6 +41,12 @@
  * them have crashed.
  */
 #define CRASH_BUDGET 3
+/* Leases that hosts grant, by default, from which the time of a start is told.
+ */
+#define LEASE_MS 5500
+/* Time after a request to evacuate a zone when no start may be sent there. */
+#define EVACUATE_MS 5000
+#define ZONES 2
 #define PERCENT 100
 
 /**
@@ -180,6 +186,8 @@
 static struct task *tasks;
 static int64_t delay_until;
 static int delay_percent;
+static const char *const zones[ZONES] = {"north", "south"};
+static int64_t evacuated_at[ZONES]; /* 0: it is not to be evacuated */
 static char advertised_ip[ADDRESS_MAX];
 static int advertised_base_port;
 
@@ -201,6 +209,44 @@
 	return task;
 }
 
+/* Zones */
+
+static int zone_of(const struct worker *worker)
+{
+	return (int)(worker - workers) % ZONES;
+}
+
+void soak_workers_evacuate(int index, bool evacuated)
+{
+	int zone = index % ZONES;
+	char key[64];
+
+	snprintf(key, sizeof(key), "op/evacuate/%s", zones[zone]);
+	if (!evacuated)
+		soak_store_remove(key);
+	else if (!evacuated_at[zone])
+		soak_store_put(key, json_object());
+	if (!evacuated || !evacuated_at[zone])
+		evacuated_at[zone] = evacuated ? soak_now_ms() : 0;
+}
+
+/*
+ * Checks when a start was sent, which the deadline of its lease tells: on its
+ * way it may have been delayed.
+ */
+static void check_evacuation(const struct worker *worker, const char *task,
+			     int64_t deadline_ms)
+{
+	int64_t since = evacuated_at[zone_of(worker)];
+	int64_t sent_at = worker->clock_base + deadline_ms - LEASE_MS;
+
+	if (sent_at > soak_now_ms())
+		sent_at = soak_now_ms();
+	if (since && sent_at > since + EVACUATE_MS)
+		soak_violation("EVAC %s started on %s in %s", task,
+			       worker->name, zones[zone_of(worker)]);
+}
+
 /* Registration */
 
 static void register_worker(struct worker *worker)
@@ -212,15 +258,15 @@
 	snprintf(address, sizeof(address), "%s:%d", advertised_ip,
 		 advertised_base_port + (int)(worker - workers));
 	soak_store_put(
-		key,
-		json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:I, "
-			  "s:I, s:{s:i, s:i, s:i}, s:[s, s]}",
-			  "service", "pool", "address", address, "zone",
-			  "north", "version", "1", "state", "ready", "slots", 8,
-			  "born", (json_int_t)worker->incarnation, "clock_ms",
-			  (json_int_t)worker_clock_ms(worker), "capacity",
-			  "cpu", (int)worker->millicpus, "mem_mb", 65536, "gpu",
-			  0, "labels", "a", "r1-1"));
+		key, json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:I, "
+			       "s:I, s:{s:i, s:i, s:i}, s:[s, s]}",
+			       "service", "pool", "address", address, "zone",
+			       zones[zone_of(worker)], "version", "1", "state",
+			       "ready", "slots", 8, "born",
+			       (json_int_t)worker->incarnation, "clock_ms",
+			       (json_int_t)worker_clock_ms(worker), "capacity",
+			       "cpu", (int)worker->millicpus, "mem_mb", 65536,
+			       "gpu", 0, "labels", "a", "r1-1"));
 }
 
 static int64_t wall_clock_ms(void)
@@ -544,6 +590,7 @@
 		return;
 	}
 	renew_lease(worker, request);
+	check_evacuation(worker, name, read_number(request, "deadline_ms"));
 	if (!find_run(worker, name))
 		begin_run(worker, name, read_number(request, "attempt"),
 			  spec ? spec : "");
