--- a/src/libzinniarack/cell/adviser_query.c
+++ b/src/libzinniarack/cell/adviser_query.c
@@ -174,6 +174,17 @@
 
 /* Queries */
 
+/* Workers of a gang's domain come before those that are faster than needed. */
+static int query_order(const struct zr_cell_plan_item *item,
+		       struct zr_cell_candidate *candidate)
+{
+	if (!item->by_speed)
+		return 0;
+	zr_cell_speed_set_order(item, candidate);
+	return zr_cell_step_is_gang(item->step) ? candidate->shortfall
+						: candidate->order;
+}
+
 /*
  * A permit decides where a step can run, so workers of suitable speed come
  * first. Slots that need no preemption count twice: they stop no other task.
@@ -205,7 +216,7 @@
 	size_t i;
 
 	for (i = 0; i < item->eligible_count; i++) {
-		const struct zr_cell_candidate *candidate =
+		struct zr_cell_candidate *candidate =
 			item->eligible[i].candidate;
 		uint32_t slots;
 
@@ -218,7 +229,7 @@
 				slots,
 				slots,
 				candidate->gang_reserved,
-				zr_cell_speed_order(item, candidate),
+				query_order(item, candidate),
 				false};
 	}
 	qsort(out, count, sizeof(*out), by_slots);
@@ -234,8 +245,7 @@
 	size_t i;
 
 	for (i = 0; i < plan->candidate_count; i++) {
-		const struct zr_cell_candidate *candidate =
-			&plan->candidates[i];
+		struct zr_cell_candidate *candidate = &plan->candidates[i];
 		uint32_t slots;
 
 		if (zr_cell_permission_find(item->step,
@@ -248,7 +258,7 @@
 				slots,
 				slots,
 				candidate->gang_reserved,
-				zr_cell_speed_order(item, candidate),
+				query_order(item, candidate),
 				false};
 	}
 	qsort(out, count, sizeof(*out), by_slots);
@@ -478,7 +488,7 @@
 				zr_cell_candidate_slots_after_stops(plan, item,
 								    candidate),
 				candidate->gang_reserved,
-				zr_cell_speed_shortfall(item, candidate),
+				query_order(item, candidate),
 				zr_cell_in_gang_domain(item, candidate),
 			};
 	}
--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -162,9 +162,11 @@
 			 struct zr_cell_candidate *candidate,
 			 const struct zr_cell_permission *permission)
 {
-	if (zr_cell_candidate_matches(item, candidate))
-		item->eligible[item->eligible_count++] =
-			(struct zr_cell_eligible){candidate, permission};
+	if (!zr_cell_candidate_matches(item, candidate))
+		return;
+	zr_cell_speed_set_order(item, candidate);
+	item->eligible[item->eligible_count++] =
+		(struct zr_cell_eligible){candidate, permission};
 }
 
 void zr_cell_plan_item_find_eligible(struct zr_cell_plan *plan,
@@ -215,43 +217,6 @@
 	return slots;
 }
 
-/* Whether they differ in where a task finishes; sets @better if they do. */
-static bool differ_in_finish(bool *better, const struct zr_cell_plan_item *item,
-			     const struct zr_cell_candidate *candidate,
-			     const struct zr_cell_candidate *best)
-{
-	const char *rack = item->step->spec->rack;
-	bool in_rack;
-	bool best_in_rack;
-
-	if (item->by_speed) {
-		int order = zr_cell_speed_order(item, candidate);
-		int best_order = zr_cell_speed_order(item, best);
-
-		*better = order < best_order;
-		return order != best_order;
-	}
-	if (!rack[0])
-		return false;
-	in_rack = !strcmp(candidate->worker->report.rack, rack);
-	best_in_rack = !strcmp(best->worker->report.rack, rack);
-	*better = in_rack;
-	return in_rack != best_in_rack;
-}
-
-/* Whether one of them, but not the other, is too slow for a gang. */
-static bool differ_in_shortfall(bool *better,
-				const struct zr_cell_plan_item *item,
-				const struct zr_cell_candidate *candidate,
-				const struct zr_cell_candidate *best)
-{
-	int shortfall = zr_cell_speed_shortfall(item, candidate);
-	int best_shortfall = zr_cell_speed_shortfall(item, best);
-
-	*better = shortfall < best_shortfall;
-	return shortfall != best_shortfall;
-}
-
 /*
  * Whether @candidate is better for a task than @best. If nothing else differs,
  * the one with fewer free processors is better, which leaves whole workers free
@@ -262,7 +227,6 @@
 		      const struct zr_cell_candidate *best)
 {
 	bool gang = zr_cell_step_is_gang(item->step);
-	bool better;
 
 	if (!best)
 		return true;
@@ -270,13 +234,13 @@
 		return best->slow;
 	if (!gang && candidate->gang_reserved != best->gang_reserved)
 		return best->gang_reserved;
-	if (gang && differ_in_shortfall(&better, item, candidate, best))
-		return better;
+	if (gang && candidate->shortfall != best->shortfall)
+		return candidate->shortfall < best->shortfall;
 	if (gang && zr_cell_in_gang_domain(item, candidate) !=
 			    zr_cell_in_gang_domain(item, best))
 		return zr_cell_in_gang_domain(item, candidate);
-	if (differ_in_finish(&better, item, candidate, best))
-		return better;
+	if (candidate->order != best->order)
+		return candidate->order < best->order;
 	return zr_cell_candidate_free(candidate).millicpus <
 	       zr_cell_candidate_free(best).millicpus;
 }
--- a/src/libzinniarack/cell/gang.c
+++ b/src/libzinniarack/cell/gang.c
@@ -74,6 +74,8 @@
 	}
 	item->wanted_band = zr_speed_gang_band(slots, item->step->spec->count,
 					       item->needed_band);
+	for (i = 0; i < item->eligible_count; i++)
+		zr_cell_speed_set_order(item, item->eligible[i].candidate);
 }
 
 /* Slots of a gang by failure domain, on workers of some number of bands. */
@@ -191,7 +193,7 @@
 			.candidate = candidate,
 			.already_reserved =
 				is_reserved_for(plan, item, candidate->worker),
-			.shortfall = zr_cell_speed_shortfall(item, candidate),
+			.shortfall = candidate->shortfall,
 			.in_gang_domain =
 				zr_cell_in_gang_domain(item, candidate),
 			.slots_after_stops =
--- a/src/libzinniarack/cell/moves.c
+++ b/src/libzinniarack/cell/moves.c
@@ -22,8 +22,12 @@
 #define SLOT_WORTH 3
 #define UNKNOWN_WORTH 1
 #define WORTH_MIN 6
-/* Runs that are moved in one pass, so that they do not compete for a slot. */
-#define MOVES_MAX 4
+/*
+ * Slow runs are considered this often, and so many at once: each one means to
+ * look at all workers, and those that are moved compete for the same slots.
+ */
+#define INTERVAL_MS 50
+#define CONSIDERED_MAX 3
 
 /* Whether the rules allow to move a run, and it has not been moved before. */
 static bool is_movable(const struct zr_cell_job *job, uint32_t task)
@@ -138,36 +142,53 @@
 			 tail ? "moved_tail" : "moved_slow_worker");
 }
 
-static bool consider(struct zr_cell_plan *plan, struct zr_cell_ref ref)
+/* Whether it would be worth while with a worker of the fastest band. */
+static bool is_worth(const struct zr_cell_plan *plan,
+		     const struct zr_cell_plan_item *item,
+		     const struct zr_cell_worker *worker, uint32_t task)
+{
+	struct zr_speed_move move =
+		describe(plan, item, worker, task, plan->fastest_band);
+
+	return zr_speed_should_move(&move);
+}
+
+static void consider(struct zr_cell_plan *plan, struct zr_cell_job *job,
+		     uint32_t task)
 {
-	struct zr_cell_model *model = &plan->scheduler->model;
-	struct zr_cell_job *job = zr_cell_job(model, ref.job);
+	const struct zr_cell_worker *worker = zr_cell_worker(
+		&plan->scheduler->model, job->tasks[task].worker);
 	struct zr_cell_plan_item item;
-	struct zr_cell_worker *worker;
 	struct zr_speed_move move;
 	int band;
 
-	if (!job || !job->tasks || !is_movable(job, ref.task))
-		return false;
-	worker = zr_cell_worker(model, job->tasks[ref.task].worker);
-	zr_cell_plan_item_set(plan, &item, zr_cell_task_step(job, ref.task));
-	if (!worker || !find_band(&band, plan, &item, worker->self))
-		return false;
-	move = describe(plan, &item, worker, ref.task, band);
-	if (!zr_speed_should_move(&move))
-		return false;
-	move_run(plan, &item, ref.task, &move, band);
-	return true;
+	zr_cell_plan_item_set(plan, &item, zr_cell_task_step(job, task));
+	if (!worker || !is_worth(plan, &item, worker, task) ||
+	    !find_band(&band, plan, &item, worker->self))
+		return;
+	move = describe(plan, &item, worker, task, band);
+	if (zr_speed_should_move(&move))
+		move_run(plan, &item, task, &move, band);
 }
 
 void zr_cell_moves_plan(struct zr_cell_plan *plan)
 {
 	struct zr_cell_scheduler *scheduler = plan->scheduler;
-	size_t count = scheduler->slow_run_count;
-	uint32_t moves = 0;
-	size_t i;
+	uint32_t considered = 0;
+
+	if (plan->now < scheduler->moves_due_at)
+		return;
+	while (scheduler->slow_run_count && considered < CONSIDERED_MAX) {
+		struct zr_cell_ref ref =
+			scheduler->slow_runs[--scheduler->slow_run_count];
+		struct zr_cell_job *job =
+			zr_cell_job(&scheduler->model, ref.job);
 
-	scheduler->slow_run_count = 0;
-	for (i = 0; i < count && moves < MOVES_MAX; i++)
-		moves += consider(plan, scheduler->slow_runs[i]);
+		if (!job || !job->tasks || !is_movable(job, ref.task))
+			continue;
+		consider(plan, job, ref.task);
+		considered++;
+	}
+	if (considered)
+		scheduler->moves_due_at = plan->now + INTERVAL_MS;
 }
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -38,6 +38,9 @@
  * @slow: runs take much longer here than on other workers
  * @gang_reserved: a gang has reserved capacity here in an earlier pass
  * @speed_band: band of its speed, see policy/worker_speed.h
+ * @order: how it suits the step that is being placed, by where that finishes;
+ *         the lowest is the best
+ * @shortfall: number of bands by which it is too slow for that step
  */
 struct zr_cell_candidate {
 	struct zr_cell_worker *worker;
@@ -49,6 +52,8 @@
 	bool slow;
 	bool gang_reserved;
 	int speed_band;
+	int order;
+	int shortfall;
 };
 
 /**
@@ -406,23 +411,12 @@
  */
 int zr_cell_speed_item_band(const struct zr_cell_plan_item *item,
 			    const struct zr_cell_candidate *candidate);
-/**
- * zr_cell_speed_order() - order in which a step should get workers
- *
- * Return: the lowest comes first; the same for all unless the step is placed by
- * expected finish.
- */
-int zr_cell_speed_order(const struct zr_cell_plan_item *item,
-			const struct zr_cell_candidate *candidate);
+/** zr_cell_speed_set_order() - set @order and @shortfall of a worker */
+void zr_cell_speed_set_order(const struct zr_cell_plan_item *item,
+			     struct zr_cell_candidate *candidate);
 /** zr_cell_speed_place() - where a worker is, relative to the data of a step */
 enum zr_speed_place zr_cell_speed_place(const struct zr_cell_step_state *step,
 					const struct zr_cell_worker *worker);
-/**
- * zr_cell_speed_shortfall() - number of bands by which a worker is too slow
- */
-int zr_cell_speed_shortfall(const struct zr_cell_plan_item *item,
-			    const struct zr_cell_candidate *candidate);
-
 /* moves.c */
 /** zr_cell_moves_plan() - move slow runs that would end sooner elsewhere */
 void zr_cell_moves_plan(struct zr_cell_plan *plan);
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -136,6 +136,7 @@
  * @speeds: learned run times and speeds; kept after a term, for the next one
  * @slow_runs: slow runs that the next pass may move to other workers
  * @slow_run_count: number of @slow_runs
+ * @moves_due_at: when they are considered next
  * @moved: runs moved, by &enum zr_speed_cause
  */
 struct zr_cell_scheduler {
@@ -196,6 +197,7 @@
 	struct zr_speed_table speeds;
 	struct zr_cell_ref slow_runs[ZR_CELL_SLOW_RUNS_MAX];
 	size_t slow_run_count;
+	int64_t moves_due_at;
 	struct zr_metric *moved[ZR_SPEED_CAUSE_WORKER + 1];
 };
 
--- a/src/libzinniarack/cell/speeds.c
+++ b/src/libzinniarack/cell/speeds.c
@@ -152,7 +152,8 @@
 			cause == ZR_SPEED_CAUSE_TAIL ? "tail" : "worker",
 			entry->percent, now - entry->started_at);
 	entry->slow_logged = true;
-	if (scheduler->slow_run_count < ZR_CELL_SLOW_RUNS_MAX)
+	if (entry->attempt == 1 &&
+	    scheduler->slow_run_count < ZR_CELL_SLOW_RUNS_MAX)
 		scheduler->slow_runs[scheduler->slow_run_count++] = ref;
 }
 
@@ -256,23 +257,18 @@
 	return band < ZR_SPEED_BAND_MIN ? ZR_SPEED_BAND_MIN : band;
 }
 
-int zr_cell_speed_order(const struct zr_cell_plan_item *item,
-			const struct zr_cell_candidate *candidate)
-{
-	if (!item->by_speed)
-		return 0;
-	return zr_speed_order(zr_cell_speed_item_band(item, candidate),
-			      is_far(item->step, candidate->worker),
-			      item->wanted_band);
-}
-
-int zr_cell_speed_shortfall(const struct zr_cell_plan_item *item,
-			    const struct zr_cell_candidate *candidate)
+void zr_cell_speed_set_order(const struct zr_cell_plan_item *item,
+			     struct zr_cell_candidate *candidate)
 {
+	bool far = is_far(item->step, candidate->worker);
 	int band;
 
+	candidate->shortfall = 0;
+	candidate->order = far;
 	if (!item->by_speed)
-		return 0;
+		return;
 	band = zr_cell_speed_item_band(item, candidate);
-	return band < item->wanted_band ? item->wanted_band - band : 0;
+	candidate->order = zr_speed_order(band, far, item->wanted_band);
+	if (band < item->wanted_band)
+		candidate->shortfall = item->wanted_band - band;
 }
--- a/src/libzinniarack/policy/worker_speed.c
+++ b/src/libzinniarack/policy/worker_speed.c
@@ -499,22 +499,17 @@
 
 /* Placement */
 
-/* Whether a step ends in time on a band; @ms is its time at speed 1. */
-static bool is_in_time(uint32_t ms, int band, int64_t limit_ms)
-{
-	return (double)ms * exp2f(-BAND_WIDTH * (float)band) <=
-	       (double)limit_ms;
-}
-
+/* Lowest band on which a step ends in time; @ms is its time at speed 1. */
 static int lowest_band(uint32_t ms, int fastest, int64_t limit_ms)
 {
 	int band;
 
-	for (band = ZR_SPEED_BAND_MIN; band <= fastest; band++) {
-		if (is_in_time(ms, band, limit_ms))
-			return band;
-	}
-	return ZR_SPEED_BAND_MAX;
+	if (limit_ms <= 0)
+		return ZR_SPEED_BAND_MAX;
+	band = (int)ceilf(log2_ratio(ms, (double)limit_ms) / BAND_WIDTH);
+	if (band < ZR_SPEED_BAND_MIN)
+		return ZR_SPEED_BAND_MIN;
+	return band <= fastest ? band : ZR_SPEED_BAND_MAX;
 }
 
 int zr_speed_wanted_band(const struct zr_speed_need *need, int fastest)
