cell: the owner publishes a summary of the load

The hosts that accept jobs do not know what waits. Readers of the earlier version ignore it, and records without it are readable.

The balance of an account goes below zero by what exceeded its rate, so that a flood is not taken for an account within its share between two of its jobs.

--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -118,6 +118,65 @@
 	} queues;
 };
 typedef struct zx_cell_counts zx_cell_counts;
+#define ZX_CELL_LOAD_POOLS_MAX 6
+#define ZX_CELL_LOAD_CLASSES_MAX 16
+#define ZX_CELL_LOAD_ACCOUNTS_MAX 14
+#define ZX_CELL_LOAD_LIMITS_MAX 4
+
+struct zx_cell_class_load {
+	u_int priority;
+	u_int run_permille;
+	u_int tail_permille;
+	u_int waiting_ms[9];
+};
+typedef struct zx_cell_class_load zx_cell_class_load;
+
+struct zx_cell_pool_load {
+	char *pool;
+	u_quad_t capacity[3];
+	u_int used_permille[3];
+	struct {
+		u_int classes_len;
+		zx_cell_class_load *classes_val;
+	} classes;
+};
+typedef struct zx_cell_pool_load zx_cell_pool_load;
+
+struct zx_cell_limit_load {
+	u_int priority;
+	u_int on_time_ms;
+	u_int behind_ms;
+};
+typedef struct zx_cell_limit_load zx_cell_limit_load;
+
+struct zx_cell_account_load {
+	char *client;
+	quad_t credit;
+	u_int weight;
+	struct {
+		u_int limits_len;
+		zx_cell_limit_load *limits_val;
+	} limits;
+};
+typedef struct zx_cell_account_load zx_cell_account_load;
+
+struct zx_cell_load {
+	struct {
+		u_int pools_len;
+		zx_cell_pool_load *pools_val;
+	} pools;
+	struct {
+		u_int accounts_len;
+		zx_cell_account_load *accounts_val;
+	} accounts;
+};
+typedef struct zx_cell_load zx_cell_load;
+
+struct zx_cell_stored_counts {
+	zx_cell_counts counts;
+	zx_cell_load load;
+};
+typedef struct zx_cell_stored_counts zx_cell_stored_counts;
 
 struct zx_cell_worker_name {
 	char *name;
@@ -282,6 +341,12 @@
 extern  bool_t xdr_zx_cell_stored_progress (XDR *, zx_cell_stored_progress*);
 extern  bool_t xdr_zx_cell_count (XDR *, zx_cell_count*);
 extern  bool_t xdr_zx_cell_counts (XDR *, zx_cell_counts*);
+extern  bool_t xdr_zx_cell_class_load (XDR *, zx_cell_class_load*);
+extern  bool_t xdr_zx_cell_pool_load (XDR *, zx_cell_pool_load*);
+extern  bool_t xdr_zx_cell_limit_load (XDR *, zx_cell_limit_load*);
+extern  bool_t xdr_zx_cell_account_load (XDR *, zx_cell_account_load*);
+extern  bool_t xdr_zx_cell_load (XDR *, zx_cell_load*);
+extern  bool_t xdr_zx_cell_stored_counts (XDR *, zx_cell_stored_counts*);
 extern  bool_t xdr_zx_cell_worker_name (XDR *, zx_cell_worker_name*);
 extern  bool_t xdr_zx_cell_advise_args (XDR *, zx_cell_advise_args*);
 extern  bool_t xdr_zx_cell_permit (XDR *, zx_cell_permit*);
@@ -306,6 +371,12 @@
 extern bool_t xdr_zx_cell_stored_progress ();
 extern bool_t xdr_zx_cell_count ();
 extern bool_t xdr_zx_cell_counts ();
+extern bool_t xdr_zx_cell_class_load ();
+extern bool_t xdr_zx_cell_pool_load ();
+extern bool_t xdr_zx_cell_limit_load ();
+extern bool_t xdr_zx_cell_account_load ();
+extern bool_t xdr_zx_cell_load ();
+extern bool_t xdr_zx_cell_stored_counts ();
 extern bool_t xdr_zx_cell_worker_name ();
 extern bool_t xdr_zx_cell_advise_args ();
 extern bool_t xdr_zx_cell_permit ();
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -112,6 +112,59 @@
 	zx_cell_count queues<ZX_CELL_LIST_MAX>;
 };
 
+/*
+ * Summary of the load of the cell, with which the hosts decide whether to accept
+ * jobs. The limits of its lists keep it below 4 KiB.
+ */
+const ZX_CELL_LOAD_POOLS_MAX = 6;
+const ZX_CELL_LOAD_CLASSES_MAX = 16;
+const ZX_CELL_LOAD_ACCOUNTS_MAX = 14;
+const ZX_CELL_LOAD_LIMITS_MAX = 4;
+
+/* Load of a priority in a pool, as in struct zr_admission_class. */
+struct zx_cell_class_load {
+	unsigned int priority;
+	unsigned int run_permille;
+	unsigned int tail_permille;
+	/* By tier, and within a tier by resource. */
+	unsigned int waiting_ms[9];
+};
+
+/* Load of a pool, as in struct zr_admission_pool. */
+struct zx_cell_pool_load {
+	string pool<ZX_CELL_NAME_MAX>;
+	unsigned hyper capacity[3];
+	unsigned int used_permille[3];
+	zx_cell_class_load classes<ZX_CELL_LOAD_CLASSES_MAX>;
+};
+
+/* Load of a priority within an upper limit, as in struct zr_admission_limit. */
+struct zx_cell_limit_load {
+	unsigned int priority;
+	unsigned int on_time_ms;
+	unsigned int behind_ms;
+};
+
+/* A client account above its share, or which has used up its upper limit. */
+struct zx_cell_account_load {
+	string client<ZX_CELL_NAME_MAX>;
+	/* Allowance in thousandths of a job, and its increase per millisecond. */
+	hyper credit;
+	unsigned int weight;
+	zx_cell_limit_load limits<ZX_CELL_LOAD_LIMITS_MAX>;
+};
+
+struct zx_cell_load {
+	zx_cell_pool_load pools<ZX_CELL_LOAD_POOLS_MAX>;
+	zx_cell_account_load accounts<ZX_CELL_LOAD_ACCOUNTS_MAX>;
+};
+
+/* The record as it is stored; it ends after counts if no load is published. */
+struct zx_cell_stored_counts {
+	zx_cell_counts counts;
+	zx_cell_load load;
+};
+
 struct zx_cell_worker_name {
 	string name<ZX_CELL_NAME_MAX>;
 };
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -426,6 +426,211 @@
 	return TRUE;
 }
 
+bool_t
+xdr_zx_cell_class_load (XDR *xdrs, zx_cell_class_load *objp)
+{
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, (3 +  9 )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tail_permille))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->waiting_ms, 9,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_U_LONG(buf, objp->run_permille);
+			IXDR_PUT_U_LONG(buf, objp->tail_permille);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->waiting_ms;
+					i < 9; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, (3 +  9 )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tail_permille))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->waiting_ms, 9,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+		} else {
+			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->run_permille = IXDR_GET_U_LONG(buf);
+			objp->tail_permille = IXDR_GET_U_LONG(buf);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->waiting_ms;
+					i < 9; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tail_permille))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->waiting_ms, 9,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_pool_load (XDR *xdrs, zx_cell_pool_load *objp)
+{
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->pool, ZX_CELL_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->capacity, 3,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, ( 3 ) * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->used_permille, 3,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+
+		} else {
+		{
+			register u_int *genp;
+
+			for (i = 0, genp = objp->used_permille;
+				i < 3; ++i) {
+				IXDR_PUT_U_LONG(buf, *genp++);
+			}
+		}
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->classes.classes_val, (u_int *) &objp->classes.classes_len, ZX_CELL_LOAD_CLASSES_MAX,
+			sizeof (zx_cell_class_load), (xdrproc_t) xdr_zx_cell_class_load))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->pool, ZX_CELL_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->capacity, 3,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, ( 3 ) * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->used_permille, 3,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+
+		} else {
+		{
+			register u_int *genp;
+
+			for (i = 0, genp = objp->used_permille;
+				i < 3; ++i) {
+				*genp++ = IXDR_GET_U_LONG(buf);
+			}
+		}
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->classes.classes_val, (u_int *) &objp->classes.classes_len, ZX_CELL_LOAD_CLASSES_MAX,
+			sizeof (zx_cell_class_load), (xdrproc_t) xdr_zx_cell_class_load))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->pool, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->capacity, 3,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->used_permille, 3,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->classes.classes_val, (u_int *) &objp->classes.classes_len, ZX_CELL_LOAD_CLASSES_MAX,
+		sizeof (zx_cell_class_load), (xdrproc_t) xdr_zx_cell_class_load))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_limit_load (XDR *xdrs, zx_cell_limit_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->on_time_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->behind_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_account_load (XDR *xdrs, zx_cell_account_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->client, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->credit))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, ZX_CELL_LOAD_LIMITS_MAX,
+		sizeof (zx_cell_limit_load), (xdrproc_t) xdr_zx_cell_limit_load))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_load (XDR *xdrs, zx_cell_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->pools.pools_val, (u_int *) &objp->pools.pools_len, ZX_CELL_LOAD_POOLS_MAX,
+		sizeof (zx_cell_pool_load), (xdrproc_t) xdr_zx_cell_pool_load))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, ZX_CELL_LOAD_ACCOUNTS_MAX,
+		sizeof (zx_cell_account_load), (xdrproc_t) xdr_zx_cell_account_load))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_stored_counts (XDR *xdrs, zx_cell_stored_counts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_zx_cell_counts (xdrs, &objp->counts))
+		 return FALSE;
+	 if (!xdr_zx_cell_load (xdrs, &objp->load))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_cell_worker_name (XDR *xdrs, zx_cell_worker_name *objp)
 {
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -259,6 +259,8 @@
  * @weight: its share when the cell is full, in jobs per second; 0: any rate
  * @credit: token bucket of its job rate, in thousandths of a job
  * @credit_updated_at: acceptance time up to which @credit has been refilled
+ * @balance: @credit minus the jobs that exceeded the rate, in thousandths of a
+ *           job; at least minus the largest credit
  */
 struct zr_cell_client_state {
 	char name[ZR_NAME_MAX];
@@ -269,6 +271,7 @@
 	uint32_t weight;
 	int64_t credit;
 	int64_t credit_updated_at;
+	int64_t balance;
 };
 
 /** struct zr_cell_ack - change to persist before ended runs are confirmed */
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -113,6 +113,27 @@
 bool zr_cell_step_is_gang(const struct zr_cell_step_state *step);
 
 /* priority.c */
+/**
+ * enum zr_cell_tier - tiers of jobs, in the order in which they are placed
+ * @ZR_CELL_TIER_ON_TIME: can still end before their objective
+ * @ZR_CELL_TIER_LATE: cannot
+ * @ZR_CELL_TIER_OVER_SHARE: exceeded the rate of their client account
+ * @ZR_CELL_TIER_WORTHLESS: can no longer end before they lose all value
+ *
+ * A job has its full value until its objective, a fifth of it until three times
+ * the objective, and none after that. Jobs that exceed the rate of their client
+ * account are not entitled to be on time.
+ */
+enum zr_cell_tier {
+	ZR_CELL_TIER_ON_TIME,
+	ZR_CELL_TIER_LATE,
+	ZR_CELL_TIER_OVER_SHARE,
+	ZR_CELL_TIER_WORTHLESS,
+};
+
+/** zr_cell_priority_tier() - tier of a job */
+enum zr_cell_tier zr_cell_priority_tier(const struct zr_cell_job *job,
+					int64_t now);
 /**
  * zr_cell_priority_rank() - rank of a job's steps; the lowest is placed first
  * @job: the job
@@ -146,6 +167,15 @@
  */
 bool zr_cell_priority_charge(struct zr_cell_client_state *client,
 			     int64_t accepted_at);
+/**
+ * zr_cell_priority_balance() - rate allowance minus what exceeded it
+ * @client: the client account
+ * @now: the current time in milliseconds
+ *
+ * Return: thousandths of a job; negative after jobs that exceeded the rate.
+ */
+int64_t zr_cell_priority_balance(const struct zr_cell_client_state *client,
+				 int64_t now);
 
 /* candidates.c */
 /** zr_cell_candidates_collect() - fill in @plan->candidates */
--- a/src/libzinniarack/cell/policy/admission.c
+++ b/src/libzinniarack/cell/policy/admission.c
@@ -163,6 +163,27 @@
 	return max;
 }
 
+/*
+ * Time until the account's own limit has capacity for the job; 0 if the limit
+ * is not used up.
+ */
+static int64_t limit_wait_ms(const struct zr_admission_job *job)
+{
+	int64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < job->limit_count; i++) {
+		const struct zr_admission_limit *limit = &job->limits[i];
+		bool ranks_before = limit->priority <= job->priority;
+
+		if (ranks_before || job->over_share)
+			sum += limit->on_time_ms;
+		if (ranks_before && job->over_share)
+			sum += limit->behind_ms;
+	}
+	return sum;
+}
+
 /* @counted_permille: the part of the waiting work that was counted */
 static void reject(struct zr_admission_verdict *out,
 		   enum zr_admission_reason reason, int64_t counted_permille,
@@ -238,8 +259,10 @@
 		over_ms +
 		drain_ms(pool, demand, ZR_ADMISSION_ON_TIME, UINT32_MAX) +
 		drain_ms(pool, demand, ZR_ADMISSION_LATE, UINT32_MAX);
+	out->wait_ms = max_int64(out->wait_ms, limit_wait_ms(job));
 	out->limit_ms = job->objective_ms;
 	out->finish_ms = out->wait_ms + run_ms;
+	over_ms = max_int64(over_ms, limit_wait_ms(job));
 	if (run_ms > job->objective_ms ||
 	    over_ms <= scale(job->objective_ms, CONTENTION_PERMILLE)) {
 		out->limit_ms = WORTHLESS_FACTOR * job->objective_ms;
@@ -262,7 +285,7 @@
 	memset(out, 0, sizeof(*out));
 	if (pool->age_ms < 0 || pool->age_ms > ZR_ADMISSION_AGE_MAX_MS ||
 	    job->objective_ms <= 0 || !class || !class->run_permille ||
-	    !zr_admission_is_full(pool) ||
+	    (!zr_admission_is_full(pool) && !job->limit_count) ||
 	    !measure_demand(&demand, job->spec, pool))
 		return;
 	if (job->over_share)
--- a/src/libzinniarack/cell/policy/admission.h
+++ b/src/libzinniarack/cell/policy/admission.h
@@ -79,6 +79,19 @@
 	int64_t age_ms;
 };
 
+/**
+ * struct zr_admission_limit - load of one priority within an account's limit
+ * @priority: the priority; 0 is the highest
+ * @on_time_ms: time that the whole limit needs for the tasks that wait and can
+ *	still end before their objective
+ * @behind_ms: the same for those of later tiers
+ */
+struct zr_admission_limit {
+	uint32_t priority;
+	uint32_t on_time_ms;
+	uint32_t behind_ms;
+};
+
 /**
  * struct zr_admission_job - a job that is submitted
  * @spec: the job
@@ -86,6 +99,8 @@
  * @objective_ms: time objective of the job
  * @over_share: its client account is above its share
  * @advised: the placement adviser has to permit its workers
+ * @limits: what waits because its client account has used up its upper limit
+ * @limit_count: number of @limits; 0: the limit is not used up
  * @hash: hash of its id, which spreads the times of retries
  */
 struct zr_admission_job {
@@ -94,6 +109,8 @@
 	int64_t objective_ms;
 	bool over_share;
 	bool advised;
+	const struct zr_admission_limit *limits;
+	size_t limit_count;
 	uint64_t hash;
 };
 
--- a/src/libzinniarack/cell/priority.c
+++ b/src/libzinniarack/cell/priority.c
@@ -1,19 +1,5 @@
 #include "cell/plan.h"
 
-/*
- * A job has its full value until its objective, a fifth of it until three times
- * the objective, and none after that. Jobs that exceed the rate of their client
- * account are not entitled to be on time. So the jobs that can still be on time
- * come first, then late jobs, then jobs above the rate, and last those that can
- * no longer end before they lose all value.
- */
-enum tier {
-	TIER_ON_TIME,
-	TIER_LATE,
-	TIER_OVER_SHARE,
-	TIER_WORTHLESS,
-};
-
 /* A job has no value after this multiple of its objective. */
 #define WORTHLESS_FACTOR 3
 /*
@@ -74,16 +60,18 @@
 	return sum * REMAINING_PERCENT / PERCENT;
 }
 
-static enum tier tier_of(const struct zr_cell_job *job, int64_t now)
+enum zr_cell_tier zr_cell_priority_tier(const struct zr_cell_job *job,
+					int64_t now)
 {
 	int64_t objective = zr_cell_priority_objective_ms(job);
 	int64_t age_at_end = now - job->accepted_at + remaining_ms(job);
 
 	if (age_at_end > WORTHLESS_FACTOR * objective)
-		return TIER_WORTHLESS;
+		return ZR_CELL_TIER_WORTHLESS;
 	if (job->over_share)
-		return TIER_OVER_SHARE;
-	return age_at_end > objective ? TIER_LATE : TIER_ON_TIME;
+		return ZR_CELL_TIER_OVER_SHARE;
+	return age_at_end > objective ? ZR_CELL_TIER_LATE
+				      : ZR_CELL_TIER_ON_TIME;
 }
 
 int64_t zr_cell_priority_class(const struct zr_cell_job *job, int64_t now)
@@ -91,7 +79,8 @@
 	int64_t priority =
 		job->priority < PRIORITY_MAX ? job->priority : PRIORITY_MAX;
 
-	return ((int64_t)tier_of(job, now) << (TIER_SHIFT - PRIORITY_SHIFT)) +
+	return ((int64_t)zr_cell_priority_tier(job, now)
+		<< (TIER_SHIFT - PRIORITY_SHIFT)) +
 	       priority;
 }
 
@@ -101,22 +90,39 @@
 	       job->accepted_at;
 }
 
+static int64_t refill(const struct zr_cell_client_state *client, int64_t credit,
+		      int64_t at)
+{
+	int64_t max_credit = (int64_t)client->weight * BURST_S * MS_PER_S;
+	int64_t elapsed_ms = at - client->credit_updated_at;
+
+	if (elapsed_ms > 0)
+		credit += elapsed_ms * client->weight;
+	return credit < max_credit ? credit : max_credit;
+}
+
 bool zr_cell_priority_charge(struct zr_cell_client_state *client,
 			     int64_t accepted_at)
 {
-	int64_t max_credit = (int64_t)client->weight * BURST_S * MS_PER_S;
-	int64_t elapsed_ms = accepted_at - client->credit_updated_at;
+	int64_t min_balance = -(int64_t)client->weight * BURST_S * MS_PER_S;
 
 	if (!client->weight)
 		return true;
-	if (elapsed_ms > 0) {
-		client->credit += elapsed_ms * client->weight;
+	client->credit = refill(client, client->credit, accepted_at);
+	client->balance =
+		refill(client, client->balance, accepted_at) - MS_PER_S;
+	if (client->balance < min_balance)
+		client->balance = min_balance;
+	if (accepted_at > client->credit_updated_at)
 		client->credit_updated_at = accepted_at;
-	}
-	if (client->credit > max_credit)
-		client->credit = max_credit;
 	if (client->credit < MS_PER_S)
 		return false;
 	client->credit -= MS_PER_S;
 	return true;
 }
+
+int64_t zr_cell_priority_balance(const struct zr_cell_client_state *client,
+				 int64_t now)
+{
+	return refill(client, client->balance, now);
+}
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -4,6 +4,7 @@
 #include "cell/advice.h"
 #include "cell/journal.h"
 #include "cell/model.h"
+#include "cell/policy/run_times.h"
 #include "cell/scheduler.h"
 #include "domain/owner.h"
 
@@ -15,6 +16,9 @@
  * defined in cell/model.h.
  */
 
+/** Number of priorities that are told apart; lower ones count as the last. */
+#define ZR_CELL_PRIORITIES 16
+
 /** enum zr_cell_phase - phase of a scheduler */
 enum zr_cell_phase {
 	ZR_CELL_STANDBY, /* does not own the cell */
@@ -106,7 +110,8 @@
  *                     has to be read before it can be watched
  * @jobs_outdated: the read of the jobs is old, and the watch has not delivered
  *	what was accepted since, so that the numbers of waiting jobs are too low
- * @counts_published_at: when the numbers of waiting jobs were last published
+ * @counts_published_at: when the numbers of waiting jobs and the summary of the
+ *	load were last published
  * @released: called once the cell has been released
  * @released_ctx: passed to @released
  * @releasing: a release has been requested and the journal is being flushed
@@ -129,6 +134,11 @@
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
+ * @load_logged_at: when the load was last logged
+ * @run_times: run times in this term by priority
+ * @summary_due_at: time before which no summary of the load is published; 0:
+ *not set in this term
+ * @summary_full: the last summary shows a pool or a limit that is full
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -185,6 +195,10 @@
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
+	int64_t load_logged_at;
+	struct zr_run_times run_times[ZR_CELL_PRIORITIES];
+	int64_t summary_due_at;
+	bool summary_full;
 };
 
 /* scheduler.c */
@@ -212,6 +226,25 @@
  */
 bool zr_cell_call_done(struct zr_cell_scheduler *scheduler);
 
+/* load_summary.c */
+/**
+ * zr_cell_summary_process() - publish the numbers of waiting jobs and the
+ * summary of the load, if due
+ */
+void zr_cell_summary_process(struct zr_cell_scheduler *scheduler, int64_t now);
+/**
+ * zr_cell_summary_add_run() - record the run time of a successful run
+ * @scheduler: the scheduler
+ * @job: its job
+ * @estimate_ms: the submitter's estimate
+ * @run_ms: its run time
+ */
+void zr_cell_summary_add_run(struct zr_cell_scheduler *scheduler,
+			     const struct zr_cell_job *job,
+			     uint32_t estimate_ms, int64_t run_ms);
+/** zr_cell_summary_reset() - forget the load of an earlier term */
+void zr_cell_summary_reset(struct zr_cell_scheduler *scheduler);
+
 /* job_loader.c */
 /**
  * zr_cell_load_jobs() - load all jobs from the store, then become active
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -354,6 +354,8 @@
 				     (double)(now - entry->started_at));
 		zr_cell_slowdown_add_run(&scheduler->model, worker, estimate_ms,
 					 now - entry->started_at, now);
+		zr_cell_summary_add_run(scheduler, job, estimate_ms,
+					now - entry->started_at);
 	} else if (outcome == ZR_RUN_FAILED) {
 		entry->failures++;
 		entry->avoided_worker = worker->self;
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -73,7 +73,7 @@
 #define HAND_OVER_DOUBLINGS_MAX 4
 /* Delay of a planning pass after a change, to cover several changes at once. */
 #define PLAN_DELAY_MS 1
-#define COUNTS_INTERVAL_MS 600
+#define LOAD_LOG_INTERVAL_MS 600
 
 int64_t zr_cell_now_ms(const struct zr_cell_scheduler *scheduler)
 {
@@ -142,63 +142,6 @@
 	zr_timer_start(scheduler->plan, PLAN_DELAY_MS, 0);
 }
 
-/* Waiting jobs of each queue, published for the front ends of all hosts */
-
-struct queue_count {
-	char name[ZR_NAME_MAX];
-	uint32_t jobs;
-	UT_hash_handle hh;
-};
-
-static void count_job(struct queue_count **counts,
-		      const struct zr_cell_job *job)
-{
-	struct queue_count *count;
-
-	HASH_FIND_STR(*counts, job->queue, count);
-	if (!count) {
-		count = calloc(1, sizeof(*count));
-		if (!count)
-			abort();
-		snprintf(count->name, sizeof(count->name), "%s", job->queue);
-		HASH_ADD_STR(*counts, name, count);
-	}
-	if (!job->has_started && !zr_cell_job_has_ended(job))
-		count->jobs++;
-}
-
-static void publish_counts(struct zr_cell_scheduler *scheduler)
-{
-	struct queue_count *counts = NULL;
-	struct queue_count *count;
-	struct queue_count *next_count;
-	struct zr_cell_buffer bytes;
-	zx_cell_counts record = {0};
-	struct zr_cell_job *job;
-	struct zr_cell_job *next;
-
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next)
-		count_job(&counts, job);
-	record.queues.queues_val = calloc(HASH_COUNT(counts) + 1,
-					  sizeof(*record.queues.queues_val));
-	if (!record.queues.queues_val)
-		abort();
-	HASH_ITER (hh, counts, count, next_count) {
-		zx_cell_count *entry =
-			&record.queues.queues_val[record.queues.queues_len++];
-
-		entry->queue = count->name;
-		entry->jobs = count->jobs;
-	}
-	if (!zr_cell_encode(&bytes, (xdrproc_t)xdr_zx_cell_counts, &record))
-		zr_cell_journal_set_counts(scheduler->journal, bytes);
-	free(record.queues.queues_val);
-	HASH_ITER (hh, counts, count, next_count) {
-		HASH_DEL(counts, count);
-		free(count);
-	}
-}
-
 /* Log the load of the cell, which explains why jobs wait. */
 static void log_load(const struct zr_cell_scheduler *scheduler, int64_t now)
 {
@@ -330,6 +273,7 @@
 	scheduler->watch_failures = 0;
 	scheduler->registry_revision = 0;
 	scheduler->registry_watching = false;
+	zr_cell_summary_reset(scheduler);
 	scheduler->takeovers->value++;
 	zr_cell_journal_open(scheduler->journal, zr_owner_key(scheduler->owner),
 			     term->owner_revision);
@@ -458,10 +402,9 @@
 	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
 		tick_worker(scheduler, worker);
 	zr_cell_registry_process(scheduler);
-	if (now - scheduler->counts_published_at >= COUNTS_INTERVAL_MS) {
-		scheduler->counts_published_at = now;
-		if (!scheduler->jobs_outdated)
-			publish_counts(scheduler);
+	zr_cell_summary_process(scheduler, now);
+	if (now - scheduler->load_logged_at >= LOAD_LOG_INTERVAL_MS) {
+		scheduler->load_logged_at = now;
 		log_load(scheduler, now);
 		remove_expired_jobs(scheduler);
 	}
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -58,6 +58,7 @@
  * @host: name of this host
  * @cell: name of the cell
  * @metrics: registry for the scheduler's metrics
+ * @admission: publish a summary of the load, for admission control
  */
 struct zr_cell_scheduler_options {
 	const struct zr_timers *timers;
@@ -67,6 +68,7 @@
 	const char *host;
 	const char *cell;
 	struct zr_metrics *metrics;
+	bool admission;
 };
 
 /**
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -49,6 +49,7 @@
 	uint32_t latency_target_ms;
 	unsigned int adviser_queries;
 	bool hides_runs;
+	bool admission;
 	char line[LINE_MAX_BYTES];
 	char *words[WORDS_MAX];
 	int word_count;
@@ -211,6 +212,7 @@
 			   .lease_max_ms = 6000,
 			   .keep_ended_ms = 130000},
 		.cell = "main",
+		.admission = script->admission,
 	};
 
 	/* A name that was used before is a new process of that host. */
@@ -367,6 +369,12 @@
 	configure(script);
 }
 
+static void do_weight(struct cell_script *script)
+{
+	script->client.weight = (uint32_t)atoi(word(script, 1));
+	configure(script);
+}
+
 /* Parses a step and appends the run time of its tasks to the payload. */
 static void parse_step(struct zr_cell_step_spec *step, char *payload,
 		       const char *text)
@@ -564,6 +572,70 @@
 		       on_waiting_jobs, script);
 }
 
+static void print_load(const struct cell_script *script,
+		       const zx_cell_load *load)
+{
+	const u_int *waiting;
+	u_int i;
+
+	for (i = 0; i < load->pools.pools_len; i++) {
+		const zx_cell_pool_load *pool = &load->pools.pools_val[i];
+		const zx_cell_class_load *class = pool->classes.classes_val;
+
+		print(script, "load: pool=%s capacity=%lu used=%u",
+		      pool->pool[0] ? pool->pool : "-",
+		      (unsigned long)pool->capacity[0], pool->used_permille[0]);
+		for (; class <
+		       pool->classes.classes_val + pool->classes.classes_len;
+		     class ++) {
+			waiting = class->waiting_ms;
+			print(script,
+			      "load: priority=%u run=%u tail=%u "
+			      "on_time=%u late=%u over_share=%u",
+			      class->priority, class->run_permille,
+			      class->tail_permille, waiting[0], waiting[3],
+			      waiting[6]);
+		}
+	}
+	for (i = 0; i < load->accounts.accounts_len; i++) {
+		const zx_cell_account_load *account =
+			&load->accounts.accounts_val[i];
+		const zx_cell_limit_load *limit = account->limits.limits_val;
+
+		print(script, "load: client=%s credit=%ld limits=%u on_time=%u",
+		      account->client, (long)account->credit,
+		      account->limits.limits_len,
+		      account->limits.limits_len ? limit->on_time_ms : 0);
+	}
+	if (!load->pools.pools_len)
+		print(script, "load: none");
+}
+
+static void on_load(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	struct cell_script *script = ctx;
+	zx_cell_stored_counts record = {0};
+
+	if (error < 0 || !reply->count ||
+	    zr_cell_decode_counts(&record, reply->values[0].data,
+				  reply->values[0].length) < 0)
+		return;
+	print_load(script, &record.load);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_counts, &record);
+}
+
+static void do_load(struct cell_script *script)
+{
+	zr_store_range(&find_host(script, word(script, 1))->platform.store,
+		       ZR_STORE_OTHER, ZR_CELL_COUNTS_KEY, false, on_load,
+		       script);
+}
+
+static void do_admission(struct cell_script *script)
+{
+	script->admission = true;
+}
+
 static void do_recovery_reads(struct cell_script *script)
 {
 	print(script, "recovery reads: %lu",
@@ -792,6 +864,9 @@
 	{"latency-target", do_latency_target},
 	{"adviser-queries", do_adviser_queries},
 	{"query", do_query},
+	{"admission", do_admission},
+	{"weight", do_weight},
+	{"load", do_load},
 };
 
 void cell_script_run(struct cell_script *script, const char *line)
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -33,6 +33,11 @@
  *   query HOST JOB             print the state that HOST's scheduler reports
  *   waiting-jobs HOST          print the persisted number of waiting jobs
  *   told-jobs HOST             print the number that HOST's frontend would tell
+ *   admission                  from now on, new hosts publish a summary of the
+ *                              load
+ *   weight N                   set the share of the client account, in jobs per
+ *                              second
+ *   load HOST                  print the published summary of the load
  *   recovery-reads             print the number of reads that owners have made
  *                              to load jobs and their progress
  *   adviser-queries            print the number of queries sent to the adviser
--- a/tests/unit/test_cell_admission.c
+++ b/tests/unit/test_cell_admission.c
@@ -244,6 +244,35 @@
 }
 END_TEST
 
+/*
+ * Load: an account that has used up its upper limit, in a cell with free
+ * capacity: its own work delays its jobs.
+ */
+START_TEST(test_account_at_its_limit)
+{
+	struct zr_admission_limit limits[] = {{URGENT, 500, 4500},
+					      {BATCH, 3000, 9000}};
+	struct zr_admission_job job = {
+		.spec = &specs[URGENT],
+		.objective_ms = objective_ms(URGENT),
+		.limits = limits,
+		.limit_count = 2,
+	};
+	struct zr_admission_verdict verdict;
+
+	pool.used_permille[ZR_ADMISSION_MILLICPUS] = 300;
+	zr_admission_decide(&verdict, &pool, &job);
+	ck_assert_int_eq(verdict.reason, ZR_ADMISSION_ACCEPTED);
+	job.over_share = true;
+	zr_admission_decide(&verdict, &pool, &job);
+	ck_assert_int_eq(verdict.reason, ZR_ADMISSION_REJECTED_OVER_SHARE);
+	ck_assert_int_eq(verdict.wait_ms, 8000);
+	job.limit_count = 0;
+	zr_admission_decide(&verdict, &pool, &job);
+	ck_assert_int_eq(verdict.reason, ZR_ADMISSION_ACCEPTED);
+}
+END_TEST
+
 /* Ten jobs per second: a flood leaves a debt, which time repays. */
 START_TEST(test_account_above_its_share)
 {
@@ -292,6 +321,7 @@
 	tcase_add_test(tcase, test_unpredictable_jobs_are_accepted);
 	tcase_add_test(tcase, test_nothing_is_rejected_below_full_load);
 	tcase_add_test(tcase, test_capacity_that_returns);
+	tcase_add_test(tcase, test_account_at_its_limit);
 	tcase_add_test(tcase, test_account_above_its_share);
 	tcase_add_test(tcase, test_run_times_with_a_tail);
 	suite_add_tcase(suite, tcase);
