cell: reject jobs that cannot end in time, before they are written

In a flood every job is accepted, also one that will be worth nothing when it ends. With the section admission of the settings, each host now decides with the owner's summary of the load. A job that would be rejected is looked up in the store first, since an earlier attempt may have been accepted by any host; it is accepted if it is there, if the store does not answer within 20 ms, if this host is writing it, or if the summary is of a former owner or older than 2,000 ms.

A rejection is a 429 for a client account above its share and a 503 otherwise, both with Retry-After. The log line has the reason, the expected finish and the limit; zinniarack_cell_rejected_total counts by reason and priority.

--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -33,6 +33,8 @@
  *	configuration is older, because it may have withdrawn the caller's key
  * @leave_ms: timeout of a graceful shutdown
  * @log: level and format of the log
+ * @admission: admission control: whether jobs that cannot end in time are
+ *	rejected
  */
 struct zr_cell_settings {
 	char *name;
@@ -56,6 +58,9 @@
 		enum zr_log_level level;
 		enum zr_log_format format;
 	} log;
+	struct {
+		bool enabled;
+	} admission;
 };
 
 /**
--- a/include/zinniarack/frontend.h
+++ b/include/zinniarack/frontend.h
@@ -53,6 +53,8 @@
  * @ZR_CALL_NO_JOB: no job has this id
  * @ZR_CALL_REFUSED: the call was refused and has had no effect; a refused job
  *	will not run
+ * @ZR_CALL_OVER_SHARE: as ZR_CALL_REFUSED, because the caller's client account
+ *	is above its share of a full cell
  * @ZR_CALL_UNDECIDED: the store did not answer, so the call may or may not
  *	take effect; the caller should repeat it
  */
@@ -63,6 +65,7 @@
 	ZR_CALL_NO_QUEUE,
 	ZR_CALL_NO_JOB,
 	ZR_CALL_REFUSED,
+	ZR_CALL_OVER_SHARE,
 	ZR_CALL_UNDECIDED,
 };
 
--- a/src/libzinniarack/cell/acceptor.c
+++ b/src/libzinniarack/cell/acceptor.c
@@ -327,6 +327,25 @@
 	return acceptor->incomplete_writes;
 }
 
+static bool has_write(const struct write *list, const char *id)
+{
+	const struct write *write;
+
+	DL_FOREACH(list, write)
+	{
+		if (!strcmp(write->job_key + strlen(ZR_CELL_JOB_PREFIX), id))
+			return true;
+	}
+	return false;
+}
+
+bool zr_cell_acceptor_is_writing(const struct zr_cell_acceptor *acceptor,
+				 const char *id)
+{
+	return has_write(acceptor->pending, id) ||
+	       has_write(acceptor->sent, id);
+}
+
 int zr_cell_acceptor_new(struct zr_cell_acceptor **out,
 			 const struct zr_timers *timers,
 			 const struct zr_clock *clock,
--- a/src/libzinniarack/cell/acceptor.h
+++ b/src/libzinniarack/cell/acceptor.h
@@ -76,6 +76,10 @@
 /** zr_cell_acceptor_pending() - number of writes without an outcome yet */
 unsigned int zr_cell_acceptor_pending(const struct zr_cell_acceptor *acceptor);
 
+/** zr_cell_acceptor_is_writing() - whether a job's write has no outcome yet */
+bool zr_cell_acceptor_is_writing(const struct zr_cell_acceptor *acceptor,
+				 const char *id);
+
 void zr_cell_acceptor_free(struct zr_cell_acceptor *acceptor);
 
 #endif
--- a/src/libzinniarack/cell/frontend.c
+++ b/src/libzinniarack/cell/frontend.c
@@ -51,6 +51,7 @@
 	struct timespec started_at;
 	struct timespec deadline;
 	struct zr_cell_buffer record;
+	struct zr_admission_verdict verdict; /* of a submission */
 	unsigned int cancel_attempts;
 };
 
@@ -67,6 +68,7 @@
 	[ZR_CALL_NO_QUEUE] = "no_queue",
 	[ZR_CALL_NO_JOB] = "no_job",
 	[ZR_CALL_REFUSED] = "not_run",
+	[ZR_CALL_OVER_SHARE] = "not_run",
 	[ZR_CALL_UNDECIDED] = "undecided",
 };
 
@@ -76,6 +78,7 @@
 	case ZR_CALL_OK:
 		return COUNT_OK;
 	case ZR_CALL_REFUSED:
+	case ZR_CALL_OVER_SHARE:
 		return COUNT_REFUSED;
 	case ZR_CALL_UNDECIDED:
 		return COUNT_UNDECIDED;
@@ -86,6 +89,23 @@
 
 /* Responses */
 
+/* Times are from now on: when the job would have ended, and should have. */
+static void log_rejection(const struct request *request,
+			  const struct zr_call_result *result, int64_t took_ms)
+{
+	const struct zr_admission_verdict *verdict = &request->verdict;
+
+	zr_log_decision("call.submit outcome=not_run job=%s queue=%s client=%s "
+			"version=%" PRIu64 " took_ms=%" PRId64 " reason=%s "
+			"wait_ms=%" PRId64 " finish_ms=%" PRId64
+			" limit_ms=%" PRId64 " retry_after_ms=%u",
+			request->job, request->queue,
+			request->client[0] ? request->client : "-",
+			request->version, took_ms, result->reason,
+			verdict->wait_ms, verdict->finish_ms, verdict->limit_ms,
+			result->retry_after_ms);
+}
+
 static void log_call(const struct request *request,
 		     const struct zr_call_result *result, int64_t took_ms)
 {
@@ -93,6 +113,10 @@
 	if (result->outcome == ZR_CALL_OK && request->kind != ZR_CALL_SUBMIT &&
 	    request->kind != ZR_CALL_CANCEL)
 		return;
+	if (request->verdict.reason != ZR_ADMISSION_ACCEPTED) {
+		log_rejection(request, result, took_ms);
+		return;
+	}
 	zr_log_decision(
 		"call.%s outcome=%s job=%s queue=%s client=%s "
 		"version=%" PRIu64 " age_ms=%" PRId64 " took_ms=%" PRId64
@@ -189,6 +213,63 @@
 	return left > 0 ? (unsigned int)left : 0;
 }
 
+/* The record is copied, since the owner is notified of it afterwards. */
+static void write_job(struct request *request)
+{
+	struct zr_cell_buffer copy = {.length = request->record.length};
+
+	copy.data = malloc(copy.length);
+	if (!copy.data)
+		abort();
+	memcpy(copy.data, request->record.data, copy.length);
+	zr_cell_acceptor_write_job(request->frontend->options.acceptor,
+				   request->job, copy, remaining_ms(request),
+				   on_accepted, request);
+}
+
+static void on_verdict(void *ctx, const struct zr_admission_verdict *verdict)
+{
+	struct request *request = ctx;
+	struct zr_call_result result = {
+		.outcome = ZR_CALL_REFUSED,
+		.reason = "overload",
+		.retry_after_ms = verdict->retry_after_ms,
+	};
+
+	if (verdict->reason == ZR_ADMISSION_ACCEPTED) {
+		write_job(request);
+		return;
+	}
+	request->verdict = *verdict;
+	if (verdict->reason == ZR_ADMISSION_REJECTED_OVER_SHARE) {
+		result.outcome = ZR_CALL_OVER_SHARE;
+		result.reason = "over_share";
+	}
+	respond(request, &result);
+}
+
+static void decide_and_write(struct request *request,
+			     const struct zr_cell_queue *queue,
+			     const struct zr_cell_job_spec *spec)
+{
+	const struct zr_cell_frontend_options *options =
+		&request->frontend->options;
+	const struct zr_cell_submission submission = {
+		.id = request->job,
+		.client = request->client,
+		.queue = queue,
+		.spec = spec,
+		.term_revision =
+			zr_cell_scheduler_holder_revision(options->scheduler),
+	};
+
+	if (options->admitter)
+		zr_cell_admitter_decide(options->admitter, &submission,
+					on_verdict, request);
+	else
+		write_job(request);
+}
+
 static void submit(struct request *request, const struct zr_call *call,
 		   const struct zr_cell_config *config,
 		   const struct zr_cell_queue *queue)
@@ -196,7 +277,6 @@
 	struct zr_cell_frontend *frontend = request->frontend;
 	const struct zr_clock *clock = frontend->options.clock;
 	struct zr_cell_job_spec spec;
-	struct zr_cell_buffer bytes;
 	zx_cell_job record = {
 		.queue = (char *)queue->name,
 		.client = request->client,
@@ -221,21 +301,16 @@
 		return;
 	}
 	zr_cell_record_from_spec(&record, &spec);
-	error = zr_cell_encode(&bytes, (xdrproc_t)xdr_zx_cell_job, &record);
+	error = zr_cell_encode(&request->record, (xdrproc_t)xdr_zx_cell_job,
+			       &record);
 	zr_cell_record_clear(&record);
-	zr_cell_job_spec_clear(&spec);
 	if (error < 0) {
+		request->record = (struct zr_cell_buffer){0};
 		respond_with(request, ZR_CALL_BAD_REQUEST, "job_too_large");
-		return;
+	} else {
+		decide_and_write(request, queue, &spec);
 	}
-	request->record.data = malloc(bytes.length);
-	if (!request->record.data)
-		abort();
-	request->record.length = bytes.length;
-	memcpy(request->record.data, bytes.data, bytes.length);
-	zr_cell_acceptor_write_job(frontend->options.acceptor, request->job,
-				   bytes, remaining_ms(request), on_accepted,
-				   request);
+	zr_cell_job_spec_clear(&spec);
 }
 
 /* State queries */
--- a/src/libzinniarack/cell/frontend.h
+++ b/src/libzinniarack/cell/frontend.h
@@ -2,6 +2,7 @@
 #define ZR_CELL_FRONTEND_H
 
 #include "cell/acceptor.h"
+#include "cell/admitter.h"
 #include "cell/config_poller.h"
 #include "cell/peers.h"
 #include "net/http_server.h"
@@ -53,6 +54,7 @@
  * @key_age_max_ms: maximum age of the last successful read of the configuration
  *	for calls to be served
  * @metrics: registry for the front end's metrics
+ * @admitter: decides which jobs are accepted; NULL: all are
  */
 struct zr_cell_frontend_options {
 	const struct zr_call_codec *codec;
@@ -65,6 +67,7 @@
 	const struct zr_store_health *health;
 	unsigned int key_age_max_ms;
 	struct zr_metrics *metrics;
+	struct zr_cell_admitter *admitter;
 };
 
 /**
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cell/acceptor.h"
+#include "cell/admitter.h"
 #include "cell/config_poller.h"
 #include "cell/frontend.h"
 #include "cell/peers.h"
@@ -49,6 +50,7 @@
 	struct zr_store_health *health;
 	struct zr_cell_config_poller *config_poller;
 	struct zr_cell_acceptor *acceptor;
+	struct zr_cell_admitter *admitter; /* NULL without admission control */
 	struct zr_cell_scheduler *scheduler;
 	struct zr_cell_peers *peers;
 	struct zr_cell_frontend *frontend;
@@ -207,6 +209,7 @@
 		.host = settings->name,
 		.cell = settings->cell,
 		.metrics = options->metrics,
+		.admission = settings->admission.enabled,
 	};
 	int error;
 
@@ -228,6 +231,23 @@
 	return error;
 }
 
+static int create_admitter(struct zr_cell_host *host)
+{
+	const struct zr_cell_host_options *options = &host->options;
+	const struct zr_cell_admitter_options admitter_options = {
+		.timers = &host->timers,
+		.clock = options->clock,
+		.store = &host->platform.store,
+		.health = host->health,
+		.acceptor = host->acceptor,
+		.metrics = options->metrics,
+	};
+
+	if (!options->settings->admission.enabled)
+		return 0;
+	return zr_cell_admitter_new(&host->admitter, &admitter_options);
+}
+
 static int create_frontend(struct zr_cell_host *host)
 {
 	const struct zr_cell_host_options *options = &host->options;
@@ -242,6 +262,7 @@
 		.health = host->health,
 		.key_age_max_ms = options->settings->key_age_max_ms,
 		.metrics = options->metrics,
+		.admitter = host->admitter,
 	};
 
 	return zr_cell_frontend_new(&host->frontend, &frontend_options);
@@ -291,6 +312,8 @@
 	if (!error)
 		zr_cell_relay_set_sender(host->relay, zr_cell_peers_relay,
 					 host->peers);
+	if (!error)
+		error = create_admitter(host);
 	if (!error)
 		error = create_frontend(host);
 	if (!error)
