cell: the work that arrives counts against jobs that rank behind it

In a flood, what waits above the shares drains only with the capacity that new work within the shares leaves, so the expected finish was too early and jobs were accepted that ended late. The summary now has the rate at which work was accepted lately, by pool, priority and share. The same rate tells when capacity returns: while as much arrives as drains, Retry-After is ten seconds or more, since a caller that comes back sooner is rejected again.

--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -128,6 +128,7 @@
 	u_int run_permille;
 	u_int tail_permille;
 	u_int waiting_ms[9];
+	u_int arriving_permille[2];
 };
 typedef struct zx_cell_class_load zx_cell_class_load;
 
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -128,6 +128,8 @@
 	unsigned int tail_permille;
 	/* By tier, and within a tier by resource. */
 	unsigned int waiting_ms[9];
+	/* Of accounts within their share, and above it. */
+	unsigned int arriving_permille[2];
 };
 
 /* Load of a pool, as in struct zr_admission_pool. */
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -434,7 +434,7 @@
 	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, (3 +  9 )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (3 +  9  + 2 )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
@@ -445,6 +445,9 @@
 			 if (!xdr_vector (xdrs, (char *)objp->waiting_ms, 9,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->arriving_permille, 2,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->priority);
 			IXDR_PUT_U_LONG(buf, objp->run_permille);
@@ -457,10 +460,18 @@
 					IXDR_PUT_U_LONG(buf, *genp++);
 				}
 			}
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->arriving_permille;
+					i < 2; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, (3 +  9 )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (3 +  9  + 2 )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
@@ -471,6 +482,9 @@
 			 if (!xdr_vector (xdrs, (char *)objp->waiting_ms, 9,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->arriving_permille, 2,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
 		} else {
 			objp->priority = IXDR_GET_U_LONG(buf);
 			objp->run_permille = IXDR_GET_U_LONG(buf);
@@ -483,6 +497,14 @@
 					*genp++ = IXDR_GET_U_LONG(buf);
 				}
 			}
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->arriving_permille;
+					i < 2; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
 		}
 	 return TRUE;
 	}
@@ -496,6 +518,9 @@
 	 if (!xdr_vector (xdrs, (char *)objp->waiting_ms, 9,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->arriving_permille, 2,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/libzinniarack/cell/admitter.c
+++ b/src/libzinniarack/cell/admitter.c
@@ -303,6 +303,8 @@
 	out->priority = class->priority;
 	out->run_permille = class->run_permille;
 	out->tail_permille = class->tail_permille;
+	for (i = 0; i < ZR_ADMISSION_SHARES; i++)
+		out->arriving_permille[i] = class->arriving_permille[i];
 	for (tier = 0; tier < ZR_ADMISSION_TIERS; tier++) {
 		for (i = 0; i < ZR_ADMISSION_RESOURCES; i++)
 			out->waiting_ms[tier][i] =
--- a/src/libzinniarack/cell/load_summary.c
+++ b/src/libzinniarack/cell/load_summary.c
@@ -32,10 +32,15 @@
 #define CLASSES_MAX 24
 /* Used part of an upper limit from which the limit delays an account's work. */
 #define LIMIT_FULL_PERMILLE 900
+/* Time constant of the rate at which work arrives. */
+#define ARRIVAL_MEMORY_MS 2000
 #define MEDIAN_PERCENT 50
 #define TAIL_PERCENT 95
 #define PERMILLE 1000
 
+_Static_assert(ZR_CELL_POOLS_MAX == ZX_CELL_LOAD_POOLS_MAX,
+	       "the record has room for all pools");
+
 /* Sums of one priority: need times run time, in milliseconds. */
 struct class_sum {
 	bool present;
@@ -62,7 +67,7 @@
 	int64_t now;
 	uint32_t run_permille[ZR_CELL_PRIORITIES];
 	uint32_t tail_permille[ZR_CELL_PRIORITIES];
-	struct pool_sum pools[ZX_CELL_LOAD_POOLS_MAX];
+	struct pool_sum pools[ZR_CELL_POOLS_MAX];
 	size_t pool_count;
 	struct account_sum *accounts;
 	size_t account_count;
@@ -142,7 +147,7 @@
 		if (!strcmp(summary->pools[i].name, name))
 			return &summary->pools[i];
 	}
-	if (summary->pool_count == ZX_CELL_LOAD_POOLS_MAX)
+	if (summary->pool_count == ZR_CELL_POOLS_MAX)
 		return NULL;
 	pool = &summary->pools[summary->pool_count++];
 	pool->name = name;
@@ -287,6 +292,67 @@
 	}
 }
 
+/* Rate at which work arrives */
+
+static struct zr_cell_arrivals *
+get_or_add_arrivals(struct zr_cell_scheduler *scheduler, const char *pool)
+{
+	struct zr_cell_arrivals *arrivals;
+	size_t i;
+
+	for (i = 0; i < scheduler->arrival_count; i++) {
+		if (!strcmp(scheduler->arrivals[i].pool, pool))
+			return &scheduler->arrivals[i];
+	}
+	if (scheduler->arrival_count == ZR_CELL_POOLS_MAX)
+		return NULL;
+	arrivals = &scheduler->arrivals[scheduler->arrival_count++];
+	memset(arrivals, 0, sizeof(*arrivals));
+	snprintf(arrivals->pool, sizeof(arrivals->pool), "%s", pool);
+	return arrivals;
+}
+
+/* A job that was loaded after a takeover is not counted as a new one. */
+static void add_arrival(struct zr_cell_scheduler *scheduler,
+			struct zr_cell_job *job)
+{
+	struct zr_cell_arrivals *arrivals =
+		get_or_add_arrivals(scheduler, job->pool);
+	uint32_t i;
+
+	job->arrival_counted = true;
+	if (!scheduler->summary_due_at || !arrivals || job->spec.repeats)
+		return;
+	for (i = 0; i < job->spec.step_count; i++) {
+		const struct zr_cell_step_spec *step = &job->spec.steps[i];
+
+		if (!(step->flags & ZR_STEP_LONG_RUNNING))
+			arrivals->accepted[class_of(job->priority)]
+					  [job->over_share] +=
+				(double)step->count * step->need.millicpus *
+				step->estimate_ms;
+	}
+}
+
+static void update_rates(struct zr_cell_arrivals *arrivals, double interval_ms)
+{
+	double weight = interval_ms < ARRIVAL_MEMORY_MS
+				? interval_ms / ARRIVAL_MEMORY_MS
+				: 1;
+	uint32_t i;
+	int share;
+
+	for (i = 0; i < ZR_CELL_PRIORITIES; i++) {
+		for (share = 0; share < ZR_ADMISSION_SHARES; share++) {
+			double *rate = &arrivals->millicpus[i][share];
+			double *accepted = &arrivals->accepted[i][share];
+
+			*rate += (*accepted / interval_ms - *rate) * weight;
+			*accepted = 0;
+		}
+	}
+}
+
 /* The record */
 
 static uint32_t to_uint32(double value)
@@ -296,6 +362,23 @@
 	return value > 0 ? (uint32_t)value : 0;
 }
 
+static void fill_arriving(zx_cell_class_load *out,
+			  const struct summary *summary,
+			  const struct pool_sum *pool, uint32_t class)
+{
+	const struct zr_cell_arrivals *arrivals =
+		get_or_add_arrivals(summary->scheduler, pool->name);
+	double capacity = pool->capacity[ZR_ADMISSION_MILLICPUS];
+	int share;
+
+	for (share = 0; share < ZR_ADMISSION_SHARES; share++) {
+		if (arrivals && capacity > 0)
+			out->arriving_permille[share] =
+				to_uint32(arrivals->millicpus[class][share] *
+					  out->run_permille / capacity);
+	}
+}
+
 static void fill_class(zx_cell_class_load *out, const struct summary *summary,
 		       const struct pool_sum *pool, uint32_t class)
 {
@@ -305,6 +388,7 @@
 	out->priority = class;
 	out->run_permille = summary->run_permille[class];
 	out->tail_permille = summary->tail_permille[class];
+	fill_arriving(out, summary, pool, class);
 	for (tier = 0; tier < ZR_ADMISSION_TIERS; tier++) {
 		for (i = 0; i < ZR_ADMISSION_RESOURCES; i++) {
 			double ms = 0;
@@ -465,7 +549,8 @@
 	return now >= scheduler->summary_due_at;
 }
 
-static void publish(struct zr_cell_scheduler *scheduler, int64_t now)
+static void publish(struct zr_cell_scheduler *scheduler, int64_t now,
+		    int64_t interval_ms)
 {
 	struct summary summary = {.scheduler = scheduler, .now = now};
 	struct queue_count *counts = NULL;
@@ -473,10 +558,16 @@
 	struct zr_cell_buffer bytes;
 	struct zr_cell_job *job;
 	struct zr_cell_job *next;
+	size_t i;
 
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next)
+	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
 		count_job(&counts, job);
+		if (!job->arrival_counted)
+			add_arrival(scheduler, job);
+	}
 	list_counts(&record.counts, counts);
+	for (i = 0; i < scheduler->arrival_count; i++)
+		update_rates(&scheduler->arrivals[i], (double)interval_ms);
 	if (scheduler->options.admission && has_settled(scheduler, now)) {
 		collect(&summary);
 		fill_load(&record.load, &summary);
@@ -492,14 +583,15 @@
 
 void zr_cell_summary_process(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	int64_t interval_ms =
+	int64_t due_ms =
 		scheduler->summary_full ? FULL_INTERVAL_MS : INTERVAL_MS;
+	int64_t interval_ms = now - scheduler->counts_published_at;
 
-	if (now - scheduler->counts_published_at < interval_ms)
+	if (interval_ms < due_ms)
 		return;
 	scheduler->counts_published_at = now;
 	if (!scheduler->jobs_outdated)
-		publish(scheduler, now);
+		publish(scheduler, now, interval_ms);
 }
 
 void zr_cell_summary_add_run(struct zr_cell_scheduler *scheduler,
@@ -513,6 +605,7 @@
 void zr_cell_summary_reset(struct zr_cell_scheduler *scheduler)
 {
 	memset(scheduler->run_times, 0, sizeof(scheduler->run_times));
+	scheduler->arrival_count = 0;
 	scheduler->summary_due_at = 0;
 	scheduler->summary_full = false;
 }
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -213,6 +213,7 @@
  * @dirty: it is in the list of jobs with changes to commit
  * @prev: previous job in that list
  * @next: next job in that list
+ * @arrival_counted: the summary of the load has counted its work
  */
 struct zr_cell_job {
 	char id[ZR_NAME_MAX];
@@ -246,6 +247,7 @@
 	bool dirty;
 	struct zr_cell_job *prev;
 	struct zr_cell_job *next;
+	bool arrival_counted;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/policy/admission.c
+++ b/src/libzinniarack/cell/policy/admission.c
@@ -25,12 +25,16 @@
 #define CONTENTION_PERMILLE 100
 /* More steps than these are not examined. */
 #define STEPS_MAX 64
+/* Part of the capacity that is left for waiting work in any case. */
+#define DRAIN_PERMILLE_MIN 100
 /*
- * Retries: time beyond that in which the surplus drains, since other work goes
- * on to arrive; the width over which callers are spread at least; the maximum.
+ * Retries: time beyond that in which the surplus drains; the width over which
+ * callers are spread at least; the least time if the surplus does not drain as
+ * long as jobs arrive as lately; the maximum.
  */
 #define RETRY_MARGIN_MS 250
 #define RETRY_SPREAD_MIN_MS 1000
+#define RETRY_UNDRAINED_MS 10000
 #define RETRY_MAX_MS 60000
 
 /* What is known of a job before it runs. */
@@ -184,17 +188,43 @@
 	return sum;
 }
 
-/* @counted_permille: the part of the waiting work that was counted */
+/*
+ * Capacity that new work of higher priorities than @priority leaves: of
+ * accounts within their share, or @above it.
+ */
+static int64_t left_permille(const struct zr_admission_pool *pool,
+			     enum zr_admission_share share, uint32_t priority)
+{
+	int64_t left = PERMILLE;
+	size_t i;
+
+	for (i = 0; i < pool->class_count; i++) {
+		const struct zr_admission_class *class = &pool->classes[i];
+
+		if (class->priority < priority)
+			left -= class->arriving_permille[share];
+		if (share == ZR_ADMISSION_ABOVE)
+			left -= class->arriving_permille[ZR_ADMISSION_WITHIN];
+	}
+	return max_int64(left, DRAIN_PERMILLE_MIN);
+}
+
+/*
+ * @left: capacity that new work leaves which ranks before the job, and @drain:
+ * that which leaves new work of the job's own class too. The limit is met when
+ * the surplus has drained.
+ */
 static void reject(struct zr_admission_verdict *out,
-		   enum zr_admission_reason reason, int64_t counted_permille,
+		   enum zr_admission_reason reason, int64_t left, int64_t drain,
 		   uint64_t hash)
 {
-	int64_t excess_ms =
-		(out->finish_ms - out->limit_ms) * PERMILLE / counted_permille;
-	int64_t spread_ms = max_int64(excess_ms, RETRY_SPREAD_MIN_MS);
-	int64_t retry_ms = excess_ms + RETRY_MARGIN_MS +
-			   (int64_t)(hash % (uint64_t)spread_ms);
+	int64_t surplus_ms = out->finish_ms - out->limit_ms;
+	int64_t retry_ms = surplus_ms * left / drain;
+	int64_t spread_ms = max_int64(retry_ms, RETRY_SPREAD_MIN_MS);
 
+	if (drain == DRAIN_PERMILLE_MIN)
+		retry_ms = max_int64(retry_ms, RETRY_UNDRAINED_MS);
+	retry_ms += RETRY_MARGIN_MS + (int64_t)(hash % (uint64_t)spread_ms);
 	out->reason = reason;
 	out->retry_after_ms =
 		(uint32_t)(retry_ms < RETRY_MAX_MS ? retry_ms : RETRY_MAX_MS);
@@ -212,18 +242,23 @@
 {
 	int64_t run_ms = scale(max_int64(demand->path_ms, demand->work_ms),
 			       class->run_permille);
+	int64_t left = left_permille(pool, ZR_ADMISSION_WITHIN, job->priority);
 	int64_t ahead_ms =
 		drain_ms(pool, demand, ZR_ADMISSION_ON_TIME, job->priority);
 
 	if (ahead_ms + run_ms > job->objective_ms)
 		ahead_ms += drain_ms(pool, demand, ZR_ADMISSION_LATE,
 				     job->priority);
+	ahead_ms = max_int64(ahead_ms * PERMILLE / left, limit_wait_ms(job));
 	out->wait_ms =
 		max_int64(0, scale(ahead_ms, EARLY_PERMILLE) - pool->age_ms);
 	out->finish_ms = out->wait_ms + run_ms;
 	out->limit_ms = WORTHLESS_FACTOR * job->objective_ms;
 	if (out->wait_ms && out->finish_ms > out->limit_ms)
-		reject(out, ZR_ADMISSION_REJECTED_OVERLOAD, EARLY_PERMILLE,
+		reject(out, ZR_ADMISSION_REJECTED_OVERLOAD,
+		       left * PERMILLE / EARLY_PERMILLE,
+		       left_permille(pool, ZR_ADMISSION_WITHIN,
+				     job->priority + 1),
 		       job->hash);
 }
 
@@ -251,6 +286,7 @@
 {
 	int64_t over_ms =
 		drain_ms(pool, demand, ZR_ADMISSION_OVER_SHARE, job->priority);
+	int64_t left = left_permille(pool, ZR_ADMISSION_ABOVE, job->priority);
 	int64_t run_ms = slow_run_ms(job, demand);
 	int64_t tail_ms = scale(run_ms, class->tail_permille);
 
@@ -259,7 +295,8 @@
 		over_ms +
 		drain_ms(pool, demand, ZR_ADMISSION_ON_TIME, UINT32_MAX) +
 		drain_ms(pool, demand, ZR_ADMISSION_LATE, UINT32_MAX);
-	out->wait_ms = max_int64(out->wait_ms, limit_wait_ms(job));
+	out->wait_ms =
+		max_int64(out->wait_ms * PERMILLE / left, limit_wait_ms(job));
 	out->limit_ms = job->objective_ms;
 	out->finish_ms = out->wait_ms + run_ms;
 	over_ms = max_int64(over_ms, limit_wait_ms(job));
@@ -270,7 +307,9 @@
 			out->finish_ms = out->wait_ms + tail_ms;
 	}
 	if (out->wait_ms && out->finish_ms > out->limit_ms)
-		reject(out, ZR_ADMISSION_REJECTED_OVER_SHARE, PERMILLE,
+		reject(out, ZR_ADMISSION_REJECTED_OVER_SHARE, left,
+		       left_permille(pool, ZR_ADMISSION_ABOVE,
+				     job->priority + 1),
 		       job->hash);
 }
 
--- a/src/libzinniarack/cell/policy/admission.h
+++ b/src/libzinniarack/cell/policy/admission.h
@@ -21,6 +21,9 @@
  * work that competes for what the shares leave, a late job has the least value
  * per core-second.
  *
+ * The work that ranks before a job drains with that part of the capacity which
+ * is left by new work that ranks before the job as well.
+ *
  * Whatever is not known counts as zero, so that it never causes a rejection.
  * Docs: docs/design/admission.md.
  */
@@ -48,6 +51,13 @@
 	ZR_ADMISSION_TIERS,
 };
 
+/** enum zr_admission_share - whether an account is above its share */
+enum zr_admission_share {
+	ZR_ADMISSION_WITHIN,
+	ZR_ADMISSION_ABOVE,
+	ZR_ADMISSION_SHARES,
+};
+
 /**
  * struct zr_admission_class - load of one priority in a pool
  * @priority: the priority; 0 is the highest
@@ -55,12 +65,16 @@
  * @tail_permille: 95th percentile of the run times, likewise
  * @waiting_ms: for each tier and resource, time that the pool's whole capacity
  *	needs for the tasks that wait
+ * @arriving_permille: processor time that was lately accepted per time, in
+ *	thousandths of the pool's capacity: that of accounts within their share,
+ *	and of accounts above it
  */
 struct zr_admission_class {
 	uint32_t priority;
 	uint32_t run_permille;
 	uint32_t tail_permille;
 	uint32_t waiting_ms[ZR_ADMISSION_TIERS][ZR_ADMISSION_RESOURCES];
+	uint32_t arriving_permille[ZR_ADMISSION_SHARES];
 };
 
 /**
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -19,6 +19,22 @@
 /** Number of priorities that are told apart; lower ones count as the last. */
 #define ZR_CELL_PRIORITIES 16
 
+/** Number of pools of which the load is known; jobs of others are accepted. */
+#define ZR_CELL_POOLS_MAX 6
+
+/**
+ * struct zr_cell_arrivals - work that was accepted lately for a pool
+ * @pool: name of the pool
+ * @accepted: by priority, processors times estimated milliseconds since the
+ *last summary, of accounts within their share and above it
+ * @millicpus: likewise, processors that this work keeps busy, smoothed
+ */
+struct zr_cell_arrivals {
+	char pool[ZR_NAME_MAX];
+	double accepted[ZR_CELL_PRIORITIES][2];
+	double millicpus[ZR_CELL_PRIORITIES][2];
+};
+
 /** enum zr_cell_phase - phase of a scheduler */
 enum zr_cell_phase {
 	ZR_CELL_STANDBY, /* does not own the cell */
@@ -138,6 +154,8 @@
  * @run_times: run times in this term by priority
  * @summary_due_at: time before which no summary of the load is published; 0:
  *not set in this term
+ * @arrivals: work that was accepted lately, by pool
+ * @arrival_count: number of @arrivals
  * @summary_full: the last summary shows a pool or a limit that is full
  */
 struct zr_cell_scheduler {
@@ -198,6 +216,8 @@
 	int64_t load_logged_at;
 	struct zr_run_times run_times[ZR_CELL_PRIORITIES];
 	int64_t summary_due_at;
+	struct zr_cell_arrivals arrivals[ZR_CELL_POOLS_MAX];
+	size_t arrival_count;
 	bool summary_full;
 };
 
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -591,10 +591,12 @@
 			waiting = class->waiting_ms;
 			print(script,
 			      "load: priority=%u run=%u tail=%u "
-			      "on_time=%u late=%u over_share=%u",
+			      "on_time=%u late=%u over_share=%u "
+			      "arriving=%u,%u",
 			      class->priority, class->run_permille,
 			      class->tail_permille, waiting[0], waiting[3],
-			      waiting[6]);
+			      waiting[6], class->arriving_permille[0],
+			      class->arriving_permille[1]);
 		}
 	}
 	for (i = 0; i < load->accounts.accounts_len; i++) {
--- a/tests/unit/test_cell_admission.c
+++ b/tests/unit/test_cell_admission.c
@@ -273,6 +273,33 @@
 }
 END_TEST
 
+/*
+ * Load: a flood, in which work within the shares takes most of the capacity.
+ * What waits above the shares drains with the rest. While as much arrives as
+ * drains, no capacity returns soon, and the caller is not told to come back at
+ * once.
+ */
+START_TEST(test_new_work_ranks_before_that_which_waits)
+{
+	struct zr_admission_verdict verdict;
+
+	set_waiting(URGENT, ZR_ADMISSION_OVER_SHARE, 300);
+	ck_assert_int_eq(reason_of(URGENT, true), ZR_ADMISSION_ACCEPTED);
+	classes[GANG].arriving_permille[ZR_ADMISSION_WITHIN] = 300;
+	classes[BATCH].arriving_permille[ZR_ADMISSION_WITHIN] = 300;
+	verdict = decide(URGENT, true, 0);
+	ck_assert_int_eq(verdict.reason, ZR_ADMISSION_REJECTED_OVER_SHARE);
+	ck_assert_int_eq(verdict.wait_ms, 750);
+	ck_assert_uint_lt(verdict.retry_after_ms, 1000);
+	classes[URGENT].arriving_permille[ZR_ADMISSION_ABOVE] = 400;
+	verdict = decide(URGENT, true, 0);
+	ck_assert_int_eq(verdict.wait_ms, 750);
+	ck_assert_uint_gt(verdict.retry_after_ms, 10000);
+	/* It does not delay an urgent job of an account within its share. */
+	ck_assert_int_eq(decide(URGENT, false, 0).wait_ms, 0);
+}
+END_TEST
+
 /* Ten jobs per second: a flood leaves a debt, which time repays. */
 START_TEST(test_account_above_its_share)
 {
@@ -322,6 +349,7 @@
 	tcase_add_test(tcase, test_nothing_is_rejected_below_full_load);
 	tcase_add_test(tcase, test_capacity_that_returns);
 	tcase_add_test(tcase, test_account_at_its_limit);
+	tcase_add_test(tcase, test_new_work_ranks_before_that_which_waits);
 	tcase_add_test(tcase, test_account_above_its_share);
 	tcase_add_test(tcase, test_run_times_with_a_tail);
 	suite_add_tcase(suite, tcase);
