cell/policy: callers come back only if the surplus drains

Retry-After was kept too seldom: while less than a quarter of the capacity drains the surplus, the next jobs take it before the caller is back. Then the time is ten seconds or more. The capacity that is left to jobs within the share is taken as half at least, since the jobs of higher priorities may cease to arrive.

--- a/src/libzinniarack/cell/policy/admission.c
+++ b/src/libzinniarack/cell/policy/admission.c
@@ -25,14 +25,21 @@
 #define CONTENTION_PERMILLE 100
 /* More steps than these are not examined. */
 #define STEPS_MAX 64
-/* Part of the capacity that is left for waiting work in any case. */
+/*
+ * Part of the capacity that is left for waiting work in any case; that which is
+ * left for jobs within the share, since the jobs of higher priorities may cease
+ * to arrive.
+ */
 #define DRAIN_PERMILLE_MIN 100
+#define EARLY_DRAIN_PERMILLE_MIN 500
 /*
  * Retries: time beyond that in which the surplus drains; the width over which
- * callers are spread at least; the least time if the surplus does not drain as
- * long as jobs arrive as lately; the maximum.
+ * callers are spread at least; part of the capacity that drains it, and the
+ * least time with less than that, in which the rate of arrivals may have
+ * changed; the maximum.
  */
 #define RETRY_MARGIN_MS 250
+#define RETRY_DRAIN_PERMILLE 250
 #define RETRY_SPREAD_MIN_MS 1000
 #define RETRY_UNDRAINED_MS 10000
 #define RETRY_MAX_MS 60000
@@ -222,7 +229,7 @@
 	int64_t retry_ms = surplus_ms * left / drain;
 	int64_t spread_ms = max_int64(retry_ms, RETRY_SPREAD_MIN_MS);
 
-	if (drain == DRAIN_PERMILLE_MIN)
+	if (drain < RETRY_DRAIN_PERMILLE)
 		retry_ms = max_int64(retry_ms, RETRY_UNDRAINED_MS);
 	retry_ms += RETRY_MARGIN_MS + (int64_t)(hash % (uint64_t)spread_ms);
 	out->reason = reason;
@@ -242,7 +249,9 @@
 {
 	int64_t run_ms = scale(max_int64(demand->path_ms, demand->work_ms),
 			       class->run_permille);
-	int64_t left = left_permille(pool, ZR_ADMISSION_WITHIN, job->priority);
+	int64_t left = max_int64(
+		left_permille(pool, ZR_ADMISSION_WITHIN, job->priority),
+		EARLY_DRAIN_PERMILLE_MIN);
 	int64_t ahead_ms =
 		drain_ms(pool, demand, ZR_ADMISSION_ON_TIME, job->priority);
 
