--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -40,6 +40,8 @@
  *	of 0: past use is off
  * @worker_speed: whether speeds of workers are learned and tasks placed where
  *	they are expected to finish in time
+ * @admission: admission control: whether jobs that cannot end in time are
+ *	rejected
  */
 struct zr_cell_settings {
 	char *name;
@@ -71,6 +73,9 @@
 	struct {
 		bool enabled;
 	} worker_speed;
+	struct {
+		bool enabled;
+	} admission;
 };
 
 /**
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -263,6 +263,7 @@
  * @next: next job in that list
  * @use: charges of two generations, by the last bit of the generation; the
  *       record of past use may not include them yet
+ * @arrival_counted: the summary of the load has counted its work
  */
 struct zr_cell_job {
 	char id[ZR_NAME_MAX];
@@ -297,6 +298,7 @@
 	struct zr_cell_job *prev;
 	struct zr_cell_job *next;
 	struct zr_cell_use_charge use[2];
+	bool arrival_counted;
 	UT_hash_handle hh;
 };
 
@@ -312,6 +314,8 @@
  * @credit_updated_at: acceptance time up to which @credit has been refilled
  * @past_use_permille: how far its past use delays its jobs; 0: not at all
  * @waiting_steps: number of ready steps when past use was last judged
+ * @balance: @credit minus the jobs that exceeded the rate, in thousandths of a
+ *           job; at least minus the largest credit
  */
 struct zr_cell_client_state {
 	char name[ZR_NAME_MAX];
@@ -324,6 +328,7 @@
 	int64_t credit_updated_at;
 	uint32_t past_use_permille;
 	uint32_t waiting_steps;
+	int64_t balance;
 };
 
 /** struct zr_cell_ack - change to persist before ended runs are confirmed */
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -5,6 +5,7 @@
 #include "cell/journal.h"
 #include "cell/model.h"
 #include "cell/policy/past_use.h"
+#include "cell/policy/run_times.h"
 #include "cell/scheduler.h"
 #include "domain/owner.h"
 
@@ -19,6 +20,24 @@
 /** Maximum number of slow runs that a pass considers; a poll lists them again.
  */
 #define ZR_CELL_SLOW_RUNS_MAX 32
+/** Number of priorities that are told apart; lower ones count as the last. */
+#define ZR_CELL_PRIORITIES 16
+
+/** Number of pools of which the load is known; jobs of others are accepted. */
+#define ZR_CELL_POOLS_MAX 6
+
+/**
+ * struct zr_cell_arrivals - work that was accepted lately for a pool
+ * @pool: name of the pool
+ * @accepted: by priority, processors times estimated milliseconds since the
+ *last summary, of accounts within their share and above it
+ * @millicpus: likewise, processors that this work keeps busy, smoothed
+ */
+struct zr_cell_arrivals {
+	char pool[ZR_NAME_MAX];
+	double accepted[ZR_CELL_PRIORITIES][2];
+	double millicpus[ZR_CELL_PRIORITIES][2];
+};
 
 /** enum zr_cell_phase - phase of a scheduler */
 enum zr_cell_phase {
@@ -202,7 +221,8 @@
  *                     has to be read before it can be watched
  * @jobs_outdated: the read of the jobs is old, and the watch has not delivered
  *	what was accepted since, so that the numbers of waiting jobs are too low
- * @counts_published_at: when the numbers of waiting jobs were last published
+ * @counts_published_at: when the numbers of waiting jobs and the summary of the
+ *	load were last published
  * @released: called once the cell has been released
  * @released_ctx: passed to @released
  * @releasing: a release has been requested and the journal is being flushed
@@ -232,6 +252,13 @@
  * @slow_run_count: number of @slow_runs
  * @moves_due_at: when they are considered next
  * @moved: runs moved, by &enum zr_speed_cause
+ * @load_logged_at: when the load was last logged
+ * @run_times: run times in this term by priority
+ * @summary_due_at: time before which no summary of the load is published; 0:
+ *not set in this term
+ * @arrivals: work that was accepted lately, by pool
+ * @arrival_count: number of @arrivals
+ * @summary_full: the last summary shows a pool or a limit that is full
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -295,6 +322,12 @@
 	size_t slow_run_count;
 	int64_t moves_due_at;
 	struct zr_metric *moved[ZR_SPEED_CAUSE_WORKER + 1];
+	int64_t load_logged_at;
+	struct zr_run_times run_times[ZR_CELL_PRIORITIES];
+	int64_t summary_due_at;
+	struct zr_cell_arrivals arrivals[ZR_CELL_POOLS_MAX];
+	size_t arrival_count;
+	bool summary_full;
 };
 
 /* scheduler.c */
@@ -322,6 +355,25 @@
  */
 bool zr_cell_call_done(struct zr_cell_scheduler *scheduler);
 
+/* load_summary.c */
+/**
+ * zr_cell_summary_process() - publish the numbers of waiting jobs and the
+ * summary of the load, if due
+ */
+void zr_cell_summary_process(struct zr_cell_scheduler *scheduler, int64_t now);
+/**
+ * zr_cell_summary_add_run() - record the run time of a successful run
+ * @scheduler: the scheduler
+ * @job: its job
+ * @estimate_ms: the submitter's estimate
+ * @run_ms: its run time
+ */
+void zr_cell_summary_add_run(struct zr_cell_scheduler *scheduler,
+			     const struct zr_cell_job *job,
+			     uint32_t estimate_ms, int64_t run_ms);
+/** zr_cell_summary_reset() - forget the load of an earlier term */
+void zr_cell_summary_reset(struct zr_cell_scheduler *scheduler);
+
 /* job_loader.c */
 /**
  * zr_cell_load_jobs() - load all jobs from the store, then become active
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -364,6 +364,10 @@
 				&scheduler->model, worker,
 				zr_cell_task_step(job, task)->spec->estimate_ms,
 				now - entry->started_at, now);
+		zr_cell_summary_add_run(
+			scheduler, job,
+			zr_cell_task_step(job, task)->spec->estimate_ms,
+			now - entry->started_at);
 	} else if (outcome == ZR_RUN_FAILED) {
 		entry->failures++;
 		entry->avoided_worker = worker->self;
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -64,6 +64,7 @@
  * @past_use: half-life of past use in seconds, and the weight of its effect on
  *	the order of waiting work in percent; a member of 0: past use is off
  * @worker_speed: learn speeds of workers and place tasks by expected finish
+ * @admission: publish a summary of the load, for admission control
  */
 struct zr_cell_scheduler_options {
 	const struct zr_timers *timers;
@@ -78,6 +79,7 @@
 		unsigned int weight_percent;
 	} past_use;
 	bool worker_speed;
+	bool admission;
 };
 
 /**
--- a/src/libzinniarack/config/cell_settings.c
+++ b/src/libzinniarack/config/cell_settings.c
@@ -59,6 +59,12 @@
 		enabled),
 	CYAML_FIELD_END};
 
+static const cyaml_schema_field_t admission_fields[] = {
+	CYAML_FIELD_BOOL("enabled", CYAML_FLAG_OPTIONAL,
+			 __typeof__(((struct zr_cell_settings *)0)->admission),
+			 enabled),
+	CYAML_FIELD_END};
+
 #define NUMBER_FIELD(member)                           \
 	CYAML_FIELD_UINT(#member, CYAML_FLAG_OPTIONAL, \
 			 struct zr_cell_settings, member)
@@ -88,6 +94,9 @@
 	CYAML_FIELD_MAPPING("worker_speed", CYAML_FLAG_OPTIONAL,
 			    struct zr_cell_settings, worker_speed,
 			    worker_speed_fields),
+	CYAML_FIELD_MAPPING("admission", CYAML_FLAG_OPTIONAL,
+			    struct zr_cell_settings, admission,
+			    admission_fields),
 	CYAML_FIELD_END,
 };
 
@@ -135,6 +144,7 @@
 	{"past_use.half_life_s", ZR_RULE_RANGE, 1, 31536000, "s", "off"},
 	{"past_use.weight_percent", ZR_RULE_RANGE, 0, 100, "%", "off"},
 	ANY("worker_speed.enabled", "false"),
+	ANY("admission.enabled", "false"),
 	{NULL, ZR_RULE_ANY, 0, 0, NULL, NULL},
 };
 
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -56,6 +56,7 @@
 	unsigned int half_life_s;
 	unsigned int weight_percent;
 	bool worker_speed;
+	bool admission;
 	char line[LINE_MAX_BYTES];
 	char *words[WORDS_MAX];
 	int word_count;
@@ -229,6 +230,7 @@
 			   .evacuation_ms = script->evacuation_ms},
 		.cell = "main",
 		.past_use = {script->half_life_s, script->weight_percent},
+		.admission = script->admission,
 	};
 
 	/* A name that was used before is a new process of that host. */
@@ -407,6 +409,12 @@
 	return text;
 }
 
+static void do_weight(struct cell_script *script)
+{
+	script->client.weight = (uint32_t)atoi(word(script, 1));
+	configure(script);
+}
+
 /* Parses a step and appends the run time of its tasks to the payload. */
 static void parse_step(struct zr_cell_step_spec *step, char *payload,
 		       const char *text)
@@ -689,6 +697,72 @@
 	xdr_free((xdrproc_t)xdr_zx_cell_past_use, &use.record);
 }
 
+static void print_load(const struct cell_script *script,
+		       const zx_cell_load *load)
+{
+	const u_int *waiting;
+	u_int i;
+
+	for (i = 0; i < load->pools.pools_len; i++) {
+		const zx_cell_pool_load *pool = &load->pools.pools_val[i];
+		const zx_cell_class_load *class = pool->classes.classes_val;
+
+		print(script, "load: pool=%s capacity=%lu used=%u",
+		      pool->pool[0] ? pool->pool : "-",
+		      (unsigned long)pool->capacity[0], pool->used_permille[0]);
+		for (; class <
+		       pool->classes.classes_val + pool->classes.classes_len;
+		     class ++) {
+			waiting = class->waiting_ms;
+			print(script,
+			      "load: priority=%u run=%u tail=%u "
+			      "on_time=%u late=%u over_share=%u "
+			      "arriving=%u,%u",
+			      class->priority, class->run_permille,
+			      class->tail_permille, waiting[0], waiting[3],
+			      waiting[6], class->arriving_permille[0],
+			      class->arriving_permille[1]);
+		}
+	}
+	for (i = 0; i < load->accounts.accounts_len; i++) {
+		const zx_cell_account_load *account =
+			&load->accounts.accounts_val[i];
+		const zx_cell_limit_load *limit = account->limits.limits_val;
+
+		print(script, "load: client=%s credit=%ld limits=%u on_time=%u",
+		      account->client, (long)account->credit,
+		      account->limits.limits_len,
+		      account->limits.limits_len ? limit->on_time_ms : 0);
+	}
+	if (!load->pools.pools_len)
+		print(script, "load: none");
+}
+
+static void on_load(void *ctx, int error, const struct zr_store_reply *reply)
+{
+	struct cell_script *script = ctx;
+	zx_cell_stored_counts record = {0};
+
+	if (error < 0 || !reply->count ||
+	    zr_cell_decode_counts(&record, reply->values[0].data,
+				  reply->values[0].length) < 0)
+		return;
+	print_load(script, &record.load);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_counts, &record);
+}
+
+static void do_load(struct cell_script *script)
+{
+	zr_store_range(&find_host(script, word(script, 1))->platform.store,
+		       ZR_STORE_OTHER, ZR_CELL_COUNTS_KEY, false, on_load,
+		       script);
+}
+
+static void do_admission(struct cell_script *script)
+{
+	script->admission = true;
+}
+
 static void do_recovery_reads(struct cell_script *script)
 {
 	print(script, "recovery reads: %lu",
@@ -1013,6 +1087,9 @@
 	{"worker-speed", do_worker_speed},
 	{"speed", do_speed},
 	{"save-checkpoints", do_save_checkpoints},
+	{"admission", do_admission},
+	{"weight", do_weight},
+	{"load", do_load},
 };
 
 void cell_script_run(struct cell_script *script, const char *line)
