--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -432,6 +432,12 @@
  */
 void zr_cell_speed_worker_changed(struct zr_cell_scheduler *scheduler,
 				  struct zr_cell_worker *worker);
+/**
+ * zr_cell_speed_update_metrics() - count the workers by believed speed
+ *
+ * Without a term there are none.
+ */
+void zr_cell_speed_update_metrics(struct zr_cell_scheduler *scheduler);
 /** zr_cell_speed_run_started() - a run has been confirmed; @percent: progress
  */
 void zr_cell_speed_run_started(const struct zr_cell_scheduler *scheduler,
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -294,6 +294,7 @@
 	zr_cell_model_clear(&scheduler->model);
 	if (zr_cell_model_init(&scheduler->model) < 0)
 		abort();
+	zr_cell_speed_update_metrics(scheduler);
 }
 
 static unsigned int min_uint(unsigned int a, unsigned int b)
@@ -463,6 +464,7 @@
 		if (!scheduler->jobs_outdated)
 			publish_counts(scheduler);
 		log_load(scheduler, now);
+		zr_cell_speed_update_metrics(scheduler);
 		remove_expired_jobs(scheduler);
 	}
 	zr_cell_schedule_plan(scheduler);
--- a/src/libzinniarack/cell/speeds.c
+++ b/src/libzinniarack/cell/speeds.c
@@ -1,4 +1,6 @@
 #include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "cell/plan.h"
@@ -170,6 +172,55 @@
 		check_run(scheduler, worker, worker->runs[i]);
 }
 
+/* Metrics */
+
+static void set_gauge(struct zr_cell_scheduler *scheduler, const char *name,
+		      const char *label, const char *value, int64_t number,
+		      const char *help)
+{
+	char labels[2 * ZR_NAME_MAX];
+
+	snprintf(labels, sizeof(labels), "%s=\"%s\"", label, value);
+	zr_metrics_get_or_add_gauge(scheduler->options.metrics, name, labels,
+				    help)
+		->value = number;
+}
+
+void zr_cell_speed_update_metrics(struct zr_cell_scheduler *scheduler)
+{
+	const struct zr_speed_table *speeds = &scheduler->speeds;
+	int64_t counts[ZR_SPEED_BANDS] = {0};
+	int64_t faulty = 0;
+	int64_t now = zr_cell_now_ms(scheduler);
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next;
+	char band[8];
+	uint32_t i;
+
+	if (!scheduler->options.worker_speed)
+		return;
+	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+		if (zr_speed_is_faulty(&worker->speed, now))
+			faulty++;
+		else if (worker->registered)
+			counts[zr_speed_band(speeds, &worker->speed, now) -
+			       ZR_SPEED_BAND_MIN]++;
+	}
+	for (i = 0; i < ZR_SPEED_BANDS; i++) {
+		snprintf(band, sizeof(band), "%d", (int)i + ZR_SPEED_BAND_MIN);
+		set_gauge(scheduler, "zinniarack_cell_workers", "speed_band",
+			  band, counts[i], "Workers by band of speed");
+	}
+	set_gauge(scheduler, "zinniarack_cell_workers", "speed_band", "faulty",
+		  faulty, "Workers by band of speed");
+	for (i = 0; i < speeds->kind_count; i++)
+		set_gauge(scheduler, "zinniarack_cell_kind_speed_permille",
+			  "kind", speeds->kinds[i].name,
+			  (int64_t)(1000 * exp2f(speeds->kinds[i].log2)),
+			  "Speed of a kind of workers, in thousandths of that "
+			  "of an average run");
+}
+
 /* Placement */
 
 void zr_cell_speed_set_candidate(struct zr_cell_plan *plan,
--- a/tests/e2e/test_cell_process.sh
+++ b/tests/e2e/test_cell_process.sh
@@ -26,6 +26,8 @@
 	  peers: 127.0.0.1:$((port + 2))
 	  metrics: 127.0.0.1:$((port + 3))
 	leave_ms: 4000
+	worker_speed:
+	  enabled: true
 	log:
 	  level: info
 	EOT
