--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -246,6 +246,7 @@
 	zr_cell_model_clear(&scheduler->model);
 	if (zr_cell_model_init(&scheduler->model) < 0)
 		abort();
+	zr_cell_speed_update_metrics(scheduler);
 }
 
 static unsigned int min_uint(unsigned int a, unsigned int b)
@@ -418,6 +419,7 @@
 	if (now - scheduler->load_logged_at >= LOAD_LOG_INTERVAL_MS) {
 		scheduler->load_logged_at = now;
 		log_load(scheduler, now);
+		zr_cell_speed_update_metrics(scheduler);
 		remove_expired_jobs(scheduler);
 	}
 	zr_cell_past_use_process(scheduler, now);
