config, entry, scheduler: evacuation of a failure domain

Operators can stop new work in a failure domain: `evacuated` in the configuration, `zinniarack domain evacuate|restore NAME [FOLDER]`. Its scheduler treats all workers as leaving and refuses new jobs (503 `evacuated`); entry daemons send jobs and requests to other domains. A key keeps its home, so that a repeated submission finds its job and is never refused as not run. Refused commands have a typed error and change nothing, also not the folder; undrain now puts its file back when the folder is refused.

--- a/include/zinniarack/config.h
+++ b/include/zinniarack/config.h
@@ -200,6 +200,8 @@
  * @jobs_count: number of these jobs
  * @drained: names of workers that get no new work
  * @drained_count: number of these workers
+ * @evacuated: names of failure domains that get no new work
+ * @evacuated_count: number of these failure domains
  */
 struct zr_config {
 	uint64_t version;
@@ -222,6 +224,8 @@
 	uint32_t jobs_count;
 	struct zr_config_name *drained;
 	uint32_t drained_count;
+	struct zr_config_name *evacuated;
+	uint32_t evacuated_count;
 };
 
 /**
@@ -364,6 +368,30 @@
 /** zr_config_is_drained() - whether a worker gets no new work */
 bool zr_config_is_drained(const struct zr_config *config, const char *worker);
 
+/** zr_config_is_evacuated() - whether a failure domain gets no new work */
+bool zr_config_is_evacuated(const struct zr_config *config, const char *domain);
+
+/**
+ * zr_config_check_evacuate() - whether a failure domain can be evacuated
+ * @config: the configuration that the evacuation would be added to
+ * @domain: name of the failure domain
+ *
+ * Return: 0; ZR_E_NOT_FOUND if it is not declared, ZR_E_EXISTS if it is
+ * evacuated already, ZR_E_STATE if no other one would be left.
+ */
+int zr_config_check_evacuate(const struct zr_config *config,
+			     const char *domain);
+
+/**
+ * zr_config_check_restore() - whether a failure domain can be restored
+ * @config: the configuration with the evacuation
+ * @domain: name of the failure domain
+ *
+ * Return: 0; ZR_E_NOT_FOUND if it is not declared, ZR_E_STATE if it is not
+ * evacuated.
+ */
+int zr_config_check_restore(const struct zr_config *config, const char *domain);
+
 /**
  * zr_config_job_spec() - build the job to submit for a declared job
  * @out: the job; free with zr_job_spec_clear()
--- a/include/zinniarack/errors.h
+++ b/include/zinniarack/errors.h
@@ -40,7 +40,8 @@
 	ZR_E_ADDRESS_IN_USE = -23, /* another process uses the address */
 	ZR_E_STALE_CONFIG = -24,   /* configuration too old to check keys */
 	ZR_E_FULL = -25,	   /* a table or queue has reached its limit */
-	ZR_E_LAST = -26,	   /* not an error: end of the list */
+	ZR_E_EVACUATED = -26,	   /* the failure domain accepts no new work */
+	ZR_E_LAST = -27,	   /* not an error: end of the list */
 };
 
 /** Maximum size in bytes of zr_error_last(), including the NUL byte. */
--- a/src/cli/change.c
+++ b/src/cli/change.c
@@ -146,3 +146,27 @@
 		unlink(path);
 	return result;
 }
+
+int cli_config_apply_without_file(const struct cli_options *options,
+				  const char *folder, const char *file)
+{
+	char path[PATH_MAX];
+	char aside[PATH_MAX];
+	int result;
+
+	/* Only files named *.yaml are read. */
+	if (snprintf(path, sizeof(path), "%s/%s", folder, file) >= PATH_MAX ||
+	    snprintf(aside, sizeof(aside), "%s.removed", path) >= PATH_MAX ||
+	    rename(path, aside)) {
+		zr_error_set(ZR_E_NOT_FOUND, "%s/%s: cannot be removed", folder,
+			     file);
+		return cli_print_error(ZR_E_NOT_FOUND);
+	}
+	result = cli_config_apply_folder(options, folder, false);
+	/* With an unknown outcome, the change may have been accepted. */
+	if (result == CLI_EXIT_OK || result == CLI_EXIT_UNREACHABLE)
+		unlink(aside);
+	else if (rename(aside, path))
+		fprintf(stderr, "zinniarack: %s: cannot be put back\n", aside);
+	return result;
+}
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -66,6 +66,7 @@
 extern const struct cli_command cli_queues;
 extern const struct cli_command cli_key;
 extern const struct cli_command cli_status;
+extern const struct cli_command cli_domain;
 extern const struct cli_command cli_domains;
 extern const struct cli_command cli_workers;
 extern const struct cli_command cli_drain;
@@ -223,6 +224,19 @@
 int cli_config_apply_folder(const struct cli_options *options,
 			    const char *folder, bool move_keys);
 
+/**
+ * cli_config_apply_without_file() - remove a file from a folder and apply it
+ * @options: address of the entry daemon and the keys
+ * @folder: the configuration folder
+ * @file: name of the file, without a folder
+ *
+ * The file is put back when the folder without it is refused.
+ *
+ * Return: an exit code, after the result has been printed.
+ */
+int cli_config_apply_without_file(const struct cli_options *options,
+				  const char *folder, const char *file);
+
 /**
  * cli_create_file() - write a new file
  * @path: path of the file, which must not exist yet
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -14,7 +14,7 @@
 	&cli_config,  &cli_teams,   &cli_queues,  &cli_key,	 &cli_status,
 	&cli_domains, &cli_recover, &cli_workers, &cli_drain,	 &cli_undrain,
 	&cli_jobs,    &cli_explain, &cli_cancel,  &cli_counters, &cli_submit,
-	&cli_job,     &cli_trace,
+	&cli_job,     &cli_trace,   &cli_domain,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/src/cli/workers.c
+++ b/src/cli/workers.c
@@ -1,9 +1,6 @@
-#include <limits.h>
 #include <stdio.h>
-#include <unistd.h>
 
 #include "cli.h"
-#include "zinniarack/errors.h"
 
 #define URL_PATH_SIZE 160
 #define YAML_SIZE 256
@@ -56,30 +53,17 @@
 				     yaml);
 }
 
-/* Removes the file with which run_drain() drained the worker. */
-static int undrain_in_folder(const struct cli_options *options,
-			     const char *worker, const char *folder)
-{
-	char path[PATH_MAX];
-	char file[FILE_NAME_SIZE];
-
-	format_drain_file_name(file, worker);
-	snprintf(path, sizeof(path), "%s/%s", folder, file);
-	if (unlink(path)) {
-		zr_error_set(ZR_E_NOT_FOUND, "%s: cannot be removed", path);
-		return cli_print_error(ZR_E_NOT_FOUND);
-	}
-	return cli_config_apply_folder(options, folder, false);
-}
-
 static int run_undrain(const struct cli_options *options, int argc, char **argv)
 {
 	char yaml[YAML_SIZE];
+	char file[FILE_NAME_SIZE];
 
 	if (argc != 1 && argc != 2)
 		return cli_print_usage(&cli_undrain);
-	if (argc == 2)
-		return undrain_in_folder(options, argv[0], argv[1]);
+	if (argc == 2) {
+		format_drain_file_name(file, argv[0]);
+		return cli_config_apply_without_file(options, argv[1], file);
+	}
 	snprintf(yaml, sizeof(yaml),
 		 "drained:\n  - name: %.64s\n    remove: true\n", argv[0]);
 	return cli_config_apply_file(options, NULL, "undrain", yaml);
--- a/src/libzinniarack/config/config.c
+++ b/src/libzinniarack/config/config.c
@@ -95,6 +95,17 @@
 	return false;
 }
 
+bool zr_config_is_evacuated(const struct zr_config *config, const char *domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->evacuated_count; i++) {
+		if (!strcmp(config->evacuated[i].name, domain))
+			return true;
+	}
+	return false;
+}
+
 int zr_config_job_spec(struct zr_job_spec *out, const struct zr_config_job *job,
 		       const char *domain, uint32_t instance)
 {
--- a/src/libzinniarack/config/references.c
+++ b/src/libzinniarack/config/references.c
@@ -73,8 +73,13 @@
 				  config->jobs_count, sizeof(*config->jobs))) <
 		    0)
 		return error;
-	return check_unique(out, "drained", "name", config->drained,
-			    config->drained_count, sizeof(*config->drained));
+	if ((error = check_unique(out, "drained", "name", config->drained,
+				  config->drained_count,
+				  sizeof(*config->drained))) < 0)
+		return error;
+	return check_unique(out, "evacuated", "name", config->evacuated,
+			    config->evacuated_count,
+			    sizeof(*config->evacuated));
 }
 
 static int check_queue(struct zr_config_error *out,
@@ -186,6 +191,31 @@
 	return check_job_domains(out, config, job);
 }
 
+/* Without declared failure domains it is not known whether one is left. */
+static int check_evacuated(struct zr_config_error *out,
+			   const struct zr_config *config)
+{
+	const char *name = NULL;
+	uint32_t i;
+
+	for (i = 0; i < config->evacuated_count; i++) {
+		name = config->evacuated[i].name;
+		if (!config->failure_domains_count ||
+		    !is_declared_domain(config, name))
+			return set_error(
+				out, ZR_E_INVALID, "evacuated", name, "name",
+				"'%s' is not allowed; expected a declared "
+				"failure domain",
+				name);
+	}
+	if (name && config->evacuated_count == config->failure_domains_count)
+		return set_error(out, ZR_E_INVALID, "evacuated", name, "name",
+				 "'%s' is not allowed; no failure domain would "
+				 "be left",
+				 name);
+	return 0;
+}
+
 int zr_config_check(struct zr_config_error *out, const struct zr_config *config)
 {
 	int error = check_names(out, config);
@@ -197,5 +227,5 @@
 		error = check_key(out, config, &config->keys[i]);
 	for (i = 0; !error && i < config->jobs_count; i++)
 		error = check_job(out, config, &config->jobs[i]);
-	return error;
+	return error < 0 ? error : check_evacuated(out, config);
 }
--- a/src/libzinniarack/config/schema.c
+++ b/src/libzinniarack/config/schema.c
@@ -110,7 +110,7 @@
 static const cyaml_schema_value_t job_schema = {CYAML_VALUE_MAPPING(
 	CYAML_FLAG_DEFAULT, struct zr_config_job, job_fields)};
 
-/* Failure domains and drained workers */
+/* Failure domains, drained workers and evacuated failure domains */
 
 static const cyaml_schema_field_t name_fields[] = {
 	NAME_PTR("name", 0, struct zr_config_name, name), CYAML_FIELD_END};
@@ -168,6 +168,7 @@
 	ITEMS("keys", keys, key_schema),
 	ITEMS("jobs", jobs, job_schema),
 	ITEMS("drained", drained, name_schema),
+	ITEMS("evacuated", evacuated, name_schema),
 	CYAML_FIELD_END};
 
 const cyaml_schema_value_t zr_config_schema = {CYAML_VALUE_MAPPING(
@@ -234,5 +235,6 @@
 	ANY("jobs[].command", NULL),
 	NAME("jobs[].failure_domains[]", NULL),
 	NAME("drained[].name", NULL),
+	NAME("evacuated[].name", NULL),
 	{NULL, ZR_RULE_ANY, 0, 0, NULL, NULL},
 };
--- a/src/libzinniarack/domain/jobs.c
+++ b/src/libzinniarack/domain/jobs.c
@@ -512,6 +512,11 @@
 	if (!domain->config)
 		return zr_error_set(ZR_E_STALE_CONFIG,
 				    "no configuration has been applied yet");
+	if (zr_config_is_evacuated(domain->config, domain->name))
+		return zr_error_set(ZR_E_EVACUATED,
+				    "failure domain '%s' is evacuated and "
+				    "accepts no new jobs",
+				    domain->name);
 	error = zr_sched_job_check(domain->sched, spec);
 	if (error == ZR_E_LIMIT && task_within_limit(domain, spec))
 		return 0;
--- a/src/libzinniarack/entry/api.c
+++ b/src/libzinniarack/entry/api.c
@@ -7,6 +7,8 @@
 #include "zinniarack/errors.h"
 
 #define RETRY_AFTER_S "1"
+/* Operators evacuate a failure domain for minutes or longer. */
+#define RETRY_AFTER_EVACUATED_S "10"
 
 static int http_status(int error)
 {
@@ -63,7 +65,9 @@
 
 	if (status == 503)
 		zr_http_add_reply_header(exchange, "retry-after",
-					 RETRY_AFTER_S);
+					 error == ZR_E_EVACUATED
+						 ? RETRY_AFTER_EVACUATED_S
+						 : RETRY_AFTER_S);
 	entry_reply_json(exchange, status,
 			 json_pack("{s:s, s:s, s:b}", "error",
 				   zr_error_name(error), "detail", detail,
--- a/src/libzinniarack/entry/api_jobs.c
+++ b/src/libzinniarack/entry/api_jobs.c
@@ -48,26 +48,54 @@
 
 /* Choice of the failure domain */
 
-static const char *choose_domain(const struct zr_entry *entry,
-				 const struct zr_job_spec *spec)
+static bool accepts_jobs(const struct zr_entry *entry, const char *domain)
+{
+	return zr_directory_get_active(entry->directory, domain) &&
+	       !zr_config_is_evacuated(zr_config_watch_current(entry->config),
+				       domain);
+}
+
+/*
+ * Chooses the domain of a job with an idempotency key. Every entry daemon must
+ * send the same key to the same domain, also while that is evacuated: its
+ * scheduler knows whether the job has been accepted before.
+ */
+static int choose_home(const char **out, const struct zr_entry *entry,
+		       const char *key)
+{
+	*out = zr_config_home_domain(zr_config_watch_current(entry->config),
+				     key);
+	if (*out)
+		return 0;
+	return zr_error_set(
+		ZR_E_NOT_FOUND,
+		"no declared failure domain accepts idempotency keys");
+}
+
+static int choose_domain(const char **out, const struct zr_entry *entry,
+			 const struct zr_job_spec *spec)
 {
 	const char *own = entry->settings->failure_domain;
-	const char *domain;
 	size_t i;
 
-	/* Every entry daemon must send the same key to the same domain. */
 	if (*spec->idempotency_key)
-		return zr_config_home_domain(
-			zr_config_watch_current(entry->config),
-			spec->idempotency_key);
-	if (zr_directory_get_active(entry->directory, own))
-		return own;
-	for (i = 0; (domain = zr_directory_get_domain(entry->directory, i));
+		return choose_home(out, entry, spec->idempotency_key);
+	*out = own;
+	if (accepts_jobs(entry, own))
+		return 0;
+	for (i = 0; (*out = zr_directory_get_domain(entry->directory, i));
 	     i++) {
-		if (zr_directory_get_active(entry->directory, domain))
-			return domain;
+		if (accepts_jobs(entry, *out))
+			return 0;
 	}
-	return own;
+	*out = own;
+	if (!zr_config_is_evacuated(zr_config_watch_current(entry->config),
+				    own))
+		return 0;
+	return zr_error_set(ZR_E_EVACUATED,
+			    "failure domain '%s' is evacuated, and no other "
+			    "one has an active scheduler",
+			    own);
 }
 
 /* Parses the failure domain in a job's id. */
@@ -141,15 +169,14 @@
 			struct zr_http_exchange *exchange,
 			const struct zr_job_spec *spec)
 {
-	const char *domain = choose_domain(entry, spec);
+	const char *domain;
 	struct zr_rpc_client *client;
 	struct entry_call *call;
 	zx_submit_args args;
+	int error = choose_domain(&domain, entry, spec);
 
-	if (!domain) {
-		entry_reply_error(
-			exchange, ZR_E_NOT_FOUND,
-			"no declared failure domain accepts idempotency keys");
+	if (error < 0) {
+		entry_reply_error(exchange, error, zr_error_last());
 		return;
 	}
 	client = zr_directory_get_active(entry->directory, domain);
--- a/src/libzinniarack/entry/api_operators.c
+++ b/src/libzinniarack/entry/api_operators.c
@@ -198,17 +198,30 @@
 
 /* Status */
 
+/* The schedulers in a reply about the status. */
+struct scheduler_list {
+	const struct zr_config *config;
+	json_t *schedulers;
+};
+
 static void add_scheduler(void *ctx,
 			  const struct zr_directory_scheduler *scheduler)
 {
+	const struct scheduler_list *list = ctx;
+	bool evacuated =
+		list->config &&
+		zr_config_is_evacuated(list->config, scheduler->domain);
+
 	json_array_append_new(
-		ctx, json_pack("{s:s, s:s, s:s, s:b, s:b, s:I, s:I}", "name",
-			       scheduler->name, "domain", scheduler->domain,
-			       "address", scheduler->address, "heard",
-			       (int)scheduler->responded, "active",
-			       (int)scheduler->active, "epoch",
-			       (json_int_t)scheduler->epoch, "config_version",
-			       (json_int_t)scheduler->config_version));
+		list->schedulers,
+		json_pack("{s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:I}", "name",
+			  scheduler->name, "domain", scheduler->domain,
+			  "address", scheduler->address, "heard",
+			  (int)scheduler->responded, "active",
+			  (int)scheduler->active, "evacuated", (int)evacuated,
+			  "epoch", (json_int_t)scheduler->epoch,
+			  "config_version",
+			  (json_int_t)scheduler->config_version));
 }
 
 static void add_entry(void *ctx, const struct zr_config_peer_info *info)
@@ -226,9 +239,10 @@
 	const struct zr_config *config = zr_config_watch_current(entry->config);
 	json_t *schedulers = json_array();
 	json_t *entries = json_array();
+	struct scheduler_list list = {config, schedulers};
 
 	zr_config_watch_each_peer(entry->config, add_entry, entries);
-	zr_directory_each(entry->directory, add_scheduler, schedulers);
+	zr_directory_each(entry->directory, add_scheduler, &list);
 	entry_reply_json(
 		exchange, 200,
 		json_pack("{s:s, s:s, s:I, s:I, s:o, s:o}", "name",
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -69,6 +69,26 @@
 		request_grants(entry, domain);
 }
 
+/* Workers of evacuated failure domains get no new requests. */
+static void set_router_hosts(struct zr_entry *entry,
+			     const struct zr_host *hosts, size_t count)
+{
+	const struct zr_config *config = zr_config_watch_current(entry->config);
+	struct zr_host *copy = calloc(count ? count : 1, sizeof(*copy));
+	size_t i;
+
+	if (!copy)
+		return;
+	for (i = 0; i < count; i++) {
+		copy[i] = hosts[i];
+		copy[i].leaving |=
+			config && hosts[i].kind == ZR_HOST_WORKER &&
+			zr_config_is_evacuated(config, hosts[i].domain);
+	}
+	zr_router_set_hosts(entry->router, copy, count);
+	free(copy);
+}
+
 static void on_host_list(void *ctx, int error, const struct zr_host *hosts,
 			 size_t count)
 {
@@ -80,7 +100,7 @@
 	zr_directory_set_hosts(entry->directory, hosts, count);
 	zr_config_peers_set_hosts(entry->peers, hosts, count,
 				  entry->host_list_requested_at);
-	zr_router_set_hosts(entry->router, hosts, count);
+	set_router_hosts(entry, hosts, count);
 }
 
 static void on_tick(uv_timer_t *timer)
--- a/src/libzinniarack/scheduler/declared.c
+++ b/src/libzinniarack/scheduler/declared.c
@@ -236,7 +236,8 @@
 						 entry->id, on_cancelled, NULL);
 		return;
 	}
-	if (!job || has_completed(entry, job))
+	if (!job || has_completed(entry, job) ||
+	    zr_config_is_evacuated(declared->config, declared->options.domain))
 		return;
 	if (entry->retry_ms &&
 	    zr_time_cmp(zr_clock_now(declared->options.clock),
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -1,5 +1,6 @@
 #include "zinniarack/scheduler.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -41,6 +42,7 @@
 	const struct zr_clock *clock;
 	uv_timer_t timer;
 	struct zr_config_watch *config;
+	bool evacuated; /* the failure domain, by the last configuration */
 	struct zr_config_peers *peers;
 	struct zr_domain *domain;
 	struct zr_declared *declared;
@@ -49,16 +51,34 @@
 	struct zr_http_server *http;
 };
 
+static void log_evacuation(struct zr_scheduler *scheduler,
+			   const struct zr_config *config)
+{
+	const char *domain = scheduler->settings->failure_domain;
+	bool evacuated = zr_config_is_evacuated(config, domain);
+
+	if (evacuated == scheduler->evacuated)
+		return;
+	scheduler->evacuated = evacuated;
+	zr_log_decision("%s domain=%s version=%" PRIu64,
+			evacuated ? "domain.evacuated" : "domain.restored",
+			domain, config->version);
+}
+
 static void on_config(void *ctx, const struct zr_config *config)
 {
 	struct zr_scheduler *scheduler = ctx;
 
+	log_evacuation(scheduler, config);
 	scheduler->service.config_version = config->version;
 	zr_domain_configure(scheduler->domain, config);
 	zr_declared_configure(scheduler->declared, config);
 }
 
-/* Passes the hosts to the domain, with workers to be drained set as leaving. */
+/*
+ * Passes the hosts to the domain. Drained workers and those of an evacuated
+ * failure domain are set as leaving.
+ */
 static void set_hosts(struct zr_scheduler *scheduler,
 		      const struct zr_host *hosts, size_t count)
 {
@@ -71,8 +91,10 @@
 		return;
 	for (i = 0; i < count; i++) {
 		copy[i] = hosts[i];
-		copy[i].leaving |= config && hosts[i].kind == ZR_HOST_WORKER &&
-				   zr_config_is_drained(config, hosts[i].name);
+		copy[i].leaving |=
+			config && hosts[i].kind == ZR_HOST_WORKER &&
+			(zr_config_is_drained(config, hosts[i].name) ||
+			 zr_config_is_evacuated(config, hosts[i].domain));
 	}
 	zr_domain_set_hosts(scheduler->domain, copy, count);
 	free(copy);
--- a/src/util/errors.c
+++ b/src/util/errors.c
@@ -15,7 +15,7 @@
 	"overloaded",	"too_large",	 "protocol",
 	"io",		"state",	 "store_down",
 	"cancelled",	"shutting_down", "address_in_use",
-	"stale_config", "full",
+	"stale_config", "full",		 "evacuated",
 };
 
 #define ERROR_COUNT ((int)(sizeof(error_names) / sizeof(error_names[0])))
--- a/tests/e2e/test_operators_page.sh
+++ b/tests/e2e/test_operators_page.sh
@@ -21,6 +21,8 @@
 cat >"$work/folder/10-base.yaml" <<-EOT
 failure_domains:
   - name: sapporo
+  - name: hakodate
+    no_keys: true
 teams:
   - name: booths
     share: 1
--- a/tests/fakes/fake_cell.c
+++ b/tests/fakes/fake_cell.c
@@ -29,6 +29,13 @@
 				  "queues:\n"
 				  "- name: prints\n";
 
+/* Appended to config_text if the domain is evacuated. */
+static const char evacuated_text[] = "failure_domains:\n"
+				     "- name: " DOMAIN_NAME "\n"
+				     "- name: other\n"
+				     "evacuated:\n"
+				     "- name: " DOMAIN_NAME "\n";
+
 struct host {
 	struct host *next;
 	struct fake_cell *cell;
@@ -279,8 +286,11 @@
 
 	LL_FOREACH(cell->workers, worker)
 	{
-		if (worker->listed && count < HOSTS_MAX)
-			hosts[count++] = worker->entry;
+		if (!worker->listed || count == HOSTS_MAX)
+			continue;
+		hosts[count] = worker->entry;
+		hosts[count++].leaving = zr_config_is_evacuated(
+			cell->config, worker->entry.domain);
 	}
 	zr_domain_set_hosts(host->domain, hosts, count);
 }
@@ -670,6 +680,36 @@
 	return &cell->counts;
 }
 
+static struct zr_config *parse_config(bool evacuated)
+{
+	char text[sizeof(config_text) + sizeof(evacuated_text)];
+	struct zr_config *config;
+
+	snprintf(text, sizeof(text), "%s%s", config_text,
+		 evacuated ? evacuated_text : "");
+	if (zr_config_parse(&config, "test", text, strlen(text)) < 0) {
+		fprintf(stderr, "%s\n", zr_error_last());
+		abort();
+	}
+	return config;
+}
+
+void fake_cell_set_evacuated(struct fake_cell *cell, bool evacuated)
+{
+	struct zr_config *before = cell->config;
+	struct host *host;
+
+	cell->config = parse_config(evacuated);
+	LL_FOREACH(cell->hosts, host)
+	{
+		if (host->dead)
+			continue;
+		zr_domain_configure(host->domain, cell->config);
+		send_host_list(cell, host);
+	}
+	zr_config_free(before);
+}
+
 struct fake_cell *fake_cell_new(fake_cell_event_fn event, void *ctx)
 {
 	struct fake_cell *cell = allocate(sizeof(*cell));
@@ -678,11 +718,7 @@
 	cell->ctx = ctx;
 	cell->net = fake_net_new();
 	cell->store = fake_store_new(cell->net, "store");
-	if (zr_config_parse(&cell->config, "test", config_text,
-			    strlen(config_text)) < 0) {
-		fprintf(stderr, "%s\n", zr_error_last());
-		abort();
-	}
+	cell->config = parse_config(false);
 	return cell;
 }
 
--- a/tests/fakes/fake_cell.h
+++ b/tests/fakes/fake_cell.h
@@ -56,6 +56,12 @@
 /** fake_cell_set_listed() - set whether the host list contains a worker */
 void fake_cell_set_listed(struct fake_cell *cell, const char *worker,
 			  bool listed);
+/**
+ * fake_cell_set_evacuated() - set whether the domain is evacuated
+ *
+ * Its workers are then set as leaving, as zinniarack-schedulerd does.
+ */
+void fake_cell_set_evacuated(struct fake_cell *cell, bool evacuated);
 /** fake_cell_run() - advance the time by @ms and check the invariants */
 void fake_cell_run(struct fake_cell *cell, unsigned int ms);
 /** fake_cell_kill() - end a scheduler without a shutdown */
--- a/tests/runners/run_domain.c
+++ b/tests/runners/run_domain.c
@@ -24,6 +24,7 @@
  *   kill HOST                  end a scheduler without a shutdown
  *   stop HOST                  shut a scheduler down
  *   restart WORKER             start a new incarnation of a worker
+ *   evacuated yes|no           set whether the domain is evacuated
  *   clock-drift NODE PPM       set how much too fast a node's clock runs
  *
  * After each millisecond it checks the invariants of fakes/fake_cell.h and
@@ -211,6 +212,11 @@
 	fake_cell_restart_worker(script->cell, word(script, 1));
 }
 
+static void do_evacuated(struct script *script)
+{
+	fake_cell_set_evacuated(script->cell, !strcmp(word(script, 1), "yes"));
+}
+
 static const struct {
 	const char *name;
 	void (*run)(struct script *script);
@@ -222,7 +228,7 @@
 	{"pause", do_pause},	 {"release", do_release},
 	{"resume", do_resume},	 {"clock-drift", do_clock_drift},
 	{"kill", do_kill},	 {"stop", do_stop},
-	{"restart", do_restart},
+	{"restart", do_restart}, {"evacuated", do_evacuated},
 };
 
 /* Scripts */
