test_operators_commands: compare the starts of the drained worker

The ledger names workers by address, so the count of starts on `w1` was always 0 and the check of the drained worker could not fail. The test now looks for the address and requires that there were starts before.

--- a/tests/e2e/test_operators_commands.sh
+++ b/tests/e2e/test_operators_commands.sh
@@ -166,7 +166,9 @@
 	$zr workers sapporo | grep -q "^$1 .* $2 "
 }
 cell_until 5 worker_is w1 leaving
-starts=$(grep -c 'start .* w1' "$work/ledger" || :)
+w1_start="^start .* $(cell_port 400) "
+grep -q "$w1_start" "$work/ledger"
+starts=$(grep -c "$w1_start" "$work/ledger")
 for i in 1 2 3 4
 do
 	printf '{"name":"b%d","queue":"any","kind":"batch","cpus":1,
@@ -174,7 +176,7 @@
 		sed 's/.*"id":"\([^"]*\)".*/\1/' >"$work/id"
 	$zr -k "$booth" job wait "$(cat "$work/id")" | grep -q succeeded
 done
-test "$(grep -c 'start .* w1' "$work/ledger" || :)" -eq "$starts"
+test "$(grep -c "$w1_start" "$work/ledger")" -eq "$starts"
 expect 0 $zr undrain w1 "$folder"
 cell_until 5 worker_is w1 up
 
