scheduler, entry: apply an evacuation without a new host list

Workers were set as leaving with the next read of the host list, so an evacuation, or a drained worker, waited for as long as the list did not respond. Both daemons now keep the last list and apply each configuration to it. test_domain_evacuated, test_operators_commands, test_requests_leaving pass.

--- a/include/zinniarack/host_list.h
+++ b/include/zinniarack/host_list.h
@@ -49,6 +49,9 @@
 	uint32_t slots;
 };
 
+/** zr_hosts_copy() - copy a host list; to be freed with free() */
+struct zr_host *zr_hosts_copy(const struct zr_host *hosts, size_t count);
+
 /** Called once for each read; @hosts is NULL on an error. */
 typedef void (*zr_host_list_done_fn)(void *ctx, int error,
 				     const struct zr_host *hosts, size_t count);
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -70,17 +70,15 @@
 }
 
 /* Workers of evacuated failure domains get no new requests. */
-static void set_router_hosts(struct zr_entry *entry,
-			     const struct zr_host *hosts, size_t count)
+static void set_router_hosts(struct zr_entry *entry)
 {
 	const struct zr_config *config = zr_config_watch_current(entry->config);
-	struct zr_host *copy = calloc(count ? count : 1, sizeof(*copy));
+	const struct zr_host *hosts = entry->hosts;
+	size_t count = entry->host_count;
+	struct zr_host *copy = zr_hosts_copy(hosts, count);
 	size_t i;
 
-	if (!copy)
-		return;
 	for (i = 0; i < count; i++) {
-		copy[i] = hosts[i];
 		copy[i].leaving |=
 			config && hosts[i].kind == ZR_HOST_WORKER &&
 			zr_config_is_evacuated(config, hosts[i].domain);
@@ -100,7 +98,10 @@
 	zr_directory_set_hosts(entry->directory, hosts, count);
 	zr_config_peers_set_hosts(entry->peers, hosts, count,
 				  entry->host_list_requested_at);
-	set_router_hosts(entry, hosts, count);
+	free(entry->hosts);
+	entry->hosts = zr_hosts_copy(hosts, count);
+	entry->host_count = count;
+	set_router_hosts(entry);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -118,12 +119,15 @@
 
 static void on_config(void *ctx, const struct zr_config *config)
 {
+	struct zr_entry *entry = ctx;
+
 	/*
-	 * Nothing to update: each request reads the configuration that is
+	 * Nothing else to update: each request reads the configuration that is
 	 * applied when the request arrives.
 	 */
-	(void)ctx;
 	(void)config;
+	if (entry->hosts)
+		set_router_hosts(entry);
 }
 
 static void notify_config_peers(void *ctx)
@@ -290,5 +294,6 @@
 	zr_http_server_free(entry->http);
 	zr_once_store_free(&entry->once_backend);
 	zr_metrics_free(entry->metrics);
+	free(entry->hosts);
 	free(entry);
 }
--- a/src/libzinniarack/entry/private.h
+++ b/src/libzinniarack/entry/private.h
@@ -34,6 +34,8 @@
  * @host_list: source of the host list
  * @host_list_read_in_flight: whether a read of the host list has no result yet
  * @host_list_requested_at: when the last read started
+ * @hosts: the last host list; NULL before the first
+ * @host_count: number of @hosts
  * @timer: polls the host list and requests grants
  * @config: the configuration
  * @peers: exchange of the configuration with other hosts
@@ -56,6 +58,8 @@
 	struct zr_host_list host_list;
 	bool host_list_read_in_flight;
 	struct timespec host_list_requested_at;
+	struct zr_host *hosts;
+	size_t host_count;
 	uv_timer_t timer;
 	struct zr_config_watch *config;
 	struct zr_config_peers *peers;
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -39,6 +39,8 @@
 	struct zr_host_list host_list;
 	bool host_list_pending;
 	struct timespec host_list_requested_at;
+	struct zr_host *hosts; /* the last host list; NULL before the first */
+	size_t host_count;
 	const struct zr_clock *clock;
 	uv_timer_t timer;
 	struct zr_config_watch *config;
@@ -51,6 +53,29 @@
 	struct zr_http_server *http;
 };
 
+/*
+ * Passes the hosts to the domain. Drained workers and those of an evacuated
+ * failure domain are set as leaving.
+ */
+static void set_hosts(struct zr_scheduler *scheduler)
+{
+	const struct zr_host *hosts = scheduler->hosts;
+	size_t count = scheduler->host_count;
+	const struct zr_config *config =
+		zr_config_watch_current(scheduler->config);
+	struct zr_host *copy = zr_hosts_copy(hosts, count);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		copy[i].leaving |=
+			config && hosts[i].kind == ZR_HOST_WORKER &&
+			(zr_config_is_drained(config, hosts[i].name) ||
+			 zr_config_is_evacuated(config, hosts[i].domain));
+	}
+	zr_domain_set_hosts(scheduler->domain, copy, count);
+	free(copy);
+}
+
 static void log_evacuation(struct zr_scheduler *scheduler,
 			   const struct zr_config *config)
 {
@@ -73,31 +98,9 @@
 	scheduler->service.config_version = config->version;
 	zr_domain_configure(scheduler->domain, config);
 	zr_declared_configure(scheduler->declared, config);
-}
-
-/*
- * Passes the hosts to the domain. Drained workers and those of an evacuated
- * failure domain are set as leaving.
- */
-static void set_hosts(struct zr_scheduler *scheduler,
-		      const struct zr_host *hosts, size_t count)
-{
-	const struct zr_config *config =
-		zr_config_watch_current(scheduler->config);
-	struct zr_host *copy = calloc(count ? count : 1, sizeof(*copy));
-	size_t i;
-
-	if (!copy)
-		return;
-	for (i = 0; i < count; i++) {
-		copy[i] = hosts[i];
-		copy[i].leaving |=
-			config && hosts[i].kind == ZR_HOST_WORKER &&
-			(zr_config_is_drained(config, hosts[i].name) ||
-			 zr_config_is_evacuated(config, hosts[i].domain));
-	}
-	zr_domain_set_hosts(scheduler->domain, copy, count);
-	free(copy);
+	/* Do not wait for the host list, which may not respond. */
+	if (scheduler->hosts)
+		set_hosts(scheduler);
 }
 
 static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
@@ -108,7 +111,10 @@
 	scheduler->host_list_pending = false;
 	if (error < 0)
 		return;
-	set_hosts(scheduler, hosts, count);
+	free(scheduler->hosts);
+	scheduler->hosts = zr_hosts_copy(hosts, count);
+	scheduler->host_count = count;
+	set_hosts(scheduler);
 	zr_config_peers_set_hosts(scheduler->peers, hosts, count,
 				  scheduler->host_list_requested_at);
 }
@@ -282,5 +288,6 @@
 	uv_run(scheduler->loop, UV_RUN_DEFAULT);
 	zr_http_server_free(scheduler->http);
 	zr_metrics_free(scheduler->metrics);
+	free(scheduler->hosts);
 	free(scheduler);
 }
