--- a/include/zinniarack/config.h
+++ b/include/zinniarack/config.h
@@ -246,6 +246,31 @@
  */
 int zr_config_load_folder(struct zr_config **out, const char *path);
 
+/**
+ * struct zr_config_review - receives what a review of a folder finds
+ * @found: called for each entry that is allowed but has no effect or can never
+ *	do what it says; @line is counted from 1
+ * @knows_worker: whether a worker of that name exists; NULL: it is not known
+ * @ctx: passed to both
+ */
+struct zr_config_review {
+	void (*found)(void *ctx, const char *path, size_t line,
+		      const char *detail);
+	bool (*knows_worker)(void *ctx, const char *worker);
+	void *ctx;
+};
+
+/**
+ * zr_config_review_folder() - load a folder and review its entries
+ * @out: as for zr_config_load_folder()
+ * @path: the folder
+ * @review: receives the findings, of a folder without errors
+ *
+ * Return: as zr_config_load_folder(); findings are no errors.
+ */
+int zr_config_review_folder(struct zr_config **out, const char *path,
+			    const struct zr_config_review *review);
+
 /**
  * zr_config_amend() - merge the declarations of one more file into a document
  * @out: the new document, with version 0; free with zr_config_free()
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -151,6 +151,18 @@
 /** cli_print_usage() - print a subcommand's usage; returns CLI_EXIT_USAGE */
 int cli_print_usage(const struct cli_command *command);
 
+/* workers.c */
+
+/**
+ * cli_collect_workers() - get the names of all workers
+ * @out: object whose keys are the names, to be freed with json_decref(); NULL
+ *	if a failure domain did not list its workers
+ * @options: address of the entry daemon and the keys
+ *
+ * Return: CLI_EXIT_OK, or another exit code after the error has been printed.
+ */
+int cli_collect_workers(json_t **out, const struct cli_options *options);
+
 /* output.c */
 
 /** Maximum number of columns of a table. */
--- a/src/cli/workers.c
+++ b/src/cli/workers.c
@@ -34,6 +34,56 @@
 	return result;
 }
 
+/* Adds the names of the workers of a failure domain. */
+static bool add_worker_names(json_t *names, const struct cli_options *options,
+			     const char *domain)
+{
+	char path[URL_PATH_SIZE];
+	const json_t *worker;
+	json_t *response;
+	size_t i;
+
+	snprintf(path, sizeof(path), "/v1/workers?domain=%.63s", domain);
+	if (cli_get_json_as_operator(&response, options, path) != CLI_EXIT_OK)
+		return false;
+	json_array_foreach (json_object_get(response, "workers"), i, worker) {
+		const char *name =
+			json_string_value(json_object_get(worker, "name"));
+
+		if (name)
+			json_object_set_new(names, name, json_true());
+	}
+	json_decref(response);
+	return true;
+}
+
+int cli_collect_workers(json_t **out, const struct cli_options *options)
+{
+	const json_t *scheduler;
+	json_t *domains = json_object();
+	json_t *status;
+	const char *domain;
+	json_t *none;
+	size_t i;
+	int result = cli_get_json_as_operator(&status, options, "/v1/status");
+
+	*out = json_object();
+	json_array_foreach (json_object_get(status, "schedulers"), i, scheduler)
+		json_object_set_new(
+			domains,
+			json_string_value(json_object_get(scheduler, "domain")),
+			json_null());
+	json_object_foreach (domains, domain, none) {
+		if (*out && !add_worker_names(*out, options, domain)) {
+			json_decref(*out);
+			*out = NULL;
+		}
+	}
+	json_decref(domains);
+	json_decref(status);
+	return result;
+}
+
 /* Formats the name of the file that drains the worker. */
 static void format_drain_file_name(char out[FILE_NAME_SIZE], const char *worker)
 {
--- a/src/libzinniarack/config/folder.c
+++ b/src/libzinniarack/config/folder.c
@@ -140,16 +140,47 @@
 	return error;
 }
 
-int zr_config_load_folder(struct zr_config **out, const char *path)
+/* A review, with the merge that knows where entries were declared. */
+struct folder_review {
+	const struct zr_config_review *review;
+	const struct zr_merge *merge;
+};
+
+static void report_finding(void *ctx, const struct zr_config_error *finding)
+{
+	const struct folder_review *folder = ctx;
+	char detail[ZR_ERROR_TEXT_MAX];
+	const char *path;
+	size_t line;
+
+	zr_merge_locate(&path, &line, folder->merge, finding);
+	snprintf(detail, sizeof(detail), "field '%s[].%s': %s",
+		 finding->section, finding->field, finding->detail);
+	folder->review->found(folder->review->ctx, path, line, detail);
+}
+
+int zr_config_review_folder(struct zr_config **out, const char *path,
+			    const struct zr_config_review *review)
 {
+	struct folder_review folder = {.review = review};
 	struct zr_merge *merge;
 	int error = zr_merge_new(&merge);
 
 	if (error < 0)
 		return error;
+	folder.merge = merge;
 	error = merge_files(merge, path);
 	if (!error)
 		error = load_merged(out, merge, path);
+	if (!error && review)
+		zr_config_find_ineffective(*out, review->knows_worker,
+					   review->ctx, report_finding,
+					   &folder);
 	zr_merge_free(merge);
 	return error;
 }
+
+int zr_config_load_folder(struct zr_config **out, const char *path)
+{
+	return zr_config_review_folder(out, path, NULL);
+}
--- a/src/libzinniarack/config/schema.h
+++ b/src/libzinniarack/config/schema.h
@@ -45,6 +45,20 @@
 int zr_config_check(struct zr_config_error *out,
 		    const struct zr_config *config);
 
+/**
+ * zr_config_find_ineffective() - find entries that have no effect
+ * @config: a document that zr_config_check() accepts
+ * @knows_worker: as for &struct zr_config_review
+ * @worker_ctx: passed to @knows_worker
+ * @found: called for each entry; @finding points into @config
+ * @ctx: passed to @found
+ */
+void zr_config_find_ineffective(
+	const struct zr_config *config,
+	bool (*knows_worker)(void *ctx, const char *worker), void *worker_ctx,
+	void (*found)(void *ctx, const struct zr_config_error *finding),
+	void *ctx);
+
 /** zr_config_fill_defaults() - set the default values of absent fields */
 void zr_config_fill_defaults(struct zr_config *config);
 
--- a/tests/e2e/test_operators_commands.sh
+++ b/tests/e2e/test_operators_commands.sh
@@ -160,6 +160,19 @@
 	expect 0 $zr undrain w3
 )
 
+# A check against the cell finds a drained worker that does not exist, and shows
+# what differs from the applied configuration.
+expect 0 $zr config check --applied "$folder"
+cat >"$folder/90-drained.yaml" <<-EOT
+drained:
+  - name: w1
+  - name: w99
+EOT
+expect 3 $zr config check --applied "$folder"
+expect_output 'no effect: .*90-drained.yaml:3: .* no failure domain has a worker .w99.'
+expect_output '^drained  *w1  *added'
+rm "$folder/90-drained.yaml"
+
 # A drained worker gets no new tasks; after undrain it is up again.
 expect 0 $zr drain w1 "$folder"
 worker_is () {
