--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -69,6 +69,24 @@
 		request_grants(entry, domain);
 }
 
+/* Workers of evacuated failure domains get no new requests. */
+static void set_router_hosts(struct zr_entry *entry)
+{
+	const struct zr_config *config = zr_config_watch_current(entry->config);
+	const struct zr_host *hosts = entry->hosts;
+	size_t count = entry->host_count;
+	struct zr_host *copy = zr_hosts_copy(hosts, count);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		copy[i].leaving |=
+			config && hosts[i].kind == ZR_HOST_WORKER &&
+			zr_config_is_evacuated(config, hosts[i].domain);
+	}
+	zr_router_set_hosts(entry->router, copy, count);
+	free(copy);
+}
+
 static void on_host_list(void *ctx, int error, const struct zr_host *hosts,
 			 size_t count)
 {
@@ -80,7 +98,10 @@
 	zr_directory_set_hosts(entry->directory, hosts, count);
 	zr_config_peers_set_hosts(entry->peers, hosts, count,
 				  entry->host_list_requested_at);
-	zr_router_set_hosts(entry->router, hosts, count);
+	free(entry->hosts);
+	entry->hosts = zr_hosts_copy(hosts, count);
+	entry->host_count = count;
+	set_router_hosts(entry);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -98,12 +119,15 @@
 
 static void on_config(void *ctx, const struct zr_config *config)
 {
+	struct zr_entry *entry = ctx;
+
 	/*
-	 * Nothing to update: each request reads the configuration that is
+	 * Nothing else to update: each request reads the configuration that is
 	 * applied when the request arrives.
 	 */
-	(void)ctx;
 	(void)config;
+	if (entry->hosts)
+		set_router_hosts(entry);
 }
 
 static void notify_config_peers(void *ctx)
@@ -270,5 +294,6 @@
 	zr_http_server_free(entry->http);
 	zr_once_store_free(&entry->once_backend);
 	zr_metrics_free(entry->metrics);
+	free(entry->hosts);
 	free(entry);
 }
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -1,5 +1,6 @@
 #include "zinniarack/scheduler.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -38,9 +39,12 @@
 	struct zr_host_list host_list;
 	bool host_list_pending;
 	struct timespec host_list_requested_at;
+	struct zr_host *hosts; /* the last host list; NULL before the first */
+	size_t host_count;
 	const struct zr_clock *clock;
 	uv_timer_t timer;
 	struct zr_config_watch *config;
+	bool evacuated; /* the failure domain, by the last configuration */
 	struct zr_config_peers *peers;
 	struct zr_domain *domain;
 	struct zr_declared *declared;
@@ -49,35 +53,56 @@
 	struct zr_http_server *http;
 };
 
-static void on_config(void *ctx, const struct zr_config *config)
-{
-	struct zr_scheduler *scheduler = ctx;
-
-	scheduler->service.config_version = config->version;
-	zr_domain_configure(scheduler->domain, config);
-	zr_declared_configure(scheduler->declared, config);
-}
-
-/* Passes the hosts to the domain, with workers to be drained set as leaving. */
-static void set_hosts(struct zr_scheduler *scheduler,
-		      const struct zr_host *hosts, size_t count)
+/*
+ * Passes the hosts to the domain. Drained workers and those of an evacuated
+ * failure domain are set as leaving.
+ */
+static void set_hosts(struct zr_scheduler *scheduler)
 {
+	const struct zr_host *hosts = scheduler->hosts;
+	size_t count = scheduler->host_count;
 	const struct zr_config *config =
 		zr_config_watch_current(scheduler->config);
-	struct zr_host *copy = calloc(count ? count : 1, sizeof(*copy));
+	struct zr_host *copy = zr_hosts_copy(hosts, count);
 	size_t i;
 
-	if (!copy)
-		return;
 	for (i = 0; i < count; i++) {
-		copy[i] = hosts[i];
-		copy[i].leaving |= config && hosts[i].kind == ZR_HOST_WORKER &&
-				   zr_config_is_drained(config, hosts[i].name);
+		copy[i].leaving |=
+			config && hosts[i].kind == ZR_HOST_WORKER &&
+			(zr_config_is_drained(config, hosts[i].name) ||
+			 zr_config_is_evacuated(config, hosts[i].domain));
 	}
 	zr_domain_set_hosts(scheduler->domain, copy, count);
 	free(copy);
 }
 
+static void log_evacuation(struct zr_scheduler *scheduler,
+			   const struct zr_config *config)
+{
+	const char *domain = scheduler->settings->failure_domain;
+	bool evacuated = zr_config_is_evacuated(config, domain);
+
+	if (evacuated == scheduler->evacuated)
+		return;
+	scheduler->evacuated = evacuated;
+	zr_log_decision("%s domain=%s version=%" PRIu64,
+			evacuated ? "domain.evacuated" : "domain.restored",
+			domain, config->version);
+}
+
+static void on_config(void *ctx, const struct zr_config *config)
+{
+	struct zr_scheduler *scheduler = ctx;
+
+	log_evacuation(scheduler, config);
+	scheduler->service.config_version = config->version;
+	zr_domain_configure(scheduler->domain, config);
+	zr_declared_configure(scheduler->declared, config);
+	/* Do not wait for the host list, which may not respond. */
+	if (scheduler->hosts)
+		set_hosts(scheduler);
+}
+
 static void on_hosts(void *ctx, int error, const struct zr_host *hosts,
 		     size_t count)
 {
@@ -86,7 +111,10 @@
 	scheduler->host_list_pending = false;
 	if (error < 0)
 		return;
-	set_hosts(scheduler, hosts, count);
+	free(scheduler->hosts);
+	scheduler->hosts = zr_hosts_copy(hosts, count);
+	scheduler->host_count = count;
+	set_hosts(scheduler);
 	zr_config_peers_set_hosts(scheduler->peers, hosts, count,
 				  scheduler->host_list_requested_at);
 }
@@ -260,5 +288,6 @@
 	uv_run(scheduler->loop, UV_RUN_DEFAULT);
 	zr_http_server_free(scheduler->http);
 	zr_metrics_free(scheduler->metrics);
+	free(scheduler->hosts);
 	free(scheduler);
 }
--- a/tests/e2e/test_operators_commands.sh
+++ b/tests/e2e/test_operators_commands.sh
@@ -160,13 +160,28 @@
 	expect 0 $zr undrain w3
 )
 
+# A check against the cell finds a drained worker that does not exist, and shows
+# what differs from the applied configuration.
+expect 0 $zr config check --applied "$folder"
+cat >"$folder/90-drained.yaml" <<-EOT
+drained:
+  - name: w1
+  - name: w99
+EOT
+expect 3 $zr config check --applied "$folder"
+expect_output 'no effect: .*90-drained.yaml:3: .* no failure domain has a worker .w99.'
+expect_output '^drained  *w1  *added'
+rm "$folder/90-drained.yaml"
+
 # A drained worker gets no new tasks; after undrain it is up again.
 expect 0 $zr drain w1 "$folder"
 worker_is () {
 	$zr workers sapporo | grep -q "^$1 .* $2 "
 }
 cell_until 5 worker_is w1 leaving
-starts=$(grep -c 'start .* w1' "$work/ledger" || :)
+w1_start="^start .* $(cell_port 400) "
+grep -q "$w1_start" "$work/ledger"
+starts=$(grep -c "$w1_start" "$work/ledger")
 for i in 1 2 3 4
 do
 	printf '{"name":"b%d","queue":"any","kind":"batch","cpus":1,
@@ -174,7 +189,7 @@
 		sed 's/.*"id":"\([^"]*\)".*/\1/' >"$work/id"
 	$zr -k "$booth" job wait "$(cat "$work/id")" | grep -q succeeded
 done
-test "$(grep -c 'start .* w1' "$work/ledger" || :)" -eq "$starts"
+test "$(grep -c "$w1_start" "$work/ledger")" -eq "$starts"
 expect 0 $zr undrain w1 "$folder"
 cell_until 5 worker_is w1 up
 
