--- a/bench/admission/cost.c
+++ b/bench/admission/cost.c
@@ -84,7 +84,7 @@
 	char name[ZR_NAME_MAX];
 	uint32_t i;
 
-	for (i = 0; i < job->task_count; i++) {
+	for (i = 0; worker_count && i < job->task_count; i++) {
 		snprintf(name, sizeof(name), "i-%010x",
 			 (number * TASKS_PER_JOB + i) % worker_count);
 		zr_cell_task_begin_run(model, job, i,
--- a/bench/admission/flood.c
+++ b/bench/admission/flood.c
@@ -319,7 +319,8 @@
 		day->waiting_alloc =
 			day->waiting_alloc ? 2 * day->waiting_alloc : 1024;
 		day->waiting =
-			realloc(day->waiting, day->waiting_alloc * sizeof(job));
+			realloc(day->waiting,
+				day->waiting_alloc * sizeof(struct job *));
 		if (!day->waiting)
 			abort();
 	}
@@ -343,7 +344,8 @@
 static void retry_later(struct day *day, struct job *job,
 			uint32_t retry_after_ms)
 {
-	int64_t due_at = day->now + (retry_after_ms + 999) / 1000 * 1000;
+	int64_t due_at =
+		day->now + ((int64_t)retry_after_ms + 999) / 1000 * 1000;
 
 	day->result.rejected++;
 	if (++job->attempts == ATTEMPTS_MAX ||
@@ -418,7 +420,7 @@
 		day->waiting[i]->rank =
 			(int64_t)tier_of(day, day->waiting[i]) * CLASS_COUNT +
 			day->waiting[i]->class;
-	qsort(day->waiting, day->waiting_count, sizeof(*day->waiting), by_rank);
+	qsort(day->waiting, day->waiting_count, sizeof(struct job *), by_rank);
 }
 
 /* A gang waits for all its slots, which others cannot take meanwhile. */
@@ -494,8 +496,8 @@
 
 	/* Arrivals and what is left of them after the day's end. */
 	day->tick_count = (day->options->seconds + 120) * 1000 / TICK_MS + 1;
-	day->arrivals = calloc(day->tick_count, sizeof(*day->arrivals));
-	day->ends = calloc(day->tick_count, sizeof(*day->ends));
+	day->arrivals = calloc(day->tick_count, sizeof(struct job *));
+	day->ends = calloc(day->tick_count, sizeof(struct end *));
 	if (!day->arrivals || !day->ends)
 		abort();
 	for (account = 0; account < ACCOUNTS; account++) {
