cell: a host reads the summary of the load while jobs are submitted

A host read the summary only when a job came, and decided with what it had read before: after a pause of its callers it accepted jobs into a full cell. Now it reads on for three seconds after the last submission.

Retry-After reached its maximum after a short burst, since the rate of arrivals was taken as lasting. If little of the capacity drains the surplus, half is now assumed to do so later, after ten seconds at least.

--- a/src/libzinniarack/cell/admitter.c
+++ b/src/libzinniarack/cell/admitter.c
@@ -17,7 +17,7 @@
  */
 #define FULL_READ_INTERVAL_MS 200
 #define READ_INTERVAL_MS 500
-/* Time after the last submission in which the summary is read regularly. */
+/* Time after the last submission in which the summary is read. */
 #define READ_ON_MS 3000
 /*
  * Timeout of the check whether a job was accepted before. A rejection has to be
@@ -87,15 +87,17 @@
 	return false;
 }
 
-/* Whether the next decisions need a summary that is read before them. */
-static bool reads_on(const struct zr_cell_admitter *admitter)
+/* Reads again later if more jobs are likely to be submitted. */
+static void schedule_read(struct zr_cell_admitter *admitter)
 {
 	const struct zr_cell_known_load *load = &admitter->load;
+	bool urgent = load->written_after == ZR_CELL_AGE_UNKNOWN ||
+		      is_full(&load->record);
 
-	return now_ms(admitter) - admitter->last_submission_at < READ_ON_MS &&
-	       load->revision &&
-	       (load->written_after == ZR_CELL_AGE_UNKNOWN ||
-		is_full(&load->record));
+	if (now_ms(admitter) - admitter->last_submission_at < READ_ON_MS)
+		zr_timer_start(
+			admitter->timer,
+			urgent ? FULL_READ_INTERVAL_MS : READ_INTERVAL_MS, 0);
 }
 
 static void on_load(void *ctx, int error, const struct zr_store_reply *reply)
@@ -110,8 +112,7 @@
 					  reply->count ? &reply->values[0]
 						       : NULL,
 					  admitter->read_sent_at);
-	if (reads_on(admitter))
-		zr_timer_start(admitter->timer, FULL_READ_INTERVAL_MS, 0);
+	schedule_read(admitter);
 }
 
 static void read_load(struct zr_cell_admitter *admitter)
--- a/src/libzinniarack/cell/admitter.h
+++ b/src/libzinniarack/cell/admitter.h
@@ -12,8 +12,8 @@
  * DOC: Admission of submissions on a host
  *
  * Decides, before a job is written, whether it is accepted, with the summary of
- * the load that the owner publishes. The summary is read from the store when
- * jobs are submitted, and regularly while it shows a full cell.
+ * the load that the owner publishes. The summary is read from the store
+ * regularly while jobs are submitted, more often while it shows a full cell.
  *
  * A job that would be rejected may have been accepted before: the first attempt
  * of its caller can have reached another host. So the store is asked first, and
--- a/src/libzinniarack/cell/policy/admission.c
+++ b/src/libzinniarack/cell/policy/admission.c
@@ -33,15 +33,17 @@
 #define DRAIN_PERMILLE_MIN 100
 #define EARLY_DRAIN_PERMILLE_MIN 500
 /*
- * Retries: time beyond that in which the surplus drains; the width over which
- * callers are spread at least; part of the capacity that drains it, and the
- * least time with less than that, in which the rate of arrivals may have
- * changed; the maximum.
+ * Retries: time beyond that in which the surplus drains, and the width over
+ * which callers are spread at least. If less than RETRY_DRAIN_PERMILLE of the
+ * capacity drains it, the rate of arrivals has to change first: that takes
+ * RETRY_LATER_MS at least, and RETRY_LATER_PERMILLE is assumed to drain it
+ * then.
  */
 #define RETRY_MARGIN_MS 250
-#define RETRY_DRAIN_PERMILLE 250
 #define RETRY_SPREAD_MIN_MS 1000
-#define RETRY_UNDRAINED_MS 10000
+#define RETRY_DRAIN_PERMILLE 250
+#define RETRY_LATER_PERMILLE 500
+#define RETRY_LATER_MS 10000
 #define RETRY_MAX_MS 60000
 
 /* What is known of a job before it runs. */
@@ -225,13 +227,15 @@
 		   enum zr_admission_reason reason, int64_t left, int64_t drain,
 		   uint64_t hash)
 {
-	int64_t surplus_ms = out->finish_ms - out->limit_ms;
-	int64_t retry_ms = surplus_ms * left / drain;
-	int64_t spread_ms = max_int64(retry_ms, RETRY_SPREAD_MIN_MS);
+	int64_t surplus_ms = (out->finish_ms - out->limit_ms) * left;
+	int64_t retry_ms = surplus_ms / drain;
 
 	if (drain < RETRY_DRAIN_PERMILLE)
-		retry_ms = max_int64(retry_ms, RETRY_UNDRAINED_MS);
-	retry_ms += RETRY_MARGIN_MS + (int64_t)(hash % (uint64_t)spread_ms);
+		retry_ms = max_int64(surplus_ms / RETRY_LATER_PERMILLE,
+				     RETRY_LATER_MS);
+	retry_ms += (int64_t)(hash % (uint64_t)max_int64(retry_ms / 2,
+							 RETRY_SPREAD_MIN_MS)) +
+		    RETRY_MARGIN_MS;
 	out->reason = reason;
 	out->retry_after_ms =
 		(uint32_t)(retry_ms < RETRY_MAX_MS ? retry_ms : RETRY_MAX_MS);
