cell, tests: random cells move services and gangs; a leaving owner moves nothing

The random cells with evacuations hardly moved a run, since their cells were full and most runs short. The scripts of the other series are unchanged.

An owner that releases or hands over the cell does not stop runs any more, as it would not place them again. Tasks beyond the upper limit of their client account no longer count as waiting for the capacity that moves could use.

--- a/src/libzinniarack/cell/evacuation_moves.c
+++ b/src/libzinniarack/cell/evacuation_moves.c
@@ -268,15 +268,27 @@
 	return count;
 }
 
+/* Tasks beyond the upper limit of their client account do not count. */
+static uint32_t startable_tasks(const struct zr_cell_model *model,
+				const struct zr_cell_step_state *step)
+{
+	const struct zr_cell_job *job = zr_cell_job(model, step->job);
+	uint32_t remaining = zr_cell_client_remaining_tasks(
+		zr_cell_client(model, job->client), &step->spec->need);
+
+	return remaining < step->waiting ? remaining : step->waiting;
+}
+
 static uint64_t waiting_millicpus(const struct pass *pass)
 {
+	const struct zr_cell_model *model = &pass->scheduler->model;
 	const struct zr_cell_step_state *step;
 	uint64_t sum = 0;
 
-	DL_FOREACH(pass->scheduler->model.ready, step)
+	DL_FOREACH(model->ready, step)
 	{
 		if (pass->now >= step->ready_at)
-			sum += (uint64_t)step->waiting *
+			sum += (uint64_t)startable_tasks(model, step) *
 			       step->spec->need.millicpus;
 	}
 	return sum;
@@ -372,6 +384,9 @@
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 
+	/* An owner that leaves would not place again what it stops. */
+	if (scheduler->releasing || scheduler->hand_over_deadline_at)
+		return;
 	if (!evacuations->runs->value || !zr_cell_is_owner(scheduler) ||
 	    !zr_cell_evacuations_known(scheduler) ||
 	    pass.now - evacuations->decided_at < DECIDE_INTERVAL_MS)
--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -48,6 +48,11 @@
  */
 #define EVACUATION_PAUSE_MAX_MS 250
 #define EVACUATION_MAX_MS 12000
+/* Run time of tasks that evacuations may move. */
+#define MOVABLE_RUN_MIN_MS 1500
+#define MOVABLE_RUN_SPAN_MS 6000
+/* What is added to the workers, so that there is capacity to move to. */
+#define EVACUATION_EXTRA_MILLICPUS 4000
 /* Time in which all jobs end after the last fault: leases expire, then run. */
 #define QUIET_MS 40000
 /* Time after which starts have to fit a capacity that has shrunk. */
@@ -313,6 +318,22 @@
 		 pick_outcome(scenario), run_ms);
 }
 
+/* Submits a job whose tasks evacuations may move. */
+static void submit_movable_job(struct scenario *scenario)
+{
+	static const char *const kinds[] = {"checkpoints,", "service=1,",
+					    "gang,checkpoints,"};
+	int host = pick_host(scenario);
+
+	if (host < 0 || scenario->job_count == JOBS_MAX)
+		return;
+	run_line(scenario, "submit %c j%u %s%ux%u:%u", 'a' + host,
+		 scenario->job_count++,
+		 kinds[below(scenario, sizeof(kinds) / sizeof(*kinds))],
+		 1 + below(scenario, 4), 300 + below(scenario, 1700),
+		 MOVABLE_RUN_MIN_MS + below(scenario, MOVABLE_RUN_SPAN_MS));
+}
+
 static void change_capacity(struct scenario *scenario)
 {
 	run_line(scenario, "capacity w%u %u", below(scenario, WORKERS),
@@ -332,7 +353,9 @@
 {
 	uint32_t choice = below(scenario, 100);
 
-	if (choice < 40)
+	if (choice < 15 && scenario->extras == EXTRA_EVACUATIONS)
+		submit_movable_job(scenario);
+	else if (choice < 40)
 		submit_job(scenario);
 	else if (choice < 45)
 		cancel_job(scenario);
@@ -357,6 +380,9 @@
 
 static void start_cell(struct scenario *scenario)
 {
+	uint32_t extra = scenario->extras == EXTRA_EVACUATIONS
+				 ? EVACUATION_EXTRA_MILLICPUS
+				 : 0;
 	int i;
 
 	run_line(scenario, "stop-ms %u", below(scenario, 400));
@@ -375,7 +401,7 @@
 	advance(scenario, 50);
 	for (i = 0; i < WORKERS; i++)
 		run_line(scenario, "worker w%d %u d%d", i,
-			 2000 + 1000 * below(scenario, 3), i % DOMAINS);
+			 extra + 2000 + 1000 * below(scenario, 3), i % DOMAINS);
 	advance(scenario, 700);
 }
 
