tests: the requests to evacuate cannot be read while the owner keeps its lease

The fake store can now let the reads and watches of one key fail.

A watch that ends early without a change is followed by another one at the next tick, not at once. No store of the tests does that.

--- a/src/libzinniarack/cell/evacuations.c
+++ b/src/libzinniarack/cell/evacuations.c
@@ -432,6 +432,7 @@
 	struct evacuation_call call = *(struct evacuation_call *)ctx;
 	struct zr_cell_scheduler *scheduler = finish_call(ctx);
 	int64_t counted_ms = 0;
+	bool waited;
 	size_t i;
 
 	if (!scheduler)
@@ -446,13 +447,16 @@
 	for (i = 0; i < reply->count; i++)
 		apply_key(scheduler, &reply->values[i],
 			  reply->values[i].data != NULL, reply->revision);
-	if (!reply->count &&
-	    zr_cell_now_ms(scheduler) - call.sent_at >= call.wait_ms)
+	waited = zr_cell_now_ms(scheduler) - call.sent_at >= call.wait_ms;
+	if (!reply->count && waited)
 		counted_ms = call.wait_ms * WATCH_COUNTED_PERCENT / PERCENT;
 	set_revision(&scheduler->evacuations, reply->revision);
 	confirm(scheduler, call.sent_at + counted_ms);
-	zr_cell_evacuations_process(scheduler);
-	zr_cell_schedule_plan(scheduler);
+	if (reply->count)
+		zr_cell_schedule_plan(scheduler);
+	/* One that ends early without a change is followed by the next tick. */
+	if (reply->count || waited)
+		zr_cell_evacuations_process(scheduler);
 }
 
 static void read_requests(struct zr_cell_scheduler *scheduler, int64_t now)
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "cell/counts.h"
 #include "cell/records.h"
@@ -49,6 +50,7 @@
 	uint32_t priority;
 	uint32_t latency_target_ms;
 	unsigned int evacuation_ms;
+	struct evacuation_request *evacuation_requests; /* not confirmed yet */
 	unsigned int adviser_queries;
 	bool hides_runs;
 	char line[LINE_MAX_BYTES];
@@ -776,10 +778,15 @@
 	script->evacuation_ms = (unsigned int)atoi(word(script, 1));
 }
 
-/* A request of the operator to evacuate a failure domain. */
+/*
+ * A request of the operator to evacuate a failure domain; @withdrawn: the
+ * withdrawal was sent before the request was confirmed.
+ */
 struct evacuation_request {
+	struct evacuation_request *next;
 	struct cell_script *script;
 	char domain[ZR_NAME_MAX];
+	bool withdrawn;
 };
 
 static void on_evacuation_requested(void *ctx, int error,
@@ -788,9 +795,10 @@
 	struct evacuation_request *request = ctx;
 
 	on_committed(request->script, error, reply);
-	if (!error)
+	if (!error && !request->withdrawn)
 		fake_pool_set_evacuated(request->script->pool, request->domain,
 					true);
+	LL_DELETE(request->script->evacuation_requests, request);
 	free(request);
 }
 
@@ -802,6 +810,7 @@
 	const struct zr_store_txn txn = {NULL, 0, &write, 1};
 
 	request->script = script;
+	LL_PREPEND(script->evacuation_requests, request);
 	snprintf(request->domain, sizeof(request->domain), "%s",
 		 word(script, 1));
 	snprintf(key, sizeof(key), EVACUATION_PREFIX "%s", word(script, 1));
@@ -812,8 +821,14 @@
 /* From its sending on, the withdrawal may be known to the hosts. */
 static void do_restore(struct cell_script *script)
 {
+	struct evacuation_request *request;
 	char key[ZR_CELL_KEY_MAX];
 
+	LL_FOREACH(script->evacuation_requests, request)
+	{
+		if (!strcmp(request->domain, word(script, 1)))
+			request->withdrawn = true;
+	}
 	fake_pool_set_evacuated(script->pool, word(script, 1), false);
 	snprintf(key, sizeof(key), EVACUATION_PREFIX "%s", word(script, 1));
 	commit_value(script, &script->registrar, key, NULL, 0);
@@ -824,6 +839,13 @@
 	fake_store_lose_history(script->store);
 }
 
+static void do_requests(struct cell_script *script)
+{
+	bool readable = !strcmp(word(script, 1), "readable");
+
+	fake_store_deny(script->store, readable ? NULL : EVACUATION_PREFIX);
+}
+
 static void do_metric(struct cell_script *script)
 {
 	const struct host *host = find_host(script, word(script, 1));
@@ -886,6 +908,7 @@
 	{"evacuate", do_evacuate},
 	{"restore", do_restore},
 	{"lose-history", do_lose_history},
+	{"requests", do_requests},
 	{"metric", do_metric},
 };
 
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -83,6 +83,9 @@
  *                              a connection of the operator to the store
  *   restore DOMAIN             withdraw the request
  *   lose-history               make the store forget its history of changes
+ *   requests unreadable|readable
+ *                              let reads and watches of the requests to
+ *                              evacuate fail, and no other call to the store
  *   metric HOST NAME           print a metric of a host
  *   hang WORKER                stop the progress of its tasks; the worker
  *                              still responds
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -33,6 +33,7 @@
 	int64_t revision;
 	int64_t compacted_revision; /* the history begins after this one */
 	int64_t next_lease;
+	char *denied_key; /* reads and watches of it fail; NULL: none */
 	struct pending_watch *pending_watches;
 	struct tombstone *tombstones;
 	struct fake_store_counts counts;
@@ -167,6 +168,13 @@
 
 /* Operations */
 
+static bool is_denied(const struct call *call)
+{
+	const char *denied = call->store->denied_key;
+
+	return denied && call->key && !strcmp(call->key, denied);
+}
+
 static int by_key(struct value *a, struct value *b)
 {
 	return strcmp(a->key, b->key);
@@ -358,7 +366,10 @@
 	while (*link) {
 		struct pending_watch *watch = *link;
 
-		if (watch->call->after_revision < store->compacted_revision)
+		if (is_denied(watch->call))
+			watch->call->error = ZR_E_STORE_DOWN;
+		else if (watch->call->after_revision <
+			 store->compacted_revision)
 			watch->call->error = ZR_E_NOT_FOUND;
 		else if (watch->checked_revision != store->revision)
 			reply_changes(watch->call);
@@ -394,7 +405,9 @@
 
 static void serve_call(struct call *call)
 {
-	call->error = 0;
+	call->error = is_denied(call) ? ZR_E_STORE_DOWN : 0;
+	if (call->error)
+		return;
 	if (call->kind == CALL_RANGE)
 		serve_range(call->store, call);
 	else if (call->kind == CALL_COMMIT)
@@ -663,6 +676,13 @@
 	}
 }
 
+void fake_store_deny(struct fake_store *store, const char *key)
+{
+	free(store->denied_key);
+	store->denied_key = key ? strdup(key) : NULL;
+	answer_watches(store);
+}
+
 void fake_store_lose_history(struct fake_store *store)
 {
 	store->compacted_revision = store->revision;
@@ -736,5 +756,6 @@
 		free(lease);
 	}
 	zr_timer_free(store->timer);
+	free(store->denied_key);
 	free(store);
 }
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -49,6 +49,9 @@
  */
 void fake_store_lose_history(struct fake_store *store);
 
+/** fake_store_deny() - let reads and watches of a key fail; NULL: of none */
+void fake_store_deny(struct fake_store *store, const char *key);
+
 /** fake_store_size() - bytes of all values whose keys have a prefix */
 unsigned long fake_store_size(const struct fake_store *store,
 			      const char *prefix);
--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -229,14 +229,28 @@
 	}
 }
 
+/* Lets the owner act, but not know the requests to evacuate. */
+static void hide_requests(struct scenario *scenario)
+{
+	struct fault *fault = add_fault(scenario);
+
+	if (!fault)
+		return;
+	fault->ends_at += below(scenario, EVACUATION_MAX_MS);
+	run_line(scenario, "requests unreadable");
+	snprintf(fault->undo, sizeof(fault->undo), "requests readable");
+}
+
 static void disturb_evacuation(struct scenario *scenario)
 {
 	uint32_t choice = below(scenario, 100);
 
 	if (choice < 60)
 		evacuate(scenario);
-	else if (choice < 85)
+	else if (choice < 80)
 		lose_store(scenario);
+	else if (choice < 90)
+		hide_requests(scenario);
 	else
 		run_line(scenario, "lose-history");
 }
