--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -95,6 +95,9 @@
  *                              a connection of the operator to the store
  *   restore DOMAIN             withdraw the request
  *   lose-history               make the store forget its history of changes
+ *   requests unreadable|readable
+ *                              let reads and watches of the requests to
+ *                              evacuate fail, and no other call to the store
  *   metric HOST NAME           print a metric of a host
  *   worker-speed on|off        set whether hosts started from now on place
  *                              tasks by expected finish
