cell: Retry-After ends when what waits has lost its value

In a run of real processes a job into a full cell was told 28 s, while the planner ranks new jobs before those that waited three times their objective. No Retry-After is longer than that now, but for the spread.

--- a/src/libzinniarack/cell/policy/admission.c
+++ b/src/libzinniarack/cell/policy/admission.c
@@ -58,6 +58,11 @@
 	return a > b ? a : b;
 }
 
+static int64_t min_int64(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
 static int64_t scale(int64_t value, int64_t permille)
 {
 	return value * permille / PERMILLE;
@@ -225,7 +230,7 @@
  */
 static void reject(struct zr_admission_verdict *out,
 		   enum zr_admission_reason reason, int64_t left, int64_t drain,
-		   uint64_t hash)
+		   const struct zr_admission_job *job)
 {
 	int64_t surplus_ms = (out->finish_ms - out->limit_ms) * left;
 	int64_t retry_ms = surplus_ms / drain;
@@ -233,12 +238,13 @@
 	if (drain < RETRY_DRAIN_PERMILLE)
 		retry_ms = max_int64(surplus_ms / RETRY_LATER_PERMILLE,
 				     RETRY_LATER_MS);
-	retry_ms += (int64_t)(hash % (uint64_t)max_int64(retry_ms / 2,
-							 RETRY_SPREAD_MIN_MS)) +
+	retry_ms = min_int64(retry_ms, WORTHLESS_FACTOR * job->objective_ms);
+	retry_ms += (int64_t)(job->hash %
+			      (uint64_t)max_int64(retry_ms / 2,
+						  RETRY_SPREAD_MIN_MS)) +
 		    RETRY_MARGIN_MS;
 	out->reason = reason;
-	out->retry_after_ms =
-		(uint32_t)(retry_ms < RETRY_MAX_MS ? retry_ms : RETRY_MAX_MS);
+	out->retry_after_ms = (uint32_t)min_int64(retry_ms, RETRY_MAX_MS);
 }
 
 /*
@@ -272,7 +278,7 @@
 		       left * PERMILLE / EARLY_PERMILLE,
 		       left_permille(pool, ZR_ADMISSION_WITHIN,
 				     job->priority + 1),
-		       job->hash);
+		       job);
 }
 
 /* Run time of a job above the share, most of whose steps find few workers. */
@@ -323,7 +329,7 @@
 		reject(out, ZR_ADMISSION_REJECTED_OVER_SHARE, left,
 		       left_permille(pool, ZR_ADMISSION_ABOVE,
 				     job->priority + 1),
-		       job->hash);
+		       job);
 }
 
 void zr_admission_decide(struct zr_admission_verdict *out,
