--- a/src/libzinniarack/cell/admitter.c
+++ b/src/libzinniarack/cell/admitter.c
@@ -72,27 +72,12 @@
 
 /* Reads of the summary */
 
-static bool is_full(const zx_cell_load *load)
-{
-	u_int i;
-
-	for (i = 0; i < load->pools.pools_len; i++) {
-		if (zr_cell_pool_load_is_full(&load->pools.pools_val[i]))
-			return true;
-	}
-	for (i = 0; i < load->accounts.accounts_len; i++) {
-		if (load->accounts.accounts_val[i].limits.limits_len)
-			return true;
-	}
-	return false;
-}
-
 /* Reads again later if more jobs are likely to be submitted. */
 static void schedule_read(struct zr_cell_admitter *admitter)
 {
 	const struct zr_cell_known_load *load = &admitter->load;
 	bool urgent = load->written_after == ZR_CELL_AGE_UNKNOWN ||
-		      is_full(&load->record);
+		      zr_cell_load_is_full(&load->record);
 
 	if (now_ms(admitter) - admitter->last_submission_at < READ_ON_MS)
 		zr_timer_start(
@@ -356,12 +341,6 @@
 	}
 }
 
-static uint32_t class_of(uint32_t priority)
-{
-	return priority < ZR_CELL_PRIORITIES ? priority
-					     : ZR_CELL_PRIORITIES - 1;
-}
-
 static int64_t objective_ms(const struct zr_cell_submission *submission)
 {
 	const struct zr_cell_job job = {
@@ -385,7 +364,7 @@
 	struct zr_admission_pool pool;
 	struct zr_admission_job job = {
 		.spec = submission->spec,
-		.priority = class_of(queue->priority),
+		.priority = zr_cell_class_of(queue->priority),
 		.objective_ms = objective_ms(submission),
 		.advised = queue->advised,
 		.hash = XXH64(submission->id, strlen(submission->id), 0),
--- a/src/libzinniarack/cell/counts.c
+++ b/src/libzinniarack/cell/counts.c
@@ -77,7 +77,7 @@
 
 /* The summary of the load */
 
-bool zr_cell_pool_load_is_full(const zx_cell_pool_load *pool)
+static bool pool_is_full(const zx_cell_pool_load *pool)
 {
 	struct zr_admission_pool load = {0};
 	int i;
@@ -89,6 +89,21 @@
 	return zr_admission_is_full(&load);
 }
 
+bool zr_cell_load_is_full(const zx_cell_load *load)
+{
+	u_int i;
+
+	for (i = 0; i < load->pools.pools_len; i++) {
+		if (pool_is_full(&load->pools.pools_val[i]))
+			return true;
+	}
+	for (i = 0; i < load->accounts.accounts_len; i++) {
+		if (load->accounts.accounts_val[i].limits.limits_len)
+			return true;
+	}
+	return false;
+}
+
 void zr_cell_known_load_update(struct zr_cell_known_load *load,
 			       const struct zr_store_value *value,
 			       int64_t sent_at)
--- a/src/libzinniarack/cell/counts.h
+++ b/src/libzinniarack/cell/counts.h
@@ -74,8 +74,11 @@
 int zr_cell_decode_counts(zx_cell_stored_counts *out, const void *data,
 			  size_t length);
 
-/** zr_cell_pool_load_is_full() - whether a pool lacks capacity of a resource */
-bool zr_cell_pool_load_is_full(const zx_cell_pool_load *pool);
+/**
+ * zr_cell_load_is_full() - whether a pool, or the upper limit of an account, is
+ * used up
+ */
+bool zr_cell_load_is_full(const zx_cell_load *load);
 
 /**
  * struct zr_cell_known_load - the summary of the load that was read last;
--- a/src/libzinniarack/cell/load_summary.c
+++ b/src/libzinniarack/cell/load_summary.c
@@ -131,7 +131,7 @@
 
 /* Sums */
 
-static uint32_t class_of(uint32_t priority)
+uint32_t zr_cell_class_of(uint32_t priority)
 {
 	return priority < ZR_CELL_PRIORITIES ? priority
 					     : ZR_CELL_PRIORITIES - 1;
@@ -246,7 +246,7 @@
 	struct zr_cell_model *model = &summary->scheduler->model;
 	const struct zr_cell_job *job = zr_cell_job(model, step->job);
 	enum zr_cell_tier tier = zr_cell_priority_tier(job, summary->now);
-	uint32_t class = class_of(job->priority);
+	uint32_t class = zr_cell_class_of(job->priority);
 	struct pool_sum *pool = get_or_add_pool(summary, job->pool);
 	struct account_sum *account =
 		find_account(summary, zr_cell_client(model, job->client));
@@ -327,7 +327,7 @@
 		const struct zr_cell_step_spec *step = &job->spec.steps[i];
 
 		if (!(step->flags & ZR_STEP_LONG_RUNNING))
-			arrivals->accepted[class_of(job->priority)]
+			arrivals->accepted[zr_cell_class_of(job->priority)]
 					  [job->over_share] +=
 				(double)step->count * step->need.millicpus *
 				step->estimate_ms;
@@ -526,22 +526,6 @@
 	free(load->accounts.accounts_val);
 }
 
-/* Whether a pool or the limit of an account is full. */
-static bool is_full(const zx_cell_load *load)
-{
-	u_int i;
-
-	for (i = 0; i < load->pools.pools_len; i++) {
-		if (zr_cell_pool_load_is_full(&load->pools.pools_val[i]))
-			return true;
-	}
-	for (i = 0; i < load->accounts.accounts_len; i++) {
-		if (load->accounts.accounts_val[i].limits.limits_len)
-			return true;
-	}
-	return false;
-}
-
 static bool has_settled(struct zr_cell_scheduler *scheduler, int64_t now)
 {
 	if (!scheduler->summary_due_at)
@@ -571,7 +555,7 @@
 	if (scheduler->options.admission && has_settled(scheduler, now)) {
 		collect(&summary);
 		fill_load(&record.load, &summary);
-		scheduler->summary_full = is_full(&record.load);
+		scheduler->summary_full = zr_cell_load_is_full(&record.load);
 	}
 	if (!zr_cell_encode_counts(&bytes, &record))
 		zr_cell_journal_set_counts(scheduler->journal, bytes);
@@ -598,7 +582,7 @@
 			     const struct zr_cell_job *job,
 			     uint32_t estimate_ms, int64_t run_ms)
 {
-	zr_run_times_add(&scheduler->run_times[class_of(job->priority)],
+	zr_run_times_add(&scheduler->run_times[zr_cell_class_of(job->priority)],
 			 estimate_ms, run_ms);
 }
 
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -247,6 +247,8 @@
 bool zr_cell_call_done(struct zr_cell_scheduler *scheduler);
 
 /* load_summary.c */
+/** zr_cell_class_of() - priority under which jobs of a priority are counted */
+uint32_t zr_cell_class_of(uint32_t priority);
 /**
  * zr_cell_summary_process() - publish the numbers of waiting jobs and the
  * summary of the load, if due
