tests: fake workers that carry out requests late, gangs that wait

New verbs of the scripted cell. `late` lets the workers carry out a part of the requests 2 to 12 s late and without a response. `gangs-wait` lets the members of a gang wait for each other as on the platform: they end as `alone` after 4,000 ms, which is reported as a violation of GANG, and as `broken` if another one does not succeed. `wasted`, `open-jobs` and `metrics` print what came of it. The expected output of the present scripts does not change.

--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -398,6 +398,9 @@
 	snprintf(payload + strlen(payload), LINE_MAX_BYTES - strlen(payload),
 		 "%s%s%u:%u", *payload ? "," : "", kind, step->estimate_ms,
 		 step->need.millicpus);
+	if (step->flags & ZR_STEP_GANG)
+		snprintf(payload + strlen(payload),
+			 LINE_MAX_BYTES - strlen(payload), ":%u", step->count);
 }
 
 static void do_submit(struct cell_script *script)
@@ -744,6 +747,47 @@
 	commit_value(script, &script->registrar, key, "1", 1);
 }
 
+static void do_late(struct cell_script *script)
+{
+	fake_pool_set_late(script->pool, (unsigned int)atoi(word(script, 1)),
+			   strtoull(word(script, 2), NULL, 10));
+}
+
+static void do_gangs_wait(struct cell_script *script)
+{
+	fake_pool_set_gangs_wait(script->pool);
+}
+
+static void do_wasted(struct cell_script *script)
+{
+	print(script, "wasted core-seconds: %u",
+	      fake_pool_wasted_core_s(script->pool));
+}
+
+static void do_metrics(struct cell_script *script)
+{
+	const struct host *host = find_host(script, word(script, 1));
+	const char *prefix = word(script, 2);
+	size_t length;
+	char *text;
+	char *next;
+	char *line;
+
+	if (zr_metrics_format(&text, &length, host->metrics) < 0)
+		abort();
+	for (next = text; (line = strsep(&next, "\n"));) {
+		if (!strncmp(line, prefix, strlen(prefix)) &&
+		    strcmp(strrchr(line, ' '), " 0"))
+			print(script, "%s", line);
+	}
+	free(text);
+}
+
+static void do_open_jobs(struct cell_script *script)
+{
+	print(script, "open jobs: %u", cell_script_open_jobs(script));
+}
+
 static void do_replace(struct cell_script *script)
 {
 	fake_pool_replace(script->pool, word(script, 1));
@@ -784,6 +828,11 @@
 	{"replace", do_replace},
 	{"crashes", do_crashes},
 	{"capacity", do_capacity},
+	{"late", do_late},
+	{"gangs-wait", do_gangs_wait},
+	{"wasted", do_wasted},
+	{"open-jobs", do_open_jobs},
+	{"metrics", do_metrics},
 	{"shrink-grace", do_shrink_grace},
 	{"hide-runs", do_hide_runs},
 	{"crashed-workers", do_crashed_workers},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -74,6 +74,14 @@
  *                              the change
  *   shrink-grace MS            set for how long a start need not fit a capacity
  *                              that has decreased
+ *   late PERCENT SEED          let workers carry out PERCENT of the requests 2
+ *                              to 12 s late, without a response
+ *   gangs-wait                 let the members of a gang wait for each other
+ *   wasted                     print the core-seconds of runs that did not end
+ *                              as done
+ *   metrics HOST PREFIX        print HOST's metrics whose name has that prefix
+ *                              and that are not 0
+ *   open-jobs                  print the number of jobs that have not ended
  *   stop-ms MS                 set the time from a stop until the run's end
  *   hang WORKER                stop the progress of its tasks; the worker
  *                              still responds
--- a/tests/fakes/fake_net.c
+++ b/tests/fakes/fake_net.c
@@ -208,8 +208,8 @@
 	finish(ctx, FAKE_TIMED_OUT);
 }
 
-static void add_message(struct fake_call *call, bool reply, bool refused,
-			bool held, unsigned long bytes)
+static struct message *add_message(struct fake_call *call, bool reply,
+				   bool refused, bool held, unsigned long bytes)
 {
 	struct message *message = allocate(sizeof(*message));
 	struct fake_net *net = call->client->net;
@@ -222,6 +222,7 @@
 	message->bytes_left = bytes;
 	call->refs++;
 	DL_APPEND(net->messages, message);
+	return message;
 }
 
 static void send_message(struct fake_call *call, bool reply,
@@ -252,9 +253,10 @@
 	}
 }
 
-void fake_call_send(struct fake_node *client, struct fake_node *server,
-		    const struct fake_call_ops *ops, void *ctx,
-		    unsigned int timeout_ms)
+static struct fake_call *begin_call(struct fake_node *client,
+				    struct fake_node *server,
+				    const struct fake_call_ops *ops, void *ctx,
+				    unsigned int timeout_ms)
 {
 	struct fake_call *call = allocate(sizeof(*call));
 
@@ -268,7 +270,25 @@
 	call->timeout_ms = timeout_ms;
 	zr_timer_start(call->timeout, timeout_ms, 0);
 	DL_APPEND(client->net->calls, call);
-	send_message(call, false, 0);
+	return call;
+}
+
+void fake_call_send(struct fake_node *client, struct fake_node *server,
+		    const struct fake_call_ops *ops, void *ctx,
+		    unsigned int timeout_ms)
+{
+	send_message(begin_call(client, server, ops, ctx, timeout_ms), false,
+		     0);
+}
+
+void fake_call_send_late(struct fake_node *client, struct fake_node *server,
+			 const struct fake_call_ops *ops, void *ctx,
+			 unsigned int timeout_ms, unsigned int late_ms)
+{
+	struct fake_call *call =
+		begin_call(client, server, ops, ctx, timeout_ms);
+
+	add_message(call, false, false, false, 0)->due_at += late_ms;
 }
 
 void fake_call_reply(struct fake_call *call)
--- a/tests/fakes/fake_net.h
+++ b/tests/fakes/fake_net.h
@@ -128,6 +128,16 @@
 		    const struct fake_call_ops *ops, void *ctx,
 		    unsigned int timeout_ms);
 
+/**
+ * fake_call_send_late() - start a call whose request arrives late
+ * @late_ms: added to the time that the request takes
+ *
+ * As fake_call_send() otherwise.
+ */
+void fake_call_send_late(struct fake_node *client, struct fake_node *server,
+			 const struct fake_call_ops *ops, void *ctx,
+			 unsigned int timeout_ms, unsigned int late_ms);
+
 /**
  * fake_calls_cancel() - end the pending calls of a client as cancelled
  * @client: the caller's node
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "fakes/rng.h"
 #include "zinniarack/errors.h"
 
 #define TEXT_MAX 256
@@ -20,6 +21,12 @@
 #define CRASHES_TO_FAIL 2
 #define CRASH_AFTER_MS 10
 #define CRASH_DOWN_MS 3000
+/* Late requests are carried out this much later. */
+#define LATE_MIN_MS 2000
+#define LATE_MAX_MS 12000
+/* Time that the members of a gang wait for the others. */
+#define GANG_WAIT_MS 4000
+#define MILLI 1000
 
 struct run {
 	struct run *prev;
@@ -33,6 +40,8 @@
 	int64_t crashes_at; /* INT64_MAX: it does not crash the worker */
 	bool fails;
 	bool breaks_gang;
+	uint32_t gang_size; /* 0: it waits for no other members */
+	int64_t run_ms;	    /* from the time when all members have begun */
 };
 
 /*
@@ -107,6 +116,10 @@
 	fake_pool_event_fn event;
 	void *ctx;
 	unsigned int stop_ms;
+	unsigned int late_percent;
+	struct rng late_rng;
+	bool gangs_wait;
+	int64_t wasted_core_us; /* of runs that did not end as done */
 	unsigned int violations;
 };
 
@@ -257,6 +270,12 @@
 	[ZR_RUN_GANG_BROKEN] = "broken", [ZR_RUN_GANG_TIMEOUT] = "alone",
 };
 
+static void waste(const struct pool_worker *worker, const struct run *run)
+{
+	worker->pool->wasted_core_us +=
+		(net_now(worker->pool) - run->began_at) * run->millicpus;
+}
+
 static void end_run(struct pool_worker *worker, struct run *run,
 		    enum zr_run_outcome outcome)
 {
@@ -271,6 +290,8 @@
 	ended->end.attempt = run->attempt;
 	ended->end.outcome = outcome;
 	DL_APPEND(worker->ended_runs, ended);
+	if (outcome != ZR_RUN_DONE || find_done_task(worker->pool, &run->task))
+		waste(worker, run);
 	if (outcome == ZR_RUN_FAILED)
 		troubled_task(worker->pool, &run->task)->failures++;
 	if (outcome == ZR_RUN_DONE &&
@@ -284,6 +305,31 @@
 	free(run);
 }
 
+static bool is_same_gang(const struct run *a, const struct run *b)
+{
+	return b->gang_size && !strcmp(a->task.job, b->task.job) &&
+	       a->task.occurrence == b->task.occurrence &&
+	       a->task.step == b->task.step && a->attempt == b->attempt;
+}
+
+/* Ends the other members of a gang of which a run has not succeeded. */
+static void break_run_gang(struct fake_pool *pool, const struct run *member)
+{
+	const struct run copy = *member;
+	struct pool_worker *worker;
+	struct run *run;
+	struct run *next;
+
+	LL_FOREACH(pool->workers, worker)
+	{
+		DL_FOREACH_SAFE(worker->runs, run, next)
+		{
+			if (run != member && is_same_gang(&copy, run))
+				end_run(worker, run, ZR_RUN_GANG_BROKEN);
+		}
+	}
+}
+
 static void check_start(struct pool_worker *worker,
 			const struct zr_cell_task_name *task)
 {
@@ -304,7 +350,10 @@
 		violation(worker->pool, "AGAIN", task, worker->name);
 }
 
-/* Parses the payload's entry `[f|x|X]MS:MILLICPUS` for the step of a run. */
+/*
+ * Parses the payload's entry `[f|x|X]MS:MILLICPUS[:MEMBERS]` for the step of a
+ * run.
+ */
 static void parse_payload(struct run *run, const struct fake_pool *pool,
 			  const char *payload, int64_t now)
 {
@@ -323,9 +372,15 @@
 	if (entry && strchr("fxX", *entry))
 		entry++;
 	run->began_at = now;
-	run->ends_at = now + (entry ? atoi(entry) : 0);
+	run->run_ms = entry ? atoi(entry) : 0;
+	run->ends_at = now + run->run_ms;
 	entry = entry ? strchr(entry, ':') : NULL;
 	run->millicpus = entry ? (uint32_t)atoi(entry + 1) : 0;
+	entry = entry ? entry + 1 + strspn(entry + 1, "0123456789") : NULL;
+	if (pool->gangs_wait && entry && *entry == ':') {
+		run->gang_size = (uint32_t)atoi(entry + 1);
+		run->ends_at = INT64_MAX;
+	}
 }
 
 static uint32_t max_capacity(const struct pool_worker *worker)
@@ -374,9 +429,11 @@
 	struct ended_run *tombstone;
 
 	if (run && run->attempt <= call->attempt) {
-		if (!worker->pool->stop_ms)
+		if (!worker->pool->stop_ms) {
+			if (run->gang_size)
+				break_run_gang(worker->pool, run);
 			end_run(worker, run, ZR_RUN_STOPPED);
-		else if (run->stops_at == INT64_MAX)
+		} else if (run->stops_at == INT64_MAX)
 			run->stops_at =
 				net_now(worker->pool) + worker->pool->stop_ms;
 		return ZR_REQUEST_ACCEPTED;
@@ -589,8 +646,17 @@
 static void send_call(struct client *client, struct call *call,
 		      unsigned int timeout_ms)
 {
-	fake_call_send(client->node, client->worker->node, &call_ops, call,
-		       timeout_ms);
+	struct fake_pool *pool = client->worker->pool;
+
+	if (rng_chance(&pool->late_rng, pool->late_percent))
+		fake_call_send_late(
+			client->node, client->worker->node, &call_ops, call,
+			timeout_ms,
+			LATE_MIN_MS + rng_below(&pool->late_rng,
+						LATE_MAX_MS - LATE_MIN_MS));
+	else
+		fake_call_send(client->node, client->worker->node, &call_ops,
+			       call, timeout_ms);
 }
 
 static void pool_start(void *impl, const struct zr_cell_start *start,
@@ -706,13 +772,14 @@
 {
 	struct pool_worker *worker = find_worker(pool, name);
 	struct run *run;
-	struct run *next_run;
 	struct ended_run *ended;
 	struct ended_run *next_ended;
 
 	count_crash(worker);
-	DL_FOREACH_SAFE(worker->runs, run, next_run)
-	{
+	while ((run = worker->runs)) {
+		if (run->gang_size)
+			break_run_gang(pool, run);
+		waste(worker, run);
 		report_event(pool, "%s %s.%u.%u.%u run %u gone", name,
 			     run->task.job, run->task.occurrence,
 			     run->task.step, run->task.index, run->attempt);
@@ -810,15 +877,92 @@
 	pool->stop_ms = stop_ms;
 }
 
+void fake_pool_set_late(struct fake_pool *pool, unsigned int percent,
+			uint64_t seed)
+{
+	pool->late_percent = percent;
+	pool->late_rng = (struct rng){seed};
+}
+
+void fake_pool_set_gangs_wait(struct fake_pool *pool)
+{
+	pool->gangs_wait = true;
+}
+
+unsigned int fake_pool_wasted_core_s(const struct fake_pool *pool)
+{
+	return (unsigned int)(pool->wasted_core_us / MILLI / MILLI);
+}
+
 void fake_pool_hang(struct fake_pool *pool, const char *name)
 {
 	find_worker(pool, name)->hung = true;
 }
 
+/* Lets the members of a gang run once all have begun. */
+static void start_complete_gang(struct fake_pool *pool,
+				const struct run *member)
+{
+	struct pool_worker *worker;
+	struct run *run;
+	uint32_t count = 0;
+
+	LL_FOREACH(pool->workers, worker)
+	{
+		DL_FOREACH(worker->runs, run)
+		{
+			count += is_same_gang(member, run);
+		}
+	}
+	if (count < member->gang_size)
+		return;
+	LL_FOREACH(pool->workers, worker)
+	{
+		DL_FOREACH(worker->runs, run)
+		{
+			if (is_same_gang(member, run))
+				run->ends_at = net_now(pool) + run->run_ms;
+		}
+	}
+}
+
+/* Whether a run of a gang has ended while it waited for the others. */
+static bool waits_too_long(const struct pool_worker *worker,
+			   const struct run *run)
+{
+	return run->gang_size && run->ends_at == INT64_MAX &&
+	       net_now(worker->pool) - run->began_at >= GANG_WAIT_MS;
+}
+
+/* Finds a run that ends now. */
+static struct run *find_due_run(const struct pool_worker *worker,
+				enum zr_run_outcome *outcome)
+{
+	struct run *run;
+
+	DL_FOREACH(worker->runs, run)
+	{
+		if (run->gang_size && run->ends_at == INT64_MAX)
+			start_complete_gang(worker->pool, run);
+		if (worker_now(worker) >= worker->lease_expires_at)
+			*outcome = ZR_RUN_LEASE_EXPIRED;
+		else if (net_now(worker->pool) >= run->stops_at)
+			*outcome = ZR_RUN_STOPPED;
+		else if (!worker->hung && net_now(worker->pool) >= run->ends_at)
+			*outcome = run->fails ? ZR_RUN_FAILED : ZR_RUN_DONE;
+		else if (waits_too_long(worker, run))
+			*outcome = ZR_RUN_GANG_TIMEOUT;
+		else
+			continue;
+		return run;
+	}
+	return NULL;
+}
+
 static void tick_worker(struct pool_worker *worker)
 {
+	enum zr_run_outcome outcome;
 	struct run *run;
-	struct run *next;
 
 	DL_FOREACH(worker->runs, run)
 	{
@@ -827,15 +971,13 @@
 		crash_worker(worker, run);
 		break;
 	}
-	DL_FOREACH_SAFE(worker->runs, run, next)
-	{
-		if (worker_now(worker) >= worker->lease_expires_at)
-			end_run(worker, run, ZR_RUN_LEASE_EXPIRED);
-		else if (net_now(worker->pool) >= run->stops_at)
-			end_run(worker, run, ZR_RUN_STOPPED);
-		else if (!worker->hung && net_now(worker->pool) >= run->ends_at)
-			end_run(worker, run,
-				run->fails ? ZR_RUN_FAILED : ZR_RUN_DONE);
+	while ((run = find_due_run(worker, &outcome))) {
+		if (run->gang_size && outcome != ZR_RUN_DONE)
+			break_run_gang(worker->pool, run);
+		if (outcome == ZR_RUN_GANG_TIMEOUT)
+			violation(worker->pool, "GANG", &run->task,
+				  worker->name);
+		end_run(worker, run, outcome);
 	}
 	answer_polls(worker);
 }
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -11,9 +11,10 @@
  * active and ended runs, end runs whose lease has expired, and refuse requests
  * with an old fencing token.
  *
- * The payload of a job has an entry `MS:MILLICPUS` for each step, separated by
- * commas. A run of a task takes that many milliseconds of time and thousandths
- * of a processor. A letter before MS changes what the tasks do:
+ * The payload of a job has an entry `MS:MILLICPUS[:MEMBERS]` for each step,
+ * separated by commas. A run of a task takes that many milliseconds of time and
+ * thousandths of a processor; a gang has MEMBERS. A letter before MS changes
+ * what the tasks do:
  *
  * - `f`: their runs fail at the end.
  * - `x`: the first task of the step crashes each worker that starts it.
@@ -83,6 +84,29 @@
 /** fake_pool_set_stop_ms() - set the time from a stop until the run's end */
 void fake_pool_set_stop_ms(struct fake_pool *pool, unsigned int stop_ms);
 
+/**
+ * fake_pool_set_late() - let requests be carried out late, without a response
+ * @pool: the pool
+ * @percent: percentage of the requests; they arrive 2 to 12 s late
+ * @seed: selects which
+ */
+void fake_pool_set_late(struct fake_pool *pool, unsigned int percent,
+			uint64_t seed);
+
+/**
+ * fake_pool_set_gangs_wait() - let the members of a gang wait for each other
+ *
+ * A member runs once all have begun. It ends as `alone` if that takes 4,000 ms,
+ * which is a violation (GANG), and as `broken` if another does not succeed.
+ */
+void fake_pool_set_gangs_wait(struct fake_pool *pool);
+
+/**
+ * fake_pool_wasted_core_s() - core-seconds of runs that did not end as done, or
+ * of tasks that were done before
+ */
+unsigned int fake_pool_wasted_core_s(const struct fake_pool *pool);
+
 /** fake_pool_set_domain() - set a worker's failure domain */
 void fake_pool_set_domain(struct fake_pool *pool, const char *name,
 			  const char *domain);
