cell: renew leases as soon as a worker responds after a lost poll

If two polls of a worker in a row had no response, its runs ended with their lease: the poll that followed requested no lease, as the worker counted as unresponsive, and waited a second for ends before it was answered. That poll now asks for an immediate response, and the next one renews the lease.

cell/lease_after_lost_polls: the run of 9 s completes; before, its lease expired after 5.5 s. cell/task_crashes_unanswered loses the responses at other times, as the polls after a crash are answered sooner; the result is the same.

--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -487,11 +487,12 @@
 		lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	/*
 	 * Request an immediate reply in the first poll after a takeover, in the
-	 * final poll of a worker without runs, and while received ends are not
-	 * persisted, when the poll only renews the leases.
+	 * final poll of a worker without runs, while received ends are not
+	 * persisted, when the poll only renews the leases, and after a poll
+	 * without a response, as leases are renewed once the worker responds.
 	 */
 	if (worker->state == ZR_WORKER_UNKNOWN || !worker->run_count ||
-	    worker->ack_count)
+	    worker->ack_count || zr_cell_worker_unresponsive(worker))
 		wait_ms = 0;
 	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token,
 			       lease_expires_ms, call->last_end_acked, wait_ms,
