cell: learn the outcome of an unanswered start at once

When workers carry out requests late and without a response, the outcome of a start was first asked for when the request had timed out, after 400 ms, and again only with the next regular poll. The members of a gang waited for it, and then ended as `alone` or were stopped, with all of their work.

A start is overdue after a multiple of the usual time of a response. Its worker is then polled for an immediate response until the outcome is known: a listed run is adopted, another one is stopped and placed again once the stop is confirmed. Members may join the run of a gang for longer, and a gang that is still incomplete is stopped before its members end as `alone`. policy/order_state.c has the states of a start and what to send next.

--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -535,6 +535,8 @@
 	entry->visible_after = ZR_CELL_START_PENDING;
 	entry->stop_sent = false;
 	entry->sent_at = 0;
+	entry->uncertain_event = 0;
+	entry->stops = 0;
 	entry->crash_evidence = 0;
 	entry->percent = 0;
 	step->waiting--;
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -86,6 +86,10 @@
  * @percent: progress last reported by the worker
  * @percent_at: when @percent last changed
  * @checkpoint: checkpoint to resume from, or ""
+ * @uncertain_event: event number from which polls show the outcome of its
+ *                   start, which had no response in time; 0: it had, or a poll
+ *                   has shown the outcome
+ * @stops: number of stops of its active run that were sent
  */
 struct zr_cell_task {
 	int state;
@@ -110,6 +114,8 @@
 	uint32_t percent;
 	int64_t percent_at;
 	char checkpoint[ZR_CELL_TICKET_MAX];
+	uint64_t uncertain_event;
+	uint32_t stops;
 };
 
 /**
@@ -157,6 +163,12 @@
  * @next: next step in that list
  * @in_ready_list: it is in that list
  * @rank: position in that list, computed before each pass; the lowest is first
+ * @gang_attempt: of a gang, attempt of its current run
+ * @gang_answered: of a gang, number of members of that run whose start has had
+ *                 a response
+ * @gang_answer_ms: of a gang, time that the response took of the member with
+ *                  which half of them had one; 0: fewer have
+ * @gang_complete: of a gang, all members of that run have been running
  */
 struct zr_cell_step_state {
 	const struct zr_cell_step_spec *spec;
@@ -184,6 +196,10 @@
 	struct zr_cell_step_state *next;
 	bool in_ready_list;
 	int64_t rank;
+	uint32_t gang_attempt;
+	uint32_t gang_answered;
+	int64_t gang_answer_ms;
+	bool gang_complete;
 };
 
 /**
@@ -340,6 +356,8 @@
  * @domain: number of its failure domain, counted from 1; 0: not known
  * @candidate_index: its position in &struct zr_cell_plan.candidates, counted
  *                   from 1; 0: none
+ * @outcome_poll_in_flight: a poll is in flight that shows the outcomes of
+ *                          starts without a response
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -389,6 +407,7 @@
 	int64_t isolation_until;
 	uint32_t domain;
 	size_t candidate_index;
+	bool outcome_poll_in_flight;
 	UT_hash_handle hh;
 };
 
@@ -421,6 +440,7 @@
  *              smoothed
  * @domains: failure domains of the workers
  * @domain_count: number of failure domains
+ * @start_ms: time until a start had its response, smoothed; 0: not known
  */
 struct zr_cell_model {
 	struct zr_table *jobs;
@@ -434,6 +454,7 @@
 	double unanswered;
 	struct zr_cell_domain domains[ZR_CELL_DOMAINS_MAX];
 	uint32_t domain_count;
+	double start_ms;
 };
 
 int zr_cell_model_init(struct zr_cell_model *model);
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -411,6 +411,38 @@
  */
 bool zr_cell_unanswered_is_worse(const struct zr_cell_model *model,
 				 const struct zr_cell_worker *worker);
+/** zr_cell_unanswered_begin_run() - note the placement of a run of a step */
+void zr_cell_unanswered_begin_run(struct zr_cell_step_state *step,
+				  uint32_t attempt);
+/**
+ * zr_cell_unanswered_add_answer() - record how long an accepted start took
+ * @model: the model
+ * @job: the job
+ * @task: index of the task in the job's tasks
+ * @now: the current time in milliseconds
+ */
+void zr_cell_unanswered_add_answer(struct zr_cell_model *model,
+				   struct zr_cell_job *job, uint32_t task,
+				   int64_t now);
+/**
+ * zr_cell_unanswered_set_uncertain() - note that a start has no response
+ *
+ * The outcome is what polls show that are sent from now on.
+ */
+void zr_cell_unanswered_set_uncertain(struct zr_cell_scheduler *scheduler,
+				      struct zr_cell_task *task);
+/**
+ * zr_cell_unanswered_needs_poll() - whether to poll for the outcome of a start
+ * @scheduler: the scheduler
+ * @worker: the worker of the task's active run
+ * @job: the job
+ * @task: index of the task in the job's tasks
+ *
+ * A start whose response is overdue becomes uncertain.
+ */
+bool zr_cell_unanswered_needs_poll(struct zr_cell_scheduler *scheduler,
+				   struct zr_cell_worker *worker,
+				   struct zr_cell_job *job, uint32_t task);
 
 /* domains.c */
 /**
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -15,6 +15,11 @@
 /* Added to the wait time for the timeout of a poll. */
 #define POLL_TIMEOUT_MARGIN_MS 600
 #define POLL_RETRY_MS 250
+/*
+ * Timeout of a poll that shows the outcomes of starts. It is repeated until one
+ * is answered, and the regular polls show the outcomes too.
+ */
+#define OUTCOME_POLL_TIMEOUT_MS 250
 /* Delay of the poll that acknowledges the ends after a worker's last run. */
 #define FINAL_POLL_DELAY_MS 500
 /* Lease renewal interval while some received ends are not persisted. */
@@ -33,6 +38,7 @@
 	int64_t incarnation;	/* known when it was sent */
 	int64_t last_end_acked; /* acknowledgement that it carries */
 	bool extra; /* sent while a regular poll of the worker is in flight */
+	bool outcomes; /* sent by zr_cell_poll_outcomes(); it is extra too */
 };
 
 void zr_cell_worker_set_unconfirmed(struct zr_cell_scheduler *scheduler,
@@ -221,7 +227,8 @@
 			zr_cell_run_ended(scheduler, job, ref.task,
 					  "not_there");
 			i = 0;
-		} else if (entry->state == ZR_TASK_UNCONFIRMED) {
+		} else if (entry->state == ZR_TASK_UNCONFIRMED &&
+			   entry->uncertain_event < sent_event) {
 			zr_cell_stop_run(scheduler, job, ref.task,
 					 "start_unanswered");
 		}
@@ -286,6 +293,7 @@
 	}
 	entry = &job->tasks[task];
 	zr_cell_crash_run_seen(scheduler, worker, job, task);
+	entry->uncertain_event = 0;
 	job->has_started = true;
 	if (run->checkpoint[0])
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
@@ -411,6 +419,8 @@
 	worker = zr_cell_worker(&scheduler->model, call->worker);
 	if (!worker)
 		goto out;
+	if (call->outcomes)
+		worker->outcome_poll_in_flight = false;
 	if (error < 0)
 		zr_cell_worker_set_unconfirmed(scheduler, worker);
 	if (call->extra && error < 0)
@@ -518,6 +528,23 @@
 			       on_poll_reply, call);
 }
 
+void zr_cell_poll_outcomes(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker)
+{
+	struct poll_call *call;
+
+	if (worker->outcome_poll_in_flight || !worker->conn.ops ||
+	    !zr_cell_is_owner(scheduler))
+		return;
+	call = new_poll_call(scheduler, worker);
+	call->extra = true;
+	call->outcomes = true;
+	worker->outcome_poll_in_flight = true;
+	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token, -1,
+			       call->last_end_acked, 0, OUTCOME_POLL_TIMEOUT_MS,
+			       on_poll_reply, call);
+}
+
 void zr_cell_polls_process(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_worker *worker)
 {
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -325,7 +325,10 @@
 			       struct zr_cell_worker *worker,
 			       const struct zr_cell_task_name *task,
 			       uint32_t attempt);
-/** zr_cell_stops_resend() - resend stops that failed */
+/**
+ * zr_cell_stops_resend() - resend stops that failed, and poll for the outcomes
+ * of starts without a response
+ */
 void zr_cell_stops_resend(struct zr_cell_scheduler *scheduler,
 			  struct zr_cell_worker *worker);
 /**
@@ -411,6 +414,13 @@
 /** zr_cell_poll_extra() - send a poll now, even if another one is pending */
 void zr_cell_poll_extra(struct zr_cell_scheduler *scheduler,
 			struct zr_cell_worker *worker);
+/**
+ * zr_cell_poll_outcomes() - send a poll now that shows the outcomes of starts
+ *
+ * Does nothing while another such poll is in flight.
+ */
+void zr_cell_poll_outcomes(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker);
 /**
  * zr_cell_polls_process() - send a poll if due, and end runs whose lease
  * expired
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -9,6 +9,12 @@
 
 /* Workers respond within a few milliseconds; a slower one is unresponsive. */
 #define REQUEST_TIMEOUT_MS 400
+/*
+ * Timeout of the first stops of a run whose start had no response in time. A
+ * worker that needs longer confirms a later one.
+ */
+#define EARLY_STOP_TIMEOUT_MS 200
+#define EARLY_STOPS 3
 /* Maximum drift of a worker's clock: how much slower than ours it may run. */
 #define CLOCK_DRIFT_PERMILLE 25
 #define PERMILLE 1000
@@ -23,11 +29,13 @@
 #define SUSPECT_FAILURES 2
 #define SUSPECT_BACKOFF_MS 5000
 /*
- * Time after the placement of a gang in which members may still join its run.
- * Workers stop a member that has waited for the others for three seconds; part
- * of this is left for the start.
+ * Members of a gang end as `alone` after 4,000 ms if the others have not begun.
+ * Until GANG_JOIN_MS after its placement members may still join its run; if
+ * some are not confirmed GANG_GIVE_UP_MS after it, the gang is stopped before
+ * that.
  */
-#define GANG_JOIN_MS 1800
+#define GANG_JOIN_MS 2500
+#define GANG_GIVE_UP_MS 3200
 
 /* A pending start or stop request. */
 struct worker_request {
@@ -221,23 +229,56 @@
 	return true;
 }
 
-/* Stops the gang if a member is missing and can no longer join its run. */
-static void stop_if_incomplete(struct zr_cell_scheduler *scheduler,
-			       struct zr_cell_job *job,
-			       struct zr_cell_step_state *step)
+static void stop_gang(struct zr_cell_scheduler *scheduler,
+		      struct zr_cell_job *job, struct zr_cell_step_state *step)
 {
 	uint32_t i;
 
-	if (!zr_cell_step_is_gang(step) || !step->waiting ||
-	    !step->active_tasks ||
-	    zr_cell_gang_can_be_completed(scheduler, job, step))
-		return;
 	step->gang_stopping = true;
 	for (i = step->first_task; i < step->first_task + step->spec->count;
 	     i++)
 		zr_cell_stop_run(scheduler, job, i, "gang_broken");
 }
 
+static bool all_are_running(const struct zr_cell_job *job,
+			    const struct zr_cell_step_state *step)
+{
+	uint32_t i;
+
+	for (i = step->first_task; i < step->first_task + step->spec->count;
+	     i++) {
+		if (job->tasks[i].state != ZR_TASK_RUNNING)
+			return false;
+	}
+	return true;
+}
+
+/* Stops a gang of which some members wait too long for the others. */
+static void stop_if_waiting(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
+
+	if (!zr_cell_step_is_gang(step) || !step->gang_placed_at ||
+	    step->gang_complete || step->gang_stopping ||
+	    zr_cell_now_ms(scheduler) - step->gang_placed_at < GANG_GIVE_UP_MS)
+		return;
+	if (job->tasks[task].finished || all_are_running(job, step))
+		step->gang_complete = true;
+	else
+		stop_gang(scheduler, job, step);
+}
+
+/* Stops the gang if a member is missing and can no longer join its run. */
+static void stop_if_incomplete(struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_job *job,
+			       struct zr_cell_step_state *step)
+{
+	if (zr_cell_step_is_gang(step) && step->waiting && step->active_tasks &&
+	    !zr_cell_gang_can_be_completed(scheduler, job, step))
+		stop_gang(scheduler, job, step);
+}
+
 void zr_cell_stop_incomplete_gangs(struct zr_cell_scheduler *scheduler,
 				   struct zr_cell_job *job)
 {
@@ -452,7 +493,10 @@
 	target.task->stop_sent = true;
 	if (target.task->visible_after == ZR_CELL_START_PENDING)
 		target.task->visible_after = ++scheduler->event_count;
-	zr_cell_poll_extra(scheduler, target.worker);
+	if (target.task->uncertain_event)
+		zr_cell_poll_outcomes(scheduler, target.worker);
+	else
+		zr_cell_poll_extra(scheduler, target.worker);
 out:
 	free(request);
 }
@@ -506,14 +550,18 @@
 	struct zr_cell_worker *worker =
 		zr_cell_worker(&scheduler->model, entry->worker);
 	struct zr_cell_task_name name = zr_cell_task_name(job, task);
+	unsigned int timeout_ms = REQUEST_TIMEOUT_MS;
 
 	if (entry->stop_sent || !worker->conn.ops ||
 	    !zr_cell_is_owner(scheduler))
 		return;
 	entry->stop_sent = true;
+	if (entry->uncertain_event && entry->stops < EARLY_STOPS)
+		timeout_ms = EARLY_STOP_TIMEOUT_MS;
 	worker->conn.ops->stop(worker->conn.impl, &name, entry->attempt,
-			       scheduler->fencing_token, REQUEST_TIMEOUT_MS,
-			       on_stop, new_request(scheduler, job, task));
+			       scheduler->fencing_token, timeout_ms, on_stop,
+			       new_request(scheduler, job, task));
+	entry->stops++;
 }
 
 void zr_cell_stop_run(struct zr_cell_scheduler *scheduler,
@@ -571,6 +619,7 @@
 void zr_cell_stops_resend(struct zr_cell_scheduler *scheduler,
 			  struct zr_cell_worker *worker)
 {
+	bool polls = false;
 	size_t i;
 
 	for (i = 0; i < worker->run_count; i++) {
@@ -578,9 +627,14 @@
 		struct zr_cell_job *job =
 			zr_cell_job(&scheduler->model, ref.job);
 
+		stop_if_waiting(scheduler, job, ref.task);
 		if (job->tasks[ref.task].state == ZR_TASK_STOPPING)
 			send_stop(scheduler, job, ref.task);
+		polls |= zr_cell_unanswered_needs_poll(scheduler, worker, job,
+						       ref.task);
 	}
+	if (polls)
+		zr_cell_poll_outcomes(scheduler, worker);
 }
 
 /* Starts */
@@ -656,8 +710,10 @@
 
 	job->has_started = true;
 	entry->visible_after = ++scheduler->event_count;
+	entry->uncertain_event = 0;
 	if (entry->state == ZR_TASK_STOPPING)
 		return;
+	zr_cell_unanswered_add_answer(&scheduler->model, job, task, now);
 	zr_cell_task_event(entry, ZR_TASK_EVENT_CONFIRMED);
 	entry->started_at = now;
 	entry->percent_at = now;
@@ -671,8 +727,6 @@
 			       struct zr_cell_job *job, uint32_t task,
 			       struct zr_cell_worker *worker, int error)
 {
-	scheduler->unanswered->value++;
-	zr_cell_unanswered_add_start(&scheduler->model, worker, false);
 	zr_cell_worker_set_unconfirmed(scheduler, worker);
 	worker->unanswered_until =
 		zr_cell_now_ms(scheduler) + FAILED_BACKOFF_MS;
@@ -681,12 +735,30 @@
 		abandon_start(scheduler, job, task, zr_error_name(error));
 		return;
 	}
-	zr_cell_task_event(&job->tasks[task], ZR_TASK_EVENT_UNANSWERED);
+	/* A poll may have shown the run. */
+	if (job->tasks[task].state == ZR_TASK_RUNNING)
+		return;
+	zr_cell_unanswered_set_uncertain(scheduler, &job->tasks[task]);
 	zr_log_decision("start.unanswered job=%s task=%" PRIu32
 			" attempt=%" PRIu32 " worker=%s error=%s",
 			job->id, task, job->tasks[task].attempt,
 			worker->report.name, zr_error_name(error));
-	zr_cell_poll_extra(scheduler, worker);
+	zr_cell_poll_outcomes(scheduler, worker);
+}
+
+/* Counts a response or its lack, also for a run that is given up by now. */
+static void count_start(const struct worker_request *request, bool answered)
+{
+	struct zr_cell_scheduler *scheduler = request->scheduler;
+	struct zr_cell_worker *worker =
+		zr_cell_worker(&scheduler->model, request->worker);
+
+	if (request->term != scheduler->term)
+		return;
+	scheduler->unanswered->value += !answered;
+	if (worker)
+		zr_cell_unanswered_add_start(&scheduler->model, worker,
+					     answered);
 }
 
 static void on_start(void *ctx, int error,
@@ -696,14 +768,16 @@
 	struct zr_cell_scheduler *scheduler = request->scheduler;
 	struct request_target target;
 
-	if (!zr_cell_call_done(scheduler) || !find_target(&target, request))
+	if (!zr_cell_call_done(scheduler))
+		goto out;
+	count_start(request, !error);
+	if (!find_target(&target, request))
 		goto out;
 	if (error < 0) {
 		handle_start_error(scheduler, target.job, request->task,
 				   target.worker, error);
 		goto out;
 	}
-	zr_cell_unanswered_add_start(&scheduler->model, target.worker, true);
 	record_response(scheduler, target.worker, request, reply);
 	if (reply->status == ZR_REQUEST_ACCEPTED)
 		handle_start_accepted(scheduler, target.job, request->task,
@@ -813,6 +887,7 @@
 {
 	struct zr_cell_task *entry = &job->tasks[task];
 
+	zr_cell_unanswered_begin_run(zr_cell_task_step(job, task), attempt);
 	zr_cell_task_begin_run(&scheduler->model, job, task, worker,
 			       ZR_TASK_EVENT_PLACED);
 	entry->attempt = attempt;
--- a/src/libzinniarack/cell/unanswered.c
+++ b/src/libzinniarack/cell/unanswered.c
@@ -1,4 +1,5 @@
 #include "cell/plan.h"
+#include "cell/policy/order_state.h"
 
 /*
  * The share of a worker's starts that get no answer tells whether the worker is
@@ -12,6 +13,13 @@
 #define WORSE_FACTOR 2.5
 /* Below this share of the cell, every worker that leaves one out is worse. */
 #define CELL_SHARE_MIN 0.02
+/*
+ * From this share of the cell on, a start is overdue before its request has
+ * failed, by the usual time of a response. Otherwise this holds only for
+ * members of a gang, by the time of the others.
+ */
+#define EARLY_SHARE 0.03
+#define START_MS_WEIGHT 0.02
 
 void zr_cell_unanswered_add_start(struct zr_cell_model *model,
 				  struct zr_cell_worker *worker, bool answered)
@@ -28,3 +36,91 @@
 	return model->unanswered < CELL_SHARE_MIN ||
 	       worker->unanswered > WORSE_FACTOR * model->unanswered;
 }
+
+void zr_cell_unanswered_begin_run(struct zr_cell_step_state *step,
+				  uint32_t attempt)
+{
+	/* Members that are missing join the run with its attempt number. */
+	if (step->gang_attempt == attempt)
+		return;
+	step->gang_attempt = attempt;
+	step->gang_answered = 0;
+	step->gang_answer_ms = 0;
+	step->gang_complete = false;
+}
+
+void zr_cell_unanswered_add_answer(struct zr_cell_model *model,
+				   struct zr_cell_job *job, uint32_t task,
+				   int64_t now)
+{
+	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
+	int64_t answer_ms = now - job->tasks[task].sent_at;
+
+	if (model->start_ms == 0)
+		model->start_ms = (double)answer_ms;
+	model->start_ms +=
+		((double)answer_ms - model->start_ms) * START_MS_WEIGHT;
+	if (!zr_cell_step_is_gang(step))
+		return;
+	step->gang_answered++;
+	if (!step->gang_answer_ms &&
+	    2 * step->gang_answered >= step->spec->count)
+		step->gang_answer_ms = answer_ms > 0 ? answer_ms : 1;
+}
+
+void zr_cell_unanswered_set_uncertain(struct zr_cell_scheduler *scheduler,
+				      struct zr_cell_task *entry)
+{
+	zr_cell_task_event(entry, ZR_TASK_EVENT_UNANSWERED);
+	if (!entry->uncertain_event)
+		entry->uncertain_event = ++scheduler->event_count;
+}
+
+/* The state of the start of a task with an active run. */
+static enum zr_order_state order_state(const struct zr_cell_task *entry)
+{
+	switch (entry->state) {
+	case ZR_TASK_STARTING:
+		return ZR_ORDER_SENT;
+	case ZR_TASK_UNCONFIRMED:
+		return ZR_ORDER_UNCERTAIN;
+	case ZR_TASK_STOPPING:
+		return entry->visible_after == ZR_CELL_START_PENDING
+			       ? ZR_ORDER_STOPPING
+			       : ZR_ORDER_VOIDED;
+	default:
+		return ZR_ORDER_RUNNING;
+	}
+}
+
+static int64_t overdue_ms(const struct zr_cell_model *model,
+			  const struct zr_cell_step_state *step)
+{
+	if (step->gang_answer_ms)
+		return zr_order_overdue_ms(step->gang_answer_ms);
+	if (model->unanswered < EARLY_SHARE)
+		return ZR_ORDER_NEVER;
+	return zr_order_overdue_ms((int64_t)model->start_ms + 1);
+}
+
+bool zr_cell_unanswered_needs_poll(struct zr_cell_scheduler *scheduler,
+				   struct zr_cell_worker *worker,
+				   struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_task *entry = &job->tasks[task];
+	struct zr_order order = {
+		.state = order_state(entry),
+		.sent_at = entry->sent_at,
+		.is_asking = worker->outcome_poll_in_flight,
+		.overdue_ms = overdue_ms(&scheduler->model,
+					 zr_cell_task_step(job, task)),
+	};
+
+	if (entry->state == ZR_TASK_PLACED ||
+	    (entry->state != ZR_TASK_STARTING && !entry->uncertain_event) ||
+	    zr_order_next(&order, zr_cell_now_ms(scheduler)) != ZR_ORDER_POLL)
+		return false;
+	if (entry->state == ZR_TASK_STARTING)
+		zr_cell_unanswered_set_uncertain(scheduler, entry);
+	return true;
+}
