cell: count what follows starts without a response

The metrics had one counter of requests without a response, which did not tell whether the runs existed or what they cost. Starts are now counted by what followed, with the processor time reserved in vain until that was known; stops without a response and orphaned runs have counters of their own.

--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -411,6 +411,19 @@
  */
 bool zr_cell_unanswered_is_worse(const struct zr_cell_model *model,
 				 const struct zr_cell_worker *worker);
+/**
+ * zr_cell_unanswered_settle() - count what followed a start without a response
+ * @scheduler: the scheduler
+ * @job: the job
+ * @task: index of the task in the job's tasks
+ * @outcome: what followed
+ *
+ * Called before the end of the run. Does nothing if the start had a response in
+ * time or has been counted.
+ */
+void zr_cell_unanswered_settle(struct zr_cell_scheduler *scheduler,
+			       const struct zr_cell_job *job, uint32_t task,
+			       enum zr_unanswered_outcome outcome);
 /** zr_cell_unanswered_begin_run() - note the placement of a run of a step */
 void zr_cell_unanswered_begin_run(struct zr_cell_step_state *step,
 				  uint32_t attempt);
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -128,6 +128,8 @@
 		if (job->tasks[ref.task].state == ZR_TASK_PLACED)
 			continue;
 		scheduler->lost->value++;
+		zr_cell_unanswered_settle(scheduler, job, ref.task,
+					  ZR_UNANSWERED_LOST);
 		zr_cell_run_ended(scheduler, job, ref.task, reason);
 		i = 0;
 	}
@@ -224,6 +226,10 @@
 		if (entry->visible_after < sent_event) {
 			scheduler->lost->value++;
 			zr_cell_crash_run_missing(worker, entry);
+			zr_cell_unanswered_settle(
+				scheduler, job, ref.task,
+				entry->crash_evidence ? ZR_UNANSWERED_LOST
+						      : ZR_UNANSWERED_VOIDED);
 			zr_cell_run_ended(scheduler, job, ref.task,
 					  "not_there");
 			i = 0;
@@ -243,6 +249,7 @@
 			      struct zr_cell_worker *worker,
 			      const struct zr_cell_run *run)
 {
+	scheduler->unanswered_metrics.orphans->value++;
 	zr_log_decision("run.orphaned job=%s step=%" PRIu32 " index=%" PRIu32
 			" attempt=%" PRIu32 " worker=%s",
 			run->task.job, run->task.step, run->task.index,
@@ -293,7 +300,10 @@
 	}
 	entry = &job->tasks[task];
 	zr_cell_crash_run_seen(scheduler, worker, job, task);
-	entry->uncertain_event = 0;
+	zr_cell_unanswered_settle(scheduler, job, task,
+				  entry->state == ZR_TASK_STOPPING
+					  ? ZR_UNANSWERED_STOPPED
+					  : ZR_UNANSWERED_RUNNING);
 	job->has_started = true;
 	if (run->checkpoint[0])
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -66,6 +66,40 @@
 	struct zr_cell_load_read progress;
 };
 
+/**
+ * enum zr_unanswered_outcome - what followed a start without a response in time
+ * @ZR_UNANSWERED_ANSWERED: its response, late
+ * @ZR_UNANSWERED_RUNNING: a poll has listed the run, which goes on
+ * @ZR_UNANSWERED_STOPPED: a poll has listed the run, which is being stopped
+ * @ZR_UNANSWERED_ENDED: a poll has reported the end of the run
+ * @ZR_UNANSWERED_VOIDED: it was stopped before it began
+ * @ZR_UNANSWERED_LOST: the worker has restarted or did not respond
+ */
+enum zr_unanswered_outcome {
+	ZR_UNANSWERED_ANSWERED,
+	ZR_UNANSWERED_RUNNING,
+	ZR_UNANSWERED_STOPPED,
+	ZR_UNANSWERED_ENDED,
+	ZR_UNANSWERED_VOIDED,
+	ZR_UNANSWERED_LOST,
+	ZR_UNANSWERED_OUTCOMES,
+};
+
+/**
+ * struct zr_cell_unanswered_metrics - counters of requests without a response
+ * @starts: starts without a response in time, by outcome
+ * @core_ms: processor time that was reserved for them in vain until the outcome
+ *           was known, in milliseconds of one processor
+ * @stops: stops without a response
+ * @orphans: runs that were found and stopped after they were given up
+ */
+struct zr_cell_unanswered_metrics {
+	struct zr_metric *starts[ZR_UNANSWERED_OUTCOMES];
+	struct zr_metric *core_ms[ZR_UNANSWERED_OUTCOMES];
+	struct zr_metric *stops;
+	struct zr_metric *orphans;
+};
+
 /**
  * struct zr_cell_scheduler - the scheduler
  * @options: as passed to zr_cell_scheduler_new()
@@ -129,6 +163,7 @@
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
+ * @unanswered_metrics: counters of requests without a response
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -185,6 +220,7 @@
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
+	struct zr_cell_unanswered_metrics unanswered_metrics;
 };
 
 /* scheduler.c */
@@ -399,6 +435,11 @@
 void zr_cell_crash_process(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_worker *worker);
 
+/* unanswered.c */
+/** zr_cell_unanswered_register() - register the metrics */
+void zr_cell_unanswered_register(struct zr_cell_unanswered_metrics *out,
+				 struct zr_metrics *metrics);
+
 /* polls.c */
 /**
  * zr_cell_worker_set_unconfirmed() - note that the worker may have restarted
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -421,6 +421,7 @@
 	}
 	/* It has ended before its worker can have crashed. */
 	entry->crash_evidence = 0;
+	zr_cell_unanswered_settle(scheduler, job, task, ZR_UNANSWERED_ENDED);
 	if (end->checkpoint[0])
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
 			 end->checkpoint);
@@ -474,6 +475,7 @@
 	target.task->stop_sent = false;
 	if (error < 0) {
 		scheduler->unanswered->value++;
+		scheduler->unanswered_metrics.stops->value++;
 		zr_cell_worker_set_unconfirmed(scheduler, target.worker);
 		goto out;
 	}
@@ -646,6 +648,7 @@
 {
 	scheduler->refused->value++;
 	job->tasks[task].crash_evidence = 0;
+	zr_cell_unanswered_settle(scheduler, job, task, ZR_UNANSWERED_ANSWERED);
 	zr_cell_run_ended(scheduler, job, task, reason);
 }
 
@@ -710,7 +713,7 @@
 
 	job->has_started = true;
 	entry->visible_after = ++scheduler->event_count;
-	entry->uncertain_event = 0;
+	zr_cell_unanswered_settle(scheduler, job, task, ZR_UNANSWERED_ANSWERED);
 	if (entry->state == ZR_TASK_STOPPING)
 		return;
 	zr_cell_unanswered_add_answer(&scheduler->model, job, task, now);
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -483,6 +483,7 @@
 	scheduler->unanswered = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_orders_unanswered_total", NULL,
 		"Orders to workers that were not answered");
+	zr_cell_unanswered_register(&scheduler->unanswered_metrics, metrics);
 	scheduler->polls = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_looks_total", NULL,
 		"Looks at workers");
--- a/src/libzinniarack/cell/unanswered.c
+++ b/src/libzinniarack/cell/unanswered.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+
 #include "cell/plan.h"
 #include "cell/policy/order_state.h"
 
@@ -20,6 +22,7 @@
  */
 #define EARLY_SHARE 0.03
 #define START_MS_WEIGHT 0.02
+#define MILLI 1000
 
 void zr_cell_unanswered_add_start(struct zr_cell_model *model,
 				  struct zr_cell_worker *worker, bool answered)
@@ -124,3 +127,65 @@
 		zr_cell_unanswered_set_uncertain(scheduler, entry);
 	return true;
 }
+
+/* Accounting */
+
+static const char *const outcome_names[] = {
+	[ZR_UNANSWERED_ANSWERED] = "answered",
+	[ZR_UNANSWERED_RUNNING] = "running",
+	[ZR_UNANSWERED_STOPPED] = "stopped",
+	[ZR_UNANSWERED_ENDED] = "ended",
+	[ZR_UNANSWERED_VOIDED] = "voided",
+	[ZR_UNANSWERED_LOST] = "lost",
+};
+
+void zr_cell_unanswered_register(struct zr_cell_unanswered_metrics *out,
+				 struct zr_metrics *metrics)
+{
+	char label[ZR_NAME_MAX];
+	size_t i;
+
+	for (i = 0; i < ZR_UNANSWERED_OUTCOMES; i++) {
+		snprintf(label, sizeof(label), "outcome=\"%s\"",
+			 outcome_names[i]);
+		out->starts[i] = zr_metrics_get_or_add_counter(
+			metrics, "zinniarack_cell_unanswered_starts_total",
+			label,
+			"Starts without a response in time, by what followed");
+		out->core_ms[i] = zr_metrics_get_or_add_counter(
+			metrics, "zinniarack_cell_unanswered_core_ms_total",
+			label,
+			"Processor time that was reserved for them in vain");
+	}
+	out->stops = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_unanswered_stops_total", NULL,
+		"Stops without a response");
+	out->orphans = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_runs_orphaned_total", NULL,
+		"Runs that were found and stopped after they were given up");
+}
+
+static bool is_lost(enum zr_unanswered_outcome outcome)
+{
+	return outcome == ZR_UNANSWERED_STOPPED ||
+	       outcome == ZR_UNANSWERED_VOIDED || outcome == ZR_UNANSWERED_LOST;
+}
+
+void zr_cell_unanswered_settle(struct zr_cell_scheduler *scheduler,
+			       const struct zr_cell_job *job, uint32_t task,
+			       enum zr_unanswered_outcome outcome)
+{
+	struct zr_cell_unanswered_metrics *metrics =
+		&scheduler->unanswered_metrics;
+	struct zr_cell_task *entry = &job->tasks[task];
+	int64_t reserved_ms = zr_cell_now_ms(scheduler) - entry->sent_at;
+	uint32_t millicpus = zr_cell_task_step(job, task)->spec->need.millicpus;
+
+	if (!entry->uncertain_event)
+		return;
+	entry->uncertain_event = 0;
+	metrics->starts[outcome]->value++;
+	if (is_lost(outcome))
+		metrics->core_ms[outcome]->value +=
+			reserved_ms * millicpus / MILLI;
+}
