cell: missing members of a gang join with the attempt of its run

If a part of a gang's members were suspects that found no worker, the others were placed, and the missing ones joined later with the number of their own latest attempt, which belonged to an earlier run of the gang. The workers took them for another run, so all members waited in vain and ended as `alone` (VIOLATION GANG). They now get the attempt number of the run that they join.

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -418,7 +418,7 @@
 
 		if (entry->state == ZR_TASK_WAITING &&
 		    place_on_best(plan, item, task, entry->avoided_worker,
-				  entry->attempt, names))
+				  step->gang_attempt, names))
 			placed++;
 	}
 	return placed;
