cell: place nothing where a late poll may still acknowledge ends

A worker that has restarted numbers its ends from 1 again. A poll that was sent after the restart, before it was known, and is carried out late acknowledged ends of the next incarnation that no response had listed, so that tasks were started again after they were done (VIOLATION AGAIN).

Only regular polls acknowledge ends now, one at a time. If such a poll has no response when a restart becomes known, nothing is placed on that worker until 12.5 s after the poll was sent; a poll whose connection broke does not count.

cell/late_ack_after_restart shows the violation before. In cell/ack_after_restart a run goes to another worker than the restarted one.

--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -358,6 +358,8 @@
  *                   from 1; 0: none
  * @outcome_poll_in_flight: a poll is in flight that shows the outcomes of
  *                          starts without a response
+ * @late_ack_until: until when a poll that acknowledges ends and has no response
+ *                  may be carried out; 0: there is none
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -408,6 +410,7 @@
 	uint32_t domain;
 	size_t candidate_index;
 	bool outcome_poll_in_flight;
+	int64_t late_ack_until;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -26,6 +26,11 @@
 #define LEASE_RENEWAL_MS 700
 /* A poll acknowledges ends only this long after the answer of another one. */
 #define CONFIRMED_MS 1000
+/*
+ * Time after which a worker no longer carries out a poll that had no response.
+ * Workers have carried out requests up to 12 s late.
+ */
+#define LATE_POLL_MS 12500
 /* Maximum number of ends that a worker lists in one reply. */
 #define ENDS_MAX 500
 
@@ -38,6 +43,8 @@
 	int64_t incarnation;	/* known when it was sent */
 	int64_t last_end_acked; /* acknowledgement that it carries */
 	bool extra; /* sent while a regular poll of the worker is in flight */
+	int64_t sent_at;
+	unsigned int timeout_ms;
 	bool outcomes; /* sent by zr_cell_poll_outcomes(); it is extra too */
 };
 
@@ -156,6 +163,39 @@
 	}
 }
 
+/*
+ * A worker that has restarted may still carry out a poll that was sent to it
+ * before that was known, and which acknowledges ends by the numbers of the
+ * earlier incarnation. Nothing is placed there until this cannot happen any
+ * more: the ends of its runs could be lost.
+ */
+static void wait_for_late_ack(const struct zr_cell_scheduler *scheduler,
+			      struct zr_cell_worker *worker)
+{
+	if (worker->late_ack_until <= zr_cell_now_ms(scheduler))
+		return;
+	if (worker->late_ack_until > worker->backoff_until)
+		worker->backoff_until = worker->late_ack_until;
+	zr_log_decision("worker.backoff worker=%s ms=%" PRId64
+			" reason=late_poll",
+			worker->report.name,
+			worker->late_ack_until - zr_cell_now_ms(scheduler));
+}
+
+/* A poll whose connection broke before its timeout is not carried out later. */
+static void settle_ack(const struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_worker *worker,
+		       const struct poll_call *call, int error)
+{
+	if (!call->last_end_acked)
+		return;
+	if (error < 0 && zr_cell_now_ms(scheduler) - call->sent_at >=
+				 (int64_t)call->timeout_ms)
+		return;
+	if (worker->late_ack_until == call->sent_at + LATE_POLL_MS)
+		worker->late_ack_until = 0;
+}
+
 /*
  * Runs whose start was confirmed are not given up here: the start may have
  * reached the worker after its restart. The next poll shows which of them
@@ -170,6 +210,7 @@
 			worker->report.name, incarnation, worker->run_count);
 	worker->report.incarnation = incarnation;
 	zr_cell_worker_crashed(scheduler, worker, false);
+	wait_for_late_ack(scheduler, worker);
 	worker->last_end_processed = 0;
 	worker->last_end_acked = 0;
 	worker->last_ack_delivered = 0;
@@ -429,6 +470,7 @@
 	worker = zr_cell_worker(&scheduler->model, call->worker);
 	if (!worker)
 		goto out;
+	settle_ack(scheduler, worker, call, error);
 	if (call->outcomes)
 		worker->outcome_poll_in_flight = false;
 	if (error < 0)
@@ -482,7 +524,7 @@
 	call->worker = worker->self;
 	call->sent_event = ++scheduler->event_count;
 	call->incarnation = worker->report.incarnation;
-	call->last_end_acked = safe_ack(scheduler, worker);
+	call->sent_at = zr_cell_now_ms(scheduler);
 	scheduler->polls->value++;
 	scheduler->pending_calls++;
 	return call;
@@ -514,10 +556,14 @@
 	if (worker->state == ZR_WORKER_UNKNOWN || !worker->run_count ||
 	    worker->ack_count || zr_cell_worker_unresponsive(worker))
 		wait_ms = 0;
+	call->timeout_ms = wait_ms + POLL_TIMEOUT_MARGIN_MS;
+	/* Only one poll at a time acknowledges ends. */
+	call->last_end_acked = safe_ack(scheduler, worker);
+	if (call->last_end_acked)
+		worker->late_ack_until = call->sent_at + LATE_POLL_MS;
 	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token,
 			       lease_expires_ms, call->last_end_acked, wait_ms,
-			       wait_ms + POLL_TIMEOUT_MARGIN_MS, on_poll_reply,
-			       call);
+			       call->timeout_ms, on_poll_reply, call);
 }
 
 void zr_cell_poll_extra(struct zr_cell_scheduler *scheduler,
--- a/tests/unit/test_cell_late.c
+++ b/tests/unit/test_cell_late.c
@@ -139,23 +139,6 @@
 	return failures;
 }
 
-/*
- * Seeds that fail in the second series, see KNOWN-RED.txt. CI runs them apart,
- * in tests/e2e/test_cell_late_red_seeds.sh, which has to list the same seeds.
- */
-static const uint64_t red_seeds[] = {30};
-
-static bool is_red(uint64_t seed, bool kills)
-{
-	size_t i;
-
-	for (i = 0; i < sizeof(red_seeds) / sizeof(*red_seeds); i++) {
-		if (kills && red_seeds[i] == seed)
-			return true;
-	}
-	return false;
-}
-
 static void run_seeds(bool kills)
 {
 	const char *seed = getenv("ZR_SEED");
@@ -167,9 +150,7 @@
 	uint64_t i;
 
 	for (i = first; i <= (seed ? first : count); i++) {
-		unsigned int failures = !seed && is_red(i, kills)
-						? 0
-						: run_seed(i, kills, lines);
+		unsigned int failures = run_seed(i, kills, lines);
 
 		if (failures)
 			printf("seed %lu fails: %u, kills: %d\n",
