--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -97,6 +97,10 @@
  *             when; not known of runs that an earlier scheduler started
  * @saved_percent: progress when @checkpoint last changed, or a little more
  * @slow_logged: its active run has been logged as slow
+ * @uncertain_event: event number from which polls show the outcome of its
+ *                   start, which had no response in time; 0: it had, or a poll
+ *                   has shown the outcome
+ * @stops: number of stops of its active run that were sent
  */
 struct zr_cell_task {
 	int state;
@@ -128,6 +132,8 @@
 	bool whole_run;
 	uint8_t saved_percent;
 	bool slow_logged;
+	uint64_t uncertain_event;
+	uint32_t stops;
 };
 
 /**
@@ -179,6 +185,12 @@
  *                   has considered it, if it is a gang
  * @speed_class: number of its class of run times; 0: not looked up, or none
  * @has_moved: a task of it was slow and has been moved to a faster worker
+ * @gang_attempt: of a gang, attempt of its current run
+ * @gang_answered: of a gang, number of members of that run whose start has had
+ *                 a response
+ * @gang_answer_ms: of a gang, time that the response took of the member with
+ *                  which half of them had one; 0: fewer have
+ * @gang_complete: of a gang, all members of that run have been running
  */
 struct zr_cell_step_state {
 	const struct zr_cell_step_spec *spec;
@@ -209,6 +221,10 @@
 	uint64_t evacuation_pass;
 	uint32_t speed_class;
 	bool has_moved;
+	uint32_t gang_attempt;
+	uint32_t gang_answered;
+	int64_t gang_answer_ms;
+	bool gang_complete;
 };
 
 /**
@@ -396,6 +412,10 @@
  * @speed: its learned speed
  * @logged_band: band of its speed that was logged last
  * @logged_faulty: whether it was logged as faulty
+ * @outcome_poll_in_flight: a poll is in flight that shows the outcomes of
+ *                          starts without a response
+ * @late_ack_until: until when a poll that acknowledges ends and has no response
+ *                  may be carried out; 0: there is none
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -448,6 +468,8 @@
 	struct zr_worker_speed speed;
 	int logged_band;
 	bool logged_faulty;
+	bool outcome_poll_in_flight;
+	int64_t late_ack_until;
 	UT_hash_handle hh;
 };
 
@@ -499,6 +521,7 @@
  * @domains: failure domains of the workers
  * @domain_count: number of failure domains
  * @use: what the record of past use includes
+ * @start_ms: time until a start had its response, smoothed; 0: not known
  */
 struct zr_cell_model {
 	struct zr_table *jobs;
@@ -513,6 +536,7 @@
 	struct zr_cell_domain domains[ZR_CELL_DOMAINS_MAX];
 	uint32_t domain_count;
 	struct zr_cell_use_marks use;
+	double start_ms;
 };
 
 int zr_cell_model_init(struct zr_cell_model *model);
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -15,12 +15,22 @@
 /* Added to the wait time for the timeout of a poll. */
 #define POLL_TIMEOUT_MARGIN_MS 600
 #define POLL_RETRY_MS 250
+/*
+ * Timeout of a poll that shows the outcomes of starts. It is repeated until one
+ * is answered, and the regular polls show the outcomes too.
+ */
+#define OUTCOME_POLL_TIMEOUT_MS 250
 /* Delay of the poll that acknowledges the ends after a worker's last run. */
 #define FINAL_POLL_DELAY_MS 500
 /* Lease renewal interval while some received ends are not persisted. */
 #define LEASE_RENEWAL_MS 700
 /* A poll acknowledges ends only this long after the answer of another one. */
 #define CONFIRMED_MS 1000
+/*
+ * Time after which a worker no longer carries out a poll that had no response.
+ * Workers have carried out requests up to 12 s late.
+ */
+#define LATE_POLL_MS 12500
 /* Maximum number of ends that a worker lists in one reply. */
 #define ENDS_MAX 500
 
@@ -33,6 +43,9 @@
 	int64_t incarnation;	/* known when it was sent */
 	int64_t last_end_acked; /* acknowledgement that it carries */
 	bool extra; /* sent while a regular poll of the worker is in flight */
+	int64_t sent_at;
+	unsigned int timeout_ms;
+	bool outcomes; /* sent by zr_cell_poll_outcomes(); it is extra too */
 };
 
 void zr_cell_worker_set_unconfirmed(struct zr_cell_scheduler *scheduler,
@@ -122,6 +135,8 @@
 		if (job->tasks[ref.task].state == ZR_TASK_PLACED)
 			continue;
 		scheduler->lost->value++;
+		zr_cell_unanswered_settle(scheduler, job, ref.task,
+					  ZR_UNANSWERED_LOST);
 		zr_cell_run_ended(scheduler, job, ref.task, reason);
 		i = 0;
 	}
@@ -148,6 +163,39 @@
 	}
 }
 
+/*
+ * A worker that has restarted may still carry out a poll that was sent to it
+ * before that was known, and which acknowledges ends by the numbers of the
+ * earlier incarnation. Nothing is placed there until this cannot happen any
+ * more: the ends of its runs could be lost.
+ */
+static void wait_for_late_ack(const struct zr_cell_scheduler *scheduler,
+			      struct zr_cell_worker *worker)
+{
+	if (worker->late_ack_until <= zr_cell_now_ms(scheduler))
+		return;
+	if (worker->late_ack_until > worker->backoff_until)
+		worker->backoff_until = worker->late_ack_until;
+	zr_log_decision("worker.backoff worker=%s ms=%" PRId64
+			" reason=late_poll",
+			worker->report.name,
+			worker->late_ack_until - zr_cell_now_ms(scheduler));
+}
+
+/* A poll whose connection broke before its timeout is not carried out later. */
+static void settle_ack(const struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_worker *worker,
+		       const struct poll_call *call, int error)
+{
+	if (!call->last_end_acked)
+		return;
+	if (error < 0 && zr_cell_now_ms(scheduler) - call->sent_at >=
+				 (int64_t)call->timeout_ms)
+		return;
+	if (worker->late_ack_until == call->sent_at + LATE_POLL_MS)
+		worker->late_ack_until = 0;
+}
+
 /*
  * Runs whose start was confirmed are not given up here: the start may have
  * reached the worker after its restart. The next poll shows which of them
@@ -162,6 +210,7 @@
 			worker->report.name, incarnation, worker->run_count);
 	worker->report.incarnation = incarnation;
 	zr_cell_worker_crashed(scheduler, worker, false);
+	wait_for_late_ack(scheduler, worker);
 	worker->last_end_processed = 0;
 	worker->last_end_acked = 0;
 	worker->last_ack_delivered = 0;
@@ -219,10 +268,15 @@
 		if (entry->visible_after < sent_event) {
 			scheduler->lost->value++;
 			zr_cell_crash_run_missing(worker, entry);
+			zr_cell_unanswered_settle(
+				scheduler, job, ref.task,
+				entry->crash_evidence ? ZR_UNANSWERED_LOST
+						      : ZR_UNANSWERED_VOIDED);
 			zr_cell_run_ended(scheduler, job, ref.task,
 					  "not_there");
 			i = 0;
-		} else if (entry->state == ZR_TASK_UNCONFIRMED) {
+		} else if (entry->state == ZR_TASK_UNCONFIRMED &&
+			   entry->uncertain_event < sent_event) {
 			zr_cell_stop_run(scheduler, job, ref.task,
 					 "start_unanswered");
 		}
@@ -237,6 +291,7 @@
 			      struct zr_cell_worker *worker,
 			      const struct zr_cell_run *run)
 {
+	scheduler->unanswered_metrics.orphans->value++;
 	zr_log_decision("run.orphaned job=%s step=%" PRIu32 " index=%" PRIu32
 			" attempt=%" PRIu32 " worker=%s",
 			run->task.job, run->task.step, run->task.index,
@@ -290,6 +345,10 @@
 	}
 	entry = &job->tasks[task];
 	zr_cell_crash_run_seen(scheduler, worker, job, task);
+	zr_cell_unanswered_settle(scheduler, job, task,
+				  entry->state == ZR_TASK_STOPPING
+					  ? ZR_UNANSWERED_STOPPED
+					  : ZR_UNANSWERED_RUNNING);
 	job->has_started = true;
 	if (run->checkpoint[0] && strcmp(entry->checkpoint, run->checkpoint)) {
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
@@ -420,6 +479,9 @@
 	worker = zr_cell_worker(&scheduler->model, call->worker);
 	if (!worker)
 		goto out;
+	settle_ack(scheduler, worker, call, error);
+	if (call->outcomes)
+		worker->outcome_poll_in_flight = false;
 	if (error < 0)
 		zr_cell_worker_set_unconfirmed(scheduler, worker);
 	if (call->extra && error < 0)
@@ -471,7 +533,7 @@
 	call->worker = worker->self;
 	call->sent_event = ++scheduler->event_count;
 	call->incarnation = worker->report.incarnation;
-	call->last_end_acked = safe_ack(scheduler, worker);
+	call->sent_at = zr_cell_now_ms(scheduler);
 	scheduler->polls->value++;
 	scheduler->pending_calls++;
 	return call;
@@ -496,16 +558,21 @@
 		lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	/*
 	 * Request an immediate reply in the first poll after a takeover, in the
-	 * final poll of a worker without runs, and while received ends are not
-	 * persisted, when the poll only renews the leases.
+	 * final poll of a worker without runs, while received ends are not
+	 * persisted, when the poll only renews the leases, and after a poll
+	 * without a response, as leases are renewed once the worker responds.
 	 */
 	if (worker->state == ZR_WORKER_UNKNOWN || !worker->run_count ||
-	    worker->ack_count)
+	    worker->ack_count || zr_cell_worker_unresponsive(worker))
 		wait_ms = 0;
+	call->timeout_ms = wait_ms + POLL_TIMEOUT_MARGIN_MS;
+	/* Only one poll at a time acknowledges ends. */
+	call->last_end_acked = safe_ack(scheduler, worker);
+	if (call->last_end_acked)
+		worker->late_ack_until = call->sent_at + LATE_POLL_MS;
 	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token,
 			       lease_expires_ms, call->last_end_acked, wait_ms,
-			       wait_ms + POLL_TIMEOUT_MARGIN_MS, on_poll_reply,
-			       call);
+			       call->timeout_ms, on_poll_reply, call);
 }
 
 void zr_cell_poll_extra(struct zr_cell_scheduler *scheduler,
@@ -526,6 +593,23 @@
 			       on_poll_reply, call);
 }
 
+void zr_cell_poll_outcomes(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker)
+{
+	struct poll_call *call;
+
+	if (worker->outcome_poll_in_flight || !worker->conn.ops ||
+	    !zr_cell_is_owner(scheduler))
+		return;
+	call = new_poll_call(scheduler, worker);
+	call->extra = true;
+	call->outcomes = true;
+	worker->outcome_poll_in_flight = true;
+	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token, -1,
+			       call->last_end_acked, 0, OUTCOME_POLL_TIMEOUT_MS,
+			       on_poll_reply, call);
+}
+
 void zr_cell_polls_process(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_worker *worker)
 {
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -181,6 +181,40 @@
 	struct zr_metric *runs_gauge;
 };
 
+/**
+ * enum zr_unanswered_outcome - what followed a start without a response in time
+ * @ZR_UNANSWERED_ANSWERED: its response, late
+ * @ZR_UNANSWERED_RUNNING: a poll has listed the run, which goes on
+ * @ZR_UNANSWERED_STOPPED: a poll has listed the run, which is being stopped
+ * @ZR_UNANSWERED_ENDED: a poll has reported the end of the run
+ * @ZR_UNANSWERED_VOIDED: it was stopped before it began
+ * @ZR_UNANSWERED_LOST: the worker has restarted or did not respond
+ */
+enum zr_unanswered_outcome {
+	ZR_UNANSWERED_ANSWERED,
+	ZR_UNANSWERED_RUNNING,
+	ZR_UNANSWERED_STOPPED,
+	ZR_UNANSWERED_ENDED,
+	ZR_UNANSWERED_VOIDED,
+	ZR_UNANSWERED_LOST,
+	ZR_UNANSWERED_OUTCOMES,
+};
+
+/**
+ * struct zr_cell_unanswered_metrics - counters of requests without a response
+ * @starts: starts without a response in time, by outcome
+ * @core_ms: processor time that was reserved for them in vain until the outcome
+ *           was known, in milliseconds of one processor
+ * @stops: stops without a response
+ * @orphans: runs that were found and stopped after they were given up
+ */
+struct zr_cell_unanswered_metrics {
+	struct zr_metric *starts[ZR_UNANSWERED_OUTCOMES];
+	struct zr_metric *core_ms[ZR_UNANSWERED_OUTCOMES];
+	struct zr_metric *stops;
+	struct zr_metric *orphans;
+};
+
 /**
  * struct zr_cell_scheduler - the scheduler
  * @options: as passed to zr_cell_scheduler_new()
@@ -259,6 +293,7 @@
  * @arrivals: work that was accepted lately, by pool
  * @arrival_count: number of @arrivals
  * @summary_full: the last summary shows a pool or a limit that is full
+ * @unanswered_metrics: counters of requests without a response
  */
 struct zr_cell_scheduler {
 	struct zr_cell_scheduler_options options;
@@ -328,6 +363,7 @@
 	struct zr_cell_arrivals arrivals[ZR_CELL_POOLS_MAX];
 	size_t arrival_count;
 	bool summary_full;
+	struct zr_cell_unanswered_metrics unanswered_metrics;
 };
 
 /* scheduler.c */
@@ -536,7 +572,10 @@
 			       struct zr_cell_worker *worker,
 			       const struct zr_cell_task_name *task,
 			       uint32_t attempt);
-/** zr_cell_stops_resend() - resend stops that failed */
+/**
+ * zr_cell_stops_resend() - resend stops that failed, and poll for the outcomes
+ * of starts without a response
+ */
 void zr_cell_stops_resend(struct zr_cell_scheduler *scheduler,
 			  struct zr_cell_worker *worker);
 /**
@@ -646,6 +685,10 @@
 void zr_cell_past_use_process(struct zr_cell_scheduler *scheduler, int64_t now);
 /** zr_cell_past_use_end_term() - forget the use */
 void zr_cell_past_use_end_term(struct zr_cell_scheduler *scheduler);
+/* unanswered.c */
+/** zr_cell_unanswered_register() - register the metrics */
+void zr_cell_unanswered_register(struct zr_cell_unanswered_metrics *out,
+				 struct zr_metrics *metrics);
 
 /* polls.c */
 /**
@@ -662,6 +705,13 @@
 /** zr_cell_poll_extra() - send a poll now, even if another one is pending */
 void zr_cell_poll_extra(struct zr_cell_scheduler *scheduler,
 			struct zr_cell_worker *worker);
+/**
+ * zr_cell_poll_outcomes() - send a poll now that shows the outcomes of starts
+ *
+ * Does nothing while another such poll is in flight.
+ */
+void zr_cell_poll_outcomes(struct zr_cell_scheduler *scheduler,
+			   struct zr_cell_worker *worker);
 /**
  * zr_cell_polls_process() - send a poll if due, and end runs whose lease
  * expired
