--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -1,6 +1,8 @@
 #ifndef ZR_CELL_PLAN_H
 #define ZR_CELL_PLAN_H
 
+#include <string.h>
+
 #include "cell/private.h"
 
 /**
@@ -407,16 +409,50 @@
 /** zr_cell_speed_set_item() - set what a step needs of its workers' speed */
 void zr_cell_speed_set_item(struct zr_cell_plan *plan,
 			    struct zr_cell_plan_item *item);
+/** zr_cell_speed_place() - where a worker is, relative to the data of a step */
+static inline enum zr_speed_place
+zr_cell_speed_place(const struct zr_cell_step_state *step,
+		    const struct zr_cell_worker *worker)
+{
+	const char *rack = step->spec->rack;
+
+	return rack[0] && strcmp(rack, worker->report.rack) != 0
+		       ? ZR_SPEED_FAR
+		       : ZR_SPEED_NEAR;
+}
+
 /** zr_cell_speed_item_band() - band of a worker, with its distance to the data
  */
-int zr_cell_speed_item_band(const struct zr_cell_plan_item *item,
-			    const struct zr_cell_candidate *candidate);
+static inline int
+zr_cell_speed_item_band(const struct zr_cell_plan_item *item,
+			const struct zr_cell_candidate *candidate)
+{
+	int band = candidate->speed_band;
+
+	if (item->far_bands &&
+	    zr_cell_speed_place(item->step, candidate->worker) == ZR_SPEED_FAR)
+		band -= item->far_bands;
+	return band < ZR_SPEED_BAND_MIN ? ZR_SPEED_BAND_MIN : band;
+}
+
 /** zr_cell_speed_set_order() - set @order and @shortfall of a worker */
-void zr_cell_speed_set_order(const struct zr_cell_plan_item *item,
-			     struct zr_cell_candidate *candidate);
-/** zr_cell_speed_place() - where a worker is, relative to the data of a step */
-enum zr_speed_place zr_cell_speed_place(const struct zr_cell_step_state *step,
-					const struct zr_cell_worker *worker);
+static inline void zr_cell_speed_set_order(const struct zr_cell_plan_item *item,
+					   struct zr_cell_candidate *candidate)
+{
+	bool far = zr_cell_speed_place(item->step, candidate->worker) ==
+		   ZR_SPEED_FAR;
+	int band;
+
+	candidate->shortfall = 0;
+	candidate->order = far;
+	if (!item->by_speed)
+		return;
+	band = zr_cell_speed_item_band(item, candidate);
+	candidate->order = zr_speed_order(band, far, item->wanted_band);
+	if (band < item->wanted_band)
+		candidate->shortfall = item->wanted_band - band;
+}
+
 /* moves.c */
 /** zr_cell_moves_plan() - move slow runs that would end sooner elsewhere */
 void zr_cell_moves_plan(struct zr_cell_plan *plan);
--- a/src/libzinniarack/cell/speeds.c
+++ b/src/libzinniarack/cell/speeds.c
@@ -44,20 +44,6 @@
 	return step->speed_class;
 }
 
-static bool is_far(const struct zr_cell_step_state *step,
-		   const struct zr_cell_worker *worker)
-{
-	const char *rack = step->spec->rack;
-
-	return rack[0] && strcmp(rack, worker->report.rack) != 0;
-}
-
-enum zr_speed_place zr_cell_speed_place(const struct zr_cell_step_state *step,
-					const struct zr_cell_worker *worker)
-{
-	return is_far(step, worker) ? ZR_SPEED_FAR : ZR_SPEED_NEAR;
-}
-
 static struct zr_speed_task speed_task(struct zr_cell_scheduler *scheduler,
 				       const struct zr_cell_worker *worker,
 				       const struct zr_cell_job *job,
@@ -297,29 +283,3 @@
 	item->needed_band = zr_speed_wanted_band(&need, plan->fastest_band);
 	item->wanted_band = item->needed_band;
 }
-
-int zr_cell_speed_item_band(const struct zr_cell_plan_item *item,
-			    const struct zr_cell_candidate *candidate)
-{
-	int band = candidate->speed_band;
-
-	if (item->far_bands && is_far(item->step, candidate->worker))
-		band -= item->far_bands;
-	return band < ZR_SPEED_BAND_MIN ? ZR_SPEED_BAND_MIN : band;
-}
-
-void zr_cell_speed_set_order(const struct zr_cell_plan_item *item,
-			     struct zr_cell_candidate *candidate)
-{
-	bool far = is_far(item->step, candidate->worker);
-	int band;
-
-	candidate->shortfall = 0;
-	candidate->order = far;
-	if (!item->by_speed)
-		return;
-	band = zr_cell_speed_item_band(item, candidate);
-	candidate->order = zr_speed_order(band, far, item->wanted_band);
-	if (band < item->wanted_band)
-		candidate->shortfall = item->wanted_band - band;
-}
--- a/src/libzinniarack/policy/worker_speed.c
+++ b/src/libzinniarack/policy/worker_speed.c
@@ -30,8 +30,6 @@
  * single slow run does not change the speed.
  */
 #define KIND_SAMPLES 2
-/* A worker without runs for this time has the speed of its kind again. */
-#define SAMPLES_VALID_MS 60000
 /*
  * Width of a band, as a logarithm: a factor of 1.62, so that workers of 0.6,
  * 1.0 and 1.6 are in three bands.
@@ -227,7 +225,7 @@
 
 static bool has_samples(const struct zr_worker_speed *speed, int64_t now)
 {
-	return speed->count && now - speed->sampled_at <= SAMPLES_VALID_MS;
+	return speed->count && now - speed->sampled_at <= ZR_SPEED_VALID_MS;
 }
 
 /* Speed of a worker when it is not faulty. */
@@ -251,14 +249,9 @@
 				 exp2f(believed_log2(table, speed, now)));
 }
 
-int zr_speed_band(const struct zr_speed_table *table,
-		  const struct zr_worker_speed *speed, int64_t now)
+int zr_speed_faulty_band(const struct zr_worker_speed *speed)
 {
-	if (zr_speed_is_faulty(speed, now))
-		return band_of(speed->faulty_log2, 0);
-	if (has_samples(speed, now))
-		return speed->band;
-	return speed->kind ? table->kinds[speed->kind - 1].band : 0;
+	return band_of(speed->faulty_log2, 0);
 }
 
 static int by_value(const void *a, const void *b)
--- a/src/libzinniarack/policy/worker_speed.h
+++ b/src/libzinniarack/policy/worker_speed.h
@@ -93,32 +93,34 @@
 /**
  * struct zr_worker_speed - learned speed of a worker; all zero: nothing known
  * @kind: number of its kind, counted from 1; 0: none
- * @incarnation: incarnation of the worker that the rest is about
- * @samples: logarithms of the speeds of its latest runs
+ * @band: band of @log2
  * @count: number of @samples that are set
  * @next: position of the next one
  * @sampled_at: when the last one was added
+ * @faulty_until: until when it counts as faulty unless a slow run is seen
+ * @incarnation: incarnation of the worker that the rest is about
+ * @samples: logarithms of the speeds of its latest runs
  * @log2: logarithm of its speed; valid if @count is not 0
- * @band: band of @log2
  * @changed_at: when the worker became faulty or was seen to have recovered
- * @faulty_until: until when it counts as faulty unless a slow run is seen
  * @faulty_log2: logarithm of its speed while it is faulty
  * @usual_runs: runs observed since zr_speed_judge() that are not slow
  * @slow_runs: those that are slow, and may always have been
  * @slowed_runs: those that are slow, but were not before
  * @slow_log2: logarithm of the speed of the fastest of the slow ones
+ *
+ * A planning pass reads the members before @incarnation of all workers.
  */
 struct zr_worker_speed {
 	uint32_t kind;
-	int64_t incarnation;
-	float samples[ZR_SPEED_SAMPLES];
+	int band;
 	uint32_t count;
 	uint32_t next;
 	int64_t sampled_at;
+	int64_t faulty_until;
+	int64_t incarnation;
+	float samples[ZR_SPEED_SAMPLES];
 	float log2;
-	int band;
 	int64_t changed_at;
-	int64_t faulty_until;
 	float faulty_log2;
 	uint16_t usual_runs;
 	uint16_t slow_runs;
@@ -268,9 +270,23 @@
 uint32_t zr_speed_permille(const struct zr_speed_table *table,
 			   const struct zr_worker_speed *speed, int64_t now);
 
+/** A worker without runs for this time has the speed of its kind again. */
+#define ZR_SPEED_VALID_MS 60000
+
+/** zr_speed_faulty_band() - band of a worker's speed while it is faulty */
+int zr_speed_faulty_band(const struct zr_worker_speed *speed);
+
 /** zr_speed_band() - band of a worker's speed; the highest is the fastest */
-int zr_speed_band(const struct zr_speed_table *table,
-		  const struct zr_worker_speed *speed, int64_t now);
+static inline int zr_speed_band(const struct zr_speed_table *table,
+				const struct zr_worker_speed *speed,
+				int64_t now)
+{
+	if (zr_speed_is_faulty(speed, now))
+		return zr_speed_faulty_band(speed);
+	if (speed->count && now - speed->sampled_at <= ZR_SPEED_VALID_MS)
+		return speed->band;
+	return speed->kind ? table->kinds[speed->kind - 1].band : 0;
+}
 
 /** zr_speed_far_bands() - number of bands that a far place costs a class */
 int zr_speed_far_bands(const struct zr_speed_table *table, uint32_t class);
