--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -33,6 +33,9 @@
  *	configuration is older, because it may have withdrawn the caller's key
  * @leave_ms: timeout of a graceful shutdown
  * @log: level and format of the log
+ * @departures: what is done with runs of workers that announce their departure
+ * @departures.move_runs: stop those that cannot finish in time, so that they
+ *	start again elsewhere; otherwise they end with their worker
  */
 struct zr_cell_settings {
 	char *name;
@@ -56,6 +59,9 @@
 		enum zr_log_level level;
 		enum zr_log_format format;
 	} log;
+	struct {
+		bool move_runs;
+	} departures;
 };
 
 /**
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -207,6 +207,7 @@
 		.host = settings->name,
 		.cell = settings->cell,
 		.metrics = options->metrics,
+		.move_leaving = settings->departures.move_runs,
 	};
 	int error;
 
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -333,6 +333,7 @@
  * @domain: number of its failure domain, counted from 1; 0: not known
  * @candidate_index: its position in &struct zr_cell_plan.candidates, counted
  *                   from 1; 0: none
+ * @leaves_at: when it leaves, as it has announced; ZR_CELL_NEVER: not known
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -382,6 +383,7 @@
 	int64_t isolation_until;
 	uint32_t domain;
 	size_t candidate_index;
+	int64_t leaves_at;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -126,6 +126,7 @@
  * @takeovers: times the ownership was won
  * @load_timeouts: times the cell was given back because the load took too long
  * @loaded_bytes: bytes of jobs and progress read after takeovers
+ * @departure_stops: runs and gangs stopped because a worker leaves
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
@@ -182,6 +183,7 @@
 	struct zr_metric *takeovers;
 	struct zr_metric *load_timeouts;
 	struct zr_metric *loaded_bytes;
+	struct zr_metric *departure_stops;
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
@@ -305,6 +307,10 @@
 /** zr_cell_stop_incomplete_gangs() - stop gangs that cannot be completed */
 void zr_cell_stop_incomplete_gangs(struct zr_cell_scheduler *scheduler,
 				   struct zr_cell_job *job);
+/** zr_cell_stop_gang() - stop all members of a gang that have a run */
+void zr_cell_stop_gang(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_job *job, struct zr_cell_step_state *step,
+		       const char *reason);
 /** zr_cell_gang_finish_waiting() - finish waiting members of a gang */
 void zr_cell_gang_finish_waiting(struct zr_cell_model *model,
 				 struct zr_cell_job *job,
@@ -346,6 +352,13 @@
 void zr_cell_worker_responded(struct zr_cell_scheduler *scheduler,
 			      struct zr_cell_worker *worker, int64_t clock_ms);
 
+/* departures.c */
+/** zr_cell_departure_announced() - note when a worker leaves, by its report */
+void zr_cell_departure_announced(struct zr_cell_worker *worker, int64_t now);
+/** zr_cell_departure_process() - stop what cannot finish on a leaving worker */
+void zr_cell_departure_process(struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_worker *worker);
+
 /* crashes.c */
 /**
  * zr_cell_worker_crashed() - record that a worker crashed
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -77,6 +77,7 @@
 		worker->clock_ms = report->clock_ms;
 		worker->clock_at = zr_cell_now_ms(scheduler);
 	}
+	zr_cell_departure_announced(worker, zr_cell_now_ms(scheduler));
 	if (worker->run_count || worker->poll_due_at != ZR_CELL_NEVER)
 		zr_cell_polls_process(scheduler, worker);
 }
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -221,21 +221,28 @@
 	return true;
 }
 
+void zr_cell_stop_gang(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_job *job, struct zr_cell_step_state *step,
+		       const char *reason)
+{
+	uint32_t i;
+
+	step->gang_stopping = true;
+	for (i = step->first_task; i < step->first_task + step->spec->count;
+	     i++)
+		zr_cell_stop_run(scheduler, job, i, reason);
+}
+
 /* Stops the gang if a member is missing and can no longer join its run. */
 static void stop_if_incomplete(struct zr_cell_scheduler *scheduler,
 			       struct zr_cell_job *job,
 			       struct zr_cell_step_state *step)
 {
-	uint32_t i;
-
 	if (!zr_cell_step_is_gang(step) || !step->waiting ||
 	    !step->active_tasks ||
 	    zr_cell_gang_can_be_completed(scheduler, job, step))
 		return;
-	step->gang_stopping = true;
-	for (i = step->first_task; i < step->first_task + step->spec->count;
-	     i++)
-		zr_cell_stop_run(scheduler, job, i, "gang_broken");
+	zr_cell_stop_gang(scheduler, job, step, "gang_broken");
 }
 
 void zr_cell_stop_incomplete_gangs(struct zr_cell_scheduler *scheduler,
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -387,6 +387,7 @@
 	zr_cell_polls_process(scheduler, worker);
 	zr_cell_stops_resend(scheduler, worker);
 	zr_cell_crash_process(scheduler, worker);
+	zr_cell_departure_process(scheduler, worker);
 }
 
 /*
@@ -511,6 +512,9 @@
 	scheduler->advice.answer_ms = zr_metrics_get_or_add_histogram(
 		metrics, "zinniarack_cell_advice_ms", NULL,
 		"Time until the adviser answered");
+	scheduler->departure_stops = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_departure_stops_total", NULL,
+		"Runs and gangs stopped because a worker leaves");
 	scheduler->wait_ms = zr_metrics_get_or_add_histogram(
 		metrics, "zinniarack_cell_task_wait_ms", NULL,
 		"Time from a task's turn until it was started");
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -58,6 +58,7 @@
  * @host: name of this host
  * @cell: name of the cell
  * @metrics: registry for the scheduler's metrics
+ * @move_leaving: stop runs that cannot finish before their worker leaves
  */
 struct zr_cell_scheduler_options {
 	const struct zr_timers *timers;
@@ -67,6 +68,7 @@
 	const char *host;
 	const char *cell;
 	struct zr_metrics *metrics;
+	bool move_leaving;
 };
 
 /**
--- a/src/libzinniarack/config/cell_settings.c
+++ b/src/libzinniarack/config/cell_settings.c
@@ -42,6 +42,14 @@
 			 format, zr_log_formats, ZR_LOG_FORMATS),
 	CYAML_FIELD_END};
 
+static const cyaml_schema_field_t departures_fields[] = {
+	CYAML_FIELD_BOOL(
+		"move_runs", CYAML_FLAG_OPTIONAL,
+		__typeof__(((struct zr_cell_settings *)0)->departures),
+		move_runs),
+	CYAML_FIELD_END,
+};
+
 #define NUMBER_FIELD(member)                           \
 	CYAML_FIELD_UINT(#member, CYAML_FLAG_OPTIONAL, \
 			 struct zr_cell_settings, member)
@@ -65,6 +73,9 @@
 	NUMBER_FIELD(leave_ms),
 	CYAML_FIELD_MAPPING("log", CYAML_FLAG_OPTIONAL, struct zr_cell_settings,
 			    log, log_fields),
+	CYAML_FIELD_MAPPING("departures", CYAML_FLAG_OPTIONAL,
+			    struct zr_cell_settings, departures,
+			    departures_fields),
 	CYAML_FIELD_END,
 };
 
@@ -108,6 +119,7 @@
 	RANGE("leave_ms", 100, 600000, "5000"),
 	ANY("log.level", "error"),
 	ANY("log.format", "text"),
+	ANY("departures.move_runs", "false"),
 	{NULL, ZR_RULE_ANY, 0, 0, NULL, NULL},
 };
 
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -49,6 +49,7 @@
 	uint32_t latency_target_ms;
 	unsigned int adviser_queries;
 	bool hides_runs;
+	bool moves_leaving;
 	char line[LINE_MAX_BYTES];
 	char *words[WORDS_MAX];
 	int word_count;
@@ -211,6 +212,7 @@
 			   .lease_max_ms = 6000,
 			   .keep_ended_ms = 130000},
 		.cell = "main",
+		.move_leaving = script->moves_leaving,
 	};
 
 	/* A name that was used before is a new process of that host. */
@@ -744,6 +746,21 @@
 	commit_value(script, &script->registrar, key, "1", 1);
 }
 
+static void do_leave(struct cell_script *script)
+{
+	char key[ZR_CELL_KEY_MAX];
+
+	fake_pool_leave(script->pool, word(script, 1),
+			(unsigned int)atoi(word(script, 2)));
+	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
+	commit_value(script, &script->registrar, key, "1", 1);
+}
+
+static void do_move_leaving(struct cell_script *script)
+{
+	script->moves_leaving = true;
+}
+
 static void do_replace(struct cell_script *script)
 {
 	fake_pool_replace(script->pool, word(script, 1));
@@ -784,6 +801,8 @@
 	{"replace", do_replace},
 	{"crashes", do_crashes},
 	{"capacity", do_capacity},
+	{"leave", do_leave},
+	{"move-leaving", do_move_leaving},
 	{"shrink-grace", do_shrink_grace},
 	{"hide-runs", do_hide_runs},
 	{"crashed-workers", do_crashed_workers},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -72,6 +72,10 @@
  *   capacity WORKER MILLICPUS
  *                              change the capacity of a worker, which registers
  *                              the change
+ *   leave WORKER MS            let a worker announce that it leaves, and leave
+ *                              after this time with all its runs
+ *   move-leaving               hosts started from now on move the runs of
+ *                              leaving workers
  *   shrink-grace MS            set for how long a start need not fit a capacity
  *                              that has decreased
  *   stop-ms MS                 set the time from a stop until the run's end
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -70,6 +70,7 @@
 	int64_t lease_expires_at; /* by the worker's clock */
 	int64_t last_end_number;
 	int64_t down_until;
+	int64_t leaves_at; /* 0: it stays */
 	bool replaced;
 	bool hung;
 	struct run *runs;
@@ -797,6 +798,12 @@
 	worker->millicpus = millicpus;
 }
 
+void fake_pool_leave(struct fake_pool *pool, const char *name,
+		     unsigned int notice_ms)
+{
+	find_worker(pool, name)->leaves_at = net_now(pool) + notice_ms;
+}
+
 void fake_pool_set_domain(struct fake_pool *pool, const char *name,
 			  const char *domain)
 {
@@ -815,11 +822,32 @@
 	find_worker(pool, name)->hung = true;
 }
 
+/* Ends all runs of a worker that has left, and the gangs of their tasks. */
+static void leave(struct pool_worker *worker)
+{
+	struct run *run;
+
+	if (!worker->leaves_at || net_now(worker->pool) < worker->leaves_at ||
+	    worker->down_until == INT64_MAX)
+		return;
+	report_event(worker->pool, "%s left", worker->name);
+	DL_FOREACH(worker->runs, run)
+	{
+		if (run->breaks_gang)
+			break_gang(worker->pool, run->task);
+	}
+	fake_pool_restart(worker->pool, worker->name);
+	fake_calls_reset(worker->node);
+	worker->down_until = INT64_MAX;
+}
+
 static void tick_worker(struct pool_worker *worker)
 {
 	struct run *run;
 	struct run *next;
 
+	leave(worker);
+
 	DL_FOREACH(worker->runs, run)
 	{
 		if (net_now(worker->pool) < run->crashes_at)
@@ -862,7 +890,9 @@
 	snprintf(out->address, sizeof(out->address), "%s", name);
 	snprintf(out->pool, sizeof(out->pool), "pool");
 	snprintf(out->domain, sizeof(out->domain), "%s", worker->domain);
-	out->leaves_in_ms = -1;
+	out->leaving = worker->leaves_at != 0;
+	out->leaves_in_ms =
+		worker->leaves_at ? worker->leaves_at - net_now(pool) : -1;
 	out->capacity.millicpus = worker->millicpus;
 	out->capacity.memory_mb = worker->millicpus;
 	out->incarnation = worker->incarnation;
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -77,6 +77,15 @@
 void fake_pool_set_capacity(struct fake_pool *pool, const char *name,
 			    uint32_t millicpus);
 
+/**
+ * fake_pool_leave() - let a worker announce its departure, then leave
+ * @pool: the pool
+ * @name: the worker
+ * @notice_ms: time until it ends its runs and responds no more
+ */
+void fake_pool_leave(struct fake_pool *pool, const char *name,
+		     unsigned int notice_ms);
+
 /** fake_pool_hang() - let a worker's runs make no more progress, nor end */
 void fake_pool_hang(struct fake_pool *pool, const char *name);
 
