--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -42,6 +42,9 @@
  *	they are expected to finish in time
  * @admission: admission control: whether jobs that cannot end in time are
  *	rejected
+ * @departures: what is done with runs of workers that announce their departure
+ * @departures.move_runs: stop those that cannot finish in time, so that they
+ *	start again elsewhere; otherwise they end with their worker
  */
 struct zr_cell_settings {
 	char *name;
@@ -76,6 +79,9 @@
 	struct {
 		bool enabled;
 	} admission;
+	struct {
+		bool move_runs;
+	} departures;
 };
 
 /**
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -213,6 +213,7 @@
 			     settings->past_use.weight_percent},
 		.worker_speed = settings->worker_speed.enabled,
 		.admission = settings->admission.enabled,
+		.move_leaving = settings->departures.move_runs,
 	};
 	int error;
 
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -416,6 +416,7 @@
  *                          starts without a response
  * @late_ack_until: until when a poll that acknowledges ends and has no response
  *                  may be carried out; 0: there is none
+ * @leaves_at: when it leaves, as it has announced; ZR_CELL_NEVER: not known
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -470,6 +471,7 @@
 	bool logged_faulty;
 	bool outcome_poll_in_flight;
 	int64_t late_ack_until;
+	int64_t leaves_at;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -229,15 +229,16 @@
 	return true;
 }
 
-static void stop_gang(struct zr_cell_scheduler *scheduler,
-		      struct zr_cell_job *job, struct zr_cell_step_state *step)
+void zr_cell_stop_gang(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_job *job, struct zr_cell_step_state *step,
+		       const char *reason)
 {
 	uint32_t i;
 
 	step->gang_stopping = true;
 	for (i = step->first_task; i < step->first_task + step->spec->count;
 	     i++)
-		zr_cell_stop_run(scheduler, job, i, "gang_broken");
+		zr_cell_stop_run(scheduler, job, i, reason);
 }
 
 static bool all_are_running(const struct zr_cell_job *job,
@@ -266,7 +267,7 @@
 	if (job->tasks[task].finished || all_are_running(job, step))
 		step->gang_complete = true;
 	else
-		stop_gang(scheduler, job, step);
+		zr_cell_stop_gang(scheduler, job, step, "gang_broken");
 }
 
 /* Stops the gang if a member is missing and can no longer join its run. */
@@ -276,7 +277,7 @@
 {
 	if (zr_cell_step_is_gang(step) && step->waiting && step->active_tasks &&
 	    !zr_cell_gang_can_be_completed(scheduler, job, step))
-		stop_gang(scheduler, job, step);
+		zr_cell_stop_gang(scheduler, job, step, "gang_broken");
 }
 
 void zr_cell_stop_incomplete_gangs(struct zr_cell_scheduler *scheduler,
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -65,6 +65,7 @@
  *	the order of waiting work in percent; a member of 0: past use is off
  * @worker_speed: learn speeds of workers and place tasks by expected finish
  * @admission: publish a summary of the load, for admission control
+ * @move_leaving: stop runs that cannot finish before their worker leaves
  */
 struct zr_cell_scheduler_options {
 	const struct zr_timers *timers;
@@ -80,6 +81,7 @@
 	} past_use;
 	bool worker_speed;
 	bool admission;
+	bool move_leaving;
 };
 
 /**
--- a/src/libzinniarack/config/cell_settings.c
+++ b/src/libzinniarack/config/cell_settings.c
@@ -64,6 +64,12 @@
 			 __typeof__(((struct zr_cell_settings *)0)->admission),
 			 enabled),
 	CYAML_FIELD_END};
+static const cyaml_schema_field_t departures_fields[] = {
+	CYAML_FIELD_BOOL("move_runs", CYAML_FLAG_OPTIONAL,
+			 __typeof__(((struct zr_cell_settings *)0)->departures),
+			 move_runs),
+	CYAML_FIELD_END,
+};
 
 #define NUMBER_FIELD(member)                           \
 	CYAML_FIELD_UINT(#member, CYAML_FLAG_OPTIONAL, \
@@ -97,6 +103,9 @@
 	CYAML_FIELD_MAPPING("admission", CYAML_FLAG_OPTIONAL,
 			    struct zr_cell_settings, admission,
 			    admission_fields),
+	CYAML_FIELD_MAPPING("departures", CYAML_FLAG_OPTIONAL,
+			    struct zr_cell_settings, departures,
+			    departures_fields),
 	CYAML_FIELD_END,
 };
 
@@ -145,6 +154,7 @@
 	{"past_use.weight_percent", ZR_RULE_RANGE, 0, 100, "%", "off"},
 	ANY("worker_speed.enabled", "false"),
 	ANY("admission.enabled", "false"),
+	ANY("departures.move_runs", "false"),
 	{NULL, ZR_RULE_ANY, 0, 0, NULL, NULL},
 };
 
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -59,6 +59,7 @@
 	unsigned int weight_percent;
 	bool worker_speed;
 	bool admission;
+	bool moves_leaving;
 	char line[LINE_MAX_BYTES];
 	char *words[WORDS_MAX];
 	int word_count;
@@ -233,6 +234,7 @@
 		.cell = "main",
 		.past_use = {script->half_life_s, script->weight_percent},
 		.admission = script->admission,
+		.move_leaving = script->moves_leaving,
 	};
 
 	/* A name that was used before is a new process of that host. */
@@ -1048,6 +1050,16 @@
 	commit_value(script, &script->registrar, key, "1", 1);
 }
 
+static void do_leave(struct cell_script *script)
+{
+	char key[ZR_CELL_KEY_MAX];
+
+	fake_pool_leave(script->pool, word(script, 1),
+			(unsigned int)atoi(word(script, 2)));
+	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
+	commit_value(script, &script->registrar, key, "1", 1);
+}
+
 static void do_save_checkpoints(struct cell_script *script)
 {
 	fake_pool_save_checkpoints(script->pool);
@@ -1094,6 +1106,11 @@
 	print(script, "open jobs: %u", cell_script_open_jobs(script));
 }
 
+static void do_move_leaving(struct cell_script *script)
+{
+	script->moves_leaving = true;
+}
+
 static void do_replace(struct cell_script *script)
 {
 	fake_pool_replace(script->pool, word(script, 1));
@@ -1139,6 +1156,8 @@
 	{"wasted", do_wasted},
 	{"open-jobs", do_open_jobs},
 	{"metrics", do_metrics},
+	{"leave", do_leave},
+	{"move-leaving", do_move_leaving},
 	{"shrink-grace", do_shrink_grace},
 	{"hide-runs", do_hide_runs},
 	{"crashed-workers", do_crashed_workers},
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -86,6 +86,7 @@
 	int64_t lease_expires_at; /* by the worker's clock */
 	int64_t last_end_number;
 	int64_t down_until;
+	int64_t leaves_at; /* 0: it stays */
 	bool replaced;
 	bool hung;
 	struct run *runs;
@@ -952,6 +953,12 @@
 	worker->millicpus = millicpus;
 }
 
+void fake_pool_leave(struct fake_pool *pool, const char *name,
+		     unsigned int notice_ms)
+{
+	find_worker(pool, name)->leaves_at = net_now(pool) + notice_ms;
+}
+
 void fake_pool_set_domain(struct fake_pool *pool, const char *name,
 			  const char *domain)
 {
@@ -1071,6 +1078,18 @@
 	       net_now(worker->pool) - run->began_at >= GANG_WAIT_MS;
 }
 
+/* Ends all runs of a worker that has left. */
+static void leave(struct pool_worker *worker)
+{
+	if (!worker->leaves_at || net_now(worker->pool) < worker->leaves_at ||
+	    worker->down_until == INT64_MAX)
+		return;
+	report_event(worker->pool, "%s left", worker->name);
+	fake_pool_restart(worker->pool, worker->name);
+	fake_calls_reset(worker->node);
+	worker->down_until = INT64_MAX;
+}
+
 /* Finds a run that ends now. */
 static struct run *find_due_run(const struct pool_worker *worker,
 				enum zr_run_outcome *outcome)
@@ -1101,6 +1120,7 @@
 	enum zr_run_outcome outcome;
 	struct run *run;
 
+	leave(worker);
 	DL_FOREACH(worker->runs, run)
 	{
 		if (net_now(worker->pool) < run->crashes_at)
@@ -1141,7 +1161,9 @@
 	snprintf(out->address, sizeof(out->address), "%s", name);
 	snprintf(out->pool, sizeof(out->pool), "pool");
 	snprintf(out->domain, sizeof(out->domain), "%s", worker->domain);
-	out->leaves_in_ms = -1;
+	out->leaving = worker->leaves_at != 0;
+	out->leaves_in_ms =
+		worker->leaves_at ? worker->leaves_at - net_now(pool) : -1;
 	out->capacity.millicpus = worker->millicpus;
 	out->capacity.memory_mb = worker->millicpus;
 	out->incarnation = worker->incarnation;
