--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -430,6 +430,31 @@
 
 /* Creation and release */
 
+static void register_advice_metrics(struct zr_cell_advice *advice,
+				    struct zr_metrics *metrics)
+{
+	advice->queries = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_advice_total", "outcome=\"asked\"",
+		"Questions to the adviser");
+	advice->failed_queries = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_advice_total", "outcome=\"failed\"",
+		"Questions to the adviser");
+	advice->answer_ms = zr_metrics_get_or_add_histogram(
+		metrics, "zinniarack_cell_advice_ms", NULL,
+		"Time until the adviser answered");
+}
+
+static void register_move_metrics(struct zr_cell_scheduler *scheduler,
+				  struct zr_metrics *metrics)
+{
+	scheduler->moved[ZR_SPEED_CAUSE_TAIL] = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_runs_moved_total", "cause=\"tail\"",
+		"Slow runs that were moved to a faster worker");
+	scheduler->moved[ZR_SPEED_CAUSE_WORKER] = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_runs_moved_total", "cause=\"worker\"",
+		"Slow runs that were moved to a faster worker");
+}
+
 static void register_metrics(struct zr_cell_scheduler *scheduler,
 			     struct zr_metrics *metrics)
 {
@@ -462,15 +487,6 @@
 	scheduler->loaded_bytes = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_load_bytes_total", NULL,
 		"Bytes of jobs and their progress read after take-overs");
-	scheduler->advice.queries = zr_metrics_get_or_add_counter(
-		metrics, "zinniarack_cell_advice_total", "outcome=\"asked\"",
-		"Questions to the adviser");
-	scheduler->advice.failed_queries = zr_metrics_get_or_add_counter(
-		metrics, "zinniarack_cell_advice_total", "outcome=\"failed\"",
-		"Questions to the adviser");
-	scheduler->advice.answer_ms = zr_metrics_get_or_add_histogram(
-		metrics, "zinniarack_cell_advice_ms", NULL,
-		"Time until the adviser answered");
 	scheduler->departure_stops = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_departure_stops_total", NULL,
 		"Runs and gangs stopped because a worker leaves");
@@ -483,16 +499,12 @@
 	scheduler->visible_ms = zr_metrics_get_or_add_histogram(
 		metrics, "zinniarack_cell_job_ms", NULL,
 		"Time from a job's acceptance until its end could be read");
+	register_advice_metrics(&scheduler->advice, metrics);
+	register_move_metrics(scheduler, metrics);
 	zr_cell_evacuations_register_metrics(scheduler, metrics);
 	scheduler->past_use.runs_gauge = zr_metrics_get_or_add_gauge(
 		metrics, "zinniarack_cell_past_use_runs", NULL,
 		"Runs charged to the past use of client accounts");
-	scheduler->moved[ZR_SPEED_CAUSE_TAIL] = zr_metrics_get_or_add_counter(
-		metrics, "zinniarack_cell_runs_moved_total", "cause=\"tail\"",
-		"Slow runs that were moved to a faster worker");
-	scheduler->moved[ZR_SPEED_CAUSE_WORKER] = zr_metrics_get_or_add_counter(
-		metrics, "zinniarack_cell_runs_moved_total", "cause=\"worker\"",
-		"Slow runs that were moved to a faster worker");
 }
 
 int zr_cell_scheduler_new(struct zr_cell_scheduler **out,
