--- a/src/libzinniarack/entry/api_operators.c
+++ b/src/libzinniarack/entry/api_operators.c
@@ -214,14 +214,14 @@
 
 	json_array_append_new(
 		list->schedulers,
-		json_pack("{s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:I}", "name",
+		json_pack("{s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:b}", "name",
 			  scheduler->name, "domain", scheduler->domain,
 			  "address", scheduler->address, "heard",
 			  (int)scheduler->responded, "active",
-			  (int)scheduler->active, "evacuated", (int)evacuated,
-			  "epoch", (json_int_t)scheduler->epoch,
-			  "config_version",
-			  (json_int_t)scheduler->config_version));
+			  (int)scheduler->active, "epoch",
+			  (json_int_t)scheduler->epoch, "config_version",
+			  (json_int_t)scheduler->config_version, "evacuated",
+			  (int)evacuated));
 }
 
 static void add_entry(void *ctx, const struct zr_config_peer_info *info)
