--- a/tests/soak/workers.c
+++ b/tests/soak/workers.c
@@ -777,6 +777,7 @@
 /* Ends what a worker runs and knows, as its process has ended. */
 static void clear_worker(struct worker *worker)
 {
+	struct run *run;
 	struct rejected *rejected;
 	struct rejected *next_rejected;
 	struct pending_request *delayed;
@@ -791,11 +792,14 @@
 		json_decref(delayed->request);
 		free(delayed);
 	}
-	while (worker->runs) {
-		get_or_add_task(worker->runs->task)->crashes++;
-		printf("crashed %s\n", worker->runs->task);
-		end_run_and_gang(worker, worker->runs, "lost");
+	/* Before any of them ends: that ends the other members of its gang. */
+	DL_FOREACH(worker->runs, run)
+	{
+		get_or_add_task(run->task)->crashes++;
+		printf("crashed %s\n", run->task);
 	}
+	while (worker->runs)
+		end_run_and_gang(worker, worker->runs, "lost");
 	/* An end that no host acknowledged is lost: the task may run again. */
 	DL_FOREACH_SAFE(worker->ends, end, next)
 	{
