--- a/src/libzinniarack/cell/evacuation_moves.c
+++ b/src/libzinniarack/cell/evacuation_moves.c
@@ -326,13 +326,14 @@
 	uint32_t end = ref->task + (gang ? step->spec->count : 1);
 	uint32_t i;
 
-	if (gang)
-		step->gang_stopping = true;
 	for (i = ref->task; i < end; i++) {
 		ref->job->tasks[i].evacuating = true;
 		scheduler->evacuations.stopped->value++;
-		zr_cell_stop_run(scheduler, ref->job, i, "evacuation");
 	}
+	if (gang)
+		zr_cell_stop_gang(scheduler, ref->job, step, "evacuation");
+	else
+		zr_cell_stop_run(scheduler, ref->job, ref->task, "evacuation");
 }
 
 static void carry_out(const struct pass *pass,
