--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
-#include "policy/worker_speed.h"
+#include "cell/policy/worker_speed.h"
 #include "zinniarack/cell.h"
 #include "zinniarack/charts.h"
 #include "zinniarack/frontend.h"
--- a/src/libzinniarack/policy/worker_speed.c
+++ b/src/libzinniarack/cell/policy/worker_speed.c
@@ -1,4 +1,4 @@
-#include "policy/worker_speed.h"
+#include "cell/policy/worker_speed.h"
 
 #include <math.h>
 #include <stdio.h>
--- a/src/libzinniarack/policy/worker_speed.h
+++ b/src/libzinniarack/cell/policy/worker_speed.h
@@ -1,5 +1,5 @@
-#ifndef ZR_POLICY_WORKER_SPEED_H
-#define ZR_POLICY_WORKER_SPEED_H
+#ifndef ZR_CELL_POLICY_WORKER_SPEED_H
+#define ZR_CELL_POLICY_WORKER_SPEED_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/tests/unit/test_worker_speed.c
+++ b/tests/unit/test_worker_speed.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "fakes/rng.h"
-#include "policy/worker_speed.h"
+#include "cell/policy/worker_speed.h"
 
 /*
  * Learned run times and speeds under the loads of docs/design/
