--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -24,9 +24,9 @@
 /* A case takes 120 s at most. */
 #define CASE_MS_MAX 115000
 #define FIRST_PORT 21000
-#define LAST_PORT 32000
+#define LAST_PORT 26900
 #define PORT_SLOT 100
-#define PORT_SLOTS 100
+#define PORT_SLOTS 50
 /* Offsets of the ports: store, then 4 for each host, then the workers. */
 #define HOST_PORTS 10
 #define WORKER_PORTS 40
