--- a/review/standin/cases.c
+++ b/review/standin/cases.c
@@ -15,11 +15,9 @@
 
 /* Times and limits of the users' pages, in milliseconds. */
 #define CONFIG_APPLY_MS 2000
-#define CRASH_MS 3500
+#define FREEZE_MS 4000
 #define FINISH_MS 14000
 #define LOST_SPAN_MS 3000
-#define LASTING_MS 6000
-#define CALM_MS 4000
 
 /* A wide job: its record is larger than a host can write. */
 #define WIDE_STEPS 4
@@ -35,20 +33,31 @@
 #define BROKEN 1
 #define FAILED_TO_RUN 2
 
+static json_t *make_route(const char *name, const char *prefix)
+{
+	return json_pack(
+		"{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:f, s:b}",
+		"name", name, "hostname", "127.0.0.1", "prefix", prefix,
+		"route_type", "non_idempotent", "timeout_ms", 3000,
+		"latency_target_ms", 3000, "priority", 1, "service", "pool",
+		"attempts", ATTEMPTS, "stretch", 2.2, "public", 0);
+}
+
 static json_t *make_config(int version, json_t *keys)
 {
+	json_t *advised = make_route("advised", "/a/");
+
+	json_object_set_new(advised, "advice",
+			    json_pack("{s:f, s:f, s:i}", "decision_ms", 7.4,
+				      "period_ms", 0.11, "validity_ms", 2500));
 	return json_pack(
-		"{s:i, s:[{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:f, "
-		"s:b}], s:[{s:s, s:b}], s:{s:i}, s:[{s:s, s:o, s:i, s:i, "
-		"s:{s:i, s:i, s:i}}]}",
-		"version", version, "routes", "name", "q", "hostname",
-		"127.0.0.1", "prefix", "/q/", "route_type", "non_idempotent",
-		"timeout_ms", 3000, "latency_target_ms", 3000, "priority", 1,
-		"service", "pool", "attempts", ATTEMPTS, "stretch", 2.2,
-		"public", 0, "services", "name", "pool", "admission_check", 0,
-		"limits", "max_body_bytes", 262144, "tenants", "name",
-		"tenant-1", "api_keys", keys, "priority", 1, "weight", 100,
-		"upper_limit", "cpu", 0, "mem_mb", 0, "gpu", 0);
+		"{s:i, s:[o, o], s:[{s:s, s:b}], s:{s:i}, s:[{s:s, s:o, s:i, "
+		"s:i, s:{s:i, s:i, s:i}}]}",
+		"version", version, "routes", make_route("q", "/q/"), advised,
+		"services", "name", "pool", "admission_check", 0, "limits",
+		"max_body_bytes", 262144, "tenants", "name", "tenant-1",
+		"api_keys", keys, "priority", 1, "weight", 100, "upper_limit",
+		"cpu", 0, "mem_mb", 0, "gpu", 0);
 }
 
 /* A job of one step; @step and @spec are what a client sends. */
@@ -74,17 +83,6 @@
 	return world_call(host, "GET", path, KEY, NULL, out);
 }
 
-/* Waits until a work item runs. */
-static const struct world_start *wait_for_run(const char *task, int64_t ms)
-{
-	int64_t until = world_now_ms() + ms;
-	const struct world_start *run;
-
-	while (!(run = workers_find_run(task)) && world_now_ms() < until)
-		world_run(20);
-	return run;
-}
-
 /* Number of runs of a job that have ended in this way. */
 static size_t count_ends(const char *job, const char *outcome)
 {
@@ -106,49 +104,6 @@
 	return broken ? BROKEN : HELD;
 }
 
-/*
- * The worker of a work item that lasts crashes three times. Then the item has
- * to be restarted.
- */
-static int run_crash(bool trouble)
-{
-	char state[WORLD_TEXT_MAX];
-	int64_t until;
-	bool runs = false;
-	int i;
-
-	if (submit(0, JOB,
-		   make_job("ms=600000",
-			    json_pack("{s:i, s:i, s:i, s:i, s:b}", "count", 1,
-				      "cpu", 2000, "mem_mb", 100, "estimate_ms",
-				      1000, "long_running", 1))) != 200)
-		return FAILED_TO_RUN;
-	for (i = 0; i < 3 && trouble; i++) {
-		const struct world_start *run =
-			wait_for_run(JOB ".0.0.0", 10000);
-
-		if (!run)
-			break;
-		world_run(3000);
-		workers_crash(run->worker, CRASH_MS);
-		world_run(CRASH_MS);
-	}
-	/* After the last crash: 6 s, the calm span, and the 3 s of the rule. */
-	until = world_now_ms() + LASTING_MS + CALM_MS + LOST_SPAN_MS;
-	while (world_now_ms() < until) {
-		world_run(500);
-		runs |= workers_find_run(JOB ".0.0.0") != NULL;
-	}
-	get_state(0, JOB, state);
-	world_record("ends failed=%zu lost=%zu, the item %s",
-		     count_ends(JOB, "failed"), count_ends(JOB, "lost"),
-		     runs ? "runs" : "does not run");
-	return verdict(!runs || strstr(state, "failed"),
-		       "a job with a work item that lasts is shown as failed "
-		       "and not restarted, and no run of it has ended as "
-		       "failed");
-}
-
 #define NEW_KEY \
 	"8d969eef6ecad3c29a3a629280e686cf0c3f5d5a86aff3ca12020c923adc6c92"
 
@@ -355,6 +310,68 @@
 		       "its state cannot be learnt");
 }
 
+/* Small jobs of an advised queue, for some time; not at @down. */
+static void run_advised_traffic(int64_t ms, int down)
+{
+	static unsigned int count;
+	int64_t until = world_now_ms() + ms;
+	char path[64];
+
+	while (world_now_ms() < until) {
+		int host = (int)(++count % WORLD_HOSTS);
+
+		snprintf(path, sizeof(path), "/a/0000000a%08x", count);
+		if (host != down && world_host_runs(host))
+			world_post(host, path, KEY,
+				   make_job("ms=300",
+					    json_pack("{s:i, s:i, s:i, s:i}",
+						      "count", 2, "cpu", 100,
+						      "mem_mb", 10,
+						      "estimate_ms", 300)));
+		world_run(20);
+	}
+}
+
+/*
+ * A host that has owned the cell stands by while another one leaves for good,
+ * and owns the cell again.
+ */
+static int run_peer(bool trouble)
+{
+	int first;
+	int second;
+	int gone;
+	int i;
+
+	run_advised_traffic(2000, -1);
+	first = world_owner();
+	if (!trouble) {
+		run_advised_traffic(60000, -1);
+		return verdict(world_crashes() > 0, "a host ends by itself");
+	}
+	world_pause_host(first);
+	run_advised_traffic(FREEZE_MS, first);
+	world_resume_host(first);
+	run_advised_traffic(2000, -1);
+	second = world_owner();
+	gone = WORLD_HOSTS - first - second;
+	world_record("first owner %d, second %d, gone %d", first, second, gone);
+	if (first == second)
+		return FAILED_TO_RUN;
+	world_kill_host(gone, 1000000);
+	run_advised_traffic(50000, gone);
+	for (i = 0; i < 3 && !world_crashes(); i++) {
+		int owner = world_owner();
+
+		world_record("owner %d", owner);
+		world_pause_host(owner);
+		run_advised_traffic(FREEZE_MS, owner);
+		world_resume_host(owner);
+		run_advised_traffic(4000, gone);
+	}
+	return verdict(world_crashes() > 0, "a host ends by itself");
+}
+
 /* The only worker with a label fails the first run of a work item. */
 static int run_avoided(bool trouble)
 {
@@ -383,10 +400,10 @@
 	int (*run)(bool trouble);
 	struct world_options options;
 } cases[] = {
-	{"crash", run_crash, {16000, 32768, 0}},
 	{"config", run_config, {16000, 32768, 0}},
 	{"twice", run_twice, {16000, 32768, 0}},
 	{"avoided", run_avoided, {16000, 32768, 1}},
+	{"peer", run_peer, {16000, 32768, 0}},
 	{"timed", run_timed, {16000, 32768, 0}},
 };
 
--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -46,6 +46,7 @@
 static char program[512];
 static FILE *record;
 static int64_t began_at;
+static int crashes;
 static uv_timer_t tick_timer;
 static uv_timer_t end_timer;
 static uv_signal_t end_signal;
@@ -81,6 +82,26 @@
 	fflush(record);
 }
 
+/* The adviser: every worker may run every step. */
+static void serve_advice(void *ctx, struct zr_http_exchange *exchange)
+{
+	size_t length;
+	const char *text = zr_http_get_body(exchange, &length);
+	json_t *request = json_loadb(text ? text : "", length, 0, NULL);
+	json_t *good = json_array();
+	json_t *worker;
+	size_t i;
+
+	(void)ctx;
+	json_array_foreach (json_object_get(request, "workers"), i, worker)
+		json_array_append_new(good, json_pack("[s, s]",
+						      json_string_value(worker),
+						      "c81e-7a21d94b"));
+	soak_reply(exchange, 200,
+		   json_pack("{s:o, s:i}", "good", good, "validity_ms", 2500));
+	json_decref(request);
+}
+
 /* Hosts */
 
 static void print_settings(FILE *file, int host)
@@ -91,13 +112,14 @@
 
 	fprintf(file,
 		"name: " HOST_NAME "\ncell: main\nfailure_domain: %s\n"
-		"store: 127.0.0.1:%d\nlisten:\n  callers: 127.0.0.1:%d\n"
+		"store: 127.0.0.1:%d\nadviser: 127.0.0.1:%d\nlisten:\n  "
+		"callers: 127.0.0.1:%d\n"
 		"  readiness: 127.0.0.1:%d\n  peers: 127.0.0.1:%d\n"
 		"  metrics: 127.0.0.1:%d\nprocessors: 0.25\n"
 		"lease_max_ms: 6000\nworker_speed:\n  enabled: true\nlog:\n"
 		"  level: info\ndepartures:\n  move_runs: true\n",
-		host, zones[host], base_port, port, port + 1, port + 2,
-		port + 3);
+		host, zones[host], base_port, base_port + 1, port, port + 1,
+		port + 2, port + 3);
 }
 
 static int write_settings(int host)
@@ -122,6 +144,7 @@
 	world_record("host %d ended status=%" PRId64 " signal=%d",
 		     (int)(host - hosts), status, term_signal);
 	host->is_running = false;
+	crashes += !host->start_at;
 	if (!host->start_at)
 		host->start_at = world_now_ms() + RESTART_MS;
 	uv_close((uv_handle_t *)process, NULL);
@@ -170,6 +193,28 @@
 		start_host(index);
 }
 
+void world_pause_host(int index)
+{
+	world_record("host %d is frozen", index);
+	uv_process_kill(&hosts[index].process, SIGSTOP);
+}
+
+void world_resume_host(int index)
+{
+	uv_process_kill(&hosts[index].process, SIGCONT);
+	world_record("host %d goes on", index);
+}
+
+bool world_host_runs(int index)
+{
+	return hosts[index].is_running;
+}
+
+int world_crashes(void)
+{
+	return crashes;
+}
+
 void world_kill_host(int index, int64_t down_ms)
 {
 	world_record("host %d is killed", index);
@@ -414,6 +459,8 @@
 	struct zr_http_server_options store_options =
 		ZR_HTTP_SERVER_OPTIONS_INIT;
 	struct zr_http_server *store;
+	struct zr_http_server *adviser;
+	char adviser_address[64];
 	char path[600];
 	char address[64];
 	int64_t deadline;
@@ -432,7 +479,11 @@
 	store_options.max_body_bytes = 64 << 20;
 	store_options.max_connections = 4096;
 	snprintf(address, sizeof(address), "127.0.0.1:%d", base_port);
-	if (zr_http_server_new(&store, uv_default_loop(), address,
+	snprintf(adviser_address, sizeof(adviser_address), "127.0.0.1:%d",
+		 base_port + 1);
+	if (zr_http_server_new(&adviser, uv_default_loop(), adviser_address,
+			       &store_options, serve_advice, NULL) < 0 ||
+	    zr_http_server_new(&store, uv_default_loop(), address,
 			       &store_options, soak_store_serve, NULL) < 0 ||
 	    workers_begin(options, base_port + WORKER_PORTS) < 0 ||
 	    open_clients() < 0)
--- a/review/standin/workers.c
+++ b/review/standin/workers.c
@@ -74,7 +74,6 @@
 	int64_t lease_until; /* of its own clock */
 	int64_t lapsed_at;   /* when its lease was last seen to have lapsed */
 	int64_t last_end;
-	int64_t down_until; /* 0: it is up */
 	struct run *runs;
 	struct run *run_by_task;
 	struct end *ends;
@@ -143,7 +142,6 @@
 	worker->born = wall_ms();
 	worker->born_at = world_now_ms();
 	worker->sequence = 0;
-	worker->down_until = 0;
 	register_worker(worker);
 }
 
@@ -423,11 +421,6 @@
 	DL_APPEND(worker->polls, poll);
 }
 
-static void ignore_disconnect(void *ctx)
-{
-	(void)ctx;
-}
-
 static void serve(void *ctx, struct zr_http_exchange *exchange)
 {
 	struct worker *worker = ctx;
@@ -437,9 +430,7 @@
 	const char *text = zr_http_get_body(exchange, &length);
 	json_t *request = json_loadb(text ? text : "", length, 0, NULL);
 
-	if (worker->down_until)
-		zr_http_set_on_disconnect(exchange, ignore_disconnect, NULL);
-	else if (target && strcmp(target, worker->name))
+	if (target && strcmp(target, worker->name))
 		reply(worker, exchange, 421, NULL);
 	else if (!request)
 		reply(worker, exchange, 400, NULL);
@@ -480,12 +471,6 @@
 	struct run *run;
 	struct run *next;
 
-	if (worker->down_until) {
-		if (now < worker->down_until)
-			return;
-		begin_life(worker);
-		world_record("worker %s is back", worker->name);
-	}
 	if (now - worker->registered_at >= HEARTBEAT_MS)
 		register_worker(worker);
 	if (clock_ms(worker) >= worker->lease_until)
@@ -510,58 +495,11 @@
 		tick_worker(&workers[i]);
 }
 
-void workers_crash(int index, int64_t down_ms)
-{
-	struct worker *worker = &workers[index];
-	struct rejected *rejected;
-	struct rejected *next_rejected;
-	struct poll *poll;
-	struct poll *next_poll;
-	struct end *end;
-	struct end *next;
-
-	world_record("worker %s crashes for %" PRId64 " ms", worker->name,
-		     down_ms);
-	while (worker->runs)
-		drop_run(worker, worker->runs, "lost");
-	DL_FOREACH_SAFE(worker->ends, end, next)
-	{
-		DL_DELETE(worker->ends, end);
-		free(end);
-	}
-	HASH_ITER (hh, worker->rejected, rejected, next_rejected) {
-		HASH_DEL(worker->rejected, rejected);
-		free(rejected);
-	}
-	DL_FOREACH_SAFE(worker->polls, poll, next_poll)
-	{
-		DL_DELETE(worker->polls, poll);
-		zr_http_set_on_disconnect(poll->exchange, ignore_disconnect,
-					  NULL);
-		free(poll);
-	}
-	worker->token = 0;
-	worker->lease_until = 0;
-	worker->last_end = 0;
-	worker->down_until = world_now_ms() + down_ms;
-}
-
 void workers_fail_attempt(int64_t attempt)
 {
 	failing_attempt = attempt;
 }
 
-const struct world_start *workers_find_run(const char *task)
-{
-	size_t i = start_count;
-
-	while (i--) {
-		if (!starts[i].ended_at && !strcmp(starts[i].task, task))
-			return &starts[i];
-	}
-	return NULL;
-}
-
 const struct world_start *workers_starts(size_t *out_count)
 {
 	*out_count = start_count;
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -42,7 +42,7 @@
  * @worker: index of the worker
  * @at: when
  * @ended_at: when the run ended; 0: it has not
- * @outcome: how the run ended, as on the wire, or "lost" with its worker
+ * @outcome: how the run ended, as on the wire,
  * @noted: it ended as done, and a host has acknowledged that before the lease
  *	of the worker lapsed
  */
@@ -70,6 +70,14 @@
 void world_run(int64_t ms);
 /** world_kill_host() - SIGKILL; the host is started again after @down_ms */
 void world_kill_host(int host, int64_t down_ms);
+/** world_pause_host() - freeze a host */
+void world_pause_host(int host);
+/** world_resume_host() - let it go on */
+void world_resume_host(int host);
+/** world_host_runs() - whether the process of a host runs */
+bool world_host_runs(int host);
+/** world_crashes() - how often hosts have ended that were not killed */
+int world_crashes(void);
 /** world_owner() - index of the host that owns the cell; -1: none */
 int world_owner(void);
 /** world_put_config() - the operator writes a configuration, taken over */
@@ -96,13 +104,9 @@
 int workers_begin(const struct world_options *options, int port);
 /** workers_tick() - do what is due on the workers */
 void workers_tick(void);
-/** workers_crash() - a worker is silent for @down_ms and has lost all */
-void workers_crash(int worker, int64_t down_ms);
 /** workers_fail_attempt() - runs with this number fail soon after their start
  */
 void workers_fail_attempt(int64_t attempt);
-/** workers_find_run() - the last run of a work item that has not ended */
-const struct world_start *workers_find_run(const char *task);
 /** workers_starts() - all starts so far */
 const struct world_start *workers_starts(size_t *out_count);
 
