--- a/review/standin/cases.c
+++ b/review/standin/cases.c
@@ -15,7 +15,10 @@
 
 /* Times and limits of the users' pages, in milliseconds. */
 #define CONFIG_APPLY_MS 2000
-#define FREEZE_MS 4000
+#define FREEZE_MS 2500
+/* Hosts that stand by forget those that have left in this time. */
+#define STANDBY_MS 42000
+#define NEVER_MS 1000000
 #define FINISH_MS 14000
 #define LOST_SPAN_MS 3000
 
@@ -129,7 +132,7 @@
 	confirmed_at = world_now_ms();
 	world_run(CONFIG_APPLY_MS + 100);
 	while (world_now_ms() - confirmed_at < 20000) {
-		for (i = 0; i < WORLD_HOSTS; i++) {
+		for (i = 0; i < world_hosts(); i++) {
 			int status =
 				world_call(i, "GET", "/q/" JOB,
 					   trouble ? NEW_KEY : KEY, NULL, text);
@@ -162,7 +165,7 @@
 
 	while (world_now_ms() < until) {
 		snprintf(path, sizeof(path), "/q/00000000%08x", ++count);
-		world_post((int)(count % WORLD_HOSTS), path, KEY,
+		world_post((int)(count % world_hosts()), path, KEY,
 			   make_job("ms=300 spread=2000",
 				    json_pack("{s:i, s:i, s:i, s:i}", "count",
 					      6, "cpu", 100, "mem_mb", 10,
@@ -251,7 +254,8 @@
 
 		snprintf(id, sizeof(id), "00000000000000%02x", i);
 		for (host = 0;
-		     host < WORLD_HOSTS && accepted[i] && status != 200; host++)
+		     host < world_hosts() && accepted[i] && status != 200;
+		     host++)
 			status = get_state(host, id, state);
 		if (accepted[i] && status != 200)
 			return false;
@@ -277,7 +281,7 @@
 	for (i = 0; i < TIMED_JOBS && trouble; i++) {
 		snprintf(id, sizeof(id), "00000000000000%02x", i);
 		accepted[i] =
-			submit(i % WORLD_HOSTS, id,
+			submit(i % world_hosts(), id,
 			       json_pack("{s:s, s:i, s:I, s:i, s:[{s:i, s:i, "
 					 "s:i, s:i}]}",
 					 "task_spec", "ms=500", "repeats",
@@ -290,7 +294,7 @@
 	}
 	for (i = 0; i < 5 && status != 200; i++)
 		status = submit(
-			i % WORLD_HOSTS, OTHER_JOB,
+			i % world_hosts(), OTHER_JOB,
 			make_job("ms=1000",
 				 json_pack("{s:i, s:i, s:i, s:i}", "count", 1,
 					   "cpu", 2000, "mem_mb", 100,
@@ -310,18 +314,18 @@
 		       "its state cannot be learnt");
 }
 
-/* Small jobs of an advised queue, for some time; not at @down. */
-static void run_advised_traffic(int64_t ms, int down)
+/* Small jobs of an advised queue, for some time. */
+static void run_advised_traffic(int64_t ms)
 {
 	static unsigned int count;
 	int64_t until = world_now_ms() + ms;
 	char path[64];
 
 	while (world_now_ms() < until) {
-		int host = (int)(++count % WORLD_HOSTS);
+		int host = (int)(++count % (unsigned int)world_hosts());
 
 		snprintf(path, sizeof(path), "/a/0000000a%08x", count);
-		if (host != down && world_host_runs(host))
+		if (world_host_runs(host))
 			world_post(host, path, KEY,
 				   make_job("ms=300",
 					    json_pack("{s:i, s:i, s:i, s:i}",
@@ -332,43 +336,54 @@
 	}
 }
 
+/* The owner is frozen, so that another host takes the cell over. */
+static void change_owner(void)
+{
+	int owner = world_owner();
+
+	world_record("host %d owns the cell", owner);
+	world_pause_host(owner);
+	run_advised_traffic(FREEZE_MS);
+	world_resume_host(owner);
+	run_advised_traffic(1500);
+}
+
 /*
- * A host that has owned the cell stands by while another one leaves for good,
- * and owns the cell again.
+ * Hosts that have owned the cell stand by while others leave for good, and own
+ * the cell again.
  */
 static int run_peer(bool trouble)
 {
-	int first;
-	int second;
-	int gone;
+	bool has_owned[WORLD_HOSTS_MAX] = {false};
+	int leaving = 2;
 	int i;
 
-	run_advised_traffic(2000, -1);
-	first = world_owner();
+	run_advised_traffic(2000);
 	if (!trouble) {
-		run_advised_traffic(60000, -1);
+		run_advised_traffic(60000);
 		return verdict(world_crashes() > 0, "a host ends by itself");
 	}
-	world_pause_host(first);
-	run_advised_traffic(FREEZE_MS, first);
-	world_resume_host(first);
-	run_advised_traffic(2000, -1);
-	second = world_owner();
-	gone = WORLD_HOSTS - first - second;
-	world_record("first owner %d, second %d, gone %d", first, second, gone);
-	if (first == second)
-		return FAILED_TO_RUN;
-	world_kill_host(gone, 1000000);
-	run_advised_traffic(50000, gone);
-	for (i = 0; i < 3 && !world_crashes(); i++) {
-		int owner = world_owner();
-
-		world_record("owner %d", owner);
-		world_pause_host(owner);
-		run_advised_traffic(FREEZE_MS, owner);
-		world_resume_host(owner);
-		run_advised_traffic(4000, gone);
+	for (i = 0; i < 6; i++) {
+		has_owned[world_owner()] = true;
+		if (has_owned[0] + has_owned[1] + has_owned[2] + has_owned[3] +
+			    has_owned[4] + has_owned[5] <
+		    4)
+			change_owner();
+	}
+	/* Those that have not owned it leave, as far as there are any. */
+	for (i = 0; i < 2 * world_hosts() && leaving; i++) {
+		int host = i % world_hosts();
+
+		if (!world_host_runs(host) || host == world_owner() ||
+		    (i < world_hosts() && has_owned[host]))
+			continue;
+		leaving--;
+		world_kill_host(host, NEVER_MS);
+		run_advised_traffic(1000);
 	}
+	run_advised_traffic(STANDBY_MS);
+	for (i = 0; i < 5 && !world_crashes(); i++)
+		change_owner();
 	return verdict(world_crashes() > 0, "a host ends by itself");
 }
 
@@ -400,11 +415,11 @@
 	int (*run)(bool trouble);
 	struct world_options options;
 } cases[] = {
-	{"config", run_config, {16000, 32768, 0}},
-	{"twice", run_twice, {16000, 32768, 0}},
-	{"avoided", run_avoided, {16000, 32768, 1}},
-	{"peer", run_peer, {16000, 32768, 0}},
-	{"timed", run_timed, {16000, 32768, 0}},
+	{"config", run_config, {3, 16000, 32768, 0}},
+	{"twice", run_twice, {3, 16000, 32768, 0}},
+	{"avoided", run_avoided, {3, 16000, 32768, 1}},
+	{"peer", run_peer, {6, 16000, 32768, 0}},
+	{"timed", run_timed, {3, 16000, 32768, 0}},
 };
 
 int case_run(const char *name, bool trouble, const char *work_dir,
--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -36,11 +36,13 @@
 struct host {
 	uv_process_t process;
 	bool is_running;
+	bool is_frozen;
 	int64_t start_at; /* 0: it is not to be started */
 	struct zr_http_client *client;
 };
 
-static struct host hosts[WORLD_HOSTS];
+static struct host hosts[WORLD_HOSTS_MAX];
+static int host_count;
 static int base_port;
 static char work_dir[512];
 static char program[512];
@@ -106,8 +108,7 @@
 
 static void print_settings(FILE *file, int host)
 {
-	static const char *const zones[WORLD_HOSTS] = {"north", "south",
-						       "west"};
+	static const char *const zones[] = {"north", "south", "west"};
 	int port = base_port + HOST_PORTS + 4 * host;
 
 	fprintf(file,
@@ -118,7 +119,7 @@
 		"  metrics: 127.0.0.1:%d\nprocessors: 0.25\n"
 		"lease_max_ms: 6000\nworker_speed:\n  enabled: true\nlog:\n"
 		"  level: info\ndepartures:\n  move_runs: true\n",
-		host, zones[host], base_port, base_port + 1, port, port + 1,
+		host, zones[host % 3], base_port, base_port + 1, port, port + 1,
 		port + 2, port + 3);
 }
 
@@ -196,18 +197,25 @@
 void world_pause_host(int index)
 {
 	world_record("host %d is frozen", index);
+	hosts[index].is_frozen = true;
 	uv_process_kill(&hosts[index].process, SIGSTOP);
 }
 
 void world_resume_host(int index)
 {
+	hosts[index].is_frozen = false;
 	uv_process_kill(&hosts[index].process, SIGCONT);
 	world_record("host %d goes on", index);
 }
 
+int world_hosts(void)
+{
+	return host_count;
+}
+
 bool world_host_runs(int index)
 {
-	return hosts[index].is_running;
+	return hosts[index].is_running && !hosts[index].is_frozen;
 }
 
 int world_crashes(void)
@@ -231,7 +239,7 @@
 	int i;
 
 	/* Each host logs its terms; the latest epoch is the owner's. */
-	for (i = 0; i < WORLD_HOSTS; i++) {
+	for (i = 0; i < host_count; i++) {
 		FILE *file;
 
 		snprintf(path, sizeof(path), "%s/host-%d.log", work_dir, i);
@@ -260,7 +268,7 @@
 	(void)timer;
 	soak_store_tick();
 	workers_tick();
-	for (i = 0; i < WORLD_HOSTS; i++)
+	for (i = 0; i < host_count; i++)
 		tick_host(i);
 }
 
@@ -406,7 +414,7 @@
 	int error = 0;
 	int i;
 
-	for (i = 0; i < WORLD_HOSTS && !error; i++) {
+	for (i = 0; i < host_count && !error; i++) {
 		snprintf(address, sizeof(address), "127.0.0.1:%d",
 			 base_port + HOST_PORTS + 4 * i);
 		error = zr_http_client_new(&hosts[i].client, uv_default_loop(),
@@ -419,7 +427,7 @@
 {
 	int i;
 
-	for (i = 0; i < WORLD_HOSTS; i++) {
+	for (i = 0; i < host_count; i++) {
 		if (world_call(i, "GET", "/q/", "key-1", NULL, NULL) != 200)
 			return false;
 	}
@@ -430,7 +438,7 @@
 {
 	int i;
 
-	for (i = 0; i < WORLD_HOSTS; i++) {
+	for (i = 0; i < host_count; i++) {
 		hosts[i].start_at = INT64_MAX;
 		if (hosts[i].is_running)
 			uv_process_kill(&hosts[i].process, SIGKILL);
@@ -472,6 +480,7 @@
 	snprintf(path, sizeof(path), "%s/record.txt", dir);
 	record = fopen(path, "w");
 	began_at = world_now_ms();
+	host_count = options->hosts;
 	base_port = find_ports();
 	if (!record || base_port < 0)
 		return -1;
@@ -494,7 +503,7 @@
 	uv_signal_start(&end_signal, on_signal, SIGTERM);
 	uv_timer_init(uv_default_loop(), &tick_timer);
 	uv_timer_start(&tick_timer, on_tick, TICK_MS, TICK_MS);
-	for (i = 0; i < WORLD_HOSTS; i++) {
+	for (i = 0; i < host_count; i++) {
 		if (write_settings(i))
 			return -1;
 		start_host(i);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -17,19 +17,21 @@
  * Times are in milliseconds of the monotonic clock.
  */
 
-#define WORLD_HOSTS 3
+#define WORLD_HOSTS_MAX 6
 #define WORLD_WORKERS 48
 #define WORLD_NAME_MAX 96
 #define WORLD_TEXT_MAX 256
 
 /**
  * struct world_options - what a case needs of the deployment
+ * @hosts: number of hosts
  * @millicpus: processors of each worker, in thousandths
  * @memory_mb: memory of each worker
  * @rare_workers: number of workers, the first ones, that have the label "b";
  *	the others have "a"
  */
 struct world_options {
+	int hosts;
 	uint32_t millicpus;
 	uint32_t memory_mb;
 	int rare_workers;
@@ -74,7 +76,9 @@
 void world_pause_host(int host);
 /** world_resume_host() - let it go on */
 void world_resume_host(int host);
-/** world_host_runs() - whether the process of a host runs */
+/** world_hosts() - number of hosts */
+int world_hosts(void);
+/** world_host_runs() - whether a host runs and is not frozen */
 bool world_host_runs(int host);
 /** world_crashes() - how often hosts have ended that were not killed */
 int world_crashes(void);
