cell: a change counts as persisted only if its record was written

Cause: the record of such a job was larger than the 524,288 bytes that a record may have. add_job_record() left it out of the transaction, but the job was part of the batch, whose success marked the change as persisted: starts were sent and ends acknowledged of which the store knew nothing. A job without others in its batch was never written, and never started.

Change: a job enters a batch only with an encoded record. Large records are packed, so that the record of the largest accepted job fits into a value of the store; if need be without its last checkpoints. A transaction takes no more jobs from 1 MiB of records on.

--- a/include/zinniarack/cell.h
+++ b/include/zinniarack/cell.h
@@ -24,6 +24,11 @@
 #define ZR_CELL_TXN_ENTRIES_MAX 32
 /** Maximum size of a checkpoint or a ticket, including the NUL. */
 #define ZR_CELL_TICKET_MAX 48
+/**
+ * Maximum number of tasks of a job, of all steps and repetitions: all of them
+ * are in memory and in one record of the store.
+ */
+#define ZR_CELL_JOB_TASKS_MAX 16384
 /** Maximum number of workers in a query to the placement adviser. */
 #define ZR_CELL_ADVISE_MAX 100
 
--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -133,11 +133,37 @@
 };
 typedef struct zx_cell_job_use zx_cell_job_use;
 
+struct zx_cell_worker_name {
+	char *name;
+};
+typedef struct zx_cell_worker_name zx_cell_worker_name;
+
+struct zx_cell_packed_task {
+	u_int attempt;
+	u_int failures_done;
+	u_int worker;
+	char *checkpoint;
+};
+typedef struct zx_cell_packed_task zx_cell_packed_task;
+
+struct zx_cell_packed_list {
+	struct {
+		u_int workers_len;
+		zx_cell_worker_name *workers_val;
+	} workers;
+	struct {
+		u_int tasks_len;
+		zx_cell_packed_task *tasks_val;
+	} tasks;
+};
+typedef struct zx_cell_packed_list zx_cell_packed_list;
+
 struct zx_cell_stored_progress {
 	zx_cell_progress progress;
 	zx_cell_crash_list crashes;
 	zx_cell_run_list runs;
 	zx_cell_job_use use;
+	zx_cell_packed_list packed;
 };
 typedef struct zx_cell_stored_progress zx_cell_stored_progress;
 
@@ -233,11 +259,6 @@
 };
 typedef struct zx_cell_stored_counts zx_cell_stored_counts;
 
-struct zx_cell_worker_name {
-	char *name;
-};
-typedef struct zx_cell_worker_name zx_cell_worker_name;
-
 struct zx_cell_advise_args {
 	char *job;
 	u_int occurrence;
@@ -396,6 +417,9 @@
 extern  bool_t xdr_zx_cell_run_list (XDR *, zx_cell_run_list*);
 extern  bool_t xdr_zx_cell_use_charge (XDR *, zx_cell_use_charge*);
 extern  bool_t xdr_zx_cell_job_use (XDR *, zx_cell_job_use*);
+extern  bool_t xdr_zx_cell_worker_name (XDR *, zx_cell_worker_name*);
+extern  bool_t xdr_zx_cell_packed_task (XDR *, zx_cell_packed_task*);
+extern  bool_t xdr_zx_cell_packed_list (XDR *, zx_cell_packed_list*);
 extern  bool_t xdr_zx_cell_stored_progress (XDR *, zx_cell_stored_progress*);
 extern  bool_t xdr_zx_cell_client_use (XDR *, zx_cell_client_use*);
 extern  bool_t xdr_zx_cell_past_use (XDR *, zx_cell_past_use*);
@@ -407,7 +431,6 @@
 extern  bool_t xdr_zx_cell_account_load (XDR *, zx_cell_account_load*);
 extern  bool_t xdr_zx_cell_load (XDR *, zx_cell_load*);
 extern  bool_t xdr_zx_cell_stored_counts (XDR *, zx_cell_stored_counts*);
-extern  bool_t xdr_zx_cell_worker_name (XDR *, zx_cell_worker_name*);
 extern  bool_t xdr_zx_cell_advise_args (XDR *, zx_cell_advise_args*);
 extern  bool_t xdr_zx_cell_permit (XDR *, zx_cell_permit*);
 extern  bool_t xdr_zx_cell_advise_result (XDR *, zx_cell_advise_result*);
@@ -431,6 +454,9 @@
 extern bool_t xdr_zx_cell_run_list ();
 extern bool_t xdr_zx_cell_use_charge ();
 extern bool_t xdr_zx_cell_job_use ();
+extern bool_t xdr_zx_cell_worker_name ();
+extern bool_t xdr_zx_cell_packed_task ();
+extern bool_t xdr_zx_cell_packed_list ();
 extern bool_t xdr_zx_cell_stored_progress ();
 extern bool_t xdr_zx_cell_client_use ();
 extern bool_t xdr_zx_cell_past_use ();
@@ -442,7 +468,6 @@
 extern bool_t xdr_zx_cell_account_load ();
 extern bool_t xdr_zx_cell_load ();
 extern bool_t xdr_zx_cell_stored_counts ();
-extern bool_t xdr_zx_cell_worker_name ();
 extern bool_t xdr_zx_cell_advise_args ();
 extern bool_t xdr_zx_cell_permit ();
 extern bool_t xdr_zx_cell_advise_result ();
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -131,15 +131,37 @@
 	unsigned int placed_after_ms<ZX_CELL_TASKS_MAX>;
 };
 
+struct zx_cell_worker_name {
+	string name<ZX_CELL_NAME_MAX>;
+};
+
+/* Progress of a task in a packed list. */
+struct zx_cell_packed_task {
+	unsigned int attempt;
+	/* Twice the number of failures, plus 1 if the task is done. */
+	unsigned int failures_done;
+	/* Position of its worker in the list, from 1; 0: no open run. */
+	unsigned int worker;
+	string checkpoint<ZX_CELL_NAME_MAX>;
+};
+
+/* The tasks of a job with many of them; the name of a worker is there once. */
+struct zx_cell_packed_list {
+	zx_cell_worker_name workers<ZX_CELL_TASKS_MAX>;
+	zx_cell_packed_task tasks<ZX_CELL_TASKS_MAX>;
+};
+
 /*
  * A progress record as it is stored. It ends after the last member that has a
- * content, and after progress if no other has.
+ * content, and after progress if no other has. If packed has tasks, those of
+ * progress are empty.
  */
 struct zx_cell_stored_progress {
 	zx_cell_progress progress;
 	zx_cell_crash_list crashes;
 	zx_cell_run_list runs;
 	zx_cell_job_use use;
+	zx_cell_packed_list packed;
 };
 
 struct zx_cell_client_use {
@@ -223,10 +245,6 @@
 	zx_cell_load load;
 };
 
-struct zx_cell_worker_name {
-	string name<ZX_CELL_NAME_MAX>;
-};
-
 /* A query that the scheduler sends to the placement adviser through a host. */
 struct zx_cell_advise_args {
 	string job<ZX_CELL_NAME_MAX>;
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -435,6 +435,85 @@
 	return TRUE;
 }
 
+bool_t
+xdr_zx_cell_worker_name (XDR *xdrs, zx_cell_worker_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_packed_task (XDR *xdrs, zx_cell_packed_task *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures_done))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->worker))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->attempt);
+		IXDR_PUT_U_LONG(buf, objp->failures_done);
+		IXDR_PUT_U_LONG(buf, objp->worker);
+		}
+		 if (!xdr_string (xdrs, &objp->checkpoint, ZX_CELL_NAME_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures_done))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->worker))
+				 return FALSE;
+
+		} else {
+		objp->attempt = IXDR_GET_U_LONG(buf);
+		objp->failures_done = IXDR_GET_U_LONG(buf);
+		objp->worker = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->checkpoint, ZX_CELL_NAME_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures_done))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->checkpoint, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_packed_list (XDR *xdrs, zx_cell_packed_list *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, ZX_CELL_TASKS_MAX,
+		sizeof (zx_cell_worker_name), (xdrproc_t) xdr_zx_cell_worker_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ZX_CELL_TASKS_MAX,
+		sizeof (zx_cell_packed_task), (xdrproc_t) xdr_zx_cell_packed_task))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_cell_stored_progress (XDR *xdrs, zx_cell_stored_progress *objp)
 {
@@ -448,6 +527,8 @@
 		 return FALSE;
 	 if (!xdr_zx_cell_job_use (xdrs, &objp->use))
 		 return FALSE;
+	 if (!xdr_zx_cell_packed_list (xdrs, &objp->packed))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -735,16 +816,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_zx_cell_worker_name (XDR *xdrs, zx_cell_worker_name *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_string (xdrs, &objp->name, ZX_CELL_NAME_MAX))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_zx_cell_advise_args (XDR *xdrs, zx_cell_advise_args *objp)
 {
--- a/src/libzinniarack/cell/journal.c
+++ b/src/libzinniarack/cell/journal.c
@@ -28,6 +28,8 @@
  * four when the job has ended.
  */
 #define BATCH_JOBS_MAX 14
+/* Size in bytes of the records from which a transaction takes no more jobs. */
+#define BATCH_BYTES_MAX 1048576
 /* Maximum number of pending deletions of progress records. */
 #define DELETIONS_MAX 64
 
@@ -58,6 +60,7 @@
 	/* Progress records, the counts and the record of past use. */
 	struct zr_cell_buffer bytes[BATCH_JOBS_MAX + 2];
 	size_t byte_count;
+	size_t record_bytes; /* total size of the progress records */
 };
 
 struct zr_cell_journal {
@@ -81,6 +84,7 @@
 	size_t deletion_count;
 	bool freeing;
 	struct zr_metric *writes;
+	struct zr_metric *rejected;
 };
 
 /* Building transactions */
@@ -242,31 +246,36 @@
 	return error;
 }
 
-static void add_job_record(struct txn_builder *builder,
-			   struct zr_cell_journal *journal,
-			   struct zr_cell_job *job)
+/* Leaves the transaction as it is if the record cannot be encoded. */
+static int add_job_record(struct txn_builder *builder,
+			  struct zr_cell_journal *journal,
+			  struct zr_cell_job *job)
 {
 	struct zr_cell_buffer *bytes = &builder->bytes[builder->byte_count];
-	const char *key =
-		add_key(builder, ZR_CELL_PROGRESS_PREFIX, job->id, "");
-
-	if (encode_progress(bytes, journal, job) < 0) {
-		zr_log(ZR_LOG_ERROR,
-		       "journal.record_too_large job=%s tasks=%" PRIu32,
-		       job->id, job->task_count);
-		return;
-	}
+	int left_out = encode_progress(bytes, journal, job);
+	const char *key;
+
+	if (left_out < 0)
+		return left_out;
+	if (left_out)
+		zr_log(ZR_LOG_WARN,
+		       "journal.checkpoints_left_out job=%s tasks=%" PRIu32
+		       " left_out=%d",
+		       job->id, job->task_count, left_out);
+	key = add_key(builder, ZR_CELL_PROGRESS_PREFIX, job->id, "");
 	builder->byte_count++;
+	builder->record_bytes += bytes->length;
 	add_compare(builder, key, job->revision);
 	add_put(builder, key, bytes);
 	if (!has_finished(job))
-		return;
+		return 0;
 	add_put(builder, add_key(builder, ZR_CELL_JOB_PREFIX, job->id, ""),
 		NULL);
 	add_put(builder,
 		add_key(builder, ZR_CELL_JOB_PREFIX, job->id,
 			ZR_CELL_CANCEL_SUFFIX),
 		NULL);
+	return 0;
 }
 
 /* Transaction results */
@@ -427,6 +436,19 @@
 
 /* Sending transactions */
 
+static void reject_change(struct zr_cell_journal *journal,
+			  struct zr_cell_job *job)
+{
+	job->rejected_change = job->change;
+	journal->rejected->value++;
+	zr_log(ZR_LOG_ERROR, "journal.record_too_large job=%s tasks=%" PRIu32,
+	       job->id, job->task_count);
+}
+
+/*
+ * A job whose record cannot be written keeps its change: it is not persisted,
+ * so that no start is sent and no end acknowledged.
+ */
 static void add_jobs(struct zr_cell_journal *journal,
 		     struct txn_builder *builder, struct batch *batch)
 {
@@ -436,14 +458,18 @@
 	DL_FOREACH_SAFE(journal->model->dirty, job, next)
 	{
 		if (batch->job_count == BATCH_JOBS_MAX ||
+		    builder->record_bytes >= BATCH_BYTES_MAX ||
 		    entry_count(builder) + 4 > ZR_CELL_TXN_ENTRIES_MAX)
 			return;
-		if (job->pending_change)
+		if (job->pending_change || job->rejected_change == job->change)
+			continue;
+		if (add_job_record(builder, journal, job) < 0) {
+			reject_change(journal, job);
 			continue;
+		}
 		DL_DELETE(journal->model->dirty, job);
 		job->dirty = false;
 		job->pending_change = job->change;
-		add_job_record(builder, journal, job);
 		batch->jobs[batch->job_count].job = job->self;
 		batch->jobs[batch->job_count].change = job->change;
 		batch->jobs[batch->job_count].state = job->state;
@@ -621,6 +647,9 @@
 	journal->writes = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_journal_writes_total", NULL,
 		"Transactions of the journal");
+	journal->rejected = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_journal_rejected_total", NULL,
+		"Changes of jobs whose record was too large to be written");
 	*out = journal;
 	return 0;
 }
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -273,6 +273,8 @@
  * @change: number of the latest change
  * @persisted_change: number of the latest change that is persisted
  * @pending_change: number of the change that is being committed; 0: none
+ * @rejected_change: number of the change that did not fit into a record; 0:
+ * none
  * @revision: revision of its progress record in the store; 0: no record
  * @dirty: it is in the list of jobs with changes to commit
  * @prev: previous job in that list
@@ -309,6 +311,7 @@
 	uint64_t change;
 	uint64_t persisted_change;
 	uint64_t pending_change;
+	uint64_t rejected_change;
 	int64_t revision;
 	bool dirty;
 	struct zr_cell_job *prev;
--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -3,11 +3,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
 #include "zinniarack/errors.h"
 
-/* Maximum size of an encoded record in bytes. */
-#define RECORD_BYTES_MAX 524288UL
+/*
+ * Maximum sizes of encoded records in bytes. Hosts send each other all records
+ * but those of progress, of which the larger ones are packed.
+ */
+#define RECORD_BYTES_MAX ((unsigned long)ZX_CELL_RECORD_MAX)
+#define PACKED_BYTES_MAX ((unsigned long)ZX_CELL_VALUE_MAX)
 
 int zr_cell_encode(struct zr_cell_buffer *out, xdrproc_t codec, void *record)
 {
@@ -32,7 +37,7 @@
 {
 	XDR xdr;
 
-	if (!data || length > RECORD_BYTES_MAX)
+	if (!data || length > PACKED_BYTES_MAX)
 		return ZR_E_PROTOCOL;
 	xdrmem_create(&xdr, (char *)data, (u_int)length, XDR_DECODE);
 	if (codec(&xdr, record))
@@ -41,6 +46,147 @@
 	return ZR_E_PROTOCOL;
 }
 
+/* Packed lists of tasks */
+
+/* Position of a worker's name in a packed list, counted from 1. */
+struct name_position {
+	const char *name;
+	u_int position;
+	UT_hash_handle hh;
+};
+
+static u_int add_worker_name(struct name_position **positions,
+			     zx_cell_packed_list *out, char *name)
+{
+	struct name_position *entry;
+
+	HASH_FIND_STR(*positions, name, entry);
+	if (entry)
+		return entry->position;
+	entry = calloc(1, sizeof(*entry));
+	if (!entry)
+		abort();
+	out->workers.workers_val[out->workers.workers_len++].name = name;
+	entry->name = name;
+	entry->position = out->workers.workers_len;
+	HASH_ADD_KEYPTR(hh, *positions, entry->name, strlen(entry->name),
+			entry);
+	return entry->position;
+}
+
+static void free_positions(struct name_position *positions)
+{
+	struct name_position *entry;
+	struct name_position *next;
+
+	HASH_ITER (hh, positions, entry, next) {
+		HASH_DEL(positions, entry);
+		free(entry);
+	}
+}
+
+/* Packs all but the checkpoints. The strings remain those of @progress. */
+static void pack_tasks(zx_cell_packed_list *out,
+		       const zx_cell_progress *progress)
+{
+	struct name_position *positions = NULL;
+	u_int count = progress->tasks.tasks_len;
+	u_int i;
+
+	out->workers.workers_val =
+		calloc(count + 1, sizeof(*out->workers.workers_val));
+	out->tasks.tasks_val = calloc(count + 1, sizeof(*out->tasks.tasks_val));
+	if (!out->workers.workers_val || !out->tasks.tasks_val)
+		abort();
+	out->tasks.tasks_len = count;
+	for (i = 0; i < count; i++) {
+		const zx_cell_task *task = &progress->tasks.tasks_val[i];
+
+		out->tasks.tasks_val[i] = (zx_cell_packed_task){
+			.attempt = task->attempt,
+			.failures_done = 2 * task->failures + !!task->done,
+			.worker = task->worker[0]
+					  ? add_worker_name(&positions, out,
+							    task->worker)
+					  : 0,
+			.checkpoint = "",
+		};
+	}
+	free_positions(positions);
+}
+
+/* Adds the checkpoints that fit into @size bytes. Returns how many do not. */
+static int pack_checkpoints(zx_cell_packed_list *out,
+			    const zx_cell_progress *progress,
+			    unsigned long size)
+{
+	int left_out = 0;
+	u_int i;
+
+	for (i = 0; i < out->tasks.tasks_len; i++) {
+		char *checkpoint = progress->tasks.tasks_val[i].checkpoint;
+		size_t bytes = RNDUP(strlen(checkpoint));
+
+		if (bytes > size) {
+			left_out++;
+			continue;
+		}
+		out->tasks.tasks_val[i].checkpoint = checkpoint;
+		size -= bytes;
+	}
+	return left_out;
+}
+
+static char *copy_text(const char *text)
+{
+	char *copy = strdup(text);
+
+	if (!copy)
+		abort();
+	return copy;
+}
+
+static int unpack_tasks(zx_cell_progress *out,
+			const zx_cell_packed_list *packed)
+{
+	u_int i;
+
+	if (!packed->tasks.tasks_len)
+		return 0;
+	if (out->tasks.tasks_len)
+		return ZR_E_PROTOCOL;
+	for (i = 0; i < packed->tasks.tasks_len; i++) {
+		if (packed->tasks.tasks_val[i].worker >
+		    packed->workers.workers_len)
+			return ZR_E_PROTOCOL;
+	}
+	free(out->tasks.tasks_val);
+	out->tasks.tasks_val =
+		calloc(packed->tasks.tasks_len, sizeof(*out->tasks.tasks_val));
+	if (!out->tasks.tasks_val)
+		abort();
+	out->tasks.tasks_len = packed->tasks.tasks_len;
+	for (i = 0; i < packed->tasks.tasks_len; i++) {
+		const zx_cell_packed_task *task = &packed->tasks.tasks_val[i];
+		const char *worker =
+			task->worker
+				? packed->workers.workers_val[task->worker - 1]
+					  .name
+				: "";
+
+		out->tasks.tasks_val[i] = (zx_cell_task){
+			.attempt = task->attempt,
+			.failures = task->failures_done / 2,
+			.done = task->failures_done % 2,
+			.worker = copy_text(worker),
+			.checkpoint = copy_text(task->checkpoint),
+		};
+	}
+	return 0;
+}
+
+/* Progress records */
+
 /* A part of a stored progress record. */
 struct section {
 	xdrproc_t codec;
@@ -48,7 +194,7 @@
 	bool present;
 };
 
-#define PROGRESS_SECTIONS 4
+#define PROGRESS_SECTIONS 5
 
 /* The sections of a progress record in the order of the encoding. */
 static void list_sections(struct section out[PROGRESS_SECTIONS],
@@ -66,23 +212,39 @@
 	out[3] = (struct section){(xdrproc_t)xdr_zx_cell_job_use, &record->use,
 				  record->use.charges.charges_len ||
 					  record->use.placed_ms};
+	out[4] = (struct section){(xdrproc_t)xdr_zx_cell_packed_list,
+				  &record->packed,
+				  record->packed.tasks.tasks_len != 0};
 }
 
-int zr_cell_encode_progress(struct zr_cell_buffer *out,
-			    zx_cell_stored_progress *record)
+/* Lists the sections up to the last one with a content; returns their size. */
+static unsigned long measure_sections(struct section out[PROGRESS_SECTIONS],
+				      size_t *out_count,
+				      zx_cell_stored_progress *record)
 {
-	struct section sections[PROGRESS_SECTIONS];
-	size_t count = PROGRESS_SECTIONS;
 	unsigned long size = 0;
 	size_t i;
+
+	list_sections(out, record);
+	*out_count = PROGRESS_SECTIONS;
+	while (!out[*out_count - 1].present)
+		--*out_count;
+	for (i = 0; i < *out_count; i++)
+		size += xdr_sizeof(out[i].codec, out[i].value);
+	return size;
+}
+
+static int encode_sections(struct zr_cell_buffer *out,
+			   zx_cell_stored_progress *record,
+			   unsigned long max_bytes)
+{
+	struct section sections[PROGRESS_SECTIONS];
+	size_t count;
+	unsigned long size = measure_sections(sections, &count, record);
+	size_t i;
 	XDR xdr;
 
-	list_sections(sections, record);
-	while (!sections[count - 1].present)
-		count--;
-	for (i = 0; i < count; i++)
-		size += xdr_sizeof(sections[i].codec, sections[i].value);
-	if (size > RECORD_BYTES_MAX)
+	if (size > max_bytes)
 		return ZR_E_TOO_LARGE;
 	out->data = malloc(size);
 	if (!out->data)
@@ -98,24 +260,56 @@
 	return 0;
 }
 
+static int encode_packed(struct zr_cell_buffer *out,
+			 const zx_cell_stored_progress *record)
+{
+	zx_cell_stored_progress packed = *record;
+	struct section sections[PROGRESS_SECTIONS];
+	unsigned long size;
+	int left_out = 0;
+	int error;
+	size_t count;
+
+	packed.progress.tasks.tasks_len = 0;
+	pack_tasks(&packed.packed, &record->progress);
+	size = measure_sections(sections, &count, &packed);
+	if (size < PACKED_BYTES_MAX)
+		left_out = pack_checkpoints(&packed.packed, &record->progress,
+					    PACKED_BYTES_MAX - size);
+	error = encode_sections(out, &packed, PACKED_BYTES_MAX);
+	free(packed.packed.workers.workers_val);
+	free(packed.packed.tasks.tasks_val);
+	return error < 0 ? error : left_out;
+}
+
+int zr_cell_encode_progress(struct zr_cell_buffer *out,
+			    zx_cell_stored_progress *record)
+{
+	if (!encode_sections(out, record, RECORD_BYTES_MAX))
+		return 0;
+	return encode_packed(out, record);
+}
+
 int zr_cell_decode_progress(zx_cell_stored_progress *out, const void *data,
 			    size_t length)
 {
 	struct section sections[PROGRESS_SECTIONS];
+	bool decoded = true;
 	size_t i = 0;
 	XDR xdr;
 
-	if (!data || length > RECORD_BYTES_MAX)
+	if (!data || length > PACKED_BYTES_MAX)
 		return ZR_E_PROTOCOL;
 	list_sections(sections, out);
 	xdrmem_create(&xdr, (char *)data, (u_int)length, XDR_DECODE);
-	do {
-		if (!sections[i].codec(&xdr, sections[i].value)) {
-			xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, out);
-			return ZR_E_PROTOCOL;
-		}
-	} while (++i < PROGRESS_SECTIONS && xdr_getpos(&xdr) != length);
-	return 0;
+	do
+		decoded = sections[i].codec(&xdr, sections[i].value);
+	while (decoded && ++i < PROGRESS_SECTIONS &&
+	       xdr_getpos(&xdr) != length);
+	if (decoded && !unpack_tasks(&out->progress, &out->packed))
+		return 0;
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, out);
+	return ZR_E_PROTOCOL;
 }
 
 static void encode_step(zx_cell_step *out, const struct zr_cell_step_spec *step)
--- a/src/libzinniarack/cell/records.h
+++ b/src/libzinniarack/cell/records.h
@@ -65,16 +65,21 @@
 /**
  * zr_cell_encode_progress() - encode the progress record of a job
  * @out: the encoding; its data is to be freed with free()
- * @record: the record
+ * @record: the record; its packed list of tasks has to be empty
  *
- * Return: 0, or ZR_E_TOO_LARGE.
+ * A record of more than ZX_CELL_RECORD_MAX bytes is packed, and its last
+ * checkpoints are left out if it still has more than ZX_CELL_VALUE_MAX. Without
+ * checkpoints, a job of ZR_CELL_JOB_TASKS_MAX tasks on 4,096 workers fits.
+ *
+ * Return: the number of checkpoints that were left out, or ZR_E_TOO_LARGE.
  */
 int zr_cell_encode_progress(struct zr_cell_buffer *out,
 			    zx_cell_stored_progress *record);
 
 /**
  * zr_cell_decode_progress() - decode the progress record of a job
- * @out: zeroed by the caller; to be freed with xdr_free()
+ * @out: zeroed by the caller; to be freed with xdr_free(). The tasks of a
+ *packed list are unpacked
  * @data: the encoding
  * @length: size of @data in bytes
  *
--- a/tests/unit/test_cell_records.c
+++ b/tests/unit/test_cell_records.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -240,6 +241,139 @@
 }
 END_TEST
 
+#define LARGE_WORKERS 4096
+#define NAME_BYTES 63 /* the longest name and checkpoint */
+
+/* What a job of the largest size refers to. */
+struct large_job {
+	char workers[LARGE_WORKERS][NAME_BYTES + 1];
+	char checkpoints[ZR_CELL_JOB_TASKS_MAX][NAME_BYTES + 1];
+	zx_cell_task tasks[ZR_CELL_JOB_TASKS_MAX];
+	zx_cell_crashes crashes[ZR_CELL_JOB_TASKS_MAX];
+	u_int numbers[ZR_CELL_JOB_TASKS_MAX];
+};
+
+/* All tasks have runs on as many workers as fit, and have met a crash. */
+static zx_cell_stored_progress new_large_record(struct large_job *job)
+{
+	zx_cell_stored_progress record = new_record();
+	int i;
+
+	for (i = 0; i < LARGE_WORKERS; i++)
+		snprintf(job->workers[i], sizeof(job->workers[i]), "%0*d",
+			 NAME_BYTES, i);
+	for (i = 0; i < ZR_CELL_JOB_TASKS_MAX; i++) {
+		snprintf(job->checkpoints[i], sizeof(job->checkpoints[i]),
+			 "%0*d", NAME_BYTES, i);
+		job->tasks[i] = (zx_cell_task){
+			.attempt = (u_int)i + 1,
+			.failures = (u_int)i % 3,
+			.worker = job->workers[i % LARGE_WORKERS],
+			.checkpoint = job->checkpoints[i],
+		};
+		job->crashes[i] = (zx_cell_crashes){(u_int)i, 1, 1, 1};
+		job->numbers[i] = (u_int)i;
+	}
+	record.progress.tasks.tasks_len = ZR_CELL_JOB_TASKS_MAX;
+	record.progress.tasks.tasks_val = job->tasks;
+	record.crashes.tasks.tasks_len = ZR_CELL_JOB_TASKS_MAX;
+	record.crashes.tasks.tasks_val = job->crashes;
+	record.runs.incarnations.incarnations_len = ZR_CELL_JOB_TASKS_MAX;
+	record.runs.incarnations.incarnations_val = job->numbers;
+	record.runs.possible_crashes.possible_crashes_len =
+		ZR_CELL_JOB_TASKS_MAX;
+	record.runs.possible_crashes.possible_crashes_val = job->numbers;
+	record.use.placed_ms = 1000;
+	record.use.placed_after_ms.placed_after_ms_len = ZR_CELL_JOB_TASKS_MAX;
+	record.use.placed_after_ms.placed_after_ms_val = job->numbers;
+	return record;
+}
+
+/*
+ * Regression: the progress of a job with many tasks did not fit into a record.
+ * That of the largest job must fit, with as many checkpoints as there is room.
+ */
+START_TEST(test_largest_job)
+{
+	struct large_job *job = calloc(1, sizeof(*job));
+	zx_cell_stored_progress record = new_large_record(job);
+	zx_cell_stored_progress decoded = {0};
+	struct zr_cell_buffer bytes;
+	int kept = 0;
+	int left_out;
+	int i;
+
+	left_out = zr_cell_encode_progress(&bytes, &record);
+	ck_assert_int_ge(left_out, 0);
+	ck_assert_uint_le(bytes.length, ZX_CELL_VALUE_MAX);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, bytes.data, bytes.length), 0);
+	ck_assert_uint_eq(decoded.progress.tasks.tasks_len,
+			  ZR_CELL_JOB_TASKS_MAX);
+	for (i = 0; i < ZR_CELL_JOB_TASKS_MAX; i++) {
+		const zx_cell_task *task = &decoded.progress.tasks.tasks_val[i];
+
+		ck_assert_uint_eq(task->attempt, job->tasks[i].attempt);
+		ck_assert_uint_eq(task->failures, job->tasks[i].failures);
+		ck_assert_str_eq(task->worker, job->tasks[i].worker);
+		if (!task->checkpoint[0])
+			continue;
+		ck_assert_str_eq(task->checkpoint, job->tasks[i].checkpoint);
+		kept++;
+	}
+	ck_assert_int_eq(kept + left_out, ZR_CELL_JOB_TASKS_MAX);
+	ck_assert_uint_eq(decoded.runs.incarnations.incarnations_val[7], 7);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	free(bytes.data);
+	free(job);
+}
+END_TEST
+
+/* A packed record keeps which tasks are done, and all checkpoints that fit. */
+START_TEST(test_packed_tasks)
+{
+	struct large_job *job = calloc(1, sizeof(*job));
+	zx_cell_stored_progress record = new_large_record(job);
+	zx_cell_stored_progress decoded = {0};
+	struct zr_cell_buffer bytes;
+
+	record.progress.tasks.tasks_len = 3000;
+	job->tasks[2999].done = TRUE;
+	job->tasks[2999].worker = "";
+	ck_assert_int_eq(zr_cell_encode_progress(&bytes, &record), 0);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, bytes.data, bytes.length), 0);
+	ck_assert_uint_eq(decoded.packed.tasks.tasks_len, 3000);
+	ck_assert(decoded.progress.tasks.tasks_val[2999].done);
+	ck_assert_str_eq(decoded.progress.tasks.tasks_val[2999].worker, "");
+	ck_assert_str_eq(decoded.progress.tasks.tasks_val[2999].checkpoint,
+			 job->checkpoints[2999]);
+	ck_assert(!decoded.progress.tasks.tasks_val[0].done);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	free(bytes.data);
+	free(job);
+}
+END_TEST
+
+/* A worker that is not in the list of a packed record makes it invalid. */
+START_TEST(test_packed_worker_missing)
+{
+	zx_cell_packed_task task = {1, 0, 1, ""};
+	zx_cell_stored_progress record = new_record();
+	zx_cell_stored_progress decoded = {0};
+	struct zr_cell_buffer bytes;
+
+	record.progress.tasks.tasks_len = 0;
+	record.packed.tasks.tasks_len = 1;
+	record.packed.tasks.tasks_val = &task;
+	ck_assert_int_eq(zr_cell_encode_progress(&bytes, &record), 0);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, bytes.data, bytes.length),
+		ZR_E_PROTOCOL);
+	free(bytes.data);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cell_records");
@@ -250,6 +384,9 @@
 	tcase_add_test(tcase, test_no_crashes);
 	tcase_add_test(tcase, test_crashes);
 	tcase_add_test(tcase, test_use);
+	tcase_add_test(tcase, test_largest_job);
+	tcase_add_test(tcase, test_packed_tasks);
+	tcase_add_test(tcase, test_packed_worker_missing);
 	tcase_add_test(tcase, test_earlier_forms);
 	tcase_add_test(tcase, test_cut_off);
 	tcase_add_test(tcase, test_size_with_runs);
