cell: a task avoids the worker of its last run for a limited time

Cause: the worker on which a run has failed, stalled or been slow was left out of all later placements of the task, whether or not another could take it, and however long the others had no room.

Change: it is left out for 0.5 to 2 s. A task that avoids a worker does not keep the others of its step from being placed.

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -354,6 +354,14 @@
 	return true;
 }
 
+/* The worker on which no new run of the task may be placed now. */
+static zr_handle avoided_worker(const struct zr_cell_plan *plan,
+				const struct zr_cell_task *task)
+{
+	return plan->now < task->avoided_until ? task->avoided_worker
+					       : ZR_HANDLE_NONE;
+}
+
 /* Places waiting tasks that are suspects, or those that are not. */
 static uint32_t place_waiting(struct zr_cell_plan *plan,
 			      const struct zr_cell_plan_item *item,
@@ -368,18 +376,19 @@
 	for (task = step->first_task; task < end && placed < max_tasks;
 	     task++) {
 		struct zr_cell_task *entry = &item->job->tasks[task];
+		zr_handle avoided = gang_attempt ? ZR_HANDLE_NONE
+						 : avoided_worker(plan, entry);
 
 		if (entry->state != ZR_TASK_WAITING ||
 		    (entry->suspicion != ZR_SUSPECT_NOT) != suspects)
 			continue;
-		if (!place_on_best(plan, item, task,
-				   gang_attempt ? ZR_HANDLE_NONE
-						: entry->avoided_worker,
-				   gang_attempt ? gang_attempt
-						: entry->attempt + 1,
-				   names))
+		if (place_on_best(plan, item, task, avoided,
+				  gang_attempt ? gang_attempt
+					       : entry->attempt + 1,
+				  names))
+			placed++;
+		else if (!avoided)
 			break;
-		placed++;
 	}
 	return placed;
 }
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -83,7 +83,10 @@
  * @started_at: when its start was confirmed; 0 if it was not
  * @stop_sent: a stop has been sent and has not failed
  * @finished: a run of the task, or of another member of its gang, has succeeded
- * @avoided_worker: worker to avoid for the next run, since one has ended there
+ * @avoided_worker: worker on which its last run has ended, if the next one has
+ *                  to avoid it
+ * @avoided_until: when other runs than that of its gang may be placed there
+ * again
  * @percent: progress last reported by the worker
  * @percent_at: when @percent last changed
  * @checkpoint: checkpoint to resume from, or ""
@@ -122,6 +125,7 @@
 	bool stop_sent;
 	bool finished;
 	zr_handle avoided_worker;
+	int64_t avoided_until;
 	uint32_t percent;
 	int64_t percent_at;
 	char checkpoint[ZR_CELL_TICKET_MAX];
--- a/src/libzinniarack/cell/moves.c
+++ b/src/libzinniarack/cell/moves.c
@@ -137,7 +137,8 @@
 		zr_speed_rest_there_ms(move));
 	scheduler->moved[move->cause]->value++;
 	item->step->has_moved = true;
-	entry->avoided_worker = entry->worker;
+	zr_cell_task_avoid_worker(scheduler, entry, entry->worker,
+				  ZR_CELL_AVOID_STOPPED_MS);
 	zr_cell_stop_run(scheduler, item->job, task,
 			 tail ? "moved_tail" : "moved_slow_worker");
 }
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -323,7 +323,8 @@
 			now - entry->started_at, entry->percent, now);
 	if (!zr_cell_slowdown_is_stalled(entry, now))
 		return;
-	entry->avoided_worker = worker->self;
+	zr_cell_task_avoid_worker(scheduler, entry, worker->self,
+				  ZR_CELL_AVOID_STOPPED_MS);
 	zr_cell_stop_run(scheduler, job, task, "stalled");
 }
 
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -527,6 +527,20 @@
 				   struct zr_cell_job *job);
 /** zr_cell_starts_send_deferred() - send the starts that were deferred */
 void zr_cell_starts_send_deferred(struct zr_cell_scheduler *scheduler);
+/** Time for which a run that is stopped to resume elsewhere avoids its worker
+ */
+#define ZR_CELL_AVOID_STOPPED_MS 2000
+/**
+ * zr_cell_task_avoid_worker() - let the next run of a task avoid a worker
+ * @scheduler: the scheduler
+ * @task: the task
+ * @worker: the worker
+ * @ms: time from now after which the task may be placed there again, in
+ *	milliseconds
+ */
+void zr_cell_task_avoid_worker(const struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_task *task, zr_handle worker,
+			       int64_t ms);
 /** zr_cell_stop_run() - stop the active run of a task, if it has one */
 void zr_cell_stop_run(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_job *job, uint32_t task,
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -25,6 +25,12 @@
  */
 #define FAILED_BACKOFF_MS 1000
 #define NO_CAPACITY_BACKOFF_MS 300
+/*
+ * Time for which the next run of a task avoids the worker on which the last one
+ * has failed; doubled by each further failure.
+ */
+#define AVOID_MS 500
+#define AVOID_DOUBLINGS_MAX 2
 /* Consecutive failures, each of another job, that make a worker suspect. */
 #define SUSPECT_FAILURES 2
 #define SUSPECT_BACKOFF_MS 5000
@@ -171,6 +177,28 @@
 	worker->last_failed_job = ZR_HANDLE_NONE;
 }
 
+/*
+ * Workers to avoid. A task goes back to the worker on which its last run has
+ * ended after some time: no other may be able to run it.
+ */
+
+void zr_cell_task_avoid_worker(const struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_task *task, zr_handle worker,
+			       int64_t ms)
+{
+	task->avoided_worker = worker;
+	task->avoided_until = zr_cell_now_ms(scheduler) + ms;
+}
+
+static int64_t avoid_ms(uint32_t failures)
+{
+	uint32_t doublings = failures - 1 < AVOID_DOUBLINGS_MAX
+				     ? failures - 1
+				     : AVOID_DOUBLINGS_MAX;
+
+	return (int64_t)AVOID_MS << doublings;
+}
+
 /* Ends of runs */
 
 /* Number of failed runs of a task, or of all members of a gang. */
@@ -412,7 +440,8 @@
 			now - entry->started_at);
 	} else if (outcome == ZR_RUN_FAILED) {
 		entry->failures++;
-		entry->avoided_worker = worker->self;
+		zr_cell_task_avoid_worker(scheduler, entry, worker->self,
+					  avoid_ms(entry->failures));
 		record_failure(scheduler, worker, job);
 	}
 }
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -32,7 +32,8 @@
  *                              gang, checkpoints, or service=N: it is
  *                              long-running, and N tasks may be unavailable.
  *                              MS is the run time of a task, fMS that of a task
- *                              that fails, tMS that of the tasks of a step
+ *                              that fails, oMS that of a task whose first run
+ *                              fails, tMS that of the tasks of a step
  *                              whose first one takes seven times as long, xMS
  *                              that of the tasks of a step
  *                              whose first one crashes its workers, @STEP the
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -17,6 +17,7 @@
  * what the tasks do:
  *
  * - `f`: their runs fail at the end.
+ * - `o`: their first run fails at the end.
  * - `t`: the first task of the step takes seven times as long.
  * - `x`: the first task of the step crashes each worker that starts it.
  * - `X`: the same, and the crash ends the other members of its gang.
