cell: a planning pass considers only occurrences that are due

Cause: all steps of all occurrences were in the list of ready steps, and the rank of each went through all of them. A pass took longer than the lease of the ownership, so that no owner ever finished one.

Change: the list holds the steps of occurrences that are due, at most 256 of a job before a further occurrence is added; the rank, the update of a job and the step of a task no longer depend on the number of occurrences.

--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -7,6 +7,12 @@
 
 #include "zinniarack/errors.h"
 
+/*
+ * Number of ready steps of a job from which no further occurrence is listed, so
+ * that a pass does not take longer the more of them are behind.
+ */
+#define READY_STEPS_MAX 256
+
 static void *get_entry(const struct zr_table *table, zr_handle handle)
 {
 	void **element = handle ? zr_table_get(table, handle) : NULL;
@@ -222,6 +228,7 @@
 	uint32_t occurrences = spec->repeats ? spec->repeats : 1;
 	uint32_t i;
 
+	job->occurrence_count = occurrences;
 	job->step_count = occurrences * spec->step_count;
 	job->steps = calloc(job->step_count, sizeof(*job->steps));
 	if (!job->steps)
@@ -269,6 +276,7 @@
 		return;
 	DL_DELETE(model->ready, step);
 	step->in_ready_list = false;
+	zr_cell_job(model, step->job)->ready_steps--;
 }
 
 static void list_step(struct zr_cell_model *model,
@@ -278,6 +286,23 @@
 		return;
 	DL_APPEND(model->ready, step);
 	step->in_ready_list = true;
+	zr_cell_job(model, step->job)->ready_steps++;
+}
+
+static void unlist_timed(struct zr_cell_model *model, struct zr_cell_job *job)
+{
+	if (!job->in_timed_list)
+		return;
+	DL_DELETE2(model->timed, job, timed_prev, timed_next);
+	job->in_timed_list = false;
+}
+
+static void list_timed(struct zr_cell_model *model, struct zr_cell_job *job)
+{
+	if (job->in_timed_list)
+		return;
+	DL_APPEND2(model->timed, job, timed_prev, timed_next);
+	job->in_timed_list = true;
 }
 
 void zr_cell_step_unlist_placed(struct zr_cell_model *model,
@@ -291,6 +316,7 @@
 {
 	uint32_t i;
 
+	unlist_timed(model, job);
 	for (i = 0; i < job->step_count; i++) {
 		unlist_step(model, &job->steps[i]);
 		free(job->steps[i].permissions);
@@ -339,16 +365,22 @@
 	DL_APPEND(model->dirty, job);
 }
 
+static struct zr_cell_step_state *
+occurrence_steps(const struct zr_cell_job *job, uint32_t occurrence)
+{
+	return &job->steps[(size_t)occurrence * job->spec.step_count];
+}
+
 static bool dependencies_done(const struct zr_cell_job *job,
 			      const struct zr_cell_step_state *step)
 {
-	const struct zr_cell_step_state *occurrence_steps =
-		&job->steps[(size_t)step->occurrence * job->spec.step_count];
+	const struct zr_cell_step_state *steps =
+		occurrence_steps(job, step->occurrence);
 	uint32_t i;
 
 	for (i = 0; i < step->spec->depends_on_count; i++) {
 		const struct zr_cell_step_state *dependency =
-			&occurrence_steps[step->spec->depends_on[i]];
+			&steps[step->spec->depends_on[i]];
 
 		if (dependency->done < dependency->spec->count)
 			return false;
@@ -356,40 +388,93 @@
 	return true;
 }
 
-static bool all_done(const struct zr_cell_job *job)
+static bool is_occurrence_done(const struct zr_cell_job *job,
+			       uint32_t occurrence)
 {
+	const struct zr_cell_step_state *steps =
+		occurrence_steps(job, occurrence);
 	uint32_t i;
 
-	for (i = 0; i < job->step_count; i++) {
-		if (job->steps[i].done < job->steps[i].spec->count)
+	for (i = 0; i < job->spec.step_count; i++) {
+		if (steps[i].done < steps[i].spec->count)
 			return false;
 	}
 	return true;
 }
 
-void zr_cell_job_update(struct zr_cell_model *model, struct zr_cell_job *job,
-			int64_t now, int64_t wall_ms)
+static bool next_is_due(const struct zr_cell_job *job, int64_t now)
+{
+	return job->next_occurrence < job->occurrence_count &&
+	       job->ready_steps < READY_STEPS_MAX &&
+	       occurrence_steps(job, job->next_occurrence)->due_at <= now;
+}
+
+static void update_step(struct zr_cell_model *model,
+			const struct zr_cell_job *job,
+			struct zr_cell_step_state *step, int64_t now)
+{
+	if (zr_cell_job_has_ended(job) || !step->waiting) {
+		unlist_step(model, step);
+		return;
+	}
+	if (step->ready_at == ZR_CELL_NEVER && dependencies_done(job, step))
+		step->ready_at = now > step->due_at ? now : step->due_at;
+	if (step->ready_at != ZR_CELL_NEVER)
+		list_step(model, step);
+}
+
+static void update_occurrence(struct zr_cell_model *model,
+			      const struct zr_cell_job *job,
+			      uint32_t occurrence, int64_t now)
+{
+	struct zr_cell_step_state *steps = occurrence_steps(job, occurrence);
+	uint32_t i;
+
+	for (i = 0; i < job->spec.step_count; i++)
+		update_step(model, job, &steps[i], now);
+}
+
+/* Updates the occurrences that are due and not done, and adds those now due. */
+static void update_occurrences(struct zr_cell_model *model,
+			       struct zr_cell_job *job, int64_t now)
 {
 	uint32_t i;
 
-	if (!zr_cell_job_has_ended(job) && all_done(job)) {
+	while (job->first_open < job->next_occurrence &&
+	       is_occurrence_done(job, job->first_open))
+		job->first_open++;
+	for (i = job->first_open; i < job->next_occurrence; i++)
+		update_occurrence(model, job, i, now);
+	while (next_is_due(job, now))
+		update_occurrence(model, job, job->next_occurrence++, now);
+	if (zr_cell_job_has_ended(job) ||
+	    job->next_occurrence == job->occurrence_count)
+		unlist_timed(model, job);
+	else
+		list_timed(model, job);
+}
+
+void zr_cell_job_update(struct zr_cell_model *model, struct zr_cell_job *job,
+			int64_t now, int64_t wall_ms)
+{
+	if (!zr_cell_job_has_ended(job) && job->done_tasks == job->task_count) {
 		job->state = ZR_CELL_JOB_COMPLETED;
 		job->ended_at = wall_ms;
 		zr_cell_job_mark_dirty(model, job);
 	}
-	for (i = 0; i < job->step_count; i++) {
-		struct zr_cell_step_state *step = &job->steps[i];
+	update_occurrences(model, job, now);
+}
 
-		if (zr_cell_job_has_ended(job) || !step->waiting) {
-			unlist_step(model, step);
-			continue;
-		}
-		if (step->ready_at == ZR_CELL_NEVER &&
-		    dependencies_done(job, step))
-			step->ready_at =
-				now > step->due_at ? now : step->due_at;
-		if (step->ready_at != ZR_CELL_NEVER)
-			list_step(model, step);
+void zr_cell_model_update_due(struct zr_cell_model *model, int64_t now,
+			      int64_t wall_ms)
+{
+	struct zr_cell_job *job;
+	struct zr_cell_job *next;
+
+	DL_FOREACH_SAFE2(model->timed, job, next, timed_next)
+	{
+		if (next_is_due(job, now))
+			zr_cell_job_update(model, job, now, wall_ms);
 	}
 }
 
@@ -398,7 +483,8 @@
 struct zr_cell_step_state *zr_cell_task_step(const struct zr_cell_job *job,
 					     uint32_t task)
 {
-	uint32_t i = 0;
+	uint32_t tasks = job->task_count / job->occurrence_count;
+	uint32_t i = task / tasks * job->spec.step_count;
 
 	while (i + 1 < job->step_count && task >= job->steps[i + 1].first_task)
 		i++;
@@ -572,8 +658,10 @@
 		step->waiting--;
 	}
 	entry->worker = ZR_HANDLE_NONE;
-	if (event == ZR_TASK_EVENT_DONE)
+	if (event == ZR_TASK_EVENT_DONE) {
 		step->done++;
-	else
+		job->done_tasks++;
+	} else {
 		step->waiting++;
+	}
 }
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -257,8 +257,17 @@
  * @spec: what was submitted
  * @steps: its steps, once for each occurrence
  * @step_count: number of entries in @steps
+ * @occurrence_count: number of occurrences of its steps
+ * @first_open: first occurrence that is not done
+ * @next_occurrence: first occurrence that has not become due, or whose steps
+ * are not listed yet because too many are
+ * @ready_steps: number of its steps in the list of ready steps
+ * @in_timed_list: it is in the list of jobs with such an occurrence
+ * @timed_prev: previous job in that list
+ * @timed_next: next job in that list
  * @tasks: tasks of all steps; NULL once only the result is needed
  * @task_count: number of tasks
+ * @done_tasks: number of completed tasks
  * @priority: priority of the queue; 0 is the highest
  * @attempts: number of failed runs of a task, or of a gang, that fail the job
  * @stretch_permille: objective of the job's time, as a multiple of the sum of
@@ -296,8 +305,16 @@
 	struct zr_cell_job_spec spec;
 	struct zr_cell_step_state *steps;
 	uint32_t step_count;
+	uint32_t occurrence_count;
+	uint32_t first_open;
+	uint32_t next_occurrence;
+	uint32_t ready_steps;
+	bool in_timed_list;
+	struct zr_cell_job *timed_prev;
+	struct zr_cell_job *timed_next;
 	struct zr_cell_task *tasks;
 	uint32_t task_count;
+	uint32_t done_tasks;
 	uint32_t priority;
 	uint32_t attempts;
 	uint32_t stretch_permille;
@@ -521,7 +538,9 @@
  * @workers: &struct zr_cell_worker pointers by handle
  * @worker_by_name: workers by name
  * @clients: &struct zr_cell_client_state pointers by handle
- * @ready: ready steps with waiting tasks; sorted by rank during a pass
+ * @ready: ready steps with waiting tasks, of occurrences that are due; sorted
+ * by rank during a pass
+ * @timed: jobs with an occurrence whose steps are not listed yet
  * @dirty: jobs with changes to commit
  * @slowdown: ratio of run times to their estimates on all workers, smoothed;
  *            0: not known
@@ -539,6 +558,7 @@
 	struct zr_cell_worker *worker_by_name;
 	struct zr_table *clients;
 	struct zr_cell_step_state *ready;
+	struct zr_cell_job *timed;
 	struct zr_cell_job *dirty;
 	double slowdown;
 	double unanswered;
@@ -604,10 +624,23 @@
  * @job: the job
  * @now: the current time in milliseconds
  * @wall_ms: wall clock time, in milliseconds since 1970
+ *
+ * Only steps of occurrences that are due are listed, and no further occurrence
+ * while 256 steps of the job are.
  */
 void zr_cell_job_update(struct zr_cell_model *model, struct zr_cell_job *job,
 			int64_t now, int64_t wall_ms);
 
+/**
+ * zr_cell_model_update_due() - update the jobs with an occurrence that has
+ * become due
+ * @model: the model
+ * @now: the current time in milliseconds
+ * @wall_ms: wall clock time, in milliseconds since 1970
+ */
+void zr_cell_model_update_due(struct zr_cell_model *model, int64_t now,
+			      int64_t wall_ms);
+
 /**
  * zr_cell_step_unlist_placed() - remove a step from the list of ready steps if
  * none of its tasks waits
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -190,6 +190,8 @@
 	    scheduler->releasing || scheduler->hand_over_deadline_at ||
 	    !zr_cell_is_owner(scheduler))
 		return;
+	zr_cell_model_update_due(&scheduler->model, plan.now,
+				 zr_cell_wall_ms(scheduler));
 	zr_cell_candidates_collect(&plan);
 	rank_steps(&plan);
 	DL_FOREACH_SAFE(scheduler->model.ready, step, next)
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -49,6 +49,9 @@
 	struct zr_cell_config config;
 	uint32_t priority;
 	uint32_t latency_target_ms;
+	uint32_t repeats;
+	int64_t first_ms;
+	int64_t interval_ms;
 	unsigned int evacuation_ms;
 	struct evacuation_request *evacuation_requests; /* not confirmed yet */
 	unsigned int adviser_queries;
@@ -365,6 +368,13 @@
 	script->latency_target_ms = (uint32_t)atoi(word(script, 1));
 }
 
+static void do_repeats(struct cell_script *script)
+{
+	script->repeats = (uint32_t)atoi(word(script, 1));
+	script->first_ms = atoll(word(script, 2));
+	script->interval_ms = atoll(word(script, 3));
+}
+
 static void do_adviser_queries(struct cell_script *script)
 {
 	print(script, "adviser queries: %u", script->adviser_queries);
@@ -473,6 +483,9 @@
 	for (i = 3; i < script->word_count; i++)
 		parse_step(&steps[spec.step_count++], payload, word(script, i));
 	record.accepted_ms = zr_time_to_ms(clock->realtime(clock->ctx));
+	spec.repeats = script->repeats;
+	spec.first_ms = record.accepted_ms + script->first_ms;
+	spec.interval_ms = script->interval_ms;
 	zr_cell_record_from_spec(&record, &spec);
 	zr_cell_encode(&bytes, (xdrproc_t)xdr_zx_cell_job, &record);
 	zr_cell_record_clear(&record);
@@ -1163,6 +1176,7 @@
 	{"crashed-workers", do_crashed_workers},
 	{"unregister", do_unregister},
 	{"priority", do_priority},
+	{"repeats", do_repeats},
 	{"latency-target", do_latency_target},
 	{"adviser-queries", do_adviser_queries},
 	{"query", do_query},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -38,6 +38,9 @@
  *                              that of the tasks of a step
  *                              whose first one crashes its workers, @STEP the
  *                              index of the step that it depends on
+ *   repeats COUNT FIRST_MS INTERVAL_MS
+ *                              let jobs submitted from now on run COUNT times,
+ *                              for the first time in FIRST_MS; 0: once, at once
  *   cancel HOST JOB            commit a cancellation like an entry host
  *   state HOST JOB             print the persisted state of a job
  *   query HOST JOB             print the state that HOST's scheduler reports
