platform: a text that is too long does not make the configuration unusable

Cause: keys had a place of 63 characters, and a longer one failed the decoding of the whole document, as did long names, host names and prefixes. A document that cannot be decoded confirms nothing, so the hosts stopped serving.

Change: keys, host names and prefixes have any length. What cannot be used is left out, logged and counted, and the rest holds.

--- a/include/zinniarack/cell.h
+++ b/include/zinniarack/cell.h
@@ -95,7 +95,8 @@
 /**
  * struct zr_cell_queue - queue that callers submit jobs to
  * @name: its name
- * @host: name of the virtual host that callers address
+ * @host: name of the virtual host that callers address; owned by the
+ *        configuration, like @prefix
  * @prefix: prefix of the paths that belong to the queue
  * @pool: pool of the workers that run its jobs
  * @open: jobs are accepted without a key
@@ -111,8 +112,8 @@
  */
 struct zr_cell_queue {
 	char name[ZR_NAME_MAX];
-	char host[2 * ZR_NAME_MAX];
-	char prefix[2 * ZR_NAME_MAX];
+	char *host;
+	char *prefix;
 	char pool[ZR_NAME_MAX];
 	bool open;
 	uint32_t priority;
@@ -139,11 +140,11 @@
 
 /**
  * struct zr_cell_key - valid key
- * @key: key that callers present
+ * @key: key that callers present; owned by the configuration
  * @client: index of its client account
  */
 struct zr_cell_key {
-	char key[ZR_NAME_MAX];
+	char *key;
 	uint32_t client;
 };
 
@@ -157,6 +158,9 @@
  * @keys: the valid keys
  * @key_count: number of keys
  * @body_bytes_max: maximum size of a submission
+ * @ignored: number of queues, client accounts and keys that were left out
+ * because they could not be used
+ * @first_ignored: where the first of them is, or ""
  */
 struct zr_cell_config {
 	uint64_t version;
@@ -167,6 +171,8 @@
 	struct zr_cell_key *keys;
 	size_t key_count;
 	size_t body_bytes_max;
+	size_t ignored;
+	char first_ignored[ZR_NAME_MAX];
 };
 
 void zr_cell_config_free(struct zr_cell_config *config);
--- a/include/zinniarack/frontend.h
+++ b/include/zinniarack/frontend.h
@@ -12,6 +12,9 @@
  * &struct zr_call_result as the response; the cell handles the call.
  */
 
+/** Maximum size of a DNS name with a port, including the NUL. */
+#define ZR_HOST_MAX 260
+
 /**
  * enum zr_call_kind - type of a call
  * @ZR_CALL_SUBMIT: submit a job
@@ -72,8 +75,8 @@
 /**
  * struct zr_call - a parsed request of a caller
  * @kind: type of the call
- * @host: virtual host named by the request
- * @path: URL path
+ * @host: virtual host named by the request, or ""
+ * @path: URL path; valid as long as the request, like @key
  * @key: API key presented by the caller, or ""
  * @deadline_ms: how long the caller waits for the response, from now; 0 if the
  *	request does not say
@@ -82,9 +85,9 @@
  */
 struct zr_call {
 	enum zr_call_kind kind;
-	char host[2 * ZR_NAME_MAX];
+	char host[ZR_HOST_MAX];
 	const char *path;
-	char key[ZR_NAME_MAX];
+	const char *key;
 	unsigned int deadline_ms;
 	const void *body;
 	size_t body_length;
--- a/src/libzinniarack/cell/config_poller.c
+++ b/src/libzinniarack/cell/config_poller.c
@@ -57,6 +57,7 @@
 	bool freeing;
 	struct zr_metric *version;
 	struct zr_metric *failures;
+	struct zr_metric *ignored;
 };
 
 /* A check, a read or a watch in flight. */
@@ -88,6 +89,12 @@
 	       config->version, previous ? previous->version : 0,
 	       config->queue_count, config->client_count, config->key_count,
 	       read_ms);
+	poller->ignored->value = (int64_t)config->ignored;
+	if (config->ignored)
+		zr_log(ZR_LOG_ERROR,
+		       "config.entries_ignored version=%" PRIu64
+		       " count=%zu first=%s",
+		       config->version, config->ignored, config->first_ignored);
 	poller->on_change(poller->ctx, config);
 	zr_cell_config_free(previous);
 }
@@ -417,6 +424,9 @@
 	poller->failures = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_config_reads_failed_total", NULL,
 		"Reads of the configuration that failed");
+	poller->ignored = zr_metrics_get_or_add_gauge(
+		metrics, "zinniarack_config_entries_ignored", NULL,
+		"Entries of the configuration in force that cannot be used");
 	poller->timer = zr_timer_new(timers, on_tick, poller);
 	zr_timer_start(poller->timer, 0, TICK_MS);
 	*out = poller;
--- a/src/libzinniarack/cell/types.c
+++ b/src/libzinniarack/cell/types.c
@@ -16,8 +16,16 @@
 
 void zr_cell_config_free(struct zr_cell_config *config)
 {
+	size_t i;
+
 	if (!config)
 		return;
+	for (i = 0; i < config->queue_count; i++) {
+		free(config->queues[i].host);
+		free(config->queues[i].prefix);
+	}
+	for (i = 0; i < config->key_count; i++)
+		free(config->keys[i].key);
 	free(config->queues);
 	free(config->clients);
 	free(config->keys);
