cell: a start is abandoned if its worker has no connection any more

Operators of similar systems saw the process that reads the list of workers end again and again because of odd entries.

Cause: the new address of a registration replaces the connection. If it cannot be used there is none, but send_start(), for a task placed before and persisted after, and zr_cell_stop_orphaned_run() used it without a check. While the old connection was being closed, the callbacks of its requests could still send others over it.

Change: such a start is abandoned and the task waits to be placed again; a run that is not expected is stopped once there is a connection. A worker has no connection any more when the callbacks of its old one run. On the way, later_ms() of the evacuation looks at one occurrence, as the rank does.

--- a/src/libzinniarack/cell/evacuation_moves.c
+++ b/src/libzinniarack/cell/evacuation_moves.c
@@ -58,10 +58,11 @@
 	int64_t sum = 0;
 	uint32_t i;
 
-	for (i = 0; i < job->step_count; i++) {
+	/* Later occurrences than the first have due times of their own. */
+	for (i = 0; i < job->spec.step_count; i++) {
 		const struct zr_cell_step_state *step = &job->steps[i];
 
-		if (step->waiting == step->spec->count && !step->occurrence)
+		if (step->waiting == step->spec->count)
 			sum += step->spec->estimate_ms;
 	}
 	return sum;
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -114,11 +114,20 @@
 	return worker;
 }
 
+void zr_cell_worker_disconnect(struct zr_cell_worker *worker)
+{
+	struct zr_cell_worker_conn conn = worker->conn;
+
+	/* The callbacks of the requests in flight must not use it any more. */
+	worker->conn.ops = NULL;
+	if (conn.ops)
+		conn.ops->free(conn.impl);
+}
+
 void zr_cell_worker_remove(struct zr_cell_model *model,
 			   struct zr_cell_worker *worker)
 {
-	if (worker->conn.ops)
-		worker->conn.ops->free(worker->conn.impl);
+	zr_cell_worker_disconnect(worker);
 	HASH_DEL(model->worker_by_name, worker);
 	zr_table_remove(model->workers, worker->self);
 	free(worker->runs);
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -587,6 +587,13 @@
 						 const char *name);
 void zr_cell_worker_remove(struct zr_cell_model *model,
 			   struct zr_cell_worker *worker);
+/**
+ * zr_cell_worker_disconnect() - close the connection to a worker, if there is
+ * one
+ * @worker: the worker; it has no connection when the callbacks of the requests
+ *in flight run
+ */
+void zr_cell_worker_disconnect(struct zr_cell_worker *worker);
 /** zr_cell_client_get_or_add() - find a client account; add it if it is new */
 zr_handle zr_cell_client_get_or_add(struct zr_cell_model *model,
 				    const char *name);
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -28,11 +28,7 @@
 
 	if (worker->conn.ops && !strcmp(worker->report.address, address))
 		return;
-	if (worker->conn.ops) {
-		/* Cancels the requests in flight; their callbacks still run. */
-		worker->conn.ops->free(worker->conn.impl);
-		worker->conn.ops = NULL;
-	}
+	zr_cell_worker_disconnect(worker);
 	if (platform->worker_conn_open(platform->ctx, &worker->conn, address,
 				       worker->report.name) < 0) {
 		worker->conn.ops = NULL;
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -560,7 +560,8 @@
 			       const struct zr_cell_task_name *task,
 			       uint32_t attempt)
 {
-	if (!zr_cell_is_owner(scheduler))
+	/* Without a connection, a later poll lists the run again. */
+	if (!worker->conn.ops || !zr_cell_is_owner(scheduler))
 		return;
 	scheduler->pending_calls++;
 	worker->conn.ops->stop(worker->conn.impl, task, attempt,
@@ -895,6 +896,11 @@
 		abandon_start(scheduler, job, task, "capacity_shrunk");
 		return;
 	}
+	/* Its address has changed since to one that cannot be used. */
+	if (!worker->conn.ops) {
+		abandon_start(scheduler, job, task, "no_connection");
+		return;
+	}
 	start.lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	scheduler->starts->value++;
 	entry->sent_at = zr_cell_now_ms(scheduler);
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -21,6 +21,7 @@
 #define WORKER_PREFIX "workers/"
 #define EVACUATION_PREFIX "evacuate/"
 #define TIMEOUT_MS 1000
+#define BAD_ADDRESS "bad"
 #define ATTEMPTS 2
 
 struct host {
@@ -35,6 +36,14 @@
 	char name[ZR_NAME_MAX];
 };
 
+/* A registration that another writer has changed. */
+struct odd_entry {
+	struct odd_entry *next;
+	char worker[ZR_NAME_MAX];
+	char field[ZR_NAME_MAX];
+	char value[ZR_NAME_MAX];
+};
+
 struct cell_script {
 	FILE *out;
 	struct fake_net *net;
@@ -42,6 +51,7 @@
 	struct fake_pool *pool;
 	struct fake_node *adviser;
 	struct zr_store registrar; /* connection of the workers to the store */
+	struct odd_entry *odd_entries;
 	struct host hosts[HOSTS_MAX];
 	size_t host_count;
 	struct zr_cell_queue queue;
@@ -70,6 +80,7 @@
 
 /* Holds the registry entries for decode_worker(), which gets no context. */
 static struct fake_pool *decoder_pool;
+static struct cell_script *decoder_script;
 
 __attribute__((format(printf, 2, 3))) static void
 print(const struct cell_script *script, const char *fmt, ...)
@@ -112,11 +123,43 @@
 
 /* Platform */
 
+static struct odd_entry *find_odd_entry(struct cell_script *script,
+					const char *worker)
+{
+	struct odd_entry *entry;
+
+	LL_FOREACH(script->odd_entries, entry)
+	{
+		if (!strcmp(entry->worker, worker))
+			return entry;
+	}
+	return NULL;
+}
+
+static void apply_odd_entry(struct zr_cell_worker_report *report,
+			    const struct odd_entry *entry)
+{
+	if (!strcmp(entry->field, "address"))
+		snprintf(report->address, sizeof(report->address), "%s",
+			 entry->value);
+	else if (!strcmp(entry->field, "incarnation"))
+		report->incarnation = atoll(entry->value);
+	else if (!strcmp(entry->field, "clock"))
+		report->clock_ms = atoll(entry->value);
+	else if (!strcmp(entry->field, "capacity"))
+		report->capacity.millicpus = (uint32_t)atoll(entry->value);
+}
+
 static int decode_worker(struct zr_cell_worker_report *out,
 			 const struct zr_store_value *value)
 {
-	return fake_pool_report(decoder_pool,
-				value->key + strlen(WORKER_PREFIX), out);
+	const char *name = value->key + strlen(WORKER_PREFIX);
+	const struct odd_entry *entry = find_odd_entry(decoder_script, name);
+	int error = fake_pool_report(decoder_pool, name, out);
+
+	if (!error && entry)
+		apply_odd_entry(out, entry);
+	return error;
 }
 
 static int decode_evacuation(char out[ZR_NAME_MAX],
@@ -132,7 +175,8 @@
 {
 	struct host *host = ctx;
 
-	(void)address;
+	if (!strcmp(address, BAD_ADDRESS))
+		return ZR_E_INVALID;
 	return fake_pool_open(host->script->pool, host->node, out, worker);
 }
 
@@ -348,6 +392,40 @@
 	commit_value(script, &script->hosts[0].platform.store, key, "1", 1);
 }
 
+static void write_registration(struct cell_script *script, const char *worker)
+{
+	char key[ZR_CELL_KEY_MAX];
+
+	snprintf(key, sizeof(key), WORKER_PREFIX "%s", worker);
+	commit_value(script, &script->registrar, key, "1", 1);
+}
+
+static void do_entry(struct cell_script *script)
+{
+	struct odd_entry *entry = find_odd_entry(script, word(script, 1));
+
+	if (!entry) {
+		entry = calloc(1, sizeof(*entry));
+		snprintf(entry->worker, sizeof(entry->worker), "%s",
+			 word(script, 1));
+		LL_PREPEND(script->odd_entries, entry);
+	}
+	snprintf(entry->field, sizeof(entry->field), "%s", word(script, 2));
+	snprintf(entry->value, sizeof(entry->value), "%s", word(script, 3));
+	write_registration(script, entry->worker);
+}
+
+static void do_heartbeat(struct cell_script *script)
+{
+	struct odd_entry *entry = find_odd_entry(script, word(script, 1));
+
+	if (entry) {
+		LL_DELETE(script->odd_entries, entry);
+		free(entry);
+	}
+	write_registration(script, word(script, 1));
+}
+
 static void do_unregister(struct cell_script *script)
 {
 	char key[ZR_CELL_KEY_MAX];
@@ -1175,6 +1253,8 @@
 	{"hide-runs", do_hide_runs},
 	{"crashed-workers", do_crashed_workers},
 	{"unregister", do_unregister},
+	{"entry", do_entry},
+	{"heartbeat", do_heartbeat},
 	{"priority", do_priority},
 	{"repeats", do_repeats},
 	{"latency-target", do_latency_target},
@@ -1234,6 +1314,7 @@
 			  fake_node_new(script->net, "registrar"));
 	script->pool = fake_pool_new(script->net, print_event, script);
 	decoder_pool = script->pool;
+	decoder_script = script;
 	strcpy(script->queue.name, "q");
 	strcpy(script->queue.pool, "pool");
 	script->queue.attempts = ATTEMPTS;
@@ -1285,12 +1366,16 @@
 
 void cell_script_free(struct cell_script *script)
 {
+	struct odd_entry *entry;
+	struct odd_entry *next;
 	size_t i;
 
 	for (i = 0; i < script->host_count; i++) {
 		if (script->hosts[i].scheduler)
 			free_host(&script->hosts[i]);
 	}
+	LL_FOREACH_SAFE(script->odd_entries, entry, next)
+	free(entry);
 	zr_store_free(&script->registrar);
 	fake_pool_free(script->pool);
 	fake_store_free(script->store);
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -15,6 +15,10 @@
  *                              process of that host
  *   worker NAME MILLICPUS [DOMAIN]
  *                              register a worker, in that failure domain
+ *   entry NAME FIELD VALUE     let another writer change FIELD of a worker's
+ *                              registration (address, incarnation, clock or
+ *                              capacity), without the worker
+ *   heartbeat NAME             let a worker write its registration anew
  *   unregister NAME HOST       remove a worker's registration through HOST
  *   queue advised              from now on, tasks of the queue start only on
  *                              workers that the adviser has permitted
