cell: an incarnation is that of the worker's answers, not of its registration

Cause: apply_report() kept the largest incarnation that any registration had, so that all true answers of the worker counted as those of an earlier incarnation, in this term and, as the first registration was believed, under later owners.

Change: an answer decides. A later incarnation in a registration makes the owner poll the worker, and place nothing there until it has answered; an answer that does not confirm it ends it. Until the first answer the registration counts, and is replaced by the next one. A poll whose connection this scheduler closes may still be carried out, so it does not settle its acknowledgement.

The fake worker told a request that had been sent, and whose connection was closed, as not sent; the real client does not, and the fake now says that the outcome is not known. cell/unanswered_counted changes: a restart is known once the worker answers, so a run is counted as lost 208 core-milliseconds later, and three stops to the silent worker are not sent.

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -72,8 +72,8 @@
 {
 	return zr_cell_evacuations_allow(scheduler, worker, now) &&
 	       worker->registered && !worker->report.leaving &&
-	       worker->conn.ops && worker->clock_ms >= 0 &&
-	       now >= worker->backoff_until &&
+	       !worker->announced_event && worker->conn.ops &&
+	       worker->clock_ms >= 0 && now >= worker->backoff_until &&
 	       now >= worker->unanswered_until &&
 	       !zr_cell_worker_unresponsive(worker) &&
 	       !zr_cell_domain_unresponsive(&scheduler->model, worker, now);
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -441,6 +441,13 @@
  * @late_ack_until: until when a poll that acknowledges ends and has no response
  *                  may be carried out; 0: there is none
  * @leaves_at: when it leaves, as it has announced; ZR_CELL_NEVER: not known
+ * @incarnation_confirmed: the incarnation in @report is that of an answer; it
+ * is that of the registration otherwise
+ * @announced_event: event number at which the registration began to have a
+ * later incarnation than the confirmed one; 0: it has not, or a later answer
+ * has shown that it is not that of the worker
+ * @announced_incarnation: that incarnation
+ * @announced_poll_at: when the last poll was requested to confirm it
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -496,6 +503,10 @@
 	bool outcome_poll_in_flight;
 	int64_t late_ack_until;
 	int64_t leaves_at;
+	bool incarnation_confirmed;
+	uint64_t announced_event;
+	int64_t announced_incarnation;
+	int64_t announced_poll_at;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -182,12 +182,15 @@
 			worker->late_ack_until - zr_cell_now_ms(scheduler));
 }
 
-/* A poll whose connection broke before its timeout is not carried out later. */
+/*
+ * A poll whose connection broke before its timeout is not carried out later,
+ * unless it was this scheduler that closed the connection.
+ */
 static void settle_ack(const struct zr_cell_scheduler *scheduler,
 		       struct zr_cell_worker *worker,
 		       const struct poll_call *call, int error)
 {
-	if (!call->last_end_acked)
+	if (!call->last_end_acked || (error < 0 && !worker->conn.ops))
 		return;
 	if (error < 0 && zr_cell_now_ms(scheduler) - call->sent_at >=
 				 (int64_t)call->timeout_ms)
@@ -424,6 +427,30 @@
 		worker->last_ack_delivered = call->last_end_acked;
 }
 
+/*
+ * Applies the incarnation of a reply. Returns false if the reply is to be
+ * ignored: the worker has sent it before it restarted.
+ */
+static bool accept_incarnation(struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_worker *worker,
+			       int64_t incarnation)
+{
+	int64_t known = worker->report.incarnation;
+
+	if (!incarnation)
+		return true;
+	if (incarnation < known && worker->incarnation_confirmed)
+		return false;
+	if (incarnation > known && known) {
+		zr_cell_worker_restarted(scheduler, worker, incarnation);
+	} else if (incarnation != known) {
+		worker->report.incarnation = incarnation;
+		zr_cell_speed_worker_changed(scheduler, worker);
+	}
+	worker->incarnation_confirmed = true;
+	return true;
+}
+
 static void handle_poll_reply(struct zr_cell_scheduler *scheduler,
 			      struct zr_cell_worker *worker,
 			      const struct zr_cell_poll_reply *reply,
@@ -431,12 +458,10 @@
 {
 	size_t i;
 
-	/* Ignore a late reply that the worker sent before it restarted. */
-	if (reply->incarnation &&
-	    reply->incarnation < worker->report.incarnation)
+	if (!accept_incarnation(scheduler, worker, reply->incarnation))
 		return;
-	if (reply->incarnation > worker->report.incarnation)
-		zr_cell_worker_restarted(scheduler, worker, reply->incarnation);
+	if (call->sent_event > worker->announced_event)
+		worker->announced_event = 0;
 	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
 	confirm_worker(scheduler, worker, call);
 	if (worker->unanswered_until &&
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -20,6 +20,8 @@
  * that on a large fleet a watch returns at once with a single change.
  */
 #define WATCH_PAUSE_MS 250
+/* Interval of the polls that confirm a later incarnation of a registration. */
+#define ANNOUNCED_POLL_MS 250
 
 static void connect_worker(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_worker *worker, const char *address)
@@ -37,22 +39,49 @@
 	}
 }
 
+/*
+ * Other programs write to the registry too, so an incarnation is only taken for
+ * that of the worker until the worker has answered in this term. After that a
+ * later one is a reason to poll the worker, and to place nothing there until it
+ * has answered.
+ */
+static void apply_incarnation(struct zr_cell_scheduler *scheduler,
+			      struct zr_cell_worker *worker,
+			      int64_t incarnation)
+{
+	int64_t now = zr_cell_now_ms(scheduler);
+
+	if (!worker->incarnation_confirmed) {
+		worker->report.incarnation = incarnation;
+		return;
+	}
+	if (incarnation <= worker->report.incarnation) {
+		worker->announced_event = 0;
+		worker->announced_incarnation = 0;
+		return;
+	}
+	if (incarnation == worker->announced_incarnation &&
+	    (!worker->announced_event ||
+	     now - worker->announced_poll_at < ANNOUNCED_POLL_MS))
+		return;
+	if (!worker->announced_event)
+		worker->announced_event = ++scheduler->event_count;
+	worker->announced_incarnation = incarnation;
+	worker->announced_poll_at = now;
+	zr_cell_poll_extra(scheduler, worker);
+}
+
 static void apply_report(struct zr_cell_scheduler *scheduler,
 			 const struct zr_cell_worker_report *report)
 {
 	struct zr_cell_worker *worker =
 		zr_cell_worker_get_or_add(&scheduler->model, report->name);
-	int64_t incarnation = worker->report.incarnation;
 	bool was_leaving = worker->report.leaving && worker->registered;
+	int64_t incarnation;
 
 	connect_worker(scheduler, worker, report->address);
-	if (incarnation && report->incarnation > incarnation) {
-		zr_cell_worker_restarted(scheduler, worker,
-					 report->incarnation);
-		zr_cell_poll_soon(scheduler, worker, 0);
-	}
-	if (report->incarnation > incarnation)
-		incarnation = report->incarnation;
+	apply_incarnation(scheduler, worker, report->incarnation);
+	incarnation = worker->report.incarnation;
 	if (!worker->registered)
 		zr_log_decision("worker.registered worker=%s domain=%s pool=%s "
 				"cpus=%u",
@@ -70,7 +99,7 @@
 		zr_cell_domain_get_or_add(&scheduler->model, report->domain);
 	worker->registered = true;
 	if (worker->clock_ms < 0 && report->clock_ms >= 0 &&
-	    report->incarnation >= incarnation) {
+	    report->incarnation == incarnation) {
 		worker->clock_ms = report->clock_ms;
 		worker->clock_at = zr_cell_now_ms(scheduler);
 	}
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -689,11 +689,10 @@
 	struct call *call = ctx;
 	int error = 0;
 
-	if (result == FAKE_CANCELLED)
-		error = ZR_E_CANCELLED;
-	else if (result == FAKE_REFUSED)
+	if (result == FAKE_REFUSED)
 		error = ZR_E_UNREACHABLE;
-	else if (result == FAKE_TIMED_OUT)
+	else if (result == FAKE_TIMED_OUT || result == FAKE_CANCELLED)
+		/* All requests of the fake network have been sent. */
 		error = ZR_E_OUTCOME_UNKNOWN;
 	if (call->kind == CALL_POLL)
 		call->poll_done(call->ctx, error,
--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -18,11 +18,12 @@
  * take long, with tasks that crash their workers and workers whose capacity
  * changes, and with failure domains that are evacuated while the store is lost
  * to all hosts or loses its history. No host may start a task in such a domain
- * later than 5,000 ms after the request.
+ * later than 5,000 ms after the request. It also runs with registrations of
+ * workers that another writer changes.
  *
  * ZR_SEED=N runs seed N alone and writes its scripts, which run_cell replays,
  * to standard output. ZR_SEEDS=N sets the number of seeds. With
- * CK_RUN_CASE=evacuations only the last kind is run.
+ * CK_RUN_CASE=evacuations or entries only that kind is run.
  */
 
 /* The sanitizers slow a seed down about five times. */
@@ -61,6 +62,8 @@
 /* Time after the request to evacuate a domain when nothing may start there. */
 #define EVACUATE_MS 5000
 #define DOMAINS 2
+/* Longest time until a worker has written its registration anew. */
+#define HEARTBEAT_MAX_MS 1000
 #define LINE_MAX_BYTES 256
 
 /* The kinds of trouble that a seed has beside those of all seeds. */
@@ -69,6 +72,7 @@
 	EXTRA_THIN_LINKS,
 	EXTRA_CRASHES,
 	EXTRA_EVACUATIONS,
+	EXTRA_ODD_ENTRIES,
 };
 
 /* A fault that is undone at @ends_at by the lines in @undo. */
@@ -363,6 +367,24 @@
 			 below(scenario, scenario->job_count));
 }
 
+static void change_entry(struct scenario *scenario)
+{
+	static const char *const changes[] = {
+		"address bad",	 "incarnation 9999999999999",
+		"incarnation 1", "incarnation 0",
+		"clock 0",	 "clock 9007199254740991",
+		"clock -1",
+	};
+	uint32_t count = sizeof(changes) / sizeof(*changes);
+	uint32_t worker = below(scenario, WORKERS);
+
+	run_line(scenario, "entry w%u %s", worker,
+		 changes[below(scenario, count)]);
+	if (below(scenario, 2))
+		advance(scenario, below(scenario, HEARTBEAT_MAX_MS));
+	run_line(scenario, "heartbeat w%u", worker);
+}
+
 static void act(struct scenario *scenario)
 {
 	uint32_t choice = below(scenario, 100);
@@ -382,6 +404,9 @@
 	else if (choice < 90 && choice >= 82 &&
 		 scenario->extras == EXTRA_EVACUATIONS)
 		disturb_evacuation(scenario);
+	else if (choice < 90 && choice >= 75 &&
+		 scenario->extras == EXTRA_ODD_ENTRIES)
+		change_entry(scenario);
 	else if (choice < 90)
 		disturb_link(scenario);
 	else if (choice < 93)
@@ -511,22 +536,32 @@
 }
 END_TEST
 
+START_TEST(test_random_faults_and_odd_entries)
+{
+	run_seeds(EXTRA_ODD_ENTRIES);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cell_random");
 	TCase *tcase = tcase_create("cell_random");
 	TCase *evacuations = tcase_create("evacuations");
+	TCase *entries = tcase_create("entries");
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
 	tcase_set_timeout(tcase, 0);
 	tcase_set_timeout(evacuations, 0);
+	tcase_set_timeout(entries, 0);
 	tcase_add_test(tcase, test_random_faults);
 	tcase_add_test(tcase, test_random_faults_and_thin_links);
 	tcase_add_test(tcase, test_random_faults_and_crashes);
 	tcase_add_test(evacuations, test_random_faults_and_evacuations);
+	tcase_add_test(entries, test_random_faults_and_odd_entries);
 	suite_add_tcase(suite, tcase);
 	suite_add_tcase(suite, evacuations);
+	suite_add_tcase(suite, entries);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
