platform: decide in the adapter what names a worker, and test odd documents

The registry, like the other lists that the hosts read, may hold entries of another writer (PROTOCOL.md: "It names no worker to use; the others hold").

--- a/include/zinniarack/cell.h
+++ b/include/zinniarack/cell.h
@@ -29,6 +29,11 @@
  * are in memory and in one record of the store.
  */
 #define ZR_CELL_JOB_TASKS_MAX 16384
+/**
+ * Upper bound of the due time and the interval of a job in milliseconds, so
+ * that the due times of all occurrences can be computed.
+ */
+#define ZR_CELL_DUE_MS_MAX (1LL << 48)
 /** Maximum number of workers in a query to the placement adviser. */
 #define ZR_CELL_ADVISE_MAX 100
 
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -1,5 +1,6 @@
 #include "cell/peers.h"
 
+#include <ctype.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -42,6 +43,8 @@
 /* Ticks between reads of the registrations on a host that is not the owner. */
 #define STANDBY_READ_TICKS 5
 #define MILLICPUS_PER_CPU 1000
+/* Largest size of a host in a registration. */
+#define MILLICPUS_MAX 10000000
 
 /*
  * A peer is removed when this number of reads in a row did not find it. Until
@@ -623,12 +626,20 @@
 			      const char *value)
 {
 	size_t length = strcspn(value, " ");
+	unsigned long long millicpus = 0;
+	char *end = "";
 
 	if (!length || length >= ZR_NAME_MAX)
 		return ZR_E_PROTOCOL;
+	if (isdigit((unsigned char)value[length + !!value[length]]))
+		millicpus = strtoull(value + length + 1, &end, 10);
+	else if (value[length])
+		return ZR_E_PROTOCOL;
+	if (*end || millicpus > MILLICPUS_MAX)
+		return ZR_E_PROTOCOL;
 	memcpy(out, value, length);
 	out[length] = '\0';
-	*out_millicpus = (uint32_t)strtoul(value + length, NULL, 10);
+	*out_millicpus = (uint32_t)millicpus;
 	return 0;
 }
 
@@ -686,7 +697,8 @@
 		const struct zr_store_value *value = &reply->values[i];
 		const char *name = value->key + strlen(ZR_CELL_HOST_PREFIX);
 
-		if (!value->data || !strcmp(name, peers->name) ||
+		if (!value->data || strlen(name) >= ZR_NAME_MAX ||
+		    !strcmp(name, peers->name) ||
 		    parse_registration(address, &millicpus, value->data) < 0)
 			continue;
 		update_peer(peers, name, address, millicpus);
--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -377,13 +377,44 @@
 	snprintf(out->rack, sizeof(out->rack), "%s", step->rack);
 }
 
+/* A step depends on earlier ones only. */
+static bool is_valid_step(const zx_cell_step *step, uint32_t index)
+{
+	u_int i;
+
+	for (i = 0; i < step->after.after_len; i++) {
+		if (step->after.after_val[i] >= index)
+			return false;
+	}
+	return step->count && step->count <= ZR_CELL_JOB_TASKS_MAX;
+}
+
+/* Checks what the model relies on. */
+static bool is_valid_job(const zx_cell_job *record)
+{
+	uint64_t repeats = record->repeats ? record->repeats : 1;
+	uint64_t tasks = 0;
+	u_int i;
+
+	for (i = 0; i < record->steps.steps_len; i++) {
+		if (!is_valid_step(&record->steps.steps_val[i], i))
+			return false;
+		tasks += record->steps.steps_val[i].count;
+	}
+	return tasks && tasks * repeats <= ZR_CELL_JOB_TASKS_MAX &&
+	       record->first_ms >= 0 &&
+	       record->first_ms <= ZR_CELL_DUE_MS_MAX &&
+	       record->interval_ms >= 0 &&
+	       record->interval_ms <= ZR_CELL_DUE_MS_MAX;
+}
+
 int zr_cell_spec_from_record(struct zr_cell_job_spec *out,
 			     const zx_cell_job *record)
 {
 	uint32_t i;
 
 	memset(out, 0, sizeof(*out));
-	if (!record->steps.steps_len)
+	if (!is_valid_job(record))
 		return ZR_E_PROTOCOL;
 	out->payload = strdup(record->payload);
 	out->repeats = record->repeats;
--- a/src/libzinniarack/cell/records.h
+++ b/src/libzinniarack/cell/records.h
@@ -105,7 +105,9 @@
  * @out: to be freed with zr_cell_job_spec_clear()
  * @record: the record
  *
- * Return: 0, or ZR_E_PROTOCOL if the job has no steps.
+ * Return: 0, or ZR_E_PROTOCOL if the job is none that a host accepts: without
+ * tasks, with more than ZR_CELL_JOB_TASKS_MAX, with a step that depends on a
+ * later one, or with times that are not from 0 to ZR_CELL_DUE_MS_MAX.
  */
 int zr_cell_spec_from_record(struct zr_cell_job_spec *out,
 			     const zx_cell_job *record);
--- a/src/libzinniarack/net/address.c
+++ b/src/libzinniarack/net/address.c
@@ -1,5 +1,6 @@
 #include "net/address.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,9 +19,13 @@
 static int parse_port(const char *text)
 {
 	char *end;
-	long port = strtol(text, &end, 10);
+	long port;
 
-	if (end == text || *end || port < 1 || port > PORT_MAX)
+	/* strtol() would skip spaces and line ends, and accept a sign. */
+	if (!isdigit((unsigned char)text[0]))
+		return ZR_E_INVALID;
+	port = strtol(text, &end, 10);
+	if (*end || port < 1 || port > PORT_MAX)
 		return ZR_E_INVALID;
 	return (int)port;
 }
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -102,6 +102,7 @@
  *	evacuate N	operators request the evacuation of worker N's zone
  *	restore N	they withdraw the request
  *	late MS N	the workers process N % of starts and stops late
+ *	entry N		another writer changes the registration of a worker
  *	grow N		the configuration grows to N routes more than at first
  */
 static void serve_control(void *ctx, struct zr_http_exchange *exchange)
@@ -132,6 +133,8 @@
 		soak_workers_evacuate(amount, !strcmp(kind, "evacuate"));
 	else if (!strcmp(kind, "late"))
 		soak_workers_delay_requests(ms, amount);
+	else if (!strcmp(kind, "entry"))
+		soak_workers_put_odd_entry(amount);
 	else if (!strcmp(kind, "grow"))
 		put_configuration(amount);
 	soak_reply(exchange, 200,
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -8,6 +8,9 @@
 # have that bandwidth in Mbit/s, the configuration grows to 1.4 MB, and the
 # faults are those of generate_growth.
 #
+# With ZR_ENTRY_S, the mean time between odd registrations of workers in s is that
+# instead of 1, and there are no other faults.
+#
 # usage: run.sh SEED [SECONDS [FOLDER]]; logs stay in FOLDER when it fails.
 set -eu
 source=$(cd "$(dirname "$0")/../.." && pwd)
@@ -19,6 +22,11 @@
 hosts=6
 workers=8
 mbps=${ZR_MBPS:-0}
+entry_s=${ZR_ENTRY_S:-1}
+only_entries=${ZR_ENTRY_S:+yes}
+# Jobs per second. Odd registrations take workers out of use for a while.
+rate=25
+test "$only_entries" != yes || rate=8
 wide_hosts=2
 # Bound of soak-prober for a host with a limited link, in s.
 apply_s=4
@@ -148,6 +156,16 @@
 	}'
 }
 
+# generate_entries: the same for registrations that another writer changes
+generate_entries () {
+	awk -v seed="$(($seed + 2000000))" -v seconds="$seconds" \
+		-v pause="$entry_s" 'BEGIN {
+		srand(seed)
+		for (at = 1; at < seconds - 1; at += 2 * pause * rand())
+			printf "%.3f entry %d 0\n", at, int(rand() * 100000)
+	}'
+}
+
 # generate_growth: print the faults of a run with limited links, as
 # generate_faults does. The configuration grows to half of its size, to its
 # full size, and then by one route each time. With an even seed, all hosts with
@@ -250,6 +268,9 @@
 		fault "kind=evacuate&much=$2"
 		(sleep "$3"; fault "kind=restore&much=$2") &
 		;;
+	entry)
+		fault "kind=entry&much=$2"
+		;;
 	late)
 		fault "kind=late&ms=$ms&much=$(($2 % 60 + 10))"
 		;;
@@ -312,7 +333,7 @@
 	sleep 0.1
 done
 "$build/soak-caller" --hosts "$addresses" --seed "$seed" \
-	--seconds "$seconds" --rate 25 >"$work/caller.log" 2>&1 &
+	--seconds "$seconds" --rate "$rate" >"$work/caller.log" 2>&1 &
 caller=$!
 pids="$pids $caller"
 
@@ -327,8 +348,11 @@
 	generate_growth >"$work/faults"
 else
 	{
-		generate_faults
-		generate_evacuations
+		test "$only_entries" = yes || {
+			generate_faults
+			generate_evacuations
+		}
+		generate_entries
 	} | sort -n >"$work/faults"
 fi
 started_ns=$(date +%s%N)
@@ -345,6 +369,17 @@
 status=0
 wait "$caller" || status=1
 test -z "$prober" || wait "$prober" || status=1
+# A host that has ended by itself is not started again. Hosts may be down only
+# where the faults of generate_growth stop them.
+i=0
+while test $i -lt $hosts -a "$mbps" -eq 0
+do
+	kill -0 "$(pid host$i)" 2>/dev/null || {
+		echo "VIOLATION ENDED host $i has ended by itself" >>"$work/ended"
+	}
+	i=$(($i + 1))
+done
+touch "$work/ended"
 grep '^refused' "$work/caller.log" | while read -r _ id
 do
 	! grep -q "began $id" "$work/platform.log" ||
@@ -356,7 +391,7 @@
 		echo "VIOLATION LOST $id failed, though no two workers crashed under a task of it"
 done >"$work/failed"
 grep -h VIOLATION "$work/platform.log" "$work/caller.log" "$work/refused" \
-	"$work/failed" \
+	"$work/failed" "$work/ended" \
 	${prober:+"$work/prober.log"} >"$work/violations" && status=1
 echo "seed $seed: $(tail -n 1 "$work/caller.log")"
 test -z "$prober" || echo "seed $seed: $(tail -n 1 "$work/prober.log")"
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -84,6 +84,12 @@
 void soak_workers_evacuate(int index, bool evacuated);
 /** soak_workers_restart() - crash a worker and restart it under its name */
 void soak_workers_restart(int index);
+/**
+ * soak_workers_put_odd_entry() - change the registration of a worker as another
+ * writer might, until the worker writes it anew
+ * @number: selects the worker and the change
+ */
+void soak_workers_put_odd_entry(int number);
 /**
  * soak_workers_delay_requests() - process starts and stops late for a while
  * @ms: how long
--- a/tests/soak/workers.c
+++ b/tests/soak/workers.c
@@ -156,6 +156,8 @@
  * @previous_millicpus: capacity before the last change
  * @changed_at: when its capacity changed
  * @down_until: when it is back after a crash
+ * @heartbeat_at: when it writes its registration anew, which another writer has
+ *	changed; 0: none has
  * @used_millicpus: processors that its runs use
  * @ends: ends that no host has acknowledged, oldest first
  * @polls: polls that wait for an end
@@ -172,6 +174,7 @@
 	uint32_t previous_millicpus;
 	int64_t changed_at;
 	int64_t down_until;
+	int64_t heartbeat_at;
 	uint32_t used_millicpus;
 	struct run *runs;
 	struct end *ends;
@@ -249,24 +252,87 @@
 
 /* Registration */
 
-static void register_worker(struct worker *worker)
+static json_t *registration_of(const struct worker *worker)
 {
-	char key[64];
 	char address[ADDRESS_MAX + 16];
 
-	snprintf(key, sizeof(key), "servers/%s", worker->name);
 	snprintf(address, sizeof(address), "%s:%d", advertised_ip,
 		 advertised_base_port + (int)(worker - workers));
-	soak_store_put(
-		key, json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:I, "
-			       "s:I, s:{s:i, s:i, s:i}, s:[s, s]}",
-			       "service", "pool", "address", address, "zone",
-			       zones[zone_of(worker)], "version", "1", "state",
-			       "ready", "slots", 8, "born",
-			       (json_int_t)worker->incarnation, "clock_ms",
-			       (json_int_t)worker_clock_ms(worker), "capacity",
-			       "cpu", (int)worker->millicpus, "mem_mb", 65536,
-			       "gpu", 0, "labels", "a", "r1-1"));
+	return json_pack(
+		"{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:{s:i, s:i, "
+		"s:i}, s:[s, s]}",
+		"service", "pool", "address", address, "zone",
+		zones[zone_of(worker)], "version", "1", "state", "ready",
+		"slots", 8, "born", (json_int_t)worker->incarnation, "clock_ms",
+		(json_int_t)worker_clock_ms(worker), "capacity", "cpu",
+		(int)worker->millicpus, "mem_mb", 65536, "gpu", 0, "labels",
+		"a", "r1-1");
+}
+
+static void register_worker(struct worker *worker)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "servers/%.*s", NAME_MAX_BYTES,
+		 worker->name);
+	soak_store_put(key, registration_of(worker));
+	worker->heartbeat_at = 0;
+}
+
+static int64_t wall_clock_ms(void);
+
+/* Values of one member of a registration; others are as the worker wrote them.
+ */
+static json_t *odd_value(const char **out_field, int kind)
+{
+	switch (kind) {
+	case 0:
+		*out_field = "address";
+		return json_string("127.0.0.1:99999");
+	case 1:
+		*out_field = "address"; /* nothing listens there */
+		return json_string("127.0.0.1:1");
+	case 2:
+		*out_field = "born";
+		return json_integer(9999999999999);
+	case 3:
+		*out_field = "born"; /* an hour from now */
+		return json_integer(wall_clock_ms() + 3600000);
+	case 4:
+		*out_field = "capacity";
+		return json_pack("{s:I, s:i}", "cpu", (json_int_t)4000000000,
+				 "mem_mb", 65536);
+	case 5:
+		*out_field = "clock_ms";
+		return json_integer(INT64_MAX);
+	case 6:
+		*out_field = "state";
+		return json_string("resting");
+	case 7:
+		*out_field = "labels";
+		return json_null();
+	case 8:
+		*out_field = "service";
+		return json_integer(7);
+	default:
+		*out_field = "clock_ms";
+		return json_integer(0);
+	}
+}
+
+void soak_workers_put_odd_entry(int number)
+{
+	struct worker *worker = &workers[number % worker_count];
+	json_t *entry = registration_of(worker);
+	const char *field;
+	json_t *value = odd_value(&field, number / worker_count % 10);
+	char key[64];
+
+	json_object_set_new(entry, field, value);
+	snprintf(key, sizeof(key), "servers/%.*s", NAME_MAX_BYTES,
+		 worker->name);
+	soak_store_put(key, entry);
+	worker->heartbeat_at = soak_now_ms() + number % HEARTBEAT_MS;
 }
 
 static int64_t wall_clock_ms(void)
@@ -906,8 +972,12 @@
 {
 	int i;
 
-	for (i = 0; i < worker_count; i++)
+	for (i = 0; i < worker_count; i++) {
 		tick_worker(&workers[i]);
+		if (workers[i].heartbeat_at && !workers[i].down_until &&
+		    soak_now_ms() >= workers[i].heartbeat_at)
+			register_worker(&workers[i]);
+	}
 }
 
 int soak_workers_start(uv_loop_t *loop, const char *address, int port,
