cell: withdraw the list of the adviser's proxies when the cell is lost

Cause: the scheduler kept the proxies of its last term, with pointers to peers that were freed while the host stood by, and planned with them before it had a new list.

Change: the list is withdrawn when the host no longer owns the cell. A peer is taken out of the list of peers before its connection is freed, as the calls that end then may look for another peer.

--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -85,6 +85,7 @@
 	bool registered;
 	bool request_in_flight;
 	bool active;
+	bool reported; /* the scheduler has a list of proxies */
 	bool read_in_flight;
 	bool leaving;
 };
@@ -571,25 +572,46 @@
 	peer->absent_reads = 0;
 }
 
-/* To be called after report_proxies(), when the scheduler uses them no more. */
-static void remove_absent_peers(struct zr_cell_peers *peers)
+/* Takes an absent peer out of the list; NULL if there is none. */
+static struct peer *take_absent_peer(struct zr_cell_peers *peers)
 {
-	size_t kept = 0;
 	size_t i;
 
 	for (i = 0; i < peers->count; i++) {
 		struct peer *peer = peers->peers[i];
 
-		if (peer->absent_reads < ABSENT_READS_MAX) {
-			peers->peers[kept++] = peer;
+		if (peer->absent_reads < ABSENT_READS_MAX)
 			continue;
-		}
+		peers->peers[i] = peers->peers[--peers->count];
+		return peer;
+	}
+	return NULL;
+}
+
+/*
+ * To be called after report_proxies(), when the scheduler uses them no more.
+ * The calls in flight end while a client is freed, and may look for another
+ * peer.
+ */
+static void remove_absent_peers(struct zr_cell_peers *peers)
+{
+	struct peer *peer;
+
+	while ((peer = take_absent_peer(peers))) {
 		zr_log(ZR_LOG_INFO, "host.removed host=%s address=%s",
 		       peer->name, peer->address);
 		zr_rpc_client_free(peer->client);
 		free(peer);
 	}
-	peers->count = kept;
+}
+
+/* Peers come and go unreported while the scheduler is not active. */
+static void withdraw_proxies(struct zr_cell_peers *peers)
+{
+	if (!peers->reported)
+		return;
+	peers->reported = false;
+	peers->on_proxies_changed(peers->ctx, NULL, 0);
 }
 
 static void report_proxies(struct zr_cell_peers *peers)
@@ -598,8 +620,12 @@
 	size_t count = 0;
 	size_t i;
 
-	if (!peers->platform->advise || !peers->active)
+	if (!peers->platform->advise)
 		return;
+	if (!peers->active) {
+		withdraw_proxies(peers);
+		return;
+	}
 	proxies = calloc(peers->count + 1, sizeof(*proxies));
 	if (!proxies)
 		abort();
@@ -617,6 +643,7 @@
 		proxies[count].ctx = peer;
 		count++;
 	}
+	peers->reported = true;
 	peers->on_proxies_changed(peers->ctx, proxies, count);
 	free(proxies);
 }
@@ -730,10 +757,9 @@
 	if (peers->active == active)
 		return;
 	peers->active = active;
-	if (active) {
-		report_proxies(peers);
+	report_proxies(peers);
+	if (active)
 		on_tick(peers);
-	}
 }
 
 static void on_lease_revoked(void *ctx, int error,
--- a/src/libzinniarack/cell/peers.h
+++ b/src/libzinniarack/cell/peers.h
@@ -41,8 +41,9 @@
  * typedef zr_cell_adviser_proxies_fn - receives the hosts that can query the
  * adviser
  * @ctx: as passed
- * @proxies: this host, then the others; valid during the call
- * @count: number of @proxies
+ * @proxies: this host, then the others; valid during the call. What they refer
+ *to is valid until the next call
+ * @count: number of @proxies; 0: this host owns the cell no more
  */
 typedef void (*zr_cell_adviser_proxies_fn)(
 	void *ctx, const struct zr_cell_adviser_proxy *proxies, size_t count);
@@ -58,7 +59,7 @@
  * @address: address to serve RPCs on
  * @processors: number of processors of this host
  * @on_proxies_changed: called after each read of the registrations while this
- *	host owns the cell
+ *	host owns the cell, and when it no longer does
  * @events: handlers for requests of other hosts; copied
  * @ctx: passed to @on_proxies_changed and @events
  *
