--- a/tests/unit/test_cell_peers.c
+++ b/tests/unit/test_cell_peers.c
@@ -182,7 +182,7 @@
 	set_registration("f", "127.0.0.1:99999 800");
 	set_registration("g", "");
 	zr_cell_peers_set_active(peers, true);
-	advance(2 * READ_MS);
+	advance(2L * READ_MS);
 	ck_assert_uint_eq(proxy_count, 3);
 	ck_assert_uint_eq(zr_cell_peers_largest_registered(peers), 500);
 }
