cell: an ended job has no occurrences

The build with sanitizers found a read behind the end of the steps: a job of which only the result is left, or whose tasks were freed, still had one occurrence, and next_is_due() read its due time. Seven scripts of the cell failed there; all 92 pass now, with and without sanitizers.

--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -237,7 +237,8 @@
 	uint32_t occurrences = spec->repeats ? spec->repeats : 1;
 	uint32_t i;
 
-	job->occurrence_count = occurrences;
+	/* An ended job of which only the result is left has no steps. */
+	job->occurrence_count = spec->step_count ? occurrences : 0;
 	job->step_count = occurrences * spec->step_count;
 	job->steps = calloc(job->step_count, sizeof(*job->steps));
 	if (!job->steps)
@@ -334,6 +335,9 @@
 	free(job->steps);
 	job->steps = NULL;
 	job->step_count = 0;
+	job->occurrence_count = 0;
+	job->first_open = 0;
+	job->next_occurrence = 0;
 }
 
 void zr_cell_job_free_tasks(struct zr_cell_model *model,
