cell: a worker that may be cut off is not taken for crashed

The users saw one job each on two deployments shown as `failed` although none of its tasks had failed that often; a run of one had ended with its lease.

Cause, as far as we can show it: when the leases of a silent worker were over, its young runs were charged with a crash. Three such charges fail a job that had its workers to itself, though the workers had been cut off and ran on.

Change: nothing is charged if the worker has renewed its registration since; otherwise the crash is only possible, and five in all are needed.

--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -14,8 +14,9 @@
  *
  * A worker that does not respond may also be cut off or stopped, so a crash is
  * known only when the worker is back without its runs, or another one uses its
- * address. If that never happens, the runs end with their lease; this counts
- * too, but not as certain.
+ * address. If that never happens, the runs end with their lease. If the worker
+ * goes on to renew its registration, it has not crashed; otherwise the crash is
+ * possible.
  *
  * A run whose start was not confirmed may never have been there: the response
  * to the start was lost, or an earlier scheduler has persisted the placement
@@ -56,6 +57,13 @@
  */
 #define SUSPECT_ALL_CRASHES 3
 
+/*
+ * A registration that was renewed this long after a worker stopped responding
+ * was written by a worker that has not crashed. The last one before a crash may
+ * arrive later than the crash is noticed.
+ */
+#define ALIVE_MS 2000
+
 /* How it is known that a worker has crashed. */
 enum crash_knowledge {
 	CRASH_ASSUMED,	 /* the leases of its runs have expired */
@@ -137,10 +145,23 @@
 	       entry->incarnation != (uint32_t)worker->report.incarnation;
 }
 
-/* A start that was not confirmed may not have arrived. */
-static uint32_t count_flag(const struct zr_cell_task *entry)
+/*
+ * A start that was not confirmed may not have arrived, and a worker of which
+ * only the leases have expired may be cut off.
+ */
+static uint32_t count_flag(const struct zr_cell_task *entry,
+			   enum crash_knowledge knowledge)
+{
+	return entry->started_at && knowledge != CRASH_ASSUMED
+		       ? ZR_CRASH_COUNTED
+		       : ZR_CRASH_POSSIBLE;
+}
+
+/* Whether a worker that does not respond has renewed its registration since. */
+static bool is_alive(const struct zr_cell_worker *worker)
 {
-	return entry->started_at ? ZR_CRASH_COUNTED : ZR_CRASH_POSSIBLE;
+	return worker->silent_since != ZR_CELL_NEVER &&
+	       worker->registered_at - worker->silent_since > ALIVE_MS;
 }
 
 /* Whether it is not known if an earlier scheduler has started the run. */
@@ -166,7 +187,7 @@
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_job *job = zr_cell_job(model, ref.job);
 		struct zr_cell_task *entry = &job->tasks[ref.task];
-		uint32_t evidence = count_flag(entry);
+		uint32_t evidence = count_flag(entry, knowledge);
 
 		if (entry->crash_evidence ||
 		    !may_have_started(entry, silent_since))
@@ -212,14 +233,15 @@
 void zr_cell_worker_lost(struct zr_cell_scheduler *scheduler,
 			 struct zr_cell_worker *worker)
 {
-	note_evidence(scheduler, worker, CRASH_ASSUMED);
+	if (!is_alive(worker))
+		note_evidence(scheduler, worker, CRASH_ASSUMED);
 }
 
 void zr_cell_crash_run_missing(const struct zr_cell_worker *worker,
 			       struct zr_cell_task *entry)
 {
 	if (!entry->crash_evidence && is_of_other_incarnation(entry, worker))
-		entry->crash_evidence = count_flag(entry);
+		entry->crash_evidence = count_flag(entry, CRASH_RESTARTED);
 }
 
 /* Whether a crash that counts, rather than a possible one, gives up a task. */
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -382,6 +382,7 @@
  * @report: its registration
  * @self: its handle
  * @registered: it is in the registry
+ * @registered_at: when a change of its entry in the registry was last applied
  * @registry_revision: store revision of the entry that was last applied, or of
  *                     its deletion
  * @in_current_read: it is in the copy of the registry that is being processed
@@ -453,6 +454,7 @@
 	struct zr_cell_worker_report report;
 	zr_handle self;
 	bool registered;
+	int64_t registered_at;
 	int64_t registry_revision;
 	bool in_current_read;
 	int state;
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -158,6 +158,8 @@
 	}
 	apply_report(scheduler, &report);
 	worker = zr_cell_worker_find(&scheduler->model, report.name);
+	if (value->mod_revision > worker->registry_revision)
+		worker->registered_at = zr_cell_now_ms(scheduler);
 	worker->registry_revision = value->mod_revision;
 	worker->in_current_read = true;
 }
