--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -240,7 +240,7 @@
 	/* An ended job of which only the result is left has no steps. */
 	job->occurrence_count = spec->step_count ? occurrences : 0;
 	job->step_count = occurrences * spec->step_count;
-	job->steps = calloc(job->step_count, sizeof(*job->steps));
+	job->steps = calloc((size_t)job->step_count + 1, sizeof(*job->steps));
 	if (!job->steps)
 		abort();
 	for (i = 0; i < job->step_count; i++) {
@@ -255,7 +255,7 @@
 		step->ready_at = ZR_CELL_NEVER;
 		job->task_count += step->spec->count;
 	}
-	job->tasks = calloc(job->task_count, sizeof(*job->tasks));
+	job->tasks = calloc((size_t)job->task_count + 1, sizeof(*job->tasks));
 	if (!job->tasks)
 		abort();
 }
