soak: start a killed host again only when its process is gone

The trace: the fault `all` at 7.78 s killed host 0 and started it at once; "address_in_use: another process listens on 127.0.0.1:27702", as the killed process had not released its ports yet, and the host stayed down. Without the check such a host was down unnoticed for the rest of the run.

Change: the script waits until the killed process is gone. The fault `all` still kills all hosts before it starts one.

--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -126,6 +126,19 @@
 	kill "-$2" "$(pid "$1")" 2>/dev/null || :
 }
 
+# restart_host HOST: kill a host and start it again once its ports are free
+restart_host () {
+	process=$(pid "host$1")
+	kill -KILL "$process" 2>/dev/null || :
+	wait "$process" 2>/dev/null || :
+	# stop_host has started it, so that it is no child of this shell.
+	while kill -0 "$process" 2>/dev/null
+	do
+		sleep 0.01
+	done
+	start_host "$1"
+}
+
 # generate_faults: print a line for each fault: time in s after the start of the
 # submissions, kind, a random number that the kind uses, and duration in s. The
 # times and durations overlap; frequent kinds are listed twice.
@@ -205,14 +218,12 @@
 	ms=$(awk -v s="$3" 'BEGIN { printf "%d", s * 1000 }')
 	case $1 in
 	kill)
-		signal "host$host" KILL
-		start_host "$host"
+		restart_host "$host"
 		;;
 	term)
 		signal "host$host" TERM
 		sleep 0.4
-		signal "host$host" KILL
-		start_host "$host"
+		restart_host "$host"
 		;;
 	pause)
 		signal "host$host" STOP
@@ -293,7 +304,12 @@
 		while test $i -lt $hosts
 		do
 			signal "host$i" KILL
-			start_host $i
+			i=$(($i + 1))
+		done
+		i=0
+		while test $i -lt $hosts
+		do
+			restart_host $i
 			i=$(($i + 1))
 		done
 		;;
