--- a/src/libzinniarack/cell/evacuation_moves.c
+++ b/src/libzinniarack/cell/evacuation_moves.c
@@ -52,22 +52,6 @@
 
 /* Estimates */
 
-/* Estimated time of the steps that have not started. */
-static int64_t later_ms(const struct zr_cell_job *job)
-{
-	int64_t sum = 0;
-	uint32_t i;
-
-	/* Later occurrences than the first have due times of their own. */
-	for (i = 0; i < job->spec.step_count; i++) {
-		const struct zr_cell_step_state *step = &job->steps[i];
-
-		if (step->waiting == step->spec->count)
-			sum += step->spec->estimate_ms;
-	}
-	return sum;
-}
-
 /*
  * Estimated time until a run ends. Without progress it is what the estimate
  * leaves: a run that exceeds its estimate is taken to end soon.
@@ -192,7 +176,7 @@
 		.checkpoints = spec->flags & ZR_STEP_CHECKPOINTS,
 		.long_running = spec->flags & ZR_STEP_LONG_RUNNING,
 		.unavailable_max = spec->unavailable_max,
-		.later_ms = later_ms(job),
+		.later_ms = zr_cell_priority_unstarted_ms(job),
 		.age_ms = pass->now - job->accepted_at,
 		.objective_ms = zr_cell_priority_objective_ms(job),
 	};
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -85,8 +85,7 @@
  * @finished: a run of the task, or of another member of its gang, has succeeded
  * @avoided_worker: worker on which its last run has ended, if the next one has
  *                  to avoid it
- * @avoided_until: when other runs than that of its gang may be placed there
- * again
+ * @avoided_until: when runs that join no gang may be placed there again
  * @percent: progress last reported by the worker
  * @percent_at: when @percent last changed
  * @checkpoint: checkpoint to resume from, or ""
@@ -601,10 +600,10 @@
 void zr_cell_worker_remove(struct zr_cell_model *model,
 			   struct zr_cell_worker *worker);
 /**
- * zr_cell_worker_disconnect() - close the connection to a worker, if there is
- * one
- * @worker: the worker; it has no connection when the callbacks of the requests
- *in flight run
+ * zr_cell_worker_disconnect() - close the connection to a worker, if any
+ * @worker: the worker
+ *
+ * It has no connection when the callbacks of the requests in flight run.
  */
 void zr_cell_worker_disconnect(struct zr_cell_worker *worker);
 /** zr_cell_client_get_or_add() - find a client account; add it if it is new */
--- a/src/libzinniarack/cell/peers.h
+++ b/src/libzinniarack/cell/peers.h
@@ -41,9 +41,10 @@
  * typedef zr_cell_adviser_proxies_fn - receives the hosts that can query the
  * adviser
  * @ctx: as passed
- * @proxies: this host, then the others; valid during the call. What they refer
- *to is valid until the next call
+ * @proxies: this host, then the others; valid during the call
  * @count: number of @proxies; 0: this host owns the cell no more
+ *
+ * What the proxies refer to is valid until the next call.
  */
 typedef void (*zr_cell_adviser_proxies_fn)(
 	void *ctx, const struct zr_cell_adviser_proxy *proxies, size_t count);
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -175,6 +175,16 @@
  * only by steps of lower classes.
  */
 int64_t zr_cell_priority_class(const struct zr_cell_job *job, int64_t now);
+/**
+ * zr_cell_priority_unstarted_ms() - estimated time of the steps of a job that
+ * have not started
+ * @job: the job
+ *
+ * A step that has started is not counted, since its progress is not known.
+ *
+ * Return: the sum over the first occurrence.
+ */
+int64_t zr_cell_priority_unstarted_ms(const struct zr_cell_job *job);
 /**
  * zr_cell_priority_objective_ms() - time objective of a job
  * @job: the job
--- a/src/libzinniarack/cell/priority.c
+++ b/src/libzinniarack/cell/priority.c
@@ -42,11 +42,7 @@
 	       job->latency_target_ms;
 }
 
-/*
- * Estimated time of the steps that have not started. A step that has started is
- * not counted, since its progress is not known.
- */
-static int64_t remaining_ms(const struct zr_cell_job *job)
+int64_t zr_cell_priority_unstarted_ms(const struct zr_cell_job *job)
 {
 	int64_t sum = 0;
 	uint32_t i;
@@ -58,7 +54,12 @@
 		if (step->waiting == step->spec->count)
 			sum += step->spec->estimate_ms;
 	}
-	return sum * REMAINING_PERCENT / PERCENT;
+	return sum;
+}
+
+static int64_t remaining_ms(const struct zr_cell_job *job)
+{
+	return zr_cell_priority_unstarted_ms(job) * REMAINING_PERCENT / PERCENT;
 }
 
 enum zr_cell_tier zr_cell_priority_tier(const struct zr_cell_job *job,
--- a/src/libzinniarack/cell/records.h
+++ b/src/libzinniarack/cell/records.h
@@ -78,11 +78,12 @@
 
 /**
  * zr_cell_decode_progress() - decode the progress record of a job
- * @out: zeroed by the caller; to be freed with xdr_free(). The tasks of a
- *packed list are unpacked
+ * @out: zeroed by the caller; to be freed with xdr_free()
  * @data: the encoding
  * @length: size of @data in bytes
  *
+ * The tasks of a packed list are unpacked.
+ *
  * Return: 0, or ZR_E_PROTOCOL with nothing to free.
  */
 int zr_cell_decode_progress(zx_cell_stored_progress *out, const void *data,
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -1033,12 +1033,9 @@
 
 static void do_capacity(struct cell_script *script)
 {
-	char key[ZR_CELL_KEY_MAX];
-
 	fake_pool_set_capacity(script->pool, word(script, 1),
 			       (uint32_t)atoi(word(script, 2)));
-	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
-	commit_value(script, &script->registrar, key, "1", 1);
+	write_registration(script, word(script, 1));
 }
 
 static void do_evacuation_ms(struct cell_script *script)
@@ -1131,24 +1128,18 @@
 
 static void do_speed(struct cell_script *script)
 {
-	char key[ZR_CELL_KEY_MAX];
-
 	fake_pool_set_speed(script->pool, word(script, 1),
 			    (uint32_t)atoi(word(script, 2)), word(script, 3));
 	if (!word(script, 3)[0])
 		return;
-	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
-	commit_value(script, &script->registrar, key, "1", 1);
+	write_registration(script, word(script, 1));
 }
 
 static void do_leave(struct cell_script *script)
 {
-	char key[ZR_CELL_KEY_MAX];
-
 	fake_pool_leave(script->pool, word(script, 1),
 			(unsigned int)atoi(word(script, 2)));
-	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
-	commit_value(script, &script->registrar, key, "1", 1);
+	write_registration(script, word(script, 1));
 }
 
 static void do_save_checkpoints(struct cell_script *script)
@@ -1375,7 +1366,9 @@
 			free_host(&script->hosts[i]);
 	}
 	LL_FOREACH_SAFE(script->odd_entries, entry, next)
-	free(entry);
+	{
+		free(entry);
+	}
 	zr_store_free(&script->registrar);
 	fake_pool_free(script->pool);
 	fake_store_free(script->store);
