--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 out=target/review-2
 mkdir -p "$out"
 flags="-std=gnu11 -O1 -g -Wall -Wextra -D_GNU_SOURCE -Iinclude -Isrc/util
--Isrc/libzinniarack -Itests/soak -Ireview/standin-2"
+-Isrc/libzinniarack -Ireview/standin-2"
 packages="libuv libh2o openssl libcyaml yaml-0.1 jansson libtirpc log4c libxxhash"
 libs="target/libzinniarack.a $(pkg-config --libs $packages) -lhttp_parser -lm"
 cc $flags $(pkg-config --cflags $packages) -o "$out/platform" \
--- a/review/standin-2/call.c
+++ b/review/standin-2/call.c
@@ -16,7 +16,8 @@
 {
 	const char *colon = strrchr(address, ':');
 	struct sockaddr_in to = {.sin_family = AF_INET};
-	struct timeval timeout = {timeout_ms / 1000, timeout_ms % 1000 * 1000};
+	struct timeval timeout = {timeout_ms / 1000,
+				  (long)(timeout_ms % 1000) * 1000};
 	char ip[32];
 	int fd;
 
--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -17,7 +17,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "soak.h"
+#include "../../tests/soak/soak.h"
 #include "zinniarack/clock.h"
 #include "zinniarack/errors.h"
 
--- a/review/standin-2/worker.c
+++ b/review/standin-2/worker.c
@@ -441,9 +441,7 @@
 	(void)ctx;
 	if (target && strcmp(target, worker.id))
 		reply(exchange, 421, json_object());
-	else if (!strcmp(path, "/health"))
-		reply(exchange, 200, json_object());
-	else if (!request)
+	else if (!request && strcmp(path, "/health"))
 		reply(exchange, 400, json_object());
 	else if (!strcmp(path, "/-/run-start"))
 		serve_start(exchange, request);
