cell: acknowledge a late success once its task is done

Cause: a run that succeeds while its worker is cut off is reported when the task has been started elsewhere. The later run is stopped, and until that is carried out the success is in no record, while the end was acknowledged as soon as the job had no unpersisted change. An owner that died in between left neither.

Change: the acknowledgement waits until the task is done and that is persisted.

cell/late_success_owner_killed printed VIOLATION AGAIN before; the other scripts of the cell are as they were.

--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -370,10 +370,20 @@
 	int64_t balance;
 };
 
-/** struct zr_cell_ack - change to persist before ended runs are confirmed */
+/** &struct zr_cell_ack.task if the change alone has to be persisted */
+#define ZR_CELL_ACK_NO_TASK UINT32_MAX
+
+/**
+ * struct zr_cell_ack - what to persist before ended runs are confirmed
+ * @job: a job
+ * @change: number of the change
+ * @task: task that has succeeded in an earlier run and has an active one, until
+ *        it is done; ZR_CELL_ACK_NO_TASK: none
+ */
 struct zr_cell_ack {
 	zr_handle job;
 	uint64_t change;
+	uint32_t task;
 };
 
 /**
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -380,7 +380,7 @@
 
 /* Acknowledge the worker's ends only after the job's change is persisted. */
 static void add_ack(struct zr_cell_worker *worker,
-		    const struct zr_cell_job *job)
+		    const struct zr_cell_job *job, uint32_t task)
 {
 	if (worker->ack_count == worker->ack_alloc) {
 		worker->ack_alloc =
@@ -392,7 +392,29 @@
 			abort();
 	}
 	worker->acks[worker->ack_count++] =
-		(struct zr_cell_ack){job->self, job->change};
+		(struct zr_cell_ack){job->self, job->change, task};
+}
+
+/*
+ * Adds what an end has changed. A task that has succeeded in an earlier run is
+ * done only once its active run has ended: a later owner would start it again.
+ */
+static void add_end_ack(const struct zr_cell_scheduler *scheduler,
+			struct zr_cell_worker *worker,
+			const struct zr_cell_run_end *end)
+{
+	const struct zr_cell_job *job;
+	uint32_t task;
+
+	job = zr_cell_task_find(&task, &scheduler->model, &end->task);
+	if (job && job->tasks && end->outcome == ZR_RUN_DONE &&
+	    job->tasks[task].state != ZR_TASK_DONE) {
+		add_ack(worker, job, task);
+		return;
+	}
+	job = zr_cell_job_find(&scheduler->model, end->task.job);
+	if (job && job->change != job->persisted_change)
+		add_ack(worker, job, ZR_CELL_ACK_NO_TASK);
 }
 
 static void handle_ends(struct zr_cell_scheduler *scheduler,
@@ -403,15 +425,12 @@
 
 	for (i = 0; i < reply->end_count; i++) {
 		const struct zr_cell_run_end *end = &reply->ends[i];
-		const struct zr_cell_job *job;
 
 		if (end->number <= worker->last_end_processed)
 			continue;
 		worker->last_end_processed = end->number;
 		zr_cell_process_end(scheduler, worker, end);
-		job = zr_cell_job_find(&scheduler->model, end->task.job);
-		if (job && job->change != job->persisted_change)
-			add_ack(worker, job);
+		add_end_ack(scheduler, worker, end);
 	}
 }
 
@@ -660,11 +679,18 @@
 }
 
 static bool is_ack_persisted(const struct zr_cell_scheduler *scheduler,
-			     const struct zr_cell_ack *ack)
+			     struct zr_cell_ack *ack)
 {
 	const struct zr_cell_job *job =
 		zr_cell_job(&scheduler->model, ack->job);
 
+	if (job && job->tasks && ack->task != ZR_CELL_ACK_NO_TASK) {
+		if (job->tasks[ack->task].state != ZR_TASK_DONE &&
+		    !zr_cell_job_has_ended(job))
+			return false;
+		ack->task = ZR_CELL_ACK_NO_TASK;
+		ack->change = job->change;
+	}
 	return !job || job->persisted_change >= ack->change;
 }
 
