cell: a run that may have ended is no proof of a crash

Cause: each confirmed run of a worker that has restarted was counted as crashed, though it may have ended while the worker was cut off. Three such crashes give a job up.

Change: if half of the estimate had passed when the worker stopped responding, the crash is a possible one.

--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -111,6 +111,19 @@
 	       silent_since - entry->sent_at <= max_age_ms;
 }
 
+/*
+ * Whether the run may have ended before the worker crashed: its end is not known
+ * if the worker did not respond any more. Estimates are rough.
+ */
+static bool may_have_ended(const struct zr_cell_job *job, uint32_t task,
+			   int64_t silent_since)
+{
+	const struct zr_cell_task *entry = &job->tasks[task];
+	uint32_t estimate_ms = zr_cell_task_step(job, task)->spec->estimate_ms;
+
+	return estimate_ms && silent_since - entry->started_at > estimate_ms / 2;
+}
+
 /*
  * Whether all runs that may have started are of the same job; with @fresh, all
  * of them that are fresh.
@@ -149,10 +162,11 @@
  * A start that was not confirmed may not have arrived, and a worker of which
  * only the leases have expired may be cut off.
  */
-static uint32_t count_flag(const struct zr_cell_task *entry,
-			   enum crash_knowledge knowledge)
+static uint32_t count_flag(const struct zr_cell_job *job, uint32_t task,
+			   enum crash_knowledge knowledge, int64_t silent_since)
 {
-	return entry->started_at && knowledge != CRASH_ASSUMED
+	return job->tasks[task].started_at && knowledge != CRASH_ASSUMED &&
+			       !may_have_ended(job, task, silent_since)
 		       ? ZR_CRASH_COUNTED
 		       : ZR_CRASH_POSSIBLE;
 }
@@ -187,7 +201,8 @@
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_job *job = zr_cell_job(model, ref.job);
 		struct zr_cell_task *entry = &job->tasks[ref.task];
-		uint32_t evidence = count_flag(entry, knowledge);
+		uint32_t evidence =
+			count_flag(job, ref.task, knowledge, silent_since);
 
 		if (entry->crash_evidence ||
 		    !may_have_started(entry, silent_since))
@@ -237,11 +252,16 @@
 		note_evidence(scheduler, worker, CRASH_ASSUMED);
 }
 
-void zr_cell_crash_run_missing(const struct zr_cell_worker *worker,
-			       struct zr_cell_task *entry)
+void zr_cell_crash_run_missing(const struct zr_cell_scheduler *scheduler,
+			       const struct zr_cell_worker *worker,
+			       struct zr_cell_job *job, uint32_t task)
 {
+	struct zr_cell_task *entry = &job->tasks[task];
+
 	if (!entry->crash_evidence && is_of_other_incarnation(entry, worker))
-		entry->crash_evidence = count_flag(entry, CRASH_RESTARTED);
+		entry->crash_evidence =
+			count_flag(job, task, CRASH_RESTARTED,
+				   silence_began_at(scheduler, worker));
 }
 
 /* Whether a crash that counts, rather than a possible one, gives up a task. */
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -270,7 +270,8 @@
 			continue;
 		if (entry->visible_after < sent_event) {
 			scheduler->lost->value++;
-			zr_cell_crash_run_missing(worker, entry);
+			zr_cell_crash_run_missing(scheduler, worker, job,
+						  ref.task);
 			zr_cell_unanswered_settle(
 				scheduler, job, ref.task,
 				entry->crash_evidence ? ZR_UNANSWERED_LOST
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -642,14 +642,17 @@
 			 struct zr_cell_worker *worker);
 /**
  * zr_cell_crash_run_missing() - record that a worker does not have a run
+ * @scheduler: the scheduler
  * @worker: the worker
- * @task: the task, whose run has not been ended yet
+ * @job: its job
+ * @task: index of the task, whose run has not been ended yet
  *
  * If the worker has restarted since the placement, it may have crashed under
  * the run, also when an earlier scheduler was to start it.
  */
-void zr_cell_crash_run_missing(const struct zr_cell_worker *worker,
-			       struct zr_cell_task *task);
+void zr_cell_crash_run_missing(const struct zr_cell_scheduler *scheduler,
+			       const struct zr_cell_worker *worker,
+			       struct zr_cell_job *job, uint32_t task);
 /**
  * zr_cell_crash_charge() - count the crash under a run that has ended
  * @job: its job
