cell: each state of a run ends by a time of its own

Cause: a state that waits for an answer ended by an answer only. A worker without runs is not polled, the polls for the outcome of a start do not show that a worker is silent, and the lease of its runs was looked at only if it was not up. A stop answered by another worker was ignored and repeated each 50 ms.

Change: charts/task.yaml names a bound for each state, a chart without one is invalid, and cell/bounds.c ends the states whose bound is over, whatever the worker's state. A worker that may have runs is polled. A stop answered by another worker ends its runs. A refused poll counts as failed. A worker that does not carry out a stop gets no further lease. What is refused or not answered is repeated with backoff.

--- a/include/zinniarack/chart.h
+++ b/include/zinniarack/chart.h
@@ -13,6 +13,11 @@
  * define exactly these states, has an unreachable state, a target that doesn't
  * exist, an event without a transition, or two transitions for one state and
  * event.
+ *
+ * A chart may require that the time in each of its states is bounded: each
+ * state that is not final then names what bounds it, and loading rejects one
+ * that does not. The code that applies the events ends a state whose bound is
+ * over.
  */
 
 struct zr_chart;
@@ -24,11 +29,14 @@
  *	NULL
  * @events: names of the events in the order of their enumeration, terminated by
  *	NULL
+ * @bounds: names of what bounds the time in a state, in the order of their
+ *	enumeration, terminated by NULL; NULL: the states name no bounds
  */
 struct zr_chart_names {
 	const char *chart;
 	const char *const *states;
 	const char *const *events;
+	const char *const *bounds;
 };
 
 /**
@@ -84,6 +92,15 @@
 /** zr_chart_is_final() - whether a state has no transitions */
 bool zr_chart_is_final(const struct zr_chart *chart, int state);
 
+/**
+ * zr_chart_bound() - what bounds the time in a state
+ * @chart: a chart with bounds
+ * @state: a state that is not final
+ *
+ * Return: position in &struct zr_chart_names.bounds.
+ */
+int zr_chart_bound(const struct zr_chart *chart, int state);
+
 /** zr_chart_free() - free a chart, or do nothing for NULL */
 void zr_chart_free(struct zr_chart *chart);
 
--- a/include/zinniarack/charts.h
+++ b/include/zinniarack/charts.h
@@ -165,6 +165,19 @@
 	ZR_TASK_EVENT_DONE,
 };
 
+/**
+ * enum zr_task_bound - what bounds the time of a task in a state; see
+ * charts/task.yaml
+ * @ZR_TASK_BOUND_NONE: nothing; the next planning pass considers it
+ * @ZR_TASK_BOUND_COMMIT: the time in which its placement has to be persisted
+ * @ZR_TASK_BOUND_LEASE: the lease of its run
+ */
+enum zr_task_bound {
+	ZR_TASK_BOUND_NONE,
+	ZR_TASK_BOUND_COMMIT,
+	ZR_TASK_BOUND_LEASE,
+};
+
 /**
  * struct zr_charts - the charts of a process, one for each kind of object
  * @ownership: transitions of &enum zr_ownership_state
--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -73,7 +73,8 @@
 	return zr_cell_evacuations_allow(scheduler, worker, now) &&
 	       worker->registered && !worker->report.leaving &&
 	       !worker->announced_event && worker->conn.ops &&
-	       worker->clock_ms >= 0 && now >= worker->backoff_until &&
+	       worker->clock_ms >= 0 && !worker->lease_withheld &&
+	       now >= worker->backoff_until &&
 	       now >= worker->unanswered_until &&
 	       !zr_cell_worker_unresponsive(worker) &&
 	       !zr_cell_domain_unresponsive(&scheduler->model, worker, now);
@@ -380,6 +381,7 @@
 						 : avoided_worker(plan, entry);
 
 		if (entry->state != ZR_TASK_WAITING ||
+		    plan->now < entry->retry_at ||
 		    (entry->suspicion != ZR_SUSPECT_NOT) != suspects)
 			continue;
 		if (place_on_best(plan, item, task, avoided,
@@ -430,6 +432,7 @@
 		struct zr_cell_task *entry = &item->job->tasks[task];
 
 		if (entry->state == ZR_TASK_WAITING &&
+		    plan->now >= entry->retry_at &&
 		    place_on_best(plan, item, task, entry->avoided_worker,
 				  step->gang_attempt, names))
 			placed++;
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -103,6 +103,13 @@
  *                   start, which had no response in time; 0: it had, or a poll
  *                   has shown the outcome
  * @stops: number of stops of its active run that were sent
+ * @stop_sent_at: when the last of them was sent
+ * @overdue_at: placed: when the placement is taken back; stopping: when the
+ *              worker's lease is no longer renewed
+ * @start_expires_at: when a worker certainly refuses its start, which carries
+ *                    the end of a lease
+ * @refused_starts: number of its last runs that did not begin
+ * @retry_at: time before which it is not placed again
  */
 struct zr_cell_task {
 	int state;
@@ -137,6 +144,11 @@
 	bool slow_logged;
 	uint64_t uncertain_event;
 	uint32_t stops;
+	int64_t stop_sent_at;
+	int64_t overdue_at;
+	int64_t start_expires_at;
+	uint32_t refused_starts;
+	int64_t retry_at;
 };
 
 /**
@@ -458,6 +470,10 @@
  * has shown that it is not that of the worker
  * @announced_incarnation: that incarnation
  * @announced_poll_at: when the last poll was requested to confirm it
+ * @lease_withheld: its lease is not renewed, and nothing is placed there, since
+ *                  it has not carried out a stop in time
+ * @outcome_polls: number of the last polls for outcomes that had no response
+ * @outcome_poll_sent_at: when the last of them was sent
  */
 struct zr_cell_worker {
 	struct zr_cell_worker_report report;
@@ -518,6 +534,9 @@
 	uint64_t announced_event;
 	int64_t announced_incarnation;
 	int64_t announced_poll_at;
+	bool lease_withheld;
+	uint32_t outcome_polls;
+	int64_t outcome_poll_sent_at;
 	UT_hash_handle hh;
 };
 
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -60,6 +60,22 @@
 		zr_cell_query_adviser(plan, item);
 }
 
+/* Whether the last run of a member did not begin, and it is not tried again yet
+ */
+static bool is_backing_off(const struct zr_cell_plan *plan,
+			   const struct zr_cell_plan_item *item)
+{
+	const struct zr_cell_step_state *step = item->step;
+	uint32_t i;
+
+	for (i = step->first_task; i < step->first_task + step->spec->count;
+	     i++) {
+		if (plan->now < item->job->tasks[i].retry_at)
+			return true;
+	}
+	return false;
+}
+
 static void place_gang(struct zr_cell_plan *plan,
 		       struct zr_cell_plan_item *item)
 {
@@ -73,7 +89,7 @@
 		complete_gang(plan, item);
 		return;
 	}
-	if (item->max_tasks < count)
+	if (item->max_tasks < count || is_backing_off(plan, item))
 		return;
 	if (!isolated)
 		zr_cell_isolation_wait(plan, item);
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -20,6 +20,9 @@
  * is answered, and the regular polls show the outcomes too.
  */
 #define OUTCOME_POLL_TIMEOUT_MS 250
+/* Time between two such polls while they have no response. */
+#define OUTCOME_POLL_RETRY_MIN_MS 50
+#define OUTCOME_POLL_RETRY_MAX_MS 400
 /* Delay of the poll that acknowledges the ends after a worker's last run. */
 #define FINAL_POLL_DELAY_MS 500
 /* Lease renewal interval while some received ends are not persisted. */
@@ -103,45 +106,6 @@
 		zr_cell_polls_process(scheduler, worker);
 }
 
-/* A run whose start has not been sent cannot be lost with its worker. */
-static size_t count_sent_runs(const struct zr_cell_scheduler *scheduler,
-			      const struct zr_cell_worker *worker)
-{
-	size_t count = 0;
-	size_t i;
-
-	for (i = 0; i < worker->run_count; i++) {
-		struct zr_cell_ref ref = worker->runs[i];
-		const struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
-
-		if (job->tasks[ref.task].state != ZR_TASK_PLACED)
-			count++;
-	}
-	return count;
-}
-
-static void lose_runs(struct zr_cell_scheduler *scheduler,
-		      struct zr_cell_worker *worker, const char *reason)
-{
-	size_t i = 0;
-
-	while (i < worker->run_count) {
-		struct zr_cell_ref ref = worker->runs[i];
-		struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
-
-		i++;
-		if (job->tasks[ref.task].state == ZR_TASK_PLACED)
-			continue;
-		scheduler->lost->value++;
-		zr_cell_unanswered_settle(scheduler, job, ref.task,
-					  ZR_UNANSWERED_LOST);
-		zr_cell_run_ended(scheduler, job, ref.task, reason);
-		i = 0;
-	}
-}
-
 /*
  * A start that was not answered may still reach the restarted worker. A stop
  * makes the worker refuse it.
@@ -245,14 +209,25 @@
 }
 
 /*
- * Handle the active runs that the worker does not list. A run is lost if its
- * start or its stop was answered before the poll was sent. A start that was not
+ * Whether a run that a poll does not list does not exist and cannot begin any
+ * more: its start or its stop was answered before the poll was sent, or the
+ * worker refuses its start as late since then.
+ */
+static bool cannot_exist(const struct zr_cell_task *entry,
+			 const struct poll_call *call)
+{
+	return entry->visible_after < call->sent_event ||
+	       (entry->sent_at && entry->start_expires_at < call->sent_at);
+}
+
+/*
+ * Handle the active runs that the worker does not list. A start that was not
  * answered may still arrive, so that run is stopped.
  */
 static void handle_unlisted_runs(struct zr_cell_scheduler *scheduler,
 				 struct zr_cell_worker *worker,
 				 const struct zr_cell_poll_reply *reply,
-				 uint64_t sent_event)
+				 const struct poll_call *call)
 {
 	size_t i = 0;
 
@@ -268,7 +243,7 @@
 		if (entry->state == ZR_TASK_PLACED ||
 		    is_listed(reply, &name, entry->attempt))
 			continue;
-		if (entry->visible_after < sent_event) {
+		if (cannot_exist(entry, call)) {
 			scheduler->lost->value++;
 			zr_cell_crash_run_missing(scheduler, worker, job,
 						  ref.task);
@@ -280,7 +255,7 @@
 					  "not_there");
 			i = 0;
 		} else if (entry->state == ZR_TASK_UNCONFIRMED &&
-			   entry->uncertain_event < sent_event) {
+			   entry->uncertain_event < call->sent_event) {
 			zr_cell_stop_run(scheduler, job, ref.task,
 					 "start_unanswered");
 		}
@@ -366,6 +341,7 @@
 	}
 	if (entry->state == ZR_TASK_UNCONFIRMED) {
 		zr_cell_task_event(entry, ZR_TASK_EVENT_CONFIRMED);
+		entry->refused_starts = 0;
 		/* Polls in flight may have been answered before the start. */
 		entry->visible_after = ++scheduler->event_count;
 		entry->started_at = now;
@@ -498,8 +474,7 @@
 	 * instead of being lost.
 	 */
 	if (reply->end_count < ENDS_MAX)
-		handle_unlisted_runs(scheduler, worker, reply,
-				     call->sent_event);
+		handle_unlisted_runs(scheduler, worker, reply, call);
 }
 
 /* Poll requests */
@@ -513,6 +488,19 @@
 		zr_cell_poll_soon(scheduler, worker, FINAL_POLL_DELAY_MS);
 }
 
+static void handle_poll_failure(struct zr_cell_scheduler *scheduler,
+				struct zr_cell_worker *worker,
+				const char *reason)
+{
+	if (worker->state == ZR_WORKER_UP || worker->state == ZR_WORKER_LEAVING)
+		zr_log_decision("worker.silent worker=%s error=%s runs=%zu",
+				worker->report.name, reason, worker->run_count);
+	zr_chart_step(&worker->state, zr_charts()->worker,
+		      ZR_WORKER_EVENT_UNRESPONSIVE);
+	worker->failed_polls++;
+	zr_cell_poll_soon(scheduler, worker, POLL_RETRY_MS);
+}
+
 static void on_poll_reply(void *ctx, int error,
 			  const struct zr_cell_poll_reply *reply)
 {
@@ -526,8 +514,11 @@
 	if (!worker)
 		goto out;
 	settle_ack(scheduler, worker, call, error);
-	if (call->outcomes)
+	if (call->outcomes) {
 		worker->outcome_poll_in_flight = false;
+		worker->outcome_polls =
+			error < 0 ? worker->outcome_polls + 1 : 0;
+	}
 	if (error < 0)
 		zr_cell_worker_set_unconfirmed(scheduler, worker);
 	if (call->extra && error < 0)
@@ -535,29 +526,17 @@
 	if (!call->extra)
 		worker->poll_in_flight = false;
 	if (error < 0) {
-		if (worker->state == ZR_WORKER_UP ||
-		    worker->state == ZR_WORKER_LEAVING)
-			zr_log_decision("worker.silent worker=%s error=%s "
-					"runs=%zu",
-					worker->report.name,
-					zr_error_name(error),
-					worker->run_count);
-		zr_chart_step(&worker->state, zr_charts()->worker,
-			      ZR_WORKER_EVENT_UNRESPONSIVE);
-		worker->failed_polls++;
-		zr_cell_poll_soon(scheduler, worker, POLL_RETRY_MS);
+		handle_poll_failure(scheduler, worker, zr_error_name(error));
 	} else if (reply->status == ZR_REQUEST_FENCED) {
 		zr_owner_step_down(scheduler->owner);
 	} else if (reply->status == ZR_REQUEST_WRONG_WORKER) {
-		/* Another worker uses the address, so this one is gone. */
-		worker->registered = false;
-		if (!worker->report.leaving)
-			zr_cell_worker_crashed(scheduler, worker, true);
-		lose_runs(scheduler, worker, "worker_replaced");
+		zr_cell_worker_replaced(scheduler, worker);
 	} else if (reply->status != ZR_REQUEST_ACCEPTED) {
 		zr_log(ZR_LOG_WARN, "poll.refused worker=%s refusal=%d",
 		       worker->report.name, reply->status);
-		zr_cell_poll_soon(scheduler, worker, POLL_RETRY_MS);
+		/* A refused poll has not renewed the lease. */
+		if (!call->extra)
+			handle_poll_failure(scheduler, worker, "refused");
 	} else {
 		handle_poll_reply(scheduler, worker, reply, call);
 		zr_cell_journal_flush(scheduler->journal);
@@ -600,7 +579,7 @@
 	 * can be placed on other workers.
 	 */
 	if (worker->clock_ms >= 0 && worker->run_count &&
-	    !zr_cell_worker_unresponsive(worker))
+	    !worker->lease_withheld && !zr_cell_worker_unresponsive(worker))
 		lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	/*
 	 * Request an immediate reply in the first poll after a takeover, in the
@@ -645,12 +624,18 @@
 	struct poll_call *call;
 
 	if (worker->outcome_poll_in_flight || !worker->conn.ops ||
-	    !zr_cell_is_owner(scheduler))
+	    !zr_cell_is_owner(scheduler) ||
+	    (worker->outcome_polls &&
+	     zr_cell_now_ms(scheduler) - worker->outcome_poll_sent_at <
+		     zr_cell_retry_delay_ms(worker->outcome_polls,
+					    OUTCOME_POLL_RETRY_MIN_MS,
+					    OUTCOME_POLL_RETRY_MAX_MS)))
 		return;
 	call = new_poll_call(scheduler, worker);
 	call->extra = true;
 	call->outcomes = true;
 	worker->outcome_poll_in_flight = true;
+	worker->outcome_poll_sent_at = call->sent_at;
 	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token, -1,
 			       call->last_end_acked, 0, OUTCOME_POLL_TIMEOUT_MS,
 			       on_poll_reply, call);
@@ -661,15 +646,13 @@
 {
 	int64_t now = zr_cell_now_ms(scheduler);
 
-	if (worker->state != ZR_WORKER_UP &&
-	    worker->state != ZR_WORKER_LEAVING &&
-	    now > worker->runs_expire_at &&
-	    count_sent_runs(scheduler, worker)) {
-		zr_log_decision("worker.lease_expired worker=%s runs=%zu",
-				worker->report.name, worker->run_count);
-		zr_cell_worker_lost(scheduler, worker);
-		lose_runs(scheduler, worker, "lease_over");
-	}
+	/*
+	 * Only a regular poll shows that a worker has stopped responding, so
+	 * one is in flight or due while the worker may have runs.
+	 */
+	if (worker->poll_due_at == ZR_CELL_NEVER &&
+	    zr_cell_worker_needs_poll(scheduler, worker))
+		worker->poll_due_at = now;
 	if (worker->poll_in_flight || now < worker->poll_due_at ||
 	    !worker->conn.ops || !zr_cell_is_owner(scheduler))
 		return;
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -720,6 +720,42 @@
 void zr_cell_unanswered_register(struct zr_cell_unanswered_metrics *out,
 				 struct zr_metrics *metrics);
 
+/* bounds.c */
+/** zr_cell_bound_placement() - set when a placement is taken back */
+void zr_cell_bound_placement(const struct zr_cell_scheduler *scheduler,
+			     struct zr_cell_task *task);
+/** zr_cell_bound_stop() - set when a stop of a run is overdue */
+void zr_cell_bound_stop(const struct zr_cell_scheduler *scheduler,
+			struct zr_cell_task *task);
+/** zr_cell_bounds_process() - end the states of its runs whose bound is over */
+void zr_cell_bounds_process(struct zr_cell_scheduler *scheduler,
+			    struct zr_cell_worker *worker);
+/**
+ * zr_cell_worker_needs_poll() - whether a worker may have runs that only a poll
+ * can show
+ */
+bool zr_cell_worker_needs_poll(const struct zr_cell_scheduler *scheduler,
+			       const struct zr_cell_worker *worker);
+/** zr_cell_worker_lose_runs() - end all runs of a worker that were started */
+void zr_cell_worker_lose_runs(struct zr_cell_scheduler *scheduler,
+			      struct zr_cell_worker *worker,
+			      const char *reason);
+/**
+ * zr_cell_worker_replaced() - handle a response that another worker has sent
+ *
+ * It uses the address of @worker, which is gone with its runs.
+ */
+void zr_cell_worker_replaced(struct zr_cell_scheduler *scheduler,
+			     struct zr_cell_worker *worker);
+/**
+ * zr_cell_retry_delay_ms() - exponential backoff
+ * @failures: number of consecutive failures, at least 1
+ * @min_ms: delay after the first
+ * @max_ms: longest delay
+ */
+int64_t zr_cell_retry_delay_ms(uint32_t failures, int64_t min_ms,
+			       int64_t max_ms);
+
 /* polls.c */
 /**
  * zr_cell_worker_set_unconfirmed() - note that the worker may have restarted
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -15,6 +15,15 @@
  */
 #define EARLY_STOP_TIMEOUT_MS 200
 #define EARLY_STOPS 3
+/* Time between two stops of a run while none is carried out. */
+#define STOP_RETRY_MIN_MS 50
+#define STOP_RETRY_MAX_MS 800
+/*
+ * Time for which a task is not placed again once two of its runs in a row have
+ * not begun.
+ */
+#define REFUSED_RETRY_MIN_MS 50
+#define REFUSED_RETRY_MAX_MS 1000
 /* Maximum drift of a worker's clock: how much slower than ours it may run. */
 #define CLOCK_DRIFT_PERMILLE 25
 #define PERMILLE 1000
@@ -523,6 +532,10 @@
 		goto out;
 	}
 	record_response(scheduler, target.worker, request, reply);
+	if (reply->status == ZR_REQUEST_WRONG_WORKER) {
+		zr_cell_worker_replaced(scheduler, target.worker);
+		goto out;
+	}
 	if (reply->status != ZR_REQUEST_ACCEPTED) {
 		zr_log(ZR_LOG_WARN,
 		       "stop.refused job=%s task=%" PRIu32
@@ -596,12 +609,18 @@
 	struct zr_cell_worker *worker =
 		zr_cell_worker(&scheduler->model, entry->worker);
 	struct zr_cell_task_name name = zr_cell_task_name(job, task);
+	int64_t now = zr_cell_now_ms(scheduler);
 	unsigned int timeout_ms = REQUEST_TIMEOUT_MS;
 
 	if (entry->stop_sent || !worker->conn.ops ||
-	    !zr_cell_is_owner(scheduler))
+	    !zr_cell_is_owner(scheduler) ||
+	    (entry->stops &&
+	     now - entry->stop_sent_at <
+		     zr_cell_retry_delay_ms(entry->stops, STOP_RETRY_MIN_MS,
+					    STOP_RETRY_MAX_MS)))
 		return;
 	entry->stop_sent = true;
+	entry->stop_sent_at = now;
 	if (entry->uncertain_event && entry->stops < EARLY_STOPS)
 		timeout_ms = EARLY_STOP_TIMEOUT_MS;
 	worker->conn.ops->stop(worker->conn.impl, &name, entry->attempt,
@@ -631,6 +650,7 @@
 					->report.name,
 				reason);
 		zr_cell_task_event(entry, ZR_TASK_EVENT_STOP);
+		zr_cell_bound_stop(scheduler, entry);
 		send_stop(scheduler, job, task);
 		return;
 	default:
@@ -690,8 +710,16 @@
 			  struct zr_cell_job *job, uint32_t task,
 			  const char *reason)
 {
+	struct zr_cell_task *entry = &job->tasks[task];
+
 	scheduler->refused->value++;
-	job->tasks[task].crash_evidence = 0;
+	entry->crash_evidence = 0;
+	if (++entry->refused_starts > 1)
+		entry->retry_at =
+			zr_cell_now_ms(scheduler) +
+			zr_cell_retry_delay_ms(entry->refused_starts - 1,
+					       REFUSED_RETRY_MIN_MS,
+					       REFUSED_RETRY_MAX_MS);
 	zr_cell_unanswered_settle(scheduler, job, task, ZR_UNANSWERED_ANSWERED);
 	zr_cell_run_ended(scheduler, job, task, reason);
 }
@@ -762,6 +790,7 @@
 		return;
 	zr_cell_unanswered_add_answer(&scheduler->model, job, task, now);
 	zr_cell_task_event(entry, ZR_TASK_EVENT_CONFIRMED);
+	entry->refused_starts = 0;
 	entry->started_at = now;
 	entry->percent_at = now;
 	scheduler->evacuations.moved->value += entry->evacuating;
@@ -904,6 +933,7 @@
 	start.lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	scheduler->starts->value++;
 	entry->sent_at = zr_cell_now_ms(scheduler);
+	entry->start_expires_at = worker->runs_expire_at;
 	entry->whole_run = !start.checkpoint[0];
 	zr_cell_task_event(entry, ZR_TASK_EVENT_SENT);
 	zr_cell_domain_start_sent(&scheduler->model, worker,
@@ -958,6 +988,7 @@
 	entry->change = job->change;
 	entry->started_at = 0;
 	entry->evacuation_logged = 0;
+	zr_cell_bound_placement(scheduler, entry);
 	if (scheduler->model.use.enabled)
 		entry->placed_at = zr_cell_now_ms(scheduler);
 }
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -340,6 +340,7 @@
 static void tick_worker(struct zr_cell_scheduler *scheduler,
 			struct zr_cell_worker *worker)
 {
+	zr_cell_bounds_process(scheduler, worker);
 	zr_cell_polls_process(scheduler, worker);
 	zr_cell_stops_resend(scheduler, worker);
 	zr_cell_crash_process(scheduler, worker);
--- a/src/libzinniarack/chart/chart.c
+++ b/src/libzinniarack/chart/chart.c
@@ -19,6 +19,7 @@
 	int initial;
 	bool *defined; /* by state: whether the file has defined it */
 	bool *final;   /* by state */
+	int *bounds;   /* by state: position of its bound; NONE without one */
 	int *next;     /* next state, by state and event; see transition() */
 };
 
@@ -73,6 +74,23 @@
 	return 0;
 }
 
+/* In a chart with bounds, each state but the final ones names one of them. */
+static int set_bound(struct zr_chart *chart, int state,
+		     const struct chart_state *entry)
+{
+	if (!entry->bound) {
+		if (!chart->names->bounds || entry->final)
+			return 0;
+		return set_error(chart, "no bound of state", entry->name);
+	}
+	if (!chart->names->bounds || entry->final)
+		return set_error(chart, "needless bound of state", entry->name);
+	chart->bounds[state] = find_name(chart->names->bounds, entry->bound);
+	return chart->bounds[state] == NONE
+		       ? set_error(chart, "unknown bound", entry->bound)
+		       : 0;
+}
+
 static int add_state(struct zr_chart *chart, const struct chart_state *entry)
 {
 	int state = find_name(chart->names->states, entry->name);
@@ -91,6 +109,9 @@
 				 entry->name);
 	chart->defined[state] = true;
 	chart->final[state] = entry->final;
+	error = set_bound(chart, state, entry);
+	if (error < 0)
+		return error;
 	for (i = 0; i < entry->on_count; i++) {
 		error = add_transition(chart, state, &entry->on[i]);
 		if (error < 0)
@@ -205,13 +226,18 @@
 	count = (size_t)chart->state_count * (size_t)chart->event_count;
 	chart->defined = calloc((size_t)chart->state_count, sizeof(bool));
 	chart->final = calloc((size_t)chart->state_count, sizeof(bool));
+	chart->bounds =
+		calloc((size_t)chart->state_count, sizeof(*chart->bounds));
 	chart->next = calloc(count, sizeof(*chart->next));
-	if (!chart->defined || !chart->final || !chart->next) {
+	if (!chart->defined || !chart->final || !chart->bounds ||
+	    !chart->next) {
 		zr_chart_free(chart);
 		return ZR_E_NOMEM;
 	}
 	for (i = 0; i < count; i++)
 		chart->next[i] = NONE;
+	for (i = 0; i < (size_t)chart->state_count; i++)
+		chart->bounds[i] = NONE;
 	*out = chart;
 	return 0;
 }
@@ -297,12 +323,18 @@
 	return chart->final[state];
 }
 
+int zr_chart_bound(const struct zr_chart *chart, int state)
+{
+	return chart->bounds[state];
+}
+
 void zr_chart_free(struct zr_chart *chart)
 {
 	if (!chart)
 		return;
 	free(chart->defined);
 	free(chart->final);
+	free(chart->bounds);
 	free(chart->next);
 	free(chart);
 }
--- a/src/libzinniarack/chart/charts.c
+++ b/src/libzinniarack/chart/charts.c
@@ -43,24 +43,28 @@
 	"ownership",
 	ownership_states,
 	ownership_events,
+	NULL,
 };
 
 static const struct zr_chart_names worker_names = {
 	"worker",
 	worker_states,
 	worker_events,
+	NULL,
 };
 
 static const struct zr_chart_names connection_names = {
 	"connection",
 	connection_states,
 	connection_events,
+	NULL,
 };
 
 static const struct zr_chart_names job_names = {
 	"job",
 	job_states,
 	job_events,
+	NULL,
 };
 
 static const char *const task_states[] = {
@@ -73,10 +77,13 @@
 	"found",  "gone", "done",      NULL,
 };
 
+static const char *const task_bounds[] = {"none", "commit", "lease", NULL};
+
 static const struct zr_chart_names task_names = {
 	"task",
 	task_states,
 	task_events,
+	task_bounds,
 };
 
 int zr_charts_load(struct zr_charts *out, const char *folder)
--- a/src/libzinniarack/chart/schema.h
+++ b/src/libzinniarack/chart/schema.h
@@ -25,12 +25,14 @@
  * struct chart_state - a state
  * @name: its name
  * @final: whether it has no transitions
+ * @bound: name of the bound of the time in it; NULL: not given
  * @on: its transitions
  * @on_count: number of transitions
  */
 struct chart_state {
 	char *name;
 	bool final;
+	char *bound;
 	struct chart_transition *on;
 	uint32_t on_count;
 };
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -8,6 +8,7 @@
 #include "cell/counts.h"
 #include "cell/records.h"
 #include "cell/scheduler.h"
+#include "fakes/cell_stays.h"
 #include "fakes/fake_pool.h"
 #include "fakes/fake_store.h"
 #include "zinniarack/errors.h"
@@ -23,6 +24,8 @@
 #define TIMEOUT_MS 1000
 #define BAD_ADDRESS "bad"
 #define ATTEMPTS 2
+/* Interval at which the tasks of all hosts are checked. */
+#define STAYS_INTERVAL_MS 10
 
 struct host {
 	struct cell_script *script;
@@ -33,6 +36,7 @@
 	struct zr_cell_scheduler *scheduler;
 	struct zr_metrics *metrics;
 	struct zr_cell_known_counts counts;
+	struct cell_stays *stays;
 	char name[ZR_NAME_MAX];
 };
 
@@ -73,6 +77,7 @@
 	bool worker_speed;
 	bool admission;
 	bool moves_leaving;
+	unsigned int violations; /* those of the pool are counted there */
 	char line[LINE_MAX_BYTES];
 	char *words[WORDS_MAX];
 	int word_count;
@@ -267,6 +272,14 @@
 	return &script->hosts[script->host_count++];
 }
 
+static void on_stay_violation(void *ctx, const char *rule, const char *task)
+{
+	struct cell_script *script = ctx;
+
+	script->violations++;
+	print(script, "VIOLATION %s %s", rule, task);
+}
+
 static void do_host(struct cell_script *script)
 {
 	struct host *host = next_host(script);
@@ -309,6 +322,7 @@
 	options.worker_speed = script->worker_speed;
 	if (zr_cell_scheduler_new(&host->scheduler, &options) < 0)
 		abort();
+	host->stays = cell_stays_new(on_stay_violation, script);
 	snprintf(proxy.name, sizeof(proxy.name), "%s", host->name);
 	zr_cell_scheduler_set_proxies(host->scheduler, &proxy, 1);
 	zr_cell_scheduler_configure(host->scheduler, &script->config);
@@ -389,7 +403,7 @@
 		      (uint32_t)atoi(word(script, 2)));
 	fake_pool_set_domain(script->pool, word(script, 1), word(script, 3));
 	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
-	commit_value(script, &script->hosts[0].platform.store, key, "1", 1);
+	commit_value(script, &script->registrar, key, "1", 1);
 }
 
 static void write_registration(struct cell_script *script, const char *worker)
@@ -431,9 +445,12 @@
 	char key[ZR_CELL_KEY_MAX];
 
 	snprintf(key, sizeof(key), WORKER_PREFIX "%s", word(script, 1));
-	commit_value(script,
-		     &find_host(script, word(script, 2))->platform.store, key,
-		     NULL, 0);
+	commit_value(
+		script,
+		script->word_count > 2
+			? &find_host(script, word(script, 2))->platform.store
+			: &script->registrar,
+		key, NULL, 0);
 }
 
 static void do_priority(struct cell_script *script)
@@ -867,6 +884,22 @@
 	      fake_store_counts(script->store)->reads[ZR_STORE_RECOVERY]);
 }
 
+static void check_stays(struct cell_script *script)
+{
+	size_t i;
+
+	for (i = 0; i < script->host_count; i++) {
+		const struct host *host = &script->hosts[i];
+
+		if (!host->scheduler)
+			continue;
+		if (fake_node_paused(host->node))
+			cell_stays_forget(host->stays);
+		else
+			cell_stays_check(host->stays, host->scheduler);
+	}
+}
+
 static void do_advance(struct cell_script *script)
 {
 	int left_ms = atoi(word(script, 1));
@@ -874,6 +907,8 @@
 	for (; left_ms; left_ms--) {
 		fake_net_advance(script->net, 1);
 		fake_pool_tick(script->pool);
+		if (fake_net_now_ms(script->net) % STAYS_INTERVAL_MS == 0)
+			check_stays(script);
 	}
 }
 
@@ -921,6 +956,7 @@
 static void free_host(struct host *host)
 {
 	zr_cell_scheduler_free(host->scheduler);
+	cell_stays_free(host->stays);
 	zr_store_free(&host->platform.store);
 	zr_metrics_free(host->metrics);
 	zr_cell_known_counts_clear(&host->counts);
@@ -1198,6 +1234,13 @@
 	fake_pool_replace(script->pool, word(script, 1));
 }
 
+static void do_unhealthy(struct cell_script *script)
+{
+	fake_pool_set_unhealthy(script->pool, word(script, 1),
+				!strcmp(word(script, 2), "stops"),
+				!strcmp(word(script, 2), "polls"));
+}
+
 static const struct {
 	const char *name;
 	void (*run)(struct cell_script *script);
@@ -1231,6 +1274,7 @@
 	{"owner", do_owner},
 	{"restart", do_restart},
 	{"replace", do_replace},
+	{"unhealthy", do_unhealthy},
 	{"crashes", do_crashes},
 	{"capacity", do_capacity},
 	{"late", do_late},
@@ -1323,7 +1367,7 @@
 
 unsigned int cell_script_violations(const struct cell_script *script)
 {
-	return fake_pool_violations(script->pool);
+	return script->violations + fake_pool_violations(script->pool);
 }
 
 static void check_ended_job(void *ctx, const char *key, const void *data,
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -19,7 +19,8 @@
  *                              registration (address, incarnation, clock or
  *                              capacity), without the worker
  *   heartbeat NAME             let a worker write its registration anew
- *   unregister NAME HOST       remove a worker's registration through HOST
+ *   unregister NAME [HOST]     remove a worker's registration, through HOST or
+ *                              as by the platform
  *   queue advised              from now on, tasks of the queue start only on
  *                              workers that the adviser has permitted
  *   limit MILLICPUS            set the upper limit of the client account
@@ -85,6 +86,8 @@
  *                              released the cell
  *   restart WORKER             start a new incarnation of a worker
  *   replace WORKER             start another worker at its address
+ *   unhealthy WORKER stops|polls|no
+ *                              let a worker refuse all stops, or all polls
  *   crashes AFTER DOWN restarted|replaced
  *                              set after how many milliseconds a task crashes
  *                              its worker, for how long this is down, and
@@ -130,7 +133,8 @@
  *
  * Nodes are the hosts, the workers, "store" and "adviser". The fake workers
  * print `VIOLATION` when a task runs twice at once or starts again after its
- * end was confirmed, or when a worker is overloaded.
+ * end was confirmed, or when a worker is overloaded. It is also printed when a
+ * task stays in a state for longer than fakes/cell_stays.h allows.
  */
 
 struct cell_script;
--- /dev/null
+++ b/tests/fakes/cell_stays.c
@@ -0,0 +1,217 @@
+#include "fakes/cell_stays.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#define PLACED_MAX_MS 6000
+#define LEASE_MAX_MS 8200
+#define STOPPING_MAX_MS 14200
+#define QUERY_MAX_MS 2000
+#define RATE_MAX 8
+#define RATE_SPAN_MS 1000
+#define NAME_BYTES 96
+
+/* The times of the last RATE_MAX + 1 repetitions, the oldest at @next. */
+struct repetitions {
+	int64_t at[RATE_MAX + 1];
+	unsigned int next;
+	uint32_t count; /* value of the counter at the last check */
+};
+
+/* What has been seen of a task, or of a step with queries. */
+struct stay {
+	char name[NAME_BYTES];
+	int state;
+	uint32_t attempt;
+	int64_t since;
+	bool reported;
+	struct repetitions starts;
+	struct repetitions stops;
+	UT_hash_handle hh;
+};
+
+struct cell_stays {
+	cell_stays_violation_fn violation;
+	void *ctx;
+	uint64_t term;
+	struct stay *seen;
+};
+
+struct cell_stays *cell_stays_new(cell_stays_violation_fn violation, void *ctx)
+{
+	struct cell_stays *stays = calloc(1, sizeof(*stays));
+
+	if (!stays)
+		abort();
+	stays->violation = violation;
+	stays->ctx = ctx;
+	return stays;
+}
+
+void cell_stays_forget(struct cell_stays *stays)
+{
+	struct stay *stay;
+	struct stay *next;
+
+	HASH_ITER (hh, stays->seen, stay, next) {
+		HASH_DEL(stays->seen, stay);
+		free(stay);
+	}
+}
+
+void cell_stays_free(struct cell_stays *stays)
+{
+	cell_stays_forget(stays);
+	free(stays);
+}
+
+static struct stay *find_stay(struct cell_stays *stays, const char *name,
+			      int64_t now)
+{
+	struct stay *stay;
+
+	HASH_FIND_STR(stays->seen, name, stay);
+	if (stay)
+		return stay;
+	stay = calloc(1, sizeof(*stay));
+	if (!stay)
+		abort();
+	snprintf(stay->name, sizeof(stay->name), "%s", name);
+	stay->state = -1;
+	stay->since = now;
+	HASH_ADD_STR(stays->seen, name, stay);
+	return stay;
+}
+
+/* Returns whether the counter has risen too often lately. */
+static bool is_too_often(struct repetitions *repetitions, uint32_t count,
+			 int64_t now)
+{
+	bool too_often = false;
+
+	for (; repetitions->count < count; repetitions->count++) {
+		int64_t oldest = repetitions->at[repetitions->next];
+
+		repetitions->at[repetitions->next] = now;
+		repetitions->next = (repetitions->next + 1) % (RATE_MAX + 1);
+		too_often |= oldest && now - oldest < RATE_SPAN_MS;
+	}
+	repetitions->count = count;
+	return too_often;
+}
+
+static void report(struct cell_stays *stays, struct stay *stay,
+		   const char *rule)
+{
+	if (stay->reported)
+		return;
+	stay->reported = true;
+	stays->violation(stays->ctx, rule, stay->name);
+}
+
+/* What bounds a state: the rule that is broken when @max_ms are over. */
+static const char *rule_of(int64_t *max_ms, int state)
+{
+	*max_ms = LEASE_MAX_MS;
+	switch (state) {
+	case ZR_TASK_PLACED:
+		*max_ms = PLACED_MAX_MS;
+		return "PLACED";
+	case ZR_TASK_STARTING:
+		return "STARTING";
+	case ZR_TASK_UNCONFIRMED:
+		return "UNSURE";
+	case ZR_TASK_STOPPING:
+		*max_ms = STOPPING_MAX_MS;
+		return "STOPPING";
+	default:
+		return NULL;
+	}
+}
+
+static bool is_silent(const struct zr_cell_scheduler *scheduler,
+		      const struct zr_cell_task *task, const struct stay *stay,
+		      int64_t now)
+{
+	const struct zr_cell_worker *worker =
+		zr_cell_worker(&scheduler->model, task->worker);
+
+	return task->state == ZR_TASK_RUNNING &&
+	       now - stay->since > LEASE_MAX_MS &&
+	       now - worker->responded_at > LEASE_MAX_MS;
+}
+
+static void check_task(struct cell_stays *stays,
+		       const struct zr_cell_scheduler *scheduler,
+		       const struct zr_cell_job *job, uint32_t index,
+		       int64_t now)
+{
+	const struct zr_cell_task *task = &job->tasks[index];
+	char name[NAME_BYTES];
+	struct stay *stay;
+	const char *rule;
+	int64_t max_ms;
+
+	snprintf(name, sizeof(name), "%s.%" PRIu32, job->id, index);
+	stay = find_stay(stays, name, now);
+	/* What was repeated before is not known. */
+	if (stay->state < 0)
+		stay->stops.count = task->stops;
+	if (stay->state != task->state || stay->attempt != task->attempt) {
+		stay->state = task->state;
+		stay->since = now;
+	}
+	if (stay->attempt && stay->attempt < task->attempt &&
+	    is_too_often(&stay->starts, stay->starts.count + 1, now))
+		report(stays, stay, "STARTS");
+	if (stay->attempt && stay->attempt != task->attempt)
+		stay->stops.count = 0;
+	stay->attempt = task->attempt;
+	if (is_too_often(&stay->stops, task->stops, now))
+		report(stays, stay, "STOPS");
+	rule = rule_of(&max_ms, task->state);
+	if (rule && now - stay->since > max_ms)
+		report(stays, stay, rule);
+	if (is_silent(scheduler, task, stay, now))
+		report(stays, stay, "RUNNING");
+}
+
+static void check_step(struct cell_stays *stays, const struct zr_cell_job *job,
+		       uint32_t index, int64_t now)
+{
+	const struct zr_cell_step_state *step = &job->steps[index];
+	char name[NAME_BYTES];
+	struct stay *stay;
+
+	snprintf(name, sizeof(name), "%s step %" PRIu32, job->id, index);
+	stay = find_stay(stays, name, now);
+	if (!step->pending_queries)
+		stay->since = now;
+	if (now - stay->since > QUERY_MAX_MS)
+		report(stays, stay, "QUERY");
+}
+
+void cell_stays_check(struct cell_stays *stays,
+		      const struct zr_cell_scheduler *scheduler)
+{
+	int64_t now = zr_cell_now_ms(scheduler);
+	struct zr_cell_job *job;
+	struct zr_cell_job *next;
+	uint32_t i;
+
+	if (scheduler->phase != ZR_CELL_ACTIVE ||
+	    scheduler->term != stays->term)
+		cell_stays_forget(stays);
+	stays->term = scheduler->term;
+	if (scheduler->phase != ZR_CELL_ACTIVE)
+		return;
+	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
+		for (i = 0; job->tasks && i < job->task_count; i++)
+			check_task(stays, scheduler, job, i, now);
+		for (i = 0; i < job->step_count; i++)
+			check_step(stays, job, i, now);
+	}
+}
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -89,6 +89,8 @@
 	int64_t leaves_at; /* 0: it stays */
 	bool replaced;
 	bool hung;
+	bool refuses_stops;
+	bool refuses_polls;
 	struct run *runs;
 	struct ended_run *ended_runs;
 	struct pending_poll *pending_polls;
@@ -646,6 +648,9 @@
 	if (call->fencing_token < worker->fencing_token)
 		return ZR_REQUEST_FENCED;
 	worker->fencing_token = call->fencing_token;
+	if ((call->kind == CALL_STOP && worker->refuses_stops) ||
+	    (call->kind == CALL_POLL && worker->refuses_polls))
+		return ZR_REQUEST_UNHEALTHY;
 	if (expires_at > worker->lease_expires_at)
 		worker->lease_expires_at = expires_at;
 	return ZR_REQUEST_ACCEPTED;
@@ -896,6 +901,15 @@
 	find_worker(pool, name)->replaced = true;
 }
 
+void fake_pool_set_unhealthy(struct fake_pool *pool, const char *name,
+			     bool stops, bool polls)
+{
+	struct pool_worker *worker = find_worker(pool, name);
+
+	worker->refuses_stops = stops;
+	worker->refuses_polls = polls;
+}
+
 /* Ends the members on other workers of a gang that is breaking. */
 static void break_gang(struct fake_pool *pool, struct zr_cell_task_name gang)
 {
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -55,6 +55,16 @@
  */
 void fake_pool_replace(struct fake_pool *pool, const char *name);
 
+/**
+ * fake_pool_set_unhealthy() - set which requests a worker refuses
+ * @pool: the pool
+ * @name: the worker
+ * @stops: it refuses stops, and has then done nothing
+ * @polls: likewise polls
+ */
+void fake_pool_set_unhealthy(struct fake_pool *pool, const char *name,
+			     bool stops, bool polls);
+
 /**
  * fake_pool_set_crashes() - set how tasks crash their workers
  * @pool: the pool
--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -19,11 +19,14 @@
  * changes, and with failure domains that are evacuated while the store is lost
  * to all hosts or loses its history. No host may start a task in such a domain
  * later than 5,000 ms after the request. It also runs with registrations of
- * workers that another writer changes.
+ * workers that another writer changes, and with workers that fall silent: for
+ * some time, for good, or until another worker uses their address. No state of
+ * a task may then last longer than fakes/cell_stays.h allows; this is checked
+ * in all series.
  *
  * ZR_SEED=N runs seed N alone and writes its scripts, which run_cell replays,
  * to standard output. ZR_SEEDS=N sets the number of seeds. With
- * CK_RUN_CASE=evacuations or entries only that kind is run.
+ * CK_RUN_CASE=evacuations, entries or silence only that kind is run.
  */
 
 /* The sanitizers slow a seed down about five times. */
@@ -62,6 +65,10 @@
 /* Time after the request to evacuate a domain when nothing may start there. */
 #define EVACUATE_MS 5000
 #define DOMAINS 2
+/* Longest time for which a worker that comes back is silent. */
+#define SILENCE_MAX_MS 12000
+/* Time after which the registration of a worker that is gone is removed. */
+#define REGISTRATION_MS 4500
 /* Longest time until a worker has written its registration anew. */
 #define HEARTBEAT_MAX_MS 1000
 #define LINE_MAX_BYTES 256
@@ -73,6 +80,7 @@
 	EXTRA_CRASHES,
 	EXTRA_EVACUATIONS,
 	EXTRA_ODD_ENTRIES,
+	EXTRA_SILENCE,
 };
 
 /* A fault that is undone at @ends_at by the lines in @undo. */
@@ -92,6 +100,8 @@
 	bool paused[HOSTS];
 	enum extras extras;
 	unsigned int job_count;
+	unsigned int worker_count;
+	unsigned int workers[WORKERS]; /* numbers of those that are not gone */
 };
 
 __attribute__((format(printf, 2, 3))) static void
@@ -172,7 +182,8 @@
 	if (!fault)
 		return;
 	if (rng_chance(&scenario->rng, 85))
-		snprintf(other, sizeof(other), "w%u", below(scenario, WORKERS));
+		snprintf(other, sizeof(other), "w%u",
+			 scenario->workers[below(scenario, WORKERS)]);
 	snprintf(from, sizeof(from), "%c", host);
 	snprintf(to, sizeof(to), "%s", other);
 	if (rng_chance(&scenario->rng, 50)) {
@@ -385,6 +396,68 @@
 	run_line(scenario, "heartbeat w%u", worker);
 }
 
+static void add_worker(struct scenario *scenario, unsigned int index,
+		       unsigned int millicpus)
+{
+	scenario->workers[index] = scenario->worker_count++;
+	run_line(scenario, "worker w%u %u d%u", scenario->workers[index],
+		 millicpus, index % DOMAINS);
+}
+
+/* Another worker joins for one that is lost for good. */
+static void lose_worker(struct scenario *scenario, unsigned int index,
+			struct fault *fault)
+{
+	unsigned int worker = scenario->workers[index];
+
+	fault->ends_at = scenario->now + REGISTRATION_MS;
+	snprintf(fault->undo, sizeof(fault->undo), "unregister w%u", worker);
+	if (rng_chance(&scenario->rng, 50)) {
+		advance(scenario, below(scenario, FAULT_MAX_MS));
+		run_line(scenario, "replace w%u", worker);
+		run_line(scenario, "link * w%u pass", worker);
+		run_line(scenario, "link w%u * pass", worker);
+	}
+	add_worker(scenario, index, 2000 + 1000 * below(scenario, 3));
+}
+
+static void silence_worker(struct scenario *scenario)
+{
+	struct fault *fault = add_fault(scenario);
+	unsigned int index = below(scenario, WORKERS);
+	unsigned int worker = scenario->workers[index];
+	bool restarts;
+
+	if (!fault)
+		return;
+	run_line(scenario, "link * w%u drop", worker);
+	run_line(scenario, "link w%u * drop", worker);
+	if (rng_chance(&scenario->rng, 40)) {
+		lose_worker(scenario, index, fault);
+		return;
+	}
+	restarts = rng_chance(&scenario->rng, 50);
+	fault->ends_at = scenario->now + 20 + below(scenario, SILENCE_MAX_MS);
+	snprintf(fault->undo, sizeof(fault->undo),
+		 "%s%u\nlink * w%u pass\nlink w%u * pass",
+		 restarts ? "restart w" : "unhealthy w", worker, worker,
+		 worker);
+}
+
+/* Lets a worker refuse its stops or its polls, which it does not carry out. */
+static void refuse_requests(struct scenario *scenario)
+{
+	struct fault *fault = add_fault(scenario);
+	unsigned int worker = scenario->workers[below(scenario, WORKERS)];
+
+	if (!fault)
+		return;
+	fault->ends_at += below(scenario, SILENCE_MAX_MS);
+	run_line(scenario, "unhealthy w%u %s", worker,
+		 rng_chance(&scenario->rng, 50) ? "stops" : "polls");
+	snprintf(fault->undo, sizeof(fault->undo), "unhealthy w%u no", worker);
+}
+
 static void act(struct scenario *scenario)
 {
 	uint32_t choice = below(scenario, 100);
@@ -407,6 +480,12 @@
 	else if (choice < 90 && choice >= 75 &&
 		 scenario->extras == EXTRA_ODD_ENTRIES)
 		change_entry(scenario);
+	else if (choice < 90 && choice >= 82 &&
+		 scenario->extras == EXTRA_SILENCE)
+		silence_worker(scenario);
+	else if (choice < 82 && choice >= 78 &&
+		 scenario->extras == EXTRA_SILENCE)
+		refuse_requests(scenario);
 	else if (choice < 90)
 		disturb_link(scenario);
 	else if (choice < 93)
@@ -414,7 +493,8 @@
 	else if (choice < 96)
 		pause_host(scenario);
 	else
-		run_line(scenario, "restart w%u", below(scenario, WORKERS));
+		run_line(scenario, "restart w%u",
+			 scenario->workers[below(scenario, WORKERS)]);
 }
 
 static void start_cell(struct scenario *scenario)
@@ -439,8 +519,8 @@
 	}
 	advance(scenario, 50);
 	for (i = 0; i < WORKERS; i++)
-		run_line(scenario, "worker w%d %u d%d", i,
-			 extra + 2000 + 1000 * below(scenario, 3), i % DOMAINS);
+		add_worker(scenario, (unsigned int)i,
+			   extra + 2000 + 1000 * below(scenario, 3));
 	advance(scenario, 700);
 }
 
@@ -481,14 +561,17 @@
  */
 static const uint64_t crash_seeds[] = {267, 295, 697, 1415, 1912, 2265};
 
-static void check_seed(uint64_t seed, enum extras extras, FILE *lines)
+/* Returns 1 if the seed fails. The output of a forked test is not flushed. */
+static unsigned int check_seed(uint64_t seed, enum extras extras, FILE *lines)
 {
 	unsigned int failures = run_seed(seed, extras, lines);
 
-	if (failures)
-		printf("seed %lu fails: %u, extras: %d\n", (unsigned long)seed,
-		       failures, (int)extras);
-	ck_assert_uint_eq(failures, 0);
+	if (!failures)
+		return 0;
+	printf("seed %lu fails: %u, extras: %d\n", (unsigned long)seed,
+	       failures, (int)extras);
+	fflush(stdout);
+	return 1;
 }
 
 static void run_seeds(enum extras extras)
@@ -497,19 +580,22 @@
 	const char *seeds = getenv("ZR_SEEDS");
 	uint64_t count = seeds ? strtoull(seeds, NULL, 10) : SEEDS;
 	FILE *lines = seed ? stdout : fopen("/dev/null", "w");
+	unsigned int failed = 0;
 	uint64_t i;
 
 	if (seed) {
-		check_seed(strtoull(seed, NULL, 10), extras, lines);
+		ck_assert_uint_eq(
+			check_seed(strtoull(seed, NULL, 10), extras, lines), 0);
 		return;
 	}
 	for (i = 1; i <= count; i++)
-		check_seed(i, extras, lines);
+		failed += check_seed(i, extras, lines);
 	for (i = 0; i < sizeof(crash_seeds) / sizeof(*crash_seeds); i++) {
 		if (extras == EXTRA_CRASHES && crash_seeds[i] > count)
-			check_seed(crash_seeds[i], extras, lines);
+			failed += check_seed(crash_seeds[i], extras, lines);
 	}
 	fclose(lines);
+	ck_assert_uint_eq(failed, 0);
 }
 
 START_TEST(test_random_faults)
@@ -542,18 +628,26 @@
 }
 END_TEST
 
+START_TEST(test_random_faults_and_silence)
+{
+	run_seeds(EXTRA_SILENCE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cell_random");
 	TCase *tcase = tcase_create("cell_random");
 	TCase *evacuations = tcase_create("evacuations");
 	TCase *entries = tcase_create("entries");
+	TCase *silence = tcase_create("silence");
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
 	tcase_set_timeout(tcase, 0);
 	tcase_set_timeout(evacuations, 0);
 	tcase_set_timeout(entries, 0);
+	tcase_set_timeout(silence, 0);
 	tcase_add_test(tcase, test_random_faults);
 	tcase_add_test(tcase, test_random_faults_and_thin_links);
 	tcase_add_test(tcase, test_random_faults_and_crashes);
@@ -561,7 +655,9 @@
 	tcase_add_test(entries, test_random_faults_and_odd_entries);
 	suite_add_tcase(suite, tcase);
 	suite_add_tcase(suite, evacuations);
+	tcase_add_test(silence, test_random_faults_and_silence);
 	suite_add_tcase(suite, entries);
+	suite_add_tcase(suite, silence);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
--- a/tests/unit/test_chart.c
+++ b/tests/unit/test_chart.c
@@ -11,12 +11,17 @@
 
 static const char *const states[] = {"red", "green", "off", NULL};
 static const char *const events[] = {"go", "halt", "fail", NULL};
-static const struct zr_chart_names names = {"lamp", states, events};
+static const struct zr_chart_names names = {"lamp", states, events, NULL};
 
 #define CHART_START                            \
 	"chart: lamp\ninitial: red\nstates:\n" \
 	"  - {name: red, on: [{event: go, to: green}]}\n"
 
+/* A chart in which the time in each state is bounded. */
+static const char *const bounds[] = {"none", "lease", NULL};
+static const struct zr_chart_names bounded_names = {"lamp", states, events,
+						    bounds};
+
 static char folder[] = "/tmp/zr_chart_XXXXXX";
 static char path[PATH_MAX];
 
@@ -64,6 +69,40 @@
 }
 END_TEST
 
+#define BOUNDED_END                                                     \
+	"  - {name: green, bound: lease, on: [{event: halt, to: red}, " \
+	"{event: fail, to: off}]}\n  - {name: off, final: true}\n"
+
+/* A state whose end depends on an answer alone would last for ever. */
+START_TEST(test_states_without_a_bound_are_refused)
+{
+	struct zr_chart *chart;
+
+	ck_assert_int_eq(
+		zr_chart_parse(&chart, CHART_START BOUNDED_END, &bounded_names),
+		ZR_E_INVALID);
+	ck_assert_ptr_nonnull(strstr(zr_error_last(), "no bound of state"));
+	ck_assert_int_eq(
+		zr_chart_parse(&chart,
+			       "chart: lamp\ninitial: red\nstates:\n"
+			       "  - {name: red, bound: year, on: "
+			       "[{event: go, to: green}]}\n" BOUNDED_END,
+			       &bounded_names),
+		ZR_E_INVALID);
+	ck_assert_ptr_nonnull(strstr(zr_error_last(), "unknown bound 'year'"));
+	ck_assert_int_eq(
+		zr_chart_parse(&chart,
+			       "chart: lamp\ninitial: red\nstates:\n"
+			       "  - {name: red, bound: none, on: "
+			       "[{event: go, to: green}]}\n" BOUNDED_END,
+			       &bounded_names),
+		0);
+	ck_assert_int_eq(zr_chart_bound(chart, 0), 0);
+	ck_assert_int_eq(zr_chart_bound(chart, 1), 1);
+	zr_chart_free(chart);
+}
+END_TEST
+
 START_TEST(test_invalid_charts_are_refused)
 {
 	check_refused(CHART_START
@@ -155,6 +194,7 @@
 		return 1;
 	snprintf(path, sizeof(path), "%s/lamp.yaml", folder);
 	tcase_add_test(tcase, test_chart_gives_transitions);
+	tcase_add_test(tcase, test_states_without_a_bound_are_refused);
 	tcase_add_test(tcase, test_invalid_charts_are_refused);
 	tcase_add_test(tcase, test_shipped_charts_load);
 	tcase_add_test(tcase, test_invalid_event_leaves_the_state);
