cell: send no start to a worker that has stopped responding

Cause: a placement that was persisted late was started although its worker had stopped responding since. The start carries a lease, which holds for all that runs there.

Change: such a start is taken back, as one to a worker that leaves is.

--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -925,6 +925,11 @@
 		abandon_start(scheduler, job, task, "capacity_shrunk");
 		return;
 	}
+	/* A start would renew the lease of what else runs there. */
+	if (worker->lease_withheld || zr_cell_worker_unresponsive(worker)) {
+		abandon_start(scheduler, job, task, "unresponsive");
+		return;
+	}
 	/* Its address has changed since to one that cannot be used. */
 	if (!worker->conn.ops) {
 		abandon_start(scheduler, job, task, "no_connection");
--- a/tests/fakes/cell_stays.c
+++ b/tests/fakes/cell_stays.c
@@ -168,7 +168,7 @@
 	    is_too_often(&stay->starts, stay->starts.count + 1, now))
 		report(stays, stay, "STARTS");
 	if (stay->attempt && stay->attempt != task->attempt)
-		stay->stops.count = 0;
+		stay->stops = (struct repetitions){0};
 	stay->attempt = task->attempt;
 	if (is_too_often(&stay->stops, task->stops, now))
 		report(stays, stay, "STOPS");
