cell: place nothing on a worker whose registration is of an earlier boot

Change: such a worker is no candidate until its registration has been read. A later incarnation in a registration is confirmed by a poll if starts have been sent, also before the first poll of the term. The fake workers write their registration when they start.

--- a/src/libzinniarack/cell/bounds.c
+++ b/src/libzinniarack/cell/bounds.c
@@ -51,9 +51,8 @@
 	return &zr_cell_job(&scheduler->model, ref.job)->tasks[ref.task];
 }
 
-/* Whether a run exists, or may exist, on the worker. */
-static bool has_runs_with_lease(const struct zr_cell_scheduler *scheduler,
-				const struct zr_cell_worker *worker)
+bool zr_cell_worker_may_have_runs(const struct zr_cell_scheduler *scheduler,
+				  const struct zr_cell_worker *worker)
 {
 	size_t i;
 
@@ -117,7 +116,7 @@
 			     struct zr_cell_worker *worker, int64_t now)
 {
 	if (now <= worker->runs_expire_at ||
-	    !has_runs_with_lease(scheduler, worker))
+	    !zr_cell_worker_may_have_runs(scheduler, worker))
 		return;
 	zr_log_decision("worker.lease_expired worker=%s runs=%zu state=%d",
 			worker->report.name, worker->run_count, worker->state);
--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -66,13 +66,24 @@
 	return false;
 }
 
+/*
+ * Whether the registration describes the incarnation that answers: a later one
+ * may be of another kind, also at the same address.
+ */
+static bool is_described(const struct zr_cell_worker *worker)
+{
+	return !worker->described_incarnation ||
+	       worker->described_incarnation >= worker->report.incarnation;
+}
+
 bool zr_cell_worker_accepts_tasks(struct zr_cell_scheduler *scheduler,
 				  const struct zr_cell_worker *worker,
 				  int64_t now)
 {
 	return zr_cell_evacuations_allow(scheduler, worker, now) &&
 	       worker->registered && !worker->report.leaving &&
-	       !worker->announced_event && worker->conn.ops &&
+	       !worker->announced_event && is_described(worker) &&
+	       worker->conn.ops &&
 	       worker->clock_ms >= 0 && !worker->lease_withheld &&
 	       now >= worker->backoff_until &&
 	       now >= worker->unanswered_until &&
--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -257,11 +257,14 @@
 			       struct zr_cell_job *job, uint32_t task)
 {
 	struct zr_cell_task *entry = &job->tasks[task];
+	int64_t silent_since = zr_cell_now_ms(scheduler);
 
+	/* The worker has responded by now. */
+	if (worker->last_silent_since > entry->started_at)
+		silent_since = worker->last_silent_since;
 	if (!entry->crash_evidence && is_of_other_incarnation(entry, worker))
-		entry->crash_evidence =
-			count_flag(job, task, CRASH_RESTARTED,
-				   silence_began_at(scheduler, worker));
+		entry->crash_evidence = count_flag(job, task, CRASH_RESTARTED,
+						   silent_since);
 }
 
 /* Whether a crash that counts, rather than a possible one, gives up a task. */
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -420,6 +420,7 @@
  * @responded_at: when it last responded to a request
  * @silent_since: when the first request after that failed; ZR_CELL_NEVER: none
  *                has failed
+ * @last_silent_since: the same before its last response; 0: none has failed
  * @lease_expires_ms: end of its latest lease, on its own clock
  * @runs_expire_at: when its runs have certainly ended if it does not respond
  *                before
@@ -470,6 +471,8 @@
  * has shown that it is not that of the worker
  * @announced_incarnation: that incarnation
  * @announced_poll_at: when the last poll was requested to confirm it
+ * @described_incarnation: incarnation of the registration in @report; 0: the
+ *                         registration names none
  * @lease_withheld: its lease is not renewed, and nothing is placed there, since
  *                  it has not carried out a stop in time
  * @outcome_polls: number of the last polls for outcomes that had no response
@@ -494,6 +497,7 @@
 	int64_t clock_at;
 	int64_t responded_at;
 	int64_t silent_since;
+	int64_t last_silent_since;
 	int64_t lease_expires_ms;
 	int64_t runs_expire_at;
 	int64_t last_end_processed;
@@ -534,6 +538,7 @@
 	uint64_t announced_event;
 	int64_t announced_incarnation;
 	int64_t announced_poll_at;
+	int64_t described_incarnation;
 	bool lease_withheld;
 	uint32_t outcome_polls;
 	int64_t outcome_poll_sent_at;
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -730,6 +730,12 @@
 /** zr_cell_bounds_process() - end the states of its runs whose bound is over */
 void zr_cell_bounds_process(struct zr_cell_scheduler *scheduler,
 			    struct zr_cell_worker *worker);
+/**
+ * zr_cell_worker_may_have_runs() - whether a run exists, or may exist, on a
+ * worker
+ */
+bool zr_cell_worker_may_have_runs(const struct zr_cell_scheduler *scheduler,
+				  const struct zr_cell_worker *worker);
 /**
  * zr_cell_worker_needs_poll() - whether a worker may have runs that only a poll
  * can show
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -41,9 +41,9 @@
 
 /*
  * Other programs write to the registry too, so an incarnation is only taken for
- * that of the worker until the worker has answered in this term. After that a
- * later one is a reason to poll the worker, and to place nothing there until it
- * has answered.
+ * that of the worker until the worker has answered in this term, or has been
+ * sent a start. After that a later one is a reason to poll the worker, and to
+ * place nothing there until it has answered.
  */
 static void apply_incarnation(struct zr_cell_scheduler *scheduler,
 			      struct zr_cell_worker *worker,
@@ -51,7 +51,9 @@
 {
 	int64_t now = zr_cell_now_ms(scheduler);
 
-	if (!worker->incarnation_confirmed) {
+	if (!worker->incarnation_confirmed &&
+	    (!worker->report.incarnation ||
+	     !zr_cell_worker_may_have_runs(scheduler, worker))) {
 		worker->report.incarnation = incarnation;
 		return;
 	}
@@ -94,6 +96,7 @@
 			worker->run_count);
 	worker->report = *report;
 	worker->report.incarnation = incarnation;
+	worker->described_incarnation = report->incarnation;
 	zr_cell_speed_worker_changed(scheduler, worker);
 	worker->domain =
 		zr_cell_domain_get_or_add(&scheduler->model, report->domain);
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -73,6 +73,8 @@
 					     : ZR_WORKER_EVENT_RESPONDED);
 	worker->failed_polls = 0;
 	worker->responded_at = zr_cell_now_ms(scheduler);
+	if (worker->silent_since != ZR_CELL_NEVER)
+		worker->last_silent_since = worker->silent_since;
 	worker->silent_since = ZR_CELL_NEVER;
 	zr_cell_domain_responded(&scheduler->model, worker);
 	if (clock_ms < 0)
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -900,6 +900,14 @@
 	}
 }
 
+static void write_registrations(struct cell_script *script)
+{
+	const char *worker;
+
+	while ((worker = fake_pool_next_registration(script->pool)))
+		write_registration(script, worker);
+}
+
 static void do_advance(struct cell_script *script)
 {
 	int left_ms = atoi(word(script, 1));
@@ -907,6 +915,7 @@
 	for (; left_ms; left_ms--) {
 		fake_net_advance(script->net, 1);
 		fake_pool_tick(script->pool);
+		write_registrations(script);
 		if (fake_net_now_ms(script->net) % STAYS_INTERVAL_MS == 0)
 			check_stays(script);
 	}
@@ -1029,7 +1038,12 @@
 
 static void do_restart(struct cell_script *script)
 {
-	fake_pool_restart(script->pool, word(script, 1));
+	if (script->word_count > 2)
+		fake_pool_restart_as(script->pool, word(script, 1),
+				     (uint32_t)atoi(word(script, 2)),
+				     (unsigned int)atoi(word(script, 3)));
+	else
+		fake_pool_restart(script->pool, word(script, 1));
 }
 
 static void do_hang(struct cell_script *script)
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -84,7 +84,9 @@
  *   kill HOST                  end a scheduler process without a shutdown
  *   stop HOST                  shut a scheduler down; prints when it has
  *                              released the cell
- *   restart WORKER             start a new incarnation of a worker
+ *   restart WORKER [MILLICPUS REGISTERS_AFTER_MS]
+ *                              start a new incarnation of a worker, with that
+ *                              capacity, which writes its registration later
  *   replace WORKER             start another worker at its address
  *   unhealthy WORKER stops|polls|no
  *                              let a worker refuse all stops, or all polls
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -32,6 +32,8 @@
 /* Time that the members of a gang wait for the others. */
 #define GANG_WAIT_MS 4000
 #define MILLI 1000
+/* Time from a worker's start until it writes its registration. */
+#define REGISTRATION_MS 1
 
 struct run {
 	struct run *prev;
@@ -86,6 +88,7 @@
 	int64_t lease_expires_at; /* by the worker's clock */
 	int64_t last_end_number;
 	int64_t down_until;
+	int64_t registers_at; /* INT64_MAX: its registration is current */
 	int64_t leaves_at; /* 0: it stays */
 	bool replaced;
 	bool hung;
@@ -859,6 +862,7 @@
 	worker->speed_permille = 1000;
 	worker->incarnation = 1;
 	worker->started_at = net_now(pool);
+	worker->registers_at = INT64_MAX;
 	LL_APPEND(pool->workers, worker);
 }
 
@@ -888,6 +892,7 @@
 	drop_pending_polls(worker);
 	worker->used_millicpus = 0;
 	worker->hung = false;
+	worker->registers_at = net_now(pool) + REGISTRATION_MS;
 	worker->incarnation++;
 	worker->started_at = net_now(pool);
 	worker->fencing_token = 0;
@@ -895,6 +900,16 @@
 	worker->last_end_number = 0;
 }
 
+void fake_pool_restart_as(struct fake_pool *pool, const char *name,
+			  uint32_t millicpus, unsigned int registers_after_ms)
+{
+	struct pool_worker *worker = find_worker(pool, name);
+
+	fake_pool_restart(pool, name);
+	worker->millicpus = millicpus;
+	worker->registers_at = net_now(pool) + registers_after_ms;
+}
+
 void fake_pool_replace(struct fake_pool *pool, const char *name)
 {
 	fake_pool_restart(pool, name);
@@ -941,6 +956,7 @@
 		break_gang(pool, task);
 	fake_calls_reset(worker->node);
 	worker->down_until = net_now(pool) + pool->crash_down_ms;
+	worker->registers_at = worker->down_until + REGISTRATION_MS;
 	worker->replaced = pool->crash_replaces;
 }
 
@@ -1164,6 +1180,21 @@
 	}
 }
 
+const char *fake_pool_next_registration(struct fake_pool *pool)
+{
+	struct pool_worker *worker;
+
+	LL_FOREACH(pool->workers, worker)
+	{
+		if (net_now(pool) < worker->registers_at || worker->replaced ||
+		    worker->down_until == INT64_MAX)
+			continue;
+		worker->registers_at = INT64_MAX;
+		return worker->name;
+	}
+	return NULL;
+}
+
 int fake_pool_report(const struct fake_pool *pool, const char *name,
 		     struct zr_cell_worker_report *out)
 {
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -159,6 +159,23 @@
 /** fake_pool_tick() - end due runs and answer polls; call every millisecond */
 void fake_pool_tick(struct fake_pool *pool);
 
+/**
+ * fake_pool_restart_as() - start a new incarnation of another kind
+ * @pool: the pool
+ * @name: the worker
+ * @millicpus: its capacity
+ * @registers_after_ms: time until it writes its registration
+ */
+void fake_pool_restart_as(struct fake_pool *pool, const char *name,
+			  uint32_t millicpus, unsigned int registers_after_ms);
+
+/**
+ * fake_pool_next_registration() - get a worker that writes its registration now
+ *
+ * Return: its name; NULL: there is none, or no further one.
+ */
+const char *fake_pool_next_registration(struct fake_pool *pool);
+
 /**
  * fake_pool_report() - get the registration of a worker
  * @pool: the pool
