--- a/bench/admission/cost.c
+++ b/bench/admission/cost.c
@@ -35,8 +35,8 @@
 
 	for (i = 0; i < count; i++) {
 		snprintf(name, sizeof(name), "i-%010x", i);
-		worker = zr_cell_worker_get_or_add(&fixture->scheduler.model,
-						   name);
+		worker = zr_cell_worker_get_or_add(
+			&fixture->scheduler.term.model, name);
 		strcpy(worker->report.pool, "general");
 		worker->report.capacity =
 			(struct zr_resources){WORKER_MILLICPUS, 65536, 0};
@@ -63,7 +63,8 @@
 	};
 	snprintf(id, sizeof(id), "%016x", number);
 	snprintf(client, sizeof(client), "client-%u", number % ACCOUNTS);
-	job = zr_cell_job_add(&fixture->scheduler.model, id, &spec, client);
+	job = zr_cell_job_add(&fixture->scheduler.term.model, id, &spec,
+			      client);
 	snprintf(job->queue, sizeof(job->queue), "queue-%u", number % QUEUES);
 	strcpy(job->pool, "general");
 	job->priority = number % CLASS_COUNT;
@@ -71,7 +72,7 @@
 	job->latency_target_ms = 3000;
 	job->accepted_at = START_MS - number % 8000;
 	job->over_share = !zr_cell_priority_charge(
-		zr_cell_client(&fixture->scheduler.model, job->client),
+		zr_cell_client(&fixture->scheduler.term.model, job->client),
 		job->accepted_at);
 	return job;
 }
@@ -79,7 +80,7 @@
 static void run_job(struct fixture *fixture, struct zr_cell_job *job,
 		    unsigned int number)
 {
-	struct zr_cell_model *model = &fixture->scheduler.model;
+	struct zr_cell_model *model = &fixture->scheduler.term.model;
 	unsigned int worker_count = HASH_COUNT(model->worker_by_name);
 	char name[ZR_NAME_MAX];
 	uint32_t i;
@@ -106,10 +107,12 @@
 
 		if (number >= 2 * running) {
 			job->state = ZR_CELL_JOB_COMPLETED;
-			zr_cell_job_free_tasks(&fixture->scheduler.model, job);
+			zr_cell_job_free_tasks(&fixture->scheduler.term.model,
+					       job);
 			continue;
 		}
-		zr_cell_job_update(&fixture->scheduler.model, job, START_MS, 0);
+		zr_cell_job_update(&fixture->scheduler.term.model, job,
+				   START_MS, 0);
 		if (number < running)
 			run_job(fixture, job, number);
 	}
@@ -122,8 +125,9 @@
 
 	for (class = 0; class < CLASS_COUNT; class ++) {
 		for (i = 0; i < ZR_RUN_TIMES_KEPT; i++)
-			zr_run_times_add(&fixture->scheduler.run_times[class],
-					 1000, 900 + i * 3);
+			zr_run_times_add(
+				&fixture->scheduler.term.run_times[class], 1000,
+				900 + i * 3);
 	}
 }
 
@@ -151,19 +155,20 @@
 	host = fake_node_new(fixture->net, "host");
 	fake_store_client(&fixture->store, fixture->fake_store, host);
 	zr_metrics_new(&fixture->metrics);
-	if (zr_cell_model_init(&scheduler->model) < 0 ||
-	    zr_cell_journal_new(
-		    &scheduler->journal, fake_time_timers(fake_node_time(host)),
-		    fake_time_clock(fake_node_time(host)), &fixture->store,
-		    &scheduler->model, fixture->metrics, &events, NULL) < 0)
+	if (zr_cell_model_init(&scheduler->term.model) < 0 ||
+	    zr_cell_journal_new(&scheduler->journal,
+				fake_time_timers(fake_node_time(host)),
+				fake_time_clock(fake_node_time(host)),
+				&fixture->store, &scheduler->term.model,
+				fixture->metrics, &events, NULL) < 0)
 		abort();
 	for (i = 0; i < ACCOUNTS; i++) {
 		char client[ZR_NAME_MAX];
 
 		snprintf(client, sizeof(client), "client-%d", i);
-		zr_cell_client(
-			&scheduler->model,
-			zr_cell_client_get_or_add(&scheduler->model, client))
+		zr_cell_client(&scheduler->term.model,
+			       zr_cell_client_get_or_add(&scheduler->term.model,
+							 client))
 			->weight = 4;
 	}
 	add_workers(fixture, workers);
@@ -174,7 +179,7 @@
 static void tear_down(struct fixture *fixture)
 {
 	zr_cell_journal_free(fixture->scheduler.journal);
-	zr_cell_model_clear(&fixture->scheduler.model);
+	zr_cell_model_clear(&fixture->scheduler.term.model);
 	zr_store_free(&fixture->store);
 	zr_metrics_free(fixture->metrics);
 	fake_store_free(fixture->fake_store);
@@ -198,9 +203,9 @@
 	unsigned int i;
 
 	scheduler->options.admission = admission;
-	scheduler->summary_due_at = 1;
+	scheduler->term.summary_due_at = 1;
 	for (i = 0; i < repeats; i++) {
-		scheduler->counts_published_at = 0;
+		scheduler->term.counts_published_at = 0;
 		zr_cell_summary_process(scheduler, START_MS);
 	}
 	return (processor_us() - began_us) / repeats;
@@ -260,7 +265,8 @@
 	if (!fixture)
 		abort();
 	set_up(fixture, workers);
-	for (step = fixture->scheduler.model.ready; step; step = step->next)
+	for (step = fixture->scheduler.term.model.ready; step;
+	     step = step->next)
 		cost.waiting += step->waiting;
 	cost.counts_us = publish(fixture, false, repeats);
 	cost.counts_bytes = written_bytes(fixture);
--- a/src/libzinniarack/cell/adviser_query.c
+++ b/src/libzinniarack/cell/adviser_query.c
@@ -36,8 +36,7 @@
 
 /* A pending query to the adviser. */
 struct query {
-	struct zr_cell_scheduler *scheduler;
-	uint64_t term;
+	struct zr_cell_call base;
 	zr_handle job;
 	uint32_t step;
 	uint32_t permit_ms;
@@ -77,7 +76,7 @@
 		zr_cell_permission_get_or_add(step, query->named[i]);
 	for (i = 0; i < count; i++) {
 		struct zr_cell_worker *worker = zr_cell_worker_find(
-			&scheduler->model, permits[i].worker);
+			&scheduler->term.model, permits[i].worker);
 		struct zr_cell_permission *permission;
 
 		if (!worker)
@@ -154,7 +153,7 @@
 		      uint32_t validity_ms)
 {
 	struct query *query = ctx;
-	struct zr_cell_scheduler *scheduler = query->scheduler;
+	struct zr_cell_scheduler *scheduler = query->base.scheduler;
 	struct zr_cell_job *job;
 
 	if (!zr_cell_call_done(scheduler)) {
@@ -162,8 +161,9 @@
 		return;
 	}
 	update_proxy(scheduler, query, error);
-	job = query->term == scheduler->term
-		      ? zr_cell_job(&scheduler->model, query->job)
+	/* The proxy outlives the term. */
+	job = zr_cell_call_is_current(&query->base)
+		      ? zr_cell_job(&scheduler->term.model, query->job)
 		      : NULL;
 	if (job && query->step < job->step_count)
 		handle_answer(scheduler, query, job, error, permits, count,
@@ -325,14 +325,10 @@
 		       struct zr_cell_adviser_proxy_state *proxy)
 {
 	struct zr_cell_scheduler *scheduler = plan->scheduler;
-	struct query *query = calloc(1, sizeof(*query));
+	struct query *query = zr_cell_call_new(scheduler, sizeof(*query));
 	const char *names[ZR_CELL_ADVISE_MAX];
 	size_t i;
 
-	if (!query)
-		abort();
-	query->scheduler = scheduler;
-	query->term = scheduler->term;
 	query->job = item->job->self;
 	query->step = (uint32_t)(item->step - item->job->steps);
 	query->permit_ms = item->queue.permit_ms;
@@ -346,7 +342,6 @@
 	proxy->busy = true;
 	item->step->pending_queries++;
 	scheduler->advice.queries->value++;
-	scheduler->pending_calls++;
 	proxy->proxy.query(proxy->proxy.ctx, item->job->id,
 			   item->step->occurrence, item->step->number, names,
 			   count,
--- a/src/libzinniarack/cell/bounds.c
+++ b/src/libzinniarack/cell/bounds.c
@@ -48,7 +48,7 @@
 static struct zr_cell_task *task_of(const struct zr_cell_scheduler *scheduler,
 				    struct zr_cell_ref ref)
 {
-	return &zr_cell_job(&scheduler->model, ref.job)->tasks[ref.task];
+	return &zr_cell_job(&scheduler->term.model, ref.job)->tasks[ref.task];
 }
 
 bool zr_cell_worker_may_have_runs(const struct zr_cell_scheduler *scheduler,
@@ -94,10 +94,10 @@
 			continue;
 		scheduler->lost->value++;
 		zr_cell_unanswered_settle(
-			scheduler, zr_cell_job(&scheduler->model, ref.job),
+			scheduler, zr_cell_job(&scheduler->term.model, ref.job),
 			ref.task, ZR_UNANSWERED_LOST);
 		zr_cell_run_ended(scheduler,
-				  zr_cell_job(&scheduler->model, ref.job),
+				  zr_cell_job(&scheduler->term.model, ref.job),
 				  ref.task, reason);
 		i = 0;
 	}
@@ -141,7 +141,7 @@
 		    now < task->overdue_at)
 			continue;
 		zr_cell_run_ended(scheduler,
-				  zr_cell_job(&scheduler->model, ref.job),
+				  zr_cell_job(&scheduler->term.model, ref.job),
 				  ref.task, "not_persisted");
 		i = 0;
 	}
--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -83,12 +83,12 @@
 	return zr_cell_evacuations_allow(scheduler, worker, now) &&
 	       worker->registered && !worker->report.leaving &&
 	       !worker->announced_event && is_described(worker) &&
-	       worker->conn.ops &&
-	       worker->clock_ms >= 0 && !worker->lease_withheld &&
-	       now >= worker->backoff_until &&
+	       worker->conn.ops && worker->clock_ms >= 0 &&
+	       !worker->lease_withheld && now >= worker->backoff_until &&
 	       now >= worker->unanswered_until &&
 	       !zr_cell_worker_unresponsive(worker) &&
-	       !zr_cell_domain_unresponsive(&scheduler->model, worker, now);
+	       !zr_cell_domain_unresponsive(&scheduler->term.model, worker,
+					    now);
 }
 
 static void add_candidate(struct zr_cell_plan *plan,
@@ -108,7 +108,7 @@
 
 void zr_cell_candidates_collect(struct zr_cell_plan *plan)
 {
-	struct zr_cell_model *model = &plan->scheduler->model;
+	struct zr_cell_model *model = &plan->scheduler->term.model;
 	size_t size = HASH_COUNT(model->worker_by_name) + 1;
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
@@ -191,7 +191,7 @@
 void zr_cell_plan_item_find_eligible(struct zr_cell_plan *plan,
 				     struct zr_cell_plan_item *item)
 {
-	const struct zr_cell_model *model = &plan->scheduler->model;
+	const struct zr_cell_model *model = &plan->scheduler->term.model;
 	size_t i;
 
 	item->eligible = plan->eligible;
--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -112,8 +112,8 @@
 }
 
 /*
- * Whether the run may have ended before the worker crashed: its end is not known
- * if the worker did not respond any more. Estimates are rough.
+ * Whether the run may have ended before the worker crashed: its end is not
+ * known if the worker did not respond any more. Estimates are rough.
  */
 static bool may_have_ended(const struct zr_cell_job *job, uint32_t task,
 			   int64_t silent_since)
@@ -121,7 +121,8 @@
 	const struct zr_cell_task *entry = &job->tasks[task];
 	uint32_t estimate_ms = zr_cell_task_step(job, task)->spec->estimate_ms;
 
-	return estimate_ms && silent_since - entry->started_at > estimate_ms / 2;
+	return estimate_ms &&
+	       silent_since - entry->started_at > estimate_ms / 2;
 }
 
 /*
@@ -189,7 +190,7 @@
 			    struct zr_cell_worker *worker,
 			    enum crash_knowledge knowledge)
 {
-	struct zr_cell_model *model = &scheduler->model;
+	struct zr_cell_model *model = &scheduler->term.model;
 	int64_t silent_since = silence_began_at(scheduler, worker);
 	bool apart = has_one_job(model, worker, silent_since, false);
 	bool fresh_apart = has_one_job(model, worker, silent_since, true);
@@ -263,8 +264,8 @@
 	if (worker->last_silent_since > entry->started_at)
 		silent_since = worker->last_silent_since;
 	if (!entry->crash_evidence && is_of_other_incarnation(entry, worker))
-		entry->crash_evidence = count_flag(job, task, CRASH_RESTARTED,
-						   silent_since);
+		entry->crash_evidence =
+			count_flag(job, task, CRASH_RESTARTED, silent_since);
 }
 
 /* Whether a crash that counts, rather than a possible one, gives up a task. */
@@ -356,7 +357,7 @@
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_task *entry =
-			&zr_cell_job(&scheduler->model, ref.job)
+			&zr_cell_job(&scheduler->term.model, ref.job)
 				 ->tasks[ref.task];
 
 		if (entry->settle_polled || !is_settled(entry, now))
--- a/src/libzinniarack/cell/departures.c
+++ b/src/libzinniarack/cell/departures.c
@@ -65,7 +65,7 @@
 			const struct zr_cell_worker *worker,
 			struct zr_cell_ref ref, int64_t now)
 {
-	struct zr_cell_job *job = zr_cell_job(&scheduler->model, ref.job);
+	struct zr_cell_job *job = zr_cell_job(&scheduler->term.model, ref.job);
 	struct zr_cell_step_state *step = zr_cell_task_step(job, ref.task);
 	struct zr_departure_view view = {
 		.remaining_ms = step_remaining_ms(job, ref.task, now),
@@ -118,7 +118,8 @@
 		if (i >= worker->run_count)
 			continue;
 		ref = worker->runs[i];
-		if (may_move(zr_cell_job(&scheduler->model, ref.job), ref.task))
+		if (may_move(zr_cell_job(&scheduler->term.model, ref.job),
+			     ref.task))
 			process_run(scheduler, worker, ref, now);
 	}
 }
--- a/src/libzinniarack/cell/evacuation_moves.c
+++ b/src/libzinniarack/cell/evacuation_moves.c
@@ -102,7 +102,7 @@
 			   const struct zr_cell_task *task)
 {
 	const struct zr_cell_worker *worker =
-		zr_cell_worker(&scheduler->model, task->worker);
+		zr_cell_worker(&scheduler->term.model, task->worker);
 
 	return task->state == ZR_TASK_RUNNING && worker &&
 	       !zr_cell_worker_unresponsive(worker);
@@ -137,8 +137,8 @@
 	for (i = step->first_task; i < step->first_task + step->spec->count;
 	     i++) {
 		const struct zr_cell_task *task = &job->tasks[i];
-		const struct zr_cell_worker *worker =
-			zr_cell_worker(&pass->scheduler->model, task->worker);
+		const struct zr_cell_worker *worker = zr_cell_worker(
+			&pass->scheduler->term.model, task->worker);
 
 		group->unavailable += !runs_confirmed(pass->scheduler, task);
 		group->tasks_elsewhere +=
@@ -184,9 +184,10 @@
 	uint32_t end = gang ? first + spec->count : task + 1;
 	uint32_t i;
 
-	if (gang && step->evacuation_pass == pass->scheduler->evacuations.pass)
+	if (gang &&
+	    step->evacuation_pass == pass->scheduler->term.evacuations.pass)
 		return;
-	step->evacuation_pass = pass->scheduler->evacuations.pass;
+	step->evacuation_pass = pass->scheduler->term.evacuations.pass;
 	fill_queue(pass, &group, job, spec);
 	if (group.class == ZR_EVACUATION_CLASSES_MAX)
 		return;
@@ -202,7 +203,7 @@
 static void add_groups_on(struct pass *pass,
 			  const struct zr_cell_worker *worker)
 {
-	const struct zr_cell_model *model = &pass->scheduler->model;
+	const struct zr_cell_model *model = &pass->scheduler->term.model;
 	size_t i;
 
 	for (i = 0; i < worker->run_count; i++) {
@@ -236,7 +237,7 @@
 static size_t collect_workers(const struct pass *pass,
 			      struct zr_evacuation_worker *out)
 {
-	struct zr_cell_model *model = &pass->scheduler->model;
+	struct zr_cell_model *model = &pass->scheduler->term.model;
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 	size_t count = 0;
@@ -266,7 +267,7 @@
 
 static uint64_t waiting_millicpus(const struct pass *pass)
 {
-	const struct zr_cell_model *model = &pass->scheduler->model;
+	const struct zr_cell_model *model = &pass->scheduler->term.model;
 	const struct zr_cell_step_state *step;
 	uint64_t sum = 0;
 
@@ -313,7 +314,7 @@
 
 	for (i = ref->task; i < end; i++) {
 		ref->job->tasks[i].evacuating = true;
-		scheduler->evacuations.stopped->value++;
+		scheduler->evacuation_metrics.stopped->value++;
 	}
 	if (gang)
 		zr_cell_stop_gang(scheduler, ref->job, step, "evacuation");
@@ -340,7 +341,7 @@
 
 static void decide(struct pass *pass)
 {
-	const struct zr_cell_model *model = &pass->scheduler->model;
+	const struct zr_cell_model *model = &pass->scheduler->term.model;
 	struct zr_evacuation_view view = {
 		.groups = pass->groups,
 		.group_count = pass->count,
@@ -364,22 +365,23 @@
 
 void zr_cell_evacuations_move(struct zr_cell_scheduler *scheduler)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	struct zr_cell_evacuations *evacuations = &scheduler->term.evacuations;
 	struct pass pass = {.scheduler = scheduler,
 			    .now = zr_cell_now_ms(scheduler)};
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 
 	/* An owner that leaves would not place again what it stops. */
-	if (scheduler->releasing || scheduler->hand_over_deadline_at)
+	if (scheduler->releasing || scheduler->term.hand_over_deadline_at)
 		return;
-	if (!evacuations->runs->value || !zr_cell_is_owner(scheduler) ||
+	if (!scheduler->evacuation_metrics.runs->value ||
+	    !zr_cell_is_owner(scheduler) ||
 	    !zr_cell_evacuations_known(scheduler) ||
 	    pass.now - evacuations->decided_at < DECIDE_INTERVAL_MS)
 		return;
 	evacuations->decided_at = pass.now;
 	evacuations->pass++;
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
 		if (worker->run_count &&
 		    zr_cell_evacuations_requested(scheduler, worker))
 			add_groups_on(&pass, worker);
--- a/src/libzinniarack/cell/evacuations.c
+++ b/src/libzinniarack/cell/evacuations.c
@@ -48,8 +48,7 @@
 
 /* A read or a watch in flight. */
 struct evacuation_call {
-	struct zr_cell_scheduler *scheduler;
-	uint64_t term;
+	struct zr_cell_call base;
 	int64_t sent_at;
 	int64_t wait_ms; /* 0: a read */
 };
@@ -70,7 +69,8 @@
 
 static int64_t age_ms(const struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	const struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	const struct zr_cell_evacuations *evacuations =
+		&scheduler->term.evacuations;
 
 	return evacuations->confirmed ? now - evacuations->confirmed_at
 				      : INT64_MAX;
@@ -88,15 +88,16 @@
 {
 	const struct zr_cell_evacuation *entry;
 
-	HASH_FIND_STR(scheduler->evacuations.by_domain, worker->report.domain,
-		      entry);
+	HASH_FIND_STR(scheduler->term.evacuations.by_domain,
+		      worker->report.domain, entry);
 	return entry && entry->requested;
 }
 
 bool zr_cell_evacuations_allow(const struct zr_cell_scheduler *scheduler,
 			       const struct zr_cell_worker *worker, int64_t now)
 {
-	const struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	const struct zr_cell_evacuations *evacuations =
+		&scheduler->term.evacuations;
 	const struct zr_cell_evacuation *entry;
 
 	if (!zr_cell_evacuations_known(scheduler))
@@ -113,7 +114,7 @@
 
 void zr_cell_evacuations_clear(struct zr_cell_scheduler *scheduler)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	struct zr_cell_evacuations *evacuations = &scheduler->term.evacuations;
 	struct zr_cell_evacuation *entry;
 	struct zr_cell_evacuation *next;
 
@@ -121,15 +122,8 @@
 		HASH_DEL(evacuations->by_domain, entry);
 		free(entry);
 	}
-	evacuations->revision = 0;
-	evacuations->confirmed = false;
-	evacuations->reading = false;
-	evacuations->read_sent_at = 0;
-	evacuations->watching = false;
-	evacuations->none_left_logged = false;
-	evacuations->unknown_logged = false;
-	evacuations->runs->value = 0;
-	evacuations->start_age_ms->value = 0;
+	scheduler->evacuation_metrics.runs->value = 0;
+	scheduler->evacuation_metrics.start_age_ms->value = 0;
 }
 
 /* Runs in a domain */
@@ -173,7 +167,7 @@
 	for (i = first; i < end; i++) {
 		if (job->tasks[i].state != ZR_TASK_PLACED)
 			continue;
-		scheduler->evacuations.taken_back->value++;
+		scheduler->evacuation_metrics.taken_back->value++;
 		zr_cell_stop_run(scheduler, job, i, "evacuation");
 	}
 }
@@ -186,7 +180,7 @@
 	while (i < worker->run_count) {
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
+			zr_cell_job(&scheduler->term.model, ref.job);
 
 		i++;
 		if (job->tasks[ref.task].state != ZR_TASK_PLACED)
@@ -218,7 +212,7 @@
 				  const struct zr_cell_evacuation *entry,
 				  int64_t now)
 {
-	const struct zr_cell_model *model = &scheduler->model;
+	const struct zr_cell_model *model = &scheduler->term.model;
 	struct domain_load load = {0};
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
@@ -241,16 +235,17 @@
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 	struct domain_load load;
-	int64_t taken_back = scheduler->evacuations.taken_back->value;
+	int64_t taken_back = scheduler->evacuation_metrics.taken_back->value;
 
 	if (entry->announced || scheduler->phase != ZR_CELL_ACTIVE)
 		return;
 	entry->announced = true;
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
 		if (is_in(worker, entry))
 			take_back_placements(scheduler, worker);
 	}
-	taken_back = scheduler->evacuations.taken_back->value - taken_back;
+	taken_back =
+		scheduler->evacuation_metrics.taken_back->value - taken_back;
 	load = load_of(scheduler, entry, zr_cell_now_ms(scheduler));
 	zr_log_decision("evacuation.begun domain=%s runs=%zu revision=%" PRId64
 			" starts_in_flight=%zu taken_back=%" PRId64,
@@ -308,7 +303,7 @@
 		      const struct zr_store_value *value, bool exists,
 		      int64_t revision)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	struct zr_cell_evacuations *evacuations = &scheduler->term.evacuations;
 	struct zr_cell_evacuation *entry;
 	char domain[ZR_NAME_MAX];
 
@@ -339,7 +334,7 @@
 	struct zr_cell_evacuation *entry;
 	struct zr_cell_evacuation *next;
 
-	HASH_ITER (hh, scheduler->evacuations.by_domain, entry, next) {
+	HASH_ITER (hh, scheduler->term.evacuations.by_domain, entry, next) {
 		if (!entry->in_current_read && entry->requested &&
 		    entry->revision <= revision)
 			withdraw(scheduler, entry, revision);
@@ -350,7 +345,7 @@
 
 static void confirm(struct zr_cell_scheduler *scheduler, int64_t at)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	struct zr_cell_evacuations *evacuations = &scheduler->term.evacuations;
 	bool known = zr_cell_evacuations_known(scheduler);
 
 	if (evacuations->confirmed && at <= evacuations->confirmed_at)
@@ -370,28 +365,22 @@
 static struct evacuation_call *new_call(struct zr_cell_scheduler *scheduler,
 					int64_t wait_ms)
 {
-	struct evacuation_call *call = calloc(1, sizeof(*call));
+	struct evacuation_call *call =
+		zr_cell_call_new(scheduler, sizeof(*call));
 
-	if (!call)
-		abort();
-	call->scheduler = scheduler;
-	call->term = scheduler->term;
 	call->sent_at = zr_cell_now_ms(scheduler);
 	call->wait_ms = wait_ms;
-	scheduler->pending_calls++;
 	return call;
 }
 
 /* Frees a call. Returns NULL if it is of an earlier term. */
 static struct zr_cell_scheduler *finish_call(struct evacuation_call *call)
 {
-	struct zr_cell_scheduler *scheduler = call->scheduler;
-	bool is_current = zr_cell_call_done(scheduler) &&
-			  call->term == scheduler->term &&
-			  scheduler->phase != ZR_CELL_STANDBY;
+	struct zr_cell_scheduler *scheduler = zr_cell_call_end(&call->base);
 
 	free(call);
-	return is_current ? scheduler : NULL;
+	return scheduler && scheduler->phase != ZR_CELL_STANDBY ? scheduler
+								: NULL;
 }
 
 static void set_revision(struct zr_cell_evacuations *evacuations,
@@ -411,18 +400,18 @@
 
 	if (!scheduler)
 		return;
-	scheduler->evacuations.reading = false;
+	scheduler->term.evacuations.reading = false;
 	if (error < 0) {
 		zr_log(ZR_LOG_WARN, "evacuation.read_failed error=%s",
 		       zr_error_name(error));
 		return;
 	}
-	HASH_ITER (hh, scheduler->evacuations.by_domain, entry, next)
+	HASH_ITER (hh, scheduler->term.evacuations.by_domain, entry, next)
 		entry->in_current_read = false;
 	for (i = 0; i < reply->count; i++)
 		apply_key(scheduler, &reply->values[i], true, reply->revision);
 	withdraw_missing(scheduler, reply->revision);
-	set_revision(&scheduler->evacuations, reply->revision);
+	set_revision(&scheduler->term.evacuations, reply->revision);
 	confirm(scheduler, sent_at);
 	zr_cell_evacuations_process(scheduler);
 }
@@ -437,10 +426,10 @@
 
 	if (!scheduler)
 		return;
-	scheduler->evacuations.watching = false;
+	scheduler->term.evacuations.watching = false;
 	if (error < 0) {
 		/* The next read shows what the watch has missed. */
-		scheduler->evacuations.revision = 0;
+		scheduler->term.evacuations.revision = 0;
 		zr_cell_evacuations_process(scheduler);
 		return;
 	}
@@ -450,7 +439,7 @@
 	waited = zr_cell_now_ms(scheduler) - call.sent_at >= call.wait_ms;
 	if (!reply->count && waited)
 		counted_ms = call.wait_ms * WATCH_COUNTED_PERCENT / PERCENT;
-	set_revision(&scheduler->evacuations, reply->revision);
+	set_revision(&scheduler->term.evacuations, reply->revision);
 	confirm(scheduler, call.sent_at + counted_ms);
 	if (reply->count)
 		zr_cell_schedule_plan(scheduler);
@@ -463,8 +452,8 @@
 {
 	const struct zr_cell_platform *platform = scheduler->options.platform;
 
-	scheduler->evacuations.reading = true;
-	scheduler->evacuations.read_sent_at = now;
+	scheduler->term.evacuations.reading = true;
+	scheduler->term.evacuations.read_sent_at = now;
 	zr_store_range(&platform->store, ZR_STORE_OTHER,
 		       platform->evacuation_prefix, true, on_read,
 		       new_call(scheduler, 0));
@@ -475,15 +464,17 @@
 	const struct zr_cell_platform *platform = scheduler->options.platform;
 	int64_t wait_ms = known_max_ms(scheduler) / WATCH_DIVISOR;
 
-	scheduler->evacuations.watching = true;
+	scheduler->term.evacuations.watching = true;
 	zr_store_watch(&platform->store, platform->evacuation_prefix,
-		       scheduler->evacuations.revision, (unsigned int)wait_ms,
-		       on_watch, new_call(scheduler, wait_ms));
+		       scheduler->term.evacuations.revision,
+		       (unsigned int)wait_ms, on_watch,
+		       new_call(scheduler, wait_ms));
 }
 
 static bool read_is_due(const struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	const struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	const struct zr_cell_evacuations *evacuations =
+		&scheduler->term.evacuations;
 	bool overdue = age_ms(scheduler, now) >
 		       known_max_ms(scheduler) * OVERDUE_PERCENT / PERCENT;
 	int64_t interval_ms = evacuations->revision && !overdue
@@ -500,12 +491,13 @@
 static void check_domain(struct zr_cell_scheduler *scheduler,
 			 struct zr_cell_evacuation *entry, int64_t now)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
 	struct domain_load load = load_of(scheduler, entry, now);
 
-	evacuations->runs->value += (int64_t)load.runs;
-	if (load.start_age_ms > evacuations->start_age_ms->value)
-		evacuations->start_age_ms->value = load.start_age_ms;
+	scheduler->evacuation_metrics.runs->value += (int64_t)load.runs;
+	if (load.start_age_ms >
+	    scheduler->evacuation_metrics.start_age_ms->value)
+		scheduler->evacuation_metrics.start_age_ms->value =
+			load.start_age_ms;
 	if (!load.starts && !entry->starts_settled) {
 		entry->starts_settled = true;
 		zr_log_decision("evacuation.starts_settled domain=%s "
@@ -522,7 +514,7 @@
 /* Logs once that nothing is started until the requests can be read. */
 static void check_known(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	struct zr_cell_evacuations *evacuations = &scheduler->term.evacuations;
 
 	if (zr_cell_evacuations_known(scheduler) || evacuations->unknown_logged)
 		return;
@@ -534,12 +526,12 @@
 /* Logs once that jobs wait because no worker is left for them. */
 static void check_none_left(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	struct zr_cell_evacuations *evacuations = &scheduler->term.evacuations;
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 	size_t registered = 0;
 
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
 		registered += worker->registered;
 		if (worker->registered &&
 		    zr_cell_evacuations_allow(scheduler, worker, now)) {
@@ -556,14 +548,14 @@
 
 static void check_domains(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	struct zr_cell_evacuations *evacuations = &scheduler->term.evacuations;
 	struct zr_cell_evacuation *entry;
 	struct zr_cell_evacuation *next;
 
 	evacuations->checked_at = now;
 	check_known(scheduler, now);
-	evacuations->runs->value = 0;
-	evacuations->start_age_ms->value = 0;
+	scheduler->evacuation_metrics.runs->value = 0;
+	scheduler->evacuation_metrics.start_age_ms->value = 0;
 	if (!evacuations->by_domain)
 		return;
 	HASH_ITER (hh, evacuations->by_domain, entry, next) {
@@ -578,7 +570,7 @@
 
 void zr_cell_evacuations_process(struct zr_cell_scheduler *scheduler)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
+	struct zr_cell_evacuations *evacuations = &scheduler->term.evacuations;
 	int64_t now = zr_cell_now_ms(scheduler);
 
 	if (!is_enabled(scheduler) || scheduler->phase == ZR_CELL_STANDBY)
@@ -595,21 +587,23 @@
 void zr_cell_evacuations_register_metrics(struct zr_cell_scheduler *scheduler,
 					  struct zr_metrics *metrics)
 {
-	struct zr_cell_evacuations *evacuations = &scheduler->evacuations;
 
-	evacuations->runs = zr_metrics_get_or_add_gauge(
+	scheduler->evacuation_metrics.runs = zr_metrics_get_or_add_gauge(
 		metrics, "zinniarack_cell_evacuation_runs", NULL,
 		"Runs left in failure domains that are being evacuated");
-	evacuations->start_age_ms = zr_metrics_get_or_add_gauge(
+	scheduler->evacuation_metrics
+		.start_age_ms = zr_metrics_get_or_add_gauge(
 		metrics, "zinniarack_cell_evacuation_start_age_ms", NULL,
 		"Age of the oldest start without an answer in such a domain");
-	evacuations->taken_back = zr_metrics_get_or_add_counter(
-		metrics, "zinniarack_cell_evacuation_taken_back_total", NULL,
-		"Placements taken back before their start was sent");
-	evacuations->stopped = zr_metrics_get_or_add_counter(
+	scheduler->evacuation_metrics.taken_back =
+		zr_metrics_get_or_add_counter(
+			metrics, "zinniarack_cell_evacuation_taken_back_total",
+			NULL,
+			"Placements taken back before their start was sent");
+	scheduler->evacuation_metrics.stopped = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_evacuation_stopped_total", NULL,
 		"Runs stopped so that they resume in another domain");
-	evacuations->moved = zr_metrics_get_or_add_counter(
+	scheduler->evacuation_metrics.moved = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_evacuation_moved_total", NULL,
 		"Those of them that have been started again");
 }
--- a/src/libzinniarack/cell/gang.c
+++ b/src/libzinniarack/cell/gang.c
@@ -142,7 +142,7 @@
 void zr_cell_choose_gang_domain(struct zr_cell_plan *plan,
 				const struct zr_cell_plan_item *item)
 {
-	uint32_t count = plan->scheduler->model.domain_count;
+	uint32_t count = plan->scheduler->term.model.domain_count;
 	uint32_t wanted = DOMAIN_COPIES * item->step->spec->count;
 	struct domain_slots slots;
 	uint32_t best = 0;
--- a/src/libzinniarack/cell/isolation.c
+++ b/src/libzinniarack/cell/isolation.c
@@ -88,7 +88,7 @@
 			const struct zr_cell_plan_item *item,
 			const struct zr_cell_worker *worker)
 {
-	const struct zr_cell_model *model = &plan->scheduler->model;
+	const struct zr_cell_model *model = &plan->scheduler->term.model;
 	int64_t longest = 0;
 	size_t i;
 
--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -36,35 +36,14 @@
 #define PREVIOUS_LEASE_MARGIN_MS 300
 #define PERMILLE 1000
 
-/* A store call in flight, with the ownership term in which it was sent. */
-struct store_call {
-	struct zr_cell_scheduler *scheduler;
-	uint64_t term;
-};
-
-static struct store_call *new_store_call(struct zr_cell_scheduler *scheduler)
-{
-	struct store_call *store_call = calloc(1, sizeof(*store_call));
-
-	if (!store_call)
-		abort();
-	store_call->scheduler = scheduler;
-	store_call->term = scheduler->term;
-	scheduler->pending_calls++;
-	return store_call;
-}
-
-/* Free a call. Return NULL if its reply is stale and must be ignored. */
-static struct zr_cell_scheduler *
-finish_store_call(struct store_call *store_call)
+/* Frees a call. Returns NULL if its reply is stale and must be ignored. */
+static struct zr_cell_scheduler *finish_store_call(struct zr_cell_call *call)
 {
-	struct zr_cell_scheduler *scheduler = store_call->scheduler;
-	bool is_current = zr_cell_call_done(scheduler) &&
-			  store_call->term == scheduler->term &&
-			  scheduler->phase != ZR_CELL_STANDBY;
+	struct zr_cell_scheduler *scheduler = zr_cell_call_end(call);
 
-	free(store_call);
-	return is_current ? scheduler : NULL;
+	free(call);
+	return scheduler && scheduler->phase != ZR_CELL_STANDBY ? scheduler
+								: NULL;
 }
 
 /* Keys */
@@ -92,7 +71,7 @@
 			  struct zr_cell_job *job)
 {
 	job->over_share = !zr_cell_priority_charge(
-		zr_cell_client(&scheduler->model, job->client),
+		zr_cell_client(&scheduler->term.model, job->client),
 		job->accepted_at);
 }
 
@@ -147,7 +126,7 @@
 		return NULL;
 	}
 	if (!zr_cell_spec_from_record(&spec, &record)) {
-		job = zr_cell_job_add(&scheduler->model, id, &spec,
+		job = zr_cell_job_add(&scheduler->term.model, id, &spec,
 				      record.client);
 		init_job(scheduler, job, &record);
 	}
@@ -158,36 +137,37 @@
 static void update_job(struct zr_cell_scheduler *scheduler,
 		       struct zr_cell_job *job)
 {
-	zr_cell_job_update(&scheduler->model, job, zr_cell_now_ms(scheduler),
+	zr_cell_job_update(&scheduler->term.model, job,
+			   zr_cell_now_ms(scheduler),
 			   zr_cell_wall_ms(scheduler));
 }
 
 static void handle_job(struct zr_cell_scheduler *scheduler, const char *id,
 		       const void *data, size_t length, const char *by)
 {
-	struct zr_cell_job *job = zr_cell_job_find(&scheduler->model, id);
+	struct zr_cell_job *job = zr_cell_job_find(&scheduler->term.model, id);
 
 	if (job)
 		return;
 	job = add_job(scheduler, id, data, length);
 	if (!job)
 		return;
-	zr_log_decision("job.received job=%s queue=%s client=%s tasks=%" PRIu32
-			" steps=%" PRIu32 " age_ms=%" PRId64
-			" objective_ms=%" PRId64 " excess=%d by=%s",
-			id, job->queue,
-			zr_cell_client(&scheduler->model, job->client)->name,
-			job->task_count, job->step_count,
-			zr_cell_now_ms(scheduler) - job->accepted_at,
-			zr_cell_priority_objective_ms(job), job->over_share,
-			by);
+	zr_log_decision(
+		"job.received job=%s queue=%s client=%s tasks=%" PRIu32
+		" steps=%" PRIu32 " age_ms=%" PRId64 " objective_ms=%" PRId64
+		" excess=%d by=%s",
+		id, job->queue,
+		zr_cell_client(&scheduler->term.model, job->client)->name,
+		job->task_count, job->step_count,
+		zr_cell_now_ms(scheduler) - job->accepted_at,
+		zr_cell_priority_objective_ms(job), job->over_share, by);
 	update_job(scheduler, job);
 	zr_cell_schedule_plan(scheduler);
 }
 
 static bool handle_cancel(struct zr_cell_scheduler *scheduler, const char *id)
 {
-	struct zr_cell_job *job = zr_cell_job_find(&scheduler->model, id);
+	struct zr_cell_job *job = zr_cell_job_find(&scheduler->term.model, id);
 
 	if (job)
 		zr_cell_job_cancel(scheduler, job);
@@ -247,8 +227,8 @@
 		return;
 	if (!error) {
 		handle_accepted_keys(scheduler, reply);
-		scheduler->watch_revision = reply->revision;
-		scheduler->jobs_outdated = false;
+		scheduler->term.watch_revision = reply->revision;
+		scheduler->term.jobs_outdated = false;
 		zr_log(ZR_LOG_INFO, "watch.resync revision=%" PRId64,
 		       reply->revision);
 	}
@@ -257,9 +237,10 @@
 
 static void resync(struct zr_cell_scheduler *scheduler)
 {
-	zr_store_range(&scheduler->options.platform->store, ZR_STORE_RECOVERY,
-		       ZR_CELL_JOB_PREFIX, true, on_resync,
-		       new_store_call(scheduler));
+	zr_store_range(
+		&scheduler->options.platform->store, ZR_STORE_RECOVERY,
+		ZR_CELL_JOB_PREFIX, true, on_resync,
+		zr_cell_call_new(scheduler, sizeof(struct zr_cell_call)));
 }
 
 static void on_watch(void *ctx, int error, const struct zr_store_reply *reply)
@@ -274,14 +255,14 @@
 		return;
 	}
 	if (error < 0) {
-		scheduler->watch_failures++;
+		scheduler->term.watch_failures++;
 		zr_timer_start(scheduler->rewatch, RETRY_DELAY_MS, 0);
 		return;
 	}
 	handle_accepted_keys(scheduler, reply);
-	scheduler->jobs_outdated = false;
-	if (reply->revision > scheduler->watch_revision)
-		scheduler->watch_revision = reply->revision;
+	scheduler->term.jobs_outdated = false;
+	if (reply->revision > scheduler->term.watch_revision)
+		scheduler->term.watch_revision = reply->revision;
 	zr_timer_start(scheduler->rewatch, WATCH_PAUSE_MS, 0);
 }
 
@@ -290,14 +271,15 @@
 	if (scheduler->phase == ZR_CELL_STANDBY)
 		return;
 	/* After a failure, changes may have been missed; read all keys. */
-	if (scheduler->watch_failures) {
-		scheduler->watch_failures = 0;
+	if (scheduler->term.watch_failures) {
+		scheduler->term.watch_failures = 0;
 		resync(scheduler);
 		return;
 	}
-	zr_store_watch(&scheduler->options.platform->store, ZR_CELL_JOB_PREFIX,
-		       scheduler->watch_revision, WATCH_TIMEOUT_MS, on_watch,
-		       new_store_call(scheduler));
+	zr_store_watch(
+		&scheduler->options.platform->store, ZR_CELL_JOB_PREFIX,
+		scheduler->term.watch_revision, WATCH_TIMEOUT_MS, on_watch,
+		zr_cell_call_new(scheduler, sizeof(struct zr_cell_call)));
 }
 
 /* Loading of the persisted state after a takeover */
@@ -319,14 +301,15 @@
 	snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
 		 record->checkpoint);
 	if (record->done) {
-		zr_cell_task_end_run(&scheduler->model, job, index,
+		zr_cell_task_end_run(&scheduler->term.model, job, index,
 				     ZR_TASK_EVENT_DONE);
 		return;
 	}
 	if (!record->worker[0])
 		return;
-	worker = zr_cell_worker_get_or_add(&scheduler->model, record->worker);
-	zr_cell_task_begin_run(&scheduler->model, job, index, worker,
+	worker = zr_cell_worker_get_or_add(&scheduler->term.model,
+					   record->worker);
+	zr_cell_task_begin_run(&scheduler->term.model, job, index, worker,
 			       ZR_TASK_EVENT_FOUND);
 	/*
 	 * Workers reject the previous owner's requests once they have seen this
@@ -417,7 +400,7 @@
 	restore_incarnations(job, &stored->runs);
 	job->state = (enum zr_cell_job_state)record->state;
 	job->persisted_state = job->state;
-	restore_gangs(&scheduler->model, job);
+	restore_gangs(&scheduler->term.model, job);
 }
 
 /*
@@ -430,7 +413,7 @@
 					 const zx_cell_progress *record)
 {
 	struct zr_cell_job_spec empty_spec = {0};
-	struct zr_cell_job *job = zr_cell_job_add(&scheduler->model, id,
+	struct zr_cell_job *job = zr_cell_job_add(&scheduler->term.model, id,
 						  &empty_spec, record->client);
 
 	snprintf(job->queue, sizeof(job->queue), "%s", record->queue);
@@ -455,7 +438,7 @@
 		       value->length);
 		return;
 	}
-	job = zr_cell_job_find(&scheduler->model, id);
+	job = zr_cell_job_find(&scheduler->term.model, id);
 	if (!job)
 		job = add_ended_job(scheduler, id, &record.progress);
 	restore_job(scheduler, job, &record);
@@ -471,8 +454,8 @@
 	size_t active_runs = 0;
 
 	zr_cell_refresh_client_limits(scheduler);
-	HASH_SORT(scheduler->model.job_by_id, compare_acceptance);
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
+	HASH_SORT(scheduler->term.model.job_by_id, compare_acceptance);
+	HASH_ITER (hh, scheduler->term.model.job_by_id, job, next) {
 		if (!zr_cell_job_has_ended(job))
 			charge_client(scheduler, job);
 		active_runs += job->active_tasks;
@@ -486,10 +469,10 @@
 	zr_log(ZR_LOG_INFO,
 	       "cell.active token=%" PRIu64
 	       " jobs=%u open=%zu took_ms=%" PRId64,
-	       scheduler->fencing_token, HASH_COUNT(scheduler->model.job_by_id),
-	       active_runs,
+	       scheduler->term.fencing_token,
+	       HASH_COUNT(scheduler->term.model.job_by_id), active_runs,
 	       zr_cell_now_ms(scheduler) - scheduler->loading.began_at);
-	if (!scheduler->registry_revision)
+	if (!scheduler->term.registry_revision)
 		zr_cell_registry_read(scheduler);
 	zr_cell_watch_jobs(scheduler);
 	zr_cell_schedule_plan(scheduler);
@@ -517,7 +500,7 @@
 
 	if (parse_job_key(id, &cancel, value->key, ZR_CELL_JOB_PREFIX) < 0)
 		return;
-	job = zr_cell_job_find(&scheduler->model, id);
+	job = zr_cell_job_find(&scheduler->term.model, id);
 	if (cancel && job)
 		job->cancel_found = true;
 	else if (!cancel && !job)
@@ -590,12 +573,12 @@
 	for (i = 0; i < loading->progress.count; i++)
 		load_progress(scheduler, &loading->progress.values[i]);
 	zr_cell_past_use_end_load(scheduler);
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
+	HASH_ITER (hh, scheduler->term.model.job_by_id, job, next) {
 		if (job->cancel_found)
 			zr_cell_job_cancel(scheduler, job);
 	}
-	scheduler->watch_revision = loading->jobs.revision;
-	scheduler->jobs_outdated =
+	scheduler->term.watch_revision = loading->jobs.revision;
+	scheduler->term.jobs_outdated =
 		zr_cell_now_ms(scheduler) - loading->jobs.sent_at >
 		JOBS_AGE_MAX_MS;
 	zr_cell_loading_clear(loading);
@@ -712,7 +695,7 @@
 		read_jobs(scheduler);
 	else
 		read_progress(scheduler);
-	if (is_last && !scheduler->registry_revision)
+	if (is_last && !scheduler->term.registry_revision)
 		zr_cell_registry_read(scheduler);
 }
 
--- a/src/libzinniarack/cell/job_state.c
+++ b/src/libzinniarack/cell/job_state.c
@@ -64,7 +64,7 @@
 		done(ctx, ZR_E_NOT_OWNER, ZR_CELL_JOB_QUEUED);
 		return;
 	}
-	job = zr_cell_job_find(&scheduler->model, id);
+	job = zr_cell_job_find(&scheduler->term.model, id);
 	if (!job)
 		done(ctx, ZR_E_NOT_FOUND, ZR_CELL_JOB_QUEUED);
 	else if (end_is_being_written(job))
@@ -95,7 +95,7 @@
 	DL_FOREACH_SAFE(scheduler->state_waits, wait, next)
 	{
 		const struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, wait->job);
+			zr_cell_job(&scheduler->term.model, wait->job);
 
 		if (!job)
 			finish_query(scheduler, wait, ZR_E_NOT_FOUND,
--- a/src/libzinniarack/cell/load_summary.c
+++ b/src/libzinniarack/cell/load_summary.c
@@ -160,7 +160,8 @@
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 
-	HASH_ITER (hh, summary->scheduler->model.worker_by_name, worker, next) {
+	HASH_ITER (hh, summary->scheduler->term.model.worker_by_name, worker,
+		   next) {
 		const struct zr_resources *capacity = &worker->report.capacity;
 		struct pool_sum *pool;
 
@@ -184,7 +185,7 @@
 
 static void list_accounts(struct summary *summary)
 {
-	struct zr_cell_model *model = &summary->scheduler->model;
+	struct zr_cell_model *model = &summary->scheduler->term.model;
 	zr_handle handle = ZR_HANDLE_NONE;
 
 	summary->accounts = calloc(zr_table_count(model->clients) + 1,
@@ -243,7 +244,7 @@
 static void add_step(struct summary *summary,
 		     const struct zr_cell_step_state *step)
 {
-	struct zr_cell_model *model = &summary->scheduler->model;
+	struct zr_cell_model *model = &summary->scheduler->term.model;
 	const struct zr_cell_job *job = zr_cell_job(model, step->job);
 	enum zr_cell_tier tier = zr_cell_priority_tier(job, summary->now);
 	uint32_t class = zr_cell_class_of(job->priority);
@@ -273,14 +274,14 @@
 
 	for (i = 0; i < ZR_CELL_PRIORITIES; i++) {
 		summary->run_permille[i] = zr_run_times_quantile(
-			&scheduler->run_times[i], MEDIAN_PERCENT);
+			&scheduler->term.run_times[i], MEDIAN_PERCENT);
 		summary->tail_permille[i] = zr_run_times_quantile(
-			&scheduler->run_times[i], TAIL_PERCENT);
+			&scheduler->term.run_times[i], TAIL_PERCENT);
 	}
 	add_workers(summary);
 	list_accounts(summary);
 	/* Sorted by rank in the last planning pass. */
-	DL_FOREACH(scheduler->model.ready, step)
+	DL_FOREACH(scheduler->term.model.ready, step)
 	{
 		add_step(summary, step);
 	}
@@ -300,13 +301,13 @@
 	struct zr_cell_arrivals *arrivals;
 	size_t i;
 
-	for (i = 0; i < scheduler->arrival_count; i++) {
-		if (!strcmp(scheduler->arrivals[i].pool, pool))
-			return &scheduler->arrivals[i];
+	for (i = 0; i < scheduler->term.arrival_count; i++) {
+		if (!strcmp(scheduler->term.arrivals[i].pool, pool))
+			return &scheduler->term.arrivals[i];
 	}
-	if (scheduler->arrival_count == ZR_CELL_POOLS_MAX)
+	if (scheduler->term.arrival_count == ZR_CELL_POOLS_MAX)
 		return NULL;
-	arrivals = &scheduler->arrivals[scheduler->arrival_count++];
+	arrivals = &scheduler->term.arrivals[scheduler->term.arrival_count++];
 	memset(arrivals, 0, sizeof(*arrivals));
 	snprintf(arrivals->pool, sizeof(arrivals->pool), "%s", pool);
 	return arrivals;
@@ -321,7 +322,7 @@
 	uint32_t i;
 
 	job->arrival_counted = true;
-	if (!scheduler->summary_due_at || !arrivals || job->spec.repeats)
+	if (!scheduler->term.summary_due_at || !arrivals || job->spec.repeats)
 		return;
 	for (i = 0; i < job->spec.step_count; i++) {
 		const struct zr_cell_step_spec *step = &job->spec.steps[i];
@@ -528,9 +529,9 @@
 
 static bool has_settled(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	if (!scheduler->summary_due_at)
-		scheduler->summary_due_at = now + SETTLE_MS;
-	return now >= scheduler->summary_due_at;
+	if (!scheduler->term.summary_due_at)
+		scheduler->term.summary_due_at = now + SETTLE_MS;
+	return now >= scheduler->term.summary_due_at;
 }
 
 static void publish(struct zr_cell_scheduler *scheduler, int64_t now,
@@ -544,18 +545,19 @@
 	struct zr_cell_job *next;
 	size_t i;
 
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
+	HASH_ITER (hh, scheduler->term.model.job_by_id, job, next) {
 		count_job(&counts, job);
 		if (!job->arrival_counted)
 			add_arrival(scheduler, job);
 	}
 	list_counts(&record.counts, counts);
-	for (i = 0; i < scheduler->arrival_count; i++)
-		update_rates(&scheduler->arrivals[i], (double)interval_ms);
+	for (i = 0; i < scheduler->term.arrival_count; i++)
+		update_rates(&scheduler->term.arrivals[i], (double)interval_ms);
 	if (scheduler->options.admission && has_settled(scheduler, now)) {
 		collect(&summary);
 		fill_load(&record.load, &summary);
-		scheduler->summary_full = zr_cell_load_is_full(&record.load);
+		scheduler->term.summary_full =
+			zr_cell_load_is_full(&record.load);
 	}
 	if (!zr_cell_encode_counts(&bytes, &record))
 		zr_cell_journal_set_counts(scheduler->journal, bytes);
@@ -568,13 +570,13 @@
 void zr_cell_summary_process(struct zr_cell_scheduler *scheduler, int64_t now)
 {
 	int64_t due_ms =
-		scheduler->summary_full ? FULL_INTERVAL_MS : INTERVAL_MS;
-	int64_t interval_ms = now - scheduler->counts_published_at;
+		scheduler->term.summary_full ? FULL_INTERVAL_MS : INTERVAL_MS;
+	int64_t interval_ms = now - scheduler->term.counts_published_at;
 
 	if (interval_ms < due_ms)
 		return;
-	scheduler->counts_published_at = now;
-	if (!scheduler->jobs_outdated)
+	scheduler->term.counts_published_at = now;
+	if (!scheduler->term.jobs_outdated)
 		publish(scheduler, now, interval_ms);
 }
 
@@ -582,14 +584,7 @@
 			     const struct zr_cell_job *job,
 			     uint32_t estimate_ms, int64_t run_ms)
 {
-	zr_run_times_add(&scheduler->run_times[zr_cell_class_of(job->priority)],
-			 estimate_ms, run_ms);
-}
-
-void zr_cell_summary_reset(struct zr_cell_scheduler *scheduler)
-{
-	memset(scheduler->run_times, 0, sizeof(scheduler->run_times));
-	scheduler->arrival_count = 0;
-	scheduler->summary_due_at = 0;
-	scheduler->summary_full = false;
+	zr_run_times_add(
+		&scheduler->term.run_times[zr_cell_class_of(job->priority)],
+		estimate_ms, run_ms);
 }
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -36,6 +36,14 @@
 	return get_entry(model->jobs, job);
 }
 
+struct zr_cell_job *zr_cell_ref_job(const struct zr_cell_model *model,
+				    struct zr_cell_ref ref)
+{
+	struct zr_cell_job *job = zr_cell_job(model, ref.job);
+
+	return job && job->tasks && ref.task < job->task_count ? job : NULL;
+}
+
 struct zr_cell_worker *zr_cell_worker(const struct zr_cell_model *model,
 				      zr_handle worker)
 {
@@ -60,23 +68,33 @@
 	return error;
 }
 
-void zr_cell_model_clear(struct zr_cell_model *model)
+void zr_cell_model_reset(struct zr_cell_model *model)
 {
+	struct zr_table *jobs = model->jobs;
+	struct zr_table *workers = model->workers;
+	struct zr_table *clients = model->clients;
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next_worker;
 	struct zr_cell_job *job;
 	struct zr_cell_job *next_job;
 	zr_handle client;
 
-	if (!model->clients)
-		return;
 	HASH_ITER (hh, model->job_by_id, job, next_job)
 		zr_cell_job_remove(model, job);
 	HASH_ITER (hh, model->worker_by_name, worker, next_worker)
 		zr_cell_worker_remove(model, worker);
-	for (client = zr_table_next(model->clients, ZR_HANDLE_NONE); client;
-	     client = zr_table_next(model->clients, client))
+	while ((client = zr_table_next(clients, ZR_HANDLE_NONE))) {
 		free(zr_cell_client(model, client));
+		zr_table_remove(clients, client);
+	}
+	*model = (struct zr_cell_model){
+		.jobs = jobs, .workers = workers, .clients = clients};
+}
+
+void zr_cell_model_clear(struct zr_cell_model *model)
+{
+	if (model->clients)
+		zr_cell_model_reset(model);
 	zr_table_free(model->jobs);
 	zr_table_free(model->workers);
 	zr_table_free(model->clients);
@@ -255,7 +273,9 @@
 		step->ready_at = ZR_CELL_NEVER;
 		job->task_count += step->spec->count;
 	}
-	job->tasks = calloc((size_t)job->task_count + 1, sizeof(*job->tasks));
+	if (!job->task_count)
+		return;
+	job->tasks = calloc(job->task_count, sizeof(*job->tasks));
 	if (!job->tasks)
 		abort();
 }
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -615,10 +615,25 @@
 };
 
 int zr_cell_model_init(struct zr_cell_model *model);
+/**
+ * zr_cell_model_reset() - remove everything
+ *
+ * The tables go on: the handle of a removed entry never names a later one.
+ */
+void zr_cell_model_reset(struct zr_cell_model *model);
+/** zr_cell_model_clear() - free the model */
 void zr_cell_model_clear(struct zr_cell_model *model);
 
 struct zr_cell_job *zr_cell_job(const struct zr_cell_model *model,
 				zr_handle job);
+/**
+ * zr_cell_ref_job() - the job of a task that was referred to earlier
+ *
+ * Return: NULL if the job is gone, or only its result is left: it has no steps
+ * and no tasks then.
+ */
+struct zr_cell_job *zr_cell_ref_job(const struct zr_cell_model *model,
+				    struct zr_cell_ref ref);
 struct zr_cell_job *zr_cell_job_find(const struct zr_cell_model *model,
 				     const char *id);
 struct zr_cell_worker *zr_cell_worker(const struct zr_cell_model *model,
--- a/src/libzinniarack/cell/moves.c
+++ b/src/libzinniarack/cell/moves.c
@@ -126,15 +126,15 @@
 	struct zr_cell_task *entry = &item->job->tasks[task];
 	bool tail = move->cause == ZR_SPEED_CAUSE_TAIL;
 
-	zr_log_decision(
-		"run.move job=%s task=%" PRIu32 " worker=%s cause=%s "
-		"percent=%" PRIu32 " saved=%" PRIu32 " band=%d "
-		"rest_ms=%" PRId64 " elsewhere_ms=%" PRId64,
-		item->job->id, task,
-		zr_cell_worker(&scheduler->model, entry->worker)->report.name,
-		tail ? "tail" : "worker", move->percent, move->saved_percent,
-		band, zr_speed_rest_here_ms(move),
-		zr_speed_rest_there_ms(move));
+	zr_log_decision("run.move job=%s task=%" PRIu32 " worker=%s cause=%s "
+			"percent=%" PRIu32 " saved=%" PRIu32 " band=%d "
+			"rest_ms=%" PRId64 " elsewhere_ms=%" PRId64,
+			item->job->id, task,
+			zr_cell_worker(&scheduler->term.model, entry->worker)
+				->report.name,
+			tail ? "tail" : "worker", move->percent,
+			move->saved_percent, band, zr_speed_rest_here_ms(move),
+			zr_speed_rest_there_ms(move));
 	scheduler->moved[move->cause]->value++;
 	item->step->has_moved = true;
 	zr_cell_task_avoid_worker(scheduler, entry, entry->worker,
@@ -158,7 +158,7 @@
 		     uint32_t task)
 {
 	const struct zr_cell_worker *worker = zr_cell_worker(
-		&plan->scheduler->model, job->tasks[task].worker);
+		&plan->scheduler->term.model, job->tasks[task].worker);
 	struct zr_cell_plan_item item;
 	struct zr_speed_move move;
 	int band;
@@ -177,19 +177,20 @@
 	struct zr_cell_scheduler *scheduler = plan->scheduler;
 	uint32_t considered = 0;
 
-	if (plan->now < scheduler->moves_due_at)
+	if (plan->now < scheduler->term.moves_due_at)
 		return;
-	while (scheduler->slow_run_count && considered < CONSIDERED_MAX) {
+	while (scheduler->term.slow_run_count && considered < CONSIDERED_MAX) {
 		struct zr_cell_ref ref =
-			scheduler->slow_runs[--scheduler->slow_run_count];
+			scheduler->term
+				.slow_runs[--scheduler->term.slow_run_count];
 		struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
+			zr_cell_ref_job(&scheduler->term.model, ref);
 
-		if (!job || !job->tasks || !is_movable(job, ref.task))
+		if (!job || !is_movable(job, ref.task))
 			continue;
 		consider(plan, job, ref.task);
 		considered++;
 	}
 	if (considered)
-		scheduler->moves_due_at = plan->now + INTERVAL_MS;
+		scheduler->term.moves_due_at = plan->now + INTERVAL_MS;
 }
--- a/src/libzinniarack/cell/past_use.c
+++ b/src/libzinniarack/cell/past_use.c
@@ -34,7 +34,7 @@
 static void load_record(struct zr_cell_scheduler *scheduler,
 			const struct zr_store_value *value)
 {
-	struct zr_cell_past_use *past = &scheduler->past_use;
+	struct zr_cell_past_use *past = &scheduler->term.past_use;
 	struct zr_cell_past_use_header header;
 
 	zr_cell_journal_set_past_use_revision(scheduler->journal,
@@ -46,27 +46,27 @@
 		return;
 	}
 	past->runs = header.runs;
-	scheduler->model.use.persisted = header.generation;
+	scheduler->term.model.use.persisted = header.generation;
 }
 
 void zr_cell_past_use_begin_load(struct zr_cell_scheduler *scheduler,
 				 const struct zr_store_value *values,
 				 size_t count)
 {
-	struct zr_cell_use_marks *marks = &scheduler->model.use;
+	struct zr_cell_use_marks *marks = &scheduler->term.model.use;
 	int64_t now = zr_cell_now_ms(scheduler);
 	size_t i;
 
 	if (!is_enabled(scheduler))
 		return;
-	zr_past_use_init(&scheduler->past_use.totals,
+	zr_past_use_init(&scheduler->term.past_use.totals,
 			 (int64_t)scheduler->options.past_use.half_life_s *
 				 MS_PER_S,
 			 now);
-	scheduler->past_use.judged_at = now - INTERVAL_MS;
-	scheduler->past_use.logged_at = now - LOG_INTERVAL_MS;
+	scheduler->term.past_use.judged_at = now - INTERVAL_MS;
+	scheduler->term.past_use.logged_at = now - LOG_INTERVAL_MS;
 	marks->enabled = true;
-	marks->generation = (scheduler->fencing_token << TOKEN_SHIFT) + 1;
+	marks->generation = (scheduler->term.fencing_token << TOKEN_SHIFT) + 1;
 	for (i = 0; i < count; i++) {
 		if (!strcmp(values[i].key, ZR_CELL_PAST_USE_KEY))
 			load_record(scheduler, &values[i]);
@@ -77,26 +77,27 @@
 			       struct zr_cell_job *job,
 			       const zx_cell_stored_progress *record)
 {
-	struct zr_cell_past_use *past = &scheduler->past_use;
+	struct zr_cell_past_use *past = &scheduler->term.past_use;
 	const struct zr_cell_use_charge *charge = &job->use[0];
 
-	zr_cell_use_restore(&scheduler->model, job, record,
+	zr_cell_use_restore(&scheduler->term.model, job, record,
 			    scheduler->options.clock);
 	if (!charge->runs)
 		return;
 	/* It is seconds younger than the record, and decays like it. */
-	zr_past_use_add(&past->totals,
-			zr_cell_client(&scheduler->model, job->client)->name,
-			(double)charge->core_ms);
+	zr_past_use_add(
+		&past->totals,
+		zr_cell_client(&scheduler->term.model, job->client)->name,
+		(double)charge->core_ms);
 	past->runs += charge->runs;
-	scheduler->model.use.closing = charge->generation;
+	scheduler->term.model.use.closing = charge->generation;
 }
 
 static void take_snapshot(struct zr_cell_scheduler *scheduler)
 {
-	struct zr_cell_past_use *past = &scheduler->past_use;
+	struct zr_cell_past_use *past = &scheduler->term.past_use;
 	const struct zr_cell_past_use_header header = {
-		scheduler->model.use.closing, past->runs};
+		scheduler->term.model.use.closing, past->runs};
 
 	if (zr_cell_past_use_encode(&past->snapshot, &past->totals, &header,
 				    scheduler->options.clock) < 0)
@@ -105,18 +106,19 @@
 
 void zr_cell_past_use_end_load(struct zr_cell_scheduler *scheduler)
 {
-	if (!scheduler->model.use.enabled)
+	if (!scheduler->term.model.use.enabled)
 		return;
-	zr_past_use_decay(&scheduler->past_use.totals,
+	zr_past_use_decay(&scheduler->term.past_use.totals,
 			  zr_cell_now_ms(scheduler));
 	/* The loaded charges are persisted, so they can be included at once. */
-	if (scheduler->model.use.closing)
+	if (scheduler->term.model.use.closing)
 		take_snapshot(scheduler);
 	zr_log(ZR_LOG_INFO,
 	       "past_use.loaded accounts=%zu runs=%" PRId64
 	       " generation=%" PRIu64,
-	       scheduler->past_use.totals.count, scheduler->past_use.runs,
-	       scheduler->model.use.persisted);
+	       scheduler->term.past_use.totals.count,
+	       scheduler->term.past_use.runs,
+	       scheduler->term.model.use.persisted);
 }
 
 /* Charges */
@@ -124,7 +126,7 @@
 void zr_cell_past_use_charge(struct zr_cell_scheduler *scheduler,
 			     struct zr_cell_job *job, uint32_t task)
 {
-	struct zr_cell_use_marks *marks = &scheduler->model.use;
+	struct zr_cell_use_marks *marks = &scheduler->term.model.use;
 	struct zr_cell_use_charge *charge = &job->use[marks->generation & 1];
 	struct zr_cell_task *entry = &job->tasks[task];
 	int64_t core_ms;
@@ -135,7 +137,7 @@
 		zr_past_use_cost(&zr_cell_task_step(job, task)->spec->need,
 				 zr_cell_now_ms(scheduler) - entry->placed_at);
 	entry->placed_at = 0;
-	zr_cell_job_mark_dirty(&scheduler->model, job);
+	zr_cell_job_mark_dirty(&scheduler->term.model, job);
 	if (charge->generation != marks->generation)
 		*charge = (struct zr_cell_use_charge){
 			.generation = marks->generation};
@@ -145,11 +147,12 @@
 	if (!charge->pending)
 		marks->pending[marks->generation & 1]++;
 	charge->pending = true;
-	zr_past_use_add(&scheduler->past_use.totals,
-			zr_cell_client(&scheduler->model, job->client)->name,
-			(double)core_ms);
-	scheduler->past_use.runs++;
-	scheduler->past_use.charged = true;
+	zr_past_use_add(
+		&scheduler->term.past_use.totals,
+		zr_cell_client(&scheduler->term.model, job->client)->name,
+		(double)core_ms);
+	scheduler->term.past_use.runs++;
+	scheduler->term.past_use.charged = true;
 }
 
 void zr_cell_past_use_job_persisted(struct zr_cell_scheduler *scheduler,
@@ -163,14 +166,14 @@
 		if (!charge->pending || charge->change > job->persisted_change)
 			continue;
 		charge->pending = false;
-		scheduler->model.use.pending[i]--;
+		scheduler->term.model.use.pending[i]--;
 	}
 }
 
 bool zr_cell_past_use_has_charges(const struct zr_cell_scheduler *scheduler,
 				  const struct zr_cell_job *job)
 {
-	uint64_t persisted = scheduler->model.use.persisted;
+	uint64_t persisted = scheduler->term.model.use.persisted;
 
 	return (job->use[0].runs && job->use[0].generation > persisted) ||
 	       (job->use[1].runs && job->use[1].generation > persisted);
@@ -181,8 +184,8 @@
 /* Begins a new generation; the record of the last one is written next. */
 static void close_generation(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	struct zr_cell_use_marks *marks = &scheduler->model.use;
-	struct zr_cell_past_use *past = &scheduler->past_use;
+	struct zr_cell_use_marks *marks = &scheduler->term.model.use;
+	struct zr_cell_past_use *past = &scheduler->term.past_use;
 
 	if (marks->closing || !past->charged ||
 	    now - past->closed_at < INTERVAL_MS)
@@ -197,8 +200,8 @@
 /* Hands the record to the journal once all its charges are persisted. */
 static void write_record(struct zr_cell_scheduler *scheduler)
 {
-	struct zr_cell_past_use *past = &scheduler->past_use;
-	struct zr_cell_use_marks *marks = &scheduler->model.use;
+	struct zr_cell_past_use *past = &scheduler->term.past_use;
+	struct zr_cell_use_marks *marks = &scheduler->term.model.use;
 
 	if (!past->snapshot.data || marks->pending[marks->closing & 1])
 		return;
@@ -208,8 +211,8 @@
 
 void zr_cell_past_use_record_persisted(struct zr_cell_scheduler *scheduler)
 {
-	scheduler->model.use.persisted = scheduler->model.use.closing;
-	scheduler->model.use.closing = 0;
+	scheduler->term.model.use.persisted = scheduler->term.model.use.closing;
+	scheduler->term.model.use.closing = 0;
 }
 
 /* Effect on the order of waiting work */
@@ -258,8 +261,8 @@
 /* Passes the weights of the accounts and whether they wait to the policy. */
 static void judge(struct zr_cell_scheduler *scheduler)
 {
-	struct zr_past_use *totals = &scheduler->past_use.totals;
-	struct zr_cell_model *model = &scheduler->model;
+	struct zr_past_use *totals = &scheduler->term.past_use.totals;
+	struct zr_cell_model *model = &scheduler->term.model;
 	zr_handle handle;
 
 	for (handle = zr_table_next(model->clients, ZR_HANDLE_NONE); handle;
@@ -277,7 +280,7 @@
 
 static void apply_judgement(struct zr_cell_scheduler *scheduler, bool log)
 {
-	struct zr_cell_model *model = &scheduler->model;
+	struct zr_cell_model *model = &scheduler->term.model;
 	zr_handle handle;
 
 	for (handle = zr_table_next(model->clients, ZR_HANDLE_NONE); handle;
@@ -285,7 +288,7 @@
 		struct zr_cell_client_state *client =
 			zr_cell_client(model, handle);
 		const struct zr_past_use_account *account =
-			zr_past_use_get_or_add(&scheduler->past_use.totals,
+			zr_past_use_get_or_add(&scheduler->term.past_use.totals,
 					       client->name);
 
 		client->past_use_permille =
@@ -296,18 +299,18 @@
 		if (log && client->past_use_permille && client->waiting_steps)
 			log_waiting(client, account);
 	}
-	scheduler->past_use.runs_gauge->value = scheduler->past_use.runs;
+	scheduler->past_use_runs->value = scheduler->term.past_use.runs;
 }
 
 static void refresh(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	struct zr_cell_past_use *past = &scheduler->past_use;
+	struct zr_cell_past_use *past = &scheduler->term.past_use;
 	bool log = now - past->logged_at >= LOG_INTERVAL_MS;
 
 	past->judged_at = now;
 	if (log)
 		past->logged_at = now;
-	count_waiting_steps(&scheduler->model, now);
+	count_waiting_steps(&scheduler->term.model, now);
 	zr_past_use_decay(&past->totals, now);
 	judge(scheduler);
 	apply_judgement(scheduler, log);
@@ -315,9 +318,9 @@
 
 void zr_cell_past_use_process(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	if (!scheduler->model.use.enabled)
+	if (!scheduler->term.model.use.enabled)
 		return;
-	if (now - scheduler->past_use.judged_at >= INTERVAL_MS)
+	if (now - scheduler->term.past_use.judged_at >= INTERVAL_MS)
 		refresh(scheduler, now);
 	close_generation(scheduler, now);
 	write_record(scheduler);
@@ -326,7 +329,7 @@
 /* Only the owner's gauges have a value. */
 void zr_cell_past_use_end_term(struct zr_cell_scheduler *scheduler)
 {
-	struct zr_cell_past_use *past = &scheduler->past_use;
+	struct zr_cell_past_use *past = &scheduler->term.past_use;
 	size_t i;
 
 	if (!is_enabled(scheduler))
@@ -335,6 +338,5 @@
 		set_gauge(scheduler, &past->totals.accounts[i], 0);
 	zr_past_use_clear(&past->totals);
 	free(past->snapshot.data);
-	*past = (struct zr_cell_past_use){.runs_gauge = past->runs_gauge};
-	past->runs_gauge->value = 0;
+	scheduler->past_use_runs->value = 0;
 }
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -138,7 +138,7 @@
 			   struct zr_cell_step_state *step)
 {
 	*item = (struct zr_cell_plan_item){
-		.job = zr_cell_job(&plan->scheduler->model, step->job),
+		.job = zr_cell_job(&plan->scheduler->term.model, step->job),
 		.step = step,
 		.need = zr_cell_need(step->spec),
 	};
@@ -149,7 +149,7 @@
 static void place_step(struct zr_cell_plan *plan,
 		       struct zr_cell_step_state *step)
 {
-	struct zr_cell_model *model = &plan->scheduler->model;
+	struct zr_cell_model *model = &plan->scheduler->term.model;
 	const struct zr_cell_job *job = zr_cell_job(model, step->job);
 	struct zr_cell_plan_item item;
 	uint32_t max_tasks;
@@ -178,7 +178,7 @@
 
 static void rank_steps(struct zr_cell_plan *plan)
 {
-	struct zr_cell_model *model = &plan->scheduler->model;
+	struct zr_cell_model *model = &plan->scheduler->term.model;
 	struct zr_cell_step_state *step;
 
 	DL_FOREACH(model->ready, step)
@@ -203,17 +203,17 @@
 
 	scheduler->plan_scheduled = false;
 	if (scheduler->phase != ZR_CELL_ACTIVE || !scheduler->config ||
-	    scheduler->releasing || scheduler->hand_over_deadline_at ||
+	    scheduler->releasing || scheduler->term.hand_over_deadline_at ||
 	    !zr_cell_is_owner(scheduler))
 		return;
-	zr_cell_model_update_due(&scheduler->model, plan.now,
+	zr_cell_model_update_due(&scheduler->term.model, plan.now,
 				 zr_cell_wall_ms(scheduler));
 	zr_cell_candidates_collect(&plan);
 	rank_steps(&plan);
-	DL_FOREACH_SAFE(scheduler->model.ready, step, next)
+	DL_FOREACH_SAFE(scheduler->term.model.ready, step, next)
 	{
 		place_step(&plan, step);
-		zr_cell_step_unlist_placed(&scheduler->model, step);
+		zr_cell_step_unlist_placed(&scheduler->term.model, step);
 	}
 	zr_cell_moves_plan(&plan);
 	free(plan.candidates);
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -39,8 +39,7 @@
 
 /* A poll in flight. */
 struct poll_call {
-	struct zr_cell_scheduler *scheduler;
-	uint64_t term;
+	struct zr_cell_call base;
 	zr_handle worker;
 	uint64_t sent_event;	/* event number of its sending */
 	int64_t incarnation;	/* known when it was sent */
@@ -68,7 +67,7 @@
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
 		const struct zr_cell_task *entry =
-			&zr_cell_job(&scheduler->model, ref.job)
+			&zr_cell_job(&scheduler->term.model, ref.job)
 				 ->tasks[ref.task];
 
 		if (entry->state != ZR_TASK_PLACED && !entry->started_at)
@@ -118,7 +117,7 @@
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
+			zr_cell_job(&scheduler->term.model, ref.job);
 		const struct zr_cell_task *entry = &job->tasks[ref.task];
 
 		if (entry->state == ZR_TASK_UNCONFIRMED &&
@@ -234,7 +233,7 @@
 	while (i < worker->run_count) {
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
+			zr_cell_job(&scheduler->term.model, ref.job);
 		struct zr_cell_task *entry = &job->tasks[ref.task];
 		struct zr_cell_task_name name =
 			zr_cell_task_name(job, ref.task);
@@ -298,7 +297,7 @@
 		zr_cell_speed_run_listed(scheduler, worker, job, task);
 	else
 		zr_cell_slowdown_add_progress(
-			&scheduler->model, worker, step->estimate_ms,
+			&scheduler->term.model, worker, step->estimate_ms,
 			now - entry->started_at, entry->percent, now);
 	if (!zr_cell_slowdown_is_stalled(entry, now))
 		return;
@@ -316,7 +315,7 @@
 	struct zr_cell_job *job;
 	uint32_t task;
 
-	job = zr_cell_task_find(&task, &scheduler->model, &run->task);
+	job = zr_cell_task_find(&task, &scheduler->term.model, &run->task);
 	if (!job || !job->tasks || job->tasks[task].worker != worker->self ||
 	    job->tasks[task].attempt != run->attempt ||
 	    job->tasks[task].state == ZR_TASK_PLACED) {
@@ -383,13 +382,13 @@
 	const struct zr_cell_job *job;
 	uint32_t task;
 
-	job = zr_cell_task_find(&task, &scheduler->model, &end->task);
+	job = zr_cell_task_find(&task, &scheduler->term.model, &end->task);
 	if (job && job->tasks && end->outcome == ZR_RUN_DONE &&
 	    job->tasks[task].state != ZR_TASK_DONE) {
 		add_ack(worker, job, task);
 		return;
 	}
-	job = zr_cell_job_find(&scheduler->model, end->task.job);
+	job = zr_cell_job_find(&scheduler->term.model, end->task.job);
 	if (job && job->change != job->persisted_change)
 		add_ack(worker, job, ZR_CELL_ACK_NO_TASK);
 }
@@ -461,7 +460,7 @@
 	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
 	confirm_worker(scheduler, worker, call);
 	if (worker->unanswered_until &&
-	    !zr_cell_unanswered_is_worse(&scheduler->model, worker)) {
+	    !zr_cell_unanswered_is_worse(&scheduler->term.model, worker)) {
 		worker->unanswered_until = 0;
 		zr_cell_schedule_plan(scheduler);
 	}
@@ -505,12 +504,12 @@
 			  const struct zr_cell_poll_reply *reply)
 {
 	struct poll_call *call = ctx;
-	struct zr_cell_scheduler *scheduler = call->scheduler;
+	struct zr_cell_scheduler *scheduler = zr_cell_call_end(&call->base);
 	struct zr_cell_worker *worker;
 
-	if (!zr_cell_call_done(scheduler) || call->term != scheduler->term)
+	if (!scheduler)
 		goto out;
-	worker = zr_cell_worker(&scheduler->model, call->worker);
+	worker = zr_cell_worker(&scheduler->term.model, call->worker);
 	if (!worker)
 		goto out;
 	settle_ack(scheduler, worker, call, error);
@@ -549,18 +548,13 @@
 static struct poll_call *new_poll_call(struct zr_cell_scheduler *scheduler,
 				       const struct zr_cell_worker *worker)
 {
-	struct poll_call *call = calloc(1, sizeof(*call));
+	struct poll_call *call = zr_cell_call_new(scheduler, sizeof(*call));
 
-	if (!call)
-		abort();
-	call->scheduler = scheduler;
-	call->term = scheduler->term;
 	call->worker = worker->self;
 	call->sent_event = ++scheduler->event_count;
 	call->incarnation = worker->report.incarnation;
 	call->sent_at = zr_cell_now_ms(scheduler);
 	scheduler->polls->value++;
-	scheduler->pending_calls++;
 	return call;
 }
 
@@ -595,7 +589,7 @@
 	call->last_end_acked = safe_ack(scheduler, worker);
 	if (call->last_end_acked)
 		worker->late_ack_until = call->sent_at + LATE_POLL_MS;
-	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token,
+	worker->conn.ops->poll(worker->conn.impl, scheduler->term.fencing_token,
 			       lease_expires_ms, call->last_end_acked, wait_ms,
 			       call->timeout_ms, on_poll_reply, call);
 }
@@ -613,9 +607,9 @@
 		return;
 	call = new_poll_call(scheduler, worker);
 	call->extra = true;
-	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token, -1,
-			       call->last_end_acked, 0, POLL_TIMEOUT_MARGIN_MS,
-			       on_poll_reply, call);
+	worker->conn.ops->poll(worker->conn.impl, scheduler->term.fencing_token,
+			       -1, call->last_end_acked, 0,
+			       POLL_TIMEOUT_MARGIN_MS, on_poll_reply, call);
 }
 
 void zr_cell_poll_outcomes(struct zr_cell_scheduler *scheduler,
@@ -636,9 +630,9 @@
 	call->outcomes = true;
 	worker->outcome_poll_in_flight = true;
 	worker->outcome_poll_sent_at = call->sent_at;
-	worker->conn.ops->poll(worker->conn.impl, scheduler->fencing_token, -1,
-			       call->last_end_acked, 0, OUTCOME_POLL_TIMEOUT_MS,
-			       on_poll_reply, call);
+	worker->conn.ops->poll(worker->conn.impl, scheduler->term.fencing_token,
+			       -1, call->last_end_acked, 0,
+			       OUTCOME_POLL_TIMEOUT_MS, on_poll_reply, call);
 }
 
 void zr_cell_polls_process(struct zr_cell_scheduler *scheduler,
@@ -666,7 +660,7 @@
 			     struct zr_cell_ack *ack)
 {
 	const struct zr_cell_job *job =
-		zr_cell_job(&scheduler->model, ack->job);
+		zr_cell_job(&scheduler->term.model, ack->job);
 
 	if (job && job->tasks && ack->task != ZR_CELL_ACK_NO_TASK) {
 		if (job->tasks[ack->task].state != ZR_TASK_DONE &&
@@ -700,7 +694,7 @@
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
 		if (worker->ack_count)
 			ack_persisted_ends(scheduler, worker);
 		else
--- a/src/libzinniarack/cell/preempt.c
+++ b/src/libzinniarack/cell/preempt.c
@@ -47,7 +47,7 @@
 			     const struct zr_cell_plan_item *item,
 			     struct zr_cell_candidate *candidate)
 {
-	const struct zr_cell_model *model = &plan->scheduler->model;
+	const struct zr_cell_model *model = &plan->scheduler->term.model;
 	const struct zr_cell_worker *worker = candidate->worker;
 	int64_t class = zr_cell_priority_class(item->job, plan->now);
 	size_t i;
@@ -124,7 +124,7 @@
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
+			zr_cell_job(&scheduler->term.model, ref.job);
 		struct zr_resources need;
 
 		if (zr_cell_candidate_slots_after_stops(plan, item,
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -130,13 +130,8 @@
  * @unknown_logged: that nothing is started, because the requests are not known,
  *	has been logged
  * @checked_at: when the runs in evacuated domains were last counted
- * @runs: runs in domains that are being evacuated
- * @start_age_ms: age of the oldest start without an answer in such a domain
- * @taken_back: placements taken back before their start was sent
  * @decided_at: when it was last decided what is moved
  * @pass: number of that decision
- * @stopped: runs stopped so that they resume in another domain
- * @moved: those of them that have been started again
  */
 struct zr_cell_evacuations {
 	struct zr_cell_evacuation *by_domain;
@@ -149,11 +144,22 @@
 	bool none_left_logged;
 	bool unknown_logged;
 	int64_t checked_at;
+	int64_t decided_at;
+	uint64_t pass;
+};
+
+/**
+ * struct zr_cell_evacuation_metrics - metrics of evacuations
+ * @runs: runs in domains that are being evacuated
+ * @start_age_ms: age of the oldest start without an answer in such a domain
+ * @taken_back: placements taken back before their start was sent
+ * @stopped: runs stopped so that they resume in another domain
+ * @moved: those of them that have been started again
+ */
+struct zr_cell_evacuation_metrics {
 	struct zr_metric *runs;
 	struct zr_metric *start_age_ms;
 	struct zr_metric *taken_back;
-	int64_t decided_at;
-	uint64_t pass;
 	struct zr_metric *stopped;
 	struct zr_metric *moved;
 };
@@ -168,7 +174,6 @@
  * @snapshot: record of the closing generation, until the journal has it
  * @judged_at: when the accounts were last judged
  * @logged_at: when accounts that wait were last logged
- * @runs_gauge: gauge of @runs
  */
 struct zr_cell_past_use {
 	struct zr_past_use totals;
@@ -178,7 +183,6 @@
 	struct zr_cell_buffer snapshot;
 	int64_t judged_at;
 	int64_t logged_at;
-	struct zr_metric *runs_gauge;
 };
 
 /**
@@ -215,6 +219,75 @@
 	struct zr_metric *orphans;
 };
 
+/**
+ * struct zr_cell_term - what belongs to a term of ownership
+ *
+ * It is cleared whole when the term ends, so that nothing of a term is found in
+ * the next: what is meant to last is in &struct zr_cell_scheduler.
+ *
+ * @number: increases whenever a term begins or ends; answers to calls of an
+ *	earlier value are ignored
+ * @fencing_token: fencing token of the ownership
+ * @model: jobs, workers and client accounts
+ * @watch_revision: store revision up to which accepted jobs are known
+ * @watch_failures: number of consecutive watches that failed
+ * @successor_since: when this active owner found a much larger host; 0: none
+ * @hand_over_deadline_at: when the cell is handed over at the latest, after the
+ *	journal is idle; 0: it is not
+ * @registry_reading: a read of the worker registry is pending
+ * @registry_requested_at: when the last read of the registry was sent
+ * @registry_read_at: when the registry was last read successfully
+ * @registry_watching: a watch of the registry is pending
+ * @registry_watched_at: when the last watch was sent
+ * @registry_revision: store revision up to which the registry is known; 0: it
+ *                     has to be read before it can be watched
+ * @jobs_outdated: the read of the jobs is old, and the watch has not delivered
+ *	what was accepted since, so that the numbers of waiting jobs are too low
+ * @counts_published_at: when the numbers of waiting jobs and the summary of the
+ *	load were last published
+ * @starts_deferred: starts have been persisted but not sent, because the
+ *                   ownership lease was not valid
+ * @evacuations: requests to evacuate failure domains
+ * @past_use: past use of the client accounts
+ * @slow_runs: slow runs that the next pass may move to other workers
+ * @slow_run_count: number of @slow_runs
+ * @moves_due_at: when they are considered next
+ * @run_times: run times in this term by priority
+ * @summary_due_at: time before which no summary of the load is published; 0:
+ *not set in this term
+ * @arrivals: work that was accepted lately, by pool
+ * @arrival_count: number of @arrivals
+ * @summary_full: the last summary shows a pool or a limit that is full
+ */
+struct zr_cell_term {
+	uint64_t number;
+	uint64_t fencing_token;
+	struct zr_cell_model model;
+	int64_t watch_revision;
+	uint32_t watch_failures;
+	int64_t successor_since;
+	int64_t hand_over_deadline_at;
+	bool registry_reading;
+	int64_t registry_requested_at;
+	int64_t registry_read_at;
+	bool registry_watching;
+	int64_t registry_watched_at;
+	int64_t registry_revision;
+	bool jobs_outdated;
+	int64_t counts_published_at;
+	bool starts_deferred;
+	struct zr_cell_evacuations evacuations;
+	struct zr_cell_past_use past_use;
+	struct zr_cell_ref slow_runs[ZR_CELL_SLOW_RUNS_MAX];
+	size_t slow_run_count;
+	int64_t moves_due_at;
+	struct zr_run_times run_times[ZR_CELL_PRIORITIES];
+	int64_t summary_due_at;
+	struct zr_cell_arrivals arrivals[ZR_CELL_POOLS_MAX];
+	size_t arrival_count;
+	bool summary_full;
+};
+
 /**
  * struct zr_cell_scheduler - the scheduler
  * @options: as passed to zr_cell_scheduler_new()
@@ -225,44 +298,23 @@
  * @largest_size: those of the largest other host; 0: none is known
  * @suspect: this host's own connection to the store is suspect
  * @settling: the other hosts are not known yet
- * @term: increases whenever a term begins or ends; answers to calls of an
- *        earlier value are ignored
- * @fencing_token: fencing token of the ownership
  * @event_count: counter that puts polls and responses of workers in order
- * @model: jobs, workers and client accounts
+ * @term: what belongs to the current term
  * @journal: writes the progress of jobs to the store
  * @advice: proxies through which the adviser is queried
  * @tick: timer of the periodic work
  * @plan: timer of the next planning pass
  * @rewatch: timer after which the watch of accepted jobs is restarted
  * @plan_scheduled: @plan has been started
- * @watch_revision: store revision up to which accepted jobs are known
- * @watch_failures: number of consecutive watches that failed
  * @failed_loads: number of own terms in a row that ended before the load did
  * @successor_size: processors of the largest other host that is registered, in
  *	thousandths
- * @successor_since: when this active owner found a much larger host; 0: none
  * @hand_overs: number of times that the cell was handed over to a larger host
- * @hand_over_deadline_at: when the cell is handed over at the latest, after the
- *	journal is idle; 0: it is not
  * @loading: reads of the jobs and their progress, in ZR_CELL_LOADING
- * @registry_reading: a read of the worker registry is pending
- * @registry_requested_at: when the last read of the registry was sent
- * @registry_read_at: when the registry was last read successfully
- * @registry_watching: a watch of the registry is pending
- * @registry_watched_at: when the last watch was sent
- * @registry_revision: store revision up to which the registry is known; 0: it
- *                     has to be read before it can be watched
- * @jobs_outdated: the read of the jobs is old, and the watch has not delivered
- *	what was accepted since, so that the numbers of waiting jobs are too low
- * @counts_published_at: when the numbers of waiting jobs and the summary of the
- *	load were last published
  * @released: called once the cell has been released
  * @released_ctx: passed to @released
  * @releasing: a release has been requested and the journal is being flushed
  * @release_deadline_at: when it is released even if the journal is not flushed
- * @starts_deferred: starts have been persisted but not sent, because the
- *                   ownership lease was not valid
  * @state_waits: callers that wait until the end of a job is persisted
  * @pending_calls: number of pending calls to workers, the store and the adviser
  * @freeing: zr_cell_scheduler_free() has been called; memory is freed after the
@@ -280,20 +332,12 @@
  * @wait_ms: time from the readiness of a step to the confirmed start of a task
  * @run_ms: run time of successful runs
  * @visible_ms: time from the acceptance of a job until its end is persisted
- * @evacuations: requests to evacuate failure domains
- * @past_use: past use of the client accounts
- * @speeds: learned run times and speeds; kept after a term, for the next one
- * @slow_runs: slow runs that the next pass may move to other workers
- * @slow_run_count: number of @slow_runs
- * @moves_due_at: when they are considered next
+ * @speeds: learned run times and speeds by queue, size and kind of worker,
+ *which the next term would have to learn again; holds no handles
+ * @evacuation_metrics: metrics of evacuations
+ * @past_use_runs: gauge of the runs in the past use
  * @moved: runs moved, by &enum zr_speed_cause
  * @load_logged_at: when the load was last logged
- * @run_times: run times in this term by priority
- * @summary_due_at: time before which no summary of the load is published; 0:
- *not set in this term
- * @arrivals: work that was accepted lately, by pool
- * @arrival_count: number of @arrivals
- * @summary_full: the last summary shows a pool or a limit that is full
  * @unanswered_metrics: counters of requests without a response
  */
 struct zr_cell_scheduler {
@@ -305,37 +349,22 @@
 	uint32_t largest_size;
 	bool suspect;
 	bool settling;
-	uint64_t term;
-	uint64_t fencing_token;
 	uint64_t event_count;
-	struct zr_cell_model model;
+	struct zr_cell_term term;
 	struct zr_cell_journal *journal;
 	struct zr_cell_advice advice;
 	struct zr_timer *tick;
 	struct zr_timer *plan;
 	struct zr_timer *rewatch;
 	bool plan_scheduled;
-	int64_t watch_revision;
-	uint32_t watch_failures;
 	unsigned int failed_loads;
 	uint32_t successor_size;
-	int64_t successor_since;
 	unsigned int hand_overs;
-	int64_t hand_over_deadline_at;
 	struct zr_cell_loading loading;
-	bool registry_reading;
-	int64_t registry_requested_at;
-	int64_t registry_read_at;
-	bool registry_watching;
-	int64_t registry_watched_at;
-	int64_t registry_revision;
-	bool jobs_outdated;
-	int64_t counts_published_at;
 	void (*released)(void *ctx);
 	void *released_ctx;
 	bool releasing;
 	int64_t release_deadline_at;
-	bool starts_deferred;
 	struct zr_cell_state_wait *state_waits;
 	unsigned int pending_calls;
 	bool freeing;
@@ -352,19 +381,11 @@
 	struct zr_histogram *wait_ms;
 	struct zr_histogram *run_ms;
 	struct zr_histogram *visible_ms;
-	struct zr_cell_evacuations evacuations;
-	struct zr_cell_past_use past_use;
 	struct zr_speed_table speeds;
-	struct zr_cell_ref slow_runs[ZR_CELL_SLOW_RUNS_MAX];
-	size_t slow_run_count;
-	int64_t moves_due_at;
+	struct zr_cell_evacuation_metrics evacuation_metrics;
+	struct zr_metric *past_use_runs;
 	struct zr_metric *moved[ZR_SPEED_CAUSE_WORKER + 1];
 	int64_t load_logged_at;
-	struct zr_run_times run_times[ZR_CELL_PRIORITIES];
-	int64_t summary_due_at;
-	struct zr_cell_arrivals arrivals[ZR_CELL_POOLS_MAX];
-	size_t arrival_count;
-	bool summary_full;
 	struct zr_cell_unanswered_metrics unanswered_metrics;
 };
 
@@ -393,6 +414,38 @@
  */
 bool zr_cell_call_done(struct zr_cell_scheduler *scheduler);
 
+/**
+ * struct zr_cell_call - a pending call, the first member of what a module keeps
+ *	for it
+ * @scheduler: the scheduler
+ * @term: number of the term in which it was sent
+ */
+struct zr_cell_call {
+	struct zr_cell_scheduler *scheduler;
+	uint64_t term;
+};
+
+/**
+ * zr_cell_call_new() - begin a call
+ * @scheduler: the scheduler
+ * @size: size of the struct that begins with the &struct zr_cell_call
+ *
+ * Return: that struct, with all other members 0; to be freed by the caller once
+ * zr_cell_call_end() has been called.
+ */
+void *zr_cell_call_new(struct zr_cell_scheduler *scheduler, size_t size);
+
+/** zr_cell_call_is_current() - whether the term of a call has not ended */
+bool zr_cell_call_is_current(const struct zr_cell_call *call);
+
+/**
+ * zr_cell_call_end() - count a call as completed
+ *
+ * Return: its scheduler; NULL if the scheduler is being freed or the term of
+ * the call has ended, so that its answer is to be ignored.
+ */
+struct zr_cell_scheduler *zr_cell_call_end(const struct zr_cell_call *call);
+
 /* load_summary.c */
 /** zr_cell_class_of() - priority under which jobs of a priority are counted */
 uint32_t zr_cell_class_of(uint32_t priority);
@@ -411,8 +464,6 @@
 void zr_cell_summary_add_run(struct zr_cell_scheduler *scheduler,
 			     const struct zr_cell_job *job,
 			     uint32_t estimate_ms, int64_t run_ms);
-/** zr_cell_summary_reset() - forget the load of an earlier term */
-void zr_cell_summary_reset(struct zr_cell_scheduler *scheduler);
 
 /* job_loader.c */
 /**
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -77,7 +77,7 @@
 			 const struct zr_cell_worker_report *report)
 {
 	struct zr_cell_worker *worker =
-		zr_cell_worker_get_or_add(&scheduler->model, report->name);
+		zr_cell_worker_get_or_add(&scheduler->term.model, report->name);
 	bool was_leaving = worker->report.leaving && worker->registered;
 	int64_t incarnation;
 
@@ -98,8 +98,8 @@
 	worker->report.incarnation = incarnation;
 	worker->described_incarnation = report->incarnation;
 	zr_cell_speed_worker_changed(scheduler, worker);
-	worker->domain =
-		zr_cell_domain_get_or_add(&scheduler->model, report->domain);
+	worker->domain = zr_cell_domain_get_or_add(&scheduler->term.model,
+						   report->domain);
 	worker->registered = true;
 	if (worker->clock_ms < 0 && report->clock_ms >= 0 &&
 	    report->incarnation == incarnation) {
@@ -116,14 +116,14 @@
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
 		if (worker->registered)
 			continue;
 		if (worker->run_count || worker->poll_in_flight)
 			continue;
 		zr_log_decision("worker.removed worker=%s",
 				worker->report.name);
-		zr_cell_worker_remove(&scheduler->model, worker);
+		zr_cell_worker_remove(&scheduler->term.model, worker);
 	}
 }
 
@@ -146,11 +146,11 @@
 	const struct zr_cell_platform *platform = scheduler->options.platform;
 	const char *name = value->key + strlen(platform->worker_prefix);
 	struct zr_cell_worker *worker =
-		zr_cell_worker_find(&scheduler->model, name);
+		zr_cell_worker_find(&scheduler->term.model, name);
 	struct zr_cell_worker_report report;
 
 	if (worker ? value->mod_revision < worker->registry_revision
-		   : revision < scheduler->registry_revision)
+		   : revision < scheduler->term.registry_revision)
 		return;
 	if (!value->data || platform->worker_decode(&report, value) < 0) {
 		if (!worker)
@@ -160,7 +160,7 @@
 		return;
 	}
 	apply_report(scheduler, &report);
-	worker = zr_cell_worker_find(&scheduler->model, report.name);
+	worker = zr_cell_worker_find(&scheduler->term.model, report.name);
 	if (value->mod_revision > worker->registry_revision)
 		worker->registered_at = zr_cell_now_ms(scheduler);
 	worker->registry_revision = value->mod_revision;
@@ -174,7 +174,7 @@
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
 		if (!worker->in_current_read &&
 		    worker->registry_revision <= revision)
 			set_unregistered(worker);
@@ -184,30 +184,31 @@
 static void on_registry_read(void *ctx, int error,
 			     const struct zr_store_reply *reply)
 {
-	struct zr_cell_scheduler *scheduler = ctx;
+	struct zr_cell_scheduler *scheduler = zr_cell_call_end(ctx);
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
 	size_t i;
 
-	if (!zr_cell_call_done(scheduler))
+	free(ctx);
+	if (!scheduler)
 		return;
-	scheduler->registry_reading = false;
+	scheduler->term.registry_reading = false;
 	if (error < 0)
 		zr_log(ZR_LOG_WARN, "registry.read_failed error=%s age_ms=%lld",
 		       zr_error_name(error),
 		       (long long)(zr_cell_now_ms(scheduler) -
-				   scheduler->registry_read_at));
+				   scheduler->term.registry_read_at));
 	if (error < 0 || scheduler->phase == ZR_CELL_STANDBY)
 		return;
-	scheduler->registry_read_at = zr_cell_now_ms(scheduler);
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
+	scheduler->term.registry_read_at = zr_cell_now_ms(scheduler);
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next)
 		worker->in_current_read = false;
 	for (i = 0; i < reply->count; i++)
 		apply_entry(scheduler, &reply->values[i], reply->revision);
 	unregister_missing(scheduler, reply->revision);
 	remove_unregistered(scheduler);
-	if (reply->revision > scheduler->registry_revision)
-		scheduler->registry_revision = reply->revision;
+	if (reply->revision > scheduler->term.registry_revision)
+		scheduler->term.registry_revision = reply->revision;
 	zr_cell_registry_process(scheduler);
 	zr_cell_schedule_plan(scheduler);
 }
@@ -216,38 +217,29 @@
 {
 	const struct zr_cell_platform *platform = scheduler->options.platform;
 
-	if (scheduler->registry_reading)
+	if (scheduler->term.registry_reading)
 		return;
-	scheduler->registry_reading = true;
-	scheduler->registry_requested_at = zr_cell_now_ms(scheduler);
-	scheduler->pending_calls++;
-	zr_store_range(&platform->store, ZR_STORE_OTHER,
-		       platform->worker_prefix, true, on_registry_read,
-		       scheduler);
+	scheduler->term.registry_reading = true;
+	scheduler->term.registry_requested_at = zr_cell_now_ms(scheduler);
+	zr_store_range(
+		&platform->store, ZR_STORE_OTHER, platform->worker_prefix, true,
+		on_registry_read,
+		zr_cell_call_new(scheduler, sizeof(struct zr_cell_call)));
 }
 
-/* A watch of the registry in a term of ownership. */
-struct registry_watch {
-	struct zr_cell_scheduler *scheduler;
-	uint64_t term;
-};
-
 static void on_registry_watch(void *ctx, int error,
 			      const struct zr_store_reply *reply)
 {
-	struct registry_watch *watch = ctx;
-	struct zr_cell_scheduler *scheduler = watch->scheduler;
-	bool is_current =
-		zr_cell_call_done(scheduler) && watch->term == scheduler->term;
+	struct zr_cell_scheduler *scheduler = zr_cell_call_end(ctx);
 	size_t i;
 
-	free(watch);
-	if (!is_current)
+	free(ctx);
+	if (!scheduler)
 		return;
-	scheduler->registry_watching = false;
+	scheduler->term.registry_watching = false;
 	if (error < 0) {
 		/* The next read shows what the watch has missed. */
-		scheduler->registry_revision = 0;
+		scheduler->term.registry_revision = 0;
 		return;
 	}
 	for (i = 0; i < reply->count; i++)
@@ -256,37 +248,34 @@
 		remove_unregistered(scheduler);
 		zr_cell_schedule_plan(scheduler);
 	}
-	if (reply->revision > scheduler->registry_revision)
-		scheduler->registry_revision = reply->revision;
+	if (reply->revision > scheduler->term.registry_revision)
+		scheduler->term.registry_revision = reply->revision;
 }
 
 static void watch_registry(struct zr_cell_scheduler *scheduler)
 {
 	const struct zr_cell_platform *platform = scheduler->options.platform;
-	struct registry_watch *watch = calloc(1, sizeof(*watch));
 
-	if (!watch)
-		abort();
-	watch->scheduler = scheduler;
-	watch->term = scheduler->term;
-	scheduler->registry_watching = true;
-	scheduler->registry_watched_at = zr_cell_now_ms(scheduler);
-	scheduler->pending_calls++;
-	zr_store_watch(&platform->store, platform->worker_prefix,
-		       scheduler->registry_revision, WATCH_WAIT_MS,
-		       on_registry_watch, watch);
+	scheduler->term.registry_watching = true;
+	scheduler->term.registry_watched_at = zr_cell_now_ms(scheduler);
+	zr_store_watch(
+		&platform->store, platform->worker_prefix,
+		scheduler->term.registry_revision, WATCH_WAIT_MS,
+		on_registry_watch,
+		zr_cell_call_new(scheduler, sizeof(struct zr_cell_call)));
 }
 
 void zr_cell_registry_process(struct zr_cell_scheduler *scheduler)
 {
 	int64_t now = zr_cell_now_ms(scheduler);
-	int64_t read_interval_ms = scheduler->registry_revision
+	int64_t read_interval_ms = scheduler->term.registry_revision
 					   ? FULL_READ_INTERVAL_MS
 					   : READ_INTERVAL_MS;
 
-	if (now - scheduler->registry_requested_at >= read_interval_ms)
+	if (now - scheduler->term.registry_requested_at >= read_interval_ms)
 		zr_cell_registry_read(scheduler);
-	if (scheduler->registry_revision && !scheduler->registry_watching &&
-	    now - scheduler->registry_watched_at >= WATCH_PAUSE_MS)
+	if (scheduler->term.registry_revision &&
+	    !scheduler->term.registry_watching &&
+	    now - scheduler->term.registry_watched_at >= WATCH_PAUSE_MS)
 		watch_registry(scheduler);
 }
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -54,8 +54,7 @@
 
 /* A pending start or stop request. */
 struct worker_request {
-	struct zr_cell_scheduler *scheduler;
-	uint64_t term;
+	struct zr_cell_call base;
 	zr_handle job;
 	zr_handle worker;
 	uint32_t task;
@@ -76,7 +75,7 @@
 	if (worker->silent_since != ZR_CELL_NEVER)
 		worker->last_silent_since = worker->silent_since;
 	worker->silent_since = ZR_CELL_NEVER;
-	zr_cell_domain_responded(&scheduler->model, worker);
+	zr_cell_domain_responded(&scheduler->term.model, worker);
 	if (clock_ms < 0)
 		return;
 	worker->clock_ms = clock_ms;
@@ -99,7 +98,7 @@
 
 	/* Another worker has responded, which uses the address now. */
 	if (reply->status == ZR_REQUEST_WRONG_WORKER) {
-		zr_cell_domain_responded(&scheduler->model, worker);
+		zr_cell_domain_responded(&scheduler->term.model, worker);
 		return;
 	}
 	zr_cell_worker_responded(scheduler, worker, reply->clock_ms);
@@ -239,7 +238,7 @@
 			" crashes=%" PRIu32,
 			job->id, job->queue, task, job->tasks[task].failures,
 			job->attempts, job->tasks[task].crashes);
-	zr_cell_job_mark_dirty(&scheduler->model, job);
+	zr_cell_job_mark_dirty(&scheduler->term.model, job);
 	zr_cell_stop_job(scheduler, job, "job_failed");
 }
 
@@ -335,7 +334,7 @@
 	struct zr_cell_task *entry = &job->tasks[task];
 	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
 	const struct zr_cell_worker *worker =
-		zr_cell_worker(&scheduler->model, entry->worker);
+		zr_cell_worker(&scheduler->term.model, entry->worker);
 	bool given_up = zr_cell_crash_charge(job, entry);
 
 	/* A run of which nothing shows that it began is not charged. */
@@ -354,17 +353,18 @@
 				job->id, task, entry->attempt,
 				worker ? worker->report.name : "-", reason,
 				entry->failures);
-	zr_cell_task_end_run(&scheduler->model, job, task,
+	zr_cell_task_end_run(&scheduler->term.model, job, task,
 			     entry->finished ? ZR_TASK_EVENT_DONE
 					     : ZR_TASK_EVENT_GONE);
-	zr_cell_job_mark_dirty(&scheduler->model, job);
+	zr_cell_job_mark_dirty(&scheduler->term.model, job);
 	if (!(step->spec->flags & ZR_STEP_LONG_RUNNING) &&
 	    failures_of(job, step, task) >= job->attempts)
 		given_up = true;
 	if (given_up && !entry->finished)
 		fail_job(scheduler, job, task);
 	stop_if_incomplete(scheduler, job, step);
-	zr_cell_job_update(&scheduler->model, job, zr_cell_now_ms(scheduler),
+	zr_cell_job_update(&scheduler->term.model, job,
+			   zr_cell_now_ms(scheduler),
 			   zr_cell_wall_ms(scheduler));
 	zr_cell_schedule_plan(scheduler);
 }
@@ -418,9 +418,10 @@
 		zr_cell_run_ended(scheduler, job, task, "done_late");
 	else if (entry->state != ZR_TASK_DONE)
 		zr_cell_stop_run(scheduler, job, task, "done_late");
-	zr_cell_gang_finish_waiting(&scheduler->model, job,
+	zr_cell_gang_finish_waiting(&scheduler->term.model, job,
 				    zr_cell_task_step(job, task));
-	zr_cell_job_update(&scheduler->model, job, zr_cell_now_ms(scheduler),
+	zr_cell_job_update(&scheduler->term.model, job,
+			   zr_cell_now_ms(scheduler),
 			   zr_cell_wall_ms(scheduler));
 }
 
@@ -442,7 +443,7 @@
 			zr_cell_speed_run_done(scheduler, worker, job, task);
 		else
 			zr_cell_slowdown_add_run(
-				&scheduler->model, worker,
+				&scheduler->term.model, worker,
 				zr_cell_task_step(job, task)->spec->estimate_ms,
 				now - entry->started_at, now);
 		zr_cell_summary_add_run(
@@ -465,7 +466,7 @@
 	struct zr_cell_job *job;
 	uint32_t task;
 
-	job = zr_cell_task_find(&task, &scheduler->model, &end->task);
+	job = zr_cell_task_find(&task, &scheduler->term.model, &end->task);
 	if (!job || !job->tasks)
 		return;
 	entry = &job->tasks[task];
@@ -484,7 +485,7 @@
 	record_outcome(scheduler, job, task, worker, end->outcome);
 	if (end->outcome == ZR_RUN_DONE) {
 		mark_finished(job, task);
-		zr_cell_gang_finish_waiting(&scheduler->model, job,
+		zr_cell_gang_finish_waiting(&scheduler->term.model, job,
 					    zr_cell_task_step(job, task));
 	}
 	zr_cell_run_ended(scheduler, job, task, outcome_names[end->outcome]);
@@ -501,14 +502,11 @@
 
 /* Returns false if the request was for a run that is no longer active. */
 static bool find_target(struct request_target *out,
+			const struct zr_cell_scheduler *scheduler,
 			const struct worker_request *request)
 {
-	const struct zr_cell_scheduler *scheduler = request->scheduler;
-
-	if (request->term != scheduler->term)
-		return false;
-	out->job = zr_cell_job(&scheduler->model, request->job);
-	out->worker = zr_cell_worker(&scheduler->model, request->worker);
+	out->job = zr_cell_job(&scheduler->term.model, request->job);
+	out->worker = zr_cell_worker(&scheduler->term.model, request->worker);
 	if (!out->job || !out->job->tasks || !out->worker)
 		return false;
 	out->task = &out->job->tasks[request->task];
@@ -520,10 +518,10 @@
 		    const struct zr_cell_request_reply *reply)
 {
 	struct worker_request *request = ctx;
-	struct zr_cell_scheduler *scheduler = request->scheduler;
+	struct zr_cell_scheduler *scheduler = zr_cell_call_end(&request->base);
 	struct request_target target;
 
-	if (!zr_cell_call_done(scheduler) || !find_target(&target, request) ||
+	if (!scheduler || !find_target(&target, scheduler, request) ||
 	    target.task->state != ZR_TASK_STOPPING)
 		goto out;
 	target.task->stop_sent = false;
@@ -579,28 +577,25 @@
 	if (!worker->conn.ops || !zr_cell_is_owner(scheduler))
 		return;
 	scheduler->pending_calls++;
-	worker->conn.ops->stop(worker->conn.impl, task, attempt,
-			       scheduler->fencing_token, REQUEST_TIMEOUT_MS,
-			       on_orphan_stopped, scheduler);
+	worker->conn.ops->stop(
+		worker->conn.impl, task, attempt, scheduler->term.fencing_token,
+		REQUEST_TIMEOUT_MS, on_orphan_stopped, scheduler);
 }
 
 static struct worker_request *new_request(struct zr_cell_scheduler *scheduler,
 					  const struct zr_cell_job *job,
 					  uint32_t task)
 {
-	struct worker_request *request = calloc(1, sizeof(*request));
+	struct worker_request *request =
+		zr_cell_call_new(scheduler, sizeof(*request));
 
-	if (!request)
-		abort();
-	request->scheduler = scheduler;
-	request->term = scheduler->term;
 	request->job = job->self;
 	request->task = task;
 	request->attempt = job->tasks[task].attempt;
 	request->worker = job->tasks[task].worker;
 	request->clock_ms =
-		zr_cell_worker(&scheduler->model, request->worker)->clock_ms;
-	scheduler->pending_calls++;
+		zr_cell_worker(&scheduler->term.model, request->worker)
+			->clock_ms;
 	return request;
 }
 
@@ -609,7 +604,7 @@
 {
 	struct zr_cell_task *entry = &job->tasks[task];
 	struct zr_cell_worker *worker =
-		zr_cell_worker(&scheduler->model, entry->worker);
+		zr_cell_worker(&scheduler->term.model, entry->worker);
 	struct zr_cell_task_name name = zr_cell_task_name(job, task);
 	int64_t now = zr_cell_now_ms(scheduler);
 	unsigned int timeout_ms = REQUEST_TIMEOUT_MS;
@@ -626,8 +621,8 @@
 	if (entry->uncertain_event && entry->stops < EARLY_STOPS)
 		timeout_ms = EARLY_STOP_TIMEOUT_MS;
 	worker->conn.ops->stop(worker->conn.impl, &name, entry->attempt,
-			       scheduler->fencing_token, timeout_ms, on_stop,
-			       new_request(scheduler, job, task));
+			       scheduler->term.fencing_token, timeout_ms,
+			       on_stop, new_request(scheduler, job, task));
 	entry->stops++;
 }
 
@@ -645,12 +640,13 @@
 	case ZR_TASK_STARTING:
 	case ZR_TASK_RUNNING:
 	case ZR_TASK_UNCONFIRMED:
-		zr_log_decision("run.stop job=%s task=%" PRIu32
-				" attempt=%" PRIu32 " worker=%s reason=%s",
-				job->id, task, entry->attempt,
-				zr_cell_worker(&scheduler->model, entry->worker)
-					->report.name,
-				reason);
+		zr_log_decision(
+			"run.stop job=%s task=%" PRIu32 " attempt=%" PRIu32
+			" worker=%s reason=%s",
+			job->id, task, entry->attempt,
+			zr_cell_worker(&scheduler->term.model, entry->worker)
+				->report.name,
+			reason);
 		zr_cell_task_event(entry, ZR_TASK_EVENT_STOP);
 		zr_cell_bound_stop(scheduler, entry);
 		send_stop(scheduler, job, task);
@@ -678,9 +674,10 @@
 	job->ended_at = zr_cell_wall_ms(scheduler);
 	zr_log_decision("job.cancelled job=%s queue=%s open=%" PRIu32, job->id,
 			job->queue, job->active_tasks);
-	zr_cell_job_mark_dirty(&scheduler->model, job);
+	zr_cell_job_mark_dirty(&scheduler->term.model, job);
 	zr_cell_stop_job(scheduler, job, "job_cancelled");
-	zr_cell_job_update(&scheduler->model, job, zr_cell_now_ms(scheduler),
+	zr_cell_job_update(&scheduler->term.model, job,
+			   zr_cell_now_ms(scheduler),
 			   zr_cell_wall_ms(scheduler));
 }
 
@@ -693,7 +690,7 @@
 	for (i = 0; i < worker->run_count; i++) {
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_job *job =
-			zr_cell_job(&scheduler->model, ref.job);
+			zr_cell_job(&scheduler->term.model, ref.job);
 
 		stop_if_waiting(scheduler, job, ref.task);
 		if (job->tasks[ref.task].state == ZR_TASK_STOPPING)
@@ -790,12 +787,12 @@
 	zr_cell_unanswered_settle(scheduler, job, task, ZR_UNANSWERED_ANSWERED);
 	if (entry->state == ZR_TASK_STOPPING)
 		return;
-	zr_cell_unanswered_add_answer(&scheduler->model, job, task, now);
+	zr_cell_unanswered_add_answer(&scheduler->term.model, job, task, now);
 	zr_cell_task_event(entry, ZR_TASK_EVENT_CONFIRMED);
 	entry->refused_starts = 0;
 	entry->started_at = now;
 	entry->percent_at = now;
-	scheduler->evacuations.moved->value += entry->evacuating;
+	scheduler->evacuation_metrics.moved->value += entry->evacuating;
 	entry->evacuating = false;
 	zr_cell_speed_run_started(scheduler, entry, 0);
 	if (step->ready_at != ZR_CELL_NEVER)
@@ -828,17 +825,15 @@
 }
 
 /* Counts a response or its lack, also for a run that is given up by now. */
-static void count_start(const struct worker_request *request, bool answered)
+static void count_start(struct zr_cell_scheduler *scheduler,
+			const struct worker_request *request, bool answered)
 {
-	struct zr_cell_scheduler *scheduler = request->scheduler;
 	struct zr_cell_worker *worker =
-		zr_cell_worker(&scheduler->model, request->worker);
+		zr_cell_worker(&scheduler->term.model, request->worker);
 
-	if (request->term != scheduler->term)
-		return;
 	scheduler->unanswered->value += !answered;
 	if (worker)
-		zr_cell_unanswered_add_start(&scheduler->model, worker,
+		zr_cell_unanswered_add_start(&scheduler->term.model, worker,
 					     answered);
 }
 
@@ -846,13 +841,13 @@
 		     const struct zr_cell_request_reply *reply)
 {
 	struct worker_request *request = ctx;
-	struct zr_cell_scheduler *scheduler = request->scheduler;
+	struct zr_cell_scheduler *scheduler = zr_cell_call_end(&request->base);
 	struct request_target target;
 
-	if (!zr_cell_call_done(scheduler))
+	if (!scheduler)
 		goto out;
-	count_start(request, !error);
-	if (!find_target(&target, request))
+	count_start(scheduler, request, !error);
+	if (!find_target(&target, scheduler, request))
 		goto out;
 	if (error < 0) {
 		handle_start_error(scheduler, target.job, request->task,
@@ -903,12 +898,12 @@
 	struct zr_cell_task *entry = &job->tasks[task];
 	const struct zr_cell_step_state *step = zr_cell_task_step(job, task);
 	struct zr_cell_worker *worker =
-		zr_cell_worker(&scheduler->model, entry->worker);
+		zr_cell_worker(&scheduler->term.model, entry->worker);
 	struct zr_cell_start start = {
 		.task = zr_cell_task_name(job, task),
 		.attempt = entry->attempt,
 		.payload = job->spec.payload,
-		.fencing_token = scheduler->fencing_token,
+		.fencing_token = scheduler->term.fencing_token,
 		.checkpoint = checkpoint_of(job, step, task),
 		.ticket = ticket_of(step, entry->worker),
 	};
@@ -943,7 +938,7 @@
 	entry->start_expires_at = worker->runs_expire_at;
 	entry->whole_run = !start.checkpoint[0];
 	zr_cell_task_event(entry, ZR_TASK_EVENT_SENT);
-	zr_cell_domain_start_sent(&scheduler->model, worker,
+	zr_cell_domain_start_sent(&scheduler->term.model, worker,
 				  zr_cell_now_ms(scheduler));
 	worker->conn.ops->start(worker->conn.impl, &start, REQUEST_TIMEOUT_MS,
 				on_start, new_request(scheduler, job, task));
@@ -958,7 +953,7 @@
 		return;
 	if (!zr_cell_is_owner(scheduler) ||
 	    !zr_cell_evacuations_known(scheduler)) {
-		scheduler->starts_deferred = true;
+		scheduler->term.starts_deferred = true;
 		return;
 	}
 	for (i = 0; i < job->task_count; i++) {
@@ -973,11 +968,11 @@
 	struct zr_cell_job *job;
 	struct zr_cell_job *next;
 
-	if (!scheduler->starts_deferred || !zr_cell_is_owner(scheduler) ||
+	if (!scheduler->term.starts_deferred || !zr_cell_is_owner(scheduler) ||
 	    !zr_cell_evacuations_known(scheduler))
 		return;
-	scheduler->starts_deferred = false;
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next)
+	scheduler->term.starts_deferred = false;
+	HASH_ITER (hh, scheduler->term.model.job_by_id, job, next)
 		zr_cell_starts_send_persisted(scheduler, job);
 }
 
@@ -988,14 +983,14 @@
 	struct zr_cell_task *entry = &job->tasks[task];
 
 	zr_cell_unanswered_begin_run(zr_cell_task_step(job, task), attempt);
-	zr_cell_task_begin_run(&scheduler->model, job, task, worker,
+	zr_cell_task_begin_run(&scheduler->term.model, job, task, worker,
 			       ZR_TASK_EVENT_PLACED);
 	entry->attempt = attempt;
-	zr_cell_job_mark_dirty(&scheduler->model, job);
+	zr_cell_job_mark_dirty(&scheduler->term.model, job);
 	entry->change = job->change;
 	entry->started_at = 0;
 	entry->evacuation_logged = 0;
 	zr_cell_bound_placement(scheduler, entry);
-	if (scheduler->model.use.enabled)
+	if (scheduler->term.model.use.enabled)
 		entry->placed_at = zr_cell_now_ms(scheduler);
 }
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -145,7 +145,7 @@
 /* Log the load of the cell, which explains why jobs wait. */
 static void log_load(const struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	const struct zr_cell_model *model = &scheduler->model;
+	const struct zr_cell_model *model = &scheduler->term.model;
 	uint64_t capacity = 0;
 	uint64_t used = 0;
 	size_t reserved_workers = 0;
@@ -182,7 +182,7 @@
 	if (!job->tasks || !zr_cell_job_has_ended(job) || job->active_tasks ||
 	    job->persisted_change != job->change)
 		return;
-	zr_cell_job_free_tasks(&scheduler->model, job);
+	zr_cell_job_free_tasks(&scheduler->term.model, job);
 }
 
 static void remove_expired_jobs(struct zr_cell_scheduler *scheduler)
@@ -192,14 +192,14 @@
 	struct zr_cell_job *job;
 	struct zr_cell_job *next;
 
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
+	HASH_ITER (hh, scheduler->term.model.job_by_id, job, next) {
 		if (!zr_cell_job_has_ended(job) || job->active_tasks ||
 		    job->dirty || job->pending_change ||
 		    zr_cell_past_use_has_charges(scheduler, job) ||
 		    job->ended_at > expired_before)
 			continue;
 		zr_cell_journal_remove(scheduler->journal, job->id);
-		zr_cell_job_remove(&scheduler->model, job);
+		zr_cell_job_remove(&scheduler->term.model, job);
 	}
 }
 
@@ -232,20 +232,29 @@
 
 /* Ownership */
 
-static void end_term(struct zr_cell_scheduler *scheduler)
+/*
+ * Ends what belongs to the term and begins to count anew. The number changes
+ * first, so that the calls that are cancelled with the connections are ignored.
+ */
+static void clear_term(struct zr_cell_scheduler *scheduler)
 {
-	scheduler->term++;
+	struct zr_cell_term *term = &scheduler->term;
+
+	term->number++;
+	zr_cell_state_queries_abort(scheduler);
 	zr_cell_evacuations_clear(scheduler);
-	scheduler->successor_since = 0;
-	scheduler->hand_over_deadline_at = 0;
+	zr_cell_past_use_end_term(scheduler);
+	zr_cell_model_reset(&term->model);
+	*term = (struct zr_cell_term){.number = term->number,
+				      .model = term->model};
+}
+
+static void end_term(struct zr_cell_scheduler *scheduler)
+{
 	scheduler->phase = ZR_CELL_STANDBY;
-	zr_cell_state_queries_abort(scheduler);
 	zr_cell_journal_close(scheduler->journal);
 	zr_timer_stop(scheduler->rewatch);
-	zr_cell_past_use_end_term(scheduler);
-	zr_cell_model_clear(&scheduler->model);
-	if (zr_cell_model_init(&scheduler->model) < 0)
-		abort();
+	clear_term(scheduler);
 	zr_cell_speed_update_metrics(scheduler);
 }
 
@@ -277,17 +286,12 @@
 {
 	struct zr_cell_scheduler *scheduler = ctx;
 
-	scheduler->term++;
-	scheduler->fencing_token = term->epoch;
+	scheduler->term.number++;
+	scheduler->term.fencing_token = term->epoch;
 	scheduler->phase = ZR_CELL_LOADING;
-	scheduler->watch_failures = 0;
-	scheduler->registry_revision = 0;
-	scheduler->registry_watching = false;
-	zr_cell_summary_reset(scheduler);
 	scheduler->takeovers->value++;
 	zr_cell_journal_open(scheduler->journal, zr_owner_key(scheduler->owner),
 			     term->owner_revision);
-	zr_cell_evacuations_clear(scheduler);
 	zr_cell_evacuations_process(scheduler);
 	zr_cell_load_jobs(scheduler, term, load_timeout_ms(scheduler, term),
 			  RECOVERY_TARGET_MS);
@@ -370,12 +374,12 @@
 {
 	if (!scheduler->successor_size ||
 	    scheduler->successor_size < 2 * scheduler->own_size) {
-		scheduler->successor_since = 0;
+		scheduler->term.successor_since = 0;
 		return false;
 	}
-	if (!scheduler->successor_since)
-		scheduler->successor_since = now;
-	return now - scheduler->successor_since >=
+	if (!scheduler->term.successor_since)
+		scheduler->term.successor_since = now;
+	return now - scheduler->term.successor_since >=
 	       (int64_t)HAND_OVER_DELAY_MS << min_uint(scheduler->hand_overs,
 						       HAND_OVER_DOUBLINGS_MAX);
 }
@@ -383,15 +387,16 @@
 /* An owner hands the cell over to a host that can do more of the work. */
 static void process_hand_over(struct zr_cell_scheduler *scheduler, int64_t now)
 {
-	if (!scheduler->hand_over_deadline_at) {
+	if (!scheduler->term.hand_over_deadline_at) {
 		if (!successor_waits(scheduler, now))
 			return;
 		zr_log(ZR_LOG_INFO, "cell.handing_over size=%u successor=%u",
 		       scheduler->own_size, scheduler->successor_size);
-		scheduler->hand_over_deadline_at = now + RELEASE_TIMEOUT_MS;
+		scheduler->term.hand_over_deadline_at =
+			now + RELEASE_TIMEOUT_MS;
 	}
 	if (!zr_cell_journal_idle(scheduler->journal) &&
-	    now < scheduler->hand_over_deadline_at)
+	    now < scheduler->term.hand_over_deadline_at)
 		return;
 	scheduler->hand_overs++;
 	zr_owner_hand_over(scheduler->owner);
@@ -414,7 +419,7 @@
 		return;
 	zr_cell_state_queries_process(scheduler);
 	zr_cell_starts_send_deferred(scheduler);
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next)
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next)
 		tick_worker(scheduler, worker);
 	zr_cell_registry_process(scheduler);
 	zr_cell_summary_process(scheduler, now);
@@ -503,7 +508,7 @@
 	register_advice_metrics(&scheduler->advice, metrics);
 	register_move_metrics(scheduler, metrics);
 	zr_cell_evacuations_register_metrics(scheduler, metrics);
-	scheduler->past_use.runs_gauge = zr_metrics_get_or_add_gauge(
+	scheduler->past_use_runs = zr_metrics_get_or_add_gauge(
 		metrics, "zinniarack_cell_past_use_runs", NULL,
 		"Runs charged to the past use of client accounts");
 }
@@ -536,11 +541,11 @@
 	scheduler->plan = zr_timer_new(options->timers, on_plan, scheduler);
 	scheduler->rewatch =
 		zr_timer_new(options->timers, zr_cell_resume_watch, scheduler);
-	error = zr_cell_model_init(&scheduler->model);
+	error = zr_cell_model_init(&scheduler->term.model);
 	if (!error)
 		error = zr_cell_journal_new(
 			&scheduler->journal, options->timers, options->clock,
-			store, &scheduler->model, options->metrics,
+			store, &scheduler->term.model, options->metrics,
 			&journal_events, scheduler);
 	if (!error)
 		error = zr_owner_new(&scheduler->owner, options->timers,
@@ -559,7 +564,7 @@
 void zr_cell_refresh_client_limits(struct zr_cell_scheduler *scheduler)
 {
 	const struct zr_cell_config *config = scheduler->config;
-	struct zr_cell_model *model = &scheduler->model;
+	struct zr_cell_model *model = &scheduler->term.model;
 	size_t i;
 
 	for (i = 0; config && i < config->client_count; i++) {
@@ -614,8 +619,7 @@
 static void free_scheduler(struct zr_cell_scheduler *scheduler)
 {
 	zr_cell_advice_clear(&scheduler->advice);
-	zr_past_use_clear(&scheduler->past_use.totals);
-	free(scheduler->past_use.snapshot.data);
+	zr_cell_model_clear(&scheduler->term.model);
 	zr_cell_loading_clear(&scheduler->loading);
 	free(scheduler);
 }
@@ -630,6 +634,32 @@
 	return false;
 }
 
+void *zr_cell_call_new(struct zr_cell_scheduler *scheduler, size_t size)
+{
+	struct zr_cell_call *call = calloc(1, size);
+
+	if (!call)
+		abort();
+	call->scheduler = scheduler;
+	call->term = scheduler->term.number;
+	scheduler->pending_calls++;
+	return call;
+}
+
+bool zr_cell_call_is_current(const struct zr_cell_call *call)
+{
+	return call->term == call->scheduler->term.number;
+}
+
+struct zr_cell_scheduler *zr_cell_call_end(const struct zr_cell_call *call)
+{
+	struct zr_cell_scheduler *scheduler = call->scheduler;
+
+	return zr_cell_call_done(scheduler) && zr_cell_call_is_current(call)
+		       ? scheduler
+		       : NULL;
+}
+
 void zr_cell_scheduler_free(struct zr_cell_scheduler *scheduler)
 {
 	if (!scheduler)
@@ -639,16 +669,14 @@
 	zr_timer_free(scheduler->rewatch);
 	zr_owner_free(scheduler->owner);
 	zr_cell_journal_free(scheduler->journal);
-	zr_cell_state_queries_abort(scheduler);
-	zr_cell_evacuations_clear(scheduler);
 	scheduler->freeing = true;
-	scheduler->term++;
 	/*
-	 * Clearing the model closes the connections to the workers, which ends
+	 * Clearing the term closes the connections to the workers, which ends
 	 * their calls. Hold a reference until all have ended.
 	 */
 	scheduler->pending_calls++;
-	zr_cell_model_clear(&scheduler->model);
+	if (scheduler->term.model.clients)
+		clear_term(scheduler);
 	if (!--scheduler->pending_calls)
 		free_scheduler(scheduler);
 }
--- a/src/libzinniarack/cell/speeds.c
+++ b/src/libzinniarack/cell/speeds.c
@@ -120,7 +120,7 @@
 		      const struct zr_cell_worker *worker,
 		      struct zr_cell_ref ref)
 {
-	struct zr_cell_job *job = zr_cell_job(&scheduler->model, ref.job);
+	struct zr_cell_job *job = zr_cell_job(&scheduler->term.model, ref.job);
 	struct zr_cell_task *entry = &job->tasks[ref.task];
 	int64_t now = zr_cell_now_ms(scheduler);
 	enum zr_speed_cause cause;
@@ -141,8 +141,9 @@
 			entry->percent, now - entry->started_at);
 	entry->slow_logged = true;
 	if (entry->attempt == 1 &&
-	    scheduler->slow_run_count < ZR_CELL_SLOW_RUNS_MAX)
-		scheduler->slow_runs[scheduler->slow_run_count++] = ref;
+	    scheduler->term.slow_run_count < ZR_CELL_SLOW_RUNS_MAX)
+		scheduler->term.slow_runs[scheduler->term.slow_run_count++] =
+			ref;
 }
 
 void zr_cell_speed_poll_done(struct zr_cell_scheduler *scheduler,
@@ -185,7 +186,7 @@
 
 	if (!scheduler->options.worker_speed)
 		return;
-	HASH_ITER (hh, scheduler->model.worker_by_name, worker, next) {
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
 		if (zr_speed_is_faulty(&worker->speed, now))
 			faulty++;
 		else if (worker->registered)
@@ -216,8 +217,8 @@
 	const struct zr_cell_worker *worker = candidate->worker;
 
 	if (!scheduler->options.worker_speed) {
-		candidate->slow = zr_cell_slowdown_is_slow(&scheduler->model,
-							   worker, plan->now);
+		candidate->slow = zr_cell_slowdown_is_slow(
+			&scheduler->term.model, worker, plan->now);
 		return;
 	}
 	candidate->slow = zr_speed_is_faulty(&worker->speed, plan->now);
--- a/src/libzinniarack/cell/unanswered.c
+++ b/src/libzinniarack/cell/unanswered.c
@@ -115,7 +115,7 @@
 		.state = order_state(entry),
 		.sent_at = entry->sent_at,
 		.is_asking = worker->outcome_poll_in_flight,
-		.overdue_ms = overdue_ms(&scheduler->model,
+		.overdue_ms = overdue_ms(&scheduler->term.model,
 					 zr_cell_task_step(job, task)),
 	};
 
--- a/tests/fakes/cell_stays.c
+++ b/tests/fakes/cell_stays.c
@@ -12,6 +12,8 @@
 #define QUERY_MAX_MS 2000
 #define RATE_MAX 8
 #define RATE_SPAN_MS 1000
+/* Longest time between two checks. */
+#define INTERVAL_MAX_MS 20
 #define NAME_BYTES 96
 
 /* The times of the last RATE_MAX + 1 repetitions, the oldest at @next. */
@@ -27,6 +29,7 @@
 	int state;
 	uint32_t attempt;
 	int64_t since;
+	int64_t seen_at; /* last check in which it had a run or a query */
 	bool reported;
 	struct repetitions starts;
 	struct repetitions stops;
@@ -74,15 +77,17 @@
 	struct stay *stay;
 
 	HASH_FIND_STR(stays->seen, name, stay);
-	if (stay)
-		return stay;
-	stay = calloc(1, sizeof(*stay));
-	if (!stay)
-		abort();
-	snprintf(stay->name, sizeof(stay->name), "%s", name);
-	stay->state = -1;
-	stay->since = now;
-	HASH_ADD_STR(stays->seen, name, stay);
+	if (!stay) {
+		stay = calloc(1, sizeof(*stay));
+		if (!stay)
+			abort();
+		snprintf(stay->name, sizeof(stay->name), "%s", name);
+		stay->state = -1;
+		HASH_ADD_STR(stays->seen, name, stay);
+	}
+	if (now - stay->seen_at > INTERVAL_MAX_MS)
+		stay->since = now;
+	stay->seen_at = now;
 	return stay;
 }
 
@@ -137,7 +142,7 @@
 		      int64_t now)
 {
 	const struct zr_cell_worker *worker =
-		zr_cell_worker(&scheduler->model, task->worker);
+		zr_cell_worker(&scheduler->term.model, task->worker);
 
 	return task->state == ZR_TASK_RUNNING &&
 	       now - stay->since > LEASE_MAX_MS &&
@@ -146,16 +151,17 @@
 
 static void check_task(struct cell_stays *stays,
 		       const struct zr_cell_scheduler *scheduler,
-		       const struct zr_cell_job *job, uint32_t index,
-		       int64_t now)
+		       struct zr_cell_ref ref, int64_t now)
 {
-	const struct zr_cell_task *task = &job->tasks[index];
+	const struct zr_cell_job *job =
+		zr_cell_job(&scheduler->term.model, ref.job);
+	const struct zr_cell_task *task = &job->tasks[ref.task];
 	char name[NAME_BYTES];
 	struct stay *stay;
 	const char *rule;
 	int64_t max_ms;
 
-	snprintf(name, sizeof(name), "%s.%" PRIu32, job->id, index);
+	snprintf(name, sizeof(name), "%s.%" PRIu32, job->id, ref.task);
 	stay = find_stay(stays, name, now);
 	/* What was repeated before is not known. */
 	if (stay->state < 0)
@@ -180,13 +186,12 @@
 }
 
 static void check_step(struct cell_stays *stays, const struct zr_cell_job *job,
-		       uint32_t index, int64_t now)
+		       const struct zr_cell_step_state *step, int64_t now)
 {
-	const struct zr_cell_step_state *step = &job->steps[index];
 	char name[NAME_BYTES];
 	struct stay *stay;
 
-	snprintf(name, sizeof(name), "%s step %" PRIu32, job->id, index);
+	snprintf(name, sizeof(name), "%s step %td", job->id, step - job->steps);
 	stay = find_stay(stays, name, now);
 	if (!step->pending_queries)
 		stay->since = now;
@@ -198,20 +203,23 @@
 		      const struct zr_cell_scheduler *scheduler)
 {
 	int64_t now = zr_cell_now_ms(scheduler);
-	struct zr_cell_job *job;
-	struct zr_cell_job *next;
-	uint32_t i;
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next;
+	const struct zr_cell_step_state *step;
+	size_t i;
 
 	if (scheduler->phase != ZR_CELL_ACTIVE ||
-	    scheduler->term != stays->term)
+	    scheduler->term.number != stays->term)
 		cell_stays_forget(stays);
-	stays->term = scheduler->term;
+	stays->term = scheduler->term.number;
 	if (scheduler->phase != ZR_CELL_ACTIVE)
 		return;
-	HASH_ITER (hh, scheduler->model.job_by_id, job, next) {
-		for (i = 0; job->tasks && i < job->task_count; i++)
-			check_task(stays, scheduler, job, i, now);
-		for (i = 0; i < job->step_count; i++)
-			check_step(stays, job, i, now);
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
+		for (i = 0; i < worker->run_count; i++)
+			check_task(stays, scheduler, worker->runs[i], now);
 	}
+	for (step = scheduler->term.model.ready; step; step = step->next)
+		check_step(stays,
+			   zr_cell_job(&scheduler->term.model, step->job), step,
+			   now);
 }
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -89,7 +89,7 @@
 	int64_t last_end_number;
 	int64_t down_until;
 	int64_t registers_at; /* INT64_MAX: its registration is current */
-	int64_t leaves_at; /* 0: it stays */
+	int64_t leaves_at;    /* 0: it stays */
 	bool replaced;
 	bool hung;
 	bool refuses_stops;
