cell: long-running work has no end to be judged by

Cause: tier, finish, crash charges and the next start assumed work with an end. The age of a long-running job made it worthless seconds after its acceptance.

Change: a long-running job is always on time; its tasks wait again however they end, with backoff after short runs; crashes never give it up; what becomes free is reserved for a waiting one, and after 1 s it preempts work of a lower priority (cell/lasting.c).

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -143,8 +143,8 @@
 	       zr_cell_worker_has_label(worker, label);
 }
 
-/* Number of tasks of the step that are on a worker. */
-static uint32_t tasks_on(const struct zr_cell_plan_item *item, zr_handle worker)
+uint32_t zr_cell_tasks_on(const struct zr_cell_plan_item *item,
+			  zr_handle worker)
 {
 	const struct zr_cell_step_state *step = item->step;
 	uint32_t count = 0;
@@ -170,7 +170,7 @@
 	slots = zr_cell_fit_count(&available, &item->need);
 	if (!slots || !max_per_worker)
 		return slots;
-	present = tasks_on(item, candidate->worker->self);
+	present = zr_cell_tasks_on(item, candidate->worker->self);
 	if (present >= max_per_worker)
 		return 0;
 	return slots < max_per_worker - present ? slots
--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -294,6 +294,8 @@
 bool zr_cell_crash_charge(struct zr_cell_job *job, struct zr_cell_task *entry)
 {
 	uint32_t evidence = entry->crash_evidence;
+	bool lasting = zr_cell_step_is_lasting(
+		zr_cell_task_step(job, (uint32_t)(entry - job->tasks)));
 	bool given_up;
 
 	if (!evidence)
@@ -307,9 +309,11 @@
 		entry->possible_crashes++;
 	entry->suspicion = next_suspicion(entry, evidence);
 	job->has_suspects |= entry->suspicion != ZR_SUSPECT_NOT;
-	given_up = entry->crashes + entry->possible_crashes >= ALL_CRASHES ||
-		   (evidence & ZR_CRASH_COUNTED &&
-		    is_given_up(entry, evidence & ZR_CRASH_APART));
+	/* A long-running task is started again however it ends. */
+	given_up = !lasting &&
+		   (entry->crashes + entry->possible_crashes >= ALL_CRASHES ||
+		    (evidence & ZR_CRASH_COUNTED &&
+		     is_given_up(entry, evidence & ZR_CRASH_APART)));
 	zr_log_decision(
 		"task.crashed_worker job=%s task=%td attempt=%" PRIu32
 		" crashes=%" PRIu32 " certain=%" PRIu32 " possible=%" PRIu32
--- a/src/libzinniarack/cell/evacuations.c
+++ b/src/libzinniarack/cell/evacuations.c
@@ -587,7 +587,6 @@
 void zr_cell_evacuations_register_metrics(struct zr_cell_scheduler *scheduler,
 					  struct zr_metrics *metrics)
 {
-
 	scheduler->evacuation_metrics.runs = zr_metrics_get_or_add_gauge(
 		metrics, "zinniarack_cell_evacuation_runs", NULL,
 		"Runs left in failure domains that are being evacuated");
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -272,6 +272,7 @@
 		step->waiting = step->spec->count;
 		step->ready_at = ZR_CELL_NEVER;
 		job->task_count += step->spec->count;
+		job->lasts |= (step->spec->flags & ZR_STEP_LONG_RUNNING) != 0;
 	}
 	if (!job->task_count)
 		return;
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -109,6 +109,8 @@
  * @start_expires_at: when a worker certainly refuses its start, which carries
  *                    the end of a lease
  * @refused_starts: number of its last runs that did not begin
+ * @short_runs: number of its last runs that lasted only briefly, of a
+ *              long-running task
  * @retry_at: time before which it is not placed again
  */
 struct zr_cell_task {
@@ -148,6 +150,7 @@
 	int64_t overdue_at;
 	int64_t start_expires_at;
 	uint32_t refused_starts;
+	uint32_t short_runs;
 	int64_t retry_at;
 };
 
@@ -179,6 +182,8 @@
  * @due_at: time before which it must not start
  * @ready_at: when it became ready, all earlier steps being done; ZR_CELL_NEVER
  *            before
+ * @waiting_since: of long-running tasks, when the last run of one ended; 0:
+ * none has
  * @retry_at: time before which the adviser is not queried for it
  * @permissions: the adviser's answers, one for each worker that was queried
  * @permission_count: number of answers
@@ -219,6 +224,7 @@
 	uint32_t failures;
 	int64_t due_at;
 	int64_t ready_at;
+	int64_t waiting_since;
 	int64_t retry_at;
 	struct zr_cell_permission *permissions;
 	size_t permission_count;
@@ -279,6 +285,7 @@
  * @tasks: tasks of all steps; NULL once only the result is needed
  * @task_count: number of tasks
  * @done_tasks: number of completed tasks
+ * @lasts: a step of it is long-running
  * @priority: priority of the queue; 0 is the highest
  * @attempts: number of failed runs of a task, or of a gang, that fail the job
  * @stretch_permille: objective of the job's time, as a multiple of the sum of
@@ -326,6 +333,7 @@
 	struct zr_cell_task *tasks;
 	uint32_t task_count;
 	uint32_t done_tasks;
+	bool lasts;
 	uint32_t priority;
 	uint32_t attempts;
 	uint32_t stretch_permille;
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -113,6 +113,8 @@
 				    const struct zr_cell_plan_item *item)
 {
 	place_and_log(plan, item, item->max_tasks);
+	if (zr_cell_step_is_lasting(item->step) && item->step->waiting)
+		zr_cell_lasting_reserve(plan, item);
 	if (zr_cell_isolation_suspects(item))
 		zr_cell_isolation_wait(plan, item);
 	if (item->queue.advised && item->step->waiting)
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -38,7 +38,9 @@
  * @preemption_class: class for which the previous two members were computed;
  *                    -1: they are not valid
  * @slow: runs take much longer here than on other workers
- * @gang_reserved: a gang has reserved capacity here in an earlier pass
+ * @gang_reserved: a gang or a long-running task has reserved capacity here in
+ * an earlier pass
+ * @lasting_reserved: a long-running task has done so in this pass
  * @speed_band: band of its speed, see policy/worker_speed.h
  * @order: how it suits the step that is being placed, by where that finishes;
  *         the lowest is the best
@@ -53,6 +55,7 @@
 	int64_t preemption_class;
 	bool slow;
 	bool gang_reserved;
+	bool lasting_reserved;
 	int speed_band;
 	int order;
 	int shortfall;
@@ -142,7 +145,8 @@
  *
  * A job has its full value until its objective, a fifth of it until three times
  * the objective, and none after that. Jobs that exceed the rate of their client
- * account are not entitled to be on time.
+ * account are not entitled to be on time. A long-running job has no end that
+ * could be late.
  */
 enum zr_cell_tier {
 	ZR_CELL_TIER_ON_TIME,
@@ -656,4 +660,16 @@
 zr_cell_permission_get_or_add(struct zr_cell_step_state *step,
 			      zr_handle worker);
 
+/** zr_cell_tasks_on() - number of tasks of the step that are on a worker */
+uint32_t zr_cell_tasks_on(const struct zr_cell_plan_item *item,
+			  zr_handle worker);
+
+/* lasting.c */
+/**
+ * zr_cell_lasting_reserve() - reserve capacity for the long-running tasks of a
+ * step that wait, and preempt less urgent work if they wait too long
+ */
+void zr_cell_lasting_reserve(struct zr_cell_plan *plan,
+			     const struct zr_cell_plan_item *item);
+
 #endif
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -384,6 +384,7 @@
 
 	job = zr_cell_task_find(&task, &scheduler->term.model, &end->task);
 	if (job && job->tasks && end->outcome == ZR_RUN_DONE &&
+	    !zr_cell_step_is_lasting(zr_cell_task_step(job, task)) &&
 	    job->tasks[task].state != ZR_TASK_DONE) {
 		add_ack(worker, job, task);
 		return;
--- a/src/libzinniarack/cell/priority.c
+++ b/src/libzinniarack/cell/priority.c
@@ -68,6 +68,9 @@
 	int64_t objective = zr_cell_priority_objective_ms(job);
 	int64_t age_at_end = now - job->accepted_at + remaining_ms(job);
 
+	/* It has no end that could be late. */
+	if (job->lasts)
+		return ZR_CELL_TIER_ON_TIME;
 	if (age_at_end > WORTHLESS_FACTOR * objective)
 		return ZR_CELL_TIER_WORTHLESS;
 	if (job->over_share)
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -813,6 +813,20 @@
 int64_t zr_cell_retry_delay_ms(uint32_t failures, int64_t min_ms,
 			       int64_t max_ms);
 
+/* lasting.c */
+/** zr_cell_step_is_lasting() - whether the tasks of a step are long-running */
+bool zr_cell_step_is_lasting(const struct zr_cell_step_state *step);
+/**
+ * zr_cell_lasting_run_ended() - note when a long-running task may start again
+ * @scheduler: the scheduler
+ * @step: its step
+ * @task: the task, whose run has ended in whatever way
+ * @stopped: the scheduler has stopped it
+ */
+void zr_cell_lasting_run_ended(const struct zr_cell_scheduler *scheduler,
+			       struct zr_cell_step_state *step,
+			       struct zr_cell_task *task, bool stopped);
+
 /* polls.c */
 /**
  * zr_cell_worker_set_unconfirmed() - note that the worker may have restarted
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -335,6 +335,7 @@
 	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
 	const struct zr_cell_worker *worker =
 		zr_cell_worker(&scheduler->term.model, entry->worker);
+	bool stopped = entry->state == ZR_TASK_STOPPING;
 	bool given_up = zr_cell_crash_charge(job, entry);
 
 	/* A run of which nothing shows that it began is not charged. */
@@ -357,8 +358,9 @@
 			     entry->finished ? ZR_TASK_EVENT_DONE
 					     : ZR_TASK_EVENT_GONE);
 	zr_cell_job_mark_dirty(&scheduler->term.model, job);
-	if (!(step->spec->flags & ZR_STEP_LONG_RUNNING) &&
-	    failures_of(job, step, task) >= job->attempts)
+	if (zr_cell_step_is_lasting(step))
+		zr_cell_lasting_run_ended(scheduler, step, entry, stopped);
+	else if (failures_of(job, step, task) >= job->attempts)
 		given_up = true;
 	if (given_up && !entry->finished)
 		fail_job(scheduler, job, task);
@@ -412,6 +414,8 @@
 {
 	struct zr_cell_task *entry = &job->tasks[task];
 
+	if (zr_cell_step_is_lasting(zr_cell_task_step(job, task)))
+		return;
 	mark_finished(job, task);
 	zr_log_decision("run.late_end job=%s task=%" PRIu32, job->id, task);
 	if (entry->state == ZR_TASK_WAITING)
@@ -435,7 +439,9 @@
 
 	if (outcome == ZR_RUN_DONE) {
 		record_success(worker);
-		if (!entry->started_at)
+		/* The time that a long-running task has run says nothing. */
+		if (!entry->started_at ||
+		    zr_cell_step_is_lasting(zr_cell_task_step(job, task)))
 			return;
 		zr_histogram_observe(scheduler->run_ms,
 				     (double)(now - entry->started_at));
@@ -483,7 +489,8 @@
 		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
 			 end->checkpoint);
 	record_outcome(scheduler, job, task, worker, end->outcome);
-	if (end->outcome == ZR_RUN_DONE) {
+	if (end->outcome == ZR_RUN_DONE &&
+	    !zr_cell_step_is_lasting(zr_cell_task_step(job, task))) {
 		mark_finished(job, task);
 		zr_cell_gang_finish_waiting(&scheduler->term.model, job,
 					    zr_cell_task_step(job, task));
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -96,6 +96,8 @@
  *                              whether another worker uses its address then
  *   crashed-workers            print how many workers tasks have crashed
  *   hide-runs                  print violations, but no begins and ends of runs
+ *   show-runs JOB              print the begins and ends of runs again, of JOB
+ *                              or, if it is `*`, of all
  *   capacity WORKER MILLICPUS
  *                              change the capacity of a worker, which registers
  *                              the change
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -16,6 +16,7 @@
  * thousandths of a processor; a gang has MEMBERS. A letter before MS changes
  * what the tasks do:
  *
+ * - `l`, before another one: they are to be started again however they end.
  * - `f`: their runs fail at the end.
  * - `o`: their first run fails at the end.
  * - `t`: the first task of the step takes seven times as long.
