tests: build with CMAKE_BUILD_TYPE=Release

Inlined, gcc took the second release of a call's reference for a use after the first (fake_net.c:188): each message in flight holds a reference of its own, and the builds with sanitizers, which run all scripts, report nothing. snprintf() into a member of the structure that its argument might point to was suspected as well (test_sched_random.c).

--- a/tests/fakes/fake_net.c
+++ b/tests/fakes/fake_net.c
@@ -183,7 +183,12 @@
 
 /* Calls */
 
-static void unref(struct fake_call *call)
+/*
+ * Each message in flight holds a reference, and so does the caller until the
+ * call has finished. Inlined, the compiler takes the second release for a use
+ * after the first.
+ */
+static __attribute__((noinline)) void unref(struct fake_call *call)
 {
 	if (--call->refs)
 		return;
--- a/tests/unit/test_sched_random.c
+++ b/tests/unit/test_sched_random.c
@@ -72,6 +72,7 @@
 {
 	struct run *run = ctx;
 	struct run_task *task = &run->running[run->running_count++];
+	size_t length;
 
 	(void)spec;
 	(void)reason;
@@ -81,7 +82,9 @@
 	task->attempt = decided->attempt;
 	task->worker = decided->worker;
 	task->stopping = false;
-	snprintf(task->id, sizeof(task->id), "%s", decided->job_id);
+	length = strnlen(decided->job_id, sizeof(task->id) - 1);
+	memcpy(task->id, decided->job_id, length);
+	task->id[length] = '\0';
 	run->starts++;
 }
 
