cell: a job is read and cancelled by its own client account only

With any valid key a caller could read the state of any job and cancel it.

Cause: authorize() checked that the key is known, not whose job it is.

Change: on queues that need a key, a job of another account does not exist for the caller: 410. The owner is told the account of the caller, by a procedure of its own, so that hosts of the version before go on; the other hosts compare the account of the record that they read. Open queues are served as before.

--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -320,6 +320,12 @@
 };
 typedef struct zx_cell_state_args zx_cell_state_args;
 
+struct zx_cell_account_state_args {
+	char *job;
+	char *client;
+};
+typedef struct zx_cell_account_state_args zx_cell_account_state_args;
+
 struct zx_cell_state_result {
 	bool_t known;
 	u_int state;
@@ -401,6 +407,9 @@
 #define ZX_CELL_STORE 4
 extern  zx_cell_store_result * zx_cell_store_1(zx_cell_store_args , CLIENT *);
 extern  zx_cell_store_result * zx_cell_store_1_svc(zx_cell_store_args , struct svc_req *);
+#define ZX_CELL_ACCOUNT_STATE 5
+extern  zx_cell_state_result * zx_cell_account_state_1(zx_cell_account_state_args , CLIENT *);
+extern  zx_cell_state_result * zx_cell_account_state_1_svc(zx_cell_account_state_args , struct svc_req *);
 extern int zx_cell_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -416,6 +425,9 @@
 #define ZX_CELL_STORE 4
 extern  zx_cell_store_result * zx_cell_store_1();
 extern  zx_cell_store_result * zx_cell_store_1_svc();
+#define ZX_CELL_ACCOUNT_STATE 5
+extern  zx_cell_state_result * zx_cell_account_state_1();
+extern  zx_cell_state_result * zx_cell_account_state_1_svc();
 extern int zx_cell_1_freeresult ();
 #endif /* K&R C */
 
@@ -453,6 +465,7 @@
 extern  bool_t xdr_zx_cell_news (XDR *, zx_cell_news*);
 extern  bool_t xdr_zx_cell_taken (XDR *, zx_cell_taken*);
 extern  bool_t xdr_zx_cell_state_args (XDR *, zx_cell_state_args*);
+extern  bool_t xdr_zx_cell_account_state_args (XDR *, zx_cell_account_state_args*);
 extern  bool_t xdr_zx_cell_state_result (XDR *, zx_cell_state_result*);
 extern  bool_t xdr_zx_store_value (XDR *, zx_store_value*);
 extern  bool_t xdr_zx_store_compare (XDR *, zx_store_compare*);
@@ -492,6 +505,7 @@
 extern bool_t xdr_zx_cell_news ();
 extern bool_t xdr_zx_cell_taken ();
 extern bool_t xdr_zx_cell_state_args ();
+extern bool_t xdr_zx_cell_account_state_args ();
 extern bool_t xdr_zx_cell_state_result ();
 extern bool_t xdr_zx_store_value ();
 extern bool_t xdr_zx_store_compare ();
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -306,6 +306,12 @@
 	string job<ZX_CELL_NAME_MAX>;
 };
 
+/* A query on behalf of a client account; the job of another is not known. */
+struct zx_cell_account_state_args {
+	string job<ZX_CELL_NAME_MAX>;
+	string client<ZX_CELL_NAME_MAX>;
+};
+
 /* If known is false, the caller must read the state from the store. */
 struct zx_cell_state_result {
 	bool known;
@@ -367,5 +373,7 @@
 		zx_cell_taken ZX_CELL_NEWS(zx_cell_news) = 2;
 		zx_cell_state_result ZX_CELL_STATE(zx_cell_state_args) = 3;
 		zx_cell_store_result ZX_CELL_STORE(zx_cell_store_args) = 4;
+		zx_cell_state_result ZX_CELL_ACCOUNT_STATE(
+			zx_cell_account_state_args) = 5;
 	} = 1;
 } = 0x20005a03;
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -961,6 +961,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_zx_cell_account_state_args (XDR *xdrs, zx_cell_account_state_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->job, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->client, ZX_CELL_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_cell_state_result (XDR *xdrs, zx_cell_state_result *objp)
 {
--- a/src/libzinniarack/cell/frontend.c
+++ b/src/libzinniarack/cell/frontend.c
@@ -47,6 +47,7 @@
 	char job[ZR_NAME_MAX];
 	char queue[ZR_NAME_MAX];
 	char client[ZR_NAME_MAX];
+	bool open; /* the queue needs no key */
 	uint64_t version;
 	struct timespec started_at;
 	struct timespec deadline;
@@ -317,19 +318,47 @@
 	zr_cell_job_spec_clear(&spec);
 }
 
+/*
+ * The account whose jobs the caller may know; empty: any. To others a job is
+ * one that does not exist.
+ */
+static const char *account_of(const struct request *request)
+{
+	return request->open ? "" : request->client;
+}
+
+/* Returns 0 or an error; sets @out to whether the caller may know a job. */
+static int may_know_job(bool *out, const struct request *request,
+			const struct zr_store_value *value)
+{
+	zx_cell_stored_job record = {0};
+	int error = zr_cell_decode_job(&record, value->data, value->length);
+
+	if (error < 0)
+		return error;
+	*out = zr_cell_client_may_know(account_of(request), record.job.client);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_job, &record);
+	return 0;
+}
+
 /* State queries */
 
 static void on_job_read(void *ctx, int error,
 			const struct zr_store_reply *reply)
 {
 	struct request *request = ctx;
+	bool may_know = false;
 
 	if (error < 0)
 		respond_with(request, ZR_CALL_REFUSED, "store_down");
-	else if (reply->count)
+	else if (!reply->count)
+		respond_with(request, ZR_CALL_NO_JOB, "no_job");
+	else if (may_know_job(&may_know, request, &reply->values[0]) < 0)
+		respond_with(request, ZR_CALL_REFUSED, "job_unreadable");
+	else if (may_know)
 		respond_state(request, ZR_CELL_JOB_QUEUED);
 	else
-		respond_with(request, ZR_CALL_NO_JOB, "no_job");
+		respond_with(request, ZR_CALL_NO_JOB, "other_account");
 }
 
 static void read_key(struct request *request, const char *prefix,
@@ -356,6 +385,7 @@
 	struct request *request = ctx;
 	enum zr_cell_job_state state;
 	zx_cell_progress record;
+	bool may_know;
 
 	if (error < 0) {
 		respond_with(request, ZR_CALL_REFUSED, "store_down");
@@ -370,8 +400,12 @@
 		return;
 	}
 	state = (enum zr_cell_job_state)record.state;
+	may_know = zr_cell_client_may_know(account_of(request), record.client);
 	xdr_free((xdrproc_t)xdr_zx_cell_progress, &record);
-	respond_state(request, state);
+	if (may_know)
+		respond_state(request, state);
+	else
+		respond_with(request, ZR_CALL_NO_JOB, "other_account");
 }
 
 static void on_owner_state(void *ctx, int error, enum zr_cell_job_state state)
@@ -389,9 +423,9 @@
 	const struct zr_cell_frontend_options *options =
 		&request->frontend->options;
 
-	zr_cell_peers_query_state(options->peers,
-				  zr_cell_scheduler_holder(options->scheduler),
-				  request->job, on_owner_state, request);
+	zr_cell_peers_query_state(
+		options->peers, zr_cell_scheduler_holder(options->scheduler),
+		request->job, account_of(request), on_owner_state, request);
 }
 
 /* Cancellations */
@@ -443,21 +477,42 @@
 {
 	struct request *request = ctx;
 
-	if (error < 0)
+	zx_cell_progress record;
+	bool may_know;
+
+	if (error < 0) {
 		retry_cancel(request);
-	else if (reply->count)
+		return;
+	}
+	if (!reply->count) {
+		respond_with(request, ZR_CALL_NO_JOB, "no_job");
+		return;
+	}
+	if (decode_progress(&record, &reply->values[0]) < 0) {
+		respond_with(request, ZR_CALL_REFUSED, "progress_unreadable");
+		return;
+	}
+	may_know = zr_cell_client_may_know(account_of(request), record.client);
+	xdr_free((xdrproc_t)xdr_zx_cell_progress, &record);
+	if (may_know)
 		respond_with(request, ZR_CALL_OK, "ended");
 	else
-		respond_with(request, ZR_CALL_NO_JOB, "no_job");
+		respond_with(request, ZR_CALL_NO_JOB, "other_account");
 }
 
 static void on_job_for_cancel(void *ctx, int error,
 			      const struct zr_store_reply *reply)
 {
 	struct request *request = ctx;
+	bool may_know = false;
 
 	if (error < 0)
 		retry_cancel(request);
+	else if (reply->count &&
+		 may_know_job(&may_know, request, &reply->values[0]) < 0)
+		respond_with(request, ZR_CALL_REFUSED, "job_unreadable");
+	else if (reply->count && !may_know)
+		respond_with(request, ZR_CALL_NO_JOB, "other_account");
 	else if (reply->count)
 		write_cancel(request, reply->values[0].mod_revision);
 	else
@@ -563,6 +618,7 @@
 	if (client)
 		snprintf(request->client, sizeof(request->client), "%s",
 			 client->name);
+	request->open = queue->open;
 	if (queue->open || client)
 		return true;
 	respond_with(request, ZR_CALL_UNAUTHORIZED, "unknown_key");
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -121,12 +121,13 @@
 					    length);
 }
 
-static void on_state_query(void *ctx, const char *job, zr_cell_state_fn done,
-			   void *done_ctx)
+static void on_state_query(void *ctx, const char *job, const char *client,
+			   zr_cell_state_fn done, void *done_ctx)
 {
 	struct zr_cell_host *host = ctx;
 
-	zr_cell_scheduler_query_state(host->scheduler, job, done, done_ctx);
+	zr_cell_scheduler_query_state(host->scheduler, job, client, done,
+				      done_ctx);
 }
 
 static void on_store_call(void *ctx, const zx_cell_store_args *args,
--- a/src/libzinniarack/cell/job_state.c
+++ b/src/libzinniarack/cell/job_state.c
@@ -54,9 +54,22 @@
 	free(wait);
 }
 
+bool zr_cell_client_may_know(const char *client, const char *owner)
+{
+	return !client[0] || !owner[0] || !strcmp(client, owner);
+}
+
+static bool is_of_client(const struct zr_cell_scheduler *scheduler,
+			 const struct zr_cell_job *job, const char *client)
+{
+	return zr_cell_client_may_know(
+		client,
+		zr_cell_client(&scheduler->term.model, job->client)->name);
+}
+
 void zr_cell_scheduler_query_state(struct zr_cell_scheduler *scheduler,
-				   const char *id, zr_cell_state_fn done,
-				   void *ctx)
+				   const char *id, const char *client,
+				   zr_cell_state_fn done, void *ctx)
 {
 	const struct zr_cell_job *job;
 
@@ -65,7 +78,7 @@
 		return;
 	}
 	job = zr_cell_job_find(&scheduler->term.model, id);
-	if (!job)
+	if (!job || !is_of_client(scheduler, job, client))
 		done(ctx, ZR_E_NOT_FOUND, ZR_CELL_JOB_QUEUED);
 	else if (end_is_being_written(job))
 		add_wait(scheduler, job, done, ctx);
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -114,6 +114,14 @@
 	.result_size = sizeof(zx_cell_state_result),
 };
 
+static const struct zr_rpc_procedure account_state_procedure = {
+	.number = ZX_CELL_ACCOUNT_STATE,
+	.args_codec = (xdrproc_t)xdr_zx_cell_account_state_args,
+	.result_codec = (xdrproc_t)xdr_zx_cell_state_result,
+	.args_size = sizeof(zx_cell_account_state_args),
+	.result_size = sizeof(zx_cell_state_result),
+};
+
 static const struct zr_rpc_procedure store_procedure = {
 	.number = ZX_CELL_STORE,
 	.args_codec = (xdrproc_t)xdr_zx_cell_store_args,
@@ -265,7 +273,17 @@
 	struct zr_cell_peers *peers = ctx;
 	const zx_cell_state_args *args = data;
 
-	peers->events.query_state(peers->ctx, args->job, on_local_state, call);
+	peers->events.query_state(peers->ctx, args->job, "", on_local_state,
+				  call);
+}
+
+static void serve_account_state(void *ctx, struct zr_rpc_call *call, void *data)
+{
+	struct zr_cell_peers *peers = ctx;
+	const zx_cell_account_state_args *args = data;
+
+	peers->events.query_state(peers->ctx, args->job, args->client,
+				  on_local_state, call);
 }
 
 static void on_store_served(void *ctx, int error,
@@ -341,15 +359,15 @@
 }
 
 void zr_cell_peers_query_state(struct zr_cell_peers *peers, const char *host,
-			       const char *job, zr_cell_state_fn done,
-			       void *ctx)
+			       const char *job, const char *client,
+			       zr_cell_state_fn done, void *ctx)
 {
 	struct peer *peer = find_registered(peers, host);
-	zx_cell_state_args args = {(char *)job};
+	zx_cell_account_state_args args = {(char *)job, (char *)client};
 	struct state_query *query;
 
 	if (!strcmp(host, peers->name)) {
-		peers->events.query_state(peers->ctx, job, done, ctx);
+		peers->events.query_state(peers->ctx, job, client, done, ctx);
 		return;
 	}
 	if (!peer) {
@@ -361,7 +379,9 @@
 		abort();
 	query->done = done;
 	query->ctx = ctx;
-	zr_rpc_client_call(peer->client, &state_procedure, &args,
+	/* A host of the version before does not serve this; its error leads to
+	 * the store. */
+	zr_rpc_client_call(peer->client, &account_state_procedure, &args,
 			   STATE_TIMEOUT_MS, on_state_reply, query);
 }
 
@@ -792,6 +812,7 @@
 		{&advise_procedure, serve_advise},
 		{&notify_procedure, serve_notification},
 		{&state_procedure, serve_state},
+		{&account_state_procedure, serve_account_state},
 		{&store_procedure, serve_store},
 		{NULL, NULL},
 	};
--- a/src/libzinniarack/cell/peers.h
+++ b/src/libzinniarack/cell/peers.h
@@ -25,14 +25,15 @@
  * struct zr_cell_peers_events - handlers for requests of other hosts
  * @on_job: a job or, if @record is NULL, a cancellation has been persisted;
  *	returns the result of zr_cell_scheduler_notify_job()
- * @query_state: query the state of a job; calls @done once
+ * @query_state: query the state of a job of a client account, or of any if it
+ *is empty; calls @done once
  * @serve_store: make a call to the store; calls @done once
  */
 struct zr_cell_peers_events {
 	bool (*on_job)(void *ctx, const char *job, const void *record,
 		       size_t length);
-	void (*query_state)(void *ctx, const char *job, zr_cell_state_fn done,
-			    void *done_ctx);
+	void (*query_state)(void *ctx, const char *job, const char *client,
+			    zr_cell_state_fn done, void *done_ctx);
 	void (*serve_store)(void *ctx, const zx_cell_store_args *args,
 			    zr_cell_relay_done_fn done, void *done_ctx);
 };
@@ -90,13 +91,15 @@
  * @peers: the hosts
  * @host: name of the host that owns the cell
  * @job: job id
+ * @client: client account that may know it; empty: any
  * @done: called once, possibly before this function returns; error
- *	ZR_E_UNREACHABLE if @host is not registered
+ *	ZR_E_UNREACHABLE if @host is not registered, ZR_E_NOT_FOUND if it does
+ *not know the job or if the job is not one of @client
  * @ctx: passed to @done
  */
 void zr_cell_peers_query_state(struct zr_cell_peers *peers, const char *host,
-			       const char *job, zr_cell_state_fn done,
-			       void *ctx);
+			       const char *job, const char *client,
+			       zr_cell_state_fn done, void *ctx);
 
 /**
  * zr_cell_peers_relay() - make a call to the store through another host
--- a/src/libzinniarack/cell/scheduler.h
+++ b/src/libzinniarack/cell/scheduler.h
@@ -194,17 +194,25 @@
 typedef void (*zr_cell_state_fn)(void *ctx, int error,
 				 enum zr_cell_job_state state);
 
+/**
+ * zr_cell_client_may_know() - whether a client account may read or cancel a job
+ * @client: the account; empty: the caller needs none
+ * @owner: the account of the job; empty: it was accepted without one
+ */
+bool zr_cell_client_may_know(const char *client, const char *owner);
+
 /**
  * zr_cell_scheduler_query_state() - query the state of a job
  * @scheduler: the scheduler
  * @id: job id
+ * @client: client account that may know it; empty: any
  * @done: called once, possibly before this function returns and at the latest
  *	250 ms later
  * @ctx: passed to @done
  */
 void zr_cell_scheduler_query_state(struct zr_cell_scheduler *scheduler,
-				   const char *id, zr_cell_state_fn done,
-				   void *ctx);
+				   const char *id, const char *client,
+				   zr_cell_state_fn done, void *ctx);
 
 /**
  * zr_cell_scheduler_release() - give up the ownership so that another host
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -684,7 +684,7 @@
 	snprintf(query->job, sizeof(query->job), "%s", word(script, 2));
 	zr_cell_scheduler_query_state(
 		find_host(script, word(script, 1))->scheduler, query->job,
-		on_query_done, query);
+		word(script, 3), on_query_done, query);
 }
 
 static void on_waiting_jobs(void *ctx, int error,
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -66,7 +66,18 @@
 			 "decision_ms", 5, "period_ms", 1, "validity_ms", 1500);
 }
 
-/* Writes a new version of the configuration with the route and @added more. */
+static json_t *make_open_route(void)
+{
+	json_t *route = make_route("open", "/open/");
+
+	json_object_set_new(route, "public", json_true());
+	return route;
+}
+
+/*
+ * Writes a new version of the configuration with the routes and @added more.
+ * The second client account submits nothing.
+ */
 static void put_configuration(int added)
 {
 	static int version;
@@ -76,15 +87,19 @@
 
 	state.added_routes = added;
 	json_array_append_new(routes, make_route("q", "/q/"));
+	json_array_append_new(routes, make_open_route());
 	for (i = 0; i < added; i++) {
 		snprintf(prefix, sizeof(prefix), "/added/%d/", i);
 		json_array_append_new(routes, make_route(prefix, prefix));
 	}
 	soak_store_put("op/config",
-		       json_pack("{s:i, s:o, s:[{s:s, s:i, s:[s]}], s:{}}",
+		       json_pack("{s:i, s:o, s:[{s:s, s:i, s:[s]}, "
+				 "{s:s, s:i, s:[s]}], s:{}}",
 				 "version", ++version, "routes", routes,
 				 "tenants", "name", "caller", "weight",
-				 state.weight, "api_keys", "key-1", "limits"));
+				 state.weight, "api_keys", "key-1", "name",
+				 "other", "weight", 1, "api_keys", "key-2",
+				 "limits"));
 }
 
 /*
