--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -379,8 +379,10 @@
 		abort();
 	query->done = done;
 	query->ctx = ctx;
-	/* A host of the version before does not serve this; its error leads to
-	 * the store. */
+	/*
+	 * A host of the version before does not serve this; its error leads to
+	 * the store.
+	 */
 	zr_rpc_client_call(peer->client, &account_state_procedure, &args,
 			   STATE_TIMEOUT_MS, on_state_reply, query);
 }
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -51,7 +51,7 @@
  *                              for the first time in FIRST_MS; 0: once, at once
  *   cancel HOST JOB            commit a cancellation like an entry host
  *   state HOST JOB             print the persisted state of a job
- *   query HOST JOB [CLIENT]    print the state that HOST's scheduler reports, to
+ *   query HOST JOB [CLIENT]    print the state that HOST's scheduler reports to
  *                              that client account
  *   waiting-jobs HOST          print the persisted number of waiting jobs
  *   told-jobs HOST             print the number that HOST's frontend would tell
