cell: renew a lease only after an answered poll

Cause: an answer to a stop made the worker responsive, so the next poll, which the worker refused too, was taken to renew the lease.

Change: after a failed poll no lease is renewed until a poll is answered.

--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -467,6 +467,7 @@
  * @poll_in_flight: a poll is in flight
  * @poll_sent_at: when the last poll was sent
  * @failed_polls: number of consecutive polls that failed
+ * @lost_polls: the same, whatever the worker has answered in between
  * @poll_due_at: when the next poll is due; ZR_CELL_NEVER: none
  * @backoff_until: time until which no tasks are placed there
  * @unanswered_until: the same because of a start that was not answered
@@ -541,6 +542,7 @@
 	bool poll_in_flight;
 	int64_t poll_sent_at;
 	uint32_t failed_polls;
+	uint32_t lost_polls;
 	int64_t poll_due_at;
 	int64_t backoff_until;
 	int64_t unanswered_until;
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -498,6 +498,7 @@
 	zr_chart_step(&worker->state, zr_charts()->worker,
 		      ZR_WORKER_EVENT_UNRESPONSIVE);
 	worker->failed_polls++;
+	worker->lost_polls++;
 	zr_cell_poll_soon(scheduler, worker, POLL_RETRY_MS);
 }
 
@@ -538,6 +539,8 @@
 		if (!call->extra)
 			handle_poll_failure(scheduler, worker, "refused");
 	} else {
+		if (!call->extra)
+			worker->lost_polls = 0;
 		handle_poll_reply(scheduler, worker, reply, call);
 		zr_cell_journal_flush(scheduler->journal);
 		schedule_next_poll(scheduler, worker);
@@ -571,10 +574,12 @@
 	worker->poll_due_at = ZR_CELL_NEVER;
 	/*
 	 * Let the leases of an unresponsive worker expire, so that its tasks
-	 * can be placed on other workers.
+	 * can be placed on other workers. Only an answered poll shows which
+	 * runs exist.
 	 */
 	if (worker->clock_ms >= 0 && worker->run_count &&
-	    !worker->lease_withheld && !zr_cell_worker_unresponsive(worker))
+	    !worker->lease_withheld && !worker->lost_polls &&
+	    !zr_cell_worker_unresponsive(worker))
 		lease_expires_ms = zr_cell_lease_renew(scheduler, worker);
 	/*
 	 * Request an immediate reply in the first poll after a takeover, in the
@@ -583,7 +588,8 @@
 	 * without a response, as leases are renewed once the worker responds.
 	 */
 	if (worker->state == ZR_WORKER_UNKNOWN || !worker->run_count ||
-	    worker->ack_count || zr_cell_worker_unresponsive(worker))
+	    worker->ack_count || worker->lost_polls ||
+	    zr_cell_worker_unresponsive(worker))
 		wait_ms = 0;
 	call->timeout_ms = wait_ms + POLL_TIMEOUT_MARGIN_MS;
 	/* Only one poll at a time acknowledges ends. */
