cell: poll a silent worker again after the pause, not at once

Found by reading. set the next poll due while one was in flight, so that a poll that timed out was repeated at the next tick instead of 250 ms later. No poll is due while one is in flight now, and the checker of the scripts counts failed polls.

--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -651,7 +651,7 @@
 	 * Only a regular poll shows that a worker has stopped responding, so
 	 * one is in flight or due while the worker may have runs.
 	 */
-	if (worker->poll_due_at == ZR_CELL_NEVER &&
+	if (worker->poll_due_at == ZR_CELL_NEVER && !worker->poll_in_flight &&
 	    zr_cell_worker_needs_poll(scheduler, worker))
 		worker->poll_due_at = now;
 	if (worker->poll_in_flight || now < worker->poll_due_at ||
--- a/tests/fakes/cell_stays.c
+++ b/tests/fakes/cell_stays.c
@@ -185,6 +185,23 @@
 		report(stays, stay, "RUNNING");
 }
 
+/* Polls that fail are repeated with a pause too. */
+static void check_worker(struct cell_stays *stays,
+			 const struct zr_cell_worker *worker, int64_t now)
+{
+	char name[NAME_BYTES];
+	struct stay *stay;
+
+	snprintf(name, sizeof(name), "worker %s", worker->report.name);
+	stay = find_stay(stays, name, now);
+	if (stay->state < 0 || worker->failed_polls < stay->stops.count)
+		stay->stops =
+			(struct repetitions){.count = worker->failed_polls};
+	stay->state = 0;
+	if (is_too_often(&stay->stops, worker->failed_polls, now))
+		report(stays, stay, "POLLS");
+}
+
 static void check_step(struct cell_stays *stays, const struct zr_cell_job *job,
 		       const struct zr_cell_step_state *step, int64_t now)
 {
@@ -215,6 +232,7 @@
 	if (scheduler->phase != ZR_CELL_ACTIVE)
 		return;
 	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
+		check_worker(stays, worker, now);
 		for (i = 0; i < worker->run_count; i++)
 			check_task(stays, scheduler, worker->runs[i], now);
 	}
