--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -45,6 +45,14 @@
 	};
 }
 
+void zr_cell_resources_add(struct zr_resources *sum,
+			   const struct zr_resources *amount)
+{
+	sum->millicpus += amount->millicpus;
+	sum->memory_mb += amount->memory_mb;
+	sum->accelerators += amount->accelerators;
+}
+
 struct zr_resources
 zr_cell_candidate_free(const struct zr_cell_candidate *candidate)
 {
--- a/src/libzinniarack/cell/gang.c
+++ b/src/libzinniarack/cell/gang.c
@@ -164,9 +164,9 @@
 	item->step->gang_domain = best;
 }
 
-static bool is_reserved_for(const struct zr_cell_plan *plan,
-			    const struct zr_cell_plan_item *item,
-			    const struct zr_cell_worker *worker)
+bool zr_cell_is_reserved_for(const struct zr_cell_plan *plan,
+			     const struct zr_cell_plan_item *item,
+			     const struct zr_cell_worker *worker)
 {
 	return plan->now < worker->reserved_until &&
 	       worker->reserved_for_job == item->job->self &&
@@ -191,8 +191,8 @@
 		out->candidates[i] = (struct zr_cell_gang_candidate){
 			.eligible = &item->eligible[i],
 			.candidate = candidate,
-			.already_reserved =
-				is_reserved_for(plan, item, candidate->worker),
+			.already_reserved = zr_cell_is_reserved_for(
+				plan, item, candidate->worker),
 			.shortfall = candidate->shortfall,
 			.in_gang_domain =
 				zr_cell_in_gang_domain(item, candidate),
--- a/src/libzinniarack/cell/lasting.c
+++ b/src/libzinniarack/cell/lasting.c
@@ -61,13 +61,6 @@
 		 (ZR_STEP_GANG | ZR_STEP_LONG_RUNNING | ZR_STEP_BEST_EFFORT));
 }
 
-static void add(struct zr_resources *sum, const struct zr_resources *amount)
-{
-	sum->millicpus += amount->millicpus;
-	sum->memory_mb += amount->memory_mb;
-	sum->accelerators += amount->accelerators;
-}
-
 /* What is free on a worker after stops, those of less urgent runs included. */
 static struct zr_resources
 free_after_preemption(struct zr_cell_plan *plan,
@@ -88,20 +81,11 @@
 		if (job->tasks[ref.task].state == ZR_TASK_STOPPING ||
 		    is_preemptible(item, job, ref.task, true) ||
 		    is_preemptible(item, job, ref.task, false))
-			add(&sum, &need);
+			zr_cell_resources_add(&sum, &need);
 	}
 	return sum;
 }
 
-static bool is_reserved_for(const struct zr_cell_plan *plan,
-			    const struct zr_cell_plan_item *item,
-			    const struct zr_cell_worker *worker)
-{
-	return plan->now < worker->reserved_until &&
-	       worker->reserved_for_job == item->job->self &&
-	       worker->reserved_for_step == item->step->number;
-}
-
 /* How soon a worker has capacity for one task; the highest is the best. */
 enum suitability {
 	NEVER,
@@ -141,12 +125,13 @@
 			item->eligible[i].candidate;
 		enum suitability suitability =
 			suitability_of(plan, item, candidate);
-		bool kept = is_reserved_for(plan, item, candidate->worker);
+		bool kept =
+			zr_cell_is_reserved_for(plan, item, candidate->worker);
 
 		if (suitability == NEVER || suitability < *out)
 			continue;
 		if (best && suitability == *out && !kept &&
-		    (is_reserved_for(plan, item, best->worker) ||
+		    (zr_cell_is_reserved_for(plan, item, best->worker) ||
 		     zr_cell_candidate_free(candidate).millicpus <=
 			     zr_cell_candidate_free(best).millicpus))
 			continue;
@@ -185,7 +170,7 @@
 {
 	struct zr_cell_worker *worker = candidate->worker;
 
-	add(&candidate->reserved, &item->need);
+	zr_cell_resources_add(&candidate->reserved, &item->need);
 	candidate->lasting_reserved = true;
 	worker->reserved_for_job = item->job->self;
 	worker->reserved_for_step = item->step->number;
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -16,14 +16,14 @@
  * slot is capacity on a worker for one task of the step that is being placed.
  *
  * plan.c runs the pass; priority.c ranks the jobs; candidates.c collects the
- * candidate workers and chooses among them; gang.c reserves capacity for gangs;
- * preempt.c computes what stops and preemption would free; adviser_query.c
- * queries the placement adviser and permissions.c stores its answers;
- * speeds.c computes the order of workers by expected finish and moves.c moves
- * slow runs; isolation.c finds
- * workers for tasks that may crash them; domains.c detects failure domains that
- * do not respond; slowdown.c detects slow workers and stalled runs;
- * unanswered.c detects workers that leave starts without an answer.
+ * candidate workers and chooses among them; gang.c reserves capacity for gangs,
+ * and lasting.c for long-running tasks; preempt.c computes what stops and
+ * preemption would free; adviser_query.c queries the placement adviser and
+ * permissions.c stores its answers; speeds.c computes the order of workers by
+ * expected finish and moves.c moves slow runs; isolation.c finds workers for
+ * tasks that may crash them; domains.c detects failure domains that do not
+ * respond; slowdown.c detects slow workers and stalled runs; unanswered.c
+ * detects workers that leave starts without an answer.
  */
 
 /**
@@ -664,6 +664,17 @@
 uint32_t zr_cell_tasks_on(const struct zr_cell_plan_item *item,
 			  zr_handle worker);
 
+/** zr_cell_resources_add() - add an amount to a sum */
+void zr_cell_resources_add(struct zr_resources *sum,
+			   const struct zr_resources *amount);
+/**
+ * zr_cell_is_reserved_for() - whether a worker is reserved for a step since an
+ * earlier pass
+ */
+bool zr_cell_is_reserved_for(const struct zr_cell_plan *plan,
+			     const struct zr_cell_plan_item *item,
+			     const struct zr_cell_worker *worker);
+
 /* lasting.c */
 /**
  * zr_cell_lasting_reserve() - reserve capacity for the long-running tasks of a
--- a/src/libzinniarack/cell/preempt.c
+++ b/src/libzinniarack/cell/preempt.c
@@ -11,13 +11,6 @@
 /* Beyond this progress a run ends by itself about as soon as by a stop. */
 #define PREEMPTIBLE_PROGRESS_PERCENT 85
 
-static void add(struct zr_resources *sum, const struct zr_resources *amount)
-{
-	sum->millicpus += amount->millicpus;
-	sum->memory_mb += amount->memory_mb;
-	sum->accelerators += amount->accelerators;
-}
-
 /*
  * Whether a task can be preempted by a step of @class: it must resume from a
  * checkpoint, and its step must not be a gang, long-running or best-effort.
@@ -64,10 +57,13 @@
 			zr_cell_need(zr_cell_task_step(job, ref.task)->spec);
 
 		if (job->tasks[ref.task].state == ZR_TASK_STOPPING) {
-			add(&candidate->free_after_stops, &need);
-			add(&candidate->free_after_preemption, &need);
+			zr_cell_resources_add(&candidate->free_after_stops,
+					      &need);
+			zr_cell_resources_add(&candidate->free_after_preemption,
+					      &need);
 		} else if (is_preemptible(plan, job, ref.task, class)) {
-			add(&candidate->free_after_preemption, &need);
+			zr_cell_resources_add(&candidate->free_after_preemption,
+					      &need);
 		}
 	}
 }
@@ -134,7 +130,7 @@
 				    candidate->preemption_class))
 			continue;
 		need = zr_cell_need(zr_cell_task_step(job, ref.task)->spec);
-		add(&candidate->free_after_stops, &need);
+		zr_cell_resources_add(&candidate->free_after_stops, &need);
 		zr_cell_stop_run(scheduler, job, ref.task, "yields");
 	}
 }
