--- a/tests/fakes/cell_stays.h
+++ b/tests/fakes/cell_stays.h
@@ -21,8 +21,8 @@
  *   if its worker goes on to respond but does not carry out the stop;
  * - a run ends if its worker has not responded for 8,200 ms;
  * - a query to the adviser is answered or given up within 2,000 ms;
- * - a run is started, or stopped, at most 8 times in 1,000 ms, and as many polls
- *   of a worker fail in a row.
+ * - a run is started, or stopped, at most 8 times in 1,000 ms, and a worker's
+ *   polls fail as often at most.
  */
 
 struct cell_stays;
