cell: one exponential backoff, and one reservation across passes

zr_cell_retry_delay_ms() had twins in the delay after a failure and in that after a failed load, and lasting.c wrote again what gang.c does to keep a worker reserved. The same delays and times; two comments say what holds now.

--- a/src/libzinniarack/cell/gang.c
+++ b/src/libzinniarack/cell/gang.c
@@ -164,6 +164,15 @@
 	item->step->gang_domain = best;
 }
 
+void zr_cell_keep_reserved(const struct zr_cell_plan *plan,
+			   const struct zr_cell_plan_item *item,
+			   struct zr_cell_worker *worker)
+{
+	worker->reserved_for_job = item->job->self;
+	worker->reserved_for_step = item->step->number;
+	worker->reserved_until = plan->now + RESERVATION_MS;
+}
+
 bool zr_cell_is_reserved_for(const struct zr_cell_plan *plan,
 			     const struct zr_cell_plan_item *item,
 			     const struct zr_cell_worker *worker)
@@ -267,12 +276,8 @@
 				  struct zr_cell_gang_candidate *entry,
 				  uint32_t members)
 {
-	struct zr_cell_worker *worker = entry->candidate->worker;
-
 	reserve(item, entry, members);
-	worker->reserved_for_job = item->job->self;
-	worker->reserved_for_step = item->step->number;
-	worker->reserved_until = plan->now + RESERVATION_MS;
+	zr_cell_keep_reserved(plan, item, entry->candidate->worker);
 }
 
 static uint32_t min_u32(uint32_t a, uint32_t b)
--- a/src/libzinniarack/cell/lasting.c
+++ b/src/libzinniarack/cell/lasting.c
@@ -13,8 +13,6 @@
 
 /* Time that a task waits for free capacity before it preempts. */
 #define PREEMPTION_WAIT_MS 1000
-/* A reservation expires unless a later pass renews it. */
-#define RESERVATION_MS 300
 /*
  * Backoff after a run that lasted less than SHORT_RUN_MS. A task starts again
  * within 6 s of its last run.
@@ -168,13 +166,9 @@
 		    const struct zr_cell_plan_item *item,
 		    struct zr_cell_candidate *candidate)
 {
-	struct zr_cell_worker *worker = candidate->worker;
-
 	zr_cell_resources_add(&candidate->reserved, &item->need);
 	candidate->lasting_reserved = true;
-	worker->reserved_for_job = item->job->self;
-	worker->reserved_for_step = item->step->number;
-	worker->reserved_until = plan->now + RESERVATION_MS;
+	zr_cell_keep_reserved(plan, item, candidate->worker);
 }
 
 /* Number of waiting tasks that may be placed now. */
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -60,7 +60,7 @@
 		zr_cell_query_adviser(plan, item);
 }
 
-/* Whether the last run of a member did not begin, and it is not tried again yet
+/* Whether a member is not placed again yet, since its last run did not begin.
  */
 static bool is_backing_off(const struct zr_cell_plan *plan,
 			   const struct zr_cell_plan_item *item)
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -667,6 +667,10 @@
 /** zr_cell_resources_add() - add an amount to a sum */
 void zr_cell_resources_add(struct zr_resources *sum,
 			   const struct zr_resources *amount);
+/** zr_cell_keep_reserved() - reserve a worker for a step in the next passes */
+void zr_cell_keep_reserved(const struct zr_cell_plan *plan,
+			   const struct zr_cell_plan_item *item,
+			   struct zr_cell_worker *worker);
 /**
  * zr_cell_is_reserved_for() - whether a worker is reserved for a step since an
  * earlier pass
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -500,7 +500,7 @@
 /**
  * zr_cell_evacuations_clear() - forget the requests
  *
- * Called when a term begins or ends; replies of earlier terms are ignored.
+ * Called when a term ends; replies of earlier terms are ignored.
  */
 void zr_cell_evacuations_clear(struct zr_cell_scheduler *scheduler);
 /**
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -38,8 +38,8 @@
  * Time for which the next run of a task avoids the worker on which the last one
  * has failed; doubled by each further failure.
  */
-#define AVOID_MS 500
-#define AVOID_DOUBLINGS_MAX 2
+#define AVOID_MIN_MS 500
+#define AVOID_MAX_MS 2000
 /* Consecutive failures, each of another job, that make a worker suspect. */
 #define SUSPECT_FAILURES 2
 #define SUSPECT_BACKOFF_MS 5000
@@ -200,15 +200,6 @@
 	task->avoided_until = zr_cell_now_ms(scheduler) + ms;
 }
 
-static int64_t avoid_ms(uint32_t failures)
-{
-	uint32_t doublings = failures - 1 < AVOID_DOUBLINGS_MAX
-				     ? failures - 1
-				     : AVOID_DOUBLINGS_MAX;
-
-	return (int64_t)AVOID_MS << doublings;
-}
-
 /* Ends of runs */
 
 /* Number of failed runs of a task, or of all members of a gang. */
@@ -458,8 +449,10 @@
 			now - entry->started_at);
 	} else if (outcome == ZR_RUN_FAILED) {
 		entry->failures++;
-		zr_cell_task_avoid_worker(scheduler, entry, worker->self,
-					  avoid_ms(entry->failures));
+		zr_cell_task_avoid_worker(
+			scheduler, entry, worker->self,
+			zr_cell_retry_delay_ms(entry->failures, AVOID_MIN_MS,
+					       AVOID_MAX_MS));
 		record_failure(scheduler, worker, job);
 	}
 }
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -58,7 +58,7 @@
  * host can take the cell; doubled by each further failed load.
  */
 #define LOAD_BACKOFF_MS 1000
-#define LOAD_BACKOFF_DOUBLINGS_MAX 2
+#define LOAD_BACKOFF_MAX_MS 4000
 /*
  * Maximum time that a release waits for the journal. No tasks are placed
  * meanwhile.
@@ -278,8 +278,8 @@
 {
 	if (!scheduler->failed_loads)
 		return 0;
-	return LOAD_BACKOFF_MS << min_uint(scheduler->failed_loads - 1,
-					   LOAD_BACKOFF_DOUBLINGS_MAX);
+	return (unsigned int)zr_cell_retry_delay_ms(
+		scheduler->failed_loads, LOAD_BACKOFF_MS, LOAD_BACKOFF_MAX_MS);
 }
 
 static void on_gained(void *ctx, const struct zr_owner_term *term)
