cell: log the failed runs of a gang

job.failed showed the failures of one member and not the number that had reached the attempts, so a job that failed in its first run looked like one that had used up its attempts. run.ended and job.failed now have the failed runs as counted, and job.failed has the attempt and the possible crashes.

--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -225,10 +225,14 @@
 	job->state = ZR_CELL_JOB_FAILED;
 	job->ended_at = zr_cell_wall_ms(scheduler);
 	zr_log_decision("job.failed job=%s queue=%s task=%" PRIu32
-			" failures=%" PRIu32 " attempts=%" PRIu32
-			" crashes=%" PRIu32,
-			job->id, job->queue, task, job->tasks[task].failures,
-			job->attempts, job->tasks[task].crashes);
+			" attempt=%" PRIu32 " failures=%" PRIu32
+			" failed_runs=%" PRIu32 " attempts=%" PRIu32
+			" crashes=%" PRIu32 " possible_crashes=%" PRIu32,
+			job->id, job->queue, task, job->tasks[task].attempt,
+			job->tasks[task].failures,
+			failures_of(job, zr_cell_task_step(job, task), task),
+			job->attempts, job->tasks[task].crashes,
+			job->tasks[task].possible_crashes);
 	zr_cell_job_mark_dirty(&scheduler->term.model, job);
 	zr_cell_stop_job(scheduler, job, "job_failed");
 }
@@ -341,10 +345,10 @@
 	if (!entry->finished || !worker)
 		zr_log_decision("run.ended job=%s task=%" PRIu32
 				" attempt=%" PRIu32 " worker=%s reason=%s "
-				"failures=%" PRIu32,
+				"failures=%" PRIu32 " failed_runs=%" PRIu32,
 				job->id, task, entry->attempt,
 				worker ? worker->report.name : "-", reason,
-				entry->failures);
+				entry->failures, failures_of(job, step, task));
 	zr_cell_task_end_run(&scheduler->term.model, job, task,
 			     entry->finished ? ZR_TASK_EVENT_DONE
 					     : ZR_TASK_EVENT_GONE);
