cell: blame one worker for a failed run of a gang

Two gangs whose members failed together on all workers kept every other job waiting for five seconds.

Cause: each member that failed counted as a failure of its worker, so that one failed run of a gang spoke against as many workers as it had failing members. Two such gangs made all of them suspect (SUSPECT_FAILURES). The same class as the failures of the gang itself.

Only the member by which the run is counted is held against its worker. A worker that fails whatever it starts is still found: the other members of its gangs end as broken.

cell/gang_failures_other_jobs: the third job was not started in 2 s before, and starts at once now.

--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -211,18 +211,23 @@
 					  : job->tasks[task].failures;
 }
 
-/* Members that fail in the same run of a gang have the same attempt. */
-static void count_failure(struct zr_cell_job *job, uint32_t task)
+/*
+ * Members that fail in the same run of a gang have the same attempt. Returns
+ * false if the run has been counted already.
+ */
+static bool count_failure(struct zr_cell_job *job, uint32_t task)
 {
 	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
 	struct zr_cell_task *entry = &job->tasks[task];
 
 	entry->failures++;
-	if (!zr_cell_step_is_gang(step) ||
-	    entry->attempt <= step->failed_attempt)
-		return;
+	if (!zr_cell_step_is_gang(step))
+		return true;
+	if (entry->attempt <= step->failed_attempt)
+		return false;
 	step->failed_attempt = entry->attempt;
 	step->failed_runs++;
+	return true;
 }
 
 static void fail_job(struct zr_cell_scheduler *scheduler,
@@ -460,12 +465,12 @@
 			zr_cell_task_step(job, task)->spec->estimate_ms,
 			now - entry->started_at);
 	} else if (outcome == ZR_RUN_FAILED) {
-		count_failure(job, task);
+		if (count_failure(job, task))
+			record_failure(scheduler, worker, job);
 		zr_cell_task_avoid_worker(
 			scheduler, entry, worker->self,
 			zr_cell_retry_delay_ms(entry->failures, AVOID_MIN_MS,
 					       AVOID_MAX_MS));
-		record_failure(scheduler, worker, job);
 	}
 }
 
