--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -202,19 +202,32 @@
 
 /* Ends of runs */
 
-/* Number of failed runs of a task, or of all members of a gang. */
+/* Number of failed runs of a task, or of its gang. */
 static uint32_t failures_of(const struct zr_cell_job *job,
 			    const struct zr_cell_step_state *step,
 			    uint32_t task)
 {
-	uint32_t sum = 0;
-	uint32_t i;
+	return zr_cell_step_is_gang(step) ? step->failed_runs
+					  : job->tasks[task].failures;
+}
+
+/*
+ * Members that fail in the same run of a gang have the same attempt. Returns
+ * false if the run has been counted already.
+ */
+static bool count_failure(struct zr_cell_job *job, uint32_t task)
+{
+	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
+	struct zr_cell_task *entry = &job->tasks[task];
 
+	entry->failures++;
 	if (!zr_cell_step_is_gang(step))
-		return job->tasks[task].failures;
-	for (i = 0; i < step->spec->count; i++)
-		sum += job->tasks[step->first_task + i].failures;
-	return sum;
+		return true;
+	if (entry->attempt <= step->failed_attempt)
+		return false;
+	step->failed_attempt = entry->attempt;
+	step->failed_runs++;
+	return true;
 }
 
 static void fail_job(struct zr_cell_scheduler *scheduler,
@@ -225,10 +238,14 @@
 	job->state = ZR_CELL_JOB_FAILED;
 	job->ended_at = zr_cell_wall_ms(scheduler);
 	zr_log_decision("job.failed job=%s queue=%s task=%" PRIu32
-			" failures=%" PRIu32 " attempts=%" PRIu32
-			" crashes=%" PRIu32,
-			job->id, job->queue, task, job->tasks[task].failures,
-			job->attempts, job->tasks[task].crashes);
+			" attempt=%" PRIu32 " failures=%" PRIu32
+			" failed_runs=%" PRIu32 " attempts=%" PRIu32
+			" crashes=%" PRIu32 " possible_crashes=%" PRIu32,
+			job->id, job->queue, task, job->tasks[task].attempt,
+			job->tasks[task].failures,
+			failures_of(job, zr_cell_task_step(job, task), task),
+			job->attempts, job->tasks[task].crashes,
+			job->tasks[task].possible_crashes);
 	zr_cell_job_mark_dirty(&scheduler->term.model, job);
 	zr_cell_stop_job(scheduler, job, "job_failed");
 }
@@ -341,10 +358,10 @@
 	if (!entry->finished || !worker)
 		zr_log_decision("run.ended job=%s task=%" PRIu32
 				" attempt=%" PRIu32 " worker=%s reason=%s "
-				"failures=%" PRIu32,
+				"failures=%" PRIu32 " failed_runs=%" PRIu32,
 				job->id, task, entry->attempt,
 				worker ? worker->report.name : "-", reason,
-				entry->failures);
+				entry->failures, failures_of(job, step, task));
 	zr_cell_task_end_run(&scheduler->term.model, job, task,
 			     entry->finished ? ZR_TASK_EVENT_DONE
 					     : ZR_TASK_EVENT_GONE);
@@ -448,12 +465,12 @@
 			zr_cell_task_step(job, task)->spec->estimate_ms,
 			now - entry->started_at);
 	} else if (outcome == ZR_RUN_FAILED) {
-		entry->failures++;
+		if (count_failure(job, task))
+			record_failure(scheduler, worker, job);
 		zr_cell_task_avoid_worker(
 			scheduler, entry, worker->self,
 			zr_cell_retry_delay_ms(entry->failures, AVOID_MIN_MS,
 					       AVOID_MAX_MS));
-		record_failure(scheduler, worker, job);
 	}
 }
 
