tests: let soak-platform set the largest body

The hosts of soak-platform refuse a submission over the default of 256 KiB, so a test cannot submit a large one.

A job of 1,000,000 bytes is then accepted by zinniarack-celld (200), with Content-Length as well as in chunks; it got 400 body_too_large before.

--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -19,9 +19,13 @@
 	int advertised_port;
 	int workers;
 	int weight;
+	int body_bytes;
 	int added_routes;
 	unsigned int violations;
-} state = {.address = "127.0.0.1", .workers = 8, .weight = 1000};
+} state = {.address = "127.0.0.1",
+	   .workers = 8,
+	   .weight = 1000,
+	   .body_bytes = 256 * 1024};
 
 int64_t soak_now_ms(void)
 {
@@ -94,12 +98,12 @@
 	}
 	soak_store_put("op/config",
 		       json_pack("{s:i, s:o, s:[{s:s, s:i, s:[s]}, "
-				 "{s:s, s:i, s:[s]}], s:{}}",
+				 "{s:s, s:i, s:[s]}], s:{s:i}}",
 				 "version", ++version, "routes", routes,
 				 "tenants", "name", "caller", "weight",
 				 state.weight, "api_keys", "key-1", "name",
 				 "other", "weight", 1, "api_keys", "key-2",
-				 "limits"));
+				 "limits", "max_body_bytes", state.body_bytes));
 }
 
 /*
@@ -180,6 +184,9 @@
 	case 's':
 		state.weight = atoi(arg);
 		return 0;
+	case 'b':
+		state.body_bytes = atoi(arg);
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -211,6 +218,8 @@
 		{"workers", 'w', "N", 0, "Number of workers", 0},
 		{"weight", 's', "N", 0,
 		 "Share of the callers, in jobs per second", 0},
+		{"body-bytes", 'b', "BYTES", 0, "Largest body of a submission",
+		 0},
 		{0},
 	};
 	static const struct argp argp = {
