tests: clients that do not behave, one test a kind

Operators saw such clients end a process, which ran out of memory: bodies far over the limit, and many large bodies that stop short of their end. No test showed it.

Each test starts one daemon with an address space of 96 MiB and 256 descriptors, and a crowd of 96 connections that stays. Checked: the daemon runs on, VmHWM stays within 64 MiB, and an ordinary request is answered while the crowd stays and after it has left.

--- /dev/null
+++ b/tests/e2e/test_hostile_large_chunks.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Out of memory: many bodies in large chunks, most stopping short of their end.
+set -eu
+hostile_source=$(cd "$(dirname "$0")/../.." && pwd)
+. "$hostile_source/tests/hostile.sh"
+hostile_start_cell
+hostile_run --mode large-chunks "$hostile_callers$hostile_path"
+echo "ok"
--- /dev/null
+++ b/tests/e2e/test_hostile_legal_pieces.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Out of memory: many large bodies, piece by piece, most stopping short of their
+# end.
+set -eu
+hostile_source=$(cd "$(dirname "$0")/../.." && pwd)
+. "$hostile_source/tests/hostile.sh"
+hostile_start_cell
+hostile_run --mode pieces "$hostile_callers$hostile_path"
+echo "ok"
--- /dev/null
+++ b/tests/e2e/test_hostile_open_headers.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Out of memory: large request headers that stop just below the limit of the
+# server.
+set -eu
+hostile_source=$(cd "$(dirname "$0")/../.." && pwd)
+. "$hostile_source/tests/hostile.sh"
+hostile_start_cell
+hostile_run --mode open-headers "$hostile_callers$hostile_path"
+echo "ok"
