cell: a worker that is cut off may end its runs before it restarts

Cause: a crash counted in full if the worker had stopped responding before half of the run's estimate had passed. A worker that is cut off soon after a start stops responding as well, goes on with its run, and may restart or be replaced long after the run has succeeded.

If the request by which the silence was noticed timed out, the crash may have been at any time until the worker was known to be back, and is a possible one if half of the estimate had passed by then. If the connection broke before the timeout, nothing changes.

--- a/src/libzinniarack/cell/crashes.c
+++ b/src/libzinniarack/cell/crashes.c
@@ -112,17 +112,17 @@
 }
 
 /*
- * Whether the run may have ended before the worker crashed: its end is not
- * known if the worker did not respond any more. Estimates are rough.
+ * Whether the run may have ended before the worker crashed, which it did before
+ * @until: its end is not known if the worker did not respond any more.
+ * Estimates are rough.
  */
 static bool may_have_ended(const struct zr_cell_job *job, uint32_t task,
-			   int64_t silent_since)
+			   int64_t until)
 {
 	const struct zr_cell_task *entry = &job->tasks[task];
 	uint32_t estimate_ms = zr_cell_task_step(job, task)->spec->estimate_ms;
 
-	return estimate_ms &&
-	       silent_since - entry->started_at > estimate_ms / 2;
+	return estimate_ms && until - entry->started_at > estimate_ms / 2;
 }
 
 /*
@@ -164,10 +164,10 @@
  * only the leases have expired may be cut off.
  */
 static uint32_t count_flag(const struct zr_cell_job *job, uint32_t task,
-			   enum crash_knowledge knowledge, int64_t silent_since)
+			   enum crash_knowledge knowledge, int64_t until)
 {
 	return job->tasks[task].started_at && knowledge != CRASH_ASSUMED &&
-			       !may_have_ended(job, task, silent_since)
+			       !may_have_ended(job, task, until)
 		       ? ZR_CRASH_COUNTED
 		       : ZR_CRASH_POSSIBLE;
 }
@@ -195,6 +195,9 @@
 	bool apart = has_one_job(model, worker, silent_since, false);
 	bool fresh_apart = has_one_job(model, worker, silent_since, true);
 	bool known = knowledge != CRASH_ASSUMED;
+	/* A worker that is only cut off goes on with its runs meanwhile. */
+	int64_t until = worker->silence_broke ? silent_since
+					      : zr_cell_now_ms(scheduler);
 	size_t fresh = 0;
 	size_t i;
 
@@ -202,8 +205,7 @@
 		struct zr_cell_ref ref = worker->runs[i];
 		struct zr_cell_job *job = zr_cell_job(model, ref.job);
 		struct zr_cell_task *entry = &job->tasks[ref.task];
-		uint32_t evidence =
-			count_flag(job, ref.task, knowledge, silent_since);
+		uint32_t evidence = count_flag(job, ref.task, knowledge, until);
 
 		if (entry->crash_evidence ||
 		    !may_have_started(entry, silent_since))
@@ -258,14 +260,15 @@
 			       struct zr_cell_job *job, uint32_t task)
 {
 	struct zr_cell_task *entry = &job->tasks[task];
-	int64_t silent_since = zr_cell_now_ms(scheduler);
+	int64_t until = zr_cell_now_ms(scheduler);
 
 	/* The worker has responded by now. */
-	if (worker->last_silent_since > entry->started_at)
-		silent_since = worker->last_silent_since;
+	if (worker->last_silent_since > entry->started_at &&
+	    worker->last_silence_broke)
+		until = worker->last_silent_since;
 	if (!entry->crash_evidence && is_of_other_incarnation(entry, worker))
 		entry->crash_evidence =
-			count_flag(job, task, CRASH_RESTARTED, silent_since);
+			count_flag(job, task, CRASH_RESTARTED, until);
 }
 
 /* Whether a crash that counts, rather than a possible one, gives up a task. */
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -453,7 +453,10 @@
  * @responded_at: when it last responded to a request
  * @silent_since: when the first request after that failed; ZR_CELL_NEVER: none
  *                has failed
+ * @silence_broke: the connection of that request broke before its timeout, as
+ *                 in a crash
  * @last_silent_since: the same before its last response; 0: none has failed
+ * @last_silence_broke: likewise
  * @lease_expires_ms: end of its latest lease, on its own clock
  * @runs_expire_at: when its runs have certainly ended if it does not respond
  *                before
@@ -531,7 +534,9 @@
 	int64_t clock_at;
 	int64_t responded_at;
 	int64_t silent_since;
+	bool silence_broke;
 	int64_t last_silent_since;
+	bool last_silence_broke;
 	int64_t lease_expires_ms;
 	int64_t runs_expire_at;
 	int64_t last_end_processed;
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -51,11 +51,13 @@
 };
 
 void zr_cell_worker_set_unconfirmed(struct zr_cell_scheduler *scheduler,
-				    struct zr_cell_worker *worker)
+				    struct zr_cell_worker *worker, bool broke)
 {
 	worker->unconfirmed_event = ++scheduler->event_count;
-	if (worker->silent_since == ZR_CELL_NEVER)
-		worker->silent_since = zr_cell_now_ms(scheduler);
+	if (worker->silent_since != ZR_CELL_NEVER)
+		return;
+	worker->silent_since = zr_cell_now_ms(scheduler);
+	worker->silence_broke = broke;
 }
 
 /* Whether a start has been sent of which it is not known where it arrived. */
@@ -521,7 +523,10 @@
 			error < 0 ? worker->outcome_polls + 1 : 0;
 	}
 	if (error < 0)
-		zr_cell_worker_set_unconfirmed(scheduler, worker);
+		zr_cell_worker_set_unconfirmed(
+			scheduler, worker,
+			zr_cell_now_ms(scheduler) - call->sent_at <
+				(int64_t)call->timeout_ms);
 	if (call->extra && error < 0)
 		goto out;
 	if (!call->extra)
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -830,12 +830,15 @@
 /* polls.c */
 /**
  * zr_cell_worker_set_unconfirmed() - note that the worker may have restarted
+ * @scheduler: the scheduler
+ * @worker: the worker
+ * @broke: the connection of the request broke before its timeout
  *
  * Polls acknowledge no ends until one has been answered, since the numbers may
  * be those of ends that a later incarnation has not reported yet.
  */
 void zr_cell_worker_set_unconfirmed(struct zr_cell_scheduler *scheduler,
-				    struct zr_cell_worker *worker);
+				    struct zr_cell_worker *worker, bool broke);
 /** zr_cell_poll_soon() - send a poll to a worker within @after_ms */
 void zr_cell_poll_soon(struct zr_cell_scheduler *scheduler,
 		       struct zr_cell_worker *worker, int64_t after_ms);
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -72,8 +72,10 @@
 					     : ZR_WORKER_EVENT_RESPONDED);
 	worker->failed_polls = 0;
 	worker->responded_at = zr_cell_now_ms(scheduler);
-	if (worker->silent_since != ZR_CELL_NEVER)
+	if (worker->silent_since != ZR_CELL_NEVER) {
 		worker->last_silent_since = worker->silent_since;
+		worker->last_silence_broke = worker->silence_broke;
+	}
 	worker->silent_since = ZR_CELL_NEVER;
 	zr_cell_domain_responded(&scheduler->term.model, worker);
 	if (clock_ms < 0)
@@ -107,7 +109,7 @@
 	/* The incarnation that crashed has not responded. */
 	worker->responded_at = responded_at;
 	worker->silent_since = silent_since;
-	zr_cell_worker_set_unconfirmed(scheduler, worker);
+	zr_cell_worker_set_unconfirmed(scheduler, worker, true);
 	zr_cell_poll_extra(scheduler, worker);
 }
 
@@ -545,7 +547,10 @@
 	if (error < 0) {
 		scheduler->unanswered->value++;
 		scheduler->unanswered_metrics.stops->value++;
-		zr_cell_worker_set_unconfirmed(scheduler, target.worker);
+		zr_cell_worker_set_unconfirmed(
+			scheduler, target.worker,
+			zr_cell_now_ms(scheduler) - target.task->stop_sent_at <
+				EARLY_STOP_TIMEOUT_MS);
 		goto out;
 	}
 	record_response(scheduler, target.worker, request, reply);
@@ -822,7 +827,10 @@
 			       struct zr_cell_job *job, uint32_t task,
 			       struct zr_cell_worker *worker, int error)
 {
-	zr_cell_worker_set_unconfirmed(scheduler, worker);
+	zr_cell_worker_set_unconfirmed(
+		scheduler, worker,
+		zr_cell_now_ms(scheduler) - job->tasks[task].sent_at <
+			REQUEST_TIMEOUT_MS);
 	worker->unanswered_until =
 		zr_cell_now_ms(scheduler) + FAILED_BACKOFF_MS;
 	if (error == ZR_E_UNREACHABLE || error == ZR_E_FULL ||
