cell: an active run of a gang has not failed yet

A gang started once more after all its attempts had failed, when an owner had loaded a record without the failed runs of gangs, such as one of an earlier version.

Cause: the estimate took the attempt of a member that had failed before for that of the last failed run, also if the member had an active run by then. The failure of that run was taken for one that had been counted.

--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -358,13 +358,15 @@
 	for (i = step->first_task; i < step->first_task + step->spec->count;
 	     i++) {
 		const struct zr_cell_task *task = &job->tasks[i];
+		/* An active run has not failed. */
+		uint32_t attempt = task->attempt - (task->worker != 0);
 
 		if (!task->failures)
 			continue;
 		if (task->failures > step->failed_runs)
 			step->failed_runs = task->failures;
-		if (task->attempt > step->failed_attempt)
-			step->failed_attempt = task->attempt;
+		if (attempt > step->failed_attempt)
+			step->failed_attempt = attempt;
 	}
 }
 
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -1176,6 +1176,40 @@
 	fake_store_lose_history(script->store);
 }
 
+struct progress_copy {
+	char key[ZR_CELL_KEY_MAX];
+	struct zr_cell_buffer bytes;
+};
+
+static void copy_without_failed_runs(void *ctx, const char *key,
+				     const void *data, size_t length)
+{
+	struct progress_copy *copy = ctx;
+	zx_cell_stored_progress record = {0};
+
+	if (strcmp(key, copy->key) ||
+	    zr_cell_decode_progress(&record, data, length) < 0)
+		return;
+	free(record.gangs.gangs.gangs_val);
+	record.gangs.gangs.gangs_val = NULL;
+	record.gangs.gangs.gangs_len = 0;
+	zr_cell_encode_progress(&copy->bytes, &record);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &record);
+}
+
+static void do_forget_failed_runs(struct cell_script *script)
+{
+	struct progress_copy copy = {0};
+
+	snprintf(copy.key, sizeof(copy.key), ZR_CELL_PROGRESS_PREFIX "%s",
+		 word(script, 1));
+	fake_store_for_each(script->store, copy.key, copy_without_failed_runs,
+			    &copy);
+	commit_value(script, &script->registrar, copy.key, copy.bytes.data,
+		     copy.bytes.length);
+	free(copy.bytes.data);
+}
+
 static void do_requests(struct cell_script *script)
 {
 	bool readable = !strcmp(word(script, 1), "readable");
@@ -1344,6 +1378,7 @@
 	{"evacuate", do_evacuate},
 	{"restore", do_restore},
 	{"lose-history", do_lose_history},
+	{"forget-failed-runs", do_forget_failed_runs},
 	{"requests", do_requests},
 	{"metric", do_metric},
 	{"client", do_client},
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -126,6 +126,8 @@
  *   evacuate DOMAIN            request the evacuation of a failure domain, over
  *                              a connection of the operator to the store
  *   restore DOMAIN             withdraw the request
+ *   forget-failed-runs JOB     store the progress of a job as earlier versions
+ *                              do, without the failed runs of its gangs
  *   lose-history               make the store forget its history of changes
  *   requests unreadable|readable
  *                              let reads and watches of the requests to
