cell: let no member join a run of a gang that has failed

A gang could start once more than its attempts allow: a member whose start had had no response failed before the others had begun, joined the same run again on another worker, with the same attempt, and failed there too. A run is counted by its attempt, so that the second failure was not.

Nothing joins a run any more that is counted as failed.

cell/gang_member_rejoins_failed_run: the member ran three times with two attempts before, twice now.

--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -254,7 +254,8 @@
 
 /*
  * Members that have started wait for the others. A member that waits to be
- * placed can join them only if it was not started before.
+ * placed can join them only if it was not started before, and if none of them
+ * has failed.
  */
 bool zr_cell_gang_can_be_completed(const struct zr_cell_scheduler *scheduler,
 				   const struct zr_cell_job *job,
@@ -263,6 +264,8 @@
 	uint32_t i;
 
 	if (!step->gang_placed_at || step->gang_stopping ||
+	    (step->failed_attempt &&
+	     step->failed_attempt == step->gang_attempt) ||
 	    zr_cell_job_has_ended(job) ||
 	    zr_cell_now_ms(scheduler) - step->gang_placed_at > GANG_JOIN_MS)
 		return false;
