sched: count a failed run of a gang once

Callers of zinniarack-schedulerd saw gangs as failed after their first run, when several members of it had ended as failed: three on different workers, or six on any.

Cause: each member that failed was added to the failures of its job (consecutive_failures) and its worker to those on which the job has failed (failed_on), and these are compared with limits that are meant for runs.

The first member that fails in a run now counts it; the next run begins with start_members(). A gang is still given up after failures on three workers, or after six failed runs.

The model of the tests let a job end as failed after any failure, so that it could not notice this.

--- a/src/libzinniarack/sched/gang.c
+++ b/src/libzinniarack/sched/gang.c
@@ -52,15 +52,17 @@
 		zr_sched_worker_entry_unhold(sched, members[i], need);
 }
 
-/* Starts a task on each of the workers, on what is held there. */
+/* Starts a run: a task on each of the workers, on what is held there. */
 static unsigned int start_members(struct zr_sched *sched, zr_handle handle,
 				  const struct zr_resources *need,
 				  const zr_handle *members, uint32_t count)
 {
+	struct zr_sched_job *job = zr_sched_job_get(sched, handle);
 	zr_handle placement;
 	unsigned int starts = 0;
 	uint32_t i;
 
+	job->run_failed = false;
 	for (i = 0; i < count; i++) {
 		zr_sched_worker_entry_unhold(sched, members[i], need);
 		starts += zr_sched_task_start(&placement, sched, handle,
--- a/src/libzinniarack/sched/health.c
+++ b/src/libzinniarack/sched/health.c
@@ -133,6 +133,10 @@
 
 static void count_job_failure(struct zr_sched_job *job, zr_handle worker)
 {
+	/* A run of a gang counts once, however many of its members fail. */
+	if (job->run_failed)
+		return;
+	job->run_failed = job->kind == ZR_JOB_GANG;
 	if (job->consecutive_failures < UINT8_MAX)
 		job->consecutive_failures++;
 	if (zr_sched_job_avoids_worker(job, worker))
--- a/src/libzinniarack/sched/types.h
+++ b/src/libzinniarack/sched/types.h
@@ -21,13 +21,13 @@
 /** Maximum number of jobs and workers examined by one zr_sched_decide(). */
 #define ZR_SCHED_EXAMINED_MAX 8192
 /**
- * A job fails once its tasks have failed on this many different workers.
- * Services are exempt.
+ * A job fails once its tasks have failed on this many different workers, a gang
+ * in as many runs. Services are exempt.
  */
 #define ZR_SCHED_FAILED_ON_MAX 3
 /**
- * A job fails after this many failed tasks without a success in between.
- * Services are exempt.
+ * A job fails after this many failed tasks, a gang after this many failed runs,
+ * without a success in between. Services are exempt.
  */
 #define ZR_SCHED_FAILURES_MAX 6
 /**
@@ -158,9 +158,10 @@
  * @effective_priority: its priority (@worth) plus that of its queue
  * @next: next job on @list
  * @previous: previous job on @list
- * @failed_on: workers on which its tasks failed
+ * @failed_on: workers on which its tasks failed; of a gang, one for each run
  * @failed_on_count: number of entries of @failed_on
- * @consecutive_failures: number of failed tasks since the last success
+ * @consecutive_failures: number of failed tasks, or of failed runs of a gang,
+ *	since the last success
  * @backoff_level: level of its latest backoff delay; 0 for no delay
  * @backoff_list: index of its backoff list, when @list is
  *	ZR_SCHED_LIST_BACKOFF
@@ -175,6 +176,7 @@
  * @cancelled: was cancelled; none of its tasks may start
  * @held: none of its tasks may start until zr_sched_job_hold() ends the hold
  * @reserving: it is the gang that &struct zr_sched.reservation is for
+ * @run_failed: the current run of the gang is in @consecutive_failures
  */
 struct zr_sched_job {
 	char *id;
@@ -215,6 +217,7 @@
 	bool cancelled:1;
 	bool held:1;
 	bool reserving:1;
+	bool run_failed:1;
 };
 
 /**
--- a/tests/fakes/sched_model.c
+++ b/tests/fakes/sched_model.c
@@ -6,6 +6,9 @@
 
 #include "fakes/sched_model_private.h"
 
+/* A job fails after failures on this many workers at the earliest. */
+#define FAILED_RUNS_MIN 3
+
 static void *allocate(size_t count, size_t size)
 {
 	void *memory = calloc(count, size);
@@ -288,6 +291,14 @@
 		sched_model_task_assign(task, worker, attempt);
 }
 
+static void count_failed_run(struct model_job *job)
+{
+	if (job->run_failed)
+		return;
+	job->run_failed = job->kind == ZR_JOB_GANG;
+	job->failed_runs++;
+}
+
 void sched_model_task_ended(struct sched_model *model, const char *id,
 			    uint32_t index, uint32_t attempt,
 			    enum zr_sched_outcome outcome)
@@ -297,6 +308,8 @@
 	if (!task)
 		return;
 	sched_model_task_unassign(task);
+	if (outcome == ZR_SCHED_FAILED)
+		count_failed_run(task->job);
 	process_end(model, task, outcome);
 }
 
@@ -376,7 +389,9 @@
 		return job->ended == job->count;
 	if (state == ZR_JOB_CANCELLED)
 		return job->cancelled;
-	return job->failures > 0;
+	if (job->at_most_once)
+		return job->failures > 0;
+	return job->failed_runs >= FAILED_RUNS_MIN;
 }
 
 static void check_state_change(struct sched_model *model,
--- a/tests/fakes/sched_model_charge.c
+++ b/tests/fakes/sched_model_charge.c
@@ -50,6 +50,8 @@
 void sched_model_task_assign(struct model_task *task,
 			     struct model_worker *worker, uint32_t attempt)
 {
+	if (!task->job->running)
+		task->job->run_failed = false;
 	task->worker = worker;
 	task->state = MODEL_RUNNING;
 	task->attempt = attempt;
--- a/tests/fakes/sched_model_private.h
+++ b/tests/fakes/sched_model_private.h
@@ -130,7 +130,10 @@
  * @running: number of tasks that run, including @stopping
  * @stopping: number of running tasks that are being stopped
  * @ended: number of tasks that have succeeded
- * @failures: number of ended attempts for which the job may fail
+ * @failures: number of ended attempts for which an at-most-once job may fail
+ * @failed_runs: number of failed tasks, or of failed runs of a gang, each
+ *	counted once however many of its members fail
+ * @run_failed: whether the current run of the gang is in @failed_runs
  * @starts_now: not used
  * @tasks: its tasks
  */
@@ -153,6 +156,8 @@
 	uint32_t stopping;
 	uint32_t ended;
 	uint32_t failures;
+	uint32_t failed_runs;
+	bool run_failed;
 	uint32_t starts_now;
 	struct model_task *tasks;
 };
--- a/tests/unit/test_sched_model.c
+++ b/tests/unit/test_sched_model.c
@@ -369,6 +369,37 @@
 }
 END_TEST
 
+static void fail_gang_run(const char *id, uint32_t attempt)
+{
+	uint32_t i;
+
+	for (i = 0; i < 3; i++)
+		start_task(id, i, attempt, i ? WORKER_A : WORKER_B);
+	for (i = 0; i < 3; i++)
+		sched_model_task_ended(model, id, i, attempt, ZR_SCHED_FAILED);
+}
+
+/* A run of a gang counts once, however many of its members fail. */
+START_TEST(test_a_gang_fails_after_one_run)
+{
+	add_job("j", ZR_JOB_GANG, 3, 1000);
+	fail_gang_run("j", 1);
+	change_state("j", ZR_JOB_FAILED);
+	expect_violation(SCHED_MODEL_LOST);
+}
+END_TEST
+
+START_TEST(test_a_gang_fails_after_three_runs)
+{
+	add_job("j", ZR_JOB_GANG, 3, 1000);
+	fail_gang_run("j", 1);
+	fail_gang_run("j", 2);
+	fail_gang_run("j", 3);
+	change_state("j", ZR_JOB_FAILED);
+	expect_no_violation();
+}
+END_TEST
+
 START_TEST(test_a_job_is_cancelled_while_it_runs)
 {
 	add_job("j", ZR_JOB_BATCH, 1, 1000);
@@ -492,6 +523,8 @@
 	tcase_add_test(tcase, test_a_replayed_at_most_once_task_starts_again);
 	tcase_add_test(tcase, test_a_job_succeeds_before_all_tasks);
 	tcase_add_test(tcase, test_a_job_fails_without_a_failure);
+	tcase_add_test(tcase, test_a_gang_fails_after_one_run);
+	tcase_add_test(tcase, test_a_gang_fails_after_three_runs);
 	tcase_add_test(tcase, test_a_job_is_cancelled_while_it_runs);
 	tcase_add_test(tcase, test_a_job_does_not_end_after_its_tasks);
 	tcase_add_test(tcase, test_a_job_is_left_waiting);
