sched: delay a gang once for a failed run

Callers saw a gang wait 8 s before its second run instead of 1 s, when its four members had failed together or had not been started; with seven such members it waited 64 s.

Cause: each member that ended so raised the backoff level of its job, which doubles the delay, since a gang with running members is not on a backoff list, where a job is not delayed again.

The first such end of a run causes the delay; further ones of the same run, until the next start, do not. The delay doubles with each failed run, as before.

--- a/src/libzinniarack/sched/gang.c
+++ b/src/libzinniarack/sched/gang.c
@@ -63,6 +63,7 @@
 	uint32_t i;
 
 	job->run_failed = false;
+	job->backoff_attempt = 0;
 	for (i = 0; i < count; i++) {
 		zr_sched_worker_entry_unhold(sched, members[i], need);
 		starts += zr_sched_task_start(&placement, sched, handle,
--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -259,6 +259,17 @@
 		job->consecutive_failures >= ZR_SCHED_FAILURES_MAX);
 }
 
+/* A run of a gang causes one delay, however many of its members fail. */
+static void back_off_once(const struct zr_sched *sched,
+			  struct zr_sched_job *job, uint32_t index)
+{
+	if (job->backoff_attempt)
+		return;
+	if (job->kind == ZR_JOB_GANG)
+		job->backoff_attempt = job->task_entries[index].attempt;
+	zr_sched_job_back_off(sched, job);
+}
+
 static void update_task_state(const struct zr_sched *sched,
 			      struct zr_sched_job *job, uint32_t index,
 			      enum zr_sched_outcome outcome)
@@ -279,7 +290,7 @@
 	}
 	return_to_waiting(job, index);
 	if (outcome != ZR_SCHED_STOPPED && outcome != ZR_SCHED_LOST)
-		zr_sched_job_back_off(sched, job);
+		back_off_once(sched, job, index);
 }
 
 static void record_run(struct zr_sched *sched, zr_handle handle,
--- a/src/libzinniarack/sched/types.h
+++ b/src/libzinniarack/sched/types.h
@@ -145,6 +145,8 @@
  * @abandoned: number of tasks that must not be started again; any of them
  *	fails the job
  * @first_waiting: no task with a lower index waits
+ * @backoff_attempt: attempt of the member by whose end the current run of the
+ *	gang has caused a backoff delay; 0: none has
  * @claim_count: number of claims for its tasks
  * @size: declared resources of one task
  * @run_ms: declared run time of one task in milliseconds, 0 when unknown
@@ -191,6 +193,7 @@
 	uint32_t ended;
 	uint32_t abandoned;
 	uint32_t first_waiting;
+	uint32_t backoff_attempt;
 	uint32_t claim_count;
 	struct zr_resources size;
 	uint64_t run_ms;
