--- a/src/libzinniarack/sched/tasks.c
+++ b/src/libzinniarack/sched/tasks.c
@@ -229,6 +229,9 @@
 	if (error)
 		return error;
 	job->task_entries[index].attempt = attempt;
+	/* The ends that were replayed are of an earlier run of the gang. */
+	if (attempt > job->backoff_attempt)
+		job->backoff_attempt = 0;
 	zr_sched_job_event(sched, handle, ZR_JOB_EVENT_PLACED, "found running");
 	zr_sched_job_update_list(sched, handle, false);
 	if (job->cancelled)
@@ -259,19 +262,7 @@
 		job->consecutive_failures >= ZR_SCHED_FAILURES_MAX);
 }
 
-/* A run of a gang causes one delay, however many of its members fail. */
-static void back_off_once(const struct zr_sched *sched,
-			  struct zr_sched_job *job, uint32_t index)
-{
-	if (job->backoff_attempt)
-		return;
-	if (job->kind == ZR_JOB_GANG)
-		job->backoff_attempt = job->task_entries[index].attempt;
-	zr_sched_job_back_off(sched, job);
-}
-
-static void update_task_state(const struct zr_sched *sched,
-			      struct zr_sched_job *job, uint32_t index,
+static void update_task_state(struct zr_sched_job *job, uint32_t index,
 			      enum zr_sched_outcome outcome)
 {
 	struct zr_sched_task_entry *task_entry = &job->task_entries[index];
@@ -289,8 +280,43 @@
 		return;
 	}
 	return_to_waiting(job, index);
-	if (outcome != ZR_SCHED_STOPPED && outcome != ZR_SCHED_LOST)
-		back_off_once(sched, job, index);
+}
+
+/* Whether the job is delayed after the end of a task. */
+static bool causes_delay(const struct zr_sched_job *job, uint32_t index,
+			 enum zr_sched_outcome outcome)
+{
+	return job->task_entries[index].state == ZR_SCHED_TASK_WAITING &&
+	       outcome != ZR_SCHED_STOPPED && outcome != ZR_SCHED_LOST;
+}
+
+/* A run of a gang causes one delay, however many of its members fail. */
+static void back_off_once(const struct zr_sched *sched,
+			  struct zr_sched_job *job, uint32_t index)
+{
+	if (job->backoff_attempt)
+		return;
+	if (job->kind == ZR_JOB_GANG)
+		job->backoff_attempt = job->task_entries[index].attempt;
+	zr_sched_job_back_off(sched, job);
+}
+
+/*
+ * The ends in a journal do not tell which tasks failed in one run of a gang, or
+ * during one delay. The number of delays is at least that of the task with the
+ * most.
+ */
+static void replay_delay(const struct zr_sched *sched, struct zr_sched_job *job,
+			 uint32_t index)
+{
+	struct zr_sched_task_entry *entry = &job->task_entries[index];
+
+	if (entry->replayed_delays < UINT8_MAX)
+		entry->replayed_delays++;
+	if (job->kind == ZR_JOB_GANG && entry->attempt > job->backoff_attempt)
+		job->backoff_attempt = entry->attempt;
+	if (entry->replayed_delays > job->backoff_level)
+		zr_sched_job_back_off(sched, job);
 }
 
 static void record_run(struct zr_sched *sched, zr_handle handle,
@@ -339,7 +365,9 @@
 	record_run(sched, handle, &placement, outcome);
 	release_placement(sched, job->task_entries[index].placement);
 	update_health(sched, handle, &placement, outcome);
-	update_task_state(sched, job, index, outcome);
+	update_task_state(job, index, outcome);
+	if (causes_delay(job, index, outcome))
+		back_off_once(sched, job, index);
 	if (job->abandoned)
 		zr_sched_job_release_holds(sched, handle);
 	if (outcome != ZR_SCHED_SUCCEEDED)
@@ -364,7 +392,9 @@
 	zr_sched_now_refresh(sched);
 	zr_sched_job_release_holds(sched, handle);
 	job->task_entries[index].attempt = attempt;
-	update_task_state(sched, job, index, outcome);
+	update_task_state(job, index, outcome);
+	if (causes_delay(job, index, outcome))
+		replay_delay(sched, job, index);
 	zr_sched_job_update_state(sched, handle);
 	zr_sched_job_update_list(sched, handle, true);
 }
--- a/src/libzinniarack/sched/types.h
+++ b/src/libzinniarack/sched/types.h
@@ -122,12 +122,14 @@
  * @attempt: number of its last attempt, 0 before the first
  * @state: enum zr_sched_task_state
  * @preempt_count: number of times it was preempted
+ * @replayed_delays: number of its replayed ends that a backoff delay follows
  */
 struct zr_sched_task_entry {
 	zr_handle placement;
 	uint32_t attempt;
 	uint8_t state;
 	uint8_t preempt_count;
+	uint8_t replayed_delays;
 };
 
 /**
