sched: blame one worker for a failed run of a gang

Four gangs whose members had failed together, on the same four workers, kept every other job from starting there.

Cause: each member that failed counted as a failure of its worker, so that one failed run of a gang spoke against as many workers as it had failing members. Four such gangs made all of them suspect (ZR_SCHED_SUSPECT_FAILURES), and a suspect worker gets nothing but probes.

Only the member by which the run is counted is held against its worker. A worker that fails whatever it starts is still found: the other members of its gangs are stopped. Starts that fail are still held against each worker, since each of them has not started its task.

sched/gang_failures_other_jobs: all four workers were suspect before and the job "good" found no room; it starts at once now.

--- a/src/libzinniarack/sched/health.c
+++ b/src/libzinniarack/sched/health.c
@@ -9,6 +9,8 @@
  * different jobs fail on a worker and none succeeds in between, the worker
  * becomes suspect, and its failures no longer count against these jobs. A job
  * that fails on several workers, none of which is suspect, is at fault itself.
+ * A failed run of a gang is one failure, on the worker whose member fails
+ * first.
  *
  * A suspect worker gets no tasks but probes: one ordinary task at a time, at
  * growing intervals. The first probe that succeeds ends the suspicion.
@@ -131,18 +133,21 @@
 		clear_worker_failures(sched, worker);
 }
 
-static void count_job_failure(struct zr_sched_job *job, zr_handle worker)
+/*
+ * A run of a gang counts once, however many of its members fail. Returns false
+ * if it has been counted already.
+ */
+static bool count_job_failure(struct zr_sched_job *job, zr_handle worker)
 {
-	/* A run of a gang counts once, however many of its members fail. */
 	if (job->run_failed)
-		return;
+		return false;
 	job->run_failed = job->kind == ZR_JOB_GANG;
 	if (job->consecutive_failures < UINT8_MAX)
 		job->consecutive_failures++;
-	if (zr_sched_job_avoids_worker(job, worker))
-		return;
-	if (job->failed_on_count < ZR_SCHED_FAILED_ON_MAX)
+	if (!zr_sched_job_avoids_worker(job, worker) &&
+	    job->failed_on_count < ZR_SCHED_FAILED_ON_MAX)
 		job->failed_on[job->failed_on_count++] = worker;
+	return true;
 }
 
 void zr_sched_health_task_failed(struct zr_sched *sched, zr_handle handle,
@@ -158,8 +163,8 @@
 			extend_probe_interval(sched, entry);
 		return;
 	}
-	if (outcome == ZR_SCHED_FAILED)
-		count_job_failure(job, worker);
+	if (outcome == ZR_SCHED_FAILED && !count_job_failure(job, worker))
+		return;
 	if (!has_failed(entry, handle))
 		entry->failed_jobs[entry->failed_job_count++] = handle;
 	if (entry->failed_job_count == ZR_SCHED_SUSPECT_FAILURES)
