cell: count a broken connection to a relaying host once

A host that has lost the store, and whose calls another host makes for it, kept choosing a host to which every call failed, before it chose again the one to which a single attempt had failed.

Cause: when the connection to a host breaks, all calls that are open on it end, and each of them added to its relay_failures, by which the next host is chosen.

A failure now counts only for calls that were sent after the last one that has counted.

Failed before, passes now: test_broken_connection_counts_once in test_cell_peers. With four calls open on the first host, the second attempt after that went to the host to which the last call had failed.

--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -60,7 +60,9 @@
 	struct zr_rpc_client *client;
 	uint32_t millicpus;
 	unsigned int absent_reads; /* 0: it is registered */
+	/* Calls that were open at the time of a failure count with it. */
 	unsigned int relay_failures;
+	uint64_t relays_until_failure; /* number of the last call before it */
 };
 
 struct zr_cell_peers {
@@ -82,6 +84,7 @@
 	size_t count;
 	size_t alloc;
 	int64_t lease;
+	uint64_t relay_count; /* calls relayed so far */
 	bool registered;
 	bool request_in_flight;
 	bool active;
@@ -392,6 +395,7 @@
 struct relayed_call {
 	struct zr_cell_peers *peers;
 	char host[ZR_NAME_MAX];
+	uint64_t number;
 	zr_cell_relay_done_fn done;
 	void *ctx;
 };
@@ -423,14 +427,23 @@
 	return best;
 }
 
+static void count_relay_failure(const struct relayed_call *relayed)
+{
+	struct peer *peer = find_registered(relayed->peers, relayed->host);
+
+	if (!peer || relayed->number <= peer->relays_until_failure)
+		return;
+	peer->relay_failures++;
+	peer->relays_until_failure = relayed->peers->relay_count;
+}
+
 static void on_store_reply(void *ctx, int error, void *data)
 {
 	struct relayed_call *relayed = ctx;
 	const zx_cell_store_result *result = data;
-	struct peer *peer = find_registered(relayed->peers, relayed->host);
 
-	if (peer && (error < 0 || result->error == ZR_E_STORE_DOWN))
-		peer->relay_failures++;
+	if (error < 0 || result->error == ZR_E_STORE_DOWN)
+		count_relay_failure(relayed);
 	relayed->done(relayed->ctx, error, result);
 	free(relayed);
 }
@@ -449,6 +462,7 @@
 	if (!relayed)
 		abort();
 	relayed->peers = peers;
+	relayed->number = ++peers->relay_count;
 	relayed->done = done;
 	relayed->ctx = done_ctx;
 	snprintf(relayed->host, sizeof(relayed->host), "%s", peer->name);
--- a/tests/unit/test_cell_peers.c
+++ b/tests/unit/test_cell_peers.c
@@ -7,6 +7,7 @@
 #include "cell/peers.h"
 #include "cell/records.h"
 #include "fakes/fake_store.h"
+#include "fakes/raw_tcp.h"
 #include "zinniarack/errors.h"
 
 /* Time in which a host that is gone is forgotten: 8 reads, one each 4 s. */
@@ -188,6 +189,64 @@
 }
 END_TEST
 
+/* Timeout of a relayed call, in milliseconds. */
+#define RELAY_MS 500
+
+static unsigned int ended_relays;
+static int last_relay_error;
+
+static void on_relayed(void *ctx, int error, const zx_cell_store_result *result)
+{
+	(void)ctx;
+	(void)result;
+	ended_relays++;
+	last_relay_error = error;
+}
+
+/* Relays @count calls at the same time; returns the error of the last one. */
+static int relay(unsigned int count)
+{
+	char key[] = "k";
+	const zx_cell_store_args args = {.key = key};
+	unsigned int i;
+
+	ended_relays = 0;
+	for (i = 0; i < count; i++)
+		ck_assert(zr_cell_peers_relay(peers, &args, RELAY_MS,
+					      on_relayed, NULL));
+	while (ended_relays < count)
+		uv_run(loop, UV_RUN_ONCE);
+	return last_relay_error;
+}
+
+/*
+ * Regression: a broken connection counted once for each call that was open on
+ * it, so that a host to which one attempt had failed was chosen after a host
+ * to which nearly as many attempts had failed as there were open calls.
+ */
+START_TEST(test_broken_connection_counts_once)
+{
+	char address[32];
+	char registration[48];
+
+	/* A host that accepts connections and does not reply. */
+	ck_assert_int_ge(raw_listen(address, sizeof(address)), 0);
+	snprintf(registration, sizeof(registration), "%s 400", address);
+	set_registration("b", NULL);
+	set_registration("d", registration);
+	zr_cell_peers_set_active(peers, true);
+	advance(2L * READ_MS);
+	/* The largest host, c, refuses connections. */
+	ck_assert_int_eq(relay(4), ZR_E_UNREACHABLE);
+	ck_assert_int_eq(relay(1), ZR_E_OUTCOME_UNKNOWN);
+	/* One attempt has failed to each: c is chosen, as the larger one. */
+	ck_assert_int_eq(relay(1), ZR_E_UNREACHABLE);
+	/* Calls that are sent one after the other are counted one by one. */
+	ck_assert_int_eq(relay(1), ZR_E_OUTCOME_UNKNOWN);
+	ck_assert_int_eq(relay(1), ZR_E_UNREACHABLE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cell_peers");
@@ -199,6 +258,7 @@
 	tcase_add_test(tcase, test_proxies);
 	tcase_add_test(tcase, test_peer_removed_while_standing_by);
 	tcase_add_test(tcase, test_odd_registrations);
+	tcase_add_test(tcase, test_broken_connection_counts_once);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
