--- a/src/libzinniarack/sched/types.h
+++ b/src/libzinniarack/sched/types.h
@@ -21,13 +21,13 @@
 /** Maximum number of jobs and workers examined by one zr_sched_decide(). */
 #define ZR_SCHED_EXAMINED_MAX 8192
 /**
- * A job fails once its tasks have failed on this many different workers.
- * Services are exempt.
+ * A job fails once its tasks have failed on this many different workers, a gang
+ * in as many runs. Services are exempt.
  */
 #define ZR_SCHED_FAILED_ON_MAX 3
 /**
- * A job fails after this many failed tasks without a success in between.
- * Services are exempt.
+ * A job fails after this many failed tasks, a gang after this many failed runs,
+ * without a success in between. Services are exempt.
  */
 #define ZR_SCHED_FAILURES_MAX 6
 /**
@@ -122,12 +122,14 @@
  * @attempt: number of its last attempt, 0 before the first
  * @state: enum zr_sched_task_state
  * @preempt_count: number of times it was preempted
+ * @replayed_delays: number of its replayed ends that a backoff delay follows
  */
 struct zr_sched_task_entry {
 	zr_handle placement;
 	uint32_t attempt;
 	uint8_t state;
 	uint8_t preempt_count;
+	uint8_t replayed_delays;
 };
 
 /**
@@ -145,6 +147,8 @@
  * @abandoned: number of tasks that must not be started again; any of them
  *	fails the job
  * @first_waiting: no task with a lower index waits
+ * @backoff_attempt: attempt of the member by whose end the current run of the
+ *	gang has caused a backoff delay; 0: none has
  * @claim_count: number of claims for its tasks
  * @size: declared resources of one task
  * @run_ms: declared run time of one task in milliseconds, 0 when unknown
@@ -158,9 +162,10 @@
  * @effective_priority: its priority (@worth) plus that of its queue
  * @next: next job on @list
  * @previous: previous job on @list
- * @failed_on: workers on which its tasks failed
+ * @failed_on: workers on which its tasks failed; of a gang, one for each run
  * @failed_on_count: number of entries of @failed_on
- * @consecutive_failures: number of failed tasks since the last success
+ * @consecutive_failures: number of failed tasks, or of failed runs of a gang,
+ *	since the last success
  * @backoff_level: level of its latest backoff delay; 0 for no delay
  * @backoff_list: index of its backoff list, when @list is
  *	ZR_SCHED_LIST_BACKOFF
@@ -175,6 +180,7 @@
  * @cancelled: was cancelled; none of its tasks may start
  * @held: none of its tasks may start until zr_sched_job_hold() ends the hold
  * @reserving: it is the gang that &struct zr_sched.reservation is for
+ * @run_failed: the current run of the gang is in @consecutive_failures
  */
 struct zr_sched_job {
 	char *id;
@@ -189,6 +195,7 @@
 	uint32_t ended;
 	uint32_t abandoned;
 	uint32_t first_waiting;
+	uint32_t backoff_attempt;
 	uint32_t claim_count;
 	struct zr_resources size;
 	uint64_t run_ms;
@@ -215,6 +222,7 @@
 	bool cancelled:1;
 	bool held:1;
 	bool reserving:1;
+	bool run_failed:1;
 };
 
 /**
