net: one memory budget for all connections of a process

Clients that did not behave ended a process, which ran out of memory: bodies far over the limit, announced or sent, and many large bodies of a legal size, whole, in pieces or in chunks, most of them stopped just short of their end.

Cause: each listener had a limit for a body and one for the number of connections, and nothing limited their product, nor the sum over the listeners: 1,500 bodies of 1 MiB for callers, 1,024 for readiness and as many for metrics, and 512 RPC records of 8 MiB.

All servers of a process share a budget for what their connections hold, from the first byte of a request until its reply has been read. When it is exceeded, the connections whose incomplete request has made no progress for longest are closed; a complete request that does not fit gets 503 with Retry-After before it is handled. Without message_memory_mb it is a quarter of the memory that the process may use, at most 32 MiB. What a poll for events can add is limited by the receive buffers, and large blocks go back to the system when they are freed. Listeners for probes and metrics take no large bodies.

--- a/include/zinniarack/cell_host.h
+++ b/include/zinniarack/cell_host.h
@@ -42,6 +42,9 @@
  *	they are expected to finish in time
  * @admission: admission control: whether jobs that cannot end in time are
  *	rejected
+ * @message_memory_mb: memory for requests and replies that are being received,
+ *	handled or sent, over all connections, in MiB; 0: a quarter of the
+ *	memory that the process may use
  * @departures: what is done with runs of workers that announce their departure
  * @departures.move_runs: stop those that cannot finish in time, so that they
  *	start again elsewhere; otherwise they end with their worker
@@ -64,6 +67,7 @@
 	uint32_t keep_ended_ms;
 	uint32_t key_age_max_ms;
 	uint32_t leave_ms;
+	uint32_t message_memory_mb;
 	struct {
 		enum zr_log_level level;
 		enum zr_log_format format;
--- a/include/zinniarack/settings.h
+++ b/include/zinniarack/settings.h
@@ -50,6 +50,7 @@
 		uint32_t body_bytes;	     /* max. size of a request body */
 		uint32_t request_timeout_ms; /* for receiving a request */
 		uint32_t connections;	     /* max. open from callers */
+		uint32_t message_memory_mb;  /* of all connections; 0: derive */
 	} limits;
 	struct zr_config_key *operators;
 	uint32_t operators_count;
--- a/src/libzinniarack/cell/host.c
+++ b/src/libzinniarack/cell/host.c
@@ -35,6 +35,9 @@
 #define DRAIN_DELAY_MS 2600
 #define STOP_POLL_MS 50
 #define CONNECTIONS_MAX 1500
+/* Readiness probes and readers of metrics are few, and send no body. */
+#define PROBE_CONNECTIONS_MAX 64
+#define PROBE_BODY_BYTES_MAX 4096
 #define BODY_BYTES_MAX (1 << 20)
 #define REQUEST_TIMEOUT_MS 10000
 
@@ -57,6 +60,7 @@
 	struct zr_http_server *caller_server;
 	struct zr_http_server *readiness_server;
 	struct zr_http_server *metrics_server;
+	struct zr_net_budget *budget;
 	struct zr_timer *update_timer;
 	struct timespec update_due_at;
 	struct zr_timer *stop_timer;
@@ -273,22 +277,37 @@
 	return zr_cell_frontend_new(&host->frontend, &frontend_options);
 }
 
+/* The budget is that of all servers. */
+static int create_budget(struct zr_cell_host *host)
+{
+	const struct zr_cell_host_options *options = &host->options;
+
+	return zr_net_budget_new(&host->budget,
+				 (size_t)options->settings->message_memory_mb
+					 << 20,
+				 options->clock, options->metrics);
+}
+
 static int start_servers(struct zr_cell_host *host)
 {
 	const struct zr_cell_host_options *options = &host->options;
 	const struct zr_cell_settings *settings = options->settings;
 	const struct zr_http_server_options limits = {
 		ZR_HTTP_SERVER_OPTIONS_VERSION, BODY_BYTES_MAX,
-		REQUEST_TIMEOUT_MS, CONNECTIONS_MAX};
+		REQUEST_TIMEOUT_MS, CONNECTIONS_MAX, host->budget};
+	const struct zr_http_server_options probe_limits = {
+		ZR_HTTP_SERVER_OPTIONS_VERSION, PROBE_BODY_BYTES_MAX,
+		REQUEST_TIMEOUT_MS, PROBE_CONNECTIONS_MAX, host->budget};
 	int error;
 
 	error = zr_http_server_new(&host->metrics_server, options->loop,
-				   settings->listen.metrics, NULL,
+				   settings->listen.metrics, &probe_limits,
 				   zr_metrics_page_serve, options->metrics);
 	if (!error)
-		error = zr_http_server_new(
-			&host->readiness_server, options->loop,
-			settings->listen.readiness, NULL, on_readiness, host);
+		error = zr_http_server_new(&host->readiness_server,
+					   options->loop,
+					   settings->listen.readiness,
+					   &probe_limits, on_readiness, host);
 	if (!error)
 		error = zr_http_server_new(&host->caller_server, options->loop,
 					   settings->listen.callers, &limits,
@@ -308,9 +327,13 @@
 	host->options = *options;
 	host->platform = options->platform;
 	host->timers = zr_uv_timers_for_loop(options->loop);
-	error = create_store(host);
+	error = create_budget(host);
+	if (!error)
+		error = create_store(host);
 	if (!error)
 		error = create_store_clients(host);
+	if (!error)
+		zr_cell_peers_set_budget(host->peers, host->budget);
 	host->update_due_at = zr_clock_now(options->clock);
 	if (!error)
 		on_update(host);
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -858,3 +858,9 @@
 	*out = peers;
 	return 0;
 }
+
+void zr_cell_peers_set_budget(struct zr_cell_peers *peers,
+			      struct zr_net_budget *budget)
+{
+	zr_rpc_server_set_budget(peers->server, budget);
+}
--- a/src/libzinniarack/cell/peers.h
+++ b/src/libzinniarack/cell/peers.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include "cell/relay.h"
+#include "net/budget.h"
 #include "cell/scheduler.h"
 #include "zinniarack/cell.h"
 #include "zinniarack/timer.h"
@@ -75,6 +76,10 @@
 		      zr_cell_adviser_proxies_fn on_proxies_changed,
 		      const struct zr_cell_peers_events *events, void *ctx);
 
+/** zr_cell_peers_set_budget() - see zr_rpc_server_set_budget() */
+void zr_cell_peers_set_budget(struct zr_cell_peers *peers,
+			      struct zr_net_budget *budget);
+
 /**
  * zr_cell_peers_notify() - notify the owner of a job or a cancellation
  * @peers: the hosts
--- a/src/libzinniarack/config/settings.c
+++ b/src/libzinniarack/config/settings.c
@@ -69,6 +69,9 @@
 	CYAML_FIELD_UINT("connections", CYAML_FLAG_OPTIONAL,
 			 __typeof__(((struct zr_settings *)0)->limits),
 			 connections),
+	CYAML_FIELD_UINT("message_memory_mb", CYAML_FLAG_OPTIONAL,
+			 __typeof__(((struct zr_settings *)0)->limits),
+			 message_memory_mb),
 	CYAML_FIELD_END};
 
 static const cyaml_schema_field_t operator_fields[] = {
@@ -145,6 +148,8 @@
 	RANGE("limits.body_bytes", 1024, 16777216, "bytes", "1048576"),
 	RANGE("limits.request_timeout_ms", 100, 600000, "ms", "10000"),
 	RANGE("limits.connections", 1, 65536, "connections", "1024"),
+	RANGE("limits.message_memory_mb", 4, 65536, "MiB",
+	      "a quarter of the memory, up to 32"),
 	NAME("operators[].id"),
 	HEX("operators[].salt"),
 	HEX("operators[].sha256"),
--- a/src/libzinniarack/entry/entry.c
+++ b/src/libzinniarack/entry/entry.c
@@ -16,6 +16,8 @@
 
 #define TICK_MS 500
 #define GRANTS_TIMEOUT_MS 1000
+/* Number of bodies of the largest size that the memory budget allows. */
+#define LARGEST_BODIES 4
 
 /* A grant request in flight. */
 struct grant_call {
@@ -163,9 +165,12 @@
 				    settings->name, settings->failure_domain);
 	if (error < 0)
 		return error;
-	return zr_rpc_server_new(&entry->rpc, entry->loop, settings->entry.rpc,
-				 ZX_PEERS, ZX_PEERS_V1,
-				 zr_config_peers_dispatch_table, entry->config);
+	error = zr_rpc_server_new(
+		&entry->rpc, entry->loop, settings->entry.rpc, ZX_PEERS,
+		ZX_PEERS_V1, zr_config_peers_dispatch_table, entry->config);
+	if (!error)
+		zr_rpc_server_set_budget(entry->rpc, entry->budget);
+	return error;
 }
 
 static int start_http(struct zr_entry *entry)
@@ -176,11 +181,25 @@
 	options.max_body_bytes = settings->limits.body_bytes;
 	options.request_timeout_ms = settings->limits.request_timeout_ms;
 	options.max_connections = settings->limits.connections;
+	options.budget = entry->budget;
 	return zr_http_server_new(&entry->http, entry->loop,
 				  settings->entry.http, &options, entry_handle,
 				  entry);
 }
 
+/* The budget of all servers. A request of the largest size fits in any case. */
+static int create_budget(struct zr_entry *entry)
+{
+	size_t least =
+		(size_t)LARGEST_BODIES * entry->settings->limits.body_bytes;
+	size_t bytes = (size_t)entry->settings->limits.message_memory_mb << 20;
+
+	if (!bytes)
+		bytes = zr_net_budget_default();
+	return zr_net_budget_new(&entry->budget, bytes > least ? bytes : least,
+				 entry->clock, entry->metrics);
+}
+
 static int create_metrics(struct zr_entry *entry)
 {
 	int error = zr_metrics_new(&entry->metrics);
@@ -240,6 +259,7 @@
 	entry->clock = clock;
 	entry->settings = settings;
 	if ((error = create_metrics(entry)) < 0 ||
+	    (error = create_budget(entry)) < 0 ||
 	    (error = zr_etcd_new(&entry->store, loop, settings->store,
 				 entry->metrics)) < 0 ||
 	    (error = zr_http_host_list_new(&entry->host_list, loop,
@@ -293,6 +313,7 @@
 	uv_run(entry->loop, UV_RUN_DEFAULT);
 	zr_http_server_free(entry->http);
 	zr_once_store_free(&entry->once_backend);
+	zr_net_budget_free(entry->budget);
 	zr_metrics_free(entry->metrics);
 	free(entry->hosts);
 	free(entry);
--- a/src/libzinniarack/entry/private.h
+++ b/src/libzinniarack/entry/private.h
@@ -68,6 +68,7 @@
 	struct zr_router *router;
 	struct zr_once_backend once_backend;
 	struct zr_http_server *http;
+	struct zr_net_budget *budget;
 	uint64_t request_sequence;
 	struct zr_metric *keys_unconfirmed_total;
 };
--- a/src/libzinniarack/net/http_server.c
+++ b/src/libzinniarack/net/http_server.c
@@ -15,6 +15,15 @@
 
 #define HOST_PORT_ANY 65535
 #define REPLY_CHECK_INTERVAL_MS 250
+/*
+ * Maximum of the bytes that wait in the kernel for each connection. They are
+ * read in one go, before the memory budget is enforced.
+ */
+#define RECEIVE_BUFFER_BYTES 32768
+/* Memory of a connection beside the bytes that it has received. */
+#define CONNECTION_BYTES 8192
+/* Time after which a rejected caller should try again. */
+#define RETRY_AFTER_S "1"
 
 struct zr_http_server {
 	uv_loop_t *loop;
@@ -25,6 +34,7 @@
 	bool listening;
 	bool draining;
 	uv_check_t after_poll;
+	uv_check_t account_check;
 	uv_timer_t reply_check;
 	unsigned int open_exchanges;
 	unsigned int open_connections;
@@ -65,6 +75,10 @@
 	bool is_shut_down;
 	bool replying;		   /* the reply has not been sent completely */
 	uint64_t reply_started_at; /* ms, uv_now() */
+	size_t reply_bytes;
+	size_t input_bytes; /* received and not consumed at the last check */
+	uint64_t moved;	    /* bytes received so far */
+	zr_handle account;
 };
 
 static const char *reason_phrase(int status)
@@ -110,9 +124,11 @@
 	struct zr_http_exchange *exchange = data;
 
 	exchange->server->open_exchanges--;
-	if (exchange->connection)
+	if (exchange->connection) {
 		exchange->connection->busy = exchange->connection->replying =
 			false;
+		exchange->connection->reply_bytes = 0;
+	}
 	if (!exchange->replied && exchange->on_disconnect)
 		exchange->on_disconnect(exchange->disconnect_ctx);
 }
@@ -139,6 +155,41 @@
 	DL_APPEND(server->connections, connection);
 }
 
+static enum zr_net_state memory_state(const struct connection *connection)
+{
+	if (connection->replying)
+		return ZR_NET_REPLYING;
+	return connection->busy ? ZR_NET_HANDLING : ZR_NET_RECEIVING;
+}
+
+static void update_account(struct connection *connection)
+{
+	const struct zr_http_server *server = connection->server;
+	size_t bytes = 0;
+
+	/* h2o has freed what the socket of a closed connection held. */
+	if (!uv_is_closing((const uv_handle_t *)&connection->tcp)) {
+		const h2o_buffer_t *input = connection->sock->input;
+
+		if (input->size > connection->input_bytes)
+			connection->moved +=
+				input->size - connection->input_bytes;
+		connection->input_bytes = input->size;
+		bytes = CONNECTION_BYTES + input->capacity +
+			connection->reply_bytes;
+	}
+	zr_net_account_set(server->options.budget, connection->account, bytes,
+			   connection->moved, memory_state(connection));
+}
+
+/* Whether there is memory to handle a complete request. */
+static bool fits_budget(const struct zr_http_exchange *exchange)
+{
+	if (exchange->connection)
+		update_account(exchange->connection);
+	return zr_net_budget_enforce(exchange->server->options.budget);
+}
+
 static int on_request(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct zr_http_server *server = ((struct server_handler *)self)->server;
@@ -161,7 +212,13 @@
 	exchange->method =
 		copy_text(&req->pool, req->method.base, req->method.len);
 	exchange->path = copy_text(&req->pool, req->path.base, path_end);
-	server->handler(server->ctx, exchange);
+	if (fits_budget(exchange)) {
+		server->handler(server->ctx, exchange);
+		return 0;
+	}
+	req->http1_is_persistent = 0;
+	zr_http_add_reply_header(exchange, "retry-after", RETRY_AFTER_S);
+	zr_http_reply(exchange, 503, "text/plain", NULL, 0);
 	return 0;
 }
 
@@ -171,6 +228,8 @@
 
 	connection->server->open_connections--;
 	if (connection->sock) {
+		zr_net_account_close(connection->server->options.budget,
+				     connection->account);
 		DL_DELETE(connection->server->connections, connection);
 		HASH_DEL(connection->server->connection_by_socket, connection);
 	}
@@ -187,6 +246,39 @@
 	       !shutdown(fd, SHUT_RDWR);
 }
 
+/*
+ * Closes a connection for its memory. A request that is not complete has not
+ * been handled, so its caller is told to try again.
+ */
+static void on_reclaim(void *ctx)
+{
+	static char reply[] = "HTTP/1.1 503 Service Unavailable\r\n"
+			      "Connection: close\r\n"
+			      "Retry-After: " RETRY_AFTER_S "\r\n"
+			      "Content-Length: 0\r\n\r\n";
+	struct connection *connection = ctx;
+	uv_buf_t buf = uv_buf_init(reply, sizeof(reply) - 1);
+
+	if (connection->is_shut_down)
+		return;
+	if (!connection->busy)
+		uv_try_write((uv_stream_t *)&connection->tcp, &buf, 1);
+	shut_down_connection(connection);
+}
+
+/* Runs after each poll for events, which may have received data. */
+static void on_account_check(uv_check_t *check)
+{
+	struct zr_http_server *server = check->data;
+	struct connection *connection;
+
+	DL_FOREACH(server->connections, connection)
+	{
+		update_account(connection);
+	}
+	zr_net_budget_enforce(server->options.budget);
+}
+
 /*
  * Closes the least recently used connection without a request in progress, so
  * that a flood of idle connections cannot keep out callers with requests.
@@ -243,6 +335,8 @@
 	sock = h2o_uv_socket_create((uv_stream_t *)&connection->tcp,
 				    on_connection_closed);
 	connection->sock = sock;
+	connection->account = zr_net_account_open(
+		server->options.budget, ZR_NET_CALLER, on_reclaim, connection);
 	DL_APPEND(server->connections, connection);
 	HASH_ADD_PTR(server->connection_by_socket, sock, connection);
 	h2o_accept(&server->accept, sock);
@@ -250,14 +344,27 @@
 
 static int start_listening(struct zr_http_server *server, const char *address)
 {
+	int bytes = RECEIVE_BUFFER_BYTES;
+	int error;
+
 	uv_timer_init(server->loop, &server->reply_check);
 	server->reply_check.data = server;
 	uv_timer_start(&server->reply_check, on_reply_timeout_check,
 		       REPLY_CHECK_INTERVAL_MS, REPLY_CHECK_INTERVAL_MS);
+	if (server->options.budget) {
+		uv_check_init(server->loop, &server->account_check);
+		server->account_check.data = server;
+		uv_check_start(&server->account_check, on_account_check);
+		uv_unref((uv_handle_t *)&server->account_check);
+	}
 	uv_tcp_init(server->loop, &server->listener);
 	server->listener.data = server;
 	server->listening = true;
-	return zr_address_listen(&server->listener, address, on_accept);
+	error = zr_address_listen(&server->listener, address, on_accept);
+	/* Accepted connections inherit it. */
+	if (!error && server->options.budget)
+		uv_recv_buffer_size((uv_handle_t *)&server->listener, &bytes);
+	return error;
 }
 
 static void configure_h2o(struct zr_http_server *server)
@@ -334,6 +441,8 @@
 	uv_close((uv_handle_t *)after_poll, NULL);
 	uv_close((uv_handle_t *)&server->listener, NULL);
 	uv_close((uv_handle_t *)&server->reply_check, NULL);
+	if (server->options.budget)
+		uv_close((uv_handle_t *)&server->account_check, NULL);
 }
 
 void zr_http_server_stop(struct zr_http_server *server)
@@ -453,6 +562,8 @@
 		exchange->connection->replying = true;
 		exchange->connection->reply_started_at =
 			uv_now(exchange->server->loop);
+		exchange->connection->reply_bytes = length;
+		update_account(exchange->connection);
 	}
 	req->res.status = status;
 	req->res.reason = reason_phrase(status);
--- a/src/libzinniarack/net/http_server.h
+++ b/src/libzinniarack/net/http_server.h
@@ -5,6 +5,8 @@
 #include <stddef.h>
 #include <uv.h>
 
+#include "net/budget.h"
+
 /**
  * DOC: HTTP server
  *
@@ -34,18 +36,23 @@
  * @max_connections: maximum number of open connections; when it is exceeded,
  *	the least recently used connection without a request in progress is
  *	closed, or the new one if all have a request in progress
+ * @budget: budget of the process for what connections hold, which must outlive
+ *	the server; NULL: they are not accounted for. A request that does not
+ *	fit gets status 503, or its connection is closed; it has not been
+ *	handled then
  */
 struct zr_http_server_options {
 	unsigned int version;
 	size_t max_body_bytes;
 	unsigned int request_timeout_ms;
 	unsigned int max_connections;
+	struct zr_net_budget *budget;
 };
 
-#define ZR_HTTP_SERVER_OPTIONS_VERSION 1
-#define ZR_HTTP_SERVER_OPTIONS_INIT                                  \
-	{                                                            \
-		ZR_HTTP_SERVER_OPTIONS_VERSION, 1 << 20, 10000, 1024 \
+#define ZR_HTTP_SERVER_OPTIONS_VERSION 2
+#define ZR_HTTP_SERVER_OPTIONS_INIT                                        \
+	{                                                                  \
+		ZR_HTTP_SERVER_OPTIONS_VERSION, 1 << 20, 10000, 1024, NULL \
 	}
 
 /**
--- a/src/libzinniarack/net/rpc_server.c
+++ b/src/libzinniarack/net/rpc_server.c
@@ -36,6 +36,7 @@
 	rpcvers_t version;
 	const struct zr_rpc_dispatch_entry *dispatch_table;
 	void *ctx;
+	struct zr_net_budget *budget;
 	/* Ordered by last use, least recently used first. */
 	struct connection *connections;
 	unsigned int connection_count;
@@ -114,6 +115,8 @@
 		   call->procedure->result_codec, result);
 	connection->open_calls--;
 	connection->server->open_calls--;
+	if (!connection->open_calls && connection->stream)
+		zr_rpc_stream_set_handling(connection->stream, false);
 	free(call);
 	maybe_free_connection(connection);
 }
@@ -135,7 +138,8 @@
 		call->connection = connection;
 		call->procedure = procedure;
 		call->xid = xid;
-		connection->open_calls++;
+		if (!connection->open_calls++)
+			zr_rpc_stream_set_handling(connection->stream, true);
 		connection->server->open_calls++;
 		entry->handler(connection->server->ctx, call, args);
 	}
@@ -173,18 +177,30 @@
 			   (xdrproc_t)encode_no_result, NULL);
 }
 
-/* Closes the least recently used connection without an open call. */
-static void close_lru_connection(struct zr_rpc_server *server)
+/*
+ * Closes the least recently used connection without an open call. Returns false
+ * if there is none.
+ */
+static bool close_lru_connection(struct zr_rpc_server *server)
 {
 	struct connection *connection;
 
 	DL_FOREACH(server->connections, connection)
 	{
-		if (!connection->stream || connection->open_calls)
+		if (!connection->stream || connection->open_calls ||
+		    zr_rpc_stream_is_closing(connection->stream))
 			continue;
 		zr_rpc_stream_close(connection->stream);
-		return;
+		return true;
 	}
+	return false;
+}
+
+/* Makes room for a connection. Returns false if it must be closed at once. */
+static bool admit_connection(struct zr_rpc_server *server)
+{
+	return server->connection_count < CONNECTIONS_MAX ||
+	       close_lru_connection(server);
 }
 
 static void on_accept(uv_stream_t *listener, int status)
@@ -195,11 +211,11 @@
 	};
 	struct zr_rpc_server *server = listener->data;
 	struct connection *connection;
+	bool admitted;
 
 	if (status < 0)
 		return;
-	if (server->connection_count == CONNECTIONS_MAX)
-		close_lru_connection(server);
+	admitted = admit_connection(server);
 	connection = calloc(1, sizeof(*connection));
 	if (!connection)
 		abort();
@@ -207,10 +223,12 @@
 	if (zr_rpc_stream_new(&connection->stream, server->loop, &events,
 			      connection))
 		abort();
+	zr_rpc_stream_set_budget(connection->stream, server->budget);
 	DL_APPEND(server->connections, connection);
 	server->connection_count++;
 	if (uv_accept(listener,
-		      (uv_stream_t *)zr_rpc_stream_tcp(connection->stream)))
+		      (uv_stream_t *)zr_rpc_stream_tcp(connection->stream)) ||
+	    !admitted)
 		zr_rpc_stream_close(connection->stream);
 	else
 		zr_rpc_stream_start_reading(connection->stream);
@@ -224,6 +242,12 @@
 	maybe_free_server(server);
 }
 
+void zr_rpc_server_set_budget(struct zr_rpc_server *server,
+			      struct zr_net_budget *budget)
+{
+	server->budget = budget;
+}
+
 unsigned int zr_rpc_server_open_calls(const struct zr_rpc_server *server)
 {
 	return server->open_calls;
--- a/src/libzinniarack/net/rpc_server.h
+++ b/src/libzinniarack/net/rpc_server.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <uv.h>
 
+#include "net/budget.h"
 #include "net/rpc_client.h"
 
 /**
@@ -54,6 +55,16 @@
 		      const struct zr_rpc_dispatch_entry *dispatch_table,
 		      void *ctx);
 
+/**
+ * zr_rpc_server_set_budget() - account for what connections hold
+ * @server: the server
+ * @budget: budget of the process, which must outlive the server
+ *
+ * Applies to connections that are accepted afterwards.
+ */
+void zr_rpc_server_set_budget(struct zr_rpc_server *server,
+			      struct zr_net_budget *budget);
+
 /**
  * zr_rpc_reply() - reply to a call and free it
  * @call: the call
--- a/src/libzinniarack/net/rpc_stream.c
+++ b/src/libzinniarack/net/rpc_stream.c
@@ -9,6 +9,7 @@
 #define RECORD_MARK_BYTES 4u
 #define LAST_FRAGMENT_BIT 0x80000000u
 #define READ_BUFFER_BYTES 65536
+#define RECEIVED_ALLOC_MIN 4096
 #define MESSAGE_HEADER_MAX_BYTES 512u
 /* If more bytes are unsent, the peer counts as dead: the stream is closed. */
 #define WRITE_QUEUE_MAX_BYTES (32u << 20)
@@ -23,6 +24,10 @@
 	size_t received_length;
 	size_t received_alloc;
 	uint64_t received_at_ms;
+	struct zr_net_budget *budget;
+	zr_handle account;
+	uint64_t received_total;
+	bool handling; /* a received call has no reply yet */
 };
 
 struct pending_write {
@@ -61,6 +66,7 @@
 	struct zr_rpc_stream *stream = handle->data;
 
 	stream->events.closed(stream->ctx);
+	zr_net_account_close(stream->budget, stream->account);
 	free(stream->received);
 	free(stream);
 }
@@ -73,6 +79,46 @@
 	uv_close((uv_handle_t *)&stream->tcp, on_closed);
 }
 
+static void on_reclaim(void *ctx)
+{
+	zr_rpc_stream_close(ctx);
+}
+
+void zr_rpc_stream_set_budget(struct zr_rpc_stream *stream,
+			      struct zr_net_budget *budget)
+{
+	stream->budget = budget;
+	stream->account =
+		zr_net_account_open(budget, ZR_NET_PEER, on_reclaim, stream);
+}
+
+static void update_account(struct zr_rpc_stream *stream)
+{
+	size_t unsent = uv_stream_get_write_queue_size(
+		(const uv_stream_t *)&stream->tcp);
+	enum zr_net_state state = ZR_NET_RECEIVING;
+
+	if (stream->handling)
+		state = ZR_NET_HANDLING;
+	else if (unsent)
+		state = ZR_NET_REPLYING;
+	zr_net_account_set(stream->budget, stream->account,
+			   stream->received_alloc + unsent,
+			   stream->received_total, state);
+	zr_net_budget_enforce(stream->budget);
+}
+
+void zr_rpc_stream_set_handling(struct zr_rpc_stream *stream, bool handling)
+{
+	stream->handling = handling;
+	update_account(stream);
+}
+
+bool zr_rpc_stream_is_closing(const struct zr_rpc_stream *stream)
+{
+	return stream->closing;
+}
+
 static int append_bytes(struct zr_rpc_stream *stream, const char *bytes,
 			size_t length)
 {
@@ -82,7 +128,7 @@
 
 	if (needed > alloc) {
 		while (alloc < needed)
-			alloc = alloc ? alloc * 2 : READ_BUFFER_BYTES;
+			alloc = alloc ? alloc * 2 : RECEIVED_ALLOC_MIN;
 		received = realloc(stream->received, alloc);
 		if (!received)
 			return ZR_E_NOMEM;
@@ -91,6 +137,7 @@
 	}
 	memcpy(stream->received + stream->received_length, bytes, length);
 	stream->received_length = needed;
+	stream->received_total += length;
 	return 0;
 }
 
@@ -130,6 +177,30 @@
 	return 0;
 }
 
+/* A large record leaves no large buffer behind. */
+static void shrink_buffer(struct zr_rpc_stream *stream)
+{
+	if (stream->received_length ||
+	    stream->received_alloc <= READ_BUFFER_BYTES)
+		return;
+	free(stream->received);
+	stream->received = NULL;
+	stream->received_alloc = 0;
+}
+
+static int receive_bytes(struct zr_rpc_stream *stream, const char *bytes,
+			 size_t length)
+{
+	int error = append_bytes(stream, bytes, length);
+
+	update_account(stream);
+	if (!error)
+		error = deliver_records(stream);
+	shrink_buffer(stream);
+	update_account(stream);
+	return error;
+}
+
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
 	/* Shared by all reads, which the loop runs one after the other. */
@@ -147,8 +218,7 @@
 	if (!nread || stream->closing)
 		return;
 	stream->received_at_ms = uv_now(tcp->loop);
-	if (nread < 0 || append_bytes(stream, buf->base, (size_t)nread) < 0 ||
-	    deliver_records(stream) < 0)
+	if (nread < 0 || receive_bytes(stream, buf->base, (size_t)nread) < 0)
 		zr_rpc_stream_close(stream);
 }
 
@@ -168,6 +238,7 @@
 {
 	struct pending_write *pending = (struct pending_write *)write;
 
+	update_account(write->handle->data);
 	/* A failed write is also reported as a read error of the stream. */
 	(void)status;
 	free(pending->bytes);
@@ -195,9 +266,11 @@
 	pending->bytes = bytes;
 	if (uv_write(&pending->write, (uv_stream_t *)&stream->tcp, &buf, 1,
 		     on_write_done)) {
-		on_write_done(&pending->write, 0);
+		free(pending->bytes);
+		free(pending);
 		return ZR_E_UNREACHABLE;
 	}
+	update_account(stream);
 	return 0;
 }
 
--- a/src/libzinniarack/net/rpc_stream.h
+++ b/src/libzinniarack/net/rpc_stream.h
@@ -8,6 +8,8 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "net/budget.h"
+
 /**
  * DOC: ONC RPC record stream
  *
@@ -45,12 +47,33 @@
 int zr_rpc_stream_new(struct zr_rpc_stream **out, uv_loop_t *loop,
 		      const struct zr_rpc_stream_events *events, void *ctx);
 
+/**
+ * zr_rpc_stream_set_budget() - account for what the stream holds
+ * @stream: the stream
+ * @budget: budget of the process, which must outlive the stream; NULL: none
+ *
+ * The stream is closed if a record that is not complete, or messages that the
+ * peer has not read, do not fit into the budget.
+ */
+void zr_rpc_stream_set_budget(struct zr_rpc_stream *stream,
+			      struct zr_net_budget *budget);
+
 /** zr_rpc_stream_tcp() - the TCP handle, to be connected by the owner */
 uv_tcp_t *zr_rpc_stream_tcp(struct zr_rpc_stream *stream);
 
 /** zr_rpc_stream_ctx() - the @ctx given to zr_rpc_stream_new() */
 void *zr_rpc_stream_ctx(const struct zr_rpc_stream *stream);
 
+/**
+ * zr_rpc_stream_set_handling() - set whether a received call has no reply yet
+ *
+ * Its memory budget does not close the stream meanwhile.
+ */
+void zr_rpc_stream_set_handling(struct zr_rpc_stream *stream, bool handling);
+
+/** zr_rpc_stream_is_closing() - whether the stream has been closed */
+bool zr_rpc_stream_is_closing(const struct zr_rpc_stream *stream);
+
 /** zr_rpc_stream_start_reading() - start reading from a connected stream */
 void zr_rpc_stream_start_reading(struct zr_rpc_stream *stream);
 
--- a/src/libzinniarack/scheduler/scheduler.c
+++ b/src/libzinniarack/scheduler/scheduler.c
@@ -51,6 +51,7 @@
 	struct zr_scheduler_service service;
 	struct zr_rpc_server *rpc;
 	struct zr_http_server *http;
+	struct zr_net_budget *budget;
 };
 
 /*
@@ -205,6 +206,7 @@
 {
 	const struct zr_settings *settings = scheduler->settings;
 	struct zr_scheduler_service *service = &scheduler->service;
+	struct zr_http_server_options options = ZR_HTTP_SERVER_OPTIONS_INIT;
 	int error;
 
 	service->domain = scheduler->domain;
@@ -220,8 +222,10 @@
 				  service);
 	if (error < 0)
 		return error;
+	zr_rpc_server_set_budget(scheduler->rpc, scheduler->budget);
+	options.budget = scheduler->budget;
 	return zr_http_server_new(&scheduler->http, scheduler->loop,
-				  settings->scheduler.http, NULL,
+				  settings->scheduler.http, &options,
 				  zr_metrics_page_serve, scheduler->metrics);
 }
 
@@ -239,6 +243,10 @@
 	scheduler->clock = clock;
 	scheduler->settings = settings;
 	if ((error = zr_metrics_new(&scheduler->metrics)) < 0 ||
+	    (error = zr_net_budget_new(
+		     &scheduler->budget,
+		     (size_t)settings->limits.message_memory_mb << 20, clock,
+		     scheduler->metrics)) < 0 ||
 	    (error = create_store(scheduler, clock)) < 0 ||
 	    (error = zr_http_host_list_new(&scheduler->host_list, loop,
 					   settings->host_list)) < 0 ||
@@ -287,6 +295,7 @@
 	 */
 	uv_run(scheduler->loop, UV_RUN_DEFAULT);
 	zr_http_server_free(scheduler->http);
+	zr_net_budget_free(scheduler->budget);
 	zr_metrics_free(scheduler->metrics);
 	free(scheduler->hosts);
 	free(scheduler);
