net: leave descriptors to the process's own connections

Idle connections of clients used up the descriptors of a host, which then could not connect to its store again after an outage: no caller was served for as long as such clients came back (60 s and more, when the test gives up).

Cause: each listener had a number of connections of its own, above the number of descriptors of the process, so that closing the least recently used one never began. The same class as the memory: a limit for each listener where there is one resource for all.

The budget of the process admits connections on three quarters of its descriptors; beyond them, the connection without a request in progress that was used least recently is closed, whichever listener it came from.

--- a/src/libzinniarack/net/budget.c
+++ b/src/libzinniarack/net/budget.c
@@ -11,6 +11,10 @@
 
 #define DEFAULT_BYTES_MAX ((uint64_t)32 << 20)
 #define DEFAULT_DIVISOR 4
+/* Part of the descriptors that accepted connections may use. */
+#define DESCRIPTORS_PERCENT 75
+/* Part of these by which connections that are being closed may exceed them. */
+#define CLOSING_DIVISOR 8
 /* Accounts of at most this many bytes are reclaimed last. */
 #define SMALL_BYTES 16384
 /* Moving this many bytes counts as progress. */
@@ -33,6 +37,7 @@
 struct zr_net_budget {
 	struct zr_table *accounts;
 	size_t bytes;
+	size_t connections;
 	size_t used;
 	size_t used_by_peers;
 	size_t reclaimed; /* by connections that are not closed yet */
@@ -92,6 +97,8 @@
 	}
 	budget->clock = clock;
 	budget->bytes = bytes ? bytes : zr_net_budget_default();
+	budget->connections =
+		resource_limit(RLIMIT_NOFILE) * DESCRIPTORS_PERCENT / 100;
 	mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
 	budget->used_metric = zr_metrics_get_or_add_gauge(
 		metrics, "zinniarack_net_message_bytes", NULL,
@@ -281,6 +288,45 @@
 	return !is_exceeded(budget);
 }
 
+static void reclaim_oldest(struct zr_net_budget *budget)
+{
+	struct candidate oldest = {.account = ZR_HANDLE_NONE};
+	zr_handle handle = ZR_HANDLE_NONE;
+
+	while ((handle = zr_table_next(budget->accounts, handle))) {
+		const struct account *account =
+			zr_table_get(budget->accounts, handle);
+		struct candidate candidate = {
+			.account = handle,
+			.state = account->state,
+			.is_preferred = is_preferred(budget, account),
+			.progress = account->progress,
+		};
+
+		if (!account->is_reclaimed &&
+		    account->state == ZR_NET_RECEIVING &&
+		    (!oldest.account ||
+		     compare_candidates(&candidate, &oldest) < 0))
+			oldest = candidate;
+	}
+	if (oldest.account)
+		reclaim_account(budget, oldest.account);
+}
+
+bool zr_net_budget_admit(struct zr_net_budget *budget)
+{
+	size_t count;
+
+	if (!budget || !budget->connections)
+		return true;
+	count = zr_table_count(budget->accounts);
+	if (count < budget->connections)
+		return true;
+	reclaim_oldest(budget);
+	return count <
+	       budget->connections + budget->connections / CLOSING_DIVISOR;
+}
+
 size_t zr_net_budget_used(const struct zr_net_budget *budget)
 {
 	return budget->used;
--- a/src/libzinniarack/net/budget.h
+++ b/src/libzinniarack/net/budget.h
@@ -13,8 +13,9 @@
  * DOC: Budget of the connections that a process accepts
  *
  * All servers of a process share one budget for what their connections hold:
- * the bytes of requests that have been received in part or in full, and those
- * of replies that have not been read yet. Each connection has an account.
+ * the bytes of requests that have been received in part or in full, those of
+ * replies that have not been read yet, and descriptors. Each connection has an
+ * account.
  *
  * When the budget is exceeded, memory is reclaimed from connections that can be
  * closed without breaking a promise: those whose request is not complete and so
@@ -115,6 +116,17 @@
  */
 bool zr_net_budget_enforce(struct zr_net_budget *budget);
 
+/**
+ * zr_net_budget_admit() - whether one more connection may be accepted
+ * @budget: the budget, or NULL: any number may
+ *
+ * A quarter of the descriptors that the process may open is left to its own
+ * connections, so that callers cannot cut it off from the store. When the
+ * others are in use, a connection without a request in progress is closed for
+ * each new one; a new one is rejected if these are not closed in time.
+ */
+bool zr_net_budget_admit(struct zr_net_budget *budget);
+
 /** zr_net_budget_used() - number of bytes that all connections hold */
 size_t zr_net_budget_used(const struct zr_net_budget *budget);
 
--- a/src/libzinniarack/net/http_server.c
+++ b/src/libzinniarack/net/http_server.c
@@ -327,7 +327,8 @@
 	server->open_connections++;
 	if (uv_accept(listener, (uv_stream_t *)&connection->tcp) ||
 	    (server->open_connections > server->options.max_connections &&
-	     !close_lru_connection(server))) {
+	     !close_lru_connection(server)) ||
+	    !zr_net_budget_admit(server->options.budget)) {
 		uv_close((uv_handle_t *)&connection->tcp, on_connection_closed);
 		return;
 	}
--- a/src/libzinniarack/net/rpc_server.c
+++ b/src/libzinniarack/net/rpc_server.c
@@ -199,8 +199,9 @@
 /* Makes room for a connection. Returns false if it must be closed at once. */
 static bool admit_connection(struct zr_rpc_server *server)
 {
-	return server->connection_count < CONNECTIONS_MAX ||
-	       close_lru_connection(server);
+	return (server->connection_count < CONNECTIONS_MAX ||
+		close_lru_connection(server)) &&
+	       zr_net_budget_admit(server->budget);
 }
 
 static void on_accept(uv_stream_t *listener, int status)
--- a/tests/hostile.sh
+++ b/tests/hostile.sh
@@ -124,14 +124,26 @@
 	log:
 	  level: info
 	EOT
-	hostile_spawn platform "$hostile_build/soak-platform" \
-		--port "$hostile_port" --workers 2 \
-		--body-bytes "$HOSTILE_BODY_LIMIT_BYTES"
+	hostile_spawn_platform
 	hostile_ordinary_status=200
 	hostile_ordinary=hostile_submit
 	hostile_start zinniarack-celld
 }
 
+hostile_spawn_platform () {
+	hostile_spawn platform "$hostile_build/soak-platform" \
+		--port "$hostile_port" --workers 2 \
+		--body-bytes "$HOSTILE_BODY_LIMIT_BYTES"
+	hostile_platform=$spawned
+}
+
+# hostile_end_platform: end the store, the adviser and the workers of
+# zinniarack-celld; their connections are lost
+hostile_end_platform () {
+	kill -KILL "$hostile_platform"
+	wait "$hostile_platform" 2>/dev/null || :
+}
+
 # hostile_submit [CURL-ARGUMENT...]: submit a job with a new id, print the HTTP
 # status
 hostile_submit () {
--- a/tests/unit/test_net_budget.c
+++ b/tests/unit/test_net_budget.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "fakes/raw_tcp.h"
@@ -16,20 +17,23 @@
 #include "net/rpc_server.h"
 #include "zinniarack/errors.h"
 
-#define BUDGET_BYTES (512u << 10)
-#define SERVERS_BUDGET_BYTES (1u << 20)
-#define LARGE_BYTES (200u << 10)
+#define BUDGET_BYTES ((size_t)512 << 10)
+#define SERVERS_BUDGET_BYTES ((size_t)1 << 20)
+#define LARGE_BYTES ((size_t)200 << 10)
 #define CONNECTIONS 12
 #define TEXT_MAX 65536
 #define RECORD_BYTES 400000
 
 static struct zr_metrics *metrics;
 static struct zr_net_budget *budget;
+/* Names of the accounts that were reclaimed, of one letter each. */
 static char reclaimed[64];
+static size_t reclaimed_count;
 
 static void new_budget(size_t bytes)
 {
-	reclaimed[0] = '\0';
+	memset(reclaimed, 0, sizeof(reclaimed));
+	reclaimed_count = 0;
 	ck_assert_int_eq(zr_metrics_new(&metrics), 0);
 	ck_assert_int_eq(
 		zr_net_budget_new(&budget, bytes, zr_clock_system(), metrics),
@@ -49,7 +53,10 @@
 
 static void on_reclaim(void *ctx)
 {
-	strcat(reclaimed, ctx);
+	const char *name = ctx;
+
+	ck_assert_uint_lt(reclaimed_count, sizeof(reclaimed) - 1);
+	reclaimed[reclaimed_count++] = name[0];
 }
 
 static zr_handle open_account(const char *name, enum zr_net_class class,
@@ -126,6 +133,36 @@
 }
 END_TEST
 
+/* Descriptors: idle connections gave way, and those in use did not. */
+START_TEST(test_descriptors)
+{
+	struct rlimit limit;
+	struct rlimit lowered;
+	int i;
+
+	getrlimit(RLIMIT_NOFILE, &limit);
+	lowered = limit;
+	lowered.rlim_cur = 64;
+	setrlimit(RLIMIT_NOFILE, &lowered);
+	tear_down();
+	set_up();
+	open_account("h", ZR_NET_CALLER, 1, ZR_NET_HANDLING);
+	open_account("p", ZR_NET_PEER, 1, ZR_NET_RECEIVING);
+	for (i = 2; i < 48; i++) {
+		ck_assert(zr_net_budget_admit(budget));
+		open_account("c", ZR_NET_CALLER, 1, ZR_NET_RECEIVING);
+	}
+	ck_assert_str_eq(reclaimed, "");
+	for (i = 0; i < 6; i++) {
+		ck_assert(zr_net_budget_admit(budget));
+		open_account("d", ZR_NET_CALLER, 1, ZR_NET_HANDLING);
+	}
+	ck_assert(!zr_net_budget_admit(budget));
+	ck_assert_str_eq(reclaimed, "ccccccc");
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+END_TEST
+
 /* Real servers */
 
 static uv_loop_t loop;
@@ -287,6 +324,7 @@
 	tcase_add_test(accounts, test_trickling_request_is_stalled);
 	tcase_add_test(accounts, test_order_of_reclaims);
 	tcase_add_test(accounts, test_closed_account);
+	tcase_add_test(accounts, test_descriptors);
 	tcase_set_timeout(servers, 120);
 	tcase_add_test(servers, test_large_request_in_calm);
 	tcase_add_test(servers, test_one_budget_for_all_listeners);
