cell: suspect at most half of the workers of a pool

Two jobs whose tasks failed on all workers made all of them suspect, and no other job was started for 4.9 s: a long-running job had nothing running, though all workers were idle.

Cause: a job that fails counts as one failure of each worker on which a task of it has failed. If most workers fail runs, the jobs are the common cause, and nothing is gained by avoiding the workers.

--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -43,6 +43,11 @@
 /* Consecutive failures, each of another job, that make a worker suspect. */
 #define SUSPECT_FAILURES 2
 #define SUSPECT_BACKOFF_MS 5000
+/*
+ * Maximum part of a pool's workers that are suspect at a time. If more of them
+ * fail runs, it is the jobs that are at fault.
+ */
+#define SUSPECT_PERCENT_MAX 50
 /*
  * Members of a gang end as `alone` after 4,000 ms if the others have not begun.
  * Until GANG_JOIN_MS after its placement members may still join its run; if
@@ -172,6 +177,31 @@
  * failures of the worker.
  */
 
+static bool is_suspect(const struct zr_cell_worker *worker, int64_t now)
+{
+	return worker->failures >= SUSPECT_FAILURES &&
+	       worker->backoff_until > now;
+}
+
+/* Whether @worker may become suspect beside those of its pool that are. */
+static bool may_suspect(const struct zr_cell_scheduler *scheduler,
+			const struct zr_cell_worker *worker)
+{
+	struct zr_cell_worker *other;
+	struct zr_cell_worker *next;
+	int64_t now = zr_cell_now_ms(scheduler);
+	unsigned int suspects = 1;
+	unsigned int count = 0;
+
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, other, next) {
+		if (strcmp(other->report.pool, worker->report.pool) != 0)
+			continue;
+		count++;
+		suspects += other != worker && is_suspect(other, now);
+	}
+	return count == 1 || suspects * 100 <= count * SUSPECT_PERCENT_MAX;
+}
+
 static void record_failure(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_worker *worker,
 			   const struct zr_cell_job *job)
@@ -179,7 +209,8 @@
 	if (worker->last_failed_job == job->self)
 		return;
 	worker->last_failed_job = job->self;
-	if (++worker->failures >= SUSPECT_FAILURES)
+	if (++worker->failures >= SUSPECT_FAILURES &&
+	    may_suspect(scheduler, worker))
 		back_off(scheduler, worker, SUSPECT_BACKOFF_MS, "failures");
 }
 
