net: send no reply on an idle connection that is closed

A connection that is closed for its descriptor may be idle; a 503 on it could be taken for the response to the next request. It is only sent now if a part of a request has arrived.

test_net_budget, test_http_server and test_hostile_idle_reconnect pass.

--- a/src/libzinniarack/net/budget.c
+++ b/src/libzinniarack/net/budget.c
@@ -181,8 +181,7 @@
 	set_bytes(budget, account, bytes);
 }
 
-/* Incomplete requests come before replies, which may be of requests that ran.
- */
+/* Replies come after incomplete requests: theirs may have run. */
 static int compare_candidates(const void *a, const void *b)
 {
 	const struct candidate *x = a;
--- a/src/libzinniarack/net/http_server.c
+++ b/src/libzinniarack/net/http_server.c
@@ -261,7 +261,8 @@
 
 	if (connection->is_shut_down)
 		return;
-	if (!connection->busy)
+	/* On an idle connection it might seem to be that of a request. */
+	if (!connection->busy && connection->input_bytes)
 		uv_try_write((uv_stream_t *)&connection->tcp, &buf, 1);
 	shut_down_connection(connection);
 }
