--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -428,8 +428,12 @@
 	       a->task.step == b->task.step && a->attempt == b->attempt;
 }
 
-/* Ends the other members of a gang of which a run has not succeeded. */
-static void break_run_gang(struct fake_pool *pool, const struct run *member)
+/*
+ * Ends the other members of a gang of which a run has not succeeded. If the run
+ * has failed, all members that fail do so together.
+ */
+static void break_run_gang(struct fake_pool *pool, const struct run *member,
+			   bool failed)
 {
 	const struct run copy = *member;
 	struct pool_worker *worker;
@@ -441,7 +445,10 @@
 		DL_FOREACH_SAFE(worker->runs, run, next)
 		{
 			if (run != member && is_same_gang(&copy, run))
-				end_run(worker, run, ZR_RUN_GANG_BROKEN);
+				end_run(worker, run,
+					failed && run->fails
+						? ZR_RUN_FAILED
+						: ZR_RUN_GANG_BROKEN);
 		}
 	}
 }
@@ -463,26 +470,6 @@
 	return false;
 }
 
-/* Ends the run of a gang: the members that fail do so together. */
-static void fail_gang(struct fake_pool *pool, const struct run *member)
-{
-	const struct run copy = *member;
-	struct pool_worker *worker;
-	struct run *run;
-	struct run *next;
-
-	LL_FOREACH(pool->workers, worker)
-	{
-		DL_FOREACH_SAFE(worker->runs, run, next)
-		{
-			if (is_same_gang(&copy, run))
-				end_run(worker, run,
-					run->fails ? ZR_RUN_FAILED
-						   : ZR_RUN_GANG_BROKEN);
-		}
-	}
-}
-
 static void check_start(struct pool_worker *worker, const struct run *run,
 			int64_t sent_at)
 {
@@ -672,7 +659,7 @@
 	if (run && run->attempt <= call->attempt) {
 		if (!worker->pool->stop_ms) {
 			if (run->gang_size)
-				break_run_gang(worker->pool, run);
+				break_run_gang(worker->pool, run, false);
 			end_run(worker, run, ZR_RUN_STOPPED);
 		} else if (run->stops_at == INT64_MAX)
 			run->stops_at =
@@ -1044,7 +1031,7 @@
 	count_crash(worker);
 	while ((run = worker->runs)) {
 		if (run->gang_size)
-			break_run_gang(pool, run);
+			break_run_gang(pool, run, false);
 		waste(worker, run);
 		report_event(pool, "%s %s.%u.%u.%u run %u gone", name,
 			     run->task.job, run->task.occurrence,
@@ -1336,12 +1323,11 @@
 		break;
 	}
 	while ((run = find_due_run(worker, &outcome))) {
-		if (run->gang_size && outcome == ZR_RUN_FAILED) {
-			fail_gang(worker->pool, run);
-			continue;
-		}
 		if (run->gang_size && outcome != ZR_RUN_DONE)
-			break_run_gang(worker->pool, run);
+			break_run_gang(worker->pool, run,
+				       outcome == ZR_RUN_FAILED);
+		if (outcome == ZR_RUN_FAILED && !run->fails)
+			outcome = ZR_RUN_GANG_BROKEN;
 		if (outcome == ZR_RUN_GANG_TIMEOUT &&
 		    !worker->pool->gangs_may_time_out)
 			violation(worker->pool, "GANG", &run->task,
