soak: draw the jobs from a series of their own

The README says that the seed determines the jobs, but they were drawn from the series of the calls, which depends on when these are answered: of 208 steps that started in two runs of seed 1, 130 started with another number of tasks.

The jobs, and whether they are cancelled and when, have a series of their own.

--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -65,6 +65,8 @@
  *	that leaves this open
  * @due_at: when to send the next call
  * @accepted_at: when a host accepted it
+ * @is_cancelled: whether to cancel it once it is accepted
+ * @cancel_after_ms: how long after that
  * @cancel_at: when to cancel it; 0: never
  */
 struct job {
@@ -76,6 +78,8 @@
 	bool unconfirmed;
 	int64_t due_at;
 	int64_t accepted_at;
+	bool is_cancelled;
+	int cancel_after_ms;
 	int64_t cancel_at;
 	struct job *next;
 };
@@ -88,6 +92,7 @@
 	struct zr_http_client *clients[HOSTS_MAX];
 	int host_count;
 	struct rng rng;
+	struct rng job_rng;
 	struct job *jobs;
 	int64_t started_at;
 	int64_t next_job_at;
@@ -160,8 +165,8 @@
 	if (status == 200) {
 		job->state = JOB_ACCEPTED;
 		job->accepted_at = now_ms();
-		if (random_below(PERCENT) < CANCEL_PERCENT)
-			job->cancel_at = now_ms() + random_below(2000);
+		if (job->is_cancelled)
+			job->cancel_at = now_ms() + job->cancel_after_ms;
 	} else if (status == 503 || status == 429) {
 		/* An earlier submission without an answer may take effect. */
 		if (!job->unconfirmed)
@@ -255,13 +260,22 @@
 
 /* Jobs */
 
+/*
+ * The jobs have a series of random numbers of their own: that of the calls
+ * depends on when they are answered.
+ */
+static int draw_below(int below)
+{
+	return (int)rng_below(&state.job_rng, (uint32_t)below);
+}
+
 /* Adds a step, and its gang size (0: not a gang) to the job's task_spec. */
 static void add_step(json_t *steps, char *spec, int millicpus, int depends_on)
 {
-	bool is_gang = random_below(PERCENT) < GANG_PERCENT;
+	bool is_gang = draw_below(PERCENT) < GANG_PERCENT;
 	json_t *step =
 		json_pack("{s:i, s:i, s:i, s:i}", "count",
-			  is_gang ? 2 + random_below(2) : 1 + random_below(4),
+			  is_gang ? 2 + draw_below(2) : 1 + draw_below(4),
 			  "cpu", millicpus, "mem_mb", 64, "estimate_ms", 400);
 
 	snprintf(spec + strlen(spec), SPEC_MAX - strlen(spec), " %d",
@@ -282,19 +296,21 @@
 {
 	static const int sizes[] = {250, 500, 1000, 2000};
 	struct job *job = calloc(1, sizeof(*job));
-	int millicpus = sizes[random_below(4)];
+	int millicpus = sizes[draw_below(4)];
 	json_t *steps = json_array();
 	char spec[SPEC_MAX];
 	json_t *body;
 
 	snprintf(job->id, sizeof(job->id), "%08" PRIx32 "%08" PRIx64,
 		 (uint32_t)state.seed, ++state.job_count);
-	job->crashes_workers = random_below(PERMILLE) < CRASH_PERMILLE;
+	job->crashes_workers = draw_below(PERMILLE) < CRASH_PERMILLE;
 	snprintf(spec, sizeof(spec), "%d %d", millicpus,
-		 (job->crashes_workers ? -1 : 1) * (50 + random_below(1000)));
+		 (job->crashes_workers ? -1 : 1) * (50 + draw_below(1000)));
 	add_step(steps, spec, millicpus, -1);
-	if (random_below(PERCENT) < SECOND_STEP_PERCENT)
+	if (draw_below(PERCENT) < SECOND_STEP_PERCENT)
 		add_step(steps, spec, millicpus, 0);
+	job->is_cancelled = draw_below(PERCENT) < CANCEL_PERCENT;
+	job->cancel_after_ms = draw_below(2000);
 	body = json_pack("{s:s, s:o}", "task_spec", spec, "steps", steps);
 	job->body = json_dumps(body, JSON_COMPACT);
 	json_decref(body);
@@ -398,6 +414,7 @@
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	state.rng.state = state.seed;
+	state.job_rng.state = state.seed + 3000000;
 	for (address = strtok(state.hosts, ","); address;
 	     address = strtok(NULL, ",")) {
 		if (zr_http_client_new(&state.clients[state.host_count++], loop,
