soak: let runs fail

The users saw jobs of gangs shown as failed with attempts left. The soak could not show it: no run failed, and its check knew crashed workers only.

Runs of four in a hundred jobs fail: the first one, every one, or those that are drawn; of a gang one member or several together, the others end as broken. A job may be shown as failed only if by then as many runs of one task or gang had failed as the queue has attempts, or two workers had crashed under a task of it (LOST). Nothing starts after that many acknowledged failures, unless the order was sent before (ATTEMPTS). A job of which every run fails must not be shown as completed (MIXED). The platform counts the runs that it ends.

The runs that fail cost time.

--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -4,8 +4,8 @@
  * known and completes (LOST), and that each valid submission gets a definite
  * answer (SUBMIT). Prints `refused ID` for each job whose submission was
  * definitely refused; run.sh checks that none of them started. Prints `failed
- * ID` for each job that failed; run.sh checks that two workers had crashed
- * under one of its tasks.
+ * ID MS` for each job that failed; run.sh checks that by then two workers had
+ * crashed under one of its tasks, or enough runs of one had failed.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -43,6 +43,7 @@
 #define SECOND_STEP_PERCENT 30
 #define RESUBMIT_PERCENT 5
 #define CRASH_PERMILLE 15
+#define FAIL_PERMILLE 40
 #define PERMILLE 1000
 #define PERCENT 100
 #define SPEC_MAX 64
@@ -59,7 +60,7 @@
 /**
  * struct job - a job that this program submits
  * @body: body of the submission, as JSON
- * @crashes_workers: its first task crashes each worker that starts it
+ * @never_completes: every run of one of its tasks crashes its worker or fails
  * @call_in_flight: whether a call for it waits for an answer
  * @unconfirmed: a submission may have been accepted: it had no answer, or one
  *	that leaves this open
@@ -73,7 +74,7 @@
 	char id[17];
 	char *body;
 	enum job_state state;
-	bool crashes_workers;
+	bool never_completes;
 	bool call_in_flight;
 	bool unconfirmed;
 	int64_t due_at;
@@ -192,12 +193,12 @@
 				  "cancelled it",
 				  job->id);
 		job->state = JOB_ENDED;
-		if (!strcmp(job_state, "completed") && job->crashes_workers)
-			violation("MIXED %s crashes its workers, but is shown "
-				  "as completed",
+		if (!strcmp(job_state, "completed") && job->never_completes)
+			violation("MIXED %s crashes its workers or fails in "
+				  "every run, but is shown as completed",
 				  job->id);
 	} else if (!strcmp(job_state, "failed")) {
-		printf("failed %s\n", job->id);
+		printf("failed %s %" PRId64 "\n", job->id, now_ms());
 		job->state = JOB_ENDED;
 	}
 }
@@ -292,23 +293,38 @@
 	json_array_append_new(steps, step);
 }
 
+/* Draws which runs of a job fail, see workers.c; 0: none. */
+static char draw_failures(void)
+{
+	int kind = draw_below(3);
+
+	return draw_below(PERMILLE) < FAIL_PERMILLE ? "for"[kind] : 0;
+}
+
 static void make_job(void)
 {
 	static const int sizes[] = {250, 500, 1000, 2000};
 	struct job *job = calloc(1, sizeof(*job));
 	int millicpus = sizes[draw_below(4)];
 	json_t *steps = json_array();
+	bool crashes_workers;
+	char kind;
 	char spec[SPEC_MAX];
 	json_t *body;
 
 	snprintf(job->id, sizeof(job->id), "%08" PRIx32 "%08" PRIx64,
 		 (uint32_t)state.seed, ++state.job_count);
-	job->crashes_workers = draw_below(PERMILLE) < CRASH_PERMILLE;
+	crashes_workers = draw_below(PERMILLE) < CRASH_PERMILLE;
 	snprintf(spec, sizeof(spec), "%d %d", millicpus,
-		 (job->crashes_workers ? -1 : 1) * (50 + draw_below(1000)));
+		 (crashes_workers ? -1 : 1) * (50 + draw_below(1000)));
 	add_step(steps, spec, millicpus, -1);
 	if (draw_below(PERCENT) < SECOND_STEP_PERCENT)
 		add_step(steps, spec, millicpus, 0);
+	kind = crashes_workers ? 0 : draw_failures();
+	if (kind)
+		snprintf(spec + strlen(spec), SPEC_MAX - strlen(spec), " %c",
+			 kind);
+	job->never_completes = crashes_workers || kind == 'f';
 	job->is_cancelled = draw_below(PERCENT) < CANCEL_PERCENT;
 	job->cancel_after_ms = draw_below(2000);
 	body = json_pack("{s:s, s:o}", "task_spec", spec, "steps", steps);
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -62,8 +62,9 @@
 			 "s:{s:i, s:i, s:i}}",
 			 "name", name, "hostname", "q.example", "prefix",
 			 prefix, "service", "pool", "priority", 1, "attempts",
-			 4, "stretch", 2.0, "latency_target_ms", 1000, "advice",
-			 "decision_ms", 5, "period_ms", 1, "validity_ms", 1500);
+			 SOAK_ATTEMPTS, "stretch", 2.0, "latency_target_ms",
+			 1000, "advice", "decision_ms", 5, "period_ms", 1,
+			 "validity_ms", 1500);
 }
 
 static json_t *make_open_route(void)
@@ -224,6 +225,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	printf("attempts %d\n", SOAK_ATTEMPTS);
 	put_configuration(0);
 	if (listen_on(loop, 0, soak_store_serve) < 0 ||
 	    listen_on(loop, 1, soak_adviser_serve) < 0 ||
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -401,10 +401,22 @@
 	! grep -q "began $id" "$work/platform.log" ||
 		echo "VIOLATION REFUSED $id was refused and started"
 done >"$work/refused"
-grep '^failed' "$work/caller.log" | while read -r _ id
+# has_reason_to_fail JOB MS: whether, until a time, two workers had crashed under
+# a task of a job, or as many runs of one task or gang had failed as its queue
+# has attempts
+has_reason_to_fail () {
+	awk -v id="$1." -v shown_ms="$2" '
+		$1 == "attempts" { attempts = $2 }
+		index($2, id) != 1 || $NF > shown_ms { next }
+		$1 == "crashed" && ++crashes[$2] >= 2 ||
+		$1 == "failed_run" && ++failed_runs[$2] >= attempts { found = 1 }
+		END { exit !found }' "$work/platform.log"
+}
+
+grep '^failed ' "$work/caller.log" | while read -r _ id ms
 do
-	grep "^crashed $id" "$work/platform.log" | sort | uniq -d | grep -q . ||
-		echo "VIOLATION LOST $id failed, though no two workers crashed under a task of it"
+	has_reason_to_fail "$id" "$ms" ||
+		echo "VIOLATION LOST $id failed, though no two workers crashed under a task of it, nor had all attempts of one failed"
 done >"$work/failed"
 grep -h VIOLATION "$work/platform.log" "$work/caller.log" "$work/refused" \
 	"$work/failed" "$work/ended" \
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -7,6 +7,9 @@
 
 #include "net/http_server.h"
 
+/* Failed runs of a task, or of a gang, after which its job may fail. */
+#define SOAK_ATTEMPTS 4
+
 /**
  * DOC: Stand-in for the users' platform in soak tests
  *
@@ -21,6 +24,8 @@
  * - only tasks of jobs that are in the store are started (UNASKED);
  * - a task that crashes its workers isn't started three times more after three
  *   of them have crashed (BUDGET);
+ * - a task or a gang isn't started after SOAK_ATTEMPTS of its runs have failed
+ *   and hosts have acknowledged these ends (ATTEMPTS);
  * - a host doesn't send a start to an evacuated zone later than 5 s after the
  *   request (EVAC).
  *
--- a/tests/soak/workers.c
+++ b/tests/soak/workers.c
@@ -6,6 +6,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "fakes/rng.h"
 #include "soak.h"
 #include "zinniarack/errors.h"
 
@@ -46,6 +47,8 @@
 #define LEASE_MS 5500
 /* Time after a request to evacuate a zone when no start may be sent there. */
 #define EVACUATE_MS 5000
+/* Share of failing runs of a task for which that is drawn for each run. */
+#define FAIL_PERCENT 40
 #define ZONES 2
 #define PERCENT 100
 
@@ -72,6 +75,20 @@
 	UT_hash_handle hh;
 };
 
+/**
+ * struct failed_run - a run of a task, or of a gang, that has failed
+ * @unit: name of the task; of a gang, that of its first member
+ * @attempt: number of the attempt
+ * @acked_at: when a host acknowledged the end, of a gang the first of the ends;
+ *	INT64_MAX: none has
+ */
+struct failed_run {
+	char unit[TASK_NAME_MAX];
+	int64_t attempt;
+	int64_t acked_at;
+	struct failed_run *next;
+};
+
 /**
  * struct run - a running attempt of a task on a worker
  * @task: name of the task
@@ -84,6 +101,7 @@
  * @started_at: when it started
  * @ends_at: when it is done; 0 as long as its gang is incomplete
  * @crashes_at: when it crashes the worker; 0: never
+ * @fails: it ends as failed instead of done
  */
 struct run {
 	char task[TASK_NAME_MAX];
@@ -94,6 +112,7 @@
 	int64_t started_at;
 	int64_t ends_at;
 	int64_t crashes_at;
+	bool fails;
 	struct run *prev;
 	struct run *next;
 };
@@ -102,12 +121,14 @@
  * struct end - an ended run that no host has acknowledged yet
  * @sequence: increases with each end of the worker; a poll acknowledges all
  *	ends up to a number
- * @outcome: "done", "broken", "stopped", "alone", "lapsed" or "lost", as on the
- *	wire
+ * @unit: name of the task, or of the first member of its gang
+ * @outcome: "done", "failed", "broken", "stopped", "alone", "lapsed" or "lost",
+ *	as on the wire
  */
 struct end {
 	int64_t sequence;
 	char task[TASK_NAME_MAX];
+	char unit[TASK_NAME_MAX];
 	int64_t attempt;
 	const char *outcome;
 	struct end *prev;
@@ -187,6 +208,7 @@
 static struct worker workers[WORKERS_MAX];
 static int worker_count;
 static struct task *tasks;
+static struct failed_run *failed_runs;
 static int64_t delay_until;
 static int delay_percent;
 static const char *const zones[ZONES] = {"north", "south"};
@@ -234,17 +256,21 @@
 }
 
 /*
- * Checks when a start was sent, which the deadline of its lease tells: on its
+ * Returns when a start was sent, which the deadline of its lease tells: on its
  * way it may have been delayed.
  */
+static int64_t start_sent_at(const struct worker *worker, int64_t deadline_ms)
+{
+	int64_t sent_at = worker->clock_base + deadline_ms - LEASE_MS;
+
+	return sent_at < soak_now_ms() ? sent_at : soak_now_ms();
+}
+
 static void check_evacuation(const struct worker *worker, const char *task,
-			     int64_t deadline_ms)
+			     int64_t sent_at)
 {
 	int64_t since = evacuated_at[zone_of(worker)];
-	int64_t sent_at = worker->clock_base + deadline_ms - LEASE_MS;
 
-	if (sent_at > soak_now_ms())
-		sent_at = soak_now_ms();
 	if (since && sent_at > since + EVACUATE_MS)
 		soak_violation("EVAC %s started on %s in %s", task,
 			       worker->name, zones[zone_of(worker)]);
@@ -343,6 +369,72 @@
 	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
+/* Failed runs */
+
+/*
+ * Writes the name that stands for all that fail together: the task itself, or
+ * the first member of its gang.
+ */
+static void name_unit(char unit[TASK_NAME_MAX], const struct run *run)
+{
+	size_t length = (size_t)(strrchr(run->task, '.') - run->task) + 1;
+
+	snprintf(unit, TASK_NAME_MAX, "%s", run->task);
+	if (run->gang_size)
+		snprintf(unit + length, TASK_NAME_MAX - length, "0");
+}
+
+static struct failed_run *find_failed_run(const char *unit, int64_t attempt)
+{
+	struct failed_run *failed;
+
+	LL_FOREACH(failed_runs, failed)
+	{
+		if (failed->attempt == attempt && !strcmp(failed->unit, unit))
+			return failed;
+	}
+	return NULL;
+}
+
+static void record_failed_run(const char *unit, int64_t attempt)
+{
+	struct failed_run *failed;
+
+	if (find_failed_run(unit, attempt))
+		return;
+	failed = calloc(1, sizeof(*failed));
+	snprintf(failed->unit, sizeof(failed->unit), "%s", unit);
+	failed->attempt = attempt;
+	failed->acked_at = INT64_MAX;
+	LL_PREPEND(failed_runs, failed);
+	printf("failed_run %s %" PRId64 " %" PRId64 "\n", unit, attempt,
+	       soak_now_ms());
+}
+
+/* Failed runs of which a host had acknowledged the end at a time. */
+static int count_acked_failures(const char *unit, int64_t at)
+{
+	const struct failed_run *failed;
+	int count = 0;
+
+	LL_FOREACH(failed_runs, failed)
+	{
+		count += failed->acked_at < at && !strcmp(failed->unit, unit);
+	}
+	return count;
+}
+
+static void check_attempts(const struct worker *worker, const struct run *run,
+			   int64_t sent_at)
+{
+	char unit[TASK_NAME_MAX];
+
+	name_unit(unit, run);
+	if (count_acked_failures(unit, sent_at) >= SOAK_ATTEMPTS)
+		soak_violation("ATTEMPTS %s attempt %" PRId64 " started on %s",
+			       run->task, run->attempt, worker->name);
+}
+
 /* Runs */
 
 /* Makes the worker reject starts of this attempt of a task and earlier ones. */
@@ -368,8 +460,14 @@
 
 	end->sequence = ++worker->last_sequence;
 	snprintf(end->task, sizeof(end->task), "%s", run->task);
+	name_unit(end->unit, run);
 	end->attempt = run->attempt;
 	end->outcome = outcome;
+	if (!strcmp(outcome, "failed")) {
+		printf("failed %s %" PRId64 " %s\n", run->task, run->attempt,
+		       worker->name);
+		record_failed_run(end->unit, run->attempt);
+	}
 	DL_APPEND(worker->ends, end);
 	reject_attempts(worker, run->task, run->attempt);
 	task->running_count--;
@@ -425,9 +523,39 @@
 	end_run(worker, run, "broken");
 }
 
+static void end_as_failed_or_broken(struct worker *worker, struct run *run)
+{
+	end_run(worker, run, run->fails ? "failed" : "broken");
+}
+
+static bool member_fails;
+
+static void note_whether_fails(struct worker *worker, struct run *run)
+{
+	(void)worker;
+	member_fails |= run->fails;
+}
+
+/*
+ * Ends a run that has worked for its time. If members of a gang fail, all of
+ * those end as failed together, and the others as broken.
+ */
+static void finish_run(struct worker *worker, struct run *run)
+{
+	member_fails = run->fails;
+	if (run->gang_size)
+		for_each_member(run, note_whether_fails);
+	if (!member_fails)
+		end_run(worker, run, "done");
+	else if (run->gang_size)
+		for_each_member(run, end_as_failed_or_broken);
+	else
+		end_run(worker, run, "failed");
+}
+
 /*
- * Ends a run with an outcome other than "done". If its gang was complete, the
- * other members end as "broken".
+ * Ends a run with an outcome other than "done" or "failed". If its gang was
+ * complete, the other members end as "broken".
  */
 static void end_run_and_gang(struct worker *worker, struct run *run,
 			     const char *outcome)
@@ -495,7 +623,7 @@
 
 /*
  * Reads a task's gang size from the specification of its job, which is
- * "MILLICPUS MS GANG_SIZE...", with one gang size for each step.
+ * "MILLICPUS MS GANG_SIZE... [KIND]", with one gang size for each step.
  */
 static int parse_gang_size(const char *name, const char *spec)
 {
@@ -522,12 +650,50 @@
 	return dot && !strcmp(dot, ".0.0.0");
 }
 
+/* Random numbers of a job, of a step or of a run, the same in each play. */
+static struct rng seeded_rng(const char *text, size_t length, int64_t attempt)
+{
+	struct rng rng = {(uint64_t)attempt};
+	size_t i;
+
+	for (i = 0; i < length; i++)
+		rng.state = rng.state * 31 + (unsigned char)text[i];
+	rng_next(&rng);
+	return rng;
+}
+
+/*
+ * Whether a run fails. The specification of a job of which runs fail ends with
+ * a letter: 'o' if the first run fails, 'f' if every run does, and 'r' if this
+ * is drawn for each run. It applies to the first task of each step, or to one
+ * or more members of a gang, which are drawn for each run.
+ */
+static bool run_fails(const struct run *run, const char *spec)
+{
+	const char *kind = strpbrk(spec, "for");
+	size_t length = (size_t)(strrchr(run->task, '.') - run->task);
+	int index = atoi(run->task + length + 1);
+	struct rng rng = seeded_rng(run->task, length, run->attempt);
+	bool is_drawn = rng_chance(&rng, FAIL_PERCENT);
+	uint32_t first;
+	uint32_t count;
+
+	if (!kind || (*kind == 'o' && run->attempt != 1) ||
+	    (*kind == 'r' && !is_drawn))
+		return false;
+	if (!run->gang_size)
+		return !index;
+	first = rng_below(&rng, (uint32_t)run->gang_size);
+	count = 1 + rng_below(&rng, (uint32_t)run->gang_size);
+	return (first + (uint32_t)index) % (uint32_t)run->gang_size < count;
+}
+
 /*
  * The specification of a job begins with the processors and the run time of
  * each task. If the time is negative, the first task crashes its workers.
  */
 static void begin_run(struct worker *worker, const char *name, int64_t attempt,
-		      const char *spec)
+		      const char *spec, int64_t sent_at)
 {
 	struct run *run = calloc(1, sizeof(*run));
 	struct task *task = get_or_add_task(name);
@@ -545,15 +711,25 @@
 	run->ends_at = run->gang_size ? 0 : run->started_at + run->duration_ms;
 	run->crashes_at =
 		crashes_workers ? run->started_at + CRASH_AFTER_MS : 0;
+	run->fails = run_fails(run, spec);
 	worker->used_millicpus += run->millicpus;
 	DL_APPEND(worker->runs, run);
 	check_start(worker, task, crashes_workers);
+	check_attempts(worker, run, sent_at);
 	task->running_count++;
 	if (run->gang_size && for_each_member(run, NULL) == run->gang_size)
 		for_each_member(run, start_work);
 	printf("began %s %" PRId64 " %s\n", name, attempt, worker->name);
 }
 
+static void acknowledge_failed_run(const struct end *end)
+{
+	struct failed_run *failed = find_failed_run(end->unit, end->attempt);
+
+	if (failed && failed->acked_at == INT64_MAX)
+		failed->acked_at = soak_now_ms();
+}
+
 /* Removes the ends up to the one that a host has acknowledged. */
 static void process_ack(struct worker *worker, int64_t last_ack)
 {
@@ -572,6 +748,8 @@
 					       "its end was acknowledged",
 					       task->name);
 			task->done_acked = true;
+		} else if (!strcmp(end->outcome, "failed")) {
+			acknowledge_failed_run(end);
 		}
 		DL_DELETE(worker->ends, end);
 		free(end);
@@ -650,16 +828,18 @@
 	const char *spec =
 		json_string_value(json_object_get(request, "task_spec"));
 	const char *refusal = start_refusal(worker, request);
+	int64_t sent_at =
+		start_sent_at(worker, read_number(request, "deadline_ms"));
 
 	if (refusal) {
 		reply(worker, exchange, 409, refusal);
 		return;
 	}
 	renew_lease(worker, request);
-	check_evacuation(worker, name, read_number(request, "deadline_ms"));
+	check_evacuation(worker, name, sent_at);
 	if (!find_run(worker, name))
 		begin_run(worker, name, read_number(request, "attempt"),
-			  spec ? spec : "");
+			  spec ? spec : "", sent_at);
 	reply(worker, exchange, 200, NULL);
 }
 
@@ -862,7 +1042,7 @@
 	DL_FOREACH(worker->runs, run)
 	{
 		get_or_add_task(run->task)->crashes++;
-		printf("crashed %s\n", run->task);
+		printf("crashed %s %" PRId64 "\n", run->task, soak_now_ms());
 	}
 	while (worker->runs)
 		end_run_and_gang(worker, worker->runs, "lost");
@@ -926,12 +1106,30 @@
 	worker->down_until = soak_now_ms() + 1 + rand() % CRASH_DOWN_MAX_MS;
 }
 
+/* Ends what is due. The end of a run may end others of the worker. */
+static bool end_next_due_run(struct worker *worker)
+{
+	struct run *run;
+
+	DL_FOREACH(worker->runs, run)
+	{
+		if (run->ends_at && soak_now_ms() >= run->ends_at)
+			finish_run(worker, run);
+		else if (!run->ends_at &&
+			 soak_now_ms() >= run->started_at + GANG_TIMEOUT_MS)
+			end_run(worker, run, "alone");
+		else
+			continue;
+		return true;
+	}
+	return false;
+}
+
 static void tick_worker(struct worker *worker)
 {
 	struct pending_request *pending;
 	struct pending_request *next_request;
 	struct run *run;
-	struct run *next;
 	bool lease_expired =
 		worker_clock_ms(worker) >= worker->lease_expires_at;
 
@@ -948,14 +1146,8 @@
 		crash_worker(worker);
 		return;
 	}
-	DL_FOREACH_SAFE(worker->runs, run, next)
-	{
-		if (run->ends_at && soak_now_ms() >= run->ends_at)
-			end_run(worker, run, "done");
-		else if (!run->ends_at &&
-			 soak_now_ms() >= run->started_at + GANG_TIMEOUT_MS)
-			end_run(worker, run, "alone");
-	}
+	while (end_next_due_run(worker))
+		;
 	while (lease_expired && worker->runs)
 		end_run_and_gang(worker, worker->runs, "lapsed");
 	DL_FOREACH_SAFE(worker->polls, pending, next_request)
