--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -4,8 +4,8 @@
  * known and completes (LOST), and that each valid submission gets a definite
  * answer (SUBMIT). Prints `refused ID` for each job whose submission was
  * definitely refused; run.sh checks that none of them started. Prints `failed
- * ID` for each job that failed; run.sh checks that two workers had crashed
- * under one of its tasks.
+ * ID MS` for each job that failed; run.sh checks that by then two workers had
+ * crashed under one of its tasks, or enough runs of one had failed.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -43,6 +43,7 @@
 #define SECOND_STEP_PERCENT 30
 #define RESUBMIT_PERCENT 5
 #define CRASH_PERMILLE 15
+#define FAIL_PERMILLE 40
 #define PERMILLE 1000
 #define PERCENT 100
 #define SPEC_MAX 64
@@ -59,23 +60,27 @@
 /**
  * struct job - a job that this program submits
  * @body: body of the submission, as JSON
- * @crashes_workers: its first task crashes each worker that starts it
+ * @never_completes: every run of one of its tasks crashes its worker or fails
  * @call_in_flight: whether a call for it waits for an answer
  * @unconfirmed: a submission may have been accepted: it had no answer, or one
  *	that leaves this open
  * @due_at: when to send the next call
  * @accepted_at: when a host accepted it
+ * @is_cancelled: whether to cancel it once it is accepted
+ * @cancel_after_ms: how long after that
  * @cancel_at: when to cancel it; 0: never
  */
 struct job {
 	char id[17];
 	char *body;
 	enum job_state state;
-	bool crashes_workers;
+	bool never_completes;
 	bool call_in_flight;
 	bool unconfirmed;
 	int64_t due_at;
 	int64_t accepted_at;
+	bool is_cancelled;
+	int cancel_after_ms;
 	int64_t cancel_at;
 	struct job *next;
 };
@@ -88,6 +93,7 @@
 	struct zr_http_client *clients[HOSTS_MAX];
 	int host_count;
 	struct rng rng;
+	struct rng job_rng;
 	struct job *jobs;
 	int64_t started_at;
 	int64_t next_job_at;
@@ -160,8 +166,8 @@
 	if (status == 200) {
 		job->state = JOB_ACCEPTED;
 		job->accepted_at = now_ms();
-		if (random_below(PERCENT) < CANCEL_PERCENT)
-			job->cancel_at = now_ms() + random_below(2000);
+		if (job->is_cancelled)
+			job->cancel_at = now_ms() + job->cancel_after_ms;
 	} else if (status == 503 || status == 429) {
 		/* An earlier submission without an answer may take effect. */
 		if (!job->unconfirmed)
@@ -187,12 +193,12 @@
 				  "cancelled it",
 				  job->id);
 		job->state = JOB_ENDED;
-		if (!strcmp(job_state, "completed") && job->crashes_workers)
-			violation("MIXED %s crashes its workers, but is shown "
-				  "as completed",
+		if (!strcmp(job_state, "completed") && job->never_completes)
+			violation("MIXED %s crashes its workers or fails in "
+				  "every run, but is shown as completed",
 				  job->id);
 	} else if (!strcmp(job_state, "failed")) {
-		printf("failed %s\n", job->id);
+		printf("failed %s %" PRId64 "\n", job->id, now_ms());
 		job->state = JOB_ENDED;
 	}
 }
@@ -255,13 +261,22 @@
 
 /* Jobs */
 
+/*
+ * The jobs have a series of random numbers of their own: that of the calls
+ * depends on when they are answered.
+ */
+static int draw_below(int below)
+{
+	return (int)rng_below(&state.job_rng, (uint32_t)below);
+}
+
 /* Adds a step, and its gang size (0: not a gang) to the job's task_spec. */
 static void add_step(json_t *steps, char *spec, int millicpus, int depends_on)
 {
-	bool is_gang = random_below(PERCENT) < GANG_PERCENT;
+	bool is_gang = draw_below(PERCENT) < GANG_PERCENT;
 	json_t *step =
 		json_pack("{s:i, s:i, s:i, s:i}", "count",
-			  is_gang ? 2 + random_below(2) : 1 + random_below(4),
+			  is_gang ? 2 + draw_below(2) : 1 + draw_below(4),
 			  "cpu", millicpus, "mem_mb", 64, "estimate_ms", 400);
 
 	snprintf(spec + strlen(spec), SPEC_MAX - strlen(spec), " %d",
@@ -278,23 +293,40 @@
 	json_array_append_new(steps, step);
 }
 
+/* Draws which runs of a job fail, see workers.c; 0: none. */
+static char draw_failures(void)
+{
+	int kind = draw_below(3);
+
+	return draw_below(PERMILLE) < FAIL_PERMILLE ? "for"[kind] : 0;
+}
+
 static void make_job(void)
 {
 	static const int sizes[] = {250, 500, 1000, 2000};
 	struct job *job = calloc(1, sizeof(*job));
-	int millicpus = sizes[random_below(4)];
+	int millicpus = sizes[draw_below(4)];
 	json_t *steps = json_array();
+	bool crashes_workers;
+	char kind;
 	char spec[SPEC_MAX];
 	json_t *body;
 
 	snprintf(job->id, sizeof(job->id), "%08" PRIx32 "%08" PRIx64,
 		 (uint32_t)state.seed, ++state.job_count);
-	job->crashes_workers = random_below(PERMILLE) < CRASH_PERMILLE;
+	crashes_workers = draw_below(PERMILLE) < CRASH_PERMILLE;
 	snprintf(spec, sizeof(spec), "%d %d", millicpus,
-		 (job->crashes_workers ? -1 : 1) * (50 + random_below(1000)));
+		 (crashes_workers ? -1 : 1) * (50 + draw_below(1000)));
 	add_step(steps, spec, millicpus, -1);
-	if (random_below(PERCENT) < SECOND_STEP_PERCENT)
+	if (draw_below(PERCENT) < SECOND_STEP_PERCENT)
 		add_step(steps, spec, millicpus, 0);
+	kind = crashes_workers ? 0 : draw_failures();
+	if (kind)
+		snprintf(spec + strlen(spec), SPEC_MAX - strlen(spec), " %c",
+			 kind);
+	job->never_completes = crashes_workers || kind == 'f';
+	job->is_cancelled = draw_below(PERCENT) < CANCEL_PERCENT;
+	job->cancel_after_ms = draw_below(2000);
 	body = json_pack("{s:s, s:o}", "task_spec", spec, "steps", steps);
 	job->body = json_dumps(body, JSON_COMPACT);
 	json_decref(body);
@@ -398,6 +430,7 @@
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	state.rng.state = state.seed;
+	state.job_rng.state = state.seed + 3000000;
 	for (address = strtok(state.hosts, ","); address;
 	     address = strtok(NULL, ",")) {
 		if (zr_http_client_new(&state.clients[state.host_count++], loop,
