--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -359,7 +359,8 @@
 	     i++) {
 		const struct zr_cell_task *task = &job->tasks[i];
 		/* An active run has not failed. */
-		uint32_t attempt = task->attempt - (task->worker != 0);
+		uint32_t attempt =
+			task->attempt - (task->worker != ZR_HANDLE_NONE);
 
 		if (!task->failures)
 			continue;
