--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -1394,8 +1394,13 @@
 
 	LL_FOREACH(pool->troubled_tasks, troubled)
 	{
+		const struct done_task *done =
+			find_done_task(pool, &troubled->task);
+
+		/* A task whose success is known has not failed its job. */
 		if (!strcmp(troubled->task.job, job) &&
-		    troubled->crashes >= CRASHES_TO_FAIL)
+		    troubled->crashes >= CRASHES_TO_FAIL &&
+		    !(done && done->acked))
 			return;
 	}
 	LL_FOREACH(pool->failed_runs, failed)
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -215,8 +215,9 @@
  * @attempts: number of failed runs that fail it
  *
  * Reports a violation (FAILED) unless that many runs of one of its tasks or
- * gangs have failed, or two workers have crashed under one of its tasks. A run
- * of a gang counts once, however many of its members ended as failed.
+ * gangs have failed, or two workers have crashed under one of its tasks that is
+ * not known to have succeeded. A run of a gang counts once, however many of its
+ * members ended as failed.
  */
 void fake_pool_check_failed(struct fake_pool *pool, const char *job,
 			    unsigned int attempts);
