--- a/review/standin-3/cases.c
+++ b/review/standin-3/cases.c
@@ -275,3 +275,71 @@
 	.start_arrives = checkpoint_start_arrives,
 	.checkpoint_given = checkpoint_given,
 };
+
+/*
+ * The store is down twice. Meanwhile a quarter of the workers lose room, and
+ * say so with their next check-in after it is back.
+ */
+
+#define SHRUNK_WORKERS 3
+#define STORE_DOWN_MS 4500
+
+static void judge_room(int worker, const struct world_run *run)
+{
+	int64_t used = world_worker_cpu(worker);
+
+	if (used > world_worker_capacity(worker))
+		world_broken("LIMIT %s starts: the worker has %d, %" PRId64
+			     " of it is taken",
+			     run->task, world_worker_capacity(worker), used);
+}
+
+static void resize(int first, int cpu)
+{
+	int i;
+
+	for (i = first; i < first + SHRUNK_WORKERS; i++)
+		world_shrink(i, cpu);
+}
+
+static void shrunk_tick(int64_t ms)
+{
+	/* When it happens, and whether it is the loss of room or its end. */
+	static const struct {
+		int at_ms;
+		int first; /* of the workers; -1: the store goes down */
+		int cpu;
+	} plan[] = {
+		{6000, -1, 0},	{7000, 0, 8800},  {19000, 0, 16000},
+		{24000, -1, 0}, {25000, 6, 8800}, {37000, 6, 16000},
+	};
+	static size_t done;
+	static int64_t sent_at;
+	struct world_job *job;
+
+	if (ms >= 1000 && ms - sent_at >= 90 && ms < 38000) {
+		sent_at = ms;
+		job = world_new_job("one", KEY_1, "/batch/");
+		world_add_step(job, 4, 2000, false, 1600);
+		world_submit(job, 0);
+	}
+	while (world_trouble() && done < sizeof(plan) / sizeof(*plan) &&
+	       ms >= plan[done].at_ms) {
+		if (plan[done].first < 0)
+			world_store_is_down(STORE_DOWN_MS);
+		else
+			resize(plan[done].first, plan[done].cpu);
+		done++;
+	}
+	if (ms >= 45000)
+		world_finish();
+}
+
+const struct world_case world_shrunk = {
+	.name = "shrunk",
+	.workers = 12,
+	.worker_cpu = 16000,
+	.configure = crash_failed_configure,
+	.tick = shrunk_tick,
+	.run_begun_on = judge_room,
+};
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -72,6 +72,7 @@
 	int64_t last_number;
 	int64_t down_until;
 	bool dark;
+	int cpu;
 	int64_t heartbeat_at;
 	int64_t seq;
 	struct world_run *runs;
@@ -105,6 +106,7 @@
 	bool probing[HOSTS_MAX];
 	int64_t began_at;
 	int64_t ready_at;
+	int64_t store_back_at;
 	int version;
 	int owner;
 	bool asking_owner;
@@ -362,6 +364,7 @@
 	return is_up(&world.workers[worker]);
 }
 
+/* A worker cannot write while the store is down, and tries again later. */
 static void register_worker(struct world_worker *worker)
 {
 	int index = (int)(worker - world.workers);
@@ -374,6 +377,8 @@
 	snprintf(key, sizeof(key), "servers/%s", worker->name);
 	snprintf(rack, sizeof(rack), "r1-%d", index / 4);
 	worker->heartbeat_at = soak_now_ms() + HEARTBEAT_MS;
+	if (soak_now_ms() < world.store_back_at)
+		return;
 	soak_store_put(
 		key,
 		json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, "
@@ -384,8 +389,7 @@
 			  (json_int_t)++worker->seq, "born",
 			  (json_int_t)worker->born, "clock_ms",
 			  (json_int_t)clock_of(worker), "capacity", "cpu",
-			  world.the_case->worker_cpu, "mem_mb", 65536, "gpu", 0,
-			  "labels",
+			  worker->cpu, "mem_mb", 65536, "gpu", 0, "labels",
 			  world.the_case->kinds ? world.the_case->kinds[index]
 						: "a",
 			  rack));
@@ -615,6 +619,40 @@
 	worker->down_until = soak_now_ms() + down_ms;
 }
 
+void world_shrink(int index, int cpu)
+{
+	struct world_worker *worker = &world.workers[index];
+
+	world_record("worker %s has %d instead of %d", worker->name, cpu,
+		     worker->cpu);
+	worker->cpu = cpu;
+	register_worker(worker);
+}
+
+int world_worker_capacity(int index)
+{
+	return world.workers[index].cpu;
+}
+
+int64_t world_worker_cpu(int index)
+{
+	const struct world_run *run;
+	int64_t sum = 0;
+
+	DL_FOREACH(world.workers[index].runs, run)
+	{
+		sum += run->step->cpu;
+	}
+	return sum;
+}
+
+void world_store_is_down(int ms)
+{
+	world_record("the store is down for %d ms", ms);
+	world.store_back_at = soak_now_ms() + ms;
+	soak_store_down(ms, true);
+}
+
 void world_go_dark(int index, int down_ms)
 {
 	world.workers[index].dark = true;
@@ -765,6 +803,9 @@
 		begin_gang_if_complete(run);
 	if (world.the_case->run_begun)
 		world.the_case->run_begun(run);
+	if (world.the_case->run_begun_on)
+		world.the_case->run_begun_on((int)(worker - world.workers),
+					     run);
 	if (world.the_case->checkpoint_given &&
 	    text_of(request, "checkpoint")[0])
 		world.the_case->checkpoint_given(
@@ -1153,7 +1194,7 @@
 {
 	static const struct world_case *const cases[] = {
 		&world_quota_gang, &world_crash_failed, &world_lasting_restart,
-		&world_checkpoint, NULL};
+		&world_checkpoint, &world_shrunk,	NULL};
 	size_t i;
 
 	for (i = 0; cases[i]; i++) {
@@ -1196,6 +1237,7 @@
 		struct world_worker *worker = &world.workers[i];
 
 		snprintf(worker->name, sizeof(worker->name), "w-%02d", i);
+		worker->cpu = world.the_case->worker_cpu;
 		boot(worker);
 	}
 	uv_timer_init(loop, &timer);
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -97,6 +97,8 @@
 	/* A start has arrived; returns a status to refuse it with, or 0. */
 	int (*start_arrives)(int worker, struct world_job *job);
 	void (*run_begun)(const struct world_run *run);
+	/* The same, with the worker. */
+	void (*run_begun_on)(int worker, const struct world_run *run);
 	/* A start carries a checkpoint. */
 	void (*checkpoint_given)(const struct world_run *run,
 				 const char *checkpoint);
@@ -106,6 +108,7 @@
 extern const struct world_case world_crash_failed;
 extern const struct world_case world_lasting_restart;
 extern const struct world_case world_checkpoint;
+extern const struct world_case world_shrunk;
 
 /* tests/soak/store.c, see tests/soak/soak.h. */
 
@@ -118,6 +121,7 @@
 void soak_store_serve(void *ctx, struct zr_http_exchange *exchange);
 void soak_store_tick(void);
 void soak_store_put(const char *key, json_t *value);
+void soak_store_down(int64_t ms, bool silent);
 
 /* What a case may use. */
 
@@ -146,6 +150,13 @@
 /** world_go_dark() - the same, and nothing answers meanwhile, nor resets */
 void world_go_dark(int worker, int down_ms);
 bool world_worker_is_up(int worker);
+/** world_shrink() - change the processors of a worker that goes on running */
+void world_shrink(int worker, int cpu);
+int world_worker_capacity(int worker);
+/** world_worker_cpu() - what the runs of a worker use */
+int64_t world_worker_cpu(int worker);
+/** world_store_is_down() - the store gives no answer for @ms */
+void world_store_is_down(int ms);
 /** world_has_saved() - whether a run of @task has saved @checkpoint */
 bool world_has_saved(const char *task, const char *checkpoint);
 /** world_owner() - the host that owns the cell, -1: none yet */
