review: case 11, a gang that cannot fit keeps all later work waiting

Takes the place of the case of crashed workers, which the users' page on BUDGET allows: a work item under which two workers have crashed may be given up.

Tried: a gang of 37 work items of 9 cores on 12 empty workers of 32 cores, then nine jobs of one work item.

--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -626,7 +626,8 @@
 	world_record("worker %s has %d instead of %d", worker->name, cpu,
 		     worker->cpu);
 	worker->cpu = cpu;
-	register_worker(worker);
+	if (soak_now_ms() >= world.store_back_at)
+		register_worker(worker);
 }
 
 int world_worker_capacity(int index)
@@ -1193,8 +1194,8 @@
 static const struct world_case *find_case(const char *name)
 {
 	static const struct world_case *const cases[] = {
-		&world_quota_gang, &world_crash_failed, &world_lasting_restart,
-		&world_checkpoint, &world_shrunk,	NULL};
+		&world_quota_gang, &world_unfit,  &world_lasting_restart,
+		&world_checkpoint, &world_shrunk, NULL};
 	size_t i;
 
 	for (i = 0; cases[i]; i++) {
