--- a/review/standin-3/run-case.sh
+++ b/review/standin-3/run-case.sh
@@ -13,16 +13,22 @@
 work=$(mktemp -d)
 pids=
 
-end_all () {
+# end_processes: end what was started, by its ids
+end_processes () {
 	for pid in $pids
 	do
 		kill -KILL "$pid" 2>/dev/null
 	done
 	wait 2>/dev/null
+	pids=
+}
+
+end_all () {
+	end_processes
 	rm -rf "$work"
 }
 trap end_all EXIT
-trap 'exit 2' INT TERM
+trap 'exit 2' HUP INT TERM
 
 test -x "$root/target/zinniarack-celld" -a -x "$programs/world" || {
 	echo "build the deploy file's target and run review/build-3.sh first"
@@ -62,9 +68,9 @@
 		"$programs/standin-relay" "127.0.0.1:$(($1 + 1 + $i))=127.0.0.1:$1" \
 			>"$work/relay$i.log" 2>&1 &
 		relays="$relays $!"
+		pids="$pids $!"
 		i=$(($i + 1))
 	done
-	pids=$relays
 	"$programs/world" "$case" "$trouble" "$1" "$folder/record.txt" $relays \
 		>"$work/world.log" 2>&1 &
 	world=$!
@@ -81,11 +87,7 @@
 	done
 	wait "$world"
 	status=$?
-	for pid in $pids
-	do
-		kill -KILL "$pid" 2>/dev/null
-	done
-	wait 2>/dev/null
+	end_processes
 	test -z "${ZR_LOGS:-}" || cp "$work"/*.log "$ZR_LOGS"
 	return $status
 }
