--- a/review/standin-3/cases.c
+++ b/review/standin-3/cases.c
@@ -61,15 +61,27 @@
 	world_finish();
 }
 
-/* w-00 is unhealthy: it refuses all starts while the trouble lasts. */
+/*
+ * w-00 is unhealthy for UNHEALTHY_MS from the first start on: it refuses all
+ * starts.
+ */
+#define UNHEALTHY_MS 5000
+
 static int quota_gang_start_arrives(int worker, struct world_job *job)
 {
+	static int64_t began_at;
+
+	if (!began_at)
+		began_at = soak_now_ms();
 	if (job == gang && !urgent) {
 		urgent = world_new_job("one", KEY_1, "/lookup/");
 		world_add_step(urgent, 2, GANG_CPU, false, 640);
 		world_submit(urgent, 0);
 	}
-	return world_trouble() && worker == 0 ? 503 : 0;
+	return world_trouble() && worker == 0 &&
+			       soak_now_ms() - began_at < UNHEALTHY_MS
+		       ? 503
+		       : 0;
 }
 
 static void quota_gang_run_begun(const struct world_run *run)
