--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -136,6 +136,7 @@
 						 plan->now))
 			add_candidate(plan, worker);
 	}
+	zr_cell_reservation_begin_pass(plan);
 }
 
 bool zr_cell_candidate_matches(const struct zr_cell_plan_item *item,
@@ -430,6 +431,8 @@
 				       names);
 	placed += place_waiting(plan, item, false, attempt, max_tasks - placed,
 				names);
+	if (placed)
+		zr_cell_reservation_end(step);
 	if (gang) {
 		step->gang_placed_at = plan->now;
 		step->gang_stopping = false;
--- a/src/libzinniarack/cell/evacuation_moves.c
+++ b/src/libzinniarack/cell/evacuation_moves.c
@@ -24,7 +24,6 @@
 #define MOVES_MAX 20
 /* Decisions that are logged at once; the others are logged with later ones. */
 #define LOGGED_MAX 200
-#define PERCENT 100
 
 /* A class of workers: what the groups of a queue and label may run on. */
 struct class
@@ -50,23 +49,6 @@
 	size_t alloc;
 };
 
-/* Estimates */
-
-/*
- * Estimated time until a run ends. Without progress it is what the estimate
- * leaves: a run that exceeds its estimate is taken to end soon.
- */
-static int64_t remaining_ms(const struct zr_cell_task *task,
-			    uint32_t estimate_ms, int64_t now)
-{
-	int64_t left = estimate_ms - (now - task->started_at);
-
-	if (task->percent)
-		left = (int64_t)estimate_ms *
-		       (PERCENT - (int64_t)task->percent) / PERCENT;
-	return left > 0 ? left : 0;
-}
-
 /* Groups */
 
 /* Returns ZR_EVACUATION_CLASSES_MAX if there are too many classes. */
@@ -112,7 +94,7 @@
 		       struct zr_evacuation_group *group,
 		       const struct zr_cell_task *task, uint32_t estimate_ms)
 {
-	int64_t left = remaining_ms(task, estimate_ms, pass->now);
+	int64_t left = zr_cell_task_remaining_ms(task, estimate_ms, pass->now);
 
 	group->tasks++;
 	if (left > group->remaining_ms)
@@ -273,7 +255,7 @@
 
 	DL_FOREACH(model->ready, step)
 	{
-		if (pass->now >= step->ready_at)
+		if (pass->now >= step->ready_at && !step->unfit)
 			sum += (uint64_t)startable_tasks(model, step) *
 			       step->spec->need.millicpus;
 	}
--- a/src/libzinniarack/cell/gang.c
+++ b/src/libzinniarack/cell/gang.c
@@ -40,8 +40,6 @@
  * objective, as a divisor.
  */
 #define PREEMPTION_WAIT_DIVISOR 8
-/* A reservation expires unless a later pass renews it. */
-#define RESERVATION_MS 300
 
 bool zr_cell_in_gang_domain(const struct zr_cell_plan_item *item,
 			    const struct zr_cell_candidate *candidate)
@@ -164,24 +162,6 @@
 	item->step->gang_domain = best;
 }
 
-void zr_cell_keep_reserved(const struct zr_cell_plan *plan,
-			   const struct zr_cell_plan_item *item,
-			   struct zr_cell_worker *worker)
-{
-	worker->reserved_for_job = item->job->self;
-	worker->reserved_for_step = item->step->number;
-	worker->reserved_until = plan->now + RESERVATION_MS;
-}
-
-bool zr_cell_is_reserved_for(const struct zr_cell_plan *plan,
-			     const struct zr_cell_plan_item *item,
-			     const struct zr_cell_worker *worker)
-{
-	return plan->now < worker->reserved_until &&
-	       worker->reserved_for_job == item->job->self &&
-	       worker->reserved_for_step == item->step->number;
-}
-
 static void collect_candidates(struct zr_cell_gang_capacity *out,
 			       struct zr_cell_plan *plan,
 			       const struct zr_cell_plan_item *item)
@@ -200,7 +180,7 @@
 		out->candidates[i] = (struct zr_cell_gang_candidate){
 			.eligible = &item->eligible[i],
 			.candidate = candidate,
-			.already_reserved = zr_cell_is_reserved_for(
+			.already_reserved = zr_cell_reservation_has_worker(
 				plan, item, candidate->worker),
 			.shortfall = candidate->shortfall,
 			.in_gang_domain =
@@ -264,7 +244,7 @@
 {
 	struct zr_resources *reserved = &entry->candidate->reserved;
 
-	entry->reserved_members = members;
+	entry->reserved_members += members;
 	reserved->millicpus += members * item->need.millicpus;
 	reserved->memory_mb += members * item->need.memory_mb;
 	reserved->accelerators += members * item->need.accelerators;
@@ -277,7 +257,7 @@
 				  uint32_t members)
 {
 	reserve(item, entry, members);
-	zr_cell_keep_reserved(plan, item, entry->candidate->worker);
+	zr_cell_reservation_keep_worker(plan, item, entry->candidate->worker);
 }
 
 static uint32_t min_u32(uint32_t a, uint32_t b)
@@ -285,28 +265,56 @@
 	return a < b ? a : b;
 }
 
-/* Reserves the whole gang if it fits once sent stops have taken effect. */
-static bool reserve_after_stops(const struct zr_cell_plan *plan,
-				const struct zr_cell_plan_item *item,
-				struct zr_cell_gang_capacity *capacity)
+/* Whether all members fit once runs have ended that end soon. */
+static bool fits_soon(const struct zr_cell_plan *plan,
+		      const struct zr_cell_plan_item *item,
+		      const struct zr_cell_gang_capacity *capacity)
+{
+	uint32_t wanted = item->step->spec->count;
+	uint32_t slots = 0;
+	size_t i;
+
+	for (i = 0; i < capacity->count && slots < wanted; i++)
+		slots += zr_cell_candidate_slots_soon(
+			plan, item, capacity->candidates[i].candidate);
+	return slots >= wanted;
+}
+
+/* Whether all members fit once sent stops have taken effect. */
+static bool fits_after_stops(const struct zr_cell_plan_item *item,
+			     const struct zr_cell_gang_capacity *capacity)
+{
+	uint32_t wanted = item->step->spec->count;
+	uint32_t slots = 0;
+	size_t i;
+
+	for (i = 0; i < capacity->count && slots < wanted; i++)
+		slots += capacity->candidates[i].slots_after_stops;
+	return slots >= wanted;
+}
+
+/*
+ * Assigns the members to workers on which they fit after stops. Without a
+ * reservation, the adviser is queried about these workers all the same.
+ */
+static void assign_after_stops(const struct zr_cell_plan *plan,
+			       const struct zr_cell_plan_item *item,
+			       struct zr_cell_gang_capacity *capacity,
+			       bool reserves)
 {
 	uint32_t wanted = item->step->spec->count;
-	uint32_t sum = 0;
 	size_t i;
 
-	for (i = 0; i < capacity->count && sum < wanted; i++)
-		sum += capacity->candidates[i].slots_after_stops;
-	if (sum < wanted)
-		return false;
 	for (i = 0; wanted; i++) {
 		struct zr_cell_gang_candidate *entry = &capacity->candidates[i];
 		uint32_t members = min_u32(entry->slots_after_stops, wanted);
 
-		if (members)
+		if (members && reserves)
 			reserve_across_passes(plan, item, entry, members);
+		else
+			entry->reserved_members = members;
 		wanted -= members;
 	}
-	return true;
 }
 
 /* Whether all members fit once all preemptible tasks have been stopped. */
@@ -376,6 +384,32 @@
 		       : (uint32_t)capacity->count;
 }
 
+/*
+ * Reserves capacity for up to @wanted members, @max on a worker, but no more
+ * than it can hold. Returns the number of members.
+ */
+static uint32_t spread_members(const struct zr_cell_plan *plan,
+			       const struct zr_cell_plan_item *item,
+			       struct zr_cell_gang_capacity *capacity,
+			       uint32_t wanted, uint32_t max)
+{
+	uint32_t reserved = 0;
+	size_t i;
+
+	for (i = 0; i < capacity->count && reserved < wanted; i++) {
+		struct zr_cell_gang_candidate *entry = &capacity->candidates[i];
+		uint32_t slots = zr_cell_candidate_slots_soon(plan, item,
+							      entry->candidate);
+		uint32_t members =
+			min_u32(min_u32(slots - entry->reserved_members, max),
+				wanted - reserved);
+
+		reserve(item, entry, members);
+		reserved += members;
+	}
+	return reserved;
+}
+
 /*
  * Reserves what becomes free until all members fit. The reservation is spread
  * over many workers, since on few of them the gang would have to wait for their
@@ -389,23 +423,22 @@
 	uint64_t millicpus = (uint64_t)wanted * item->need.millicpus;
 	uint32_t worker_count;
 	uint32_t members_per_worker;
-	size_t i;
 
 	if (!capacity->count || (plan->waiting_gangs_millicpus &&
 				 (plan->waiting_gangs_millicpus + millicpus) *
 						 WAITING_GANGS_DIVISOR >
 					 plan->capacity_millicpus))
 		return;
+	if (!zr_cell_reservation_renew(plan, item))
+		return;
 	worker_count = waiting_worker_count(item, capacity, wanted);
 	members_per_worker = (wanted + worker_count - 1) / worker_count;
 	qsort(capacity->candidates, capacity->count,
 	      sizeof(*capacity->candidates), by_free_cpu);
-	for (i = 0; i < capacity->count && wanted; i++) {
-		uint32_t members = min_u32(members_per_worker, wanted);
-
-		reserve(item, &capacity->candidates[i], members);
-		wanted -= members;
-	}
+	wanted -= spread_members(plan, item, capacity, wanted,
+				 members_per_worker);
+	/* Some workers hold less than their part. */
+	spread_members(plan, item, capacity, wanted, wanted);
 	plan->waiting_gangs_millicpus += millicpus;
 }
 
@@ -455,13 +488,16 @@
 	qsort(out->candidates, out->count, sizeof(*out->candidates),
 	      by_slots_after_stops);
 	out->missing_slots = count_missing_slots(plan, item, out);
-	out->complete_soon = reserve_after_stops(plan, item, out);
-	if (out->complete_soon)
-		return;
-	if (should_preempt(plan, item) && fits_after_preemption(item, out)) {
-		preempt_tasks(plan, item, out);
-		out->complete_soon = true;
-	} else {
+	out->complete_soon = fits_after_stops(item, out);
+	if (out->complete_soon) {
+		assign_after_stops(plan, item, out,
+				   zr_cell_reservation_renew(plan, item));
+	} else if (should_preempt(plan, item) &&
+		   fits_after_preemption(item, out)) {
+		out->complete_soon = zr_cell_reservation_renew(plan, item);
+		if (out->complete_soon)
+			preempt_tasks(plan, item, out);
+	} else if (fits_soon(plan, item, out)) {
 		reserve_as_freed(plan, item, out);
 	}
 }
--- a/src/libzinniarack/cell/isolation.c
+++ b/src/libzinniarack/cell/isolation.c
@@ -148,6 +148,10 @@
 
 	if (!item->step->isolation_wanted_since)
 		item->step->isolation_wanted_since = plan->now;
+	/* Once isolation is not required, it is placed beside other jobs. */
+	if (!zr_cell_isolation_required(plan, item) ||
+	    !zr_cell_reservation_renew(plan, item))
+		return;
 	if (renew_draining(plan, item) ||
 	    plan->draining_count * DRAINING_DIVISOR > plan->candidate_count)
 		return;
--- a/src/libzinniarack/cell/lasting.c
+++ b/src/libzinniarack/cell/lasting.c
@@ -86,7 +86,7 @@
 
 /* How soon a worker has capacity for one task; the highest is the best. */
 enum suitability {
-	NEVER,
+	NEVER,	    /* at least not soon */
 	AFTER_RUNS, /* once enough of its runs have ended */
 	AFTER_PREEMPTION,
 	AFTER_STOPS, /* stops that have been sent */
@@ -106,8 +106,10 @@
 	if (zr_cell_candidate_slots_after_stops(plan, item, candidate))
 		return AFTER_STOPS;
 	freeable = free_after_preemption(plan, item, candidate);
-	return zr_cell_fit_count(&freeable, &item->need) ? AFTER_PREEMPTION
-							 : AFTER_RUNS;
+	if (zr_cell_fit_count(&freeable, &item->need))
+		return AFTER_PREEMPTION;
+	return zr_cell_candidate_slots_soon(plan, item, candidate) ? AFTER_RUNS
+								   : NEVER;
 }
 
 static struct zr_cell_candidate *
@@ -123,13 +125,13 @@
 			item->eligible[i].candidate;
 		enum suitability suitability =
 			suitability_of(plan, item, candidate);
-		bool kept =
-			zr_cell_is_reserved_for(plan, item, candidate->worker);
+		bool kept = zr_cell_reservation_has_worker(plan, item,
+							   candidate->worker);
 
 		if (suitability == NEVER || suitability < *out)
 			continue;
 		if (best && suitability == *out && !kept &&
-		    (zr_cell_is_reserved_for(plan, item, best->worker) ||
+		    (zr_cell_reservation_has_worker(plan, item, best->worker) ||
 		     zr_cell_candidate_free(candidate).millicpus <=
 			     zr_cell_candidate_free(best).millicpus))
 			continue;
@@ -168,7 +170,7 @@
 {
 	zr_cell_resources_add(&candidate->reserved, &item->need);
 	candidate->lasting_reserved = true;
-	zr_cell_keep_reserved(plan, item, candidate->worker);
+	zr_cell_reservation_keep_worker(plan, item, candidate->worker);
 }
 
 /* Number of waiting tasks that may be placed now. */
@@ -204,7 +206,7 @@
 		struct zr_cell_candidate *candidate =
 			choose_worker(&suitability, plan, item);
 
-		if (!candidate)
+		if (!candidate || !zr_cell_reservation_renew(plan, item))
 			return;
 		if (suitability == AFTER_PREEMPTION &&
 		    plan->now - since >= PREEMPTION_WAIT_MS) {
--- a/src/libzinniarack/cell/load_summary.c
+++ b/src/libzinniarack/cell/load_summary.c
@@ -241,6 +241,16 @@
 	sums[ZR_ADMISSION_ACCELERATORS] += need->accelerators * task_ms;
 }
 
+/* Whether a step exceeds the limit of its account even if nothing else runs. */
+static bool exceeds_limit(const struct zr_cell_client_state *client,
+			  const struct zr_cell_step_state *step)
+{
+	const struct zr_cell_client_state idle = {.limit = client->limit};
+
+	return zr_cell_client_remaining_tasks(&idle, &step->spec->need) <
+	       zr_cell_step_least_tasks(step);
+}
+
 static void add_step(struct summary *summary,
 		     const struct zr_cell_step_state *step)
 {
@@ -249,14 +259,18 @@
 	enum zr_cell_tier tier = zr_cell_priority_tier(job, summary->now);
 	uint32_t class = zr_cell_class_of(job->priority);
 	struct pool_sum *pool = get_or_add_pool(summary, job->terms.pool);
-	struct account_sum *account =
-		find_account(summary, zr_cell_client(model, job->client));
+	const struct zr_cell_client_state *client =
+		zr_cell_client(model, job->client);
+	struct account_sum *account = find_account(summary, client);
 	double task_ms = (double)step->spec->estimate_ms *
 			 summary->run_permille[class] / PERMILLE;
 
 	if (tier == ZR_CELL_TIER_WORTHLESS || !pool || !account ||
 	    !step->waiting || summary->now < step->ready_at)
 		return;
+	/* It delays nobody as long as it cannot run. */
+	if (step->unfit || exceeds_limit(client, step))
+		return;
 	add_need(tier == ZR_CELL_TIER_ON_TIME ? account->on_time[class]
 					      : account->behind[class],
 		 &step->spec->need, step->waiting * task_ms);
@@ -327,7 +341,8 @@
 	for (i = 0; i < job->spec.step_count; i++) {
 		const struct zr_cell_step_spec *step = &job->spec.steps[i];
 
-		if (!(step->flags & ZR_STEP_LONG_RUNNING))
+		if (!(step->flags & ZR_STEP_LONG_RUNNING) &&
+		    !job->steps[i].unfit)
 			arrivals->accepted[zr_cell_class_of(job->priority)]
 					  [job->over_share] +=
 				(double)step->count * step->need.millicpus *
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -169,6 +169,21 @@
 	char ticket[ZR_CELL_TICKET_MAX];
 };
 
+/**
+ * struct zr_cell_reservation - capacity that a waiting step keeps from others
+ * @since: when it began; 0: there is none
+ * @renewed_at: last pass that has renewed it
+ * @retry_at: time before which the step reserves nothing
+ * @expired: number of reservations that were given up since the step was last
+ *           placed
+ */
+struct zr_cell_reservation {
+	int64_t since;
+	int64_t renewed_at;
+	int64_t retry_at;
+	uint32_t expired;
+};
+
 /**
  * struct zr_cell_step_state - state of one occurrence of a step
  * @spec: the step as submitted
@@ -198,6 +213,11 @@
  * @gang_stopping: of a gang, all members of that run are being stopped
  * @gang_domain: of a gang, number of the failure domain in which it reserves
  *               capacity; 0: none chosen
+ * @reservation: capacity that it reserves while it waits
+ * @unfit: in the last pass it did not fit on the workers even if all runs that
+ *         end had ended
+ * @unfit_since: first pass in a row in which it did not; 0: it does
+ * @unfit_logged: that it does not fit has been logged
  * @isolation_wanted_since: when a suspect of it first found no worker of its
  *                          own; 0: none waits for one
  * @prev: previous step in the list of ready steps
@@ -238,6 +258,10 @@
 	int64_t gang_placed_at;
 	bool gang_stopping;
 	uint32_t gang_domain;
+	struct zr_cell_reservation reservation;
+	bool unfit;
+	int64_t unfit_since;
+	bool unfit_logged;
 	int64_t isolation_wanted_since;
 	struct zr_cell_step_state *prev;
 	struct zr_cell_step_state *next;
@@ -483,8 +507,8 @@
  * @failures: number of consecutive failures, each of another job than the last
  * @slowdown: ratio of run times to their estimates, smoothed; 0: not known
  * @slowdown_at: when @slowdown was last updated
- * @reserved_for_job: job of the gang that reserves capacity there
- * @reserved_for_step: step number of that gang
+ * @reserved_for_job: job of the step that reserves capacity there
+ * @reserved_for_step: number of that step
  * @reserved_until: when the reservation expires unless it is renewed
  * @isolation_job: the only job that may place tasks there; ZR_HANDLE_NONE: any
  *                 job may
--- a/src/libzinniarack/cell/plan.c
+++ b/src/libzinniarack/cell/plan.c
@@ -13,6 +13,11 @@
 	return step->spec->flags & ZR_STEP_GANG;
 }
 
+uint32_t zr_cell_step_least_tasks(const struct zr_cell_step_state *step)
+{
+	return zr_cell_step_is_gang(step) ? step->spec->count : 1;
+}
+
 static void log_placed(const struct zr_cell_plan *plan,
 		       const struct zr_cell_plan_item *item, uint32_t placed,
 		       const char *names)
@@ -104,7 +109,7 @@
 	 */
 	zr_cell_gang_choose_band(plan, item, true);
 	zr_cell_gang_reserve(&capacity, plan, item);
-	if (item->queue.advised)
+	if (item->queue.advised && !item->step->unfit)
 		zr_cell_query_adviser_for_gang(plan, item, &capacity);
 	zr_cell_gang_capacity_clear(&capacity);
 }
@@ -181,6 +186,7 @@
 	zr_cell_plan_item_set(plan, &item, step);
 	item.max_tasks = max_tasks;
 	zr_cell_plan_item_find_eligible(plan, &item);
+	zr_cell_step_update_unfit(plan, &item);
 	if (zr_cell_step_is_gang(step))
 		place_gang(plan, &item);
 	else
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -17,7 +17,8 @@
  *
  * plan.c runs the pass; priority.c ranks the jobs; candidates.c collects the
  * candidate workers and chooses among them; gang.c reserves capacity for gangs,
- * and lasting.c for long-running tasks; preempt.c computes what stops and
+ * and lasting.c for long-running tasks; reservation.c bounds how long they may;
+ * preempt.c computes what stops and
  * preemption would free; adviser_query.c queries the placement adviser and
  * permissions.c stores its answers; speeds.c computes the order of workers by
  * expected finish and moves.c moves slow runs; isolation.c finds workers for
@@ -37,6 +38,10 @@
  *                         preempt have been stopped too
  * @preemption_class: class for which the previous two members were computed;
  *                    -1: they are not valid
+ * @lasting: resources of runs that do not end by themselves
+ * @staying: resources of runs that do not end within
+ *           ZR_CELL_RESERVATION_MAX_MS, as far as can be expected
+ * @staying_known: the previous two members have been computed in this pass
  * @slow: runs take much longer here than on other workers
  * @gang_reserved: a gang or a long-running task has reserved capacity here in
  * an earlier pass
@@ -53,6 +58,9 @@
 	struct zr_resources free_after_stops;
 	struct zr_resources free_after_preemption;
 	int64_t preemption_class;
+	struct zr_resources lasting;
+	struct zr_resources staying;
+	bool staying_known;
 	bool slow;
 	bool gang_reserved;
 	bool lasting_reserved;
@@ -134,6 +142,11 @@
 #define ZR_CELL_STOP_MS 450
 
 bool zr_cell_step_is_gang(const struct zr_cell_step_state *step);
+/**
+ * zr_cell_step_least_tasks() - number of tasks that a step places at once at
+ * least
+ */
+uint32_t zr_cell_step_least_tasks(const struct zr_cell_step_state *step);
 
 /* priority.c */
 /**
@@ -326,6 +339,23 @@
 zr_cell_candidate_slots_after_preemption(struct zr_cell_plan *plan,
 					 const struct zr_cell_plan_item *item,
 					 struct zr_cell_candidate *candidate);
+/**
+ * zr_cell_candidate_slots_when_idle() - slots once all runs that end have ended
+ * @plan: the pass
+ * @item: the step, of which no task is on the worker
+ * @candidate: the worker
+ */
+uint32_t zr_cell_candidate_slots_when_idle(const struct zr_cell_plan *plan,
+					   const struct zr_cell_plan_item *item,
+					   struct zr_cell_candidate *candidate);
+/**
+ * zr_cell_candidate_slots_soon() - slots once runs have ended that are expected
+ * to end within ZR_CELL_RESERVATION_MAX_MS; otherwise as
+ * zr_cell_candidate_slots_when_idle()
+ */
+uint32_t zr_cell_candidate_slots_soon(const struct zr_cell_plan *plan,
+				      const struct zr_cell_plan_item *item,
+				      struct zr_cell_candidate *candidate);
 /**
  * zr_cell_candidate_preempt() - stop tasks on a worker until a gang fits
  * @plan: the pass
@@ -349,7 +379,8 @@
  * @shortfall: number of bands of speed by which it is too slow
  * @already_reserved: the gang has reserved capacity here in an earlier pass
  * @in_gang_domain: it is in the failure domain chosen for the gang
- * @reserved_members: number of members for which this pass reserves capacity
+ * @reserved_members: number of members that this pass assigns to it; capacity
+ *                    is reserved for them unless a reservation has expired
  */
 struct zr_cell_gang_candidate {
 	const struct zr_cell_eligible *eligible;
@@ -366,8 +397,7 @@
  * struct zr_cell_gang_capacity - capacity that a gang could get or has reserved
  * @candidates: workers on which it may be placed
  * @count: number of candidates
- * @complete_soon: it has reserved all that it needs, and this will be free when
- *                 the adviser has answered
+ * @complete_soon: all that it needs will be free when the adviser has answered
  * @missing_slots: number of slots by which the capacity of its permitted
  *                 workers falls short of what it should have to choose from
  */
@@ -408,7 +438,9 @@
  * Reserves what sent stops will free, if that is enough. Otherwise preempts
  * tasks if the gang has waited long, or else reserves what becomes free as
  * running tasks end. Steps that come later in the pass cannot use what is
- * reserved.
+ * reserved. A gang that would not fit on its eligible workers within
+ * ZR_CELL_RESERVATION_MAX_MS reserves nothing, nor does one whose reservation
+ * has expired.
  */
 void zr_cell_gang_reserve(struct zr_cell_gang_capacity *out,
 			  struct zr_cell_plan *plan,
@@ -641,7 +673,7 @@
  * zr_cell_query_adviser_for_gang() - query the adviser about workers for a gang
  * @plan: the pass
  * @item: the gang
- * @capacity: the capacity reserved for it in this pass
+ * @capacity: the capacity assigned to it in this pass
  */
 void zr_cell_query_adviser_for_gang(
 	struct zr_cell_plan *plan, const struct zr_cell_plan_item *item,
@@ -667,17 +699,46 @@
 /** zr_cell_resources_add() - add an amount to a sum */
 void zr_cell_resources_add(struct zr_resources *sum,
 			   const struct zr_resources *amount);
-/** zr_cell_keep_reserved() - reserve a worker for a step in the next passes */
-void zr_cell_keep_reserved(const struct zr_cell_plan *plan,
-			   const struct zr_cell_plan_item *item,
-			   struct zr_cell_worker *worker);
+
+/* reservation.c */
+/** Time after which a reservation is given up. */
+#define ZR_CELL_RESERVATION_MAX_MS 3000
+/** zr_cell_reservation_begin_pass() - compute the use of the pools */
+void zr_cell_reservation_begin_pass(struct zr_cell_plan *plan);
+/**
+ * zr_cell_reservation_renew() - begin or renew the reservation of a step
+ * @plan: the pass
+ * @item: the step, which waits
+ *
+ * Return: true if the step may keep capacity from steps that come later in the
+ * pass; false if its last reservation has expired, or if reservations have left
+ * most of the pool unused.
+ */
+bool zr_cell_reservation_renew(struct zr_cell_plan *plan,
+			       const struct zr_cell_plan_item *item);
+/** zr_cell_reservation_end() - end the reservation of a step that was placed */
+void zr_cell_reservation_end(struct zr_cell_step_state *step);
 /**
- * zr_cell_is_reserved_for() - whether a worker is reserved for a step since an
- * earlier pass
+ * zr_cell_reservation_keep_worker() - let the next passes choose a worker for a
+ * step again
  */
-bool zr_cell_is_reserved_for(const struct zr_cell_plan *plan,
-			     const struct zr_cell_plan_item *item,
-			     const struct zr_cell_worker *worker);
+void zr_cell_reservation_keep_worker(const struct zr_cell_plan *plan,
+				     const struct zr_cell_plan_item *item,
+				     struct zr_cell_worker *worker);
+/**
+ * zr_cell_reservation_has_worker() - whether a worker is reserved for a step
+ * since an earlier pass
+ */
+bool zr_cell_reservation_has_worker(const struct zr_cell_plan *plan,
+				    const struct zr_cell_plan_item *item,
+				    const struct zr_cell_worker *worker);
+/**
+ * zr_cell_step_update_unfit() - set whether a step fits on the idle workers
+ *
+ * Permits and the limit of the client account are not considered.
+ */
+void zr_cell_step_update_unfit(struct zr_cell_plan *plan,
+			       const struct zr_cell_plan_item *item);
 
 /* lasting.c */
 /**
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -39,6 +39,25 @@
 	double millicpus[ZR_CELL_PRIORITIES][2];
 };
 
+/**
+ * struct zr_cell_pool_use - use of a pool, and reservations in it
+ * @pool: name of the pool
+ * @capacity: thousandths of a processor of its registered workers
+ * @used: part of it that is in use
+ * @reserved_at: when a step last reserved capacity; 0: never
+ * @underused_since: since when steps have done so while most of the pool was
+ *	not in use; 0: they have not
+ * @paused_until: time before which no step reserves capacity
+ */
+struct zr_cell_pool_use {
+	char pool[ZR_NAME_MAX];
+	uint64_t capacity;
+	uint64_t used;
+	int64_t reserved_at;
+	int64_t underused_since;
+	int64_t paused_until;
+};
+
 /** enum zr_cell_phase - phase of a scheduler */
 enum zr_cell_phase {
 	ZR_CELL_STANDBY, /* does not own the cell */
@@ -257,6 +276,8 @@
  *not set in this term
  * @arrivals: work that was accepted lately, by pool
  * @arrival_count: number of @arrivals
+ * @pool_use: use of the pools in the last planning pass, and reservations
+ * @pool_use_count: number of @pool_use
  * @summary_full: the last summary shows a pool or a limit that is full
  */
 struct zr_cell_term {
@@ -285,6 +306,8 @@
 	int64_t summary_due_at;
 	struct zr_cell_arrivals arrivals[ZR_CELL_POOLS_MAX];
 	size_t arrival_count;
+	struct zr_cell_pool_use pool_use[ZR_CELL_POOLS_MAX];
+	size_t pool_use_count;
 	bool summary_full;
 };
 
@@ -325,6 +348,8 @@
  * @polls: polls sent
  * @lost: runs that were lost with their worker or did not start
  * @crashes: workers that crashed, by what their responses show
+ * @unfit_steps: steps that wait and do not fit on the idle workers
+ * @expired_reservations: reservations that were given up
  * @takeovers: times the ownership was won
  * @load_timeouts: times the cell was given back because the load took too long
  * @loaded_bytes: bytes of jobs and progress read after takeovers
@@ -374,6 +399,8 @@
 	struct zr_metric *polls;
 	struct zr_metric *lost;
 	struct zr_metric *crashes;
+	struct zr_metric *unfit_steps;
+	struct zr_metric *expired_reservations;
 	struct zr_metric *takeovers;
 	struct zr_metric *load_timeouts;
 	struct zr_metric *loaded_bytes;
@@ -592,6 +619,17 @@
 void zr_cell_task_avoid_worker(const struct zr_cell_scheduler *scheduler,
 			       struct zr_cell_task *task, zr_handle worker,
 			       int64_t ms);
+/**
+ * zr_cell_task_remaining_ms() - estimated time until a run ends
+ * @task: the task, whose run is active
+ * @estimate_ms: its run time as estimated by the submitter
+ * @now: the current time in milliseconds
+ *
+ * Return: what is left by the progress of the run or, if none is known, by its
+ * age. A run that exceeds its estimate is taken to end soon.
+ */
+int64_t zr_cell_task_remaining_ms(const struct zr_cell_task *task,
+				  uint32_t estimate_ms, int64_t now);
 /** zr_cell_stop_run() - stop the active run of a task, if it has one */
 void zr_cell_stop_run(struct zr_cell_scheduler *scheduler,
 		      struct zr_cell_job *job, uint32_t task,
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -48,6 +48,7 @@
  * fail runs, it is the jobs that are at fault.
  */
 #define SUSPECT_PERCENT_MAX 50
+#define PERCENT 100
 /*
  * Members of a gang end as `alone` after 4,000 ms if the others have not begun.
  * Until GANG_JOIN_MS after its placement members may still join its run; if
@@ -544,6 +545,19 @@
 	zr_cell_run_ended(scheduler, job, task, outcome_names[end->outcome]);
 }
 
+int64_t zr_cell_task_remaining_ms(const struct zr_cell_task *task,
+				  uint32_t estimate_ms, int64_t now)
+{
+	int64_t left = estimate_ms;
+
+	if (task->percent)
+		left = (int64_t)estimate_ms *
+		       (PERCENT - (int64_t)task->percent) / PERCENT;
+	else if (task->started_at)
+		left -= now - task->started_at;
+	return left > 0 ? left : 0;
+}
+
 /* Stops */
 
 /* The task and the worker of a completed request. */
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -151,6 +151,7 @@
 	size_t reserved_workers = 0;
 	size_t tasks = 0;
 	size_t gangs = 0;
+	size_t unfit = 0;
 	struct zr_cell_step_state *step;
 	struct zr_cell_worker *worker;
 	struct zr_cell_worker *next;
@@ -165,11 +166,13 @@
 	{
 		tasks += step->waiting;
 		gangs += (step->spec->flags & ZR_STEP_GANG) != 0;
+		unfit += step->unfit;
 	}
+	scheduler->unfit_steps->value = (int64_t)unfit;
 	zr_log_decision("cell.load used=%" PRIu64 " capacity=%" PRIu64
-			" waiting_tasks=%zu waiting_gangs=%zu kept=%zu "
-			"idle_hosts=%zu",
-			used, capacity, tasks, gangs, reserved_workers,
+			" waiting_tasks=%zu waiting_gangs=%zu unfit=%zu "
+			"kept=%zu idle_hosts=%zu",
+			used, capacity, tasks, gangs, unfit, reserved_workers,
 			zr_cell_advice_idle_count(&scheduler->advice, now));
 }
 
@@ -483,6 +486,12 @@
 	scheduler->crashes = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_worker_crashes_total", NULL,
 		"Workers that crashed while they had runs or were known");
+	scheduler->unfit_steps = zr_metrics_get_or_add_gauge(
+		metrics, "zinniarack_cell_unfit_steps", NULL,
+		"Steps that wait and do not fit on the idle workers");
+	scheduler->expired_reservations = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_reservations_expired_total", NULL,
+		"Reservations given up since their step could not be placed");
 	scheduler->takeovers = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_take_overs_total", NULL,
 		"Times this host took the cell over");
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -58,7 +58,8 @@
 	struct odd_entry *odd_entries;
 	struct host hosts[HOSTS_MAX];
 	size_t host_count;
-	struct zr_cell_queue queue;
+	struct zr_cell_queue queues[2]; /* the second one needs no permits */
+	const struct zr_cell_queue *job_queue;
 	struct zr_cell_client client;
 	struct zr_cell_config config;
 	uint32_t priority;
@@ -489,10 +490,10 @@
 
 static void do_queue(struct cell_script *script)
 {
-	script->queue.advised = !strcmp(word(script, 1), "advised");
-	script->queue.permit_ms = 1500;
-	script->queue.advise_ms = 10;
-	script->config.queue_count = 1;
+	script->queues[0].advised = !strcmp(word(script, 1), "advised");
+	script->queues[0].permit_ms = 1500;
+	script->queues[0].advise_ms = 10;
+	script->config.queue_count = 2;
 	configure(script);
 }
 
@@ -502,6 +503,11 @@
 	configure(script);
 }
 
+static void do_jobs_plain(struct cell_script *script)
+{
+	script->job_queue = &script->queues[1];
+}
+
 static void do_limit(struct cell_script *script)
 {
 	script->client.limit.millicpus = (uint32_t)atoi(word(script, 1));
@@ -519,6 +525,11 @@
 		} else if (!strncmp(text, "service=", 8)) {
 			step->flags |= ZR_STEP_LONG_RUNNING;
 			step->unavailable_max = (uint32_t)atoi(text + 8);
+		} else if (!strncmp(text, "spread=", 7)) {
+			step->max_per_worker = (uint32_t)atoi(text + 7);
+		} else if (!strncmp(text, "label=", 6)) {
+			snprintf(step->label, sizeof(step->label), "%.*s",
+				 (int)strcspn(text + 6, ","), text + 6);
 		} else {
 			fprintf(stderr, "run_cell: unknown kind '%s'\n", text);
 			exit(2);
@@ -572,15 +583,15 @@
 	char payload[LINE_MAX_BYTES] = "";
 	struct zr_cell_job_spec spec = {.payload = payload, .steps = steps};
 	zx_cell_stored_job record = {
-		.job = {.queue = "q",
+		.job = {.queue = (char *)script->job_queue->name,
 			.client = script->job_client,
 			.pool = "pool",
 			.attempts = ATTEMPTS,
 			.priority = script->priority,
 			.latency_target_ms = script->latency_target_ms},
-		.advice = {.advised = script->queue.advised,
-			   .advise_ms = script->queue.advise_ms,
-			   .permit_ms = script->queue.permit_ms},
+		.advice = {.advised = script->job_queue->advised,
+			   .advise_ms = script->job_queue->advise_ms,
+			   .permit_ms = script->job_queue->permit_ms},
 	};
 	const struct zr_clock *clock =
 		fake_time_clock(fake_node_time(host->node));
@@ -1325,6 +1336,7 @@
 	{"worker", do_worker},
 	{"queue", do_queue},
 	{"remove-queue", do_remove_queue},
+	{"jobs-plain", do_jobs_plain},
 	{"limit", do_limit},
 	{"submit", do_submit},
 	{"cancel", do_cancel},
@@ -1431,15 +1443,17 @@
 	fake_pool_set_attempts(script->pool, ATTEMPTS);
 	decoder_pool = script->pool;
 	decoder_script = script;
-	strcpy(script->queue.name, "q");
-	strcpy(script->queue.pool, "pool");
-	script->queue.attempts = ATTEMPTS;
+	script->queues[0] = (struct zr_cell_queue){
+		.name = "q", .pool = "pool", .attempts = ATTEMPTS};
+	script->queues[1] = (struct zr_cell_queue){
+		.name = "plain", .pool = "pool", .attempts = ATTEMPTS};
+	script->job_queue = &script->queues[0];
 	strcpy(script->client.name, "c");
 	strcpy(script->job_client, "c");
 	script->config = (struct zr_cell_config){
 		.version = 1,
-		.queues = &script->queue,
-		.queue_count = 1,
+		.queues = script->queues,
+		.queue_count = 2,
 		.clients = &script->client,
 		.client_count = 1,
 	};
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -24,7 +24,9 @@
  *   queue advised              from now on, tasks of the queue start only on
  *                              workers that the adviser has permitted
  *   queue plain                from now on, they need no permission
- *   remove-queue               remove the queue from the configuration, until
+ *   jobs-plain                 jobs submitted from now on are of another queue,
+ *                              which needs no permission
+ *   remove-queue               remove the queues from the configuration, until
  *                              the next verb `queue`
  *   limit MILLICPUS            set the upper limit of the client account
  *   priority N                 set the priority of jobs submitted from now on
@@ -37,8 +39,10 @@
  *   submit HOST JOB STEP...    commit a job like an entry host, then notify
  *                              all schedulers of it. STEP is
  *                              [KIND,...]COUNTxMILLICPUS:MS[@STEP]. KIND is
- *                              gang, checkpoints, or service=N: it is
- *                              long-running, and N tasks may be unavailable.
+ *                              gang, checkpoints, service=N: it is
+ *                              long-running, and N tasks may be unavailable,
+ *                              spread=N: at most N tasks run on one worker, or
+ *                              label=KIND: they run on workers of that kind.
  *                              MS is the run time of a task, fMS that of a task
  *                              that fails, oMS that of a task whose first run
  *                              fails, tMS that of the tasks of a step
--- a/tests/fakes/cell_stays.c
+++ b/tests/fakes/cell_stays.c
@@ -6,10 +6,13 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "cell/plan.h"
+
 #define PLACED_MAX_MS 6000
 #define LEASE_MAX_MS 8200
 #define STOPPING_MAX_MS 14200
 #define QUERY_MAX_MS 2000
+#define WAITING_MAX_MS 3000
 #define RATE_MAX 8
 #define RATE_SPAN_MS 1000
 /* Longest time between two checks. */
@@ -202,6 +205,127 @@
 		report(stays, stay, "POLLS");
 }
 
+/* Tasks that wait and may be placed on the worker now. */
+static uint32_t count_startable(const struct zr_cell_job *job,
+				const struct zr_cell_step_state *step,
+				const struct zr_cell_worker *worker,
+				int64_t now)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = step->first_task; i < step->first_task + step->spec->count;
+	     i++) {
+		const struct zr_cell_task *task = &job->tasks[i];
+
+		count += task->state == ZR_TASK_WAITING &&
+			 task->suspicion == ZR_SUSPECT_NOT &&
+			 now >= task->retry_at &&
+			 (now >= task->avoided_until ||
+			  task->avoided_worker != worker->self);
+	}
+	return count;
+}
+
+/* How many times a need fits into what a worker has free. */
+static uint32_t count_fits(const struct zr_cell_worker *worker,
+			   const struct zr_cell_step_spec *spec)
+{
+	struct zr_resources free = zr_cell_worker_free_resources(worker);
+	uint32_t need = spec->need.millicpus;
+	uint32_t fits = need ? free.millicpus / need : UINT16_MAX;
+
+	return spec->max_per_worker && fits > spec->max_per_worker
+		       ? spec->max_per_worker
+		       : fits;
+}
+
+static bool has_label(const struct zr_cell_worker *worker, const char *label)
+{
+	const char *each = worker->report.labels;
+
+	while (*each && strcmp(each, label))
+		each += strlen(each) + 1;
+	return !*label || *each;
+}
+
+/*
+ * Whether the step could start: twice what it may start fits into what is free,
+ * and less than half of the pool is in use.
+ */
+static bool has_capacity(struct zr_cell_scheduler *scheduler,
+			 const struct zr_cell_job *job,
+			 const struct zr_cell_step_state *step, int64_t now)
+{
+	uint32_t wanted =
+		step->spec->flags & ZR_STEP_GANG ? step->spec->count : 1;
+	struct zr_cell_worker *worker;
+	struct zr_cell_worker *next;
+	uint64_t capacity = 0;
+	uint64_t used = 0;
+	uint32_t fits = 0;
+
+	HASH_ITER (hh, scheduler->term.model.worker_by_name, worker, next) {
+		if (!worker->registered ||
+		    strcmp(worker->report.pool, job->terms.pool))
+			continue;
+		capacity += worker->report.capacity.millicpus;
+		used += worker->used_millicpus;
+		if (!worker->isolated_runs &&
+		    has_label(worker, step->spec->label) &&
+		    zr_cell_worker_accepts_tasks(scheduler, worker, now) &&
+		    count_startable(job, step, worker, now) >= wanted)
+			fits += count_fits(worker, step->spec);
+	}
+	return fits >= 2 * wanted && 2 * used < capacity;
+}
+
+static bool is_within_limit(const struct zr_cell_scheduler *scheduler,
+			    const struct zr_cell_job *job,
+			    const struct zr_cell_step_state *step)
+{
+	const struct zr_cell_client_state *client =
+		zr_cell_client(&scheduler->term.model, job->client);
+	uint32_t tasks =
+		step->spec->flags & ZR_STEP_GANG ? step->spec->count : 1;
+	uint64_t need = (uint64_t)tasks * step->spec->need.millicpus;
+
+	return !client->limit.millicpus ||
+	       (2 * client->used_millicpus < client->limit.millicpus &&
+		client->used_millicpus + need <= client->limit.millicpus);
+}
+
+/* Whether a step waits although it could start. */
+static bool is_kept_waiting(struct zr_cell_scheduler *scheduler,
+			    const struct zr_cell_job *job,
+			    const struct zr_cell_step_state *step, int64_t now)
+{
+	return step->waiting && now >= step->ready_at && !job->active_tasks &&
+	       !job->terms.advised && !zr_cell_job_has_ended(job) &&
+	       scheduler->config && !scheduler->releasing &&
+	       !scheduler->term.hand_over_deadline_at &&
+	       zr_cell_is_owner(scheduler) &&
+	       is_within_limit(scheduler, job, step) &&
+	       has_capacity(scheduler, job, step, now);
+}
+
+static void check_waiting(struct cell_stays *stays,
+			  struct zr_cell_scheduler *scheduler,
+			  const struct zr_cell_job *job,
+			  const struct zr_cell_step_state *step, int64_t now)
+{
+	char name[NAME_BYTES];
+	struct stay *stay;
+
+	snprintf(name, sizeof(name), "%s waiting step %td", job->id,
+		 step - job->steps);
+	stay = find_stay(stays, name, now);
+	if (!is_kept_waiting(scheduler, job, step, now))
+		stay->since = now;
+	if (now - stay->since > WAITING_MAX_MS)
+		report(stays, stay, "WAITING");
+}
+
 static void check_step(struct cell_stays *stays, const struct zr_cell_job *job,
 		       const struct zr_cell_step_state *step, int64_t now)
 {
@@ -217,7 +341,7 @@
 }
 
 void cell_stays_check(struct cell_stays *stays,
-		      const struct zr_cell_scheduler *scheduler)
+		      struct zr_cell_scheduler *scheduler)
 {
 	int64_t now = zr_cell_now_ms(scheduler);
 	struct zr_cell_worker *worker;
@@ -236,8 +360,11 @@
 		for (i = 0; i < worker->run_count; i++)
 			check_task(stays, scheduler, worker->runs[i], now);
 	}
-	for (step = scheduler->term.model.ready; step; step = step->next)
-		check_step(stays,
-			   zr_cell_job(&scheduler->term.model, step->job), step,
-			   now);
+	for (step = scheduler->term.model.ready; step; step = step->next) {
+		const struct zr_cell_job *job =
+			zr_cell_job(&scheduler->term.model, step->job);
+
+		check_step(stays, job, step, now);
+		check_waiting(stays, scheduler, job, step, now);
+	}
 }
--- a/tests/fakes/cell_stays.h
+++ b/tests/fakes/cell_stays.h
@@ -21,6 +21,12 @@
  *   if its worker goes on to respond but does not carry out the stop;
  * - a run ends if its worker has not responded for 8,200 ms;
  * - a query to the adviser is answered or given up within 2,000 ms;
+ * - a job of which nothing runs does not wait for longer than 3,000 ms while
+ *   what it may start fits twice into free capacity, its client account uses
+ *   less than half of its limit, and less than half of its pool is in use,
+ *   whatever is reserved (the users' rule LOST). Not judged are a suspect of
+ *   crashes and a step that needs permits; a worker that runs a suspect, which
+ *   must be alone there, has no free capacity;
  * - a run is started, or stopped, at most 8 times in 1,000 ms, and a worker's
  *   polls fail as often at most.
  */
@@ -36,7 +42,7 @@
 
 /** cell_stays_check() - look at the tasks; to be called each 10 ms or so */
 void cell_stays_check(struct cell_stays *stays,
-		      const struct zr_cell_scheduler *scheduler);
+		      struct zr_cell_scheduler *scheduler);
 
 /** cell_stays_forget() - the scheduler is suspended, or has ended */
 void cell_stays_forget(struct cell_stays *stays);
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -44,6 +44,10 @@
 #define RESUBMIT_PERCENT 5
 #define CRASH_PERMILLE 15
 #define FAIL_PERMILLE 40
+/* Jobs that never run, beside the others. */
+#define UNFIT_PERMILLE 40
+/* So long that they are in time, and come before later jobs, to the end. */
+#define UNFIT_ESTIMATE_MS 60000
 #define PERMILLE 1000
 #define PERCENT 100
 #define SPEC_MAX 64
@@ -61,6 +65,7 @@
  * struct job - a job that this program submits
  * @body: body of the submission, as JSON
  * @never_completes: every run of one of its tasks crashes its worker or fails
+ * @is_unfit: it cannot run on the workers; cancelled once the others have ended
  * @call_in_flight: whether a call for it waits for an answer
  * @unconfirmed: a submission may have been accepted: it had no answer, or one
  *	that leaves this open
@@ -75,6 +80,7 @@
 	char *body;
 	enum job_state state;
 	bool never_completes;
+	bool is_unfit;
 	bool call_in_flight;
 	bool unconfirmed;
 	int64_t due_at;
@@ -94,6 +100,7 @@
 	int host_count;
 	struct rng rng;
 	struct rng job_rng;
+	struct rng unfit_rng;
 	struct job *jobs;
 	int64_t started_at;
 	int64_t next_job_at;
@@ -143,7 +150,8 @@
 		.timeout_ms = CALL_TIMEOUT_MS,
 	};
 
-	snprintf(path, sizeof(path), "/q/%s", job->id);
+	snprintf(path, sizeof(path), "/%s/%s", job->is_unfit ? "plain" : "q",
+		 job->id);
 	job->call_in_flight = true;
 	zr_http_client_call(state.clients[random_below(state.host_count)],
 			    &request, done, job);
@@ -334,12 +342,66 @@
 	state.jobs = job;
 }
 
-/* Whether every job has ended or was refused. */
-static bool all_jobs_final(void)
+/*
+ * Makes a job that does not fit on the workers: a gang with too many members,
+ * one with too many for the number of workers, a task that is too large, or one
+ * for a kind of worker that there is not. It needs no permits, so that it may
+ * reserve any worker.
+ */
+static void make_unfit_job(void)
+{
+	struct job *job = calloc(1, sizeof(*job));
+	json_t *step =
+		json_pack("{s:i, s:i, s:i, s:i}", "count", 1, "cpu", 1000,
+			  "mem_mb", 64, "estimate_ms", UNFIT_ESTIMATE_MS);
+	json_t *body;
+
+	switch (rng_below(&state.unfit_rng, 4)) {
+	case 0:
+		json_object_set_new(step, "gang", json_true());
+		json_object_set_new(step, "count", json_integer(400));
+		break;
+	case 1:
+		json_object_set_new(step, "gang", json_true());
+		json_object_set_new(step, "count", json_integer(20));
+		json_object_set_new(step, "anti_affinity", json_integer(1));
+		break;
+	case 2:
+		json_object_set_new(step, "cpu", json_integer(500000));
+		break;
+	default:
+		json_object_set_new(step, "constraints", json_string("none"));
+	}
+	snprintf(job->id, sizeof(job->id), "%08" PRIx32 "%08" PRIx64,
+		 (uint32_t)state.seed, ++state.job_count);
+	job->is_unfit = true;
+	job->never_completes = true;
+	body = json_pack("{s:s, s:[o]}", "task_spec", "1000 400 0", "steps",
+			 step);
+	job->body = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	job->next = state.jobs;
+	state.jobs = job;
+}
+
+static void cancel_unfit_jobs(void)
+{
+	struct job *job;
+
+	for (job = state.jobs; job; job = job->next) {
+		if (job->is_unfit && job->accepted_at && !job->cancel_at)
+			job->cancel_at = now_ms();
+	}
+}
+
+/* Whether every job that can run, or every one, has ended or was refused. */
+static bool all_jobs_final(bool also_unfit)
 {
 	const struct job *job;
 
 	for (job = state.jobs; job; job = job->next) {
+		if (job->is_unfit && !also_unfit)
+			continue;
 		if (job->call_in_flight ||
 		    (job->state != JOB_ENDED && job->state != JOB_REFUSED))
 			return false;
@@ -357,7 +419,9 @@
 		counts[job->state]++;
 		if (job->state == JOB_REFUSED && !job->unconfirmed)
 			printf("refused %s\n", job->id);
-		if (job->state == JOB_ACCEPTED || job->state == JOB_CANCELLING)
+		/* An unfit job waits for the others. */
+		if ((job->state == JOB_ACCEPTED && !job->is_unfit) ||
+		    job->state == JOB_CANCELLING)
 			violation("LOST %s has not ended", job->id);
 		if (job->state == JOB_SUBMITTING)
 			violation("SUBMIT %s never had a definite answer",
@@ -378,12 +442,16 @@
 	while (elapsed_ms < state.seconds * MS_PER_S &&
 	       now_ms() >= state.next_job_at) {
 		make_job();
+		if (rng_below(&state.unfit_rng, PERMILLE) < UNFIT_PERMILLE)
+			make_unfit_job();
 		state.next_job_at += MS_PER_S / state.rate;
 	}
+	if (elapsed_ms >= state.seconds * MS_PER_S && all_jobs_final(false))
+		cancel_unfit_jobs();
 	for (job = state.jobs; job; job = job->next)
 		send_next_call(job);
 	if (elapsed_ms >= state.seconds * MS_PER_S &&
-	    (all_jobs_final() ||
+	    (all_jobs_final(true) ||
 	     elapsed_ms >= state.seconds * MS_PER_S + COMPLETION_TIMEOUT_MS))
 		exit(report());
 }
@@ -431,6 +499,7 @@
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	state.rng.state = state.seed;
 	state.job_rng.state = state.seed + 3000000;
+	state.unfit_rng.state = state.seed + 6000000;
 	for (address = strtok(state.hosts, ","); address;
 	     address = strtok(NULL, ",")) {
 		if (zr_http_client_new(&state.clients[state.host_count++], loop,
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -79,6 +79,14 @@
 	return route;
 }
 
+static json_t *make_route_without_advice(void)
+{
+	json_t *route = make_route("plain", "/plain/");
+
+	json_object_del(route, "advice");
+	return route;
+}
+
 /*
  * Writes a new version of the configuration with the routes and @added more.
  * The second client account submits nothing.
@@ -93,6 +101,7 @@
 	state.added_routes = added;
 	json_array_append_new(routes, make_route("q", "/q/"));
 	json_array_append_new(routes, make_open_route());
+	json_array_append_new(routes, make_route_without_advice());
 	for (i = 0; i < added; i++) {
 		snprintf(prefix, sizeof(prefix), "/added/%d/", i);
 		json_array_append_new(routes, make_route(prefix, prefix));
--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -26,14 +26,18 @@
  * in all series. In the series of failures, the members of a gang wait for each
  * other, and several of them end as failed in the same run: a job may fail only
  * once as many runs of a task or a gang have failed as it has attempts, and
- * none may start after that.
+ * none may start after that. In the series of unfit jobs, a part of the jobs
+ * does not fit on the workers, or not at the same time as long-running ones;
+ * they are cancelled when the faults are over, and must not keep the others
+ * from free capacity.
  *
  * Draws stand in statements of their own: C leaves the order of arguments open,
  * and a seed is the same scenario on every machine.
  *
  * ZR_SEED=N runs seed N alone and writes its scripts, which run_cell replays,
  * to standard output. ZR_SEEDS=N sets the number of seeds. With
- * CK_RUN_CASE=evacuations, entries, silence or failures only that kind is run.
+ * CK_RUN_CASE=evacuations, entries, silence, failures or unfit only that kind
+ * is run.
  */
 
 /* The sanitizers slow a seed down about five times. */
@@ -89,6 +93,7 @@
 	EXTRA_ODD_ENTRIES,
 	EXTRA_SILENCE,
 	EXTRA_FAILURES,
+	EXTRA_UNFIT,
 };
 
 /* A fault that is undone at @ends_at by the lines in @undo. */
@@ -108,7 +113,7 @@
 	bool paused[HOSTS];
 	enum extras extras;
 	unsigned int job_count;
-	bool lasts[JOBS_MAX]; /* by number of the job: it is long-running */
+	bool lasts[JOBS_MAX]; /* by number of the job: it may never end */
 	unsigned int worker_count;
 	unsigned int workers[WORKERS]; /* numbers of those that are not gone */
 };
@@ -393,6 +398,36 @@
 		 scenario->job_count++, kind, count, millicpus, run_ms);
 }
 
+/* Submits a job that may be too large, in whatever way, to run at all. */
+static void submit_large_job(struct scenario *scenario)
+{
+	static const char *const kinds[] = {
+		"gang,",
+		"gang,checkpoints,",
+		"gang,spread=1,",
+		"service=1,",
+		"service=1,spread=1,",
+		"gang,label=none,",
+		"label=none,",
+		"",
+	};
+	int host = pick_host(scenario);
+	const char *kind;
+	uint32_t count;
+	uint32_t millicpus;
+	uint32_t run_ms;
+
+	if (host < 0 || scenario->job_count == JOBS_MAX)
+		return;
+	kind = kinds[below(scenario, sizeof(kinds) / sizeof(*kinds))];
+	count = 1 + below(scenario, 12);
+	millicpus = 300 + below(scenario, 4500);
+	run_ms = 20 + below(scenario, 2500);
+	scenario->lasts[scenario->job_count] = true;
+	run_line(scenario, "submit %c j%u %s%ux%u:%u", 'a' + host,
+		 scenario->job_count++, kind, count, millicpus, run_ms);
+}
+
 static void change_capacity(struct scenario *scenario)
 {
 	uint32_t worker = below(scenario, WORKERS);
@@ -496,6 +531,8 @@
 
 	if (choice < 15 && scenario->extras == EXTRA_EVACUATIONS)
 		submit_movable_job(scenario);
+	else if (choice < 15 && scenario->extras == EXTRA_UNFIT)
+		submit_large_job(scenario);
 	else if (choice < 40)
 		submit_job(scenario);
 	else if (choice < 45)
@@ -687,6 +724,12 @@
 }
 END_TEST
 
+START_TEST(test_random_faults_and_unfit_jobs)
+{
+	run_seeds(EXTRA_UNFIT);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cell_random");
@@ -695,6 +738,7 @@
 	TCase *entries = tcase_create("entries");
 	TCase *silence = tcase_create("silence");
 	TCase *failures = tcase_create("failures");
+	TCase *unfit = tcase_create("unfit");
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
@@ -703,6 +747,7 @@
 	tcase_set_timeout(entries, 0);
 	tcase_set_timeout(silence, 0);
 	tcase_set_timeout(failures, 0);
+	tcase_set_timeout(unfit, 0);
 	tcase_add_test(tcase, test_random_faults);
 	tcase_add_test(tcase, test_random_faults_and_thin_links);
 	tcase_add_test(tcase, test_random_faults_and_crashes);
@@ -715,6 +760,8 @@
 	suite_add_tcase(suite, silence);
 	tcase_add_test(failures, test_random_faults_and_failures);
 	suite_add_tcase(suite, failures);
+	tcase_add_test(unfit, test_random_faults_and_unfit_jobs);
+	suite_add_tcase(suite, unfit);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
