cell: count a failed run whose end is listed late

A task or a gang was started once more than its job has attempts (BUDGET) after a run of it had failed on a worker that was silent at the time.

Cause: the end of a run that has been given up was dropped unless the run had succeeded, and acknowledged, so that nobody ever counted it.

Change: such an end is counted, once for each attempt, and persisted before it is acknowledged. If no attempt is left, the job fails unless all that is left of it runs already.

--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -302,6 +302,9 @@
 		record->done || record->failures || record->checkpoint[0];
 	task->attempt = record->attempt;
 	task->failures = record->failures;
+	/* Which of its runs failed is not known: an active one has not yet. */
+	if (record->failures)
+		task->failed_attempt = record->attempt - !!record->worker[0];
 	snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
 		 record->checkpoint);
 	if (record->done) {
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -64,6 +64,8 @@
  * @attempt: number of its latest run
  * @failures: number of runs that failed; of a member of a gang, of those in
  *            which it was among the members that failed
+ * @failed_attempt: attempt of the latest run whose failure has been counted; 0:
+ *                  there is none
  * @crashes: number of workers that crashed, or were lost, under its runs
  * @certain_crashes: number of those that are certain to have crashed under one
  * @possible_crashes: number of workers that crashed, or were lost, when it is
@@ -118,6 +120,7 @@
 	int state;
 	uint32_t attempt;
 	uint32_t failures;
+	uint32_t failed_attempt;
 	uint32_t crashes;
 	uint32_t certain_crashes;
 	uint32_t possible_crashes;
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -249,17 +249,21 @@
  * Members that fail in the same run of a gang have the same attempt. Returns
  * false if the run has been counted already.
  */
-static bool count_failure(struct zr_cell_job *job, uint32_t task)
+static bool count_failure(struct zr_cell_job *job, uint32_t task,
+			  uint32_t attempt)
 {
 	struct zr_cell_step_state *step = zr_cell_task_step(job, task);
 	struct zr_cell_task *entry = &job->tasks[task];
 
+	if (attempt <= entry->failed_attempt)
+		return false;
+	entry->failed_attempt = attempt;
 	entry->failures++;
 	if (!zr_cell_step_is_gang(step))
 		return true;
-	if (entry->attempt <= step->failed_attempt)
+	if (attempt <= step->failed_attempt)
 		return false;
-	step->failed_attempt = entry->attempt;
+	step->failed_attempt = attempt;
 	step->failed_runs++;
 	return true;
 }
@@ -474,6 +478,50 @@
 			   zr_cell_wall_ms(scheduler));
 }
 
+/* Whether a task may still be started, as may a member of its gang. */
+static bool may_start(const struct zr_cell_job *job, uint32_t task)
+{
+	const struct zr_cell_step_state *step = zr_cell_task_step(job, task);
+	uint32_t first = zr_cell_step_is_gang(step) ? step->first_task : task;
+	uint32_t count = zr_cell_step_least_tasks(step);
+	uint32_t i;
+
+	for (i = first; i < first + count; i++) {
+		if (job->tasks[i].state == ZR_TASK_WAITING ||
+		    job->tasks[i].state == ZR_TASK_PLACED)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A run that was considered lost has failed. If that was the last one that the
+ * job allows, an active run may go on, but none may start.
+ */
+static void handle_late_failure(struct zr_cell_scheduler *scheduler,
+				struct zr_cell_job *job, uint32_t task,
+				uint32_t attempt)
+{
+	const struct zr_cell_step_state *step = zr_cell_task_step(job, task);
+
+	if (zr_cell_step_is_lasting(step) || job->tasks[task].finished ||
+	    zr_cell_job_has_ended(job) || !count_failure(job, task, attempt))
+		return;
+	zr_log_decision("run.late_failure job=%s task=%" PRIu32
+			" attempt=%" PRIu32 " failures=%" PRIu32
+			" failed_runs=%" PRIu32,
+			job->id, task, attempt, job->tasks[task].failures,
+			failures_of(job, step, task));
+	zr_cell_job_mark_dirty(&scheduler->term.model, job);
+	if (failures_of(job, step, task) < job->attempts ||
+	    !may_start(job, task))
+		return;
+	fail_job(scheduler, job, task);
+	zr_cell_job_update(&scheduler->term.model, job,
+			   zr_cell_now_ms(scheduler),
+			   zr_cell_wall_ms(scheduler));
+}
+
 static void record_outcome(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_job *job, uint32_t task,
 			   struct zr_cell_worker *worker,
@@ -502,7 +550,7 @@
 			zr_cell_task_step(job, task)->spec->estimate_ms,
 			now - entry->started_at);
 	} else if (outcome == ZR_RUN_FAILED) {
-		if (count_failure(job, task))
+		if (count_failure(job, task, entry->attempt))
 			record_failure(scheduler, worker, job);
 		zr_cell_task_avoid_worker(
 			scheduler, entry, worker->self,
@@ -526,6 +574,8 @@
 	if (entry->worker != worker->self || entry->attempt != end->attempt) {
 		if (end->outcome == ZR_RUN_DONE)
 			handle_late_success(scheduler, job, task);
+		else if (end->outcome == ZR_RUN_FAILED)
+			handle_late_failure(scheduler, job, task, end->attempt);
 		return;
 	}
 	/* It has ended before its worker can have crashed. */
