--- a/bench/placement/cell.c
+++ b/bench/placement/cell.c
@@ -179,6 +179,7 @@
 struct query {
 	struct zr_timer *timer;
 	struct zr_cell_permit permits[ZR_CELL_ADVISE_MAX];
+	char workers[ZR_CELL_ADVISE_MAX][ZR_NAME_MAX];
 	size_t count;
 	zr_cell_advise_fn done;
 	void *ctx;
@@ -224,10 +225,11 @@
 	for (i = 0; i < count; i++) {
 		if (!is_permitted(job, workers[i]))
 			continue;
-		snprintf(query->permits[query->count].worker, ZR_NAME_MAX, "%s",
+		snprintf(query->workers[query->count], ZR_NAME_MAX, "%s",
 			 workers[i]);
-		snprintf(query->permits[query->count++].ticket,
-			 ZR_CELL_TICKET_MAX, "ticket");
+		query->permits[query->count] = (struct zr_cell_permit){
+			query->workers[query->count], "ticket"};
+		query->count++;
 	}
 	query->done = done;
 	query->ctx = done_ctx;
@@ -477,7 +479,7 @@
 	cell->net = fake_net_new();
 	cell->store = fake_store_new(cell->net, "store");
 	cell->pool = fake_pool_new(cell->net, on_pool_event, cell);
-	fake_pool_save_checkpoints(cell->pool);
+	fake_pool_save_checkpoints(cell->pool, 0);
 	decoder_pool = cell->pool;
 	cell->node = fake_node_new(cell->net, "h0");
 	cell->platform = (struct zr_cell_platform){
--- a/include/zinniarack/cell.h
+++ b/include/zinniarack/cell.h
@@ -22,8 +22,12 @@
 
 /** Maximum number of entries (compares and puts) of a store transaction. */
 #define ZR_CELL_TXN_ENTRIES_MAX 32
-/** Maximum size of a checkpoint or a ticket, including the NUL. */
-#define ZR_CELL_TICKET_MAX 48
+/**
+ * Maximum size of a checkpoint or a ticket in bytes, including the NUL. The
+ * platform sets no limit; a longer one is refused, never cut.
+ */
+#define ZR_CELL_CHECKPOINT_MAX 4096
+#define ZR_CELL_TICKET_MAX 4096
 /**
  * Maximum number of tasks of a job, of all steps and repetitions: all of them
  * are in memory and in one record of the store.
@@ -307,13 +311,14 @@
  * struct zr_cell_run - active run in a poll reply
  * @task: the task
  * @attempt: number of the run
- * @checkpoint: its latest checkpoint, or ""
+ * @checkpoint: its latest checkpoint, of any length, or ""; valid as long as
+ *the reply
  * @percent: its progress
  */
 struct zr_cell_run {
 	struct zr_cell_task_name task;
 	uint32_t attempt;
-	char checkpoint[ZR_CELL_TICKET_MAX];
+	const char *checkpoint;
 	uint32_t percent;
 };
 
@@ -323,14 +328,15 @@
  * @task: the task
  * @attempt: number of the run
  * @outcome: how it ended
- * @checkpoint: its last checkpoint, or ""
+ * @checkpoint: its last checkpoint, of any length, or ""; valid as long as the
+ *	reply
  */
 struct zr_cell_run_end {
 	int64_t number;
 	struct zr_cell_task_name task;
 	uint32_t attempt;
 	enum zr_run_outcome outcome;
-	char checkpoint[ZR_CELL_TICKET_MAX];
+	const char *checkpoint;
 };
 
 /**
@@ -401,12 +407,24 @@
 	void *impl;
 };
 
-/** struct zr_cell_permit - permit of the adviser to run a step on a worker */
+/**
+ * struct zr_cell_permit - permit of the adviser to run a step on a worker
+ * @worker: name of the worker; valid until the completion returns, as @ticket
+ * @ticket: text that the start has to present, of any length
+ */
 struct zr_cell_permit {
-	char worker[ZR_NAME_MAX];
-	char ticket[ZR_CELL_TICKET_MAX];
+	const char *worker;
+	const char *ticket;
 };
 
+/**
+ * zr_cell_permit_check() - check that a permit can be passed on whole
+ *
+ * Return: 0, or ZR_E_TOO_LARGE, which is logged, if the name has ZR_NAME_MAX
+ * bytes or more, or the ticket ZR_CELL_TICKET_MAX.
+ */
+int zr_cell_permit_check(const struct zr_cell_permit *permit);
+
 /**
  * typedef zr_cell_advise_fn - completion of a query to the adviser
  * @ctx: as passed
--- a/rpc/msg_cell.h
+++ b/rpc/msg_cell.h
@@ -19,6 +19,7 @@
 #define ZX_CELL_TASKS_MAX 65536
 #define ZX_CELL_LIST_MAX 4096
 #define ZX_CELL_RECORD_MAX 524288
+#define ZX_CELL_TEXT_MAX 4095
 #define ZX_CELL_KEY_MAX 255
 #define ZX_CELL_VALUE_MAX 1048576
 #define ZX_CELL_RANGE_MAX 65536
@@ -187,6 +188,20 @@
 };
 typedef struct zx_cell_gang_list zx_cell_gang_list;
 
+struct zx_cell_long_checkpoint {
+	u_int task;
+	char *checkpoint;
+};
+typedef struct zx_cell_long_checkpoint zx_cell_long_checkpoint;
+
+struct zx_cell_long_checkpoints {
+	struct {
+		u_int tasks_len;
+		zx_cell_long_checkpoint *tasks_val;
+	} tasks;
+};
+typedef struct zx_cell_long_checkpoints zx_cell_long_checkpoints;
+
 struct zx_cell_stored_progress {
 	zx_cell_progress progress;
 	zx_cell_crash_list crashes;
@@ -194,6 +209,7 @@
 	zx_cell_job_use use;
 	zx_cell_packed_list packed;
 	zx_cell_gang_list gangs;
+	zx_cell_long_checkpoints checkpoints;
 };
 typedef struct zx_cell_stored_progress zx_cell_stored_progress;
 
@@ -466,6 +482,8 @@
 extern  bool_t xdr_zx_cell_packed_list (XDR *, zx_cell_packed_list*);
 extern  bool_t xdr_zx_cell_gang_failures (XDR *, zx_cell_gang_failures*);
 extern  bool_t xdr_zx_cell_gang_list (XDR *, zx_cell_gang_list*);
+extern  bool_t xdr_zx_cell_long_checkpoint (XDR *, zx_cell_long_checkpoint*);
+extern  bool_t xdr_zx_cell_long_checkpoints (XDR *, zx_cell_long_checkpoints*);
 extern  bool_t xdr_zx_cell_stored_progress (XDR *, zx_cell_stored_progress*);
 extern  bool_t xdr_zx_cell_client_use (XDR *, zx_cell_client_use*);
 extern  bool_t xdr_zx_cell_past_use (XDR *, zx_cell_past_use*);
@@ -508,6 +526,8 @@
 extern bool_t xdr_zx_cell_packed_list ();
 extern bool_t xdr_zx_cell_gang_failures ();
 extern bool_t xdr_zx_cell_gang_list ();
+extern bool_t xdr_zx_cell_long_checkpoint ();
+extern bool_t xdr_zx_cell_long_checkpoints ();
 extern bool_t xdr_zx_cell_stored_progress ();
 extern bool_t xdr_zx_cell_client_use ();
 extern bool_t xdr_zx_cell_past_use ();
--- a/rpc/msg_cell.x
+++ b/rpc/msg_cell.x
@@ -9,6 +9,8 @@
 const ZX_CELL_TASKS_MAX = 65536;
 const ZX_CELL_LIST_MAX = 4096;
 const ZX_CELL_RECORD_MAX = 524288;
+/* Checkpoints and tickets, without the NUL. */
+const ZX_CELL_TEXT_MAX = 4095;
 const ZX_CELL_KEY_MAX = 255;
 const ZX_CELL_VALUE_MAX = 1048576;
 const ZX_CELL_RANGE_MAX = 65536;
@@ -185,6 +187,19 @@
 	zx_cell_gang_failures gangs<ZX_CELL_TASKS_MAX>;
 };
 
+/*
+ * A checkpoint that is longer than those in the list of tasks, where it is empty:
+ * earlier versions cannot decode a longer one.
+ */
+struct zx_cell_long_checkpoint {
+	unsigned int task;
+	string checkpoint<ZX_CELL_TEXT_MAX>;
+};
+
+struct zx_cell_long_checkpoints {
+	zx_cell_long_checkpoint tasks<ZX_CELL_TASKS_MAX>;
+};
+
 /*
  * A progress record as it is stored. It ends after the last member that has a
  * content, and after progress if no other has. If packed has tasks, those of
@@ -197,6 +212,7 @@
 	zx_cell_job_use use;
 	zx_cell_packed_list packed;
 	zx_cell_gang_list gangs;
+	zx_cell_long_checkpoints checkpoints;
 };
 
 struct zx_cell_client_use {
@@ -292,7 +308,7 @@
 /* Permission of the adviser to start a task of the step on a worker. */
 struct zx_cell_permit {
 	string worker<ZX_CELL_NAME_MAX>;
-	string ticket<ZX_CELL_NAME_MAX>;
+	string ticket<ZX_CELL_TEXT_MAX>;
 };
 
 /* error is 0 or a negative error code of <zinniarack/errors.h>. */
--- a/rpc/msg_cell_xdr.c
+++ b/rpc/msg_cell_xdr.c
@@ -606,6 +606,29 @@
 	return TRUE;
 }
 
+bool_t
+xdr_zx_cell_long_checkpoint (XDR *xdrs, zx_cell_long_checkpoint *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->checkpoint, ZX_CELL_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_zx_cell_long_checkpoints (XDR *xdrs, zx_cell_long_checkpoints *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ZX_CELL_TASKS_MAX,
+		sizeof (zx_cell_long_checkpoint), (xdrproc_t) xdr_zx_cell_long_checkpoint))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_zx_cell_stored_progress (XDR *xdrs, zx_cell_stored_progress *objp)
 {
@@ -623,6 +646,8 @@
 		 return FALSE;
 	 if (!xdr_zx_cell_gang_list (xdrs, &objp->gangs))
 		 return FALSE;
+	 if (!xdr_zx_cell_long_checkpoints (xdrs, &objp->checkpoints))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -936,7 +961,7 @@
 
 	 if (!xdr_string (xdrs, &objp->worker, ZX_CELL_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->ticket, ZX_CELL_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->ticket, ZX_CELL_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/libzinniarack/cell/adviser_query.c
+++ b/src/libzinniarack/cell/adviser_query.c
@@ -64,6 +64,15 @@
 
 /* Answers */
 
+static void set_ticket(struct zr_cell_permission *permission,
+		       const char *ticket)
+{
+	free(permission->ticket);
+	permission->ticket = strdup(ticket);
+	if (!permission->ticket)
+		abort();
+}
+
 static void store_permissions(struct zr_cell_scheduler *scheduler,
 			      struct zr_cell_step_state *step,
 			      const struct query *query,
@@ -81,11 +90,14 @@
 
 		if (!worker)
 			continue;
+		if (zr_cell_permit_check(&permits[i]) < 0) {
+			scheduler->refused_tickets->value++;
+			continue;
+		}
 		permission = zr_cell_permission_get_or_add(step, worker->self);
 		permission->permitted = true;
 		permission->expires_at = until;
-		snprintf(permission->ticket, sizeof(permission->ticket), "%s",
-			 permits[i].ticket);
+		set_ticket(permission, permits[i].ticket);
 	}
 }
 
--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -305,8 +305,8 @@
 	/* Which of its runs failed is not known: an active one has not yet. */
 	if (record->failures)
 		task->failed_attempt = record->attempt - !!record->worker[0];
-	snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
-		 record->checkpoint);
+	/* The codec has the same limit. */
+	zr_cell_task_set_checkpoint(task, record->checkpoint);
 	if (record->done) {
 		zr_cell_task_end_run(&scheduler->term.model, job, index,
 				     ZR_TASK_EVENT_DONE);
--- a/src/libzinniarack/cell/journal.c
+++ b/src/libzinniarack/cell/journal.c
@@ -150,7 +150,7 @@
 		record->failures = task->failures;
 		record->done = task->state == ZR_TASK_DONE;
 		record->worker = worker ? (char *)worker->report.name : "";
-		record->checkpoint = (char *)task->checkpoint;
+		record->checkpoint = (char *)zr_cell_task_checkpoint(task);
 	}
 }
 
--- a/src/libzinniarack/cell/model.c
+++ b/src/libzinniarack/cell/model.c
@@ -343,6 +343,16 @@
 		unlist_step(model, step);
 }
 
+static void free_permissions(struct zr_cell_step_state *step)
+{
+	size_t i;
+
+	for (i = 0; i < step->permission_count; i++)
+		free(step->permissions[i].ticket);
+	free(step->permissions);
+	free(step->permission_index);
+}
+
 static void free_steps(struct zr_cell_model *model, struct zr_cell_job *job)
 {
 	uint32_t i;
@@ -350,8 +360,7 @@
 	unlist_timed(model, job);
 	for (i = 0; i < job->step_count; i++) {
 		unlist_step(model, &job->steps[i]);
-		free(job->steps[i].permissions);
-		free(job->steps[i].permission_index);
+		free_permissions(&job->steps[i]);
 	}
 	free(job->steps);
 	job->steps = NULL;
@@ -361,11 +370,33 @@
 	job->next_occurrence = 0;
 }
 
+int zr_cell_task_set_checkpoint(struct zr_cell_task *task,
+				const char *checkpoint)
+{
+	size_t length = strlen(checkpoint);
+	char *copy = NULL;
+
+	if (length >= ZR_CELL_CHECKPOINT_MAX)
+		return ZR_E_TOO_LARGE;
+	if (length) {
+		copy = strdup(checkpoint);
+		if (!copy)
+			abort();
+	}
+	free(task->checkpoint);
+	task->checkpoint = copy;
+	return 0;
+}
+
 void zr_cell_job_free_tasks(struct zr_cell_model *model,
 			    struct zr_cell_job *job)
 {
+	uint32_t i;
+
 	free_steps(model, job);
 	zr_cell_job_spec_clear(&job->spec);
+	for (i = 0; i < job->task_count; i++)
+		free(job->tasks[i].checkpoint);
 	free(job->tasks);
 	job->tasks = NULL;
 	job->task_count = 0;
@@ -373,13 +404,11 @@
 
 void zr_cell_job_remove(struct zr_cell_model *model, struct zr_cell_job *job)
 {
-	free_steps(model, job);
+	zr_cell_job_free_tasks(model, job);
 	if (job->dirty)
 		DL_DELETE(model->dirty, job);
 	HASH_DEL(model->job_by_id, job);
 	zr_table_remove(model->jobs, job->self);
-	zr_cell_job_spec_clear(&job->spec);
-	free(job->tasks);
 	free(job);
 }
 
--- a/src/libzinniarack/cell/model.h
+++ b/src/libzinniarack/cell/model.h
@@ -91,7 +91,10 @@
  * @avoided_until: when runs that join no gang may be placed there again
  * @percent: progress last reported by the worker
  * @percent_at: when @percent last changed
- * @checkpoint: checkpoint to resume from, or ""
+ * @checkpoint: checkpoint to resume from; NULL: there is none. Set with
+ *              zr_cell_task_set_checkpoint()
+ * @refused_checkpoint_attempt: attempt of the last run of which a checkpoint
+ * was too long
  * @evacuating: its run was stopped so that it resumes in another domain
  * @evacuation_logged: decision about its active run in an evacuated domain that
  *                     was last logged; 0: none
@@ -140,7 +143,8 @@
 	int64_t avoided_until;
 	uint32_t percent;
 	int64_t percent_at;
-	char checkpoint[ZR_CELL_TICKET_MAX];
+	char *checkpoint;
+	uint32_t refused_checkpoint_attempt;
 	bool evacuating;
 	uint8_t evacuation_logged;
 	int64_t placed_at;
@@ -163,13 +167,13 @@
  * @worker: the worker
  * @permitted: the step may run there; this never changes
  * @expires_at: when @ticket expires
- * @ticket: permit that a start has to carry
+ * @ticket: permit that a start has to carry; NULL: there is none
  */
 struct zr_cell_permission {
 	zr_handle worker;
 	bool permitted;
 	int64_t expires_at;
-	char ticket[ZR_CELL_TICKET_MAX];
+	char *ticket;
 };
 
 /**
@@ -740,6 +744,22 @@
 				    const char *client);
 void zr_cell_job_remove(struct zr_cell_model *model, struct zr_cell_job *job);
 
+/**
+ * zr_cell_task_set_checkpoint() - set the checkpoint that a task resumes from
+ * @task: the task
+ * @checkpoint: the checkpoint, which is copied; "": there is none
+ *
+ * Return: 0, or ZR_E_TOO_LARGE if it has ZR_CELL_CHECKPOINT_MAX bytes or more.
+ * The task then keeps the earlier one.
+ */
+int zr_cell_task_set_checkpoint(struct zr_cell_task *task,
+				const char *checkpoint);
+/** zr_cell_task_checkpoint() - the checkpoint of a task; "": there is none */
+static inline const char *
+zr_cell_task_checkpoint(const struct zr_cell_task *task)
+{
+	return task->checkpoint ? task->checkpoint : "";
+}
 /** zr_cell_job_free_tasks() - free the steps and tasks of an ended job */
 void zr_cell_job_free_tasks(struct zr_cell_model *model,
 			    struct zr_cell_job *job);
--- a/src/libzinniarack/cell/moves.c
+++ b/src/libzinniarack/cell/moves.c
@@ -112,8 +112,7 @@
 		.usual_there_ms = zr_speed_usual_ms(speeds, class,
 						    ZR_SPEED_NEAR, estimate_ms),
 		.percent = entry->percent,
-		.saved_percent =
-			entry->checkpoint[0] ? entry->saved_percent : 0,
+		.saved_percent = entry->checkpoint ? entry->saved_percent : 0,
 		.cost_ms = RESTART_MS + (item->queue.advised ? QUERY_MS : 0),
 	};
 }
--- a/src/libzinniarack/cell/peers.c
+++ b/src/libzinniarack/cell/peers.c
@@ -212,12 +212,16 @@
 		calloc(count + 1, sizeof(*result.permits.permits_val));
 	if (!result.permits.permits_val)
 		abort();
-	result.permits.permits_len = (u_int)count;
 	for (i = 0; i < count; i++) {
-		result.permits.permits_val[i].worker =
-			(char *)permits[i].worker;
-		result.permits.permits_val[i].ticket =
-			(char *)permits[i].ticket;
+		zx_cell_permit *permit =
+			&result.permits.permits_val[result.permits.permits_len];
+
+		/* One that cannot be encoded would fail the whole reply. */
+		if (zr_cell_permit_check(&permits[i]) < 0)
+			continue;
+		permit->worker = (char *)permits[i].worker;
+		permit->ticket = (char *)permits[i].ticket;
+		result.permits.permits_len++;
 	}
 	zr_rpc_reply(query->call, &result);
 	free(result.permits.permits_val);
@@ -499,10 +503,8 @@
 	if (!permits)
 		abort();
 	for (i = 0; i < count; i++) {
-		snprintf(permits[i].worker, sizeof(permits[i].worker), "%s",
-			 result->permits.permits_val[i].worker);
-		snprintf(permits[i].ticket, sizeof(permits[i].ticket), "%s",
-			 result->permits.permits_val[i].ticket);
+		permits[i].worker = result->permits.permits_val[i].worker;
+		permits[i].ticket = result->permits.permits_val[i].ticket;
 	}
 	query->done(query->ctx, 0, permits, count, result->validity_ms);
 	free(permits);
--- a/src/libzinniarack/cell/polls.c
+++ b/src/libzinniarack/cell/polls.c
@@ -331,11 +331,8 @@
 					  ? ZR_UNANSWERED_STOPPED
 					  : ZR_UNANSWERED_RUNNING);
 	job->has_started = true;
-	if (run->checkpoint[0] && strcmp(entry->checkpoint, run->checkpoint)) {
-		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
-			 run->checkpoint);
+	if (zr_cell_run_saved(scheduler, job, task, worker, run->checkpoint))
 		entry->saved_percent = (uint8_t)run->percent;
-	}
 	if (run->percent != entry->percent) {
 		entry->percent = run->percent;
 		entry->percent_at = now;
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -350,6 +350,8 @@
  * @crashes: workers that crashed, by what their responses show
  * @unfit_steps: steps that wait and do not fit on the idle workers
  * @expired_reservations: reservations that were given up
+ * @refused_checkpoints: checkpoints that were too long
+ * @refused_tickets: tickets that were too long
  * @takeovers: times the ownership was won
  * @load_timeouts: times the cell was given back because the load took too long
  * @loaded_bytes: bytes of jobs and progress read after takeovers
@@ -401,6 +403,8 @@
 	struct zr_metric *crashes;
 	struct zr_metric *unfit_steps;
 	struct zr_metric *expired_reservations;
+	struct zr_metric *refused_checkpoints;
+	struct zr_metric *refused_tickets;
 	struct zr_metric *takeovers;
 	struct zr_metric *load_timeouts;
 	struct zr_metric *loaded_bytes;
@@ -665,6 +669,21 @@
 void zr_cell_gang_finish_waiting(struct zr_cell_model *model,
 				 struct zr_cell_job *job,
 				 const struct zr_cell_step_state *step);
+/**
+ * zr_cell_run_saved() - record the checkpoint that a run has saved
+ * @scheduler: the scheduler
+ * @job: its job
+ * @task: index of the task in the job's tasks
+ * @worker: the worker of the run
+ * @checkpoint: the checkpoint; "": none. One that is too long is refused and
+ *	logged, and the task keeps the one before
+ *
+ * Return: whether it is a new one.
+ */
+bool zr_cell_run_saved(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_job *job, uint32_t task,
+		       const struct zr_cell_worker *worker,
+		       const char *checkpoint);
 /** zr_cell_process_end() - process an ended run that a worker has reported */
 void zr_cell_process_end(struct zr_cell_scheduler *scheduler,
 			 struct zr_cell_worker *worker,
--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -13,6 +13,9 @@
  */
 #define RECORD_BYTES_MAX ((unsigned long)ZX_CELL_RECORD_MAX)
 #define PACKED_BYTES_MAX ((unsigned long)ZX_CELL_VALUE_MAX)
+/* What a long checkpoint takes beside its text, and the list of them. */
+#define LONG_CHECKPOINT_BYTES 8
+#define EMPTY_SECTIONS_BYTES 64
 
 int zr_cell_encode(struct zr_cell_buffer *out, xdrproc_t codec, void *record)
 {
@@ -138,24 +141,50 @@
 	free_positions(positions);
 }
 
-/* Adds the checkpoints that fit into @size bytes. Returns how many do not. */
-static int pack_checkpoints(zx_cell_packed_list *out,
-			    const zx_cell_progress *progress,
+/* Takes the size of a checkpoint from @size if it fits. */
+static bool take_bytes(unsigned long *size, const char *checkpoint,
+		       size_t overhead)
+{
+	size_t bytes = RNDUP(strlen(checkpoint)) + overhead;
+
+	if (bytes > *size)
+		return false;
+	*size -= bytes;
+	return true;
+}
+
+/*
+ * Adds the checkpoints of @record that fit into @size bytes. Returns how many
+ * do not.
+ */
+static int pack_checkpoints(zx_cell_stored_progress *out,
+			    const zx_cell_stored_progress *record,
 			    unsigned long size)
 {
+	const zx_cell_long_checkpoints *longer = &record->checkpoints;
 	int left_out = 0;
 	u_int i;
 
-	for (i = 0; i < out->tasks.tasks_len; i++) {
-		char *checkpoint = progress->tasks.tasks_val[i].checkpoint;
-		size_t bytes = RNDUP(strlen(checkpoint));
+	for (i = 0; i < out->packed.tasks.tasks_len; i++) {
+		char *text = record->progress.tasks.tasks_val[i].checkpoint;
 
-		if (bytes > size) {
+		if (take_bytes(&size, text, 0))
+			out->packed.tasks.tasks_val[i].checkpoint = text;
+		else
+			left_out++;
+	}
+	for (i = 0; i < longer->tasks.tasks_len; i++) {
+		const zx_cell_long_checkpoint *entry =
+			&longer->tasks.tasks_val[i];
+		u_int *count = &out->checkpoints.tasks.tasks_len;
+		/* The list itself, and empty lists before it. */
+		size_t overhead = *count ? 0 : EMPTY_SECTIONS_BYTES;
+
+		if (take_bytes(&size, entry->checkpoint,
+			       overhead + LONG_CHECKPOINT_BYTES))
+			out->checkpoints.tasks.tasks_val[(*count)++] = *entry;
+		else
 			left_out++;
-			continue;
-		}
-		out->tasks.tasks_val[i].checkpoint = checkpoint;
-		size -= bytes;
 	}
 	return left_out;
 }
@@ -217,7 +246,7 @@
 	bool present;
 };
 
-#define PROGRESS_SECTIONS 6
+#define PROGRESS_SECTIONS 7
 
 /* The sections of a progress record in the order of the encoding. */
 static void list_sections(struct section out[PROGRESS_SECTIONS],
@@ -241,6 +270,9 @@
 	out[5] = (struct section){(xdrproc_t)xdr_zx_cell_gang_list,
 				  &record->gangs,
 				  record->gangs.gangs.gangs_len != 0};
+	out[6] = (struct section){(xdrproc_t)xdr_zx_cell_long_checkpoints,
+				  &record->checkpoints,
+				  record->checkpoints.tasks.tasks_len != 0};
 }
 
 /* Lists the sections up to the last one with a content; returns their size. */
@@ -298,6 +330,12 @@
 
 	packed.progress.tasks.tasks_len = 0;
 	pack_tasks(&packed.packed, &record->progress);
+	packed.checkpoints.tasks.tasks_len = 0;
+	packed.checkpoints.tasks.tasks_val =
+		calloc((size_t)record->checkpoints.tasks.tasks_len + 1,
+		       sizeof(*packed.checkpoints.tasks.tasks_val));
+	if (!packed.checkpoints.tasks.tasks_val)
+		abort();
 	size = measure_sections(sections, &count, &packed);
 	if (size > PACKED_BYTES_MAX) {
 		/* A reader then estimates them from the failures of members. */
@@ -305,22 +343,99 @@
 		size = measure_sections(sections, &count, &packed);
 	}
 	if (size < PACKED_BYTES_MAX)
-		left_out = pack_checkpoints(&packed.packed, &record->progress,
+		left_out = pack_checkpoints(&packed, record,
 					    PACKED_BYTES_MAX - size);
 	error = encode_sections(out, &packed, PACKED_BYTES_MAX);
 	free(packed.packed.workers.workers_val);
 	free(packed.packed.tasks.tasks_val);
+	free(packed.checkpoints.tasks.tasks_val);
 	return error < 0 ? error : left_out;
 }
 
-int zr_cell_encode_progress(struct zr_cell_buffer *out,
-			    zx_cell_stored_progress *record)
+static bool is_long(const zx_cell_task *task)
+{
+	return strlen(task->checkpoint) > ZX_CELL_NAME_MAX;
+}
+
+static u_int count_long(const zx_cell_progress *progress)
+{
+	u_int count = 0;
+	u_int i;
+
+	for (i = 0; i < progress->tasks.tasks_len; i++)
+		count += is_long(&progress->tasks.tasks_val[i]);
+	return count;
+}
+
+/* Moves the checkpoints that are too long for the list of tasks. */
+static void move_long(zx_cell_progress *progress, zx_cell_long_checkpoints *out)
+{
+	u_int i;
+
+	for (i = 0; i < progress->tasks.tasks_len; i++) {
+		zx_cell_task *task = &progress->tasks.tasks_val[i];
+
+		if (!is_long(task))
+			continue;
+		out->tasks.tasks_val[out->tasks.tasks_len++] =
+			(zx_cell_long_checkpoint){i, task->checkpoint};
+		task->checkpoint = "";
+	}
+}
+
+/* Moves them back. */
+static int restore_long(zx_cell_progress *out, zx_cell_long_checkpoints *list)
+{
+	u_int i;
+
+	for (i = 0; i < list->tasks.tasks_len; i++) {
+		zx_cell_long_checkpoint *entry = &list->tasks.tasks_val[i];
+		zx_cell_task *task;
+
+		if (entry->task >= out->tasks.tasks_len)
+			return ZR_E_PROTOCOL;
+		task = &out->tasks.tasks_val[entry->task];
+		free(task->checkpoint);
+		task->checkpoint = entry->checkpoint;
+		entry->checkpoint = NULL;
+	}
+	list->tasks.tasks_len = 0;
+	return 0;
+}
+
+static int encode_whole(struct zr_cell_buffer *out,
+			zx_cell_stored_progress *record)
 {
 	if (!encode_sections(out, record, RECORD_BYTES_MAX))
 		return 0;
 	return encode_packed(out, record);
 }
 
+int zr_cell_encode_progress(struct zr_cell_buffer *out,
+			    const zx_cell_stored_progress *record)
+{
+	zx_cell_stored_progress copy = *record;
+	size_t task_bytes = record->progress.tasks.tasks_len *
+			    sizeof(*record->progress.tasks.tasks_val);
+	u_int count = count_long(&record->progress);
+	int result;
+
+	if (!count)
+		return encode_whole(out, &copy);
+	copy.progress.tasks.tasks_val = malloc(task_bytes);
+	copy.checkpoints.tasks.tasks_val =
+		calloc(count, sizeof(*copy.checkpoints.tasks.tasks_val));
+	if (!copy.progress.tasks.tasks_val || !copy.checkpoints.tasks.tasks_val)
+		abort();
+	memcpy(copy.progress.tasks.tasks_val, record->progress.tasks.tasks_val,
+	       task_bytes);
+	move_long(&copy.progress, &copy.checkpoints);
+	result = encode_whole(out, &copy);
+	free(copy.progress.tasks.tasks_val);
+	free(copy.checkpoints.tasks.tasks_val);
+	return result;
+}
+
 int zr_cell_decode_progress(zx_cell_stored_progress *out, const void *data,
 			    size_t length)
 {
@@ -337,7 +452,8 @@
 		decoded = sections[i].codec(&xdr, sections[i].value);
 	while (decoded && ++i < PROGRESS_SECTIONS &&
 	       xdr_getpos(&xdr) != length);
-	if (decoded && !unpack_tasks(&out->progress, &out->packed))
+	if (decoded && !unpack_tasks(&out->progress, &out->packed) &&
+	    !restore_long(&out->progress, &out->checkpoints))
 		return 0;
 	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, out);
 	return ZR_E_PROTOCOL;
--- a/src/libzinniarack/cell/records.h
+++ b/src/libzinniarack/cell/records.h
@@ -84,7 +84,8 @@
 /**
  * zr_cell_encode_progress() - encode the progress record of a job
  * @out: the encoding; its data is to be freed with free()
- * @record: the record; its packed list of tasks has to be empty
+ * @record: the record; its packed list of tasks and its list of long
+ *checkpoints have to be empty
  *
  * A record of more than ZX_CELL_RECORD_MAX bytes is packed, and its last
  * checkpoints are left out if it still has more than ZX_CELL_VALUE_MAX. Without
@@ -93,7 +94,7 @@
  * Return: the number of checkpoints that were left out, or ZR_E_TOO_LARGE.
  */
 int zr_cell_encode_progress(struct zr_cell_buffer *out,
-			    zx_cell_stored_progress *record);
+			    const zx_cell_stored_progress *record);
 
 /**
  * zr_cell_decode_progress() - decode the progress record of a job
@@ -101,7 +102,8 @@
  * @data: the encoding
  * @length: size of @data in bytes
  *
- * The tasks of a packed list are unpacked.
+ * The tasks of a packed list are unpacked, and long checkpoints are moved to
+ * the list of tasks.
  *
  * Return: 0, or ZR_E_PROTOCOL with nothing to free.
  */
--- a/src/libzinniarack/cell/runs.c
+++ b/src/libzinniarack/cell/runs.c
@@ -559,6 +559,31 @@
 	}
 }
 
+bool zr_cell_run_saved(struct zr_cell_scheduler *scheduler,
+		       struct zr_cell_job *job, uint32_t task,
+		       const struct zr_cell_worker *worker,
+		       const char *checkpoint)
+{
+	struct zr_cell_task *entry = &job->tasks[task];
+	int error;
+
+	if (!checkpoint[0] ||
+	    !strcmp(zr_cell_task_checkpoint(entry), checkpoint))
+		return false;
+	error = zr_cell_task_set_checkpoint(entry, checkpoint);
+	if (!error)
+		return true;
+	scheduler->refused_checkpoints->value++;
+	if (entry->refused_checkpoint_attempt != entry->attempt)
+		zr_log(ZR_LOG_WARN,
+		       "checkpoint.refused job=%s task=%" PRIu32
+		       " attempt=%" PRIu32 " worker=%s bytes=%zu error=%s",
+		       job->id, task, entry->attempt, worker->report.name,
+		       strlen(checkpoint), zr_error_name(error));
+	entry->refused_checkpoint_attempt = entry->attempt;
+	return false;
+}
+
 void zr_cell_process_end(struct zr_cell_scheduler *scheduler,
 			 struct zr_cell_worker *worker,
 			 const struct zr_cell_run_end *end)
@@ -582,9 +607,7 @@
 	entry->crash_evidence = 0;
 	zr_cell_past_use_charge(scheduler, job, task);
 	zr_cell_unanswered_settle(scheduler, job, task, ZR_UNANSWERED_ENDED);
-	if (end->checkpoint[0])
-		snprintf(entry->checkpoint, sizeof(entry->checkpoint), "%s",
-			 end->checkpoint);
+	zr_cell_run_saved(scheduler, job, task, worker, end->checkpoint);
 	record_outcome(scheduler, job, task, worker, end->outcome);
 	if (end->outcome == ZR_RUN_DONE &&
 	    !zr_cell_step_is_lasting(zr_cell_task_step(job, task))) {
@@ -994,7 +1017,7 @@
 	const struct zr_cell_permission *permission =
 		zr_cell_permission_find(step, worker);
 
-	return permission ? permission->ticket : "";
+	return permission && permission->ticket ? permission->ticket : "";
 }
 
 /* A gang resumes from the highest checkpoint of all its members. */
@@ -1002,15 +1025,17 @@
 				 const struct zr_cell_step_state *step,
 				 uint32_t task)
 {
-	const char *best = job->tasks[task].checkpoint;
+	const char *best = zr_cell_task_checkpoint(&job->tasks[task]);
 	uint32_t i;
 
 	if (!zr_cell_step_is_gang(step))
 		return best;
 	for (i = step->first_task; i < step->first_task + step->spec->count;
 	     i++) {
-		if (strcmp(job->tasks[i].checkpoint, best) > 0)
-			best = job->tasks[i].checkpoint;
+		const char *other = zr_cell_task_checkpoint(&job->tasks[i]);
+
+		if (strcmp(other, best) > 0)
+			best = other;
 	}
 	return best;
 }
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -464,6 +464,29 @@
 		"Slow runs that were moved to a faster worker");
 }
 
+static void register_plan_metrics(struct zr_cell_scheduler *scheduler,
+				  struct zr_metrics *metrics)
+{
+	scheduler->unfit_steps = zr_metrics_get_or_add_gauge(
+		metrics, "zinniarack_cell_unfit_steps", NULL,
+		"Steps that wait and do not fit on the idle workers");
+	scheduler->expired_reservations = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_reservations_expired_total", NULL,
+		"Reservations given up since their step could not be placed");
+}
+
+static void register_text_metrics(struct zr_cell_scheduler *scheduler,
+				  struct zr_metrics *metrics)
+{
+	scheduler->refused_checkpoints = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_texts_refused_total",
+		"kind=\"checkpoint\"",
+		"Texts of the platform that were too long");
+	scheduler->refused_tickets = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_texts_refused_total",
+		"kind=\"ticket\"", "Texts of the platform that were too long");
+}
+
 static void register_metrics(struct zr_cell_scheduler *scheduler,
 			     struct zr_metrics *metrics)
 {
@@ -486,12 +509,6 @@
 	scheduler->crashes = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_worker_crashes_total", NULL,
 		"Workers that crashed while they had runs or were known");
-	scheduler->unfit_steps = zr_metrics_get_or_add_gauge(
-		metrics, "zinniarack_cell_unfit_steps", NULL,
-		"Steps that wait and do not fit on the idle workers");
-	scheduler->expired_reservations = zr_metrics_get_or_add_counter(
-		metrics, "zinniarack_cell_reservations_expired_total", NULL,
-		"Reservations given up since their step could not be placed");
 	scheduler->takeovers = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_take_overs_total", NULL,
 		"Times this host took the cell over");
@@ -516,6 +533,8 @@
 		"Time from a job's acceptance until its end could be read");
 	register_advice_metrics(&scheduler->advice, metrics);
 	register_move_metrics(scheduler, metrics);
+	register_plan_metrics(scheduler, metrics);
+	register_text_metrics(scheduler, metrics);
 	zr_cell_evacuations_register_metrics(scheduler, metrics);
 	scheduler->past_use_runs = zr_metrics_get_or_add_gauge(
 		metrics, "zinniarack_cell_past_use_runs", NULL,
--- a/src/libzinniarack/cell/types.c
+++ b/src/libzinniarack/cell/types.c
@@ -2,6 +2,8 @@
 #include <string.h>
 
 #include "zinniarack/cell.h"
+#include "zinniarack/errors.h"
+#include "zinniarack/log.h"
 
 void zr_cell_job_spec_clear(struct zr_cell_job_spec *spec)
 {
@@ -87,3 +89,18 @@
 	}
 	return NULL;
 }
+
+int zr_cell_permit_check(const struct zr_cell_permit *permit)
+{
+	size_t worker_bytes = strlen(permit->worker);
+	size_t ticket_bytes = strlen(permit->ticket);
+
+	if (worker_bytes < ZR_NAME_MAX && ticket_bytes < ZR_CELL_TICKET_MAX)
+		return 0;
+	zr_log(ZR_LOG_WARN,
+	       "permit.refused worker=%.*s worker_bytes=%zu ticket_bytes=%zu "
+	       "error=%s",
+	       ZR_NAME_MAX - 1, permit->worker, worker_bytes, ticket_bytes,
+	       zr_error_name(ZR_E_TOO_LARGE));
+	return ZR_E_TOO_LARGE;
+}
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -22,6 +22,7 @@
 #define WORKER_PREFIX "workers/"
 #define EVACUATION_PREFIX "evacuate/"
 #define TIMEOUT_MS 1000
+#define TICKET_MAX_BYTES 8192
 #define BAD_ADDRESS "bad"
 #define ATTEMPTS 2
 /* Interval at which the tasks of all hosts are checked. */
@@ -70,6 +71,7 @@
 	unsigned int evacuation_ms;
 	struct evacuation_request *evacuation_requests; /* not confirmed yet */
 	unsigned int adviser_queries;
+	char ticket[TICKET_MAX_BYTES];
 	bool hides_runs;
 	char shown_job[ZR_NAME_MAX]; /* whose runs are shown; "": all */
 	unsigned int begun_runs;
@@ -191,6 +193,7 @@
 /* A query to the adviser, which permits all workers that the query names. */
 struct adviser_query {
 	struct zr_cell_permit permits[ZR_CELL_ADVISE_MAX];
+	char workers[ZR_CELL_ADVISE_MAX][ZR_NAME_MAX];
 	size_t count;
 	zr_cell_advise_fn done;
 	void *ctx;
@@ -229,9 +232,9 @@
 	(void)occurrence;
 	(void)step;
 	for (i = 0; i < count; i++) {
-		snprintf(query->permits[i].worker, ZR_NAME_MAX, "%s",
-			 workers[i]);
-		strcpy(query->permits[i].ticket, "ticket");
+		snprintf(query->workers[i], ZR_NAME_MAX, "%s", workers[i]);
+		query->permits[i] = (struct zr_cell_permit){
+			query->workers[i], host->script->ticket};
 	}
 	query->count = count;
 	query->done = done;
@@ -1261,7 +1264,7 @@
 
 static void do_save_checkpoints(struct cell_script *script)
 {
-	fake_pool_save_checkpoints(script->pool);
+	fake_pool_save_checkpoints(script->pool, (size_t)atoi(word(script, 1)));
 }
 
 static void do_late(struct cell_script *script)
@@ -1323,6 +1326,14 @@
 				!strcmp(word(script, 2), "polls"));
 }
 
+static void do_ticket_bytes(struct cell_script *script)
+{
+	size_t bytes = (size_t)atoi(word(script, 1));
+
+	memset(script->ticket, 't', bytes);
+	script->ticket[bytes] = '\0';
+}
+
 static void do_tickets(struct cell_script *script)
 {
 	fake_pool_need_tickets(script->pool, word(script, 1));
@@ -1365,6 +1376,7 @@
 	{"replace", do_replace},
 	{"unhealthy", do_unhealthy},
 	{"tickets", do_tickets},
+	{"ticket-bytes", do_ticket_bytes},
 	{"crashes", do_crashes},
 	{"capacity", do_capacity},
 	{"late", do_late},
@@ -1440,6 +1452,8 @@
 	fake_store_client(&script->registrar, script->store,
 			  fake_node_new(script->net, "registrar"));
 	script->pool = fake_pool_new(script->net, print_event, script);
+	strcpy(script->ticket, "ticket");
+	fake_pool_set_ticket(script->pool, script->ticket);
 	fake_pool_set_attempts(script->pool, ATTEMPTS);
 	decoder_pool = script->pool;
 	decoder_script = script;
--- a/tests/fakes/cell_script.h
+++ b/tests/fakes/cell_script.h
@@ -96,7 +96,9 @@
  *                              start a new incarnation of a worker, with that
  *                              capacity, which writes its registration later
  *   replace WORKER             start another worker at its address
- *   tickets WORKER             let a worker refuse starts without a ticket
+ *   tickets WORKER             let a worker refuse starts without the ticket of
+ *                              the adviser
+ *   ticket-bytes N             set the length of that ticket, for new permits
  *   unhealthy WORKER stops|polls|no
  *                              let a worker refuse all stops, or all polls
  *   crashes AFTER DOWN restarted|replaced
@@ -142,9 +144,9 @@
  *   speed WORKER PERMILLE [KIND]
  *                              set the speed of a worker, also for active
  *                              runs, and its kind
- *   save-checkpoints           let runs save a checkpoint at each tenth
- *   hang WORKER                stop the progress of its tasks; the worker
- *                              still responds
+ *   save-checkpoints [BYTES]   let runs save a checkpoint at each tenth, of
+ * that length at least hang WORKER                stop the progress of its
+ * tasks; the worker still responds
  *
  * Nodes are the hosts, the workers, "store" and "adviser". The fake workers
  * print `VIOLATION` when a task runs twice at once or starts again after its
--- a/tests/fakes/fake_pool.c
+++ b/tests/fakes/fake_pool.c
@@ -51,8 +51,9 @@
 	double done;	 /* part of it that was done at @done_at */
 	int64_t done_at;
 	int64_t began_at;
-	bool is_member;	    /* its task belongs to a gang */
-	uint32_t gang_size; /* 0: it waits for no other members */
+	const char *checkpoint; /* its latest one; "": none */
+	bool is_member;		/* its task belongs to a gang */
+	uint32_t gang_size;	/* 0: it waits for no other members */
 };
 
 /*
@@ -162,6 +163,16 @@
 	int64_t wasted_core_us; /* of runs that did not end as done */
 	unsigned int violations;
 	bool saves_checkpoints;
+	size_t checkpoint_bytes; /* length of those that are saved */
+	const char *ticket;	 /* that the adviser gives */
+	struct saved_checkpoint *checkpoints;
+};
+
+/* A checkpoint that a run has saved; @unit: its task, or its gang. */
+struct saved_checkpoint {
+	struct saved_checkpoint *next;
+	struct zr_cell_task_name unit;
+	char text[];
 };
 
 enum call_kind {
@@ -182,8 +193,8 @@
 	uint64_t fencing_token;
 	int64_t last_end_acked;
 	unsigned int wait_ms;
-	bool has_ticket;
-	char checkpoint[ZR_CELL_TICKET_MAX];
+	bool has_ticket; /* that of the adviser, whole */
+	char *checkpoint;
 	struct zr_cell_request_reply request_reply;
 	struct zr_cell_poll_reply poll_reply;
 	struct zr_cell_run *runs;
@@ -404,6 +415,7 @@
 	ended->end.task = run->task;
 	ended->end.attempt = run->attempt;
 	ended->end.outcome = outcome;
+	ended->end.checkpoint = run->checkpoint;
 	ended->is_member = run->is_member;
 	DL_APPEND(worker->ended_runs, ended);
 	if (outcome != ZR_RUN_DONE || find_done_task(worker->pool, &run->task))
@@ -523,7 +535,52 @@
 		(int64_t)((1 - done) * run->total_ms / speed_of(worker) + 0.5);
 }
 
-/* A checkpoint is the percentage that had been done. */
+/*
+ * Saves a checkpoint, "pPERCENT.TASK.ATTEMPT", filled up to the length that the
+ * pool is set to. The last character depends on all before it.
+ */
+static void save_checkpoint(struct fake_pool *pool, struct run *run,
+			    uint32_t percent)
+{
+	size_t size = pool->checkpoint_bytes + TEXT_MAX;
+	struct saved_checkpoint *saved = calloc(1, sizeof(*saved) + size);
+	size_t length;
+
+	saved->unit = failing_unit(&run->task, run->is_member);
+	length =
+		(size_t)snprintf(saved->text, size, "p%02u.%s.%u.%u.%u.%u.",
+				 percent, run->task.job, run->task.occurrence,
+				 run->task.step, run->task.index, run->attempt);
+	while (length + 1 < pool->checkpoint_bytes)
+		saved->text[length++] = '-';
+	saved->text[length] =
+		(char)('a' + (percent + run->task.index + run->attempt) % 26);
+	if (!strcmp(run->checkpoint, saved->text)) {
+		free(saved);
+		return;
+	}
+	LL_PREPEND(pool->checkpoints, saved);
+	run->checkpoint = saved->text;
+}
+
+/* Whether a run of a task, or of its gang, has saved a checkpoint. */
+static bool has_saved(const struct fake_pool *pool, const struct run *run,
+		      const char *text)
+{
+	const struct zr_cell_task_name unit =
+		failing_unit(&run->task, run->is_member);
+	const struct saved_checkpoint *saved;
+
+	LL_FOREACH(pool->checkpoints, saved)
+	{
+		if (same_task(&saved->unit, &unit) &&
+		    !strcmp(saved->text, text))
+			return true;
+	}
+	return false;
+}
+
+/* A checkpoint begins with the percentage that had been done. */
 static void resume_run(const struct pool_worker *worker, struct run *run,
 		       const char *checkpoint)
 {
@@ -636,9 +693,13 @@
 	run->task = call->task;
 	run->attempt = call->attempt;
 	run->stops_at = INT64_MAX;
+	run->checkpoint = "";
 	parse_payload(run, worker->pool, call->payload, net_now(worker->pool));
 	check_start(worker, run, call->sent_at);
 	check_evacuation(worker, call);
+	if (call->checkpoint[0] &&
+	    !has_saved(worker->pool, run, call->checkpoint))
+		violation(worker->pool, "UNASKED", &run->task, worker->name);
 	resume_run(worker, run, call->checkpoint);
 	worker->used_millicpus += run->millicpus;
 	if (worker->used_millicpus > max_capacity(worker))
@@ -670,6 +731,7 @@
 	tombstone = calloc(1, sizeof(*tombstone));
 	tombstone->end.task = call->task;
 	tombstone->end.attempt = call->attempt;
+	tombstone->end.checkpoint = "";
 	DL_APPEND(worker->ended_runs, tombstone);
 	return ZR_REQUEST_ACCEPTED;
 }
@@ -712,7 +774,7 @@
 
 static void fill_poll_reply(const struct pool_worker *worker, struct call *call)
 {
-	const struct run *run;
+	struct run *run;
 	const struct ended_run *ended;
 	size_t count;
 
@@ -729,10 +791,10 @@
 		out->percent = worker->hung ? 0 : percent_of(worker, run);
 		if (worker->pool->saves_checkpoints &&
 		    out->percent >= CHECKPOINT_PERCENT)
-			snprintf(out->checkpoint, sizeof(out->checkpoint),
-				 "p%02u",
-				 out->percent / CHECKPOINT_PERCENT *
-					 CHECKPOINT_PERCENT);
+			save_checkpoint(worker->pool, run,
+					out->percent / CHECKPOINT_PERCENT *
+						CHECKPOINT_PERCENT);
+		out->checkpoint = run->checkpoint;
 	}
 	DL_COUNT(worker->ended_runs, ended, count);
 	call->ends = calloc(count + 1, sizeof(*call->ends));
@@ -870,6 +932,7 @@
 
 	free(call->runs);
 	free(call->ends);
+	free(call->checkpoint);
 	free(call);
 }
 
@@ -917,9 +980,8 @@
 	call->task = start->task;
 	call->attempt = start->attempt;
 	snprintf(call->payload, sizeof(call->payload), "%s", start->payload);
-	snprintf(call->checkpoint, sizeof(call->checkpoint), "%s",
-		 start->checkpoint);
-	call->has_ticket = start->ticket[0];
+	call->checkpoint = strdup(start->checkpoint);
+	call->has_ticket = !strcmp(start->ticket, call->worker->pool->ticket);
 	call->lease_expires_at = start->lease_expires_ms;
 	call->request_done = done;
 	send_call(impl, call, timeout_ms);
@@ -1080,6 +1142,11 @@
 	worker->refuses_polls = polls;
 }
 
+void fake_pool_set_ticket(struct fake_pool *pool, const char *ticket)
+{
+	pool->ticket = ticket;
+}
+
 void fake_pool_need_tickets(struct fake_pool *pool, const char *name)
 {
 	find_worker(pool, name)->needs_tickets = true;
@@ -1207,9 +1274,10 @@
 		snprintf(worker->kind, sizeof(worker->kind), "%s", kind);
 }
 
-void fake_pool_save_checkpoints(struct fake_pool *pool)
+void fake_pool_save_checkpoints(struct fake_pool *pool, size_t bytes)
 {
 	pool->saves_checkpoints = true;
+	pool->checkpoint_bytes = bytes;
 }
 
 void fake_pool_set_late(struct fake_pool *pool, unsigned int percent,
@@ -1440,6 +1508,7 @@
 	pool->ctx = ctx;
 	pool->crash_after_ms = CRASH_AFTER_MS;
 	pool->crash_down_ms = CRASH_DOWN_MS;
+	pool->ticket = "ticket";
 	return pool;
 }
 
@@ -1466,8 +1535,13 @@
 	struct failed_run *failed;
 	struct done_task *done;
 	struct evacuation *evacuation;
+	struct saved_checkpoint *saved;
 	struct pool_worker *worker;
 
+	while ((saved = pool->checkpoints)) {
+		pool->checkpoints = saved->next;
+		free(saved);
+	}
 	while ((failed = pool->failed_runs)) {
 		pool->failed_runs = failed->next;
 		free(failed);
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -29,8 +29,10 @@
  * runs of a worker use more than its capacity (LIMIT), if a task that crashes
  * its workers is started three times more after three workers have crashed
  * while they ran it (BUDGET), if a task or gang starts again after as many of
- * its runs have failed as its job allows (ATTEMPTS), or if a host sends a start
- * to an evacuated domain later than 5,000 ms after the request (EVAC).
+ * its runs have failed as its job allows (ATTEMPTS), if a start carries a
+ * checkpoint that no run of its task, or of its gang, has saved (UNASKED), or
+ * if a host sends a start to an evacuated domain later than 5,000 ms after the
+ * request (EVAC).
  */
 
 struct fake_pool;
@@ -68,7 +70,9 @@
 void fake_pool_set_unhealthy(struct fake_pool *pool, const char *name,
 			     bool stops, bool polls);
 
-/** fake_pool_need_tickets() - let a worker refuse starts without a ticket */
+/** fake_pool_set_ticket() - set the ticket of the adviser; it is not copied */
+void fake_pool_set_ticket(struct fake_pool *pool, const char *ticket);
+/** fake_pool_need_tickets() - let a worker refuse starts without that ticket */
 void fake_pool_need_tickets(struct fake_pool *pool, const char *name);
 
 /**
@@ -107,9 +111,12 @@
 void fake_pool_set_speed(struct fake_pool *pool, const char *name,
 			 uint32_t permille, const char *kind);
 
-/** fake_pool_save_checkpoints() - save one at each tenth of a run from now on
+/**
+ * fake_pool_save_checkpoints() - save one at each tenth of a run from now on
+ * @pool: the pool
+ * @bytes: their length; they have more if that is needed to tell them apart
  */
-void fake_pool_save_checkpoints(struct fake_pool *pool);
+void fake_pool_save_checkpoints(struct fake_pool *pool, size_t bytes);
 
 /**
  * fake_pool_leave() - let a worker announce its departure, then leave
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,6 +26,8 @@
  *   of them have crashed (BUDGET);
  * - a task or a gang isn't started after SOAK_ATTEMPTS of its runs have failed
  *   and hosts have acknowledged these ends (ATTEMPTS);
+ * - a start carries no checkpoint that no run of its task has saved (UNASKED),
+ *   and no ticket but that of the adviser for the worker, whole (TICKET);
  * - a host doesn't send a start to an evacuated zone later than 5 s after the
  *   request (EVAC).
  *
--- a/tests/soak/workers.c
+++ b/tests/soak/workers.c
@@ -8,6 +8,7 @@
 
 #include "fakes/rng.h"
 #include "soak.h"
+#include "zinniarack/cell.h"
 #include "zinniarack/errors.h"
 
 /* Longest lease that a worker grants; lease_max_ms in run.sh is the same. */
@@ -50,6 +51,16 @@
 /* Share of failing runs of a task for which that is drawn for each run. */
 #define FAIL_PERCENT 40
 #define ZONES 2
+/*
+ * A run saves a checkpoint this often. Their length is drawn; some have the
+ * longest that a host passes on.
+ */
+#define SAVE_MS 200
+#define CHECKPOINT_BYTES_MAX (ZR_CELL_CHECKPOINT_MAX - 1)
+#define CHECKPOINT_SPAN_BYTES 500
+#define LONGEST_PERCENT 5
+#define LENGTH_DIGITS 4
+#define TICKET_BYTES 200
 #define PERCENT 100
 
 /**
@@ -89,6 +100,17 @@
 	struct failed_run *next;
 };
 
+/**
+ * struct checkpoint - a checkpoint that a run has saved
+ * @task: name of its task
+ * @text: the checkpoint, which is unique
+ */
+struct checkpoint {
+	char task[TASK_NAME_MAX];
+	char *text;
+	UT_hash_handle hh;
+};
+
 /**
  * struct run - a running attempt of a task on a worker
  * @task: name of the task
@@ -102,6 +124,8 @@
  * @ends_at: when it is done; 0 as long as its gang is incomplete
  * @crashes_at: when it crashes the worker; 0: never
  * @fails: it ends as failed instead of done
+ * @checkpoint: the latest that it has saved; NULL: none
+ * @saved_at: when it did
  */
 struct run {
 	char task[TASK_NAME_MAX];
@@ -113,6 +137,8 @@
 	int64_t ends_at;
 	int64_t crashes_at;
 	bool fails;
+	const struct checkpoint *checkpoint;
+	int64_t saved_at;
 	struct run *prev;
 	struct run *next;
 };
@@ -124,6 +150,7 @@
  * @unit: name of the task, or of the first member of its gang
  * @outcome: "done", "failed", "broken", "stopped", "alone", "lapsed" or "lost",
  *	as on the wire
+ * @checkpoint: the latest that the run has saved; NULL: none
  */
 struct end {
 	int64_t sequence;
@@ -131,6 +158,7 @@
 	char unit[TASK_NAME_MAX];
 	int64_t attempt;
 	const char *outcome;
+	const struct checkpoint *checkpoint;
 	struct end *prev;
 	struct end *next;
 };
@@ -209,6 +237,8 @@
 static int worker_count;
 static struct task *tasks;
 static struct failed_run *failed_runs;
+static struct checkpoint *checkpoints;
+static struct rng checkpoint_rng = {1};
 static int64_t delay_until;
 static int delay_percent;
 static const char *const zones[ZONES] = {"north", "south"};
@@ -453,6 +483,59 @@
 		rejected->max_attempt = attempt;
 }
 
+static const char *checkpoint_text(const struct checkpoint *checkpoint)
+{
+	return checkpoint ? checkpoint->text : "";
+}
+
+/*
+ * Saves a checkpoint, "TASK/ATTEMPT/TIME/", filled up to a length that is
+ * drawn, and ended by the length, so that one that is cut is not valid.
+ */
+static void save_checkpoint(struct run *run)
+{
+	struct checkpoint *checkpoint = calloc(1, sizeof(*checkpoint));
+	size_t length = rng_chance(&checkpoint_rng, LONGEST_PERCENT)
+				? CHECKPOINT_BYTES_MAX
+				: TASK_NAME_MAX + 40 +
+					  rng_below(&checkpoint_rng,
+						    CHECKPOINT_SPAN_BYTES);
+	size_t used;
+
+	checkpoint->text = calloc(1, length + 1);
+	snprintf(checkpoint->task, sizeof(checkpoint->task), "%s", run->task);
+	used = (size_t)snprintf(checkpoint->text, length + 1,
+				"%s/%" PRId64 "/%" PRId64 "/", run->task,
+				run->attempt, soak_now_ms());
+	memset(checkpoint->text + used, '.', length - used);
+	snprintf(checkpoint->text + length - LENGTH_DIGITS, LENGTH_DIGITS + 1,
+		 "%0*zu", LENGTH_DIGITS, length);
+	HASH_ADD_KEYPTR(hh, checkpoints, checkpoint->text, length, checkpoint);
+	run->checkpoint = checkpoint;
+	run->saved_at = soak_now_ms();
+}
+
+/* Only tasks that are not members of gangs are declared to save checkpoints. */
+static void save_if_due(struct run *run)
+{
+	if (!run->gang_size && soak_now_ms() - run->saved_at >= SAVE_MS)
+		save_checkpoint(run);
+}
+
+/* A start resumes from what a run of the same task has saved, if anything. */
+static void check_checkpoint(const char *task, const char *text)
+{
+	const struct checkpoint *checkpoint;
+
+	if (!text || !*text)
+		return;
+	HASH_FIND_STR(checkpoints, text, checkpoint);
+	if (!checkpoint || strcmp(checkpoint->task, task))
+		soak_violation("UNASKED %s starts with a checkpoint of %zu "
+			       "bytes that no run of it has saved",
+			       task, strlen(text));
+}
+
 static void end_run(struct worker *worker, struct run *run, const char *outcome)
 {
 	struct end *end = calloc(1, sizeof(*end));
@@ -463,6 +546,7 @@
 	name_unit(end->unit, run);
 	end->attempt = run->attempt;
 	end->outcome = outcome;
+	end->checkpoint = run->checkpoint;
 	if (!strcmp(outcome, "failed")) {
 		printf("failed %s %" PRId64 " %s\n", run->task, run->attempt,
 		       worker->name);
@@ -707,6 +791,7 @@
 	snprintf(run->task, sizeof(run->task), "%s", name);
 	run->attempt = attempt;
 	run->started_at = soak_now_ms();
+	run->saved_at = run->started_at;
 	run->gang_size = parse_gang_size(name, spec);
 	run->ends_at = run->gang_size ? 0 : run->started_at + run->duration_ms;
 	run->crashes_at =
@@ -821,6 +906,26 @@
 	return NULL;
 }
 
+/* The ticket that the adviser gives for a worker. */
+static void make_ticket(char out[TICKET_BYTES + 1], const char *worker)
+{
+	size_t length = strlen(worker);
+
+	memset(out, '.', TICKET_BYTES - length);
+	memcpy(out + TICKET_BYTES - length, worker, length + 1);
+}
+
+static void check_ticket(const struct worker *worker, const char *task,
+			 const char *ticket)
+{
+	char expected[TICKET_BYTES + 1];
+
+	make_ticket(expected, worker->name);
+	if (ticket && strcmp(ticket, expected))
+		soak_violation("TICKET %s starts on %s with '%s'", task,
+			       worker->name, ticket);
+}
+
 static void serve_start(struct worker *worker,
 			struct zr_http_exchange *exchange, json_t *request)
 {
@@ -837,6 +942,10 @@
 	}
 	renew_lease(worker, request);
 	check_evacuation(worker, name, sent_at);
+	check_checkpoint(name, json_string_value(
+				       json_object_get(request, "checkpoint")));
+	check_ticket(worker, name,
+		     json_string_value(json_object_get(request, "ticket")));
 	if (!find_run(worker, name))
 		begin_run(worker, name, read_number(request, "attempt"),
 			  spec ? spec : "", sent_at);
@@ -855,8 +964,10 @@
 		return;
 	}
 	reject_attempts(worker, name, attempt);
-	if (run && run->attempt <= attempt)
+	if (run && run->attempt <= attempt) {
+		save_if_due(run);
 		end_run_and_gang(worker, run, "stopped");
+	}
 	reply(worker, exchange, 200, NULL);
 }
 
@@ -866,8 +977,8 @@
 {
 	json_t *running = json_array();
 	json_t *finished = json_array();
-	const struct run *run;
 	const struct end *end;
+	struct run *run;
 
 	DL_FOREACH(worker->runs, run)
 	{
@@ -876,9 +987,11 @@
 		int64_t total_ms = run->ends_at ? run->ends_at - run->started_at
 						: 10000000;
 
+		save_if_due(run);
 		json_array_append_new(
 			running, json_pack("[s, I, s, I]", run->task,
-					   (json_int_t)run->attempt, "",
+					   (json_int_t)run->attempt,
+					   checkpoint_text(run->checkpoint),
 					   (json_int_t)(elapsed_ms * PERCENT /
 							(total_ms + 1))));
 	}
@@ -890,7 +1003,8 @@
 			finished,
 			json_pack("[I, s, I, s, s]", (json_int_t)end->sequence,
 				  end->task, (json_int_t)end->attempt,
-				  end->outcome, ""));
+				  end->outcome,
+				  checkpoint_text(end->checkpoint)));
 	}
 	soak_reply(exchange, 200,
 		   json_pack("{s:I, s:I, s:o, s:o}", "clock_ms",
@@ -1205,17 +1319,19 @@
 	const char *text = zr_http_get_body(exchange, &length);
 	json_t *request = json_loadb(text ? text : "", length, 0, NULL);
 	json_t *suitable = json_array();
+	char ticket[TICKET_BYTES + 1];
 	json_t *name;
 	size_t i;
 
 	(void)ctx;
 	/* The adviser accepts three of four workers. */
 	json_array_foreach (json_object_get(request, "workers"), i, name) {
-		if (i % 4 != 3)
-			json_array_append_new(suitable,
-					      json_pack("[s, s]",
-							json_string_value(name),
-							"ticket"));
+		if (i % 4 == 3)
+			continue;
+		make_ticket(ticket, json_string_value(name));
+		json_array_append_new(
+			suitable,
+			json_pack("[s, s]", json_string_value(name), ticket));
 	}
 	soak_reply(exchange, 200, json_pack("{s:o}", "good", suitable));
 	json_decref(request);
--- a/tests/unit/test_cell_peers.c
+++ b/tests/unit/test_cell_peers.c
@@ -20,6 +20,7 @@
 static struct zr_store operator_store;
 static struct zr_cell_peers *peers;
 static uv_loop_t *loop;
+static char own_address[32];
 
 /* The list of proxies that was reported last, as the scheduler keeps it. */
 static struct zr_cell_adviser_proxy proxies[8];
@@ -37,6 +38,8 @@
 }
 
 static unsigned int ended_queries;
+static size_t permit_count; /* of the last answer */
+static size_t ticket_bytes; /* of its first permit */
 
 static void on_advised(void *ctx, int error,
 		       const struct zr_cell_permit *permits, size_t count,
@@ -44,12 +47,16 @@
 {
 	(void)ctx;
 	(void)error;
-	(void)permits;
-	(void)count;
 	(void)validity_ms;
 	ended_queries++;
+	permit_count = count;
+	ticket_bytes = count ? strlen(permits[0].ticket) : 0;
 }
 
+/* What the adviser permits; none: it cannot be reached. */
+static struct zr_cell_permit adviser_permits[2];
+static size_t adviser_permit_count;
+
 static void advise(void *ctx, const char *job, uint32_t occurrence,
 		   uint32_t step, const char *const *workers, size_t count,
 		   unsigned int timeout_ms, zr_cell_advise_fn done,
@@ -62,7 +69,10 @@
 	(void)workers;
 	(void)count;
 	(void)timeout_ms;
-	done(done_ctx, ZR_E_UNREACHABLE, NULL, 0, 0);
+	if (adviser_permit_count)
+		done(done_ctx, 0, adviser_permits, adviser_permit_count, 900);
+	else
+		done(done_ctx, ZR_E_UNREACHABLE, NULL, 0, 0);
 }
 
 /* Queries the adviser through all proxies of the list, as an owner does. */
@@ -105,11 +115,10 @@
 {
 	static const struct zr_cell_peers_events events = {NULL, NULL, NULL};
 	const char *base = getenv("ZR_PORT");
-	char address[32];
 	struct fake_store *store;
 	struct fake_node *host;
 
-	snprintf(address, sizeof(address), "127.0.0.1:%d",
+	snprintf(own_address, sizeof(own_address), "127.0.0.1:%d",
 		 (base ? atoi(base) : 27000) + 960);
 	loop = uv_loop_new();
 	net = fake_net_new();
@@ -124,7 +133,7 @@
 		zr_cell_peers_new(
 			&peers, loop, fake_time_timers(fake_node_time(host)),
 			fake_time_clock(fake_node_time(host)), &platform, "a",
-			address, 0.25, on_proxies_changed, &events, NULL),
+			own_address, 0.25, on_proxies_changed, &events, NULL),
 		0);
 	set_registration("b", "127.0.0.1:9 250");
 	set_registration("c", "127.0.0.1:9 500");
@@ -152,6 +161,41 @@
  * Regression: a host that owned the cell again after another one had left for
  * good sent queries through the freed connection to it.
  */
+/*
+ * Guards against tickets that are cut on the way through another host: they
+ * pass whole, and one that is too long does not fail the others.
+ */
+START_TEST(test_long_tickets)
+{
+	static char ticket[ZR_CELL_TICKET_MAX];
+	static char too_long[ZR_CELL_TICKET_MAX + 1];
+	char value[64];
+	int i;
+
+	memset(ticket, 't', sizeof(ticket) - 1);
+	memset(too_long, 't', sizeof(too_long) - 1);
+	adviser_permits[0] = (struct zr_cell_permit){"w1", too_long};
+	adviser_permits[1] = (struct zr_cell_permit){"w2", ticket};
+	adviser_permit_count = 2;
+	/* The other host is this one. */
+	snprintf(value, sizeof(value), "%s 250", own_address);
+	set_registration("b", value);
+	set_registration("c", NULL);
+	zr_cell_peers_set_active(peers, true);
+	advance(READ_MS);
+	for (i = 0; i < (int)proxy_count && strcmp(proxies[i].name, "b"); i++)
+		;
+	ck_assert_int_lt(i, (int)proxy_count);
+	proxies[i].query(proxies[i].ctx, "0123456789abcdef", 0, 0, NULL, 0,
+			 1000, on_advised, NULL);
+	while (!ended_queries)
+		uv_run(loop, UV_RUN_ONCE);
+	adviser_permit_count = 0;
+	ck_assert_uint_eq(permit_count, 1);
+	ck_assert_uint_eq(ticket_bytes, ZR_CELL_TICKET_MAX - 1);
+}
+END_TEST
+
 START_TEST(test_peer_removed_while_standing_by)
 {
 	zr_cell_peers_set_active(peers, true);
@@ -256,6 +300,7 @@
 
 	tcase_add_checked_fixture(tcase, set_up, NULL);
 	tcase_add_test(tcase, test_proxies);
+	tcase_add_test(tcase, test_long_tickets);
 	tcase_add_test(tcase, test_peer_removed_while_standing_by);
 	tcase_add_test(tcase, test_odd_registrations);
 	tcase_add_test(tcase, test_broken_connection_counts_once);
--- a/tests/unit/test_cell_random.c
+++ b/tests/unit/test_cell_random.c
@@ -29,7 +29,8 @@
  * none may start after that. In the series of unfit jobs, a part of the jobs
  * does not fit on the workers, or not at the same time as long-running ones;
  * they are cancelled when the faults are over, and must not keep the others
- * from free capacity.
+ * from free capacity. Runs save checkpoints in that series, some of which are
+ * longer than a host passes on, and no start may carry another text.
  *
  * Draws stand in statements of their own: C leaves the order of arguments open,
  * and a seed is the same scenario on every machine.
@@ -83,6 +84,8 @@
 /* Longest time until a worker has written its registration anew. */
 #define HEARTBEAT_MAX_MS 1000
 #define LINE_MAX_BYTES 256
+/* Of the series of unfit jobs, in which runs save checkpoints. */
+#define CHECKPOINT_SPAN_BYTES 4200
 
 /* The kinds of trouble that a seed has beside those of all seeds. */
 enum extras {
@@ -576,6 +579,9 @@
 	run_line(scenario, "stop-ms %u", below(scenario, 400));
 	if (scenario->extras == EXTRA_FAILURES)
 		run_line(scenario, "gangs-wait faults");
+	if (scenario->extras == EXTRA_UNFIT)
+		run_line(scenario, "save-checkpoints %u",
+			 below(scenario, CHECKPOINT_SPAN_BYTES));
 	if (scenario->extras == EXTRA_CRASHES) {
 		uint32_t after_ms = 1 + below(scenario, 100);
 
--- a/tests/unit/test_cell_records.c
+++ b/tests/unit/test_cell_records.c
@@ -372,6 +372,115 @@
 }
 END_TEST
 
+/*
+ * Guards against checkpoints that are cut or lost in the record: the next owner
+ * resumes from what it reads there. An earlier version reads the rest of it.
+ */
+START_TEST(test_long_checkpoints)
+{
+	static const size_t sizes[] = {63, 64, 65, 1000,
+				       ZR_CELL_CHECKPOINT_MAX - 1};
+	zx_cell_stored_progress record = new_record();
+	zx_cell_stored_progress decoded = {0};
+	zx_cell_progress earlier = {0};
+	zx_cell_task list[5];
+	struct zr_cell_buffer bytes;
+	u_int i;
+
+	for (i = 0; i < 5; i++) {
+		list[i] = (zx_cell_task){.attempt = i + 1, .worker = ""};
+		list[i].checkpoint = calloc(1, sizes[i] + 1);
+		memset(list[i].checkpoint, 'a' + (int)i, sizes[i]);
+	}
+	record.progress.tasks.tasks_len = 5;
+	record.progress.tasks.tasks_val = list;
+	ck_assert_int_eq(zr_cell_encode_progress(&bytes, &record), 0);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, bytes.data, bytes.length), 0);
+	for (i = 0; i < 5; i++)
+		ck_assert(
+			!strcmp(decoded.progress.tasks.tasks_val[i].checkpoint,
+				list[i].checkpoint));
+	ck_assert_int_eq(zr_cell_decode(&earlier,
+					(xdrproc_t)xdr_zx_cell_progress,
+					bytes.data, bytes.length),
+			 0);
+	ck_assert_str_eq(earlier.tasks.tasks_val[0].checkpoint,
+			 list[0].checkpoint);
+	ck_assert_str_eq(earlier.tasks.tasks_val[1].checkpoint, "");
+	ck_assert_uint_eq(earlier.tasks.tasks_val[4].attempt, 5);
+	xdr_free((xdrproc_t)xdr_zx_cell_progress, &earlier);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	free(bytes.data);
+	for (i = 0; i < 5; i++)
+		free(list[i].checkpoint);
+}
+END_TEST
+
+#define LONG_BYTES 1000
+
+/* Of long checkpoints, a packed record has those that fit, each of them whole.
+ */
+START_TEST(test_long_checkpoints_packed)
+{
+	struct large_job *job = calloc(1, sizeof(*job));
+	zx_cell_stored_progress record = new_large_record(job);
+	zx_cell_stored_progress decoded = {0};
+	char(*texts)[LONG_BYTES + 1] = calloc(3000, sizeof(*texts));
+	struct zr_cell_buffer bytes;
+	int left_out;
+	int kept = 0;
+	int i;
+
+	for (i = 0; i < 3000; i++) {
+		snprintf(texts[i], sizeof(texts[i]), "%0*d", LONG_BYTES, i);
+		job->tasks[i].checkpoint = texts[i];
+	}
+	record.progress.tasks.tasks_len = 3000;
+	left_out = zr_cell_encode_progress(&bytes, &record);
+	ck_assert_int_gt(left_out, 0);
+	ck_assert_uint_le(bytes.length, ZX_CELL_VALUE_MAX);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, bytes.data, bytes.length), 0);
+	for (i = 0; i < 3000; i++) {
+		const zx_cell_task *task = &decoded.progress.tasks.tasks_val[i];
+
+		if (!task->checkpoint[0])
+			continue;
+		ck_assert(!strcmp(task->checkpoint, texts[i]));
+		kept++;
+	}
+	/* There was no room for one more. */
+	ck_assert_uint_gt(bytes.length, ZX_CELL_VALUE_MAX - 2 * LONG_BYTES);
+	ck_assert_int_eq(kept + left_out, 3000);
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	free(bytes.data);
+	free(texts);
+	free(job);
+}
+END_TEST
+
+/* A long checkpoint of a task that there is not makes the record invalid. */
+START_TEST(test_long_checkpoint_of_no_task)
+{
+	zx_cell_stored_progress record = new_record();
+	zx_cell_stored_progress decoded = {0};
+	zx_cell_long_checkpoint entry = {1000, "text"};
+	struct zr_cell_buffer bytes;
+
+	record.checkpoints.tasks.tasks_len = 1;
+	record.checkpoints.tasks.tasks_val = &entry;
+	ck_assert_int_eq(zr_cell_encode(&bytes,
+					(xdrproc_t)xdr_zx_cell_stored_progress,
+					&record),
+			 0);
+	ck_assert_int_eq(
+		zr_cell_decode_progress(&decoded, bytes.data, bytes.length),
+		ZR_E_PROTOCOL);
+	free(bytes.data);
+}
+END_TEST
+
 /* A packed record keeps which tasks are done, and all checkpoints that fit. */
 START_TEST(test_packed_tasks)
 {
@@ -485,6 +594,9 @@
 	tcase_add_test(tcase, test_use);
 	tcase_add_test(tcase, test_largest_job);
 	tcase_add_test(tcase, test_packed_tasks);
+	tcase_add_test(tcase, test_long_checkpoints);
+	tcase_add_test(tcase, test_long_checkpoints_packed);
+	tcase_add_test(tcase, test_long_checkpoint_of_no_task);
 	tcase_add_test(tcase, test_packed_worker_missing);
 	tcase_add_test(tcase, test_gang_failures);
 	tcase_add_test(tcase, test_gang_failures_left_out);
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -450,9 +450,11 @@
 	size_t count = pf_adviser_decode(&permits, &validity_ms, body);
 	size_t i;
 
-	for (i = 0; i < count; i++)
-		ck_assert_uint_lt(strlen(permits[i].ticket),
-				  sizeof(permits[i].ticket));
+	/* Both are texts of the body, whole. */
+	for (i = 0; i < count; i++) {
+		ck_assert_uint_lt(strlen(permits[i].worker), text->length);
+		ck_assert_uint_lt(strlen(permits[i].ticket), text->length);
+	}
 	free(permits);
 	json_decref(body);
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -11,6 +11,7 @@
 #define BODY_MAX 4096
 #define BODIES_MAX 4
 #define RUN_MS_MAX 2000
+#define LONG_TEXT_BYTES (ZR_CELL_CHECKPOINT_MAX - 1)
 
 /*
  * Fake HTTP server of the platform. It takes one call at a time, sends the
@@ -662,12 +663,57 @@
 }
 END_TEST
 
+/*
+ * Guards against checkpoints that are cut: a worker that resumed from one of 64
+ * characters got the first 47 of them (UNASKED).
+ */
+START_TEST(test_long_checkpoints)
+{
+	struct zr_cell_poll_reply reply;
+	char text[LONG_TEXT_BYTES + 1];
+	json_t *body;
+
+	memset(text, 'c', LONG_TEXT_BYTES);
+	text[LONG_TEXT_BYTES] = '\0';
+	body = json_pack("{s:i, s:[[s, i, s, i]], s:[[i, s, i, s, s]]}",
+			 "clock_ms", 9, "running", "ab.0.1.17", 2, text, 41,
+			 "finished", 58, "ab.0.1.9", 1, "stopped", text);
+	ck_assert_int_eq(pf_worker_decode_poll(&reply, body), 0);
+	ck_assert(!strcmp(reply.runs[0].checkpoint, text));
+	ck_assert(!strcmp(reply.ends[0].checkpoint, text));
+	free((void *)reply.runs);
+	free((void *)reply.ends);
+	json_decref(body);
+}
+END_TEST
+
+/* Guards against workers that are never used since their ticket is long. */
+START_TEST(test_long_ticket)
+{
+	struct zr_cell_permit *permits;
+	char text[LONG_TEXT_BYTES + 1];
+	uint32_t validity_ms;
+	json_t *body;
+
+	memset(text, 't', LONG_TEXT_BYTES);
+	text[LONG_TEXT_BYTES] = '\0';
+	body = json_pack("{s:[[s, s], [s], [i, s]]}", "good", "i-1", text,
+			 "i-2", 3, text);
+	ck_assert_uint_eq(pf_adviser_decode(&permits, &validity_ms, body), 1);
+	ck_assert_str_eq(permits[0].worker, "i-1");
+	ck_assert(!strcmp(permits[0].ticket, text));
+	free(permits);
+	json_decref(body);
+}
+END_TEST
+
 /* Adviser */
 
 static struct {
 	int error;
 	size_t count;
-	struct zr_cell_permit first;
+	char first_worker[ZR_NAME_MAX];
+	char first_ticket[ZR_NAME_MAX];
 	uint32_t validity_ms;
 } advice;
 
@@ -680,8 +726,12 @@
 	advice.error = error;
 	advice.count = count;
 	advice.validity_ms = validity_ms;
-	if (count)
-		advice.first = permits[0];
+	if (!count)
+		return;
+	snprintf(advice.first_worker, sizeof(advice.first_worker), "%s",
+		 permits[0].worker);
+	snprintf(advice.first_ticket, sizeof(advice.first_ticket), "%s",
+		 permits[0].ticket);
 }
 
 START_TEST(test_adviser)
@@ -696,8 +746,8 @@
 	run_until_finished();
 	ck_assert_int_eq(advice.error, 0);
 	ck_assert_int_eq(advice.count, 1);
-	ck_assert_str_eq(advice.first.worker, "i-2");
-	ck_assert_str_eq(advice.first.ticket, "ticket");
+	ck_assert_str_eq(advice.first_worker, "i-2");
+	ck_assert_str_eq(advice.first_ticket, "ticket");
 	ck_assert_int_eq(advice.validity_ms, 900);
 	ck_assert_str_eq(fake.request, "{\"step\":\"0123456789abcdef.0.1\","
 				       "\"workers\":[\"i-1\",\"i-2\"]}");
@@ -737,6 +787,8 @@
 	tcase_add_test(calls, test_store_watch_of_discarded_changes);
 	tcase_add_test(calls, test_worker_start);
 	tcase_add_test(calls, test_worker_poll);
+	tcase_add_test(calls, test_long_checkpoints);
+	tcase_add_test(calls, test_long_ticket);
 	tcase_add_test(calls, test_adviser);
 	suite_add_tcase(suite, decoding);
 	suite_add_tcase(suite, calls);
