cell: refuse what does not fit with a log line

A worker with more than 256 bytes of labels lost some of them without a word, and work that requires one never ran; a registration with an id or an address of more than 63 characters was ignored likewise, and nobody learned why its worker got no work.

Change: the labels have 1,024 bytes, and those that do not fit are counted and logged (worker.labels_ignored); a registration that is refused is counted and logged (registry.entry_refused).

--- a/include/zinniarack/cell.h
+++ b/include/zinniarack/cell.h
@@ -210,6 +210,9 @@
 const struct zr_cell_client *
 zr_cell_config_key(const struct zr_cell_config *config, const char *key);
 
+/** Maximum size of the labels of a worker, in bytes. */
+#define ZR_CELL_LABELS_MAX (16 * ZR_NAME_MAX)
+
 /**
  * struct zr_cell_worker_report - registration of a worker
  * @name: unique name
@@ -221,6 +224,7 @@
  * @leaves_in_ms: minimum time until it leaves; -1: not known
  * @capacity: total resources
  * @labels: its labels, each terminated by a NUL, followed by an empty one
+ * @ignored_labels: number of labels that were left out for lack of space
  * @incarnation: increases with each restart under the same name; 0: not known
  * @clock_ms: its clock when the registration was written; -1: not known
  */
@@ -233,7 +237,8 @@
 	bool leaving;
 	int64_t leaves_in_ms;
 	struct zr_resources capacity;
-	char labels[4 * ZR_NAME_MAX];
+	char labels[ZR_CELL_LABELS_MAX];
+	size_t ignored_labels;
 	int64_t incarnation;
 	int64_t clock_ms;
 };
--- a/src/libzinniarack/cell/private.h
+++ b/src/libzinniarack/cell/private.h
@@ -257,6 +257,8 @@
  * @registry_requested_at: when the last read of the registry was sent
  * @registry_read_at: when the registry was last read successfully
  * @registry_watching: a watch of the registry is pending
+ * @refused_revision: revision of the last entry that could not be used
+ * @refused_logged_at: when one was last logged; 0: never
  * @registry_watched_at: when the last watch was sent
  * @registry_revision: store revision up to which the registry is known; 0: it
  *                     has to be read before it can be watched
@@ -292,6 +294,8 @@
 	int64_t registry_requested_at;
 	int64_t registry_read_at;
 	bool registry_watching;
+	int64_t refused_revision;
+	int64_t refused_logged_at;
 	int64_t registry_watched_at;
 	int64_t registry_revision;
 	bool jobs_outdated;
@@ -352,6 +356,7 @@
  * @expired_reservations: reservations that were given up
  * @refused_checkpoints: checkpoints that were too long
  * @refused_tickets: tickets that were too long
+ * @refused_registrations: changes of the registry that could not be used
  * @takeovers: times the ownership was won
  * @load_timeouts: times the cell was given back because the load took too long
  * @loaded_bytes: bytes of jobs and progress read after takeovers
@@ -405,6 +410,7 @@
 	struct zr_metric *expired_reservations;
 	struct zr_metric *refused_checkpoints;
 	struct zr_metric *refused_tickets;
+	struct zr_metric *refused_registrations;
 	struct zr_metric *takeovers;
 	struct zr_metric *load_timeouts;
 	struct zr_metric *loaded_bytes;
--- a/src/libzinniarack/cell/registry.c
+++ b/src/libzinniarack/cell/registry.c
@@ -22,6 +22,8 @@
 #define WATCH_PAUSE_MS 250
 /* Interval of the polls that confirm a later incarnation of a registration. */
 #define ANNOUNCED_POLL_MS 250
+/* Entries that cannot be used are logged at most this often. */
+#define REFUSED_LOG_INTERVAL_MS 10000
 
 static void connect_worker(struct zr_cell_scheduler *scheduler,
 			   struct zr_cell_worker *worker, const char *address)
@@ -94,6 +96,11 @@
 			"worker.leaving worker=%s left_ms=%lld runs=%zu",
 			report->name, (long long)report->leaves_in_ms,
 			worker->run_count);
+	if (report->ignored_labels != worker->report.ignored_labels)
+		zr_log(ZR_LOG_WARN,
+		       "worker.labels_ignored worker=%s labels=%zu error=%s",
+		       report->name, report->ignored_labels,
+		       zr_error_name(ZR_E_TOO_LARGE));
 	worker->report = *report;
 	worker->report.incarnation = incarnation;
 	worker->described_incarnation = report->incarnation;
@@ -135,6 +142,28 @@
 	worker->registered = false;
 }
 
+/*
+ * An entry that cannot be used is logged when it has changed, but not each
+ * heartbeat of its worker.
+ */
+static void log_refused(struct zr_cell_scheduler *scheduler,
+			const struct zr_store_value *value, int error)
+{
+	struct zr_cell_term *term = &scheduler->term;
+	int64_t now = zr_cell_now_ms(scheduler);
+
+	if (value->mod_revision <= term->refused_revision)
+		return;
+	term->refused_revision = value->mod_revision;
+	scheduler->refused_registrations->value++;
+	if (term->refused_logged_at &&
+	    now - term->refused_logged_at < REFUSED_LOG_INTERVAL_MS)
+		return;
+	term->refused_logged_at = now;
+	zr_log(ZR_LOG_WARN, "registry.entry_refused key=%s error=%s",
+	       value->key, zr_error_name(error));
+}
+
 /*
  * Applies an entry unless a later change of it is known: reads and watches may
  * overtake each other. @revision is that of the reply. If a later one is known,
@@ -148,11 +177,16 @@
 	struct zr_cell_worker *worker =
 		zr_cell_worker_find(&scheduler->term.model, name);
 	struct zr_cell_worker_report report;
+	int error = 0;
 
 	if (worker ? value->mod_revision < worker->registry_revision
 		   : revision < scheduler->term.registry_revision)
 		return;
-	if (!value->data || platform->worker_decode(&report, value) < 0) {
+	if (value->data)
+		error = platform->worker_decode(&report, value);
+	if (error < 0)
+		log_refused(scheduler, value, error);
+	if (!value->data || error < 0) {
 		if (!worker)
 			return;
 		set_unregistered(worker);
--- a/src/libzinniarack/cell/scheduler.c
+++ b/src/libzinniarack/cell/scheduler.c
@@ -485,6 +485,9 @@
 	scheduler->refused_tickets = zr_metrics_get_or_add_counter(
 		metrics, "zinniarack_cell_texts_refused_total",
 		"kind=\"ticket\"", "Texts of the platform that were too long");
+	scheduler->refused_registrations = zr_metrics_get_or_add_counter(
+		metrics, "zinniarack_cell_registrations_refused_total", NULL,
+		"Registrations of workers that could not be used");
 }
 
 static void register_metrics(struct zr_cell_scheduler *scheduler,
--- a/src/libzinniarack/net/address.c
+++ b/src/libzinniarack/net/address.c
@@ -37,7 +37,8 @@
 	size_t length;
 	int port;
 
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
+	/* Those who keep the text have as much space. */
+	if (!colon || strlen(text) >= sizeof(host))
 		return set_invalid_address(text);
 	length = (size_t)(colon - text);
 	memcpy(host, text, length);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -150,6 +150,43 @@
 }
 END_TEST
 
+/*
+ * Guards against labels that are left out without a word: work that requires
+ * one never ran. Twelve long ones fit, and what does not fit is counted.
+ */
+START_TEST(test_many_labels)
+{
+	json_t *entry =
+		json_loads("{\"service\":\"s\",\"zone\":\"z\",\"address\":"
+			   "\"127.0.0.1:9\",\"state\":\"ready\","
+			   "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+			   0, NULL);
+	json_t *labels = json_array();
+	struct zr_cell_worker_report report;
+	struct zr_store_value value;
+	char label[64];
+	char *text;
+	int i;
+
+	json_object_set_new(entry, "labels", labels);
+	for (i = 0; i < 20; i++) {
+		snprintf(label, sizeof(label), "%062d", i);
+		json_array_append_new(labels, json_string(label));
+		text = json_dumps(entry, 0);
+		value = make_value("servers/i-1", text);
+		ck_assert_int_eq(pf_registry_decode(&report, &value), 0);
+		free(text);
+		if (i < 16)
+			ck_assert_uint_eq(report.ignored_labels, 0);
+	}
+	ck_assert_uint_eq(report.ignored_labels, 4);
+	ck_assert_str_eq(report.labels + (size_t)11 * 63,
+			 "00000000000000000000000000000000000000000000000000"
+			 "000000000011");
+	json_decref(entry);
+}
+END_TEST
+
 START_TEST(test_invalid_registry_entries)
 {
 	static const char *const texts[] = {
@@ -771,6 +808,7 @@
 
 	tcase_add_test(decoding, test_registry_entry);
 	tcase_add_test(decoding, test_invalid_registry_entries);
+	tcase_add_test(decoding, test_many_labels);
 	tcase_add_test(decoding, test_evacuation_keys);
 	tcase_add_test(decoding, test_long_names);
 	tcase_add_test(decoding, test_long_zone);
