tests: let a gang wait in vain if its owner was killed

Trace: the gang is placed at 3,930 ms. The start of one member has no response; its owner is killed at 4,649 ms, the next one at 7,020 ms, and the third finds at 7,930 ms, when the members give up, that the run is not there. By the users' rule a run must not end as alone "with its sender in touch and no disruption near", so this case is allowed. The check went beyond the rule and now leaves out a gang during whose wait the owner was killed, and only that.

--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -1003,6 +1003,8 @@
 {
 	struct host *host = find_host(script, word(script, 1));
 
+	if (zr_cell_scheduler_active(host->scheduler))
+		fake_pool_owner_killed(script->pool);
 	fake_node_kill(host->node);
 	free_host(host);
 }
--- a/tests/fakes/fake_pool.h
+++ b/tests/fakes/fake_pool.h
@@ -70,6 +70,14 @@
 void fake_pool_set_unhealthy(struct fake_pool *pool, const char *name,
 			     bool stops, bool polls);
 
+/**
+ * fake_pool_owner_killed() - note that the owner of the cell was killed
+ *
+ * A gang that waits meanwhile may wait in vain: by the users' rule a run must
+ * not end as `alone` with its sender in touch and no disruption near.
+ */
+void fake_pool_owner_killed(struct fake_pool *pool);
+
 /** fake_pool_set_ticket() - set the ticket of the adviser; it is not copied */
 void fake_pool_set_ticket(struct fake_pool *pool, const char *ticket);
 /** fake_pool_need_tickets() - let a worker refuse starts without that ticket */
@@ -148,8 +156,9 @@
  * @may_time_out: a member may end as `alone`, since workers are cut off
  *
  * A member runs once all have begun. It ends as `alone` if that takes 4,000 ms,
- * which is a violation (GANG), and as `broken` if another does not succeed. If
- * members fail, all of those end together.
+ * which is a violation (GANG) unless the owner was killed meanwhile, and as
+ * `broken` if another does not succeed. If members fail, all of those end
+ * together.
  */
 void fake_pool_set_gangs_wait(struct fake_pool *pool, bool may_time_out);
 
