cell: free a record with long checkpoints whole

A new owner lost the memory of each job record with a checkpoint of more than 63 bytes.

Cause: the decoder moves long checkpoints to the list of tasks, and xdr_free() gives up at the first text that is longer than the codec of that list allows, so that nothing of the record was freed. Evidence: the suite with sanitizers fails in test_cell_records and in the random cell's series of unfit jobs (2,277,308 bytes in 5,580 allocations); without sanitizers nothing shows it.

Change: zr_cell_progress_clear() frees the checkpoints of the tasks itself and then the rest.

Result: test_cell_records and test_odd_entries pass with sanitizers.

--- a/src/libzinniarack/cell/job_loader.c
+++ b/src/libzinniarack/cell/job_loader.c
@@ -497,7 +497,7 @@
 	restore_job(scheduler, job, &record);
 	zr_cell_past_use_load_job(scheduler, job, &record);
 	job->revision = value->mod_revision;
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &record);
+	zr_cell_progress_clear(&record);
 }
 
 static void become_active(struct zr_cell_scheduler *scheduler)
--- a/src/libzinniarack/cell/records.c
+++ b/src/libzinniarack/cell/records.c
@@ -436,6 +436,22 @@
 	return result;
 }
 
+void zr_cell_progress_clear(zx_cell_stored_progress *record)
+{
+	zx_cell_task *tasks = record->progress.tasks.tasks_val;
+	u_int i;
+
+	/*
+	 * xdr_free() gives up at a text that is longer than the codec allows.
+	 * There is no list if the decoder failed before it.
+	 */
+	for (i = 0; tasks && i < record->progress.tasks.tasks_len; i++) {
+		free(tasks[i].checkpoint);
+		tasks[i].checkpoint = NULL;
+	}
+	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, record);
+}
+
 int zr_cell_decode_progress(zx_cell_stored_progress *out, const void *data,
 			    size_t length)
 {
@@ -455,7 +471,7 @@
 	if (decoded && !unpack_tasks(&out->progress, &out->packed) &&
 	    !restore_long(&out->progress, &out->checkpoints))
 		return 0;
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, out);
+	zr_cell_progress_clear(out);
 	return ZR_E_PROTOCOL;
 }
 
--- a/src/libzinniarack/cell/records.h
+++ b/src/libzinniarack/cell/records.h
@@ -98,7 +98,7 @@
 
 /**
  * zr_cell_decode_progress() - decode the progress record of a job
- * @out: zeroed by the caller; to be freed with xdr_free()
+ * @out: zeroed by the caller; to be freed with zr_cell_progress_clear()
  * @data: the encoding
  * @length: size of @data in bytes
  *
@@ -110,6 +110,9 @@
 int zr_cell_decode_progress(zx_cell_stored_progress *out, const void *data,
 			    size_t length);
 
+/** zr_cell_progress_clear() - free what zr_cell_decode_progress() allocated */
+void zr_cell_progress_clear(zx_cell_stored_progress *record);
+
 /**
  * zr_cell_record_from_spec() - fill a record from a job specification
  * @out: the record; only the fields of the specification are set, and its
--- a/tests/fakes/cell_script.c
+++ b/tests/fakes/cell_script.c
@@ -787,7 +787,7 @@
 		use->runs += charge->runs;
 		use->core_ms += charge->core_ms;
 	}
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &progress);
+	zr_cell_progress_clear(&progress);
 }
 
 static void read_use_record(void *ctx, const char *key, const void *data,
@@ -1210,7 +1210,7 @@
 	record.gangs.gangs.gangs_val = NULL;
 	record.gangs.gangs.gangs_len = 0;
 	zr_cell_encode_progress(&copy->bytes, &record);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &record);
+	zr_cell_progress_clear(&record);
 }
 
 static void do_forget_failed_runs(struct cell_script *script)
@@ -1495,7 +1495,7 @@
 		fake_pool_check_failed(script->pool,
 				       key + strlen(ZR_CELL_PROGRESS_PREFIX),
 				       ATTEMPTS);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &record);
+	zr_cell_progress_clear(&record);
 }
 
 void cell_script_check_jobs(struct cell_script *script)
--- a/tests/unit/test_cell_records.c
+++ b/tests/unit/test_cell_records.c
@@ -53,7 +53,7 @@
 		zr_cell_decode_progress(&decoded, plain.data, plain.length), 0);
 	check_progress(&decoded.progress);
 	ck_assert_uint_eq(decoded.crashes.tasks.tasks_len, 0);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 	free(plain.data);
 }
@@ -82,7 +82,7 @@
 			 0);
 	check_progress(&plain);
 	xdr_free((xdrproc_t)xdr_zx_cell_progress, &plain);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 }
 END_TEST
@@ -110,7 +110,7 @@
 	ck_assert_uint_eq(decoded.runs.incarnations.incarnations_len, 0);
 	ck_assert_uint_eq(decoded.runs.possible_crashes.possible_crashes_len,
 			  0);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 }
 END_TEST
@@ -198,7 +198,7 @@
 			 0);
 	check_progress(&plain);
 	xdr_free((xdrproc_t)xdr_zx_cell_progress, &plain);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 	free(without.data);
 }
@@ -265,7 +265,7 @@
 	if (run_count)
 		ck_assert_uint_eq(decoded.runs.incarnations.incarnations_val[0],
 				  7);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 	return bytes.length;
 }
@@ -366,7 +366,7 @@
 	}
 	ck_assert_int_eq(kept + left_out, ZR_CELL_JOB_TASKS_MAX);
 	ck_assert_uint_eq(decoded.runs.incarnations.incarnations_val[7], 7);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 	free(job);
 }
@@ -410,7 +410,7 @@
 	ck_assert_str_eq(earlier.tasks.tasks_val[1].checkpoint, "");
 	ck_assert_uint_eq(earlier.tasks.tasks_val[4].attempt, 5);
 	xdr_free((xdrproc_t)xdr_zx_cell_progress, &earlier);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 	for (i = 0; i < 5; i++)
 		free(list[i].checkpoint);
@@ -453,7 +453,7 @@
 	/* There was no room for one more. */
 	ck_assert_uint_gt(bytes.length, ZX_CELL_VALUE_MAX - 2 * LONG_BYTES);
 	ck_assert_int_eq(kept + left_out, 3000);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 	free(texts);
 	free(job);
@@ -501,7 +501,7 @@
 	ck_assert_str_eq(decoded.progress.tasks.tasks_val[2999].checkpoint,
 			 job->checkpoints[2999]);
 	ck_assert(!decoded.progress.tasks.tasks_val[0].done);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(bytes.data);
 	free(job);
 }
@@ -527,7 +527,7 @@
 	check_progress(&decoded.progress);
 	ck_assert_uint_eq(decoded.gangs.gangs.gangs_len, 1);
 	ck_assert_mem_eq(decoded.gangs.gangs.gangs_val, &gang, sizeof(gang));
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	ck_assert_int_eq(zr_cell_decode(&earlier,
 					(xdrproc_t)xdr_zx_cell_progress,
 					bytes.data, bytes.length),
@@ -555,7 +555,7 @@
 	ck_assert_uint_eq(decoded.gangs.gangs.gangs_len, 0);
 	ck_assert_uint_eq(decoded.progress.tasks.tasks_val[4].failures,
 			  job->tasks[4].failures);
-	xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &decoded);
+	zr_cell_progress_clear(&decoded);
 	free(record.gangs.gangs.gangs_val);
 	free(bytes.data);
 	free(job);
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -476,7 +476,7 @@
 	zx_cell_stored_progress record = {0};
 
 	if (!zr_cell_decode_progress(&record, text->data, text->length))
-		xdr_free((xdrproc_t)xdr_zx_cell_stored_progress, &record);
+		zr_cell_progress_clear(&record);
 }
 
 START_TEST(test_progress_records)
