cell: sum up the pools in the loop that collects candidates

Each planning pass went through all workers twice, once to collect the candidates and once to sum up the use of their pools. The sums are made in the first loop now; the order of the steps and all results are the same.

--- a/src/libzinniarack/cell/candidates.c
+++ b/src/libzinniarack/cell/candidates.c
@@ -125,7 +125,9 @@
 	plan->eligible = calloc(size, sizeof(*plan->eligible));
 	if (!plan->candidates || !plan->eligible)
 		abort();
+	zr_cell_reservation_begin_pass(plan);
 	HASH_ITER (hh, model->worker_by_name, worker, next) {
+		zr_cell_reservation_add_worker(plan, worker);
 		worker->candidate_index = 0;
 		if (!worker->isolated_runs &&
 		    plan->now >= worker->isolation_until)
@@ -136,7 +138,7 @@
 						 plan->now))
 			add_candidate(plan, worker);
 	}
-	zr_cell_reservation_begin_pass(plan);
+	zr_cell_reservation_update_pauses(plan);
 }
 
 bool zr_cell_candidate_matches(const struct zr_cell_plan_item *item,
--- a/src/libzinniarack/cell/plan.h
+++ b/src/libzinniarack/cell/plan.h
@@ -703,8 +703,18 @@
 /* reservation.c */
 /** Time after which a reservation is given up. */
 #define ZR_CELL_RESERVATION_MAX_MS 3000
-/** zr_cell_reservation_begin_pass() - compute the use of the pools */
+/** zr_cell_reservation_begin_pass() - begin to sum up the use of the pools */
 void zr_cell_reservation_begin_pass(struct zr_cell_plan *plan);
+/** zr_cell_reservation_add_worker() - add a worker to the use of its pool */
+void zr_cell_reservation_add_worker(struct zr_cell_plan *plan,
+				    const struct zr_cell_worker *worker);
+/**
+ * zr_cell_reservation_update_pauses() - pause the reservations in pools of
+ * which they leave most unused
+ *
+ * Called once all workers have been added.
+ */
+void zr_cell_reservation_update_pauses(struct zr_cell_plan *plan);
 /**
  * zr_cell_reservation_renew() - begin or renew the reservation of a step
  * @plan: the pass
--- a/src/libzinniarack/cell/reservation.c
+++ b/src/libzinniarack/cell/reservation.c
@@ -94,23 +94,31 @@
 void zr_cell_reservation_begin_pass(struct zr_cell_plan *plan)
 {
 	struct zr_cell_term *term = &plan->scheduler->term;
-	struct zr_cell_worker *worker;
-	struct zr_cell_worker *next;
 	size_t i;
 
 	for (i = 0; i < term->pool_use_count; i++) {
 		term->pool_use[i].capacity = 0;
 		term->pool_use[i].used = 0;
 	}
-	HASH_ITER (hh, term->model.worker_by_name, worker, next) {
-		struct zr_cell_pool_use *pool;
+}
+
+void zr_cell_reservation_add_worker(struct zr_cell_plan *plan,
+				    const struct zr_cell_worker *worker)
+{
+	struct zr_cell_pool_use *pool;
+
+	if (!worker->registered)
+		return;
+	pool = get_or_add_pool(&plan->scheduler->term, worker->report.pool);
+	pool->capacity += worker->report.capacity.millicpus;
+	pool->used += worker->used_millicpus;
+}
+
+void zr_cell_reservation_update_pauses(struct zr_cell_plan *plan)
+{
+	struct zr_cell_term *term = &plan->scheduler->term;
+	size_t i;
 
-		if (!worker->registered)
-			continue;
-		pool = get_or_add_pool(term, worker->report.pool);
-		pool->capacity += worker->report.capacity.millicpus;
-		pool->used += worker->used_millicpus;
-	}
 	for (i = 0; i < term->pool_use_count; i++)
 		update_pause(&term->pool_use[i], plan->now);
 }
